--- /dev/null
+++ b/.prettierrc.cjs
@@ -0,0 +1,3 @@
+module.exports = {
+  ...require('gts/.prettierrc.json'),
+};
--- /dev/null
+++ b/packages/core/src/config-record.ts
@@ -0,0 +1,109 @@
+/**
+ * The configuration record that operators publish to the platform's
+ * configuration service: client accounts, model pools and the rules for
+ * requests that may never be repeated. Records carry `schemaVersion` so that
+ * old and new records can live side by side during a change.
+ */
+import {z} from 'zod';
+import {ConfigRecordError} from './errors.js';
+import {describeIssues} from './settings.js';
+
+/** Schema versions this release can read. */
+export const SUPPORTED_SCHEMA_VERSIONS: readonly number[] = [1];
+
+/** A `host:port` address of an agent's json-rpc listener. */
+const AddressSchema = z
+  .string()
+  .regex(/^[^:\s]+:\d{1,5}$/, 'expected host:port');
+
+export const AccountSchema = z.object({
+  id: z.string().min(1),
+  /** API keys that authenticate this client account. */
+  keys: z.array(z.string().min(8)).min(1),
+  /** Model pools or plain services this account may use. */
+  pools: z.array(z.string().min(1)).min(1),
+  /** Most requests of this account in flight at one gate. */
+  maxConcurrent: z.number().int().positive().default(64),
+  /** Sustained requests a second at one gate. */
+  ratePerSecond: z.number().positive().default(50),
+  /** Deadline applied when the caller gives none, in ms. */
+  deadlineMs: z.number().int().positive().default(60_000),
+});
+
+export const TargetSchema = z.object({
+  id: z.string().min(1),
+  agent: AddressSchema,
+  zone: z.string().min(1),
+});
+
+export const PoolSchema = z.object({
+  id: z.string().min(1),
+  kind: z.enum(['engine', 'plain']),
+  targets: z.array(TargetSchema),
+});
+
+export const RuleSchema = z.object({
+  pool: z.string().min(1),
+  /** Operation of a plain service; absent means every request of the pool. */
+  op: z.string().min(1).optional(),
+  notRepeatable: z.literal(true),
+});
+
+export const ConfigRecordSchema = z.object({
+  version: z.number().int().positive(),
+  schemaVersion: z.number().int().positive(),
+  accounts: z.array(AccountSchema),
+  pools: z.array(PoolSchema),
+  rules: z.array(RuleSchema).default([]),
+});
+
+export type Account = z.output<typeof AccountSchema>;
+export type Target = z.output<typeof TargetSchema>;
+export type Pool = z.output<typeof PoolSchema>;
+export type Rule = z.output<typeof RuleSchema>;
+export type ConfigRecord = Readonly<z.output<typeof ConfigRecordSchema>>;
+
+/**
+ * Validates a record read from the configuration service.
+ *
+ * @throws ConfigRecordError when the schema version is unknown or a field is bad.
+ * @example
+ * const record = resolveConfigRecord(await response.body.json());
+ */
+export function resolveConfigRecord(raw: unknown): ConfigRecord {
+  const schemaVersion = (raw as {schemaVersion?: unknown} | null)
+    ?.schemaVersion;
+  if (
+    typeof schemaVersion !== 'number' ||
+    !SUPPORTED_SCHEMA_VERSIONS.includes(schemaVersion)
+  ) {
+    throw new ConfigRecordError(
+      {info: {schemaVersion}},
+      `schemaVersion ${String(schemaVersion)} is not one of ${SUPPORTED_SCHEMA_VERSIONS.join(', ')}`,
+    );
+  }
+  const result = ConfigRecordSchema.safeParse(raw);
+  if (!result.success) {
+    throw new ConfigRecordError(
+      {info: {issues: result.error.issues}},
+      describeIssues(result.error.issues),
+    );
+  }
+  return result.data;
+}
+
+/**
+ * Tells whether a request to `pool` (and `op`, for plain services) may run at most once.
+ *
+ * @example
+ * isNotRepeatable(record, 'orders', 'place-order'); // true when a rule says so
+ */
+export function isNotRepeatable(
+  record: ConfigRecord,
+  pool: string,
+  op?: string,
+): boolean {
+  return record.rules.some(
+    rule => rule.pool === pool && (rule.op === undefined || rule.op === op),
+  );
+}
--- /dev/null
+++ b/packages/core/src/http.ts
@@ -0,0 +1,80 @@
+/**
+ * Small helpers for Node's `http` servers used by gate, agent and stand-ins.
+ */
+import type {IncomingMessage, ServerResponse} from 'node:http';
+
+/** Largest JSON body accepted: a 1M-token prompt is about 4 MB of text. */
+export const MAX_BODY_BYTES = 16 * 1024 * 1024;
+
+/**
+ * Reads a request body as JSON; resolves undefined when it is not JSON or too large.
+ *
+ * @example
+ * const body = await readJsonBody(req);
+ */
+export async function readJsonBody(req: IncomingMessage): Promise<unknown> {
+  const parts: Buffer[] = [];
+  let size = 0;
+  for await (const part of req as AsyncIterable<Buffer>) {
+    size += part.length;
+    if (size > MAX_BODY_BYTES) return undefined;
+    parts.push(part);
+  }
+  try {
+    return JSON.parse(Buffer.concat(parts).toString('utf8'));
+  } catch {
+    return undefined;
+  }
+}
+
+/**
+ * Writes a JSON response and ends it.
+ *
+ * @example
+ * sendJson(res, 200, {ok: true});
+ */
+export function sendJson(
+  res: ServerResponse,
+  status: number,
+  body: unknown,
+  headers: Readonly<Record<string, string>> = {},
+): void {
+  const text = JSON.stringify(body);
+  res.writeHead(status, {
+    'content-type': 'application/json',
+    'content-length': Buffer.byteLength(text),
+    ...headers,
+  });
+  res.end(text);
+}
+
+/**
+ * Starts an SSE response.
+ *
+ * @example
+ * startSse(res); writeSse(res, {seq: 0});
+ */
+export function startSse(res: ServerResponse): void {
+  res.writeHead(200, {
+    'content-type': 'text/event-stream',
+    'cache-control': 'no-cache',
+    connection: 'keep-alive',
+  });
+}
+
+/**
+ * Writes one SSE event with a JSON (or literal string) data field.
+ *
+ * @example
+ * writeSse(res, {seq: 1, text: 'a'}, 'token');
+ */
+export function writeSse(
+  res: ServerResponse,
+  data: unknown,
+  event?: string,
+): void {
+  const payload = typeof data === 'string' ? data : JSON.stringify(data);
+  res.write(
+    `${event === undefined ? '' : `event: ${event}\n`}data: ${payload}\n\n`,
+  );
+}
--- /dev/null
+++ b/packages/core/src/rpc.ts
@@ -0,0 +1,139 @@
+/**
+ * A json-rpc 2.0 link over one TCP socket, one JSON message a line. The link
+ * owns its socket: calls, notifications and the close are its only surface.
+ */
+import {createInterface} from 'node:readline';
+import {
+  JSONRPCClient,
+  JSONRPCServer,
+  JSONRPCServerAndClient,
+} from 'json-rpc-2.0';
+import {RpcClosedError, RpcFailedError} from './errors.js';
+import type {Socket} from 'node:net';
+
+/** Handler of a method or a notification; params arrive as sent. */
+export type RpcHandler = (params: unknown) => unknown;
+
+/**
+ * One end of a json-rpc link.
+ *
+ * @example
+ * const link = createRpcLink(socket);
+ * link.handle('ping', () => 'pong');
+ * await link.call('ping', {});
+ */
+export class RpcLink {
+  private readonly peer: JSONRPCServerAndClient;
+  private readonly closeListeners: Array<() => void> = [];
+  private closed = false;
+
+  constructor(private readonly socket: Socket) {
+    this.peer = new JSONRPCServerAndClient(
+      new JSONRPCServer(),
+      new JSONRPCClient(message => this.send(message)),
+    );
+    socket.setNoDelay(true);
+    const lines = createInterface({input: socket, crlfDelay: Infinity});
+    lines.on('line', line => this.receive(line));
+    socket.on('error', () => socket.destroy());
+    socket.on('close', () => this.markClosed());
+  }
+
+  /** True once the socket has closed; calls then fail with RpcClosedError. */
+  get isClosed(): boolean {
+    return this.closed;
+  }
+
+  /** Registers the handler of a method or notification named `method`. */
+  handle(method: string, handler: RpcHandler): void {
+    this.peer.addMethod(method, params => handler(params));
+  }
+
+  /**
+   * Calls `method` and resolves with its result.
+   *
+   * @throws RpcClosedError when the link closes first; RpcFailedError when
+   *   the peer answers with an error.
+   */
+  async call<T>(method: string, params: object): Promise<T> {
+    if (this.closed) {
+      throw new RpcClosedError(
+        {info: {method}},
+        `link closed before ${method}`,
+      );
+    }
+    try {
+      return (await this.peer.request(
+        method,
+        params as Record<string, unknown>,
+        undefined,
+      )) as T;
+    } catch (cause) {
+      if (this.closed) {
+        throw new RpcClosedError(
+          {cause: cause as Error, info: {method}},
+          `link closed during ${method}`,
+        );
+      }
+      throw new RpcFailedError(
+        {cause: cause as Error, info: {method}},
+        `${method} failed`,
+      );
+    }
+  }
+
+  /** Sends a notification; dropped silently when the link is closed. */
+  notify(method: string, params: object): void {
+    if (this.closed) return;
+    this.peer.notify(method, params as Record<string, unknown>, undefined);
+  }
+
+  /** Registers a listener run once when the link closes. */
+  onClose(listener: () => void): void {
+    if (this.closed) {
+      listener();
+      return;
+    }
+    this.closeListeners.push(listener);
+  }
+
+  /** Closes the socket; outstanding calls fail with RpcClosedError. */
+  close(): void {
+    this.socket.destroy();
+  }
+
+  private send(message: unknown): void {
+    if (this.closed) return;
+    this.socket.write(JSON.stringify(message) + '\n');
+  }
+
+  private receive(line: string): void {
+    let message: unknown;
+    try {
+      message = JSON.parse(line);
+    } catch {
+      // A line that is not JSON means the peer speaks another protocol: the
+      // link cannot resynchronise, so it is closed rather than guessed at.
+      this.close();
+      return;
+    }
+    void this.peer.receiveAndSend(message, undefined, undefined);
+  }
+
+  private markClosed(): void {
+    if (this.closed) return;
+    this.closed = true;
+    this.peer.rejectAllPendingRequests('link closed');
+    for (const listener of this.closeListeners.splice(0)) listener();
+  }
+}
+
+/**
+ * Wraps a connected socket in a json-rpc link.
+ *
+ * @example
+ * const link = createRpcLink(net.connect(7001, '127.0.0.1'));
+ */
+export function createRpcLink(socket: Socket): RpcLink {
+  return new RpcLink(socket);
+}
--- /dev/null
+++ b/packages/gate/src/gate.ts
@@ -0,0 +1,188 @@
+/**
+ * The gate: the process on each entry host. It owns the HTTP listener,
+ * the configuration watcher, the membership view and the dispatcher.
+ */
+import {createServer} from 'node:http';
+import {
+  createConfigWatcher,
+  createCounters,
+  createLatencyHistogram,
+  createLogger,
+  sendJson,
+  waitMs,
+} from '@nutmeggauge/core';
+import {createAccountLimits} from './admission/limits.js';
+import {handleCallerRequest} from './api/handler.js';
+import {createDispatcher} from './dispatch/dispatcher.js';
+import {createMembership} from './membership/membership.js';
+import {resolveRouter} from './routing/policies.js';
+import type {Server} from 'node:http';
+import type {Account, ConfigRecord} from '@nutmeggauge/core';
+import type {HandlerContext} from './api/handler.js';
+import type {GateSettings} from './settings.js';
+
+/** Prompts up to this many tokens run in the agents' short lane. */
+const SHORT_MAX_TOKENS = 32_768;
+
+/**
+ * One gate process's state and tasks.
+ *
+ * @example
+ * const gate = createGate(settings);
+ * await gate.start();
+ */
+export class Gate {
+  readonly counters = createCounters();
+  readonly ttft = createLatencyHistogram();
+  private readonly log = createLogger('gate');
+  private readonly watcher;
+  private readonly membership;
+  private readonly context: HandlerContext;
+  private server: Server | undefined;
+  private keys = new Map<string, Account>();
+  private draining = false;
+  private inFlight = 0;
+
+  constructor(private readonly settings: GateSettings) {
+    this.watcher = createConfigWatcher({
+      url: settings.configService.url,
+      counters: this.counters,
+      waitMs: settings.configService.waitMs,
+    });
+    this.membership = createMembership({
+      counters: this.counters,
+      hostListUrl: settings.hostList?.url,
+      hostListPollMs: settings.hostList?.pollMs,
+    });
+    this.watcher.onChange(record => this.applyRecord(record));
+    this.context = {
+      gateId: settings.id,
+      counters: this.counters,
+      limits: createAccountLimits(),
+      membership: this.membership,
+      dispatcher: createDispatcher({
+        membership: this.membership,
+        router: resolveRouter(settings.routing.policy),
+        counters: this.counters,
+        maxAttempts: settings.routing.maxAttempts,
+      }),
+      figures: {...settings.estimate, shortMaxTokens: SHORT_MAX_TOKENS},
+      ttft: this.ttft,
+      readRecord: () => this.watcher.current,
+      findAccount: key => this.keys.get(key),
+      isDraining: () => this.draining,
+    };
+  }
+
+  /** The bound port, once started. */
+  get port(): number {
+    const address = this.server?.address();
+    return typeof address === 'object' && address !== null ? address.port : 0;
+  }
+
+  /** Starts watching configuration and listening for callers. */
+  async start(): Promise<void> {
+    this.watcher.start();
+    this.membership.start();
+    const server = createServer((req, res) => this.route(req, res));
+    this.server = server;
+    await new Promise<void>(resolve =>
+      server.listen(
+        this.settings.listen.port,
+        this.settings.listen.host,
+        resolve,
+      ),
+    );
+    this.log.info('gate_listening', {
+      id: this.settings.id,
+      zone: this.settings.zone,
+      port: this.port,
+    });
+  }
+
+  /**
+   * Graceful shutdown: stop accepting, finish every request in flight (at
+   * most `drainTimeoutMs`), then stop the tasks. No request is cut off.
+   */
+  async drain(): Promise<void> {
+    if (this.draining) return;
+    this.draining = true;
+    this.log.info('drain_started', {inFlight: this.inFlight});
+    this.server?.close();
+    this.server?.closeIdleConnections();
+    const giveUpAt = Date.now() + this.settings.drainTimeoutMs;
+    while (this.inFlight > 0 && Date.now() < giveUpAt) await waitMs(20);
+    this.log.info('drain_finished', {left: this.inFlight});
+    this.close();
+  }
+
+  /** Stops every task at once. */
+  close(): void {
+    this.watcher.stop();
+    this.membership.stop();
+    this.server?.closeAllConnections();
+    this.server?.close();
+  }
+
+  private applyRecord(record: ConfigRecord): void {
+    this.keys = new Map(
+      record.accounts.flatMap(account =>
+        account.keys.map(key => [key, account] as const),
+      ),
+    );
+    this.membership.apply(record);
+  }
+
+  private route(
+    req: Parameters<typeof handleCallerRequest>[1],
+    res: Parameters<typeof handleCallerRequest>[2],
+  ): void {
+    const path = new URL(req.url ?? '/', 'http://gate').pathname;
+    if (req.method === 'GET' && path === '/healthz') {
+      sendJson(res, this.draining ? 503 : 200, this.describe());
+      return;
+    }
+    if (req.method === 'GET' && path === '/metrics') {
+      sendJson(res, 200, {
+        counters: this.counters.read(),
+        ttftMs: this.ttft.summarize(),
+      });
+      return;
+    }
+    if (req.method !== 'POST') {
+      sendJson(res, 405, {
+        error: {type: 'bad_request', reason: 'method_not_allowed'},
+      });
+      return;
+    }
+    this.inFlight++;
+    void handleCallerRequest(this.context, req, res).finally(
+      () => this.inFlight--,
+    );
+  }
+
+  private describe(): object {
+    return {
+      id: this.settings.id,
+      zone: this.settings.zone,
+      draining: this.draining,
+      configVersion: this.watcher.current?.version ?? 0,
+      targets: this.membership.listAll().map(c => ({
+        id: c.id,
+        pool: c.pool,
+        usable: c.isUsable,
+        outstanding: c.outstanding,
+      })),
+    };
+  }
+}
+
+/**
+ * Creates a gate; call `start` to listen.
+ *
+ * @example
+ * const gate = createGate(loadSettings(GateSettingsSchema, 'gate.yaml'));
+ */
+export function createGate(settings: GateSettings): Gate {
+  return new Gate(settings);
+}
--- /dev/null
+++ b/packages/gate/src/routing/policies.ts
@@ -0,0 +1,26 @@
+/**
+ * Maps a policy name from the settings to its Router.
+ */
+import {LeastOutstandingRouter, RoundRobinRouter} from './router.js';
+import {PowerOfTwoRouter, TokenLoadRouter} from './load-routers.js';
+import type {Router} from './router.js';
+import type {RoutingPolicy} from '../settings.js';
+
+/**
+ * Creates the router for `policy`.
+ *
+ * @example
+ * resolveRouter('least-outstanding').name; // 'least-outstanding'
+ */
+export function resolveRouter(policy: RoutingPolicy): Router {
+  switch (policy) {
+    case 'round-robin':
+      return new RoundRobinRouter();
+    case 'least-outstanding':
+      return new LeastOutstandingRouter();
+    case 'power-of-two':
+      return new PowerOfTwoRouter();
+    case 'token-load':
+      return new TokenLoadRouter();
+  }
+}
--- /dev/null
+++ b/packages/gate/src/settings.ts
@@ -0,0 +1,55 @@
+/**
+ * Settings of `nutmeggauge-gate`, read from YAML and checked by zod.
+ */
+import {z} from 'zod';
+
+export const RoutingPolicySchema = z.enum([
+  'round-robin',
+  'least-outstanding',
+  'power-of-two',
+  'token-load',
+]);
+
+export const GateSettingsSchema = z.object({
+  /** Name of this gate in logs and request ids. */
+  id: z.string().min(1),
+  /** Availability zone of this entry host. */
+  zone: z.string().min(1),
+  /** Where callers reach the HTTP API. */
+  listen: z.object({
+    host: z.string().min(1).default('127.0.0.1'),
+    port: z.number().int().min(0).max(65535),
+  }),
+  configService: z.object({
+    url: z.url(),
+    /** How long one watch waits, in ms. */
+    waitMs: z.number().int().positive().default(25_000),
+  }),
+  /** The platform's host list; optional. */
+  hostList: z
+    .object({
+      url: z.url(),
+      /** Period between reads, in ms. */
+      pollMs: z.number().int().positive().default(1000),
+    })
+    .optional(),
+  routing: z
+    .object({
+      policy: RoutingPolicySchema.default('least-outstanding'),
+      /** Most targets one request is tried on. */
+      maxAttempts: z.number().int().positive().default(3),
+    })
+    .prefault({}),
+  /** Figures of the engines, for the admission estimate. */
+  estimate: z
+    .object({
+      prefillTokensPerSecond: z.number().positive().default(400_000),
+      decodeStepMs: z.number().positive().default(8),
+    })
+    .prefault({}),
+  /** Longest time a graceful shutdown waits for requests in flight, in ms. */
+  drainTimeoutMs: z.number().int().positive().default(120_000),
+});
+
+export type GateSettings = z.output<typeof GateSettingsSchema>;
+export type RoutingPolicy = z.output<typeof RoutingPolicySchema>;
--- /dev/null
+++ b/packages/nutmeggauge/src/bin.ts
@@ -0,0 +1,75 @@
+#!/usr/bin/env node
+/**
+ * `nutmeggauge`: the operators' and developers' command line.
+ *   demo      whole deployment on loopback with the default workload
+ *   timeline  merge the logs of every process of a run
+ *   standin   run one stand-in of the platform (used by demo and bench)
+ */
+import {join} from 'node:path';
+import meow from 'meow';
+import {runDemo} from './demo.js';
+import {runStandIn} from './standin/run-standin.js';
+import {formatTimelineEvent, mergeTimeline} from './timeline/merge.js';
+
+const cli = meow(
+  `
+  Usage
+    $ nutmeggauge demo [--seed N] [--routing POLICY] [--run-dir DIR]
+    $ nutmeggauge timeline <run-dir or .log files…>
+    $ nutmeggauge standin <engine|config|hosts|plain> --id ID --port N
+
+  Options
+    --seed        Seed of the workload (default 20261202)
+    --routing     round-robin | least-outstanding | power-of-two | token-load
+    --run-dir     Folder for settings and logs (default runs/<command>-<time>)
+    --id, --port  Name and port of a stand-in
+    --fencing     Engine stand-in: refuse | ignore orders with old fencing numbers
+    --lag-ms      Engine load lag, or host list lag, in ms
+    --latency-ms  Plain service latency, in ms
+    --prefill-rate  Engine stand-in prompt tokens a second
+`,
+  {
+    importMeta: import.meta,
+    flags: {
+      seed: {type: 'number', default: 20261202},
+      routing: {type: 'string', default: 'least-outstanding'},
+      runDir: {type: 'string'},
+      id: {type: 'string', default: 'stand-in'},
+      port: {type: 'number', default: 0},
+      fencing: {type: 'string', default: 'refuse'},
+      lagMs: {type: 'number', default: 250},
+      latencyMs: {type: 'number', default: 20},
+      prefillRate: {type: 'number', default: 400_000},
+    },
+  },
+);
+
+const [command, ...rest] = cli.input;
+const stamp = new Date().toISOString().replace(/[:.]/g, '-');
+
+switch (command) {
+  case 'demo': {
+    const summary = await runDemo({
+      runDir: cli.flags.runDir ?? join('runs', `demo-${stamp}`),
+      seed: cli.flags.seed,
+      routing: cli.flags.routing,
+    });
+    process.exit(
+      summary.lost === 0 &&
+        summary.doubled === 0 &&
+        summary.repeatMismatches === 0
+        ? 0
+        : 1,
+    );
+    break;
+  }
+  case 'timeline':
+    for (const event of mergeTimeline(rest))
+      process.stdout.write(formatTimelineEvent(event) + '\n');
+    break;
+  case 'standin':
+    await runStandIn(rest[0] ?? '', cli.flags);
+    break;
+  default:
+    cli.showHelp(2);
+}
--- /dev/null
+++ b/packages/nutmeggauge/src/e2e/api.test.ts
@@ -0,0 +1,84 @@
+import {after, before, describe, it} from 'node:test';
+import {expect} from 'earl';
+import {OTHER_KEY, TEST_KEY, postJson, startStack} from '../test/stack.js';
+import type {Stack} from '../test/stack.js';
+
+describe('caller API end to end', () => {
+  let stack: Stack;
+  before(async () => {
+    stack = await startStack();
+  });
+  after(async () => {
+    await stack.close();
+  });
+
+  it('answers a completion whole, through gate, agent and engine', async () => {
+    const res = await postJson(
+      `${stack.gateUrl}/v1/completions`,
+      {model: 'chat', prompt: 'x'.repeat(8000), max_tokens: 5},
+      {authorization: `Bearer ${TEST_KEY}`},
+    );
+    expect(res.status).toEqual(200);
+    expect(res.body.choices[0].text).toEqual(' t0 t1 t2 t3 t4');
+    expect(res.body.usage.prompt_tokens).toEqual(2000);
+  });
+
+  it('streams a chat completion as SSE ending in [DONE]', async () => {
+    const res = await postJson(
+      `${stack.gateUrl}/v1/chat/completions`,
+      {
+        model: 'chat',
+        messages: [{role: 'user', content: 'hello'}],
+        max_tokens: 3,
+        stream: true,
+      },
+      {authorization: `Bearer ${TEST_KEY}`},
+    );
+    expect(res.status).toEqual(200);
+    const text = res.body as string;
+    expect(text.match(/chat\.completion\.chunk/g)?.length).toEqual(3);
+    expect(text.trimEnd().endsWith('data: [DONE]')).toEqual(true);
+  });
+
+  it('refuses a wrong key with 401 and a typed error', async () => {
+    const res = await postJson(
+      `${stack.gateUrl}/v1/completions`,
+      {model: 'chat', prompt: 'x'},
+      {authorization: 'Bearer nope-nope-nope'},
+    );
+    expect(res.status).toEqual(401);
+    expect(res.body.error.type).toEqual('unauthorized');
+    expect(res.body.error.reason).toEqual('unknown_key');
+  });
+
+  it('refuses a missing key with 401', async () => {
+    const res = await postJson(`${stack.gateUrl}/v1/completions`, {
+      model: 'chat',
+      prompt: 'x',
+    });
+    expect(res.status).toEqual(401);
+    expect(res.body.error.reason).toEqual('missing_key');
+  });
+
+  it('refuses a pool the account may not use with 403', async () => {
+    const res = await postJson(
+      `${stack.gateUrl}/v1/services/orders/place-order`,
+      {sku: 'a'},
+      {authorization: `Bearer ${OTHER_KEY}`},
+    );
+    expect(res.status).toEqual(403);
+    expect(res.body.error.type).toEqual('forbidden');
+  });
+
+  it('refuses at once with Retry-After when the deadline cannot be met', async () => {
+    // A 1M-token prompt needs about 2.5 s of prefill; a 100 ms deadline cannot hold.
+    const res = await postJson(
+      `${stack.gateUrl}/v1/completions`,
+      {model: 'chat', prompt: 'y'.repeat(4_000_000), max_tokens: 4},
+      {authorization: `Bearer ${TEST_KEY}`, 'x-deadline-ms': '100'},
+    );
+    expect(res.status).toEqual(503);
+    expect(res.body.error.reason).toEqual('deadline_unreachable');
+    expect(Number(res.headers['retry-after'])).toBeGreaterThanOrEqual(1);
+  });
+});
--- /dev/null
+++ b/packages/nutmeggauge/src/load/workload.ts
@@ -0,0 +1,150 @@
+/**
+ * A seeded, open-loop plan of requests: arrival times, prompt lengths from
+ * 1k to 1M tokens (a share of them over 100k), shared prefixes, accounts,
+ * and not-repeatable order calls, some sent twice as a caller's retry.
+ */
+import {xoroshiro128plus} from 'pure-rand/generator/xoroshiro128plus';
+import {uniformFloat64} from 'pure-rand/distribution/uniformFloat64';
+
+/** Characters counted as one token. */
+const CHARS_PER_TOKEN = 4;
+
+/** What to generate. */
+export interface WorkloadSpec {
+  readonly seed: number;
+  /** Generate requests in the plan. */
+  readonly requests: number;
+  /** Mean arrivals a second (Poisson). */
+  readonly ratePerSecond: number;
+  /** Share of prompts over `longThresholdTokens`. */
+  readonly longShare: number;
+  readonly minPromptTokens: number;
+  readonly maxPromptTokens: number;
+  readonly longThresholdTokens: number;
+  /** Tokens of the system prompt that a share of requests start with. */
+  readonly sharedPrefixTokens: number;
+  /** Share of requests that start with the shared prefix. */
+  readonly sharedPrefixShare: number;
+  /** Tokens each request asks to generate. */
+  readonly maxNewTokens: number;
+  /** API keys to spread requests over. */
+  readonly keys: readonly string[];
+  /** API keys of accounts that may place orders. */
+  readonly orderKeys: readonly string[];
+  /** Not-repeatable order calls in the plan. */
+  readonly orders: number;
+  /** Of these, how many the caller sends a second time with the same key. */
+  readonly repeatedOrders: number;
+}
+
+/** One planned request. */
+export type PlannedRequest =
+  | {
+      readonly kind: 'generate';
+      readonly index: number;
+      readonly atMs: number;
+      readonly key: string;
+      readonly promptTokens: number;
+      readonly shared: boolean;
+      readonly maxNewTokens: number;
+    }
+  | {
+      readonly kind: 'order';
+      readonly index: number;
+      readonly atMs: number;
+      readonly key: string;
+      readonly idempotencyKey: string;
+    };
+
+/**
+ * Builds the plan of `spec`; the same seed gives the same plan.
+ *
+ * @example
+ * planWorkload({...DEMO_WORKLOAD, seed: 7}).length;
+ */
+export function planWorkload(spec: WorkloadSpec): PlannedRequest[] {
+  const rng = xoroshiro128plus(spec.seed);
+  const draw = () => uniformFloat64(rng);
+  const plan: PlannedRequest[] = [];
+  let atMs = 0;
+  const longEvery = Math.max(1, Math.round(1 / spec.longShare));
+  for (let index = 0; index < spec.requests; index++) {
+    atMs += (-Math.log(1 - draw()) / spec.ratePerSecond) * 1000;
+    // Every `longEvery`-th request is long, so short plans still hold the share.
+    const long = index % longEvery === longEvery - 1;
+    const low = long ? spec.longThresholdTokens : spec.minPromptTokens;
+    const high = long ? spec.maxPromptTokens : spec.longThresholdTokens;
+    const promptTokens = Math.round(
+      Math.exp(Math.log(low) + draw() * (Math.log(high) - Math.log(low))),
+    );
+    plan.push({
+      kind: 'generate',
+      index,
+      atMs,
+      key: spec.keys[Math.floor(draw() * spec.keys.length)],
+      promptTokens,
+      shared: draw() < spec.sharedPrefixShare,
+      maxNewTokens: spec.maxNewTokens,
+    });
+  }
+  const span = Math.max(atMs, 1);
+  for (let o = 0; o < spec.orders; o++) {
+    const at = draw() * span;
+    const order = {
+      kind: 'order',
+      index: spec.requests + o,
+      key: spec.orderKeys[o % spec.orderKeys.length],
+      idempotencyKey: `order-${spec.seed}-${o}`,
+    } as const;
+    plan.push({...order, atMs: at});
+    if (o < spec.repeatedOrders)
+      plan.push({
+        ...order,
+        index: spec.requests + spec.orders + o,
+        atMs: at + 50,
+      });
+  }
+  return plan.sort((a, b) => a.atMs - b.atMs);
+}
+
+/**
+ * Builds prompt text of `tokens` tokens; shared prompts begin with the same
+ * `sharedPrefixTokens`, the rest differs from the first block on.
+ *
+ * @example
+ * renderPrompt(1000, 0, false, 500).length; // 4000
+ */
+export function renderPrompt(
+  tokens: number,
+  index: number,
+  shared: boolean,
+  sharedPrefixTokens: number,
+): string {
+  const total = tokens * CHARS_PER_TOKEN;
+  const prefix = shared
+    ? 'sys '.repeat(Math.min(tokens, sharedPrefixTokens))
+    : '';
+  const head = `q${index} `;
+  return (prefix + head + 'word'.repeat(Math.ceil(total / 4))).slice(0, total);
+}
+
+/** Prompt-length buckets that TTFT is reported by. */
+export const LENGTH_BUCKETS = [
+  {name: '1k-8k', upTo: 8_000},
+  {name: '8k-32k', upTo: 32_000},
+  {name: '32k-100k', upTo: 100_000},
+  {name: '100k-1M', upTo: Infinity},
+] as const;
+
+/**
+ * Names the bucket of a prompt length.
+ *
+ * @example
+ * resolveBucket(50_000); // '32k-100k'
+ */
+export function resolveBucket(promptTokens: number): string {
+  return (
+    LENGTH_BUCKETS.find(bucket => promptTokens <= bucket.upTo) ??
+    LENGTH_BUCKETS[3]
+  ).name;
+}
--- /dev/null
+++ b/packages/nutmeggauge/src/standin/run-standin.ts
@@ -0,0 +1,80 @@
+/**
+ * `nutmeggauge standin <kind>`: runs one stand-in of the platform as its own
+ * process, so the demo and the bench can kill or pause it.
+ */
+import {setProcessName} from '@nutmeggauge/core';
+import {
+  startConfigServiceStandIn,
+  startEngineStandIn,
+  startHostListStandIn,
+  startPlainServiceStandIn,
+} from '@nutmeggauge/standins';
+import type {FencingMode} from '@nutmeggauge/standins';
+
+/** Flags of the standin subcommand. */
+export interface StandInFlags {
+  readonly id: string;
+  readonly port: number;
+  readonly fencing: string;
+  readonly lagMs: number;
+  readonly latencyMs: number;
+  readonly prefillRate: number;
+}
+
+/** Kinds that `nutmeggauge standin` can run. */
+export const STAND_IN_KINDS = ['engine', 'config', 'hosts', 'plain'] as const;
+
+/**
+ * Starts the stand-in of `kind` on 127.0.0.1 and keeps the process alive.
+ *
+ * @example
+ * await runStandIn('engine', {id: 'engine-1', port: 7101, fencing: 'refuse', lagMs: 250, latencyMs: 20, prefillRate: 400000});
+ */
+export async function runStandIn(
+  kind: string,
+  flags: StandInFlags,
+): Promise<void> {
+  setProcessName(flags.id);
+  const host = '127.0.0.1';
+  switch (kind) {
+    case 'engine':
+      await startEngineStandIn(
+        {
+          id: flags.id,
+          fencing: flags.fencing as FencingMode,
+          loadLagMs: flags.lagMs,
+          prefillTokensPerSecond: flags.prefillRate,
+        },
+        host,
+        flags.port,
+      );
+      return;
+    case 'config':
+      await startConfigServiceStandIn(host, flags.port);
+      return;
+    case 'hosts':
+      await startHostListStandIn(host, flags.port, flags.lagMs);
+      process.stderr.write(
+        JSON.stringify({
+          t: Date.now(),
+          proc: flags.id,
+          event: 'hosts_listening',
+        }) + '\n',
+      );
+      return;
+    case 'plain':
+      await startPlainServiceStandIn(host, flags.port, flags.latencyMs);
+      process.stderr.write(
+        JSON.stringify({
+          t: Date.now(),
+          proc: flags.id,
+          event: 'plain_listening',
+        }) + '\n',
+      );
+      return;
+    default:
+      throw new Error(
+        `unknown stand-in kind ${kind}; one of ${STAND_IN_KINDS.join(', ')}`,
+      );
+  }
+}
--- /dev/null
+++ b/packages/standins/src/config-service/server.ts
@@ -0,0 +1,145 @@
+/**
+ * The configuration service stand-in: read-only and watchable for readers,
+ * with an admin side that the tests and the demo use in the operators'
+ * place. It can be told to go down or to serve a stale record, and it counts
+ * every call, a waiting watch as one.
+ */
+import {createServer} from 'node:http';
+import {createLogger, readJsonBody, sendJson} from '@nutmeggauge/core';
+import type {Server, ServerResponse} from 'node:http';
+
+/** How the stand-in answers readers. */
+export type ConfigServiceMode = 'up' | 'down' | 'stale';
+
+/** A running configuration service stand-in. */
+export interface ConfigServiceStandIn {
+  readonly server: Server;
+  /** Publishes a record (its `version` is assigned) and wakes watchers. */
+  publish(record: Readonly<Record<string, unknown>>): number;
+  setMode(mode: ConfigServiceMode): void;
+  /** Reader calls so far. */
+  readonly calls: () => number;
+  close(): Promise<void>;
+}
+
+/**
+ * Starts the configuration service stand-in.
+ *
+ * @example
+ * const service = await startConfigServiceStandIn('127.0.0.1', 0);
+ * service.publish({schemaVersion: 1, accounts: [], pools: []});
+ */
+export async function startConfigServiceStandIn(
+  host: string,
+  port: number,
+): Promise<ConfigServiceStandIn> {
+  const log = createLogger('config-service');
+  const records: Array<Readonly<Record<string, unknown>>> = [];
+  const watchers = new Set<() => void>();
+  let mode: ConfigServiceMode = 'up';
+  let calls = 0;
+
+  const publish = (record: Readonly<Record<string, unknown>>): number => {
+    const version = records.length + 1;
+    records.push({...record, version});
+    log.info('record_published', {version});
+    for (const wake of [...watchers]) wake();
+    return version;
+  };
+  const setMode = (next: ConfigServiceMode): void => {
+    mode = next;
+    log.info('mode_changed', {mode});
+  };
+
+  const server = createServer((req, res) => {
+    const url = new URL(req.url ?? '/', 'http://config');
+    if (url.pathname.startsWith('/admin/')) {
+      void serveAdmin(url.pathname, res, req);
+      return;
+    }
+    if (req.method !== 'GET' || url.pathname !== '/v1/records/current') {
+      sendJson(res, 404, {error: 'not_found'});
+      return;
+    }
+    calls++;
+    if (mode === 'down') {
+      sendJson(res, 503, {error: 'unavailable'});
+      return;
+    }
+    if (mode === 'stale') {
+      // A lagging replica: answers at once with the oldest record it has.
+      if (records.length === 0) sendJson(res, 404, {error: 'no_record'});
+      else sendJson(res, 200, records[0]);
+      return;
+    }
+    const after = Number(url.searchParams.get('after') ?? 0);
+    const waitFor = Math.min(
+      60_000,
+      Number(url.searchParams.get('waitMs') ?? 0),
+    );
+    const answer = (): boolean => {
+      const latest = records.at(-1);
+      if (latest === undefined || (latest.version as number) <= after)
+        return false;
+      sendJson(res, 200, latest);
+      return true;
+    };
+    if (answer() || waitFor <= 0) {
+      if (!res.headersSent) res.writeHead(304).end();
+      return;
+    }
+    const wake = (): void => {
+      if (mode !== 'up' || !answer()) return;
+      cleanup();
+    };
+    const timer = setTimeout(() => {
+      cleanup();
+      res.writeHead(304).end();
+    }, waitFor);
+    const cleanup = (): void => {
+      clearTimeout(timer);
+      watchers.delete(wake);
+    };
+    watchers.add(wake);
+    res.on('close', cleanup);
+  });
+
+  async function serveAdmin(
+    path: string,
+    res: ServerResponse,
+    req: Parameters<typeof readJsonBody>[0],
+  ): Promise<void> {
+    if (path === '/admin/stats') {
+      sendJson(res, 200, {calls, mode, versions: records.length});
+      return;
+    }
+    const body = (await readJsonBody(req)) as
+      Record<string, unknown> | undefined;
+    if (path === '/admin/publish' && body !== undefined) {
+      sendJson(res, 200, {version: publish(body)});
+      return;
+    }
+    if (
+      path === '/admin/mode' &&
+      (body?.mode === 'up' || body?.mode === 'down' || body?.mode === 'stale')
+    ) {
+      setMode(body.mode);
+      sendJson(res, 200, {mode});
+      return;
+    }
+    sendJson(res, 400, {error: 'bad_request'});
+  }
+
+  await new Promise<void>(resolve => server.listen(port, host, resolve));
+  log.info('config_service_listening', {address: server.address()});
+  return {
+    server,
+    publish,
+    setMode,
+    calls: () => calls,
+    close: async () => {
+      server.closeAllConnections();
+      await new Promise<void>(resolve => server.close(() => resolve()));
+    },
+  };
+}
--- /dev/null
+++ b/packages/standins/src/engine/scheduler.ts
@@ -0,0 +1,228 @@
+/**
+ * Continuous batching with chunked prefill. Each step prefills up to
+ * `prefillChunkTokens` in priority order and decodes one token for up to
+ * `maxBatch` sequences; the step lasts `decodeStepMs` plus the prefill cost.
+ * KV memory is reserved per sequence as a lease that expires.
+ */
+import {PrefixCache, hashPromptBlocks} from './prefix-cache.js';
+import {CHARS_PER_TOKEN} from './options.js';
+import type {ResolvedEngineOptions} from './options.js';
+
+/** What the caller of `submit` hears about its sequence. */
+export interface SequenceListener {
+  onToken(seq: number, text: string): void;
+  onDone(summary: {
+    readonly tokens: number;
+    readonly cachedTokens: number;
+  }): void;
+  onFail(reason: 'lease_expired' | 'cancelled' | 'too_large'): void;
+}
+
+/** A request to generate, as the engine receives it. */
+export interface SequenceRequest {
+  readonly requestId: string;
+  readonly prompt: string;
+  readonly maxTokens: number;
+  /** Lower runs first; 0 is the most urgent. */
+  readonly priority: number;
+  /** Time after which the KV reservation is released, in ms. */
+  readonly leaseMs: number;
+}
+
+interface Sequence {
+  readonly request: SequenceRequest;
+  readonly listener: SequenceListener;
+  readonly promptTokens: number;
+  readonly blocks: readonly string[];
+  readonly arrivedAt: number;
+  readonly leaseExpiresAt: number;
+  cachedTokens: number;
+  prefillLeft: number;
+  generated: number;
+  reserved: boolean;
+}
+
+/** Load figures of one engine. */
+export interface EngineLoad {
+  readonly waiting: number;
+  readonly running: number;
+  readonly pendingPrefillTokens: number;
+  readonly pendingDecodeTokens: number;
+  readonly kvUsedTokens: number;
+  readonly kvCapacityTokens: number;
+}
+
+/**
+ * The scheduler of one engine stand-in.
+ *
+ * @example
+ * const scheduler = new EngineScheduler(resolveEngineOptions({id: 'e1'}));
+ * scheduler.submit(request, listener);
+ */
+export class EngineScheduler {
+  readonly cache: PrefixCache;
+  private readonly waiting: Sequence[] = [];
+  private readonly running: Sequence[] = [];
+  private kvUsed = 0;
+  private timer: NodeJS.Timeout | undefined;
+
+  constructor(private readonly options: ResolvedEngineOptions) {
+    this.cache = new PrefixCache(options.prefixCacheBlocks);
+  }
+
+  /** Queues a sequence; returns false when the waiting queue is full. */
+  submit(request: SequenceRequest, listener: SequenceListener): boolean {
+    if (this.waiting.length >= this.options.maxWaiting) return false;
+    const promptTokens = Math.ceil(request.prompt.length / CHARS_PER_TOKEN);
+    const now = Date.now();
+    this.waiting.push({
+      request,
+      listener,
+      promptTokens,
+      blocks: hashPromptBlocks(request.prompt, this.options.blockTokens),
+      arrivedAt: now,
+      leaseExpiresAt: now + request.leaseMs,
+      cachedTokens: 0,
+      prefillLeft: promptTokens,
+      generated: 0,
+      reserved: false,
+    });
+    this.schedule(0);
+    return true;
+  }
+
+  /** Cancels a sequence and frees its KV memory; unknown ids are ignored. */
+  cancel(requestId: string): void {
+    const sequence = [...this.waiting, ...this.running].find(
+      s => s.request.requestId === requestId,
+    );
+    if (sequence === undefined) return;
+    this.finish(sequence);
+    sequence.listener.onFail('cancelled');
+  }
+
+  /** Current load, before any reporting lag. */
+  readLoad(): EngineLoad {
+    const all = [...this.waiting, ...this.running];
+    return {
+      waiting: this.waiting.length,
+      running: this.running.length,
+      pendingPrefillTokens: all.reduce((sum, s) => sum + s.prefillLeft, 0),
+      pendingDecodeTokens: all.reduce(
+        (sum, s) => sum + (s.request.maxTokens - s.generated),
+        0,
+      ),
+      kvUsedTokens: this.kvUsed,
+      kvCapacityTokens: this.options.kvCapacityTokens,
+    };
+  }
+
+  /** Stops the step timer; sequences are left as they are. */
+  stop(): void {
+    clearTimeout(this.timer);
+    this.timer = undefined;
+  }
+
+  private schedule(delayMs: number): void {
+    if (this.timer !== undefined) return;
+    this.timer = setTimeout(() => {
+      this.timer = undefined;
+      this.step();
+    }, delayMs);
+  }
+
+  private step(): void {
+    const now = Date.now();
+    this.expireLeases(now);
+    this.admitWaiting();
+    const prefilled = this.prefillChunk();
+    const decoded = this.decodeBatch();
+    if (this.waiting.length === 0 && this.running.length === 0) return;
+    const prefillMs = (prefilled / this.options.prefillTokensPerSecond) * 1000;
+    this.schedule(
+      (decoded > 0 ? this.options.decodeStepMs : 0) + Math.max(prefillMs, 1),
+    );
+  }
+
+  /**
+   * Guards against memory lost for good: a caller that vanished without a
+   * cancel would hold its KV reservation forever. Every reservation is a
+   * lease; once it runs out the sequence is ended and its memory freed.
+   */
+  private expireLeases(now: number): void {
+    for (const sequence of [...this.waiting, ...this.running]) {
+      if (sequence.leaseExpiresAt > now) continue;
+      this.finish(sequence);
+      sequence.listener.onFail('lease_expired');
+    }
+  }
+
+  private admitWaiting(): void {
+    this.waiting.sort(compareSequences);
+    for (const sequence of [...this.waiting]) {
+      const need = sequence.promptTokens + sequence.request.maxTokens;
+      if (need > this.options.kvCapacityTokens) {
+        this.finish(sequence);
+        sequence.listener.onFail('too_large');
+        continue;
+      }
+      if (this.kvUsed + need > this.options.kvCapacityTokens) continue;
+      this.waiting.splice(this.waiting.indexOf(sequence), 1);
+      this.kvUsed += need;
+      sequence.reserved = true;
+      const hits = this.cache.countLeadingHits(sequence.blocks);
+      sequence.cachedTokens = Math.min(
+        sequence.promptTokens,
+        hits * this.options.blockTokens,
+      );
+      sequence.prefillLeft = sequence.promptTokens - sequence.cachedTokens;
+      this.running.push(sequence);
+    }
+  }
+
+  private prefillChunk(): number {
+    let budget = this.options.prefillChunkTokens;
+    let used = 0;
+    this.running.sort(compareSequences);
+    for (const sequence of this.running) {
+      if (budget === 0) break;
+      if (sequence.prefillLeft === 0) continue;
+      const take = Math.min(budget, sequence.prefillLeft);
+      sequence.prefillLeft -= take;
+      budget -= take;
+      used += take;
+      if (sequence.prefillLeft === 0) this.cache.store(sequence.blocks);
+    }
+    return used;
+  }
+
+  private decodeBatch(): number {
+    const decoding = this.running
+      .filter(s => s.prefillLeft === 0)
+      .slice(0, this.options.maxBatch);
+    for (const sequence of decoding) {
+      sequence.listener.onToken(sequence.generated, ` t${sequence.generated}`);
+      sequence.generated++;
+      if (sequence.generated < sequence.request.maxTokens) continue;
+      this.finish(sequence);
+      sequence.listener.onDone({
+        tokens: sequence.generated,
+        cachedTokens: sequence.cachedTokens,
+      });
+    }
+    return decoding.length;
+  }
+
+  private finish(sequence: Sequence): void {
+    const queue = sequence.reserved ? this.running : this.waiting;
+    const index = queue.indexOf(sequence);
+    if (index >= 0) queue.splice(index, 1);
+    if (sequence.reserved)
+      this.kvUsed -= sequence.promptTokens + sequence.request.maxTokens;
+    sequence.reserved = false;
+  }
+}
+
+function compareSequences(a: Sequence, b: Sequence): number {
+  return a.request.priority - b.request.priority || a.arrivedAt - b.arrivedAt;
+}
--- /dev/null
+++ b/packages/standins/src/plain-service/server.ts
@@ -0,0 +1,77 @@
+/**
+ * The plain service stand-in: order and stock calls. It does no
+ * de-duplication of its own and records every execution, so tests can count
+ * doubles of calls that must not be repeated.
+ */
+import {createServer} from 'node:http';
+import {createLogger, readJsonBody, sendJson} from '@nutmeggauge/core';
+import type {Server} from 'node:http';
+
+/** One execution of a call. */
+export interface Execution {
+  readonly requestId: string;
+  readonly ledgerKey: string | undefined;
+  readonly op: string;
+  readonly at: number;
+}
+
+/** A running plain service stand-in. */
+export interface PlainServiceStandIn {
+  readonly server: Server;
+  readonly executions: readonly Execution[];
+  close(): Promise<void>;
+}
+
+/**
+ * Starts the plain service stand-in.
+ *
+ * @param latencyMs - Time each call takes before it answers.
+ * @example
+ * const orders = await startPlainServiceStandIn('127.0.0.1', 0, 20);
+ */
+export async function startPlainServiceStandIn(
+  host: string,
+  port: number,
+  latencyMs: number,
+): Promise<PlainServiceStandIn> {
+  const log = createLogger('plain-service');
+  const executions: Execution[] = [];
+  let nextSlip = 1;
+  const server = createServer((req, res) => {
+    const url = new URL(req.url ?? '/', 'http://plain');
+    if (req.method === 'GET' && url.pathname === '/admin/executions') {
+      sendJson(res, 200, {executions});
+      return;
+    }
+    if (req.method !== 'POST' || url.pathname !== '/v1/call') {
+      sendJson(res, 404, {error: 'not_found'});
+      return;
+    }
+    void readJsonBody(req).then(body => {
+      const call = body as
+        {requestId?: string; ledgerKey?: string; op?: string} | undefined;
+      if (typeof call?.requestId !== 'string' || typeof call.op !== 'string') {
+        sendJson(res, 400, {error: 'bad_request'});
+        return;
+      }
+      executions.push({
+        requestId: call.requestId,
+        ledgerKey: call.ledgerKey,
+        op: call.op,
+        at: Date.now(),
+      });
+      const slip = nextSlip++;
+      log.debug('call_executed', {requestId: call.requestId, op: call.op});
+      setTimeout(() => sendJson(res, 200, {op: call.op, slip}), latencyMs);
+    });
+  });
+  await new Promise<void>(resolve => server.listen(port, host, resolve));
+  return {
+    server,
+    executions,
+    close: async () => {
+      server.closeAllConnections();
+      await new Promise<void>(resolve => server.close(() => resolve()));
+    },
+  };
+}
--- /dev/null
+++ b/scripts/test.sh
@@ -0,0 +1,11 @@
+#!/usr/bin/env bash
+# The README's test command. On a fresh machine it installs what is missing
+# (npm packages, and spin from Debian's packages for the model check), builds
+# every package, and runs every test file with node's test runner.
+set -euo pipefail
+cd "$(dirname "$0")/.."
+[ -d node_modules ] || npm ci
+bash scripts/ensure-spin.sh
+npx tsc -b
+mapfile -t files < <(find packages -path '*/dist/*' -name '*.test.js' | sort)
+NUTMEGGAUGE_LOG=silent node --test --test-concurrency=4 "${files[@]}"
