Deadline bound on a frozen agent; fault tests for at-most-once and memory

Cause: a caller whose request went to an agent that froze mid-request (paused process, socket still open) was never answered. The gate's deadline timer only sent a cancel to the agent; the json-rpc call itself had no bound, so nothing answered the caller.

Change: RpcLink.call takes a timeout; the gate bounds each dispatch at the request's deadline plus 250 ms and then answers 504 itself, saying the request may have run. Load reports now double as heartbeats: an agent whose last report is older than 1.5 s is no longer routed to. The engine stand-in counts submissions and the order stand-in can drop its reply after executing, so tests count runs.

Tests that cause the failures: engine killed mid-stream (repeatable: resumed on the other engine, whole answer once; with Idempotency-Key: 502 outcome unknown and exactly one engine submission), order service dying after executing (unknown, the keyed retry does not book again), a retry through a restarted gate (first slip, one execution), a frozen agent (504 at the deadline), a caller leaving mid-stream (engine KV back to 0).

--- a/packages/core/src/rpc.ts
+++ b/packages/core/src/rpc.ts
@@ -52,10 +52,16 @@
   /**
    * Calls `method` and resolves with its result.
    *
+   * @param timeoutMs - Fails the call with RpcFailedError when no answer
+   *   comes in time; absent means wait until the link closes.
    * @throws RpcClosedError when the link closes first; RpcFailedError when
-   *   the peer answers with an error.
+   *   the peer answers with an error or the timeout passes.
    */
-  async call<T>(method: string, params: object): Promise<T> {
+  async call<T>(
+    method: string,
+    params: object,
+    timeoutMs?: number,
+  ): Promise<T> {
     if (this.closed) {
       throw new RpcClosedError(
         {info: {method}},
@@ -63,7 +69,11 @@
       );
     }
     try {
-      return (await this.peer.request(
+      const requester =
+        timeoutMs === undefined
+          ? this.peer
+          : this.peer.timeout(Math.max(1, timeoutMs));
+      return (await requester.request(
         method,
         params as Record<string, unknown>,
         undefined,
--- a/packages/gate/src/dispatch/dispatcher.ts
+++ b/packages/gate/src/dispatch/dispatcher.ts
@@ -19,6 +19,13 @@
   DispatchRequest,
 } from '@nutmeggauge/core';
 
+/**
+ * Time past a request's deadline that the gate waits for the agent's own
+ * answer to the cancel, in ms. After it the gate answers the caller itself:
+ * a frozen agent must not hold a caller past its window.
+ */
+export const DEADLINE_GRACE_MS = 250;
+
 /** Final result of a dispatch, as the API answers it. */
 export type DispatchResult =
   | {
@@ -133,8 +140,10 @@
       Math.max(0, job.request.deadlineAt - Date.now()),
     );
     try {
-      return await target.dispatch({...job.request, attempt}, notice =>
-        job.chunks.push(notice),
+      return await target.dispatch(
+        {...job.request, attempt},
+        notice => job.chunks.push(notice),
+        job.request.deadlineAt - Date.now() + DEADLINE_GRACE_MS,
       );
     } catch (error) {
       if (isNotSent(error))
@@ -146,7 +155,11 @@
         });
         return {status: 'unknown', reason: 'agent_link_lost'};
       }
-      return {status: 'unknown', reason: 'agent_failed'};
+      this.log.warn('agent_no_answer', {
+        requestId: job.request.requestId,
+        target: target.id,
+      });
+      return {status: 'unknown', reason: 'agent_no_answer'};
     } finally {
       clearTimeout(timer);
       job.signal.removeEventListener('abort', cancel);
--- a/packages/gate/src/membership/agent-connection.ts
+++ b/packages/gate/src/membership/agent-connection.ts
@@ -21,6 +21,14 @@
   Target,
 } from '@nutmeggauge/core';
 
+/**
+ * Age past which an agent's last load report marks it unusable, in ms. Load
+ * reports double as heartbeats: an agent that froze (paused process, cut
+ * link that TCP has not noticed yet) stops sending them, and routing to it
+ * stops within this bound instead of waiting for the socket to fail.
+ */
+export const HEARTBEAT_STALE_MS = 1500;
+
 /** Receives the chunks of one request. */
 export type ChunkHandler = (notice: ChunkNotice) => void;
 
@@ -42,6 +50,8 @@
 export class AgentConnection implements TargetView {
   outstanding = 0;
   load: LoadReport | undefined;
+  /** Gate-local time of the last load report, in epoch ms. */
+  lastReportAt = 0;
   /** Set from the host list: the platform says this host is leaving. */
   leavingByHostList = false;
   private link: RpcLink | undefined;
@@ -68,7 +78,8 @@
       this.link !== undefined &&
       !this.link.isClosed &&
       !this.leavingByHostList &&
-      this.load?.draining !== true
+      this.load?.draining !== true &&
+      Date.now() - this.lastReportAt <= HEARTBEAT_STALE_MS
     );
   }
 
@@ -88,12 +99,15 @@
   /**
    * Sends a request and resolves with the agent's outcome.
    *
+   * @param timeoutMs - Longest wait for the agent's answer.
    * @throws TargetUnreachableError when there is no link (nothing was sent);
-   *   RpcClosedError when the link closed after the request was written.
+   *   RpcClosedError when the link closed after the request was written;
+   *   RpcFailedError when no answer came within `timeoutMs`.
    */
   async dispatch(
     request: DispatchRequest,
     onChunk: ChunkHandler,
+    timeoutMs: number,
   ): Promise<DispatchOutcome> {
     const link = this.link;
     if (link === undefined || link.isClosed) {
@@ -105,7 +119,11 @@
     this.outstanding++;
     this.handlers.set(request.requestId, onChunk);
     try {
-      return await link.call<DispatchOutcome>(RpcMethod.dispatch, request);
+      return await link.call<DispatchOutcome>(
+        RpcMethod.dispatch,
+        request,
+        timeoutMs,
+      );
     } finally {
       this.outstanding--;
       this.handlers.delete(request.requestId);
@@ -145,6 +163,7 @@
         const link = createRpcLink(socket);
         link.handle(RpcMethod.load, params => {
           this.load = params as LoadReport;
+          this.lastReportAt = Date.now();
         });
         link.handle(RpcMethod.chunk, params => {
           const notice = params as ChunkNotice;
--- /dev/null
+++ b/packages/nutmeggauge/src/e2e/at-most-once.test.ts
@@ -0,0 +1,141 @@
+import {after, before, describe, it} from 'node:test';
+import {expect} from 'earl';
+import {
+  TEST_KEY,
+  postJson,
+  renderWholeAnswer,
+  startStack,
+  startTestGate,
+  streamCompletion,
+  waitUntil,
+} from '../test/stack.js';
+import type {Stack} from '../test/stack.js';
+
+const auth = {authorization: `Bearer ${TEST_KEY}`};
+const submittedTotal = (stack: Stack) =>
+  stack.engines.reduce((sum, e) => sum + e.scheduler.submitted, 0);
+const killBusyEngine = async (stack: Stack) => {
+  let busy: Stack['engines'][number] | undefined;
+  await waitUntil(
+    () =>
+      (busy = stack.engines.find(e => e.scheduler.readLoad().running > 0)) !==
+      undefined,
+  );
+  await busy?.close();
+};
+
+describe('engine death mid-stream', () => {
+  let stack: Stack;
+  before(async () => {
+    stack = await startStack({engines: 2});
+  });
+  after(async () => {
+    await stack.close();
+  });
+
+  it('resumes a repeatable request on another engine and the caller gets the whole answer once', async () => {
+    // A subscriber streams a renewal answer; the engine serving it dies after
+    // a few tokens. The gate resends it to the other engine, and reassembly
+    // drops the tokens already delivered, so no piece is missing or doubled.
+    let killed: Promise<void> | undefined;
+    const result = await streamCompletion(
+      stack.gateUrl,
+      {model: 'chat', prompt: 'r'.repeat(4000), max_tokens: 120},
+      auth,
+      count => {
+        if (count === 5) killed = killBusyEngine(stack);
+      },
+    );
+    await killed;
+    expect(result.done).toEqual(true);
+    expect(result.text).toEqual(renderWholeAnswer(120));
+  });
+});
+
+describe('not-repeatable request when the target dies', () => {
+  let stack: Stack;
+  before(async () => {
+    stack = await startStack({engines: 2});
+  });
+  after(async () => {
+    await stack.close();
+  });
+
+  it('is never resent: the caller hears outcome unknown and the engines ran it once', async () => {
+    // A dealer's order request carries an Idempotency-Key; the engine dies
+    // mid-answer. Resending could place the order twice, so the gate stops
+    // and says "outcome unknown" with the request id, never "not run".
+    const before = submittedTotal(stack);
+    const pending = postJson(
+      `${stack.gateUrl}/v1/completions`,
+      {model: 'chat', prompt: 'o'.repeat(4000), max_tokens: 150},
+      {...auth, 'idempotency-key': 'kit-order-77'},
+    );
+    await killBusyEngine(stack);
+    const res = await pending;
+    expect(res.status).toEqual(502);
+    expect(res.body.error.type).toEqual('outcome_unknown');
+    expect(submittedTotal(stack) - before).toEqual(1);
+  });
+});
+
+describe('order service dies after executing', () => {
+  let stack: Stack;
+  before(async () => {
+    stack = await startStack({engines: 1, plain: 1});
+  });
+  after(async () => {
+    await stack.close();
+  });
+
+  it('answers outcome unknown, and the caller retry with the same key does not run it again', async () => {
+    // The order service books the order, then dies before it answers. The
+    // caller is told "outcome unknown", retries with the same key, and the
+    // agent's ledger keeps the second copy from booking a second kit.
+    stack.plain[0].setFault('drop-reply');
+    const first = await postJson(
+      `${stack.gateUrl}/v1/services/orders/place-order`,
+      {sku: 'kit-9'},
+      {...auth, 'idempotency-key': 'o-1'},
+    );
+    stack.plain[0].setFault('none');
+    const retry = await postJson(
+      `${stack.gateUrl}/v1/services/orders/place-order`,
+      {sku: 'kit-9'},
+      {...auth, 'idempotency-key': 'o-1'},
+    );
+    expect(first.body.error.type).toEqual('outcome_unknown');
+    expect(retry.body.error.type).toEqual('outcome_unknown');
+    expect(stack.plain[0].executions.length).toEqual(1);
+  });
+
+  it('gives the retry through a restarted gate the first answer, not a second booking', async () => {
+    // A foreman's order is booked through gate A; gate A is replaced before
+    // the caller's retry, which lands on a fresh gate B with no memory of it.
+    // The agent beside the order service holds the ledger, so B's copy is
+    // answered with the first slip and nothing is booked twice.
+    const first = await postJson(
+      `${stack.gateUrl}/v1/services/orders/place-order`,
+      {sku: 'kit-3'},
+      {...auth, 'idempotency-key': 'o-2'},
+    );
+    stack.gate.close();
+    const configUrl = `http://127.0.0.1:${(stack.config.server.address() as {port: number}).port}`;
+    const gateB = await startTestGate(
+      configUrl,
+      stack.record.version as number,
+    );
+    const retry = await postJson(
+      `http://127.0.0.1:${gateB.port}/v1/services/orders/place-order`,
+      {sku: 'kit-3'},
+      {...auth, 'idempotency-key': 'o-2'},
+    );
+    gateB.close();
+    expect(first.status).toEqual(200);
+    expect(retry.body.result.slip).toEqual(first.body.result.slip);
+    expect(
+      stack.plain[0].executions.filter(e => e.ledgerKey === 'acct-a:o-2')
+        .length,
+    ).toEqual(1);
+  });
+});
--- /dev/null
+++ b/packages/nutmeggauge/src/e2e/deadlines.test.ts
@@ -0,0 +1,90 @@
+import {after, before, describe, it} from 'node:test';
+import {expect} from 'earl';
+import {
+  TEST_KEY,
+  postJson,
+  startStack,
+  streamCompletion,
+  waitUntil,
+} from '../test/stack.js';
+import {startFrozenAgent} from '../test/frozen-agent.js';
+import type {Stack} from '../test/stack.js';
+
+const auth = {authorization: `Bearer ${TEST_KEY}`};
+
+describe('deadlines and memory', () => {
+  let stack: Stack;
+  before(async () => {
+    stack = await startStack({engines: 1});
+  });
+  after(async () => {
+    await stack.close();
+  });
+
+  it('answers at the deadline when the agent froze mid-request', async () => {
+    // A lookup goes to an agent that then freezes (a paused process whose
+    // socket stays open). Without a gate-side bound the foreman would wait
+    // forever; the gate answers 504 at the deadline, saying it may have run.
+    const frozen = await startFrozenAgent();
+    const record = {
+      ...stack.record,
+      pools: [
+        {
+          id: 'chat',
+          kind: 'engine',
+          targets: [
+            {id: 'frozen', agent: `127.0.0.1:${frozen.port}`, zone: 'az-1'},
+          ],
+        },
+      ],
+    };
+    delete (record as {version?: number}).version;
+    stack.config.publish(record);
+    await waitUntil(async () => {
+      const res = await postJson(
+        `${stack.gateUrl}/v1/completions`,
+        {model: 'chat', prompt: 'p', max_tokens: 1},
+        {...auth, 'x-deadline-ms': '300'},
+      );
+      return (
+        res.status === 504 &&
+        res.body.error.reason === 'deadline_passed_may_have_run'
+      );
+    }, 10_000);
+    expect(frozen.dispatches()).toBeGreaterThanOrEqual(1);
+    frozen.server.close();
+    const restored = {...stack.record};
+    delete (restored as {version?: number}).version;
+    stack.config.publish(restored);
+  });
+
+  it('frees the engine memory when the caller goes away mid-stream', async () => {
+    // A subscriber closes the app while a long answer streams. The gate
+    // cancels at the agent, the agent aborts its engine stream, and the
+    // engine frees the sequence's KV memory at once instead of decoding on.
+    await waitUntil(
+      async () =>
+        (
+          await postJson(
+            `${stack.gateUrl}/v1/completions`,
+            {model: 'chat', prompt: 'w', max_tokens: 1},
+            auth,
+          )
+        ).status === 200,
+    );
+    const abort = new AbortController();
+    await streamCompletion(
+      stack.gateUrl,
+      {model: 'chat', prompt: 'c'.repeat(4000), max_tokens: 2000},
+      auth,
+      count => {
+        if (count === 3) abort.abort();
+      },
+      abort.signal,
+    ).catch(() => undefined);
+    await waitUntil(
+      () => stack.engines[0].scheduler.readLoad().kvUsedTokens === 0,
+    );
+    expect(stack.engines[0].scheduler.readLoad().running).toEqual(0);
+  });
+});
--- a/packages/nutmeggauge/src/test/stack.ts
+++ b/packages/nutmeggauge/src/test/stack.ts
@@ -135,22 +135,9 @@
     rules: [{pool: 'orders', op: 'place-order', notRepeatable: true}],
   };
   const version = config.publish(record);
-  const gate = createGate(
-    GateSettingsSchema.parse({
-      id: 'gate-t',
-      zone: 'az-1',
-      listen: {port: 0},
-      configService: {
-        url: `http://127.0.0.1:${portOf(config.server)}`,
-        waitMs: 2000,
-      },
-      routing: {policy: options.routing ?? 'least-outstanding'},
-      drainTimeoutMs: 10_000,
-    }),
-  );
-  await gate.start();
+  const configUrl = `http://127.0.0.1:${portOf(config.server)}`;
+  const gate = await startTestGate(configUrl, version, options.routing);
   const gateUrl = `http://127.0.0.1:${gate.port}`;
-  await waitForGate(gateUrl, version);
   return {
     gateUrl,
     gate,
@@ -167,6 +154,93 @@
   };
 }
 
+/** Starts a gate on the configuration service at `configUrl` and waits for `version`. */
+export async function startTestGate(
+  configUrl: string,
+  version: number,
+  routing = 'least-outstanding',
+): Promise<Gate> {
+  const gate = createGate(
+    GateSettingsSchema.parse({
+      id: 'gate-t',
+      zone: 'az-1',
+      listen: {port: 0},
+      configService: {url: configUrl, waitMs: 2000},
+      routing: {policy: routing},
+      drainTimeoutMs: 10_000,
+    }),
+  );
+  await gate.start();
+  await waitForGate(`http://127.0.0.1:${gate.port}`, version);
+  return gate;
+}
+
+/** Polls `check` every 10 ms until it holds; fails after `timeoutMs`. */
+export async function waitUntil(
+  check: () => boolean | Promise<boolean>,
+  timeoutMs = 5000,
+): Promise<void> {
+  const giveUpAt = Date.now() + timeoutMs;
+  while (!(await check())) {
+    if (Date.now() > giveUpAt) throw new Error('condition not reached');
+    await waitMs(10);
+  }
+}
+
+/** Streams a completion; calls `onPiece` after each piece with the count so far. */
+export async function streamCompletion(
+  gateUrl: string,
+  body: object,
+  headers: Record<string, string>,
+  onPiece: (count: number) => void = () => {},
+  signal?: AbortSignal,
+): Promise<{
+  status: number;
+  text: string;
+  done: boolean;
+  error?: {type: string; reason: string};
+}> {
+  const response = await request(`${gateUrl}/v1/completions`, {
+    method: 'POST',
+    headers: {'content-type': 'application/json', ...headers},
+    body: JSON.stringify({...body, stream: true}),
+    signal,
+  });
+  if (response.statusCode !== 200) {
+    const error = (
+      (await response.body.json()) as {error: {type: string; reason: string}}
+    ).error;
+    return {status: response.statusCode, text: '', done: false, error};
+  }
+  let buffer = '';
+  let text = '';
+  let done = false;
+  let error: {type: string; reason: string} | undefined;
+  let count = 0;
+  for await (const part of response.body) {
+    buffer += part.toString();
+    const blocks = buffer.split('\n\n');
+    buffer = blocks.pop() ?? '';
+    for (const block of blocks) {
+      const data = block.slice(block.indexOf('data: ') + 6);
+      if (block.startsWith('event: error'))
+        error = (JSON.parse(data) as {error: typeof error}).error;
+      else if (data === '[DONE]') done = true;
+      else {
+        text += (JSON.parse(data) as {choices: Array<{text: string}>})
+          .choices[0].text;
+        onPiece(++count);
+      }
+    }
+  }
+  return {status: 200, text, done, error};
+}
+
+/** The whole answer the engine stand-in gives for `n` tokens. */
+export function renderWholeAnswer(n: number): string {
+  return Array.from({length: n}, (_, i) => ` t${i}`).join('');
+}
+
 /** Waits until the gate has `version` and every target is usable. */
 export async function waitForGate(
   gateUrl: string,
--- a/packages/standins/src/engine/scheduler.ts
+++ b/packages/standins/src/engine/scheduler.ts
@@ -61,6 +61,8 @@
  */
 export class EngineScheduler {
   readonly cache: PrefixCache;
+  /** Sequences ever submitted; tests count runs of one request with it. */
+  submitted = 0;
   private readonly waiting: Sequence[] = [];
   private readonly running: Sequence[] = [];
   private kvUsed = 0;
@@ -73,6 +75,7 @@
   /** Queues a sequence; returns false when the waiting queue is full. */
   submit(request: SequenceRequest, listener: SequenceListener): boolean {
     if (this.waiting.length >= this.options.maxWaiting) return false;
+    this.submitted++;
     const promptTokens = Math.ceil(request.prompt.length / CHARS_PER_TOKEN);
     const now = Date.now();
     this.waiting.push({
--- a/packages/standins/src/plain-service/server.ts
+++ b/packages/standins/src/plain-service/server.ts
@@ -15,10 +15,17 @@
   readonly at: number;
 }
 
+/**
+ * A fault the stand-in shows: `drop-reply` executes the call, then cuts the
+ * connection before answering, as a service that dies at the worst moment.
+ */
+export type PlainServiceFault = 'none' | 'drop-reply';
+
 /** A running plain service stand-in. */
 export interface PlainServiceStandIn {
   readonly server: Server;
   readonly executions: readonly Execution[];
+  setFault(fault: PlainServiceFault): void;
   close(): Promise<void>;
 }
 
@@ -37,6 +44,7 @@
   const log = createLogger('plain-service');
   const executions: Execution[] = [];
   let nextSlip = 1;
+  let fault: PlainServiceFault = 'none';
   const server = createServer((req, res) => {
     const url = new URL(req.url ?? '/', 'http://plain');
     if (req.method === 'GET' && url.pathname === '/admin/executions') {
@@ -61,6 +69,10 @@
         at: Date.now(),
       });
       const slip = nextSlip++;
+      if (fault === 'drop-reply') {
+        res.socket?.destroy();
+        return;
+      }
       log.debug('call_executed', {requestId: call.requestId, op: call.op});
       setTimeout(() => sendJson(res, 200, {op: call.op, slip}), latencyMs);
     });
@@ -69,6 +81,9 @@
   return {
     server,
     executions,
+    setFault: next => {
+      fault = next;
+    },
     close: async () => {
       server.closeAllConnections();
       await new Promise<void>(resolve => server.close(() => resolve()));
