--- a/packages/gate/src/dispatch/dispatcher.ts
+++ b/packages/gate/src/dispatch/dispatcher.ts
@@ -1,7 +1,9 @@
 /**
  * Sends one admitted request to targets and decides retries. The rules:
  * - `not-run` from an agent, or a link that was down before sending: the
- *   request provably did not run, so it may go to another target;
+ *   request provably did not run, so it may go to another target, except a
+ *   keyed one, which only its home agent may run;
+
  * - `unknown` (it may have run): a not-repeatable request is never resent,
  *   and the caller hears "outcome unknown"; a repeatable one is resent
  *   while time remains, and reassembly drops the pieces already delivered.
@@ -98,8 +100,14 @@
           reason: outcome.reason,
           retryAfterMs: outcome.retryAfterMs ?? 1000,
         };
+        // A keyed request runs only at its home agent, whose ledger its
+        // copies meet. Moving it to another agent after a not-run let the
+        // caller's retry, back at a healthy home, run it a second time
+        // (spec/at-most-once.pml with KEYED_RETRY shows the double run).
+        if (job.route.affinityKey !== undefined) return lastNotRun;
         continue;
       }
+
       mayHaveRun = true;
       // At most once: a not-repeatable request that may have started is never
       // sent again anywhere; the caller is told the outcome is unknown.
--- a/packages/nutmeggauge/src/e2e/at-most-once.test.ts
+++ b/packages/nutmeggauge/src/e2e/at-most-once.test.ts
@@ -1,5 +1,7 @@
 import {after, before, describe, it} from 'node:test';
 import {expect} from 'earl';
+import {chooseByRendezvous} from '@nutmeggauge/gate';
+
 import {
   TEST_KEY,
   postJson,
@@ -139,3 +141,46 @@
     ).toEqual(1);
   });
 });
+
+describe('keyed order whose home agent says not run', () => {
+  let stack: Stack;
+  before(async () => {
+    stack = await startStack({engines: 1, plain: 2});
+  });
+  after(async () => {
+    await stack.close();
+  });
+
+  it('is not moved to another agent, so the caller retry cannot book it twice', async () => {
+    // The order service behind the key's home agent refuses for a moment.
+    // The gate used to move the order to the other order service, which
+    // booked it; the caller's retry then met the home agent, now healthy,
+    // whose ledger had never seen the key, and it booked the kit again.
+    const key = 'o-home';
+    const home = chooseByRendezvous(
+      [{id: 'plain-1'}, {id: 'plain-2'}] as never[],
+      `acct-a:${key}`,
+    ) as unknown as {id: string};
+    const homeIndex = home.id === 'plain-1' ? 0 : 1;
+    stack.plain[homeIndex].setFault('reject');
+    const first = await postJson(
+      `${stack.gateUrl}/v1/services/orders/place-order`,
+      {sku: 'kit-1'},
+      {...auth, 'idempotency-key': key},
+    );
+    stack.plain[homeIndex].setFault('none');
+    const retry = await postJson(
+      `${stack.gateUrl}/v1/services/orders/place-order`,
+      {sku: 'kit-1'},
+      {...auth, 'idempotency-key': key},
+    );
+    const runs = stack.plain
+      .flatMap(p => p.executions)
+      .filter(e => e.ledgerKey === `acct-a:${key}`).length;
+    expect(runs).toEqual(1);
+    expect(first.status === 503 ? first.body.error.type : 'booked').toEqual(
+      'not_run',
+    );
+    expect(retry.status).toEqual(200);
+  });
+});
--- a/packages/nutmeggauge/src/e2e/deadlines.test.ts
+++ b/packages/nutmeggauge/src/e2e/deadlines.test.ts
@@ -5,6 +5,7 @@
   postJson,
   startStack,
   streamCompletion,
+  stripVersion,
   waitUntil,
 } from '../test/stack.js';
 import {startFrozenAgent} from '../test/frozen-agent.js';
@@ -27,7 +28,7 @@
     // forever; the gate answers 504 at the deadline, saying it may have run.
     const frozen = await startFrozenAgent();
     const record = {
-      ...stack.record,
+      ...stripVersion(stack.record),
       pools: [
         {
           id: 'chat',
@@ -38,7 +39,6 @@
         },
       ],
     };
-    delete (record as {version?: number}).version;
     stack.config.publish(record);
     await waitUntil(async () => {
       const res = await postJson(
@@ -53,9 +53,7 @@
     }, 10_000);
     expect(frozen.dispatches()).toBeGreaterThanOrEqual(1);
     frozen.server.close();
-    const restored = {...stack.record};
-    delete (restored as {version?: number}).version;
-    stack.config.publish(restored);
+    stack.config.publish(stripVersion(stack.record));
   });
 
   it('frees the engine memory when the caller goes away mid-stream', async () => {
--- /dev/null
+++ b/packages/nutmeggauge/src/e2e/drain.test.ts
@@ -0,0 +1,87 @@
+import {after, before, describe, it} from 'node:test';
+import {expect} from 'earl';
+import {request} from 'undici';
+import {
+  TEST_KEY,
+  postJson,
+  renderWholeAnswer,
+  startStack,
+  streamCompletion,
+  waitUntil,
+} from '../test/stack.js';
+import type {Stack} from '../test/stack.js';
+
+const auth = {authorization: `Bearer ${TEST_KEY}`};
+const long = {model: 'chat', prompt: 'd'.repeat(4000), max_tokens: 100};
+
+async function readUsable(stack: Stack): Promise<Record<string, boolean>> {
+  const response = await request(`${stack.gateUrl}/healthz`);
+  const health = (await response.body.json()) as {
+    targets: Array<{id: string; usable: boolean}>;
+  };
+  return Object.fromEntries(health.targets.map(t => [t.id, t.usable]));
+}
+
+describe('drain of a leaving target', () => {
+  let stack: Stack;
+  before(async () => {
+    stack = await startStack({engines: 2});
+  });
+  after(async () => {
+    await stack.close();
+  });
+
+  it('sends it no new work once its agent drains, and its request in flight finishes whole', async () => {
+    // A language server is being replaced while it streams a schedule review.
+    // Its agent drains: it tells every gate at once, new requests go to the
+    // other engine, and the review in flight still reaches the dealer whole.
+    let drained: Promise<void> | undefined;
+    let busy = -1;
+    const streaming = streamCompletion(stack.gateUrl, long, auth, count => {
+      if (count !== 3) return;
+      busy = stack.engines.findIndex(e => e.scheduler.readLoad().running > 0);
+      drained = stack.agents[busy].drain();
+    });
+    await waitUntil(() => busy >= 0);
+    await waitUntil(
+      async () => (await readUsable(stack))[`engine-${busy + 1}`] === false,
+    );
+    const submittedBefore = stack.engines[busy].scheduler.submitted;
+    const short = await Promise.all(
+      [1, 2, 3, 4].map(() =>
+        postJson(
+          `${stack.gateUrl}/v1/completions`,
+          {model: 'chat', prompt: 's', max_tokens: 2},
+          auth,
+        ),
+      ),
+    );
+    const result = await streaming;
+    await drained;
+    expect(short.map(r => r.status)).toEqual([200, 200, 200, 200]);
+    expect(stack.engines[busy].scheduler.submitted).toEqual(submittedBefore);
+    expect(result.text).toEqual(renderWholeAnswer(100));
+  });
+});
+
+describe('graceful shutdown of a gate', () => {
+  let stack: Stack;
+  before(async () => {
+    stack = await startStack({engines: 1});
+  });
+  after(async () => {
+    await stack.close();
+  });
+
+  it('finishes the request in flight before it exits', async () => {
+    // An entry host is replaced while a quote streams through its gate.
+    // SIGTERM stops new work but the quote in flight is finished, not cut.
+    let drained: Promise<void> | undefined;
+    const result = await streamCompletion(stack.gateUrl, long, auth, count => {
+      if (count === 3) drained = stack.gate.drain();
+    });
+    await drained;
+    expect(result.done).toEqual(true);
+    expect(result.text).toEqual(renderWholeAnswer(100));
+  });
+});
--- a/packages/nutmeggauge/src/test/stack.ts
+++ b/packages/nutmeggauge/src/test/stack.ts
@@ -175,7 +175,17 @@
   return gate;
 }
 
-/** Polls `check` every 10 ms until it holds; fails after `timeoutMs`. */
+/** A copy of a published record without its `version`, ready to publish again. */
+export function stripVersion(
+  record: Readonly<Record<string, unknown>>,
+): Record<string, unknown> {
+  return Object.fromEntries(
+    Object.entries(record).filter(([key]) => key !== 'version'),
+  );
+}
+
+/** Polls `check` every 10 ms
+ until it holds; fails after `timeoutMs`. */
 export async function waitUntil(
   check: () => boolean | Promise<boolean>,
   timeoutMs = 5000,
--- a/packages/standins/src/plain-service/server.ts
+++ b/packages/standins/src/plain-service/server.ts
@@ -17,9 +17,11 @@
 
 /**
  * A fault the stand-in shows: `drop-reply` executes the call, then cuts the
- * connection before answering, as a service that dies at the worst moment.
+ * connection before answering, as a service that dies at the worst moment;
+ * `reject` refuses every call before executing it.
+
  */
-export type PlainServiceFault = 'none' | 'drop-reply';
+export type PlainServiceFault = 'none' | 'drop-reply' | 'reject';
 
 /** A running plain service stand-in. */
 export interface PlainServiceStandIn {
@@ -62,6 +64,10 @@
         sendJson(res, 400, {error: 'bad_request'});
         return;
       }
+      if (fault === 'reject') {
+        sendJson(res, 400, {error: 'rejected'});
+        return;
+      }
       executions.push({
         requestId: call.requestId,
         ledgerKey: call.ledgerKey,
