--- /dev/null
+++ b/packages/agent/src/intake/intake.ts
@@ -0,0 +1,314 @@
+/**
+ * What the agent does with a dispatch: refuse it, answer it from the ledger,
+ * or run it at the target in its lane. Holds no sockets, so that tests can
+ * drive it through any order of events.
+ */
+import {countTokens} from '@nutmeggauge/core';
+import {LEDGER_FULL} from '../ledger/ledger.js';
+import type {
+  ChunkNotice,
+  Counters,
+  DispatchOutcome,
+  DispatchRequest,
+} from '@nutmeggauge/core';
+import type {Lanes} from '../lanes/lanes.js';
+import type {Ledger, LedgerEntry} from '../ledger/ledger.js';
+import type {KeyOwnership} from '../ledger/ownership.js';
+import type {Lane, TargetClient} from '../target/target.js';
+
+/** Receives the chunks of one request. */
+export type ChunkReceiver = (notice: ChunkNotice) => void;
+
+/** Parts that an intake works with. */
+export interface IntakeOptions {
+  readonly target: TargetClient;
+  readonly lanes: Lanes;
+  readonly ledger: Ledger;
+  readonly ownership: KeyOwnership;
+  readonly counters: Counters;
+  /** Prompts up to this many tokens run in the short lane. */
+  readonly shortMaxTokens: number;
+  /** Version of the record this agent holds; undefined when it reads none. */
+  readonly readRecordVersion: () => number | undefined;
+}
+
+/** Work of one agent, as its load report gives it. */
+export interface WorkFigures {
+  readonly queued: number;
+  readonly inFlight: number;
+  readonly pendingPrefillTokens: number;
+  readonly pendingDecodeTokens: number;
+  readonly longRequests: number;
+}
+
+interface ActiveRequest {
+  readonly controller: AbortController;
+  readonly kind: DispatchRequest['kind'];
+  readonly owner: object;
+  readonly promptTokens: number;
+  readonly maxTokens: number;
+  started: boolean;
+  produced: number;
+}
+
+const notRun = (reason: string, retryAfterMs?: number): DispatchOutcome => ({
+  status: 'not-run',
+  reason,
+  retryAfterMs,
+});
+
+/**
+ * The intake of one agent.
+ *
+ * @example
+ * const outcome = await intake.dispatch(request, link, notice => link.notify('chunk', notice));
+ */
+export class Intake {
+  private readonly active = new Map<string, ActiveRequest>();
+  /** Outcomes on their way, by ledger key; copies of a request wait for them. */
+  private readonly pending = new Map<string, Promise<DispatchOutcome>>();
+  private draining = false;
+
+  constructor(private readonly options: IntakeOptions) {}
+
+  /** True once `drain` was called. */
+  get isDraining(): boolean {
+    return this.draining;
+  }
+
+  /** Requests queued or at the target. */
+  get size(): number {
+    return this.active.size;
+  }
+
+  /** Refuses every new request from now on as "not run". */
+  drain(): void {
+    this.draining = true;
+  }
+
+  /**
+   * Runs or refuses one request; never throws.
+   *
+   * @param owner - The link it came over; `cancelOwned` ends its streams.
+   */
+  async dispatch(
+    request: DispatchRequest,
+    owner: object,
+    receive: ChunkReceiver,
+  ): Promise<DispatchOutcome> {
+    const outcome = await this.admit(request, owner, receive);
+    this.options.counters.add(`agent.outcome.${outcome.status}`);
+    return outcome;
+  }
+
+  /**
+   * Stops one request. A plain call that has started runs on: aborting it
+   * would not undo it, and its outcome answers the caller's retry.
+   */
+  cancel(requestId: string): void {
+    const request = this.active.get(requestId);
+    if (request === undefined) return;
+    if (request.kind === 'call' && request.started) return;
+    this.options.counters.add('agent.cancelled');
+    request.controller.abort();
+  }
+
+  /**
+   * Stops the requests of a gate that went away: it can no longer deliver
+   * their answers, and the engine's memory is wanted by others.
+   */
+  cancelOwned(owner: object): void {
+    for (const [requestId, request] of this.active) {
+      if (request.owner === owner) this.cancel(requestId);
+    }
+  }
+
+  /** Figures for the load report. */
+  readWork(): WorkFigures {
+    const lanes = this.options.lanes.read();
+    let pendingPrefillTokens = 0;
+    let pendingDecodeTokens = 0;
+    for (const request of this.active.values()) {
+      if (request.produced === 0) pendingPrefillTokens += request.promptTokens;
+      pendingDecodeTokens += Math.max(0, request.maxTokens - request.produced);
+    }
+    return {
+      queued: lanes.queued,
+      inFlight: lanes.inFlight,
+      pendingPrefillTokens,
+      pendingDecodeTokens,
+      longRequests: lanes.long,
+    };
+  }
+
+  private async admit(
+    request: DispatchRequest,
+    owner: object,
+    receive: ChunkReceiver,
+  ): Promise<DispatchOutcome> {
+    const {counters, ledger} = this.options;
+    counters.add('agent.dispatched');
+    const key = request.notRepeatable ? request.ledgerKey : undefined;
+    if (key !== undefined) {
+      const answer = await this.answerFromLedger(key, request, receive);
+      if (answer !== undefined) return answer;
+    }
+    if (this.draining) return notRun('draining', 100);
+    if (Date.now() >= request.deadlineAt) return notRun('deadline_passed');
+    if (key === undefined) return this.runInLane(request, owner, receive);
+    if (request.keyed) {
+      const refusal = this.checkOwnership(key, request);
+      if (refusal !== undefined) return refusal;
+    }
+    if (ledger.claim(key, request.requestId) === LEDGER_FULL) {
+      counters.add('agent.ledger_full');
+      return notRun('ledger_full', 5000);
+    }
+    const running = this.runClaimed(key, request, owner, receive);
+    this.pending.set(key, running);
+    return running.finally(() => this.pending.delete(key));
+  }
+
+  private async runClaimed(
+    key: string,
+    request: DispatchRequest,
+    owner: object,
+    receive: ChunkReceiver,
+  ): Promise<DispatchOutcome> {
+    const pieces: string[] = [];
+    const outcome = await this.runInLane(request, owner, notice => {
+      pieces.push(notice.text);
+      receive(notice);
+    });
+    if (outcome.status === 'not-run') this.options.ledger.release(key);
+    else this.options.ledger.settle(key, outcome, pieces);
+    return outcome;
+  }
+
+  /**
+   * Answers a copy of a request that this agent has taken on: with the
+   * outcome of the first run, waiting for it while time remains.
+   */
+  private async answerFromLedger(
+    key: string,
+    request: DispatchRequest,
+    receive: ChunkReceiver,
+  ): Promise<DispatchOutcome | undefined> {
+    const held = this.options.ledger.find(key);
+    if (held === undefined) return undefined;
+    this.options.counters.add('agent.ledger_hits');
+    if (held.state === 'settled') return this.replay(held, request, receive);
+    const outcome = await this.waitForFirst(key, request.deadlineAt);
+    if (outcome === undefined)
+      return {status: 'unknown', reason: 'duplicate_in_progress'};
+    const settled = this.options.ledger.find(key);
+    if (settled?.state === 'settled')
+      return this.replay(settled, request, receive);
+    return outcome;
+  }
+
+  private replay(
+    entry: Extract<LedgerEntry, {state: 'settled'}>,
+    request: DispatchRequest,
+    receive: ChunkReceiver,
+  ): DispatchOutcome {
+    if (entry.outcome.status !== 'done') return entry.outcome;
+    // The ledger knows that it ran but not what was said: answering "done"
+    // without the text would pass for an empty answer.
+    if (entry.pieces === undefined)
+      return {status: 'unknown', reason: 'ran_answer_not_kept'};
+    entry.pieces.forEach((text, seq) =>
+      receive({requestId: request.requestId, seq, text}),
+    );
+    return entry.outcome;
+  }
+
+  private waitForFirst(
+    key: string,
+    deadlineAt: number,
+  ): Promise<DispatchOutcome | undefined> {
+    const first = this.pending.get(key);
+    if (first === undefined) return Promise.resolve(undefined);
+    return new Promise(resolve => {
+      const timer = setTimeout(
+        () => resolve(undefined),
+        Math.max(0, deadlineAt - Date.now()),
+      );
+      void first.then(outcome => {
+        clearTimeout(timer);
+        resolve(outcome);
+      });
+    });
+  }
+
+  /**
+   * Guards against a key running at two homes. A gate with a newer record
+   * may know a change of the pool's targets that this agent does not, and a
+   * restarted or new home has no record of what ran before.
+   */
+  private checkOwnership(
+    key: string,
+    request: DispatchRequest,
+  ): DispatchOutcome | undefined {
+    const version = this.options.readRecordVersion();
+    if (version !== undefined && request.recordVersion > version)
+      return notRun('agent_config_behind', 500);
+    const verdict = this.options.ownership.checkKey(
+      request.pool,
+      key,
+      request.keyMintedAt,
+      Date.now(),
+    );
+    if (verdict === 'owned') return undefined;
+    this.options.counters.add(`agent.key_${verdict}`);
+    if (verdict === 'not-home') return notRun('not_home', 1000);
+    return {status: 'unknown', reason: 'ledger_has_no_record'};
+  }
+
+  private async runInLane(
+    request: DispatchRequest,
+    owner: object,
+    receive: ChunkReceiver,
+  ): Promise<DispatchOutcome> {
+    const {lanes, shortMaxTokens, target} = this.options;
+    const promptTokens = countTokens(request.prompt ?? '');
+    const lane: Lane = promptTokens <= shortMaxTokens ? 'short' : 'long';
+    const active: ActiveRequest = {
+      controller: new AbortController(),
+      kind: request.kind,
+      owner,
+      promptTokens,
+      maxTokens: request.maxTokens ?? 0,
+      started: false,
+      produced: 0,
+    };
+    this.active.set(request.requestId, active);
+    // A gate that froze or was cut off sends no cancel at the deadline.
+    const expiry = setTimeout(
+      () => this.cancel(request.requestId),
+      Math.max(0, request.deadlineAt - Date.now()),
+    );
+    const {signal} = active.controller;
+    try {
+      const refusal = await lanes.enter(lane, request.deadlineAt, signal);
+      if (refusal !== undefined) return notRun(refusal);
+      active.started = true;
+      try {
+        return await target.run(
+          request,
+          lane,
+          (seq, text) => {
+            active.produced++;
+            receive({requestId: request.requestId, seq, text});
+          },
+          signal,
+        );
+      } finally {
+        lanes.leave(lane);
+      }
+    } finally {
+      clearTimeout(expiry);
+      this.active.delete(request.requestId);
+    }
+  }
+}
--- a/packages/agent/src/lanes/lanes.ts
+++ b/packages/agent/src/lanes/lanes.ts
@@ -5,15 +5,19 @@
  */
 import type {Lane} from '../target/target.js';
 
+/** Why a request left a lane without a slot. */
+export type LaneRefusal = 'deadline_in_queue' | 'cancelled_in_queue';
+
 interface Waiter {
-  readonly resolve: (granted: boolean) => void;
-  readonly timer: NodeJS.Timeout;
+  readonly finish: (refusal: LaneRefusal | undefined) => void;
 }
 
 /** Queue figures of one lane. */
 export interface LaneFigures {
   readonly queued: number;
   readonly inFlight: number;
+  /** Long prompts queued or in flight. */
+  readonly long: number;
 }
 
 /**
@@ -21,7 +25,7 @@
  *
  * @example
  * const lanes = createLanes({short: 48, long: 4});
- * if (await lanes.enter('short', deadlineAt)) { try { ... } finally { lanes.leave('short'); } }
+ * if ((await lanes.enter('short', deadlineAt, signal)) === undefined) { try { ... } finally { lanes.leave('short'); } }
  */
 export class Lanes {
   private readonly waiting: Record<Lane, Waiter[]> = {short: [], long: []};
@@ -30,30 +34,39 @@
   constructor(private readonly slots: Readonly<Record<Lane, number>>) {}
 
   /**
-   * Waits for a slot in `lane`; resolves false when `deadlineAt` passes first,
-   * in which case the request never started and is answered "not run".
+   * Waits for a slot in `lane`. Resolves undefined once it has one, or with
+   * the reason when `deadlineAt` passes or `signal` aborts first; the request
+   * then never started and is answered "not run".
    */
-  enter(lane: Lane, deadlineAt: number): Promise<boolean> {
-    if (
-      this.inFlight[lane] < this.slots[lane] &&
-      this.waiting[lane].length === 0
-    ) {
+  enter(
+    lane: Lane,
+    deadlineAt: number,
+    signal: AbortSignal,
+  ): Promise<LaneRefusal | undefined> {
+    const queue = this.waiting[lane];
+    if (this.inFlight[lane] < this.slots[lane] && queue.length === 0) {
       this.inFlight[lane]++;
-      return Promise.resolve(true);
+      return Promise.resolve(undefined);
     }
     return new Promise(resolve => {
+      const leaveQueue = (refusal: LaneRefusal) => {
+        queue.splice(queue.indexOf(waiter), 1);
+        waiter.finish(refusal);
+      };
+      const cancel = () => leaveQueue('cancelled_in_queue');
+      const timer = setTimeout(
+        () => leaveQueue('deadline_in_queue'),
+        Math.max(0, deadlineAt - Date.now()),
+      );
       const waiter: Waiter = {
-        resolve,
-        timer: setTimeout(
-          () => {
-            const queue = this.waiting[lane];
-            queue.splice(queue.indexOf(waiter), 1);
-            resolve(false);
-          },
-          Math.max(0, deadlineAt - Date.now()),
-        ),
+        finish: refusal => {
+          clearTimeout(timer);
+          signal.removeEventListener('abort', cancel);
+          resolve(refusal);
+        },
       };
-      this.waiting[lane].push(waiter);
+      signal.addEventListener('abort', cancel, {once: true});
+      queue.push(waiter);
     });
   }
 
@@ -64,8 +77,7 @@
       this.inFlight[lane]--;
       return;
     }
-    clearTimeout(next.timer);
-    next.resolve(true);
+    next.finish(undefined);
   }
 
   /** Figures of both lanes together. */
@@ -73,6 +85,7 @@
     return {
       queued: this.waiting.short.length + this.waiting.long.length,
       inFlight: this.inFlight.short + this.inFlight.long,
+      long: this.waiting.long.length + this.inFlight.long,
     };
   }
 }
--- a/packages/agent/src/ledger/ledger.ts
+++ b/packages/agent/src/ledger/ledger.ts
@@ -17,8 +17,13 @@
       readonly requestId: string;
       readonly claimedAt: number;
       readonly outcome: DispatchOutcome;
+      /** Text of each chunk; undefined when it was too long to keep. */
+      readonly pieces: readonly string[] | undefined;
     };
 
+/** Longest streamed answer that the ledger keeps for a repeat, in characters. */
+export const MAX_REPLAY_CHARS = 65_536;
+
 /** Answer of `claim` when the ledger holds `maxEntries` keys within their retention. */
 export const LEDGER_FULL = 'full';
 
@@ -26,12 +31,12 @@
 export interface LedgerOptions {
   /**
    * How long an entry is kept, in ms.
-   * @default 86_400_000
+   * @default 900_000
    */
   readonly retainMs?: number;
   /**
    * Most entries kept; past it new claims are refused, never old ones dropped.
-   * @default 200_000
+   * @default 50_000
    */
   readonly maxEntries?: number;
 }
@@ -50,8 +55,8 @@
   private readonly maxEntries: number;
 
   constructor(options: LedgerOptions = {}) {
-    this.retainMs = options.retainMs ?? 86_400_000;
-    this.maxEntries = options.maxEntries ?? 200_000;
+    this.retainMs = options.retainMs ?? 900_000;
+    this.maxEntries = options.maxEntries ?? 50_000;
   }
 
   /**
@@ -75,8 +80,18 @@
     return undefined;
   }
 
-  /** Records the final outcome of a claimed key. */
-  settle(key: string, outcome: DispatchOutcome): void {
+  /** Returns the entry of `key` without claiming it. */
+  find(key: string, now = Date.now()): LedgerEntry | undefined {
+    this.expire(now);
+    return this.entries.get(key);
+  }
+
+  /** Records the final outcome of a claimed key and the chunks it streamed. */
+  settle(
+    key: string,
+    outcome: DispatchOutcome,
+    pieces: readonly string[] = [],
+  ): void {
     const entry = this.entries.get(key);
     if (entry === undefined) return;
     this.entries.set(key, {
@@ -84,6 +99,10 @@
       requestId: entry.requestId,
       claimedAt: entry.claimedAt,
       outcome,
+      pieces:
+        pieces.reduce((sum, piece) => sum + piece.length, 0) <= MAX_REPLAY_CHARS
+          ? pieces
+          : undefined,
     });
   }
 
--- /dev/null
+++ b/packages/agent/src/reporting/load-reporter.ts
@@ -0,0 +1,96 @@
+/**
+ * Load reports to gates. A link with requests in flight, or one that had
+ * them a moment ago, hears of changes at once (at most every `reportMs`);
+ * every other link gets a slow heartbeat. So the cost of control grows with
+ * the traffic of a node and not with the number of gates and targets.
+ */
+import {RpcMethod} from '@nutmeggauge/core';
+import type {LoadReport, RpcLink} from '@nutmeggauge/core';
+
+/** How long after its last dispatch a link counts as in use, in ms. */
+const IN_USE_MS = 2000;
+
+/** Options of a load reporter. */
+export interface LoadReporterOptions {
+  /** Shortest time between two reports on a link in use, in ms. */
+  readonly reportMs: number;
+  /** Period of heartbeats on other links, in ms. */
+  readonly heartbeatMs: number;
+  readonly readLoad: () => LoadReport;
+}
+
+interface LinkState {
+  lastDispatchAt: number;
+  lastSentAt: number;
+  lastSent: string;
+}
+
+/** The part of a report whose change is worth a message. */
+function renderFigures(report: LoadReport): string {
+  return JSON.stringify({...report, sentAt: 0});
+}
+
+/**
+ * A task that reports the load of one agent to its links.
+ *
+ * @example
+ * const reporter = new LoadReporter({reportMs: 200, heartbeatMs: 1000, readLoad});
+ * reporter.start();
+ */
+export class LoadReporter {
+  private readonly links = new Map<RpcLink, LinkState>();
+  private timer: NodeJS.Timeout | undefined;
+
+  constructor(private readonly options: LoadReporterOptions) {}
+
+  start(): void {
+    this.timer = setInterval(() => this.sendDue(), this.options.reportMs);
+  }
+
+  stop(): void {
+    clearInterval(this.timer);
+  }
+
+  /** Takes in a new link and reports to it at once. */
+  addLink(link: RpcLink): void {
+    this.links.set(link, {lastDispatchAt: 0, lastSentAt: 0, lastSent: ''});
+    this.broadcast([link]);
+  }
+
+  dropLink(link: RpcLink): void {
+    this.links.delete(link);
+  }
+
+  /** Marks a link as in use. */
+  markDispatch(link: RpcLink): void {
+    const state = this.links.get(link);
+    if (state !== undefined) state.lastDispatchAt = Date.now();
+  }
+
+  /** Reports to `links` now, such as when a drain begins. */
+  broadcast(links: Iterable<RpcLink> = this.links.keys()): void {
+    const report = this.options.readLoad();
+    const figures = renderFigures(report);
+    for (const link of links) this.send(link, report, figures);
+  }
+
+  private sendDue(): void {
+    const now = Date.now();
+    const report = this.options.readLoad();
+    const figures = renderFigures(report);
+    for (const [link, state] of this.links) {
+      const inUse = now - state.lastDispatchAt <= IN_USE_MS;
+      const changed = inUse && state.lastSent !== figures;
+      const beatDue = now - state.lastSentAt >= this.options.heartbeatMs;
+      if (changed || beatDue) this.send(link, report, figures);
+    }
+  }
+
+  private send(link: RpcLink, report: LoadReport, figures: string): void {
+    const state = this.links.get(link);
+    if (state === undefined) return;
+    state.lastSentAt = Date.now();
+    state.lastSent = figures;
+    link.notify(RpcMethod.load, report);
+  }
+}
--- a/packages/agent/src/settings.ts
+++ b/packages/agent/src/settings.ts
@@ -1,6 +1,7 @@
 /**
  * Settings of `nutmeggauge-agent`, read from YAML and checked by zod.
  */
+import {SHORT_MAX_TOKENS} from '@nutmeggauge/core';
 import {z} from 'zod';
 
 export const AgentSettingsSchema = z.object({
@@ -21,15 +22,39 @@
   lanes: z
     .object({
       /** Prompts up to this many tokens go to the short lane. */
-      shortMaxTokens: z.number().int().positive().default(32_768),
+      shortMaxTokens: z.number().int().positive().default(SHORT_MAX_TOKENS),
       /** Short requests in flight at the target at once. */
       shortSlots: z.number().int().positive().default(48),
       /** Long requests in flight at the target at once. */
       longSlots: z.number().int().positive().default(4),
     })
     .prefault({}),
-  /** Period of load reports to gates, in ms. */
+  /** The configuration service; without it keyed requests are not fenced by record version. */
+  configService: z
+    .object({
+      url: z.url(),
+      /** How long one watch waits, in ms. */
+      waitMs: z.number().int().positive().default(25_000),
+    })
+    .optional(),
+  ledger: z
+    .object({
+      /**
+       * True only at the first start of the whole system: no earlier process
+       * of this slot can have run a request. Anything else must leave it out,
+       * or a key that ran before a restart can run again.
+       */
+      bootstrap: z.boolean().default(false),
+      /** How long a caller's key is honoured, in ms. */
+      retainMs: z.number().int().positive().default(900_000),
+      /** Most keys held; further keyed requests are refused as not run. */
+      maxEntries: z.number().int().positive().default(50_000),
+    })
+    .prefault({}),
+  /** Shortest time between two load reports on a link in use, in ms. */
   loadReportMs: z.number().int().positive().default(200),
+  /** Period of heartbeats on links without requests, in ms. */
+  heartbeatMs: z.number().int().positive().default(1000),
   /** Longest time a drain waits for requests in flight, in ms. */
   drainTimeoutMs: z.number().int().positive().default(120_000),
 });
--- a/packages/agent/src/target/engine-target.ts
+++ b/packages/agent/src/target/engine-target.ts
@@ -1,6 +1,7 @@
 /**
  * Client of the engine's `POST /v1/generate` SSE stream.
  */
+import {readSseEvents} from '@nutmeggauge/core';
 import {request} from 'undici';
 import {TargetClient, isNeverSent} from './target.js';
 import type {DispatchOutcome, DispatchRequest} from '@nutmeggauge/core';
@@ -9,35 +10,12 @@
 /** Engine priority of each lane; lower runs first at the engine. */
 const LANE_PRIORITY: Readonly<Record<Lane, number>> = {short: 0, long: 1};
 
-/** One parsed SSE event. */
-interface SseEvent {
-  readonly event: string;
-  readonly data: string;
-}
-
 /**
- * Splits complete SSE events off the front of `buffer`.
- *
- * @example
- * parseSseEvents('data: 1\n\nda'); // {events: [{event: 'message', data: '1'}], rest: 'da'}
+ * Shortest lease on the engine's memory, in ms. The lease ends at the
+ * request's deadline, so an agent that dies without a cancel costs the
+ * engine no memory past it.
  */
-export function parseSseEvents(buffer: string): {
-  events: SseEvent[];
-  rest: string;
-} {
-  const blocks = buffer.split('\n\n');
-  const rest = blocks.pop() ?? '';
-  const events = blocks.map(block => {
-    let event = 'message';
-    let data = '';
-    for (const line of block.split('\n')) {
-      if (line.startsWith('event: ')) event = line.slice(7);
-      if (line.startsWith('data: ')) data += line.slice(6);
-    }
-    return {event, data};
-  });
-  return {events, rest};
-}
+const MIN_LEASE_MS = 1000;
 
 /**
  * Runs `generate` requests on an engine.
@@ -62,7 +40,8 @@
           prompt: job.prompt ?? '',
           maxTokens: job.maxTokens ?? 16,
           priority: LANE_PRIORITY[lane],
-          leaseMs: Math.max(1000, job.deadlineAt - Date.now()),
+          leaseMs: Math.max(MIN_LEASE_MS, job.deadlineAt - Date.now()),
+          resume: job.resume,
         }),
         signal,
       });
@@ -87,35 +66,14 @@
     body: AsyncIterable<Buffer>,
     sink: ChunkSink,
   ): Promise<DispatchOutcome> {
-    let buffer = '';
     let chunks = 0;
     try {
-      for await (const part of body) {
-        const parsed = parseSseEvents(buffer + part.toString('utf8'));
-        buffer = parsed.rest;
-        for (const event of parsed.events) {
-          if (event.event === 'done') {
-            const summary = JSON.parse(event.data) as {
-              tokens: number;
-              cachedTokens: number;
-            };
-            return {
-              status: 'done',
-              chunks,
-              tokens: summary.tokens,
-              cachedTokens: summary.cachedTokens,
-            };
-          }
-          if (event.event === 'failed') {
-            const {reason} = JSON.parse(event.data) as {reason: string};
-            if (reason === 'too_large' && chunks === 0)
-              return {status: 'not-run', reason: 'prompt_too_large'};
-            return {status: 'unknown', reason: `target_${reason}`};
-          }
-          const token = JSON.parse(event.data) as {seq: number; text: string};
-          sink(token.seq, token.text);
-          chunks++;
-        }
+      for await (const event of readSseEvents(body)) {
+        if (event.event === 'done') return toDone(event.data, chunks);
+        if (event.event === 'failed') return toFailure(event.data, chunks);
+        const token = JSON.parse(event.data) as {seq: number; text: string};
+        sink(token.seq, token.text);
+        chunks = token.seq + 1;
       }
     } catch {
       return {status: 'unknown', reason: 'target_stream_broken'};
@@ -123,3 +81,19 @@
     return {status: 'unknown', reason: 'target_stream_ended'};
   }
 }
+
+/** `chunks` counts every chunk of the answer, those before a resume too. */
+function toDone(data: string, chunks: number): DispatchOutcome {
+  const {tokens, cachedTokens} = JSON.parse(data) as {
+    tokens: number;
+    cachedTokens: number;
+  };
+  return {status: 'done', chunks, tokens, cachedTokens};
+}
+
+function toFailure(data: string, chunks: number): DispatchOutcome {
+  const {reason} = JSON.parse(data) as {reason: string};
+  if (reason === 'too_large' && chunks === 0)
+    return {status: 'not-run', reason: 'prompt_too_large'};
+  return {status: 'unknown', reason: `target_${reason}`};
+}
--- a/packages/agent/src/target/plain-target.ts
+++ b/packages/agent/src/target/plain-target.ts
@@ -6,6 +6,12 @@
 import type {DispatchOutcome, DispatchRequest} from '@nutmeggauge/core';
 import type {ChunkSink, Lane} from './target.js';
 
+/**
+ * Time past a call's deadline after which its outcome is taken as unknown,
+ * in ms: a call that has started runs on past it, for the caller's retry.
+ */
+const HANG_GRACE_MS = 30_000;
+
 /**
  * Runs `call` requests on a plain service.
  *
@@ -31,6 +37,9 @@
           args: job.args ?? {},
         }),
         signal,
+        // A service that hangs must not hold its slot in the lane for good.
+        headersTimeout:
+          Math.max(0, job.deadlineAt - Date.now()) + HANG_GRACE_MS,
       });
     } catch (error) {
       if (isNeverSent(error))
--- a/packages/core/src/config-record.ts
+++ b/packages/core/src/config/record.ts
@@ -5,8 +5,8 @@
  * old and new records can live side by side during a change.
  */
 import {z} from 'zod';
-import {ConfigRecordError} from './errors.js';
-import {describeIssues} from './settings.js';
+import {ConfigRecordError} from '../errors.js';
+import {describeIssues} from '../settings.js';
 
 /** Schema versions this release can read. */
 export const SUPPORTED_SCHEMA_VERSIONS: readonly number[] = [1];
@@ -30,15 +30,25 @@
   deadlineMs: z.number().int().positive().default(60_000),
 });
 
+/** The state that operators want an engine in; its agent orders what differs. */
+export const EngineStateSchema = z.object({
+  model: z.string().min(1).optional(),
+  adapters: z.array(z.string().min(1)).optional(),
+  role: z.enum(['prefill', 'decode', 'both']).optional(),
+});
+
 export const TargetSchema = z.object({
   id: z.string().min(1),
   agent: AddressSchema,
   zone: z.string().min(1),
+  desired: EngineStateSchema.optional(),
 });
 
 export const PoolSchema = z.object({
   id: z.string().min(1),
   kind: z.enum(['engine', 'plain']),
+  /** True when the pool's engines can go on with an interrupted stream. */
+  resumable: z.boolean().default(true),
   targets: z.array(TargetSchema),
 });
 
@@ -58,6 +68,7 @@
 });
 
 export type Account = z.output<typeof AccountSchema>;
+export type EngineState = Readonly<z.output<typeof EngineStateSchema>>;
 export type Target = z.output<typeof TargetSchema>;
 export type Pool = z.output<typeof PoolSchema>;
 export type Rule = z.output<typeof RuleSchema>;
--- a/packages/core/src/config-watch.test.ts
+++ b/packages/core/src/config/watch.test.ts
@@ -1,8 +1,8 @@
 import {describe, it} from 'node:test';
 import {expect} from 'earl';
 import fc from 'fast-check';
-import {createConfigWatcher} from './config-watch.js';
-import {createCounters} from './metrics.js';
+import {createConfigWatcher} from './watch.js';
+import {createCounters} from '../metrics.js';
 
 const recordOf = (version: number, schemaVersion = 1) => ({
   version,
--- a/packages/core/src/config-watch.ts
+++ b/packages/core/src/config/watch.ts
@@ -5,11 +5,12 @@
  * down, so an accepted configuration never reverts.
  */
 import {request} from 'undici';
-import {waitMs} from './clock.js';
-import {resolveConfigRecord} from './config-record.js';
-import {createLogger} from './log.js';
-import type {ConfigRecord} from './config-record.js';
-import type {Counters} from './metrics.js';
+import {waitMs} from '../clock.js';
+import {createLogger} from '../log.js';
+import {ConfigDeltaSchema, applyDelta} from './delta.js';
+import {resolveConfigRecord} from './record.js';
+import type {Counters} from '../metrics.js';
+import type {ConfigRecord} from './record.js';
 
 /** Options of a configuration watcher. */
 export interface ConfigWatcherOptions {
@@ -28,15 +29,27 @@
    */
   readonly backoffMinMs?: number;
   /**
-   * Longest pause between failed reads, in ms.
-   * @default 5000
+   * Longest pause between failed reads, in ms. Half the 8 s in which a
+   * change must be in force, so that one pause after an outage fits into it.
+   * @default 4000
    */
   readonly backoffMaxMs?: number;
+  /**
+   * Sections of the record to read; an agent needs no client accounts.
+   * @default every section
+   */
+  readonly sections?: readonly string[];
 }
 
 /** Listener called with each newly accepted record. */
 export type ConfigListener = (record: ConfigRecord) => void;
 
+/** How one read of the service ended. */
+type ReadResult = 'accepted' | 'unchanged' | 'ignored' | 'failed';
+
+/** Slack on top of the service's own wait before a read counts as lost, in ms. */
+const READ_SLACK_MS = 5000;
+
 /**
  * A task that owns the watch connection and the current record.
  *
@@ -59,6 +72,11 @@
     return this.record;
   }
 
+  /** Version of the newest accepted record; 0 before the first one. */
+  get version(): number {
+    return this.record?.version ?? 0;
+  }
+
   /** Registers a listener for accepted records. */
   onChange(listener: ConfigListener): void {
     this.listeners.push(listener);
@@ -78,14 +96,24 @@
   }
 
   /**
-   * Offers a raw record; returns true when it is accepted as the newest.
-   * Exposed so that tests can drive the acceptance rule directly.
+   * Reads the service once without waiting, and tells whether the record now
+   * held is the newest one the service knows. False when the service cannot
+   * be read or serves a record older than the one held.
+   */
+  async confirmNewest(): Promise<boolean> {
+    const result = await this.readOnce(0);
+    return result === 'accepted' || result === 'unchanged';
+  }
+
+  /**
+   * Offers a raw record or delta; returns true when it is accepted as the
+   * newest. Exposed so that tests can drive the acceptance rule directly.
    */
   offer(raw: unknown): boolean {
     const counters = this.options.counters;
     let record: ConfigRecord;
     try {
-      record = resolveConfigRecord(raw);
+      record = resolveConfigRecord(this.toWholeRecord(raw));
     } catch (error) {
       counters.add('config.rejected');
       this.log.warn('config_rejected', {reason: (error as Error).message});
@@ -107,13 +135,20 @@
     return true;
   }
 
+  private toWholeRecord(raw: unknown): unknown {
+    if ((raw as {base?: unknown} | null)?.base === undefined) return raw;
+    const delta = ConfigDeltaSchema.safeParse(raw);
+    if (!delta.success || this.record === undefined) return undefined;
+    return applyDelta(this.record, delta.data);
+  }
+
   private async runLoop(): Promise<void> {
     const minMs = this.options.backoffMinMs ?? 100;
-    const maxMs = this.options.backoffMaxMs ?? 5000;
+    const maxMs = this.options.backoffMaxMs ?? 4000;
     let backoffMs = minMs;
     while (this.running) {
-      const progressed = await this.readOnce();
-      if (progressed) {
+      const result = await this.readOnce(this.options.waitMs ?? 25_000);
+      if (result === 'accepted' || result === 'unchanged') {
         backoffMs = minMs;
         continue;
       }
@@ -124,34 +159,39 @@
     }
   }
 
-  /** One watch call; true when it ended normally (new record or no change). */
-  private async readOnce(): Promise<boolean> {
+  private async readOnce(wait: number): Promise<ReadResult> {
     const counters = this.options.counters;
-    const wait = this.options.waitMs ?? 25_000;
-    const after = this.record?.version ?? 0;
+    const query = new URLSearchParams({
+      after: String(this.version),
+      waitMs: String(wait),
+    });
+    if (this.options.sections !== undefined)
+      query.set('sections', this.options.sections.join(','));
     counters.add('config.reads');
     try {
       const response = await request(
-        `${this.options.url}/v1/records/current?after=${after}&waitMs=${wait}`,
+        `${this.options.url}/v1/records/current?${query.toString()}`,
         {
           signal: this.abort.signal,
-          headersTimeout: wait + 5000,
-          bodyTimeout: wait + 5000,
+          headersTimeout: wait + READ_SLACK_MS,
+          bodyTimeout: wait + READ_SLACK_MS,
         },
       );
       if (response.statusCode === 304) {
         await response.body.dump();
-        return true;
+        return 'unchanged';
       }
       if (response.statusCode !== 200) {
         await response.body.dump();
         counters.add('config.read_failed');
-        return false;
+        return 'failed';
       }
-      return this.offer(await response.body.json());
+      const text = await response.body.text();
+      counters.add('config.bytes', text.length);
+      return this.offer(JSON.parse(text)) ? 'accepted' : 'ignored';
     } catch {
       counters.add('config.read_failed');
-      return false;
+      return 'failed';
     }
   }
 }
--- /dev/null
+++ b/packages/core/src/listen.ts
@@ -0,0 +1,54 @@
+/**
+ * Opening and closing of listeners, the same for HTTP and json-rpc servers.
+ */
+import type {Server as HttpServer} from 'node:http';
+import type {Server} from 'node:net';
+
+/** Where a process listens. */
+export interface ListenAddress {
+  readonly host: string;
+  /** 0 lets the system pick a free port. */
+  readonly port: number;
+}
+
+/**
+ * Listens and resolves with the bound port.
+ *
+ * @throws The system's error (EADDRINUSE, EACCES) when the address is taken.
+ * @example
+ * const port = await openListener(server, {host: '127.0.0.1', port: 0});
+ */
+export function openListener(
+  server: Server,
+  address: ListenAddress,
+): Promise<number> {
+  return new Promise((resolve, reject) => {
+    server.once('error', reject);
+    server.listen(address.port, address.host, () => {
+      server.off('error', reject);
+      resolve(readPort(server));
+    });
+  });
+}
+
+/**
+ * Reads the port a server is bound to; 0 while it does not listen.
+ *
+ * @example
+ * readPort(server); // 8080
+ */
+export function readPort(server: Server | undefined): number {
+  const address = server?.address();
+  return typeof address === 'object' && address !== null ? address.port : 0;
+}
+
+/**
+ * Cuts every connection and resolves once the server has closed.
+ *
+ * @example
+ * await closeHttpServer(server);
+ */
+export function closeHttpServer(server: HttpServer): Promise<void> {
+  server.closeAllConnections();
+  return new Promise(resolve => server.close(() => resolve()));
+}
--- /dev/null
+++ b/packages/core/src/rendezvous.ts
@@ -0,0 +1,27 @@
+/**
+ * Rendezvous (highest random weight) hashing: every process with the same
+ * list of targets finds the same home for a key, without talking to the
+ * others, and a change of the list moves only the keys of the changed target.
+ */
+import {createHash} from 'node:crypto';
+
+/**
+ * Finds the id with the highest hash for `key`; undefined for an empty list.
+ *
+ * @example
+ * findHome(['plain-1', 'plain-2'], 'acct:order-17'); // 'plain-2'
+ */
+export function findHome(
+  ids: readonly string[],
+  key: string,
+): string | undefined {
+  let best: string | undefined;
+  let bestScore = '';
+  for (const id of ids) {
+    const score = createHash('sha1').update(`${key}|${id}`).digest('hex');
+    if (best !== undefined && score <= bestScore) continue;
+    best = id;
+    bestScore = score;
+  }
+  return best;
+}
--- a/packages/core/src/rpc.ts
+++ b/packages/core/src/rpc.ts
@@ -10,6 +10,7 @@
 } from 'json-rpc-2.0';
 import {RpcClosedError, RpcFailedError} from './errors.js';
 import type {Socket} from 'node:net';
+import type {Counters} from './metrics.js';
 
 /** Handler of a method or a notification; params arrive as sent. */
 export type RpcHandler = (params: unknown) => unknown;
@@ -27,7 +28,10 @@
   private readonly closeListeners: Array<() => void> = [];
   private closed = false;
 
-  constructor(private readonly socket: Socket) {
+  constructor(
+    private readonly socket: Socket,
+    private readonly counters?: Counters,
+  ) {
     this.peer = new JSONRPCServerAndClient(
       new JSONRPCServer(),
       new JSONRPCClient(message => this.send(message)),
@@ -114,7 +118,9 @@
 
   private send(message: unknown): void {
     if (this.closed) return;
-    this.socket.write(JSON.stringify(message) + '\n');
+    const line = JSON.stringify(message) + '\n';
+    this.countBytes('out', message, line.length);
+    this.socket.write(line);
   }
 
   private receive(line: string): void {
@@ -127,9 +133,17 @@
       this.close();
       return;
     }
+    this.countBytes('in', message, line.length + 1);
     void this.peer.receiveAndSend(message, undefined, undefined);
   }
 
+  /** Bytes by method; answers to calls carry none and count as `result`. */
+  private countBytes(way: 'in' | 'out', message: unknown, bytes: number): void {
+    const method = (message as {method?: string} | null)?.method ?? 'result';
+    this.counters?.add(`rpc.${way}.${method}.bytes`, bytes);
+    this.counters?.add(`rpc.${way}.${method}.messages`);
+  }
+
   private markClosed(): void {
     if (this.closed) return;
     this.closed = true;
@@ -141,9 +155,11 @@
 /**
  * Wraps a connected socket in a json-rpc link.
  *
+ * @param counters - Takes `rpc.*` figures, bytes and messages by method.
+ *
  * @example
  * const link = createRpcLink(net.connect(7001, '127.0.0.1'));
  */
-export function createRpcLink(socket: Socket): RpcLink {
-  return new RpcLink(socket);
+export function createRpcLink(socket: Socket, counters?: Counters): RpcLink {
+  return new RpcLink(socket, counters);
 }
--- a/packages/gate/src/admission/estimate.ts
+++ b/packages/gate/src/admission/estimate.ts
@@ -3,14 +3,13 @@
  * the target's last load report. A request whose estimate passes its
  * deadline is refused at once rather than failed late.
  */
-import type {TargetView} from '../membership/agent-connection.js';
+import type {RouteRequest} from '../routing/router.js';
+import type {TargetView} from '../membership/target-link.js';
 
 /** Engine figures behind the estimate. */
 export interface EstimateFigures {
   readonly prefillTokensPerSecond: number;
   readonly decodeStepMs: number;
-  /** Prompts up to this many tokens run ahead of long ones at the agent. */
-  readonly shortMaxTokens: number;
 }
 
 /**
@@ -19,17 +18,14 @@
  * counts; long prompts wait behind the target's pending prefill.
  *
  * @example
- * estimateFinishMs(target, {promptTokens: 1000, maxTokens: 64}, figures);
+ * estimateFinishMs(target, {promptTokens: 1000, maxTokens: 64, isLong: false}, figures);
  */
 export function estimateFinishMs(
   target: TargetView,
-  request: {readonly promptTokens: number; readonly maxTokens: number},
+  request: Pick<RouteRequest, 'promptTokens' | 'maxTokens' | 'isLong'>,
   figures: EstimateFigures,
 ): number {
-  const ahead =
-    request.promptTokens <= figures.shortMaxTokens
-      ? 0
-      : (target.load?.pendingPrefillTokens ?? 0);
+  const ahead = request.isLong ? (target.load?.pendingPrefillTokens ?? 0) : 0;
   const prefillMs =
     ((ahead + request.promptTokens) / figures.prefillTokensPerSecond) * 1000;
   return prefillMs + request.maxTokens * figures.decodeStepMs;
--- a/packages/gate/src/api/requests.ts
+++ b/packages/gate/src/api/requests.ts
@@ -2,23 +2,22 @@
  * Parsing of caller requests (OpenAI-style completions and chat
  * completions, and plain service calls) into one shape.
  */
+import {describeIssues} from '@nutmeggauge/core';
 import {z} from 'zod';
 
-/** Characters counted as one token, as the engines count them. */
-export const CHARS_PER_TOKEN = 4;
+/** Most tokens that one request may ask to generate. */
+const MAX_NEW_TOKENS = 32_768;
 
-const CompletionSchema = z.object({
+const GenerateSchema = z.object({
   model: z.string().min(1),
-  prompt: z.string(),
-  max_tokens: z.number().int().positive().max(32_768).default(16),
+  max_tokens: z.number().int().positive().max(MAX_NEW_TOKENS).default(16),
   stream: z.boolean().default(false),
 });
 
-const ChatSchema = z.object({
-  model: z.string().min(1),
+const CompletionSchema = GenerateSchema.extend({prompt: z.string()});
+
+const ChatSchema = GenerateSchema.extend({
   messages: z.array(z.object({role: z.string(), content: z.string()})).min(1),
-  max_tokens: z.number().int().positive().max(32_768).default(16),
-  stream: z.boolean().default(false),
 });
 
 /** A caller request in the gate's own terms. */
@@ -45,26 +44,14 @@
 ): CallerRequest | {readonly error: string} {
   if (path === '/v1/completions') {
     const parsed = CompletionSchema.safeParse(body);
-    if (!parsed.success)
-      return {
-        error: parsed.error.issues
-          .map(i => `${i.path.join('.')}: ${i.message}`)
-          .join('; '),
-      };
-    const {model, prompt, max_tokens: maxTokens, stream} = parsed.data;
-    return {api: 'completion', pool: model, prompt, maxTokens, stream};
+    if (!parsed.success) return {error: describeIssues(parsed.error.issues)};
+    return toGenerate('completion', parsed.data, parsed.data.prompt);
   }
   if (path === '/v1/chat/completions') {
     const parsed = ChatSchema.safeParse(body);
-    if (!parsed.success)
-      return {
-        error: parsed.error.issues
-          .map(i => `${i.path.join('.')}: ${i.message}`)
-          .join('; '),
-      };
-    const {model, messages, max_tokens: maxTokens, stream} = parsed.data;
-    const prompt = messages.map(m => `${m.role}: ${m.content}`).join('\n');
-    return {api: 'chat', pool: model, prompt, maxTokens, stream};
+    if (!parsed.success) return {error: describeIssues(parsed.error.issues)};
+    const lines = parsed.data.messages.map(m => `${m.role}: ${m.content}`);
+    return toGenerate('chat', parsed.data, lines.join('\n'));
   }
   const call = /^\/v1\/services\/([^/]+)\/([^/]+)$/.exec(path);
   if (call !== null) {
@@ -84,3 +71,17 @@
   }
   return {error: `unknown path ${path}`};
 }
+
+function toGenerate(
+  api: 'completion' | 'chat',
+  body: z.output<typeof GenerateSchema>,
+  prompt: string,
+): CallerRequest {
+  return {
+    api,
+    pool: body.model,
+    prompt,
+    maxTokens: body.max_tokens,
+    stream: body.stream,
+  };
+}
--- /dev/null
+++ b/packages/gate/src/api/results.ts
@@ -0,0 +1,120 @@
+/**
+ * Final answers to callers: refusals, results and failures. A request that
+ * was given up on is answered at once with Retry-After, never held back.
+ */
+import {sendJson, startSse, writeSse} from '@nutmeggauge/core';
+import {renderCompletion, renderError} from './responses.js';
+import type {ServerResponse} from 'node:http';
+import type {Refusal} from '../admission/limits.js';
+import type {DispatchResult} from '../dispatch/dispatcher.js';
+import type {CallerRequest} from './requests.js';
+
+/** An answer that did not stream. */
+export interface CollectedAnswer {
+  readonly text: string;
+  readonly promptTokens: number;
+}
+
+/**
+ * Renders a Retry-After header, in whole seconds, at least 1.
+ *
+ * @example
+ * toRetryAfter(1500); // {'retry-after': '2'}
+ */
+export function toRetryAfter(ms: number): Record<string, string> {
+  return {'retry-after': String(Math.max(1, Math.ceil(ms / 1000)))};
+}
+
+/**
+ * Answers a request that was not admitted.
+ *
+ * @example
+ * sendRefusal(res, {status: 429, reason: 'rate_limited', retryAfterMs: 200}, 'gate-1-7');
+ */
+export function sendRefusal(
+  res: ServerResponse,
+  refusal: Refusal,
+  requestId: string,
+): void {
+  const type = refusal.reason === 'no_target' ? 'not_run' : 'refused';
+  sendJson(
+    res,
+    refusal.status,
+    renderError(type, refusal.reason, requestId),
+    toRetryAfter(refusal.retryAfterMs),
+  );
+}
+
+/**
+ * Answers an admitted request with what became of it.
+ *
+ * @example
+ * sendResult(res, request, 'gate-1-7', result, {text: '', promptTokens: 10});
+ */
+export function sendResult(
+  res: ServerResponse,
+  request: CallerRequest,
+  requestId: string,
+  result: DispatchResult,
+  collected: CollectedAnswer,
+): void {
+  if (res.destroyed) return;
+  if (result.status !== 'done') {
+    sendFailure(res, result, requestId);
+    return;
+  }
+  if (request.api === 'call') {
+    sendJson(res, 200, {request_id: requestId, result: result.outcome.body});
+    return;
+  }
+  if (request.stream) {
+    if (!res.headersSent) startSse(res);
+    writeSse(res, '[DONE]');
+    res.end();
+    return;
+  }
+  const body = renderCompletion(
+    request,
+    requestId,
+    collected.text,
+    result.outcome.tokens,
+    collected.promptTokens,
+  );
+  sendJson(res, 200, body);
+}
+
+function sendFailure(
+  res: ServerResponse,
+  result: Exclude<DispatchResult, {status: 'done'}>,
+  requestId: string,
+): void {
+  const [status, body, headers] = describeFailure(result, requestId);
+  if (!res.headersSent) {
+    sendJson(res, status, body, headers);
+    return;
+  }
+  // The stream already started: the failure goes in-band, and the missing
+  // [DONE] tells the caller the answer is not whole.
+  writeSse(res, body, 'error');
+  res.end();
+}
+
+function describeFailure(
+  result: Exclude<DispatchResult, {status: 'done'}>,
+  requestId: string,
+): [number, object, Record<string, string>] {
+  if (result.status === 'not-run') {
+    return [
+      503,
+      renderError('not_run', result.reason, requestId),
+      toRetryAfter(result.retryAfterMs),
+    ];
+  }
+  if (result.status === 'deadline') {
+    const reason = result.ran
+      ? 'deadline_passed_may_have_run'
+      : 'deadline_passed_not_run';
+    return [504, renderError('deadline_exceeded', reason, requestId), {}];
+  }
+  return [502, renderError('outcome_unknown', result.reason, requestId), {}];
+}
--- a/packages/gate/src/dispatch/dispatcher.ts
+++ b/packages/gate/src/dispatch/dispatcher.ts
@@ -3,23 +3,26 @@
  * - `not-run` from an agent, or a link that was down before sending: the
  *   request provably did not run, so it may go to another target, except a
  *   keyed one, which only its home agent may run;
-
  * - `unknown` (it may have run): a not-repeatable request is never resent,
  *   and the caller hears "outcome unknown"; a repeatable one is resent
- *   while time remains, and reassembly drops the pieces already delivered.
+ *   while time remains. Once pieces of its answer were delivered it is not
+ *   run anew but resumed, and only where the engines can resume: a second
+ *   run words its answer differently, and the caller would get pieces of two.
  */
-import {createLogger} from '@nutmeggauge/core';
-import {isLinkLost, isNotSent} from '../membership/agent-connection.js';
-import {chooseByRendezvous} from '../routing/router.js';
-import type {AgentConnection} from '../membership/agent-connection.js';
-import type {Membership} from '../membership/membership.js';
-import type {RouteRequest, Router} from '../routing/router.js';
-import type {ChunkStream} from '../streaming/reassembly.js';
+import {
+  RpcClosedError,
+  TargetUnreachableError,
+  createLogger,
+} from '@nutmeggauge/core';
 import type {
   Counters,
   DispatchOutcome,
   DispatchRequest,
+  ResumePoint,
 } from '@nutmeggauge/core';
+import type {TargetDirectory, TargetLink} from '../membership/target-link.js';
+import type {RouteRequest, Router} from '../routing/router.js';
+import type {ChunkStream} from '../streaming/reassembly.js';
 
 /**
  * Time past a request's deadline that the gate waits for the agent's own
@@ -28,6 +31,9 @@
  */
 export const DEADLINE_GRACE_MS = 250;
 
+/** When a caller whose request did not run may come back, in ms. */
+const RETRY_AFTER_MS = 1000;
+
 /** Final result of a dispatch, as the API answers it. */
 export type DispatchResult =
   | {
@@ -45,8 +51,10 @@
 
 /** A request ready to dispatch, with its routing facts. */
 export interface DispatchJob {
-  readonly request: Omit<DispatchRequest, 'attempt'>;
+  readonly request: Omit<DispatchRequest, 'attempt' | 'resume'>;
   readonly route: RouteRequest;
+  /** True when the pool's engines can go on with an interrupted stream. */
+  readonly resumable: boolean;
   readonly chunks: ChunkStream;
   /** Aborted when the caller goes away. */
   readonly signal: AbortSignal;
@@ -54,10 +62,20 @@
 
 /** Dependencies of a dispatcher. */
 export interface DispatcherOptions {
-  readonly membership: Membership;
+  readonly directory: TargetDirectory;
   readonly router: Router;
   readonly counters: Counters;
+  /** Most targets one request is tried on. */
   readonly maxAttempts: number;
+  /** Longest wait for an agent's receipt of a repeatable request, in ms. */
+  readonly acceptTimeoutMs: number;
+}
+
+/** What the tries of one request have shown so far. */
+interface Progress {
+  readonly tried: Set<string>;
+  lastNotRun: Extract<DispatchResult, {status: 'not-run'}>;
+  mayHaveRun: boolean;
 }
 
 /**
@@ -73,101 +91,127 @@
 
   /** Dispatches `job`; never throws. */
   async run(job: DispatchJob): Promise<DispatchResult> {
-    const tried = new Set<string>();
-    let lastNotRun: DispatchResult = {
-      status: 'not-run',
-      reason: 'no_target',
-      retryAfterMs: 1000,
+    const isKeyed = job.request.keyed;
+    const progress: Progress = {
+      tried: new Set(),
+      lastNotRun: {
+        status: 'not-run',
+        reason: isKeyed ? 'home_unavailable' : 'no_target',
+        retryAfterMs: RETRY_AFTER_MS,
+      },
+      mayHaveRun: false,
     };
-    let mayHaveRun = false;
     for (let attempt = 1; attempt <= this.options.maxAttempts; attempt++) {
-      if (Date.now() >= job.request.deadlineAt)
-        return {status: 'deadline', ran: mayHaveRun};
-      const target = this.pickTarget(job, tried);
-      if (target === undefined)
-        return mayHaveRun
-          ? {status: 'unknown', reason: 'no_target_left'}
-          : lastNotRun;
-      tried.add(target.id);
+      if (Date.now() >= job.request.deadlineAt) break;
+      const target = await this.pickTarget(job, progress.tried);
+      if (target === undefined) break;
+      progress.tried.add(target.id);
       const outcome = await this.tryOnce(target, job, attempt);
-      if (outcome.status === 'done')
-        return {status: 'done', outcome, target: target.id};
-      if (job.signal.aborted) return {status: 'unknown', reason: 'caller_gone'};
-      if (outcome.status === 'not-run') {
-        this.options.counters.add('dispatch.retry_not_run');
-        lastNotRun = {
-          status: 'not-run',
-          reason: outcome.reason,
-          retryAfterMs: outcome.retryAfterMs ?? 1000,
-        };
-        // A keyed request runs only at its home agent, whose ledger its
-        // copies meet. Moving it to another agent after a not-run let the
-        // caller's retry, back at a healthy home, run it a second time
-        // (spec/at-most-once.pml with KEYED_RETRY shows the double run).
-        if (job.route.affinityKey !== undefined) return lastNotRun;
-        continue;
-      }
-
-      mayHaveRun = true;
-      // At most once: a not-repeatable request that may have started is never
-      // sent again anywhere; the caller is told the outcome is unknown.
-      if (job.request.notRepeatable)
-        return {status: 'unknown', reason: outcome.reason};
-      this.options.counters.add('dispatch.retry_unknown');
+      const result = this.judgeOutcome(outcome, target, job, progress);
+      if (result !== undefined) return result;
     }
     if (Date.now() >= job.request.deadlineAt)
-      return {status: 'deadline', ran: mayHaveRun};
-    return mayHaveRun
+      return {status: 'deadline', ran: progress.mayHaveRun};
+    return progress.mayHaveRun
       ? {status: 'unknown', reason: 'attempts_exhausted'}
-      : lastNotRun;
+      : progress.lastNotRun;
+  }
+
+  /** Returns the final result, or undefined when another try is allowed. */
+  private judgeOutcome(
+    outcome: DispatchOutcome,
+    target: TargetLink,
+    job: DispatchJob,
+    progress: Progress,
+  ): DispatchResult | undefined {
+    const {counters} = this.options;
+    if (outcome.status === 'done') {
+      // The last guard on whole answers: a "done" whose chunks did not all
+      // arrive must not be closed as if it were complete.
+      if (outcome.chunks === job.chunks.releasedCount)
+        return {status: 'done', outcome, target: target.id};
+      counters.add('dispatch.answer_incomplete');
+      return {status: 'unknown', reason: 'answer_incomplete'};
+    }
+    if (job.signal.aborted) return {status: 'unknown', reason: 'caller_gone'};
+    if (outcome.status === 'not-run') {
+      counters.add('dispatch.retry_not_run');
+      progress.lastNotRun = {
+        status: 'not-run',
+        reason: outcome.reason,
+        retryAfterMs: outcome.retryAfterMs ?? RETRY_AFTER_MS,
+      };
+      // A keyed request runs only at its home agent, whose ledger its
+      // copies meet. Moving it to another agent after a not-run let the
+      // caller's retry, back at a healthy home, run it a second time
+      // (spec/at-most-once.pml with KEYED_RETRY shows the double run).
+      return job.request.keyed ? progress.lastNotRun : undefined;
+    }
+    progress.mayHaveRun = true;
+    // At most once: a not-repeatable request that may have started is never
+    // sent again anywhere; the caller is told the outcome is unknown.
+    if (job.request.notRepeatable)
+      return {status: 'unknown', reason: outcome.reason};
+    if (job.chunks.releasedCount > 0 && !job.resumable)
+      return {status: 'unknown', reason: 'stream_not_resumable'};
+    counters.add('dispatch.retry_unknown');
+    return undefined;
   }
 
-  private pickTarget(
+  private async pickTarget(
     job: DispatchJob,
     tried: ReadonlySet<string>,
-  ): AgentConnection | undefined {
-    const candidates = this.options.membership
-      .listUsable(job.request.pool)
-      .filter(c => !tried.has(c.id));
+  ): Promise<TargetLink | undefined> {
+    const {directory, router} = this.options;
+    const {pool, keyed, ledgerKey} = job.request;
     // Copies of a keyed request must meet the same agent's ledger, so they
-    // are placed by rendezvous hash instead of by load.
-    const key = job.route.affinityKey;
-    if (key !== undefined) return chooseByRendezvous(candidates, key);
-    return this.options.router.choose(candidates, job.route);
+    // go to the key's home. It is found over all configured targets: over the
+    // usable ones, the death of the home moved its keys to an agent that had
+    // never seen them, and the caller's retry ran a second time there
+    // (spec/at-most-once.pml with HOME_AMONG_USABLE shows the double run).
+    if (keyed && ledgerKey !== undefined) {
+      const home = await directory.findHome(pool, ledgerKey);
+      return home !== undefined && !tried.has(home.id) ? home : undefined;
+    }
+    const candidates = directory.listUsable(pool).filter(c => !tried.has(c.id));
+    const target = router.choose(candidates, job.route);
+    if (target !== undefined) router.recordSent(target, job.route);
+    return target;
   }
 
   private async tryOnce(
-    target: AgentConnection,
+    target: TargetLink,
     job: DispatchJob,
     attempt: number,
   ): Promise<DispatchOutcome> {
-    const cancel = () => target.cancel(job.request.requestId);
+    const {request, route} = job;
+    const cancel = () => target.cancel(request.requestId);
     job.signal.addEventListener('abort', cancel, {once: true});
-    const timer = setTimeout(
-      cancel,
-      Math.max(0, job.request.deadlineAt - Date.now()),
-    );
+    const leftMs = Math.max(0, request.deadlineAt - Date.now());
+    const timer = setTimeout(cancel, leftMs);
     try {
       return await target.dispatch(
-        {...job.request, attempt},
+        {...request, attempt, resume: readResumePoint(job.chunks)},
         notice => job.chunks.push(notice),
-        job.request.deadlineAt - Date.now() + DEADLINE_GRACE_MS,
+        {
+          answerMs: leftMs + DEADLINE_GRACE_MS,
+          acceptMs: request.notRepeatable
+            ? undefined
+            : this.options.acceptTimeoutMs,
+          promptTokens: route.promptTokens,
+          isLong: route.isLong,
+        },
       );
     } catch (error) {
-      if (isNotSent(error))
+      if (error instanceof TargetUnreachableError)
         return {status: 'not-run', reason: 'agent_unreachable'};
-      if (isLinkLost(error)) {
-        this.log.warn('agent_link_lost', {
-          requestId: job.request.requestId,
-          target: target.id,
-        });
-        return {status: 'unknown', reason: 'agent_link_lost'};
-      }
-      this.log.warn('agent_no_answer', {
-        requestId: job.request.requestId,
+      const reason =
+        error instanceof RpcClosedError ? 'agent_link_lost' : 'agent_no_answer';
+      this.log.warn(reason, {
+        requestId: request.requestId,
         target: target.id,
       });
-      return {status: 'unknown', reason: 'agent_no_answer'};
+      return {status: 'unknown', reason};
     } finally {
       clearTimeout(timer);
       job.signal.removeEventListener('abort', cancel);
@@ -175,11 +219,16 @@
   }
 }
 
+function readResumePoint(chunks: ChunkStream): ResumePoint | undefined {
+  if (chunks.releasedCount === 0) return undefined;
+  return {fromSeq: chunks.releasedCount, text: chunks.releasedText};
+}
+
 /**
  * Creates a dispatcher.
  *
  * @example
- * const dispatcher = createDispatcher({membership, router, counters, maxAttempts: 3});
+ * const dispatcher = createDispatcher({directory, router, counters, maxAttempts: 3, acceptTimeoutMs: 1000});
  */
 export function createDispatcher(options: DispatcherOptions): Dispatcher {
   return new Dispatcher(options);
--- a/packages/gate/src/gate.ts
+++ b/packages/gate/src/gate.ts
@@ -8,6 +8,8 @@
   createCounters,
   createLatencyHistogram,
   createLogger,
+  openListener,
+  readPort,
   sendJson,
   waitMs,
 } from '@nutmeggauge/core';
@@ -16,13 +18,13 @@
 import {createDispatcher} from './dispatch/dispatcher.js';
 import {createMembership} from './membership/membership.js';
 import {resolveRouter} from './routing/policies.js';
-import type {Server} from 'node:http';
+import type {IncomingMessage, Server, ServerResponse} from 'node:http';
 import type {Account, ConfigRecord} from '@nutmeggauge/core';
 import type {HandlerContext} from './api/handler.js';
 import type {GateSettings} from './settings.js';
 
-/** Prompts up to this many tokens run in the agents' short lane. */
-const SHORT_MAX_TOKENS = 32_768;
+/** How often a drain looks whether the last request has ended, in ms. */
+const DRAIN_POLL_MS = 20;
 
 /**
  * One gate process's state and tasks.
@@ -41,6 +43,7 @@
   private server: Server | undefined;
   private keys = new Map<string, Account>();
   private draining = false;
+  private closed = false;
   private inFlight = 0;
 
   constructor(private readonly settings: GateSettings) {
@@ -49,7 +52,11 @@
       counters: this.counters,
       waitMs: settings.configService.waitMs,
     });
+    const {subsetSize, heartbeatStaleMs} = settings.routing;
     this.membership = createMembership({
+      gateId: settings.id,
+      subsetSize,
+      heartbeatStaleMs,
       counters: this.counters,
       hostListUrl: settings.hostList?.url,
       hostListPollMs: settings.hostList?.pollMs,
@@ -61,23 +68,23 @@
       limits: createAccountLimits(),
       membership: this.membership,
       dispatcher: createDispatcher({
-        membership: this.membership,
+        directory: this.membership,
         router: resolveRouter(settings.routing.policy),
         counters: this.counters,
         maxAttempts: settings.routing.maxAttempts,
+        acceptTimeoutMs: settings.routing.acceptTimeoutMs,
       }),
-      figures: {...settings.estimate, shortMaxTokens: SHORT_MAX_TOKENS},
+      figures: settings.estimate,
       ttft: this.ttft,
       readRecord: () => this.watcher.current,
       findAccount: key => this.keys.get(key),
-      isDraining: () => this.draining,
+      isClosed: () => this.closed,
     };
   }
 
   /** The bound port, once started. */
   get port(): number {
-    const address = this.server?.address();
-    return typeof address === 'object' && address !== null ? address.port : 0;
+    return readPort(this.server);
   }
 
   /** Starts watching configuration and listening for callers. */
@@ -86,13 +93,7 @@
     this.membership.start();
     const server = createServer((req, res) => this.route(req, res));
     this.server = server;
-    await new Promise<void>(resolve =>
-      server.listen(
-        this.settings.listen.port,
-        this.settings.listen.host,
-        resolve,
-      ),
-    );
+    await openListener(server, this.settings.listen);
     this.log.info('gate_listening', {
       id: this.settings.id,
       zone: this.settings.zone,
@@ -101,17 +102,21 @@
   }
 
   /**
-   * Graceful shutdown: stop accepting, finish every request in flight (at
-   * most `drainTimeoutMs`), then stop the tasks. No request is cut off.
+   * Graceful shutdown: say "draining" on `/healthz` while still serving, so
+   * that the balancer stops sending first; then stop accepting, finish every
+   * request in flight (at most `drainTimeoutMs`), and stop the tasks.
    */
   async drain(): Promise<void> {
     if (this.draining) return;
     this.draining = true;
     this.log.info('drain_started', {inFlight: this.inFlight});
+    await waitMs(this.settings.drainNoticeMs);
+    this.closed = true;
     this.server?.close();
     this.server?.closeIdleConnections();
     const giveUpAt = Date.now() + this.settings.drainTimeoutMs;
-    while (this.inFlight > 0 && Date.now() < giveUpAt) await waitMs(20);
+    while (this.inFlight > 0 && Date.now() < giveUpAt)
+      await waitMs(DRAIN_POLL_MS);
     this.log.info('drain_finished', {left: this.inFlight});
     this.close();
   }
@@ -133,10 +138,7 @@
     this.membership.apply(record);
   }
 
-  private route(
-    req: Parameters<typeof handleCallerRequest>[1],
-    res: Parameters<typeof handleCallerRequest>[2],
-  ): void {
+  private route(req: IncomingMessage, res: ServerResponse): void {
     const path = new URL(req.url ?? '/', 'http://gate').pathname;
     if (req.method === 'GET' && path === '/healthz') {
       sendJson(res, this.draining ? 503 : 200, this.describe());
--- a/packages/gate/src/membership/agent-connection.ts
+++ b/packages/gate/src/membership/agent-connection.ts
@@ -5,7 +5,7 @@
  */
 import {connect} from 'node:net';
 import {
-  RpcClosedError,
+  RpcFailedError,
   RpcMethod,
   TargetUnreachableError,
   createLogger,
@@ -13,73 +13,99 @@
   waitMs,
 } from '@nutmeggauge/core';
 import type {
+  AcceptedNotice,
   ChunkNotice,
+  Counters,
   DispatchOutcome,
   DispatchRequest,
   LoadReport,
   RpcLink,
   Target,
 } from '@nutmeggauge/core';
+import type {DispatchBounds, TargetLink} from './target-link.js';
 
-/**
- * Age past which an agent's last load report marks it unusable, in ms. Load
- * reports double as heartbeats: an agent that froze (paused process, cut
- * link that TCP has not noticed yet) stops sending them, and routing to it
- * stops within this bound instead of waiting for the socket to fail.
- */
-export const HEARTBEAT_STALE_MS = 1500;
+/** First and longest pause between connection attempts, in ms. */
+const BACKOFF_MIN_MS = 50;
+const BACKOFF_MAX_MS = 2000;
 
 /** Receives the chunks of one request. */
 export type ChunkHandler = (notice: ChunkNotice) => void;
 
-/** What routers read of a target. */
-export interface TargetView {
-  readonly id: string;
-  readonly zone: string;
-  readonly outstanding: number;
-  readonly load: LoadReport | undefined;
+/** Options of a connection. */
+export interface AgentConnectionOptions {
+  readonly target: Target;
+  readonly pool: string;
+  readonly counters: Counters;
+  /**
+   * Age past which an agent's last load report marks it unusable, in ms.
+   * Load reports double as heartbeats: an agent that froze (paused process,
+   * cut link that TCP has not noticed yet) stops sending them, and routing to
+   * it stops within this bound instead of waiting for the socket to fail.
+   */
+  readonly heartbeatStaleMs: number;
+}
+
+interface InFlight {
+  readonly onChunk: ChunkHandler;
+  readonly markAccepted: () => void;
 }
 
 /**
  * The gate's connection to one agent.
  *
  * @example
- * const connection = new AgentConnection(target, 'chat');
+ * const connection = new AgentConnection({target, pool: 'chat', counters, heartbeatStaleMs: 2500});
  * connection.start();
  */
-export class AgentConnection implements TargetView {
+export class AgentConnection implements TargetLink {
   outstanding = 0;
+  servesLong = false;
   load: LoadReport | undefined;
-  /** Gate-local time of the last load report, in epoch ms. */
-  lastReportAt = 0;
+  /** Prompt tokens sent since the last load report, which cannot show them. */
+  unreportedTokens = 0;
+  /** Long prompts sent since the last load report. */
+  unreportedLong = 0;
   /** Set from the host list: the platform says this host is leaving. */
   leavingByHostList = false;
+  /** Gate-local time of the last load report, in epoch ms. */
+  private lastReportAt = 0;
   private link: RpcLink | undefined;
   private running = false;
-  private readonly handlers = new Map<string, ChunkHandler>();
+  private linkWaiters: Array<() => void> = [];
+  private readonly inFlight = new Map<string, InFlight>();
   private readonly log = createLogger('membership');
 
-  constructor(
-    readonly target: Target,
-    readonly pool: string,
-  ) {}
+  constructor(private readonly options: AgentConnectionOptions) {}
 
   get id(): string {
-    return this.target.id;
+    return this.options.target.id;
   }
 
   get zone(): string {
-    return this.target.zone;
+    return this.options.target.zone;
+  }
+
+  /** Address of the agent, `host:port`. */
+  get agent(): string {
+    return this.options.target.agent;
+  }
+
+  get pool(): string {
+    return this.options.pool;
+  }
+
+  /** True while the connect loop runs. */
+  get isStarted(): boolean {
+    return this.running;
   }
 
-  /** True when new work may be sent here. */
   get isUsable(): boolean {
     return (
       this.link !== undefined &&
       !this.link.isClosed &&
       !this.leavingByHostList &&
       this.load?.draining !== true &&
-      Date.now() - this.lastReportAt <= HEARTBEAT_STALE_MS
+      Date.now() - this.lastReportAt <= this.options.heartbeatStaleMs
     );
   }
 
@@ -96,18 +122,21 @@
     this.link?.close();
   }
 
-  /**
-   * Sends a request and resolves with the agent's outcome.
-   *
-   * @param timeoutMs - Longest wait for the agent's answer.
-   * @throws TargetUnreachableError when there is no link (nothing was sent);
-   *   RpcClosedError when the link closed after the request was written;
-   *   RpcFailedError when no answer came within `timeoutMs`.
-   */
+  /** Resolves once the target is usable, or after `timeoutMs`. */
+  async waitUsable(timeoutMs: number): Promise<void> {
+    if (this.isUsable) return;
+    let timer: NodeJS.Timeout | undefined;
+    await Promise.race([
+      new Promise<void>(resolve => this.linkWaiters.push(resolve)),
+      new Promise<void>(resolve => (timer = setTimeout(resolve, timeoutMs))),
+    ]);
+    clearTimeout(timer);
+  }
+
   async dispatch(
     request: DispatchRequest,
     onChunk: ChunkHandler,
-    timeoutMs: number,
+    bounds: DispatchBounds,
   ): Promise<DispatchOutcome> {
     const link = this.link;
     if (link === undefined || link.isClosed) {
@@ -117,34 +146,60 @@
       );
     }
     this.outstanding++;
-    this.handlers.set(request.requestId, onChunk);
+    this.unreportedTokens += bounds.promptTokens;
+    if (bounds.isLong) this.unreportedLong++;
+    let acceptTimer: NodeJS.Timeout | undefined;
+    const silence = new Promise<never>((_resolve, reject) => {
+      if (bounds.acceptMs === undefined) return;
+      acceptTimer = setTimeout(() => {
+        // No load report from before this moment may call the agent usable.
+        this.lastReportAt = 0;
+        reject(
+          new RpcFailedError(
+            {info: {target: this.id}},
+            `${this.id} took no request in ${bounds.acceptMs} ms`,
+          ),
+        );
+      }, bounds.acceptMs);
+    });
+    this.inFlight.set(request.requestId, {
+      onChunk,
+      markAccepted: () => clearTimeout(acceptTimer),
+    });
+    const answer = link.call<DispatchOutcome>(
+      RpcMethod.dispatch,
+      request,
+      bounds.answerMs,
+    );
+    // When silence wins, the late answer of the call has no reader.
+    answer.catch(() => undefined);
     try {
-      return await link.call<DispatchOutcome>(
-        RpcMethod.dispatch,
-        request,
-        timeoutMs,
-      );
+      return await Promise.race([answer, silence]);
     } finally {
+      clearTimeout(acceptTimer);
       this.outstanding--;
-      this.handlers.delete(request.requestId);
+      this.inFlight.delete(request.requestId);
     }
   }
 
-  /** Asks the agent to stop a request; lost silently if the link is down. */
   cancel(requestId: string): void {
     this.link?.notify(RpcMethod.cancel, {requestId});
   }
 
   private async runConnectLoop(): Promise<void> {
-    let backoffMs = 50;
+    let backoffMs = BACKOFF_MIN_MS;
     while (this.running) {
       const link = await this.openLink();
       if (link === undefined) {
         await waitMs(Math.random() * backoffMs);
-        backoffMs = Math.min(2000, backoffMs * 2);
+        backoffMs = Math.min(BACKOFF_MAX_MS, backoffMs * 2);
         continue;
       }
-      backoffMs = 50;
+      if (!this.running) {
+        link.close();
+        return;
+      }
+      backoffMs = BACKOFF_MIN_MS;
       this.link = link;
       this.log.info('agent_connected', {target: this.id, pool: this.pool});
       await new Promise<void>(resolve => link.onClose(resolve));
@@ -155,32 +210,34 @@
   }
 
   private openLink(): Promise<RpcLink | undefined> {
-    const [host, port] = this.target.agent.split(':');
+    const [host, port] = this.options.target.agent.split(':');
     return new Promise(resolve => {
       const socket = connect(Number(port), host);
       socket.once('error', () => resolve(undefined));
       socket.once('connect', () => {
-        const link = createRpcLink(socket);
-        link.handle(RpcMethod.load, params => {
-          this.load = params as LoadReport;
-          this.lastReportAt = Date.now();
-        });
+        const link = createRpcLink(socket, this.options.counters);
+        link.handle(RpcMethod.load, params =>
+          this.receiveLoad(params as LoadReport),
+        );
+        link.handle(RpcMethod.accepted, params =>
+          this.inFlight
+            .get((params as AcceptedNotice).requestId)
+            ?.markAccepted(),
+        );
         link.handle(RpcMethod.chunk, params => {
           const notice = params as ChunkNotice;
-          this.handlers.get(notice.requestId)?.(notice);
+          this.inFlight.get(notice.requestId)?.onChunk(notice);
         });
         resolve(link);
       });
     });
   }
-}
 
-/** Tells whether an error from `dispatch` means the request was never sent. */
-export function isNotSent(error: unknown): boolean {
-  return error instanceof TargetUnreachableError;
-}
-
-/** Tells whether an error from `dispatch` means the link broke after sending. */
-export function isLinkLost(error: unknown): boolean {
-  return error instanceof RpcClosedError;
+  private receiveLoad(report: LoadReport): void {
+    this.load = report;
+    this.lastReportAt = Date.now();
+    this.unreportedTokens = 0;
+    this.unreportedLong = 0;
+    for (const wake of this.linkWaiters.splice(0)) wake();
+  }
 }
--- a/packages/gate/src/membership/membership.ts
+++ b/packages/gate/src/membership/membership.ts
@@ -4,13 +4,24 @@
  * agents' own drain flags. Each target has one AgentConnection task.
  */
 import {request} from 'undici';
-import {createLogger} from '@nutmeggauge/core';
+import {createLogger, findHome} from '@nutmeggauge/core';
 import {AgentConnection} from './agent-connection.js';
-import type {ConfigRecord, Counters} from '@nutmeggauge/core';
+import {listLongPart, pickPoolSubset} from './subset.js';
+import type {ConfigRecord, Counters, Pool} from '@nutmeggauge/core';
+import type {TargetDirectory} from './target-link.js';
 
 /** Options of the membership view. */
 export interface MembershipOptions {
+  /** Name of this gate; with `subsetSize` it decides which targets it links to. */
+  readonly gateId: string;
   readonly counters: Counters;
+  /** Age past which a silent agent is not routed to, in ms. */
+  readonly heartbeatStaleMs: number;
+  /**
+   * Targets of each pool to keep links to; 0 for all.
+   * @default 0
+   */
+  readonly subsetSize?: number;
   /** Host list URL; absent means the host list is not read. */
   readonly hostListUrl?: string;
   /**
@@ -20,51 +31,69 @@
   readonly hostListPollMs?: number;
 }
 
+/** Longest wait for a link to a home outside the subset, in ms. */
+const HOME_LINK_MS = 1000;
+
+/** Longest wait for the host list, in ms. */
+const HOST_LIST_TIMEOUT_MS = 2000;
+
 /**
  * Connections of one gate, by pool.
  *
  * @example
- * const membership = createMembership({counters});
+ * const membership = createMembership({gateId: 'gate-1', counters, heartbeatStaleMs: 2500});
  * membership.apply(record);
  * membership.listUsable('chat');
  */
-export class Membership {
-  private readonly byKey = new Map<string, AgentConnection>();
+export class Membership implements TargetDirectory {
+  private byPool = new Map<string, Map<string, AgentConnection>>();
   private readonly log = createLogger('membership');
   private hostTimer: NodeJS.Timeout | undefined;
-  private leaving = new Set<string>();
+  private leaving: ReadonlySet<string> = new Set();
 
   constructor(private readonly options: MembershipOptions) {}
 
   /** Brings connections in line with a newly accepted record. */
   apply(record: ConfigRecord): void {
-    const wanted = new Set<string>();
+    const next = new Map<string, Map<string, AgentConnection>>();
+    const kept = new Set<AgentConnection>();
     for (const pool of record.pools) {
-      for (const target of pool.targets) {
-        const key = `${pool.id}/${target.id}@${target.agent}`;
-        wanted.add(key);
-        if (this.byKey.has(key)) continue;
-        const connection = new AgentConnection(target, pool.id);
-        connection.leavingByHostList = this.leaving.has(target.id);
-        this.byKey.set(key, connection);
-        connection.start();
-      }
+      const connections = this.connectPool(pool);
+      next.set(pool.id, connections);
+      for (const connection of connections.values()) kept.add(connection);
     }
-    for (const [key, connection] of this.byKey) {
-      if (wanted.has(key)) continue;
-      connection.stop();
-      this.byKey.delete(key);
+    const former = this.listAll();
+    this.byPool = next;
+    for (const connection of former) {
+      if (!kept.has(connection)) connection.stop();
     }
   }
 
-  /** Connections of `pool` that may take new work. */
   listUsable(pool: string): AgentConnection[] {
-    return [...this.byKey.values()].filter(c => c.pool === pool && c.isUsable);
+    return this.listPool(pool).filter(c => c.isUsable);
   }
 
-  /** Every connection, usable or not. */
+  async findHome(
+    pool: string,
+    key: string,
+  ): Promise<AgentConnection | undefined> {
+    const connections = this.byPool.get(pool);
+    if (connections === undefined) return undefined;
+    const id = findHome([...connections.keys()], key);
+    const home = id === undefined ? undefined : connections.get(id);
+    if (home === undefined) return undefined;
+    if (!home.isStarted) {
+      home.start();
+      await home.waitUsable(HOME_LINK_MS);
+    }
+    return home.isUsable ? home : undefined;
+  }
+
+  /** Connections this gate keeps open, usable or not. */
   listAll(): AgentConnection[] {
-    return [...this.byKey.values()];
+    return [...this.byPool.values()]
+      .flatMap(connections => [...connections.values()])
+      .filter(connection => connection.isStarted);
   }
 
   /** Starts reading the host list, if one is configured. */
@@ -80,46 +109,81 @@
   /** Stops every task. */
   stop(): void {
     clearInterval(this.hostTimer);
-    for (const connection of this.byKey.values()) connection.stop();
+    for (const connection of this.listAll()) connection.stop();
+  }
+
+  private listPool(pool: string): AgentConnection[] {
+    return [...(this.byPool.get(pool)?.values() ?? [])];
+  }
+
+  private connectPool(pool: Pool): Map<string, AgentConnection> {
+    const ids = pool.targets.map(target => target.id);
+    const {gateId, subsetSize = 0, counters, heartbeatStaleMs} = this.options;
+    const subset = pickPoolSubset(gateId, ids, subsetSize);
+    const longPart = new Set(listLongPart(ids));
+    const connections = new Map<string, AgentConnection>();
+    for (const target of pool.targets) {
+      const held = this.byPool.get(pool.id)?.get(target.id);
+      const connection =
+        held !== undefined && held.agent === target.agent
+          ? held
+          : new AgentConnection({
+              target,
+              pool: pool.id,
+              counters,
+              heartbeatStaleMs,
+            });
+      connection.leavingByHostList = this.leaving.has(target.id);
+      connection.servesLong = longPart.has(target.id);
+      connections.set(target.id, connection);
+      if (subset.has(target.id)) connection.start();
+    }
+    return connections;
   }
 
   private async readHostList(url: string): Promise<void> {
     this.options.counters.add('hostlist.reads');
     try {
       const response = await request(`${url}/v1/hosts`, {
-        headersTimeout: 2000,
-        bodyTimeout: 2000,
+        headersTimeout: HOST_LIST_TIMEOUT_MS,
+        bodyTimeout: HOST_LIST_TIMEOUT_MS,
       });
       const body = (await response.body.json()) as {
         hosts?: Array<{id: string; state: string}>;
       };
-      const leaving = new Set(
-        (body.hosts ?? []).filter(h => h.state === 'leaving').map(h => h.id),
+      this.applyLeaving(
+        new Set(
+          (body.hosts ?? []).filter(h => h.state === 'leaving').map(h => h.id),
+        ),
       );
-      for (const connection of this.byKey.values()) {
-        const next = leaving.has(connection.id);
-        if (next !== connection.leavingByHostList) {
-          this.log.info('target_leaving_changed', {
-            target: connection.id,
-            leaving: next,
-          });
-        }
-        connection.leavingByHostList = next;
-      }
-      this.leaving = leaving;
     } catch {
       // The host list lags and fails at times; the agents' own drain flags
       // still stop new work, so a missed read only delays the narrowing.
       this.options.counters.add('hostlist.read_failed');
     }
   }
+
+  private applyLeaving(leaving: ReadonlySet<string>): void {
+    this.leaving = leaving;
+    for (const connections of this.byPool.values()) {
+      for (const connection of connections.values()) {
+        const next = leaving.has(connection.id);
+        if (next === connection.leavingByHostList) continue;
+        connection.leavingByHostList = next;
+        this.log.info('target_leaving_changed', {
+          target: connection.id,
+          leaving: next,
+        });
+      }
+    }
+  }
 }
 
 /**
  * Creates an empty membership view.
  *
  * @example
- * const membership = createMembership({counters, hostListUrl: 'http://127.0.0.1:7300'});
+ * const membership = createMembership({gateId: 'gate-1', counters, heartbeatStaleMs: 2500, hostListUrl: 'http://127.0.0.1:7300'});
  */
 export function createMembership(options: MembershipOptions): Membership {
   return new Membership(options);
--- a/packages/gate/src/routing/policies.ts
+++ b/packages/gate/src/routing/policies.ts
@@ -2,7 +2,11 @@
  * Maps a policy name from the settings to its Router.
  */
 import {LeastOutstandingRouter, RoundRobinRouter} from './router.js';
-import {PowerOfTwoRouter, TokenLoadRouter} from './load-routers.js';
+import {
+  LengthSplitRouter,
+  PowerOfTwoRouter,
+  TokenLoadRouter,
+} from './load-routers.js';
 import type {Router} from './router.js';
 import type {RoutingPolicy} from '../settings.js';
 
@@ -22,5 +26,7 @@
       return new PowerOfTwoRouter();
     case 'token-load':
       return new TokenLoadRouter();
+    case 'length-split':
+      return new LengthSplitRouter();
   }
 }
--- a/packages/gate/src/routing/router.ts
+++ b/packages/gate/src/routing/router.ts
@@ -3,15 +3,16 @@
  * by name from its settings. Round robin and least-outstanding are the
  * baselines every other policy is measured against.
  */
-import {createHash} from 'node:crypto';
-import type {TargetView} from '../membership/agent-connection.js';
+import type {TargetView} from '../membership/target-link.js';
 
 /** What a router may read of the request it places. */
 export interface RouteRequest {
   readonly promptTokens: number;
   readonly maxTokens: number;
-  /** Set for requests that must reach the same agent on every copy. */
-  readonly affinityKey?: string;
+  /** True for a prompt that runs in the long lane. */
+  readonly isLong: boolean;
+  /** Hashes of the prompt's beginnings; see routing/prefix-memory. */
+  readonly prefixes: readonly string[];
 }
 
 /**
@@ -28,6 +29,12 @@
     candidates: readonly T[],
     request: RouteRequest,
   ): T | undefined;
+
+  /** Told of each request sent; a router that remembers sends overrides it. */
+  recordSent(target: TargetView, request: RouteRequest): void {
+    void target;
+    void request;
+  }
 }
 
 /** Takes candidates in turn. */
@@ -54,28 +61,3 @@
     return best;
   }
 }
-
-/**
- * Picks the candidate with the highest rendezvous hash of `key`: every gate
- * with the same candidates picks the same one, without talking to the others.
- *
- * @example
- * chooseByRendezvous(candidates, 'acct:order-17');
- */
-export function chooseByRendezvous<T extends TargetView>(
-  candidates: readonly T[],
-  key: string,
-): T | undefined {
-  let best: T | undefined;
-  let bestScore = '';
-  for (const candidate of candidates) {
-    const score = createHash('sha1')
-      .update(`${key}|${candidate.id}`)
-      .digest('hex');
-    if (best === undefined || score > bestScore) {
-      best = candidate;
-      bestScore = score;
-    }
-  }
-  return best;
-}
--- a/packages/gate/src/settings.ts
+++ b/packages/gate/src/settings.ts
@@ -8,6 +8,7 @@
   'least-outstanding',
   'power-of-two',
   'token-load',
+  'length-split',
 ]);
 
 export const GateSettingsSchema = z.object({
@@ -38,6 +39,15 @@
       policy: RoutingPolicySchema.default('least-outstanding'),
       /** Most targets one request is tried on. */
       maxAttempts: z.number().int().positive().default(3),
+      /** Targets of each pool to keep links to; 0 for all. */
+      subsetSize: z.number().int().min(0).default(0),
+      /** Age of an agent's last report past which it gets no work, in ms. */
+      heartbeatStaleMs: z.number().int().positive().default(2500),
+      /**
+       * Longest wait for an agent's receipt of a repeatable request before
+       * it is sent to another target, in ms.
+       */
+      acceptTimeoutMs: z.number().int().positive().default(1000),
     })
     .prefault({}),
   /** Figures of the engines, for the admission estimate. */
@@ -47,6 +57,11 @@
       decodeStepMs: z.number().positive().default(8),
     })
     .prefault({}),
+  /**
+   * How long a gate that was told to stop still takes requests while
+   * `/healthz` says 503, so that the balancer notices first, in ms.
+   */
+  drainNoticeMs: z.number().int().min(0).default(3000),
   /** Longest time a graceful shutdown waits for requests in flight, in ms. */
   drainTimeoutMs: z.number().int().positive().default(120_000),
 });
--- a/packages/gate/src/streaming/reassembly.ts
+++ b/packages/gate/src/streaming/reassembly.ts
@@ -47,11 +47,16 @@
  */
 export class ChunkStream {
   private readonly events = new EventEmitter();
-  private released = 0;
+  private readonly released: string[] = [];
 
-  /** Pieces handed to the observer so far. */
+  /** Pieces released in order so far; the next one has this number. */
   get releasedCount(): number {
-    return this.released;
+    return this.released.length;
+  }
+
+  /** Text of the pieces released so far. */
+  get releasedText(): string {
+    return this.released.join('');
   }
 
   /** Offers one chunk, in any order. */
@@ -74,11 +79,9 @@
         next: 0,
         held: new Map<number, string>(),
       } as ReorderState)
+      .tap(due => this.released.push(...due))
       .concatMap(due => most.from(due))
-      .observe(text => {
-        this.released++;
-        write(text);
-      });
+      .observe(write);
   }
 }
 
--- a/packages/nutmeggauge/src/cluster/local-cluster.ts
+++ b/packages/nutmeggauge/src/cluster/local-cluster.ts
@@ -151,6 +151,8 @@
           zone: target.zone,
           listen: {host: '127.0.0.1', port},
           target: {kind: target.kind, url: target.url},
+          configService: {url: configUrl, waitMs: 20_000},
+          ledger: {bootstrap: true},
         }),
       );
       return launch(name, AGENT_BIN, ['--config', file]);
@@ -170,6 +172,8 @@
         configService: {url: configUrl, waitMs: 20_000},
         hostList: {url: hostListUrl, pollMs: 500},
         routing: {policy: spec.routing},
+        // No balancer stands before a local gate that must notice its drain.
+        drainNoticeMs: 0,
       }),
     );
     await launch(id, GATE_BIN, ['--config', file]);
--- a/packages/nutmeggauge/src/e2e/at-most-once.test.ts
+++ b/packages/nutmeggauge/src/e2e/at-most-once.test.ts
@@ -1,10 +1,13 @@
 import {after, before, describe, it} from 'node:test';
 import {expect} from 'earl';
-import {chooseByRendezvous} from '@nutmeggauge/gate';
-
+import {v7 as uuidv7} from 'uuid';
 import {
-  TEST_KEY,
+  TEST_AUTH,
+  countRuns,
+  findHomeIndex,
+  placeOrder,
   postJson,
+  readUsable,
   renderWholeAnswer,
   startStack,
   startTestGate,
@@ -13,7 +16,7 @@
 } from '../test/stack.js';
 import type {Stack} from '../test/stack.js';
 
-const auth = {authorization: `Bearer ${TEST_KEY}`};
+const auth = TEST_AUTH;
 const submittedTotal = (stack: Stack) =>
   stack.engines.reduce((sum, e) => sum + e.scheduler.submitted, 0);
 const killBusyEngine = async (stack: Stack) => {
@@ -95,17 +98,9 @@
     // caller is told "outcome unknown", retries with the same key, and the
     // agent's ledger keeps the second copy from booking a second kit.
     stack.plain[0].setFault('drop-reply');
-    const first = await postJson(
-      `${stack.gateUrl}/v1/services/orders/place-order`,
-      {sku: 'kit-9'},
-      {...auth, 'idempotency-key': 'o-1'},
-    );
+    const first = await placeOrder(stack, 'o-1');
     stack.plain[0].setFault('none');
-    const retry = await postJson(
-      `${stack.gateUrl}/v1/services/orders/place-order`,
-      {sku: 'kit-9'},
-      {...auth, 'idempotency-key': 'o-1'},
-    );
+    const retry = await placeOrder(stack, 'o-1');
     expect(first.body.error.type).toEqual('outcome_unknown');
     expect(retry.body.error.type).toEqual('outcome_unknown');
     expect(stack.plain[0].executions.length).toEqual(1);
@@ -116,11 +111,7 @@
     // the caller's retry, which lands on a fresh gate B with no memory of it.
     // The agent beside the order service holds the ledger, so B's copy is
     // answered with the first slip and nothing is booked twice.
-    const first = await postJson(
-      `${stack.gateUrl}/v1/services/orders/place-order`,
-      {sku: 'kit-3'},
-      {...auth, 'idempotency-key': 'o-2'},
-    );
+    const first = await placeOrder(stack, 'o-2');
     stack.gate.close();
     const configUrl = `http://127.0.0.1:${(stack.config.server.address() as {port: number}).port}`;
     const gateB = await startTestGate(
@@ -135,10 +126,7 @@
     gateB.close();
     expect(first.status).toEqual(200);
     expect(retry.body.result.slip).toEqual(first.body.result.slip);
-    expect(
-      stack.plain[0].executions.filter(e => e.ledgerKey === 'acct-a:o-2')
-        .length,
-    ).toEqual(1);
+    expect(countRuns(stack, 'o-2')).toEqual(1);
   });
 });
 
@@ -157,30 +145,93 @@
     // booked it; the caller's retry then met the home agent, now healthy,
     // whose ledger had never seen the key, and it booked the kit again.
     const key = 'o-home';
-    const home = chooseByRendezvous(
-      [{id: 'plain-1'}, {id: 'plain-2'}] as never[],
-      `acct-a:${key}`,
-    ) as unknown as {id: string};
-    const homeIndex = home.id === 'plain-1' ? 0 : 1;
+    const homeIndex = findHomeIndex(stack, key);
     stack.plain[homeIndex].setFault('reject');
-    const first = await postJson(
-      `${stack.gateUrl}/v1/services/orders/place-order`,
-      {sku: 'kit-1'},
-      {...auth, 'idempotency-key': key},
-    );
+    const first = await placeOrder(stack, key);
     stack.plain[homeIndex].setFault('none');
-    const retry = await postJson(
-      `${stack.gateUrl}/v1/services/orders/place-order`,
-      {sku: 'kit-1'},
-      {...auth, 'idempotency-key': key},
-    );
-    const runs = stack.plain
-      .flatMap(p => p.executions)
-      .filter(e => e.ledgerKey === `acct-a:${key}`).length;
-    expect(runs).toEqual(1);
+    const retry = await placeOrder(stack, key);
+    expect(countRuns(stack, key)).toEqual(1);
     expect(first.status === 503 ? first.body.error.type : 'booked').toEqual(
       'not_run',
     );
     expect(retry.status).toEqual(200);
   });
 });
+
+describe('keyed order whose home target dies after booking it', () => {
+  let stack: Stack;
+  before(async () => {
+    stack = await startStack({engines: 1, plain: 2});
+  });
+  after(async () => {
+    await stack.close();
+  });
+
+  it('is not booked again at another agent by the caller retry', async () => {
+    // A builder's order is booked at its home order desk, whose host then
+    // dies. The gate used to choose the home among the targets still usable,
+    // so the builder's retry met the other agent, whose ledger had never
+    // seen the key, and a second kit was shipped.
+    const key = 'o-death';
+    const home = findHomeIndex(stack, key);
+    const first = await placeOrder(stack, key);
+    stack.agents[1 + home].close();
+    await waitUntil(
+      async () => (await readUsable(stack))[`plain-${home + 1}`] === false,
+    );
+    const retry = await placeOrder(stack, key);
+    expect(first.status).toEqual(200);
+    expect(countRuns(stack, key)).toEqual(1);
+    expect(retry.status).toEqual(503);
+    expect(retry.body.error.reason).toEqual('home_unavailable');
+  });
+});
+
+describe('keyed order whose home agent restarts', () => {
+  let stack: Stack;
+  before(async () => {
+    stack = await startStack({engines: 1, plain: 1});
+  });
+  after(async () => {
+    await stack.close();
+  });
+
+  it('is not booked again by the agent that forgot it', async () => {
+    // The order desk books a kit; the agent beside it is restarted, and its
+    // ledger lives in memory only. The caller's retry of the same key then
+    // found an empty ledger and was booked a second time.
+    const key = uuidv7();
+    await placeOrder(stack, key);
+    await stack.restartAgent(1);
+    const retry = await placeOrder(stack, key);
+    expect(countRuns(stack, key)).toEqual(1);
+    expect(retry.body.error.type).toEqual('outcome_unknown');
+  });
+});
+
+describe('keyed completion repeated by its caller', () => {
+  let stack: Stack;
+  before(async () => {
+    stack = await startStack({engines: 1});
+  });
+  after(async () => {
+    await stack.close();
+  });
+
+  it('gives the repeat the whole answer of the first run', async () => {
+    // A dealer's quote carries an Idempotency-Key and is answered; the dealer
+    // sends it again. The ledger knew the outcome but kept no text, so the
+    // repeat was answered 200 with an empty quote.
+    const send = () =>
+      postJson(
+        `${stack.gateUrl}/v1/completions`,
+        {model: 'chat', prompt: 'q'.repeat(400), max_tokens: 7},
+        {...auth, 'idempotency-key': 'quote-1'},
+      );
+    await send();
+    const repeat = await send();
+    expect(repeat.status).toEqual(200);
+    expect(repeat.body.choices[0].text).toEqual(renderWholeAnswer(7));
+    expect(submittedTotal(stack)).toEqual(1);
+  });
+});
--- a/packages/nutmeggauge/src/e2e/drain.test.ts
+++ b/packages/nutmeggauge/src/e2e/drain.test.ts
@@ -1,9 +1,9 @@
 import {after, before, describe, it} from 'node:test';
 import {expect} from 'earl';
-import {request} from 'undici';
 import {
   TEST_KEY,
   postJson,
+  readUsable,
   renderWholeAnswer,
   startStack,
   streamCompletion,
@@ -14,14 +14,6 @@
 const auth = {authorization: `Bearer ${TEST_KEY}`};
 const long = {model: 'chat', prompt: 'd'.repeat(4000), max_tokens: 100};
 
-async function readUsable(stack: Stack): Promise<Record<string, boolean>> {
-  const response = await request(`${stack.gateUrl}/healthz`);
-  const health = (await response.body.json()) as {
-    targets: Array<{id: string; usable: boolean}>;
-  };
-  return Object.fromEntries(health.targets.map(t => [t.id, t.usable]));
-}
-
 describe('drain of a leaving target', () => {
   let stack: Stack;
   before(async () => {
--- a/packages/nutmeggauge/src/test/stack.ts
+++ b/packages/nutmeggauge/src/test/stack.ts
@@ -3,10 +3,9 @@
  * process on loopback ports picked by the system.
  */
 import {request} from 'undici';
-import {createAgent} from '@nutmeggauge/agent';
-import {waitMs} from '@nutmeggauge/core';
+import {AgentSettingsSchema, createAgent} from '@nutmeggauge/agent';
+import {findHome, readSseEvents, waitMs} from '@nutmeggauge/core';
 import {createGate, GateSettingsSchema} from '@nutmeggauge/gate';
-import {AgentSettingsSchema} from '@nutmeggauge/agent';
 import {
   startConfigServiceStandIn,
   startEngineStandIn,
@@ -31,6 +30,8 @@
   readonly engines: EngineStandIn[];
   readonly plain: PlainServiceStandIn[];
   readonly agents: Agent[];
+  /** Kills the agent of target `index` and starts a new process life on its port. */
+  restartAgent(index: number): Promise<void>;
   /** The record published at start, with version. */
   readonly record: Record<string, unknown>;
   close(): Promise<void>;
@@ -39,7 +40,11 @@
 export interface StackOptions {
   readonly engines?: number;
   readonly plain?: number;
-  readonly engine?: Partial<EngineOptions>;
+  /** Options of engine `index`. */
+  readonly engine?: (index: number) => Partial<EngineOptions>;
+  /** Settings of every agent, over the tests' own. */
+  readonly agent?: Readonly<Record<string, unknown>>;
+  readonly resumable?: boolean;
   readonly routing?: string;
 }
 
@@ -51,7 +56,7 @@
   const engines = await Promise.all(
     Array.from({length: options.engines ?? 2}, (_, i) =>
       startEngineStandIn(
-        {id: `engine-${i + 1}`, ...options.engine},
+        {id: `engine-${i + 1}`, ...options.engine?.(i)},
         '127.0.0.1',
         0,
       ),
@@ -74,20 +79,31 @@
       url: `http://127.0.0.1:${portOf(p.server)}`,
     })),
   ];
+  const configUrl = `http://127.0.0.1:${portOf(config.server)}`;
+  const startAgent = async (
+    index: number,
+    port: number,
+    bootstrap: boolean,
+  ) => {
+    const {id, kind, url} = targets[index];
+    const agent = createAgent(
+      AgentSettingsSchema.parse({
+        id,
+        zone: 'az-1',
+        listen: {port},
+        target: {kind, url},
+        configService: {url: configUrl, waitMs: 2000},
+        ledger: {bootstrap},
+        loadReportMs: 50,
+        heartbeatMs: 200,
+        ...options.agent,
+      }),
+    );
+    await agent.start();
+    return agent;
+  };
   const agents = await Promise.all(
-    targets.map(async t => {
-      const agent = createAgent(
-        AgentSettingsSchema.parse({
-          id: t.id,
-          zone: 'az-1',
-          listen: {port: 0},
-          target: {kind: t.kind, url: t.url},
-          loadReportMs: 50,
-        }),
-      );
-      await agent.start();
-      return agent;
-    }),
+    targets.map((_target, index) => startAgent(index, 0, true)),
   );
   const record = {
     schemaVersion: 1,
@@ -111,6 +127,7 @@
       {
         id: 'chat',
         kind: 'engine',
+        resumable: options.resumable ?? true,
         targets: targets
           .filter(t => t.kind === 'engine')
           .map((t, i) => ({
@@ -135,7 +152,6 @@
     rules: [{pool: 'orders', op: 'place-order', notRepeatable: true}],
   };
   const version = config.publish(record);
-  const configUrl = `http://127.0.0.1:${portOf(config.server)}`;
   const gate = await startTestGate(configUrl, version, options.routing);
   const gateUrl = `http://127.0.0.1:${gate.port}`;
   return {
@@ -145,6 +161,12 @@
     engines,
     plain,
     agents,
+    restartAgent: async index => {
+      const {port} = agents[index];
+      agents[index].close();
+      agents[index] = await startAgent(index, port, false);
+      await waitForGate(gateUrl, version);
+    },
     record: {...record, version},
     close: async () => {
       gate.close();
@@ -154,6 +176,42 @@
   };
 }
 
+/** Headers that authenticate the tests' account. */
+export const TEST_AUTH = {authorization: `Bearer ${TEST_KEY}`};
+
+/** Places a not-repeatable order with an Idempotency-Key. */
+export function placeOrder(stack: Stack, key: string) {
+  return postJson(
+    `${stack.gateUrl}/v1/services/orders/place-order`,
+    {sku: 'kit'},
+    {...TEST_AUTH, 'idempotency-key': key},
+  );
+}
+
+/** Times the order with `key` ran, over all order services. */
+export function countRuns(stack: Stack, key: string): number {
+  return stack.plain
+    .flatMap(service => service.executions)
+    .filter(execution => execution.ledgerKey === `acct-a:${key}`).length;
+}
+
+/** Index among the plain services of the home of the order with `key`. */
+export function findHomeIndex(stack: Stack, key: string): number {
+  const ids = stack.plain.map((_service, i) => `plain-${i + 1}`);
+  return ids.indexOf(findHome(ids, `acct-a:${key}`) ?? '');
+}
+
+/** Which targets the gate would route to, by id. */
+export async function readUsable(
+  stack: Stack,
+): Promise<Record<string, boolean>> {
+  const response = await request(`${stack.gateUrl}/healthz`);
+  const health = (await response.body.json()) as {
+    targets: Array<{id: string; usable: boolean}>;
+  };
+  return Object.fromEntries(health.targets.map(t => [t.id, t.usable]));
+}
+
 /** Starts a gate on the configuration service at `configUrl` and waits for `version`. */
 export async function startTestGate(
   configUrl: string,
@@ -167,6 +225,7 @@
       listen: {port: 0},
       configService: {url: configUrl, waitMs: 2000},
       routing: {policy: routing},
+      drainNoticeMs: 0,
       drainTimeoutMs: 10_000,
     }),
   );
@@ -184,8 +243,7 @@
   );
 }
 
-/** Polls `check` every 10 ms
- until it holds; fails after `timeoutMs`. */
+/** Polls `check` every 10 ms until it holds; fails after `timeoutMs`. */
 export async function waitUntil(
   check: () => boolean | Promise<boolean>,
   timeoutMs = 5000,
@@ -222,33 +280,26 @@
     ).error;
     return {status: response.statusCode, text: '', done: false, error};
   }
-  let buffer = '';
   let text = '';
   let done = false;
   let error: {type: string; reason: string} | undefined;
   let count = 0;
-  for await (const part of response.body) {
-    buffer += part.toString();
-    const blocks = buffer.split('\n\n');
-    buffer = blocks.pop() ?? '';
-    for (const block of blocks) {
-      const data = block.slice(block.indexOf('data: ') + 6);
-      if (block.startsWith('event: error'))
-        error = (JSON.parse(data) as {error: typeof error}).error;
-      else if (data === '[DONE]') done = true;
-      else {
-        text += (JSON.parse(data) as {choices: Array<{text: string}>})
-          .choices[0].text;
-        onPiece(++count);
-      }
+  for await (const {event, data} of readSseEvents(response.body)) {
+    if (event === 'error')
+      error = (JSON.parse(data) as {error: typeof error}).error;
+    else if (data === '[DONE]') done = true;
+    else {
+      text += (JSON.parse(data) as {choices: Array<{text: string}>}).choices[0]
+        .text;
+      onPiece(++count);
     }
   }
   return {status: 200, text, done, error};
 }
 
-/** The whole answer the engine stand-in gives for `n` tokens. */
-export function renderWholeAnswer(n: number): string {
-  return Array.from({length: n}, (_, i) => ` t${i}`).join('');
+/** The whole answer an engine stand-in of letter `letter` gives for `n` tokens. */
+export function renderWholeAnswer(n: number, letter = 't'): string {
+  return Array.from({length: n}, (_, i) => ` ${letter}${i}`).join('');
 }
 
 /** Waits until the gate has `version` and every target is usable. */
--- a/packages/standins/src/config-service/server.ts
+++ b/packages/standins/src/config-service/server.ts
@@ -5,7 +5,15 @@
  * every call, a waiting watch as one.
  */
 import {createServer} from 'node:http';
-import {createLogger, readJsonBody, sendJson} from '@nutmeggauge/core';
+import {
+  DELTA_SECTIONS,
+  buildDelta,
+  closeHttpServer,
+  createLogger,
+  openListener,
+  readJsonBody,
+  sendJson,
+} from '@nutmeggauge/core';
 import type {Server, ServerResponse} from 'node:http';
 
 /** How the stand-in answers readers. */
@@ -22,6 +30,19 @@
   close(): Promise<void>;
 }
 
+/** Leaves out the sections that a reader did not ask for. */
+function pickSections(
+  record: Readonly<Record<string, unknown>>,
+  sections: string | null,
+): Readonly<Record<string, unknown>> {
+  if (sections === null) return record;
+  const wanted = new Set(sections.split(','));
+  const emptied = DELTA_SECTIONS.filter(section => !wanted.has(section)).map(
+    section => [section, []] as const,
+  );
+  return {...record, ...Object.fromEntries(emptied)};
+}
+
 /**
  * Starts the configuration service stand-in.
  *
@@ -51,6 +72,17 @@
     log.info('mode_changed', {mode});
   };
 
+  /**
+   * What a reader that holds version `after` is sent: the changed items when
+   * the service still has that version, else the whole record.
+   */
+  const renderFor = (after: number, sections: string | null): object => {
+    const latest = pickSections(records[records.length - 1], sections);
+    const held = records[after - 1];
+    if (held === undefined) return latest;
+    return buildDelta(pickSections(held, sections), latest);
+  };
+
   const server = createServer((req, res) => {
     const url = new URL(req.url ?? '/', 'http://config');
     if (url.pathname.startsWith('/admin/')) {
@@ -81,7 +113,7 @@
       const latest = records.at(-1);
       if (latest === undefined || (latest.version as number) <= after)
         return false;
-      sendJson(res, 200, latest);
+      sendJson(res, 200, renderFor(after, url.searchParams.get('sections')));
       return true;
     };
     if (answer() || waitFor <= 0) {
@@ -130,16 +162,13 @@
     sendJson(res, 400, {error: 'bad_request'});
   }
 
-  await new Promise<void>(resolve => server.listen(port, host, resolve));
+  await openListener(server, {host, port});
   log.info('config_service_listening', {address: server.address()});
   return {
     server,
     publish,
     setMode,
     calls: () => calls,
-    close: async () => {
-      server.closeAllConnections();
-      await new Promise<void>(resolve => server.close(() => resolve()));
-    },
+    close: () => closeHttpServer(server),
   };
 }
--- a/packages/standins/src/engine/options.ts
+++ b/packages/standins/src/engine/options.ts
@@ -61,6 +61,13 @@
    * @default 'refuse'
    */
   readonly fencing?: FencingMode;
+  /**
+   * Letter that this engine's tokens begin with (` t0 t1 …`). Engines of
+   * different letters stand for sampling: two runs of a prompt differ, so a
+   * caller who is given pieces of both can be told from one who is not.
+   * @default 't'
+   */
+  readonly tokenLetter?: string;
 }
 
 /** Options with every default filled in. */
@@ -86,9 +93,7 @@
     prefixCacheBlocks: 4096,
     loadLagMs: 250,
     fencing: 'refuse',
+    tokenLetter: 't',
     ...options,
   };
 }
-
-/** Characters counted as one token by every stand-in and the gate. */
-export const CHARS_PER_TOKEN = 4;
--- a/packages/standins/src/engine/prefix-cache.ts
+++ b/packages/standins/src/engine/prefix-cache.ts
@@ -3,7 +3,7 @@
  * hash, so a block matches only when every block before it matches too.
  */
 import {createHash} from 'node:crypto';
-import {CHARS_PER_TOKEN} from './options.js';
+import {CHARS_PER_TOKEN} from '@nutmeggauge/core';
 
 /** A change of the cache, published to routers late and with gaps. */
 export interface CacheEvent {
--- a/packages/standins/src/engine/scheduler.ts
+++ b/packages/standins/src/engine/scheduler.ts
@@ -4,8 +4,8 @@
  * `maxBatch` sequences; the step lasts `decodeStepMs` plus the prefill cost.
  * KV memory is reserved per sequence as a lease that expires.
  */
+import {countTokens} from '@nutmeggauge/core';
 import {PrefixCache, hashPromptBlocks} from './prefix-cache.js';
-import {CHARS_PER_TOKEN} from './options.js';
 import type {ResolvedEngineOptions} from './options.js';
 
 /** What the caller of `submit` hears about its sequence. */
@@ -27,6 +27,8 @@
   readonly priority: number;
   /** Time after which the KV reservation is released, in ms. */
   readonly leaseMs: number;
+  /** Set when the request goes on with an answer that broke off elsewhere. */
+  readonly resume?: {readonly fromSeq: number; readonly text: string};
 }
 
 interface Sequence {
@@ -39,6 +41,8 @@
   cachedTokens: number;
   prefillLeft: number;
   generated: number;
+  /** Letter that the tokens of this answer begin with. */
+  readonly letter: string;
   reserved: boolean;
 }
 
@@ -76,7 +80,7 @@
   submit(request: SequenceRequest, listener: SequenceListener): boolean {
     if (this.waiting.length >= this.options.maxWaiting) return false;
     this.submitted++;
-    const promptTokens = Math.ceil(request.prompt.length / CHARS_PER_TOKEN);
+    const promptTokens = countTokens(request.prompt);
     const now = Date.now();
     this.waiting.push({
       request,
@@ -87,7 +91,8 @@
       leaseExpiresAt: now + request.leaseMs,
       cachedTokens: 0,
       prefillLeft: promptTokens,
-      generated: 0,
+      generated: request.resume?.fromSeq ?? 0,
+      letter: readTokenLetter(request) ?? this.options.tokenLetter,
       reserved: false,
     });
     this.schedule(0);
@@ -204,7 +209,10 @@
       .filter(s => s.prefillLeft === 0)
       .slice(0, this.options.maxBatch);
     for (const sequence of decoding) {
-      sequence.listener.onToken(sequence.generated, ` t${sequence.generated}`);
+      sequence.listener.onToken(
+        sequence.generated,
+        ` ${sequence.letter}${sequence.generated}`,
+      );
       sequence.generated++;
       if (sequence.generated < sequence.request.maxTokens) continue;
       this.finish(sequence);
@@ -226,6 +234,11 @@
   }
 }
 
+/** An answer that is resumed goes on in the letter it was begun in. */
+function readTokenLetter(request: SequenceRequest): string | undefined {
+  return / (\D)\d+$/.exec(request.resume?.text ?? '')?.[1];
+}
+
 function compareSequences(a: Sequence, b: Sequence): number {
   return a.request.priority - b.request.priority || a.arrivedAt - b.arrivedAt;
 }
--- a/packages/standins/src/engine/server.ts
+++ b/packages/standins/src/engine/server.ts
@@ -5,40 +5,142 @@
  */
 import {createServer} from 'node:http';
 import {
+  closeHttpServer,
   createLogger,
+  openListener,
   readJsonBody,
   sendJson,
   startSse,
   writeSse,
 } from '@nutmeggauge/core';
+import {z} from 'zod';
 import {EngineScheduler} from './scheduler.js';
+import {OrderBook} from './orders.js';
 import {resolveEngineOptions} from './options.js';
-import type {Server} from 'node:http';
+import type {IncomingMessage, Server, ServerResponse} from 'node:http';
 import type {EngineLoad} from './scheduler.js';
-import type {EngineOptions} from './options.js';
-
-/** An order to the engine, fenced by a number that must not go backwards. */
-export interface EngineOrder {
-  readonly fence: number;
-  readonly kind: 'load-model' | 'load-adapter' | 'set-role';
-  readonly value: string;
-}
+import type {EngineOptions, ResolvedEngineOptions} from './options.js';
 
 /** A running engine stand-in. */
 export interface EngineStandIn {
   readonly server: Server;
   readonly scheduler: EngineScheduler;
-  /** Orders the engine carried out, in order. */
-  readonly orders: readonly EngineOrder[];
+  readonly orders: OrderBook;
   close(): Promise<void>;
 }
 
-interface GenerateBody {
-  readonly requestId?: unknown;
-  readonly prompt?: unknown;
-  readonly maxTokens?: unknown;
-  readonly priority?: unknown;
-  readonly leaseMs?: unknown;
+const GenerateSchema = z.object({
+  requestId: z.string(),
+  prompt: z.string(),
+  maxTokens: z.number().default(16),
+  priority: z.number().default(1),
+  leaseMs: z.number().default(120_000),
+  resume: z.object({fromSeq: z.number(), text: z.string()}).optional(),
+});
+
+const OrderSchema = z.object({
+  fence: z.number(),
+  kind: z.enum(['load-model', 'load-adapters', 'set-role']),
+  value: z.string(),
+});
+
+/** The routes of one engine, over its scheduler and orders. */
+class EngineApi {
+  readonly scheduler: EngineScheduler;
+  readonly orders: OrderBook;
+  private reported: EngineLoad;
+  private readonly lagTimer: NodeJS.Timeout;
+
+  constructor(private readonly options: ResolvedEngineOptions) {
+    this.scheduler = new EngineScheduler(options);
+    this.orders = new OrderBook(options.fencing);
+    this.reported = this.scheduler.readLoad();
+    // Load is published with a lag, as real engines do: routers see the past.
+    this.lagTimer = setInterval(
+      () => (this.reported = this.scheduler.readLoad()),
+      options.loadLagMs,
+    );
+  }
+
+  async handle(req: IncomingMessage, res: ServerResponse): Promise<void> {
+    const url = new URL(req.url ?? '/', 'http://engine');
+    switch (`${req.method} ${url.pathname}`) {
+      case 'GET /v1/load':
+        sendJson(res, 200, {id: this.options.id, ...this.reported});
+        return;
+      case 'GET /v1/cache-events':
+        this.serveCacheEvents(url, res);
+        return;
+      case 'GET /v1/orders':
+        sendJson(res, 200, this.orders.describe());
+        return;
+      case 'POST /v1/orders':
+        this.serveOrder(await readJsonBody(req), res);
+        return;
+      case 'POST /v1/generate':
+        this.serveGenerate(await readJsonBody(req), res);
+        return;
+      default:
+        sendJson(res, 404, {error: 'not_found'});
+    }
+  }
+
+  stop(): void {
+    clearInterval(this.lagTimer);
+    this.scheduler.stop();
+  }
+
+  private serveCacheEvents(url: URL, res: ServerResponse): void {
+    const after = Number(url.searchParams.get('after') ?? 0);
+    const events = this.scheduler.cache.readEvents(
+      after,
+      this.options.loadLagMs,
+      Date.now(),
+    );
+    sendJson(res, 200, {events});
+  }
+
+  private serveOrder(body: unknown, res: ServerResponse): void {
+    const order = OrderSchema.safeParse(body);
+    if (!order.success) {
+      sendJson(res, 400, {error: 'bad_order'});
+      return;
+    }
+    if (!this.orders.apply(order.data)) {
+      sendJson(res, 409, {error: 'fence_stale', ...this.orders.describe()});
+      return;
+    }
+    sendJson(res, 200, {applied: true});
+  }
+
+  private serveGenerate(body: unknown, res: ServerResponse): void {
+    const parsed = GenerateSchema.safeParse(body);
+    if (!parsed.success) {
+      sendJson(res, 400, {error: 'bad_request'});
+      return;
+    }
+    const {requestId} = parsed.data;
+    let ended = false;
+    const endWith = (event: string, data: object) => {
+      ended = true;
+      writeSse(res, data, event);
+      res.end();
+    };
+    const accepted = this.scheduler.submit(parsed.data, {
+      onToken: (seq, text) => writeSse(res, {seq, text}),
+      onDone: summary => endWith('done', summary),
+      onFail: reason => endWith('failed', {reason}),
+    });
+    if (!accepted) {
+      sendJson(res, 503, {error: 'overloaded'});
+      return;
+    }
+    startSse(res);
+    // A caller that goes away must not keep KV memory: cancel at once.
+    res.on('close', () => {
+      if (!ended) this.scheduler.cancel(requestId);
+    });
+  }
 }
 
 /**
@@ -53,126 +155,21 @@
   port: number,
 ): Promise<EngineStandIn> {
   const resolved = resolveEngineOptions(options);
-  const scheduler = new EngineScheduler(resolved);
-  const log = createLogger('engine');
-  const orders: EngineOrder[] = [];
-  let highestFence = 0;
-  let reported: EngineLoad = scheduler.readLoad();
-  // Load is published with a lag, as real engines do: routers see the past.
-  const lagTimer = setInterval(
-    () => (reported = scheduler.readLoad()),
-    resolved.loadLagMs,
-  );
-
-  const server = createServer((req, res) => {
-    const url = new URL(req.url ?? '/', 'http://engine');
-    if (req.method === 'GET' && url.pathname === '/v1/load') {
-      sendJson(res, 200, {id: resolved.id, ...reported});
-      return;
-    }
-    if (req.method === 'GET' && url.pathname === '/v1/cache-events') {
-      const after = Number(url.searchParams.get('after') ?? 0);
-      sendJson(res, 200, {
-        events: scheduler.cache.readEvents(
-          after,
-          resolved.loadLagMs,
-          Date.now(),
-        ),
-      });
-      return;
-    }
-    if (req.method === 'GET' && url.pathname === '/v1/orders') {
-      sendJson(res, 200, {orders, highestFence});
-      return;
-    }
-    if (req.method === 'POST' && url.pathname === '/v1/orders') {
-      void readJsonBody(req).then(body => {
-        const order = body as EngineOrder;
-        if (typeof order?.fence !== 'number') {
-          sendJson(res, 400, {error: 'fence_missing'});
-          return;
-        }
-        if (order.fence < highestFence && resolved.fencing === 'refuse') {
-          sendJson(res, 409, {error: 'fence_stale', highestFence});
-          return;
-        }
-        highestFence = Math.max(highestFence, order.fence);
-        orders.push(order);
-        log.info('order_applied', {
-          kind: order.kind,
-          value: order.value,
-          fence: order.fence,
-        });
-        sendJson(res, 200, {applied: true, highestFence});
-      });
-      return;
-    }
-    if (req.method === 'POST' && url.pathname === '/v1/generate') {
-      void readJsonBody(req).then(body =>
-        serveGenerate(body as GenerateBody | undefined),
-      );
-      return;
-    }
-    sendJson(res, 404, {error: 'not_found'});
-
-    function serveGenerate(body: GenerateBody | undefined): void {
-      if (
-        typeof body?.prompt !== 'string' ||
-        typeof body.requestId !== 'string'
-      ) {
-        sendJson(res, 400, {error: 'bad_request'});
-        return;
-      }
-      const requestId = body.requestId;
-      let ended = false;
-      const accepted = scheduler.submit(
-        {
-          requestId,
-          prompt: body.prompt,
-          maxTokens: typeof body.maxTokens === 'number' ? body.maxTokens : 16,
-          priority: typeof body.priority === 'number' ? body.priority : 1,
-          leaseMs: typeof body.leaseMs === 'number' ? body.leaseMs : 120_000,
-        },
-        {
-          onToken: (seq, text) => writeSse(res, {seq, text}),
-          onDone: summary => {
-            ended = true;
-            writeSse(res, summary, 'done');
-            res.end();
-          },
-          onFail: reason => {
-            ended = true;
-            writeSse(res, {reason}, 'failed');
-            res.end();
-          },
-        },
-      );
-      if (!accepted) {
-        sendJson(res, 503, {error: 'overloaded'});
-        return;
-      }
-      startSse(res);
-      // A caller that goes away must not keep KV memory: cancel at once.
-      res.on('close', () => {
-        if (!ended) scheduler.cancel(requestId);
-      });
-    }
-  });
-  await new Promise<void>(resolve => server.listen(port, host, resolve));
-  log.info('engine_listening', {
+  const api = new EngineApi(resolved);
+  const server = createServer((req, res) => void api.handle(req, res));
+  await openListener(server, {host, port});
+  createLogger('engine').info('engine_listening', {
     id: resolved.id,
     address: server.address(),
     fencing: resolved.fencing,
   });
   return {
     server,
-    scheduler,
-    orders,
+    scheduler: api.scheduler,
+    orders: api.orders,
     close: async () => {
-      clearInterval(lagTimer);
-      scheduler.stop();
-      server.closeAllConnections();
-      await new Promise<void>(resolve => server.close(() => resolve()));
+      api.stop();
+      await closeHttpServer(server);
     },
   };
 }
--- a/packages/standins/src/host-list/server.ts
+++ b/packages/standins/src/host-list/server.ts
@@ -3,7 +3,13 @@
  * hosts. Readers see the list as it was `lagMs` ago.
  */
 import {createServer} from 'node:http';
-import {createLogger, readJsonBody, sendJson} from '@nutmeggauge/core';
+import {
+  closeHttpServer,
+  createLogger,
+  openListener,
+  readJsonBody,
+  sendJson,
+} from '@nutmeggauge/core';
 import type {Server} from 'node:http';
 
 /** One host as the platform lists it. */
@@ -61,13 +67,11 @@
       history.filter(entry => entry.at <= cutoff).at(-1) ?? history[0];
     sendJson(res, 200, {hosts: visible.hosts, asOf: visible.at});
   });
-  await new Promise<void>(resolve => server.listen(port, host, resolve));
+  await openListener(server, {host, port});
+  log.info('hosts_listening', {lagMs});
   return {
     server,
     setHosts,
-    close: async () => {
-      server.closeAllConnections();
-      await new Promise<void>(resolve => server.close(() => resolve()));
-    },
+    close: () => closeHttpServer(server),
   };
 }
--- a/packages/standins/src/plain-service/server.ts
+++ b/packages/standins/src/plain-service/server.ts
@@ -4,7 +4,13 @@
  * doubles of calls that must not be repeated.
  */
 import {createServer} from 'node:http';
-import {createLogger, readJsonBody, sendJson} from '@nutmeggauge/core';
+import {
+  closeHttpServer,
+  createLogger,
+  openListener,
+  readJsonBody,
+  sendJson,
+} from '@nutmeggauge/core';
 import type {Server} from 'node:http';
 
 /** One execution of a call. */
@@ -19,7 +25,6 @@
  * A fault the stand-in shows: `drop-reply` executes the call, then cuts the
  * connection before answering, as a service that dies at the worst moment;
  * `reject` refuses every call before executing it.
-
  */
 export type PlainServiceFault = 'none' | 'drop-reply' | 'reject';
 
@@ -83,16 +88,14 @@
       setTimeout(() => sendJson(res, 200, {op: call.op, slip}), latencyMs);
     });
   });
-  await new Promise<void>(resolve => server.listen(port, host, resolve));
+  await openListener(server, {host, port});
+  log.info('plain_service_listening', {latencyMs});
   return {
     server,
     executions,
     setFault: next => {
       fault = next;
     },
-    close: async () => {
-      server.closeAllConnections();
-      await new Promise<void>(resolve => server.close(() => resolve()));
-    },
+    close: () => closeHttpServer(server),
   };
 }
