--- /dev/null
+++ b/packages/agent/src/intake/intake.test.ts
@@ -0,0 +1,119 @@
+import {setImmediate as waitImmediate} from 'node:timers/promises';
+import {describe, it} from 'node:test';
+import {expect} from 'earl';
+import {createCounters} from '@nutmeggauge/core';
+import {createLanes} from '../lanes/lanes.js';
+import {createLedger} from '../ledger/ledger.js';
+import {createKeyOwnership} from '../ledger/ownership.js';
+import {TargetClient} from '../target/target.js';
+import {Intake} from './intake.js';
+import type {DispatchOutcome, DispatchRequest} from '@nutmeggauge/core';
+
+const DONE = {status: 'done', chunks: 0, tokens: 0, cachedTokens: 0} as const;
+
+/** A target whose runs end when the test says so. */
+class HeldTarget extends TargetClient {
+  readonly runs: string[] = [];
+  private readonly ends: Array<(outcome: DispatchOutcome) => void> = [];
+
+  constructor() {
+    super('held');
+  }
+
+  run(request: DispatchRequest): Promise<DispatchOutcome> {
+    this.runs.push(request.requestId);
+    return new Promise(resolve => this.ends.push(resolve));
+  }
+
+  async endOldest(): Promise<void> {
+    // The request reaches the target a few microtasks after its dispatch.
+    await waitImmediate();
+    this.ends.shift()?.(DONE);
+  }
+}
+
+function createIntake(recordVersion = 1) {
+  const target = new HeldTarget();
+  const intake = new Intake({
+    target,
+    lanes: createLanes({short: 1, long: 1}),
+    ledger: createLedger(),
+    ownership: createKeyOwnership({
+      targetId: 'plain-1',
+      bornAt: -Infinity,
+      retainMs: 60_000,
+    }),
+    counters: createCounters(),
+    shortMaxTokens: 100,
+    readRecordVersion: () => recordVersion,
+  });
+  const send = (requestId: string, more: Partial<DispatchRequest> = {}) =>
+    intake.dispatch(
+      {
+        requestId,
+        account: 'a',
+        pool: 'orders',
+        kind: 'call',
+        deadlineAt: Date.now() + 60_000,
+        notRepeatable: true,
+        ledgerKey: 'a:order-1',
+        keyed: true,
+        keyMintedAt: Date.now(),
+        recordVersion: 1,
+        attempt: 1,
+        ...more,
+      },
+      send,
+      () => {},
+    );
+  return {intake, target, send};
+}
+
+describe('intake', () => {
+  it('runs one of two copies that arrive together', async () => {
+    // A caller's order and its retry reach the agent in the same instant.
+    // Both looked at the ledger before either had claimed the key, and two
+    // kits were booked. The property test of the protocol found it.
+    const {target, send} = createIntake();
+    const both = Promise.all([send('r1'), send('r2')]);
+    await target.endOldest();
+    expect((await both).map(outcome => outcome.status)).toEqual([
+      'done',
+      'done',
+    ]);
+    expect(target.runs).toEqual(['r1']);
+  });
+
+  it('does not run a queued request whose caller has left', async () => {
+    // A subscriber closes the app while the question still waits for a slot.
+    // The cancel only reached requests already at the engine, so the queued
+    // one ran later for nobody and held memory that others waited for.
+    const {intake, target, send} = createIntake();
+    const free = {notRepeatable: false, ledgerKey: undefined, keyed: false};
+    const first = send('r1', free);
+    const queued = send('r2', free);
+    intake.cancel('r2');
+    await target.endOldest();
+    await first;
+    expect(await queued).toEqual({
+      status: 'not-run',
+      reason: 'cancelled_in_queue',
+      retryAfterMs: undefined,
+    });
+    expect(target.runs).toEqual(['r1']);
+  });
+
+  it('refuses a keyed request from a gate whose record is newer', async () => {
+    // The operator moves keys to this agent; a gate hears of it first. The
+    // agent does not know yet since when it is the key's home, so it must
+    // not run the key before it has read the record.
+    const {target, send} = createIntake(1);
+    const outcome = await send('r1', {recordVersion: 2});
+    expect(outcome).toEqual({
+      status: 'not-run',
+      reason: 'agent_config_behind',
+      retryAfterMs: 500,
+    });
+    expect(target.runs).toEqual([]);
+  });
+});
--- a/packages/agent/src/intake/intake.ts
+++ b/packages/agent/src/intake/intake.ts
@@ -149,10 +149,9 @@
     const {counters, ledger} = this.options;
     counters.add('agent.dispatched');
     const key = request.notRepeatable ? request.ledgerKey : undefined;
-    if (key !== undefined) {
-      const answer = await this.answerFromLedger(key, request, receive);
-      if (answer !== undefined) return answer;
-    }
+    const held = key === undefined ? undefined : ledger.find(key);
+    if (key !== undefined && held !== undefined)
+      return this.answerCopy(key, held, request, receive);
     if (this.draining) return notRun('draining', 100);
     if (Date.now() >= request.deadlineAt) return notRun('deadline_passed');
     if (key === undefined) return this.runInLane(request, owner, receive);
@@ -160,10 +159,15 @@
       const refusal = this.checkOwnership(key, request);
       if (refusal !== undefined) return refusal;
     }
-    if (ledger.claim(key, request.requestId) === LEDGER_FULL) {
+    // No await may come between the look at the ledger above and the claim:
+    // two copies that arrived together both found the key free, and both ran.
+    const claim = ledger.claim(key, request.requestId);
+    if (claim === LEDGER_FULL) {
       counters.add('agent.ledger_full');
       return notRun('ledger_full', 5000);
     }
+    if (claim !== undefined)
+      return this.answerCopy(key, claim, request, receive);
     const running = this.runClaimed(key, request, owner, receive);
     this.pending.set(key, running);
     return running.finally(() => this.pending.delete(key));
@@ -189,13 +193,12 @@
    * Answers a copy of a request that this agent has taken on: with the
    * outcome of the first run, waiting for it while time remains.
    */
-  private async answerFromLedger(
+  private async answerCopy(
     key: string,
+    held: LedgerEntry,
     request: DispatchRequest,
     receive: ChunkReceiver,
-  ): Promise<DispatchOutcome | undefined> {
-    const held = this.options.ledger.find(key);
-    if (held === undefined) return undefined;
+  ): Promise<DispatchOutcome> {
     this.options.counters.add('agent.ledger_hits');
     if (held.state === 'settled') return this.replay(held, request, receive);
     const outcome = await this.waitForFirst(key, request.deadlineAt);
--- a/packages/agent/src/ledger/ledger.test.ts
+++ b/packages/agent/src/ledger/ledger.test.ts
@@ -3,6 +3,9 @@
 import fc from 'fast-check';
 import {LEDGER_FULL, createLedger} from './ledger.js';
 
+// One seed, so that the suite gives the same verdict every time.
+fc.configureGlobal({seed: 20261202});
+
 describe('at-most-once ledger', () => {
   it('holds a key once claimed, so a copy is not run', () => {
     const ledger = createLedger();
--- a/packages/agent/src/target/plain-target.ts
+++ b/packages/agent/src/target/plain-target.ts
@@ -12,6 +12,14 @@
  */
 const HANG_GRACE_MS = 30_000;
 
+/** The status by which a service promises that it did not run a call. */
+const NOT_RUN_STATUS = 429;
+
+/** Statuses by which a service refuses the call itself, for good. */
+const FINAL_REFUSALS: ReadonlySet<number> = new Set([
+  400, 401, 403, 404, 405, 410, 413, 415, 422,
+]);
+
 /**
  * Runs `call` requests on a plain service.
  *
@@ -46,19 +54,39 @@
         return {status: 'not-run', reason: 'target_unreachable'};
       return {status: 'unknown', reason: 'target_failed'};
     }
-    if (response.statusCode >= 400 && response.statusCode < 500) {
-      await response.body.dump();
-      return {status: 'not-run', reason: 'target_rejected'};
-    }
-    try {
-      if (response.statusCode !== 200) {
-        await response.body.dump();
-        return {status: 'unknown', reason: 'target_failed'};
-      }
-      const body = await response.body.json();
-      return {status: 'done', chunks: 0, tokens: 0, cachedTokens: 0, body};
-    } catch {
-      return {status: 'unknown', reason: 'target_stream_broken'};
+    return readOutcome(response);
+  }
+}
+
+/**
+ * Reads what a service's answer says of the call. 429 promises that it did
+ * not run. Another refusal of the call itself (no such item, bad arguments)
+ * is the service's whole answer and goes to the caller. Anything else (a
+ * 5xx, a timeout) leaves open whether it ran.
+ */
+async function readOutcome(response: {
+  readonly statusCode: number;
+  readonly body: {dump(): Promise<void>; json(): Promise<unknown>};
+}): Promise<DispatchOutcome> {
+  const {statusCode, body} = response;
+  const isAnswer = statusCode < 300 || FINAL_REFUSALS.has(statusCode);
+  try {
+    if (!isAnswer) {
+      await body.dump();
+      return statusCode === NOT_RUN_STATUS
+        ? {status: 'not-run', reason: 'target_rejected'}
+        : {status: 'unknown', reason: 'target_failed'};
     }
+    const answer = await body.json();
+    return {
+      status: 'done',
+      chunks: 0,
+      tokens: 0,
+      cachedTokens: 0,
+      body: answer,
+      httpStatus: statusCode,
+    };
+  } catch {
+    return {status: 'unknown', reason: 'target_stream_broken'};
   }
 }
--- /dev/null
+++ b/packages/core/src/config/delta.test.ts
@@ -0,0 +1,65 @@
+import {describe, it} from 'node:test';
+import {expect} from 'earl';
+import fc from 'fast-check';
+import {createCounters} from '../metrics.js';
+import {ConfigDeltaSchema, applyDelta, buildDelta} from './delta.js';
+import {createConfigWatcher} from './watch.js';
+
+// One seed, so that the suite gives the same verdict every time.
+fc.configureGlobal({seed: 20261202});
+
+const items = fc.uniqueArray(
+  fc.record(
+    {id: fc.constantFrom('a', 'b', 'c', 'd'), limit: fc.nat({max: 3})},
+    {noNullPrototype: true},
+  ),
+  {selector: item => item.id},
+);
+const record = (version: number) =>
+  fc.record({
+    version: fc.constant(version),
+    schemaVersion: fc.constant(1),
+    accounts: items,
+    pools: items,
+    rules: fc.array(
+      fc.record({pool: fc.constantFrom('x', 'y')}, {noNullPrototype: true}),
+      {
+        maxLength: 2,
+      },
+    ),
+  });
+
+const byId = (list: ReadonlyArray<{readonly id: string}>) =>
+  [...list].sort((a, b) => a.id.localeCompare(b.id));
+
+describe('configuration deltas', () => {
+  it('bring any record to any other (property)', () => {
+    fc.assert(
+      fc.property(record(1), record(2), (from, to) => {
+        const delta = ConfigDeltaSchema.parse(buildDelta(from, to));
+        const next = applyDelta(from, delta) as typeof to;
+        expect({
+          ...next,
+          accounts: byId(next.accounts),
+          pools: byId(next.pools),
+        }).toEqual({...to, accounts: byId(to.accounts), pools: byId(to.pools)});
+      }),
+    );
+  });
+
+  it('are refused by a reader that does not hold their base', () => {
+    // A reader that was paused holds version 1; a relay hands it the change
+    // from 2 to 3. Taken on top of 1 it would give a record that no operator
+    // ever published.
+    const watcher = createConfigWatcher({
+      url: 'http://127.0.0.1:1',
+      counters: createCounters(),
+    });
+    const empty = {schemaVersion: 1, accounts: [], pools: [], rules: []};
+    watcher.offer({...empty, version: 1});
+    expect(watcher.offer({base: 2, version: 3, schemaVersion: 1})).toEqual(
+      false,
+    );
+    expect(watcher.version).toEqual(1);
+  });
+});
--- a/packages/core/src/config/watch.test.ts
+++ b/packages/core/src/config/watch.test.ts
@@ -4,6 +4,9 @@
 import {createConfigWatcher} from './watch.js';
 import {createCounters} from '../metrics.js';
 
+// One seed, so that the suite gives the same verdict every time.
+fc.configureGlobal({seed: 20261202});
+
 const recordOf = (version: number, schemaVersion = 1) => ({
   version,
   schemaVersion,
--- a/packages/core/src/protocol.ts
+++ b/packages/core/src/protocol.ts
@@ -70,6 +70,8 @@
       readonly tokens: number;
       readonly cachedTokens: number;
       readonly body?: unknown;
+      /** Status of a plain service's answer. */
+      readonly httpStatus?: number;
     }
   | {
       readonly status: 'not-run';
--- a/packages/gate/src/api/results.ts
+++ b/packages/gate/src/api/results.ts
@@ -64,7 +64,8 @@
     return;
   }
   if (request.api === 'call') {
-    sendJson(res, 200, {request_id: requestId, result: result.outcome.body});
+    const {httpStatus = 200, body} = result.outcome;
+    sendJson(res, httpStatus, {request_id: requestId, result: body});
     return;
   }
   if (request.stream) {
--- a/packages/gate/src/dispatch/dispatcher.ts
+++ b/packages/gate/src/dispatch/dispatcher.ts
@@ -205,6 +205,9 @@
     } catch (error) {
       if (error instanceof TargetUnreachableError)
         return {status: 'not-run', reason: 'agent_unreachable'};
+      // An agent that was only paused must not spend its target on a request
+      // that is being answered elsewhere.
+      cancel();
       const reason =
         error instanceof RpcClosedError ? 'agent_link_lost' : 'agent_no_answer';
       this.log.warn(reason, {
--- a/packages/gate/src/streaming/reassembly.test.ts
+++ b/packages/gate/src/streaming/reassembly.test.ts
@@ -3,6 +3,9 @@
 import fc from 'fast-check';
 import {createChunkStream} from './reassembly.js';
 
+// One seed, so that the suite gives the same verdict every time.
+fc.configureGlobal({seed: 20261202});
+
 async function reassemble(
   order: ReadonlyArray<{seq: number; text: string}>,
 ): Promise<string[]> {
--- a/packages/nutmeggauge/src/e2e/at-most-once.test.ts
+++ b/packages/nutmeggauge/src/e2e/at-most-once.test.ts
@@ -235,3 +235,23 @@
     expect(submittedTotal(stack)).toEqual(1);
   });
 });
+
+describe('order that the service itself refuses', () => {
+  let stack: Stack;
+  before(async () => {
+    stack = await startStack({engines: 1});
+  });
+  after(async () => {
+    await stack.close();
+  });
+
+  it('reaches the caller as the service answered it', async () => {
+    // A foreman asks for a part that does not exist. The service's 404 is
+    // its answer; it used to come back as 503 "not run", and the foreman's
+    // client asked again and again for a part that never was.
+    stack.plain[0].setFault('not-found');
+    const res = await placeOrder(stack, 'o-404');
+    expect(res.status).toEqual(404);
+    expect(res.body.result.error).toEqual('no_such_item');
+  });
+});
--- a/packages/nutmeggauge/src/e2e/drain.test.ts
+++ b/packages/nutmeggauge/src/e2e/drain.test.ts
@@ -56,6 +56,36 @@
   });
 });
 
+describe('target that the host list says is leaving', () => {
+  let stack: Stack;
+  before(async () => {
+    stack = await startStack({engines: 2});
+  });
+  after(async () => {
+    await stack.close();
+  });
+
+  it('gets no new work, and comes back when the list says so', async () => {
+    // The platform is about to take a host away and says so only in its host
+    // list; the agent beside the engine hears nothing and reports as usual.
+    stack.hostList.setHosts([{id: 'engine-1', state: 'leaving'}]);
+    await waitUntil(
+      async () => (await readUsable(stack))['engine-1'] === false,
+    );
+    for (let i = 0; i < 4; i++) {
+      const res = await postJson(
+        `${stack.gateUrl}/v1/completions`,
+        {model: 'chat', prompt: 's', max_tokens: 2},
+        auth,
+      );
+      expect(res.status).toEqual(200);
+    }
+    expect(stack.engines[0].scheduler.submitted).toEqual(0);
+    stack.hostList.setHosts([{id: 'engine-1', state: 'live'}]);
+    await waitUntil(async () => (await readUsable(stack))['engine-1'] === true);
+  });
+});
+
 describe('graceful shutdown of a gate', () => {
   let stack: Stack;
   before(async () => {
--- /dev/null
+++ b/packages/nutmeggauge/src/e2e/streams.test.ts
@@ -0,0 +1,101 @@
+import {after, before, describe, it} from 'node:test';
+import {expect} from 'earl';
+import {
+  TEST_AUTH,
+  publishChatTargets,
+  renderWholeAnswer,
+  startStack,
+  streamCompletion,
+  waitForGate,
+} from '../test/stack.js';
+import {startFrozenAgent} from '../test/frozen-agent.js';
+import type {Stack} from '../test/stack.js';
+
+const LETTERS = ['a', 'b'];
+const quote = {model: 'chat', prompt: 'r'.repeat(4000), max_tokens: 80};
+
+/** Streams a quote and kills its engine after a few pieces. */
+async function streamAndKill(stack: Stack) {
+  let busy = -1;
+  let killed: Promise<void> | undefined;
+  const result = await streamCompletion(
+    stack.gateUrl,
+    quote,
+    TEST_AUTH,
+    count => {
+      if (count !== 5) return;
+      busy = stack.engines.findIndex(e => e.scheduler.readLoad().running > 0);
+      killed = stack.engines[busy].close();
+    },
+  );
+  await killed;
+  return {result, letter: LETTERS[busy]};
+}
+
+describe('stream whose engine dies, where engines can resume', () => {
+  let stack: Stack;
+  before(async () => {
+    stack = await startStack({engine: i => ({tokenLetter: LETTERS[i]})});
+  });
+  after(async () => {
+    await stack.close();
+  });
+
+  it('goes on in the wording it was begun in', async () => {
+    // A dealer's quote streams; its engine dies. The gate used to run the
+    // prompt anew on another engine and send the pieces that were missing:
+    // the dealer got the beginning of one quote and the end of another.
+    const {result, letter} = await streamAndKill(stack);
+    expect(result.done).toEqual(true);
+    expect(result.text).toEqual(renderWholeAnswer(80, letter));
+  });
+});
+
+describe('stream whose engine dies, where engines cannot resume', () => {
+  let stack: Stack;
+  before(async () => {
+    stack = await startStack({
+      engine: i => ({tokenLetter: LETTERS[i]}),
+      resumable: false,
+    });
+  });
+  after(async () => {
+    await stack.close();
+  });
+
+  it('ends with an honest error and no piece of a second run', async () => {
+    const {result, letter} = await streamAndKill(stack);
+    expect(result.done).toEqual(false);
+    expect(result.error?.type).toEqual('outcome_unknown');
+    expect(renderWholeAnswer(80, letter).startsWith(result.text)).toEqual(true);
+  });
+});
+
+describe('agent that froze after its heartbeat', () => {
+  let stack: Stack;
+  before(async () => {
+    stack = await startStack({engines: 1, routing: 'round-robin'});
+  });
+  after(async () => {
+    await stack.close();
+  });
+
+  it('does not hold a repeatable request: it is taken elsewhere', async () => {
+    // A host is paused, but its heartbeats still look fine. Requests sent to
+    // it used to wait there for their whole window and were then failed.
+    const frozen = await startFrozenAgent();
+    const version = publishChatTargets(stack, targets => [
+      {id: 'frozen', agent: `127.0.0.1:${frozen.port}`, zone: 'az-1'},
+      ...targets,
+    ]);
+    await waitForGate(stack.gateUrl, version);
+    const answers = await Promise.all(
+      [1, 2, 3].map(() =>
+        streamCompletion(stack.gateUrl, {...quote, max_tokens: 3}, TEST_AUTH),
+      ),
+    );
+    frozen.close();
+    expect(answers.map(answer => answer.done)).toEqual([true, true, true]);
+    expect(frozen.dispatches()).toBeGreaterThanOrEqual(1);
+  });
+});
