--- a/packages/core/src/errors.ts
+++ b/packages/core/src/errors.ts
@@ -12,6 +12,8 @@
   | 'rpc_failed'
   | 'target_unreachable'
   | 'target_failed'
+  | 'cluster_failed'
+  | 'unknown_stand_in'
   | 'stand_in_fault';
 
 /**
@@ -69,6 +71,18 @@
   override name = 'TargetFailedError';
 }
 
+/** A local cluster whose processes did not start or become ready. */
+export class ClusterError extends NutmeggaugeError {
+  readonly code = 'cluster_failed';
+  override name = 'ClusterError';
+}
+
+/** A kind of stand-in that does not exist. */
+export class UnknownStandInError extends NutmeggaugeError {
+  readonly code = 'unknown_stand_in';
+  override name = 'UnknownStandInError';
+}
+
 /** A fault that a stand-in was told to show (down, refusing, stale). */
 export class StandInFaultError extends NutmeggaugeError {
   readonly code = 'stand_in_fault';
--- a/packages/nutmeggauge/src/bin.ts
+++ b/packages/nutmeggauge/src/bin.ts
@@ -8,29 +8,34 @@
 import {join} from 'node:path';
 import meow from 'meow';
 import {runDemo} from './demo.js';
+import {isClean} from './load/summary.js';
 import {runStandIn} from './standin/run-standin.js';
 import {formatTimelineEvent, mergeTimeline} from './timeline/merge.js';
 
 const cli = meow(
   `
   Usage
-    $ nutmeggauge demo [--seed N] [--routing POLICY] [--run-dir DIR]
+    $ nutmeggauge demo [--faults] [--seed N] [--routing POLICY] [--run-dir DIR]
     $ nutmeggauge timeline <run-dir or .log files…>
     $ nutmeggauge standin <engine|config|hosts|plain> --id ID --port N
 
   Options
+    --faults      Kill, pause and cut off processes while the load runs
     --seed        Seed of the workload (default 20261202)
-    --routing     round-robin | least-outstanding | power-of-two | token-load
+    --routing     round-robin | least-outstanding | power-of-two | token-load |
+                  length-split
     --run-dir     Folder for settings and logs (default runs/<command>-<time>)
     --id, --port  Name and port of a stand-in
     --fencing     Engine stand-in: refuse | ignore orders with old fencing numbers
     --lag-ms      Engine load lag, or host list lag, in ms
     --latency-ms  Plain service latency, in ms
-    --prefill-rate  Engine stand-in prompt tokens a second
+    --prefill-rate  Engine stand-in: prompt tokens read a second
+    --chunk-tokens  Engine stand-in: most prompt tokens read in one step
 `,
   {
     importMeta: import.meta,
     flags: {
+      faults: {type: 'boolean', default: false},
       seed: {type: 'number', default: 20261202},
       routing: {type: 'string', default: 'least-outstanding'},
       runDir: {type: 'string'},
@@ -40,6 +45,7 @@
       lagMs: {type: 'number', default: 250},
       latencyMs: {type: 'number', default: 20},
       prefillRate: {type: 'number', default: 400_000},
+      chunkTokens: {type: 'number', default: 16_384},
     },
   },
 );
@@ -53,14 +59,9 @@
       runDir: cli.flags.runDir ?? join('runs', `demo-${stamp}`),
       seed: cli.flags.seed,
       routing: cli.flags.routing,
+      faults: cli.flags.faults,
     });
-    process.exit(
-      summary.lost === 0 &&
-        summary.doubled === 0 &&
-        summary.repeatMismatches === 0
-        ? 0
-        : 1,
-    );
+    process.exit(isClean(summary) ? 0 : 1);
     break;
   }
   case 'timeline':
--- /dev/null
+++ b/packages/nutmeggauge/src/cluster/launch-plan.ts
@@ -0,0 +1,189 @@
+/**
+ * What a local cluster starts: for each process its script, arguments and
+ * settings file, with every address settled before the first one starts.
+ */
+import {writeFileSync} from 'node:fs';
+import {join} from 'node:path';
+import {fileURLToPath} from 'node:url';
+import {stringify as stringifyYaml} from 'yaml';
+import type {ClusterSpec, ClusterTarget} from './local-cluster.js';
+
+/** One process to start. */
+export interface Launch {
+  readonly name: string;
+  readonly script: string;
+  readonly args: readonly string[];
+  /** Gates (0) stop first, then agents (1), then stand-ins (2), so nothing is cut off. */
+  readonly stopRank: 0 | 1 | 2;
+  /** Writes the settings file; absent for stand-ins. */
+  readonly writeSettings?: (life: {readonly isFirstStart: boolean}) => void;
+}
+
+/** Every process of a cluster, and where they are reached. */
+export interface ClusterLayout {
+  readonly launches: readonly Launch[];
+  readonly targets: readonly ClusterTarget[];
+  readonly gateUrls: readonly string[];
+  readonly configUrl: string;
+}
+
+const HOST = '127.0.0.1';
+const DEFAULT_ZONES = ['az-1', 'az-2', 'az-3'];
+const DEFAULT_ENGINE = {prefillRate: 400_000, chunkTokens: 16_384};
+/** Age of the host list that gates read, in ms. */
+const HOST_LIST_LAG_MS = 500;
+const HOST_LIST_POLL_MS = 500;
+const CONFIG_WAIT_MS = 20_000;
+
+const CLI_BIN = fileURLToPath(new URL('../bin.js', import.meta.url));
+const AGENT_BIN = fileURLToPath(
+  new URL('bin.js', import.meta.resolve('@nutmeggauge/agent')),
+);
+const GATE_BIN = fileURLToPath(
+  new URL('bin.js', import.meta.resolve('@nutmeggauge/gate')),
+);
+
+/**
+ * Lays out the processes of `spec` over `ports`: two for the platform, two
+ * for each target (stand-in and agent), one for each gate.
+ *
+ * @example
+ * planLaunches(spec, await findFreePorts(2 + targets * 2 + spec.gates)).launches;
+ */
+export function planLaunches(
+  spec: ClusterSpec,
+  ports: readonly number[],
+): ClusterLayout {
+  const [configPort, hostsPort, ...rest] = ports;
+  const configUrl = `http://${HOST}:${configPort}`;
+  const hostListUrl = `http://${HOST}:${hostsPort}`;
+  const count = spec.engines + spec.plainServices;
+  const targets = Array.from({length: count}, (_, i) =>
+    planTarget(spec, i, rest.slice(i * 2, i * 2 + 2)),
+  );
+  const gatePorts = rest.slice(count * 2);
+  return {
+    configUrl,
+    targets,
+    gateUrls: gatePorts.map(port => `http://${HOST}:${port}`),
+    launches: [
+      planStandIn('config', 'config-service', configPort),
+      planStandIn('hosts', 'host-list', hostsPort, [
+        '--lag-ms',
+        String(HOST_LIST_LAG_MS),
+      ]),
+      ...targets.map((target, i) => planTargetStandIn(spec, target, i)),
+      ...targets.map(target => planAgent(spec, target, configUrl)),
+      ...gatePorts.map((port, i) =>
+        planGate(spec, i, port, {configUrl, hostListUrl}),
+      ),
+    ],
+  };
+}
+
+function pickZone(spec: ClusterSpec, index: number): string {
+  const zones = spec.zones ?? DEFAULT_ZONES;
+  return zones[index % zones.length];
+}
+
+function planTarget(
+  spec: ClusterSpec,
+  index: number,
+  [port, agentPort]: readonly number[],
+): ClusterTarget {
+  const isEngine = index < spec.engines;
+  return {
+    id: isEngine
+      ? `engine-${String(index + 1).padStart(2, '0')}`
+      : `plain-${index - spec.engines + 1}`,
+    kind: isEngine ? 'engine' : 'plain',
+    url: `http://${HOST}:${port}`,
+    agent: `${HOST}:${agentPort}`,
+    zone: pickZone(spec, index),
+  };
+}
+
+function planStandIn(
+  kind: string,
+  id: string,
+  port: number,
+  extra: readonly string[] = [],
+): Launch {
+  const args = ['standin', kind, '--id', id, '--port', String(port), ...extra];
+  return {name: id, script: CLI_BIN, args, stopRank: 2};
+}
+
+function planTargetStandIn(
+  spec: ClusterSpec,
+  target: ClusterTarget,
+  index: number,
+): Launch {
+  const engine = spec.engine ?? DEFAULT_ENGINE;
+  return planStandIn(target.kind, target.id, Number(new URL(target.url).port), [
+    '--fencing',
+    index % 2 === 0 ? 'refuse' : 'ignore',
+    '--prefill-rate',
+    String(engine.prefillRate),
+    '--chunk-tokens',
+    String(engine.chunkTokens),
+  ]);
+}
+
+function planAgent(
+  spec: ClusterSpec,
+  target: ClusterTarget,
+  configUrl: string,
+): Launch {
+  const name = `agent-${target.id}`;
+  const file = join(spec.runDir, `${name}.yaml`);
+  const port = Number(target.agent.split(':')[1]);
+  return {
+    name,
+    script: AGENT_BIN,
+    args: ['--config', file],
+    stopRank: 1,
+    writeSettings: ({isFirstStart}) =>
+      writeFileSync(
+        file,
+        stringifyYaml({
+          id: target.id,
+          zone: target.zone,
+          listen: {host: HOST, port},
+          target: {kind: target.kind, url: target.url},
+          configService: {url: configUrl, waitMs: CONFIG_WAIT_MS},
+          ledger: {bootstrap: isFirstStart},
+          ...spec.agentSettings,
+        }),
+      ),
+  };
+}
+
+function planGate(
+  spec: ClusterSpec,
+  index: number,
+  port: number,
+  platform: {readonly configUrl: string; readonly hostListUrl: string},
+): Launch {
+  const name = `gate-${index + 1}`;
+  const file = join(spec.runDir, `${name}.yaml`);
+  return {
+    name,
+    script: GATE_BIN,
+    args: ['--config', file],
+    stopRank: 0,
+    writeSettings: () =>
+      writeFileSync(
+        file,
+        stringifyYaml({
+          id: name,
+          zone: pickZone(spec, index),
+          listen: {host: HOST, port},
+          configService: {url: platform.configUrl, waitMs: CONFIG_WAIT_MS},
+          hostList: {url: platform.hostListUrl, pollMs: HOST_LIST_POLL_MS},
+          // No balancer stands before a local gate that must notice its drain.
+          drainNoticeMs: 0,
+          ...spec.gateSettings,
+        }),
+      ),
+  };
+}
--- a/packages/nutmeggauge/src/cluster/process.ts
+++ b/packages/nutmeggauge/src/cluster/process.ts
@@ -5,6 +5,7 @@
 import {spawn} from 'node:child_process';
 import {createWriteStream} from 'node:fs';
 import {createInterface} from 'node:readline';
+import {ClusterError} from '@nutmeggauge/core';
 import type {ChildProcess} from 'node:child_process';
 
 /**
@@ -45,7 +46,7 @@
  * Starts `node script args…`, logging to `logPath`, and waits for a log line
  * whose event ends in `_listening` (at most `timeoutMs`).
  *
- * @throws Error when the child exits or stays silent past the timeout.
+ * @throws ClusterError when the child exits or stays silent past the timeout.
  */
 export function startChild(
   name: string,
@@ -62,13 +63,20 @@
   const lines = createInterface({input: child.stderr as NodeJS.ReadableStream});
   return new Promise((resolve, reject) => {
     const timer = setTimeout(
-      () => reject(new Error(`${name} did not start within ${timeoutMs} ms`)),
+      () =>
+        reject(
+          new ClusterError(
+            {info: {name}},
+            `${name} did not start within ${timeoutMs} ms`,
+          ),
+        ),
       timeoutMs,
     );
     child.once('exit', code => {
       clearTimeout(timer);
       reject(
-        new Error(
+        new ClusterError(
+          {info: {name, code}},
           `${name} exited with ${code} before listening; see ${logPath}`,
         ),
       );
--- a/packages/nutmeggauge/src/defaults.ts
+++ b/packages/nutmeggauge/src/defaults.ts
@@ -1,18 +1,29 @@
 /**
- * The embedded default deployment and workload of `nutmeggauge demo`: the
- * two operators' client accounts, a chat model pool on engine stand-ins and
- * an order service whose `place-order` call must never be repeated.
+ * The embedded default deployment, workload and faults of `nutmeggauge demo`:
+ * the two operators' client accounts, a chat model pool on engine stand-ins
+ * and an order service whose `place-order` call must never be repeated.
  */
 import type {ClusterTarget} from './cluster/local-cluster.js';
+import type {Fault} from './faults/schedule.js';
 import type {WorkloadSpec} from './load/workload.js';
 
-/** API keys of the demo's client accounts. */
-export const DEMO_KEYS = {
-  hinokuniCare: 'hk-care-0001-demo',
-  hinokuniStaff: 'hk-staff-0002-demo',
-  hraunvikDealers: 'hv-dealer-0003-demo',
-  hraunvikForemen: 'hv-foreman-0004-demo',
-} as const;
+/** Client accounts of the demo; those that may order name both pools. */
+const DEMO_ACCOUNTS = [
+  {id: 'hinokuni-care', key: 'hk-care-0001-demo', pools: ['chat', 'orders']},
+  {id: 'hinokuni-staff', key: 'hk-staff-0002-demo', pools: ['chat']},
+  {
+    id: 'hraunvik-dealers',
+    key: 'hv-dealer-0003-demo',
+    pools: ['chat', 'orders'],
+  },
+  {id: 'hraunvik-foremen', key: 'hv-foreman-0004-demo', pools: ['chat']},
+];
+
+/** Limits that the demo's load stays within. */
+const DEMO_LIMITS = {ratePerSecond: 500, maxConcurrent: 2000};
+
+const listKeys = (accounts: typeof DEMO_ACCOUNTS) =>
+  accounts.map(account => account.key);
 
 /**
  * Builds the configuration record for a cluster's targets.
@@ -21,54 +32,21 @@
  * await cluster.publish(buildDemoRecord(cluster.targets));
  */
 export function buildDemoRecord(targets: readonly ClusterTarget[]): object {
-  const asTarget = (t: ClusterTarget) => ({
-    id: t.id,
-    agent: t.agent,
-    zone: t.zone,
-  });
+  const listTargets = (kind: ClusterTarget['kind']) =>
+    targets
+      .filter(target => target.kind === kind)
+      .map(({id, agent, zone}) => ({id, agent, zone}));
   return {
     schemaVersion: 1,
-    accounts: [
-      {
-        id: 'hinokuni-care',
-        keys: [DEMO_KEYS.hinokuniCare],
-        pools: ['chat', 'orders'],
-        ratePerSecond: 200,
-        maxConcurrent: 200,
-      },
-      {
-        id: 'hinokuni-staff',
-        keys: [DEMO_KEYS.hinokuniStaff],
-        pools: ['chat'],
-        ratePerSecond: 200,
-        maxConcurrent: 200,
-      },
-      {
-        id: 'hraunvik-dealers',
-        keys: [DEMO_KEYS.hraunvikDealers],
-        pools: ['chat', 'orders'],
-        ratePerSecond: 200,
-        maxConcurrent: 200,
-      },
-      {
-        id: 'hraunvik-foremen',
-        keys: [DEMO_KEYS.hraunvikForemen],
-        pools: ['chat'],
-        ratePerSecond: 200,
-        maxConcurrent: 200,
-      },
-    ],
+    accounts: DEMO_ACCOUNTS.map(({id, key, pools}) => ({
+      id,
+      keys: [key],
+      pools,
+      ...DEMO_LIMITS,
+    })),
     pools: [
-      {
-        id: 'chat',
-        kind: 'engine',
-        targets: targets.filter(t => t.kind === 'engine').map(asTarget),
-      },
-      {
-        id: 'orders',
-        kind: 'plain',
-        targets: targets.filter(t => t.kind === 'plain').map(asTarget),
-      },
+      {id: 'chat', kind: 'engine', targets: listTargets('engine')},
+      {id: 'orders', kind: 'plain', targets: listTargets('plain')},
     ],
     rules: [{pool: 'orders', op: 'place-order', notRepeatable: true}],
   };
@@ -86,8 +64,30 @@
   sharedPrefixTokens: 2000,
   sharedPrefixShare: 0.5,
   maxNewTokens: 32,
-  keys: Object.values(DEMO_KEYS),
-  orderKeys: [DEMO_KEYS.hinokuniCare, DEMO_KEYS.hraunvikDealers],
+  keys: listKeys(DEMO_ACCOUNTS),
+  orderKeys: listKeys(DEMO_ACCOUNTS.filter(a => a.pools.includes('orders'))),
   orders: 8,
   repeatedOrders: 3,
 };
+
+/** The workload of `demo --faults`: longer, with many repeated orders. */
+export const FAULT_WORKLOAD: WorkloadSpec = {
+  ...DEMO_WORKLOAD,
+  requests: 360,
+  orders: 80,
+  repeatedOrders: 80,
+  repeatAfterMs: 700,
+};
+
+/** What happens during `demo --faults`, over some twelve seconds of load. */
+export const DEMO_FAULTS: readonly Fault[] = [
+  {atMs: 1000, forMs: 1500, kind: 'kill', process: 'engine-01'},
+  {atMs: 2000, forMs: 1500, kind: 'kill', process: 'agent-engine-02'},
+  {atMs: 3000, forMs: 2000, kind: 'pause', process: 'gate-2'},
+  {atMs: 3500, forMs: 4000, kind: 'config-down'},
+  {atMs: 4500, forMs: 500, kind: 'kill', process: 'agent-plain-1'},
+  {atMs: 6000, forMs: 2000, kind: 'pause', process: 'agent-engine-03'},
+  {atMs: 7000, forMs: 800, kind: 'kill', process: 'plain-1'},
+  {atMs: 8000, forMs: 2000, kind: 'config-stale'},
+  {atMs: 9000, forMs: 1000, kind: 'pause', process: 'agent-plain-1'},
+];
--- a/packages/nutmeggauge/src/demo.ts
+++ b/packages/nutmeggauge/src/demo.ts
@@ -1,84 +1,86 @@
 /**
  * `nutmeggauge demo`: starts a whole deployment on loopback, sends the
- * default mix of requests through the gate, and prints what callers saw.
+ * default mix of requests through the gates, and prints what callers saw.
  */
-import {join} from 'node:path';
-import {request} from 'undici';
 import {startLocalCluster} from './cluster/local-cluster.js';
-import {DEMO_WORKLOAD, buildDemoRecord} from './defaults.js';
+import {
+  DEMO_FAULTS,
+  DEMO_WORKLOAD,
+  FAULT_WORKLOAD,
+  buildDemoRecord,
+} from './defaults.js';
+import {runFaults} from './faults/schedule.js';
+import {readExecutions} from './load/executions.js';
 import {runPlan} from './load/run-plan.js';
 import {formatSummary, summarizeRun} from './load/summary.js';
 import {planWorkload} from './load/workload.js';
-import type {ExecutionRecord, RunSummary} from './load/summary.js';
+import type {RunSummary} from './load/summary.js';
 
 /** Options of the demo. */
 export interface DemoOptions {
   /** Folder for settings and logs; one per run. */
   readonly runDir: string;
   readonly seed: number;
-  /** Routing policy of the gate. */
+  /** Routing policy of the gates. */
   readonly routing: string;
+  /** Kill, pause and cut off processes while the load runs. */
+  readonly faults: boolean;
 }
 
+/** Window of every request of the demo, in ms. */
+const DEADLINE_MS = 30_000;
+
+/** Requests between two lines of progress. */
+const PROGRESS_EVERY = 50;
+
 /**
  * Runs the demo and returns its summary; stops every process before it returns.
  *
  * @example
- * const summary = await runDemo({runDir: 'runs/demo-1', seed: 7, routing: 'least-outstanding'});
+ * const summary = await runDemo({runDir: 'runs/demo-1', seed: 7, routing: 'least-outstanding', faults: false});
  */
 export async function runDemo(options: DemoOptions): Promise<RunSummary> {
   const print = (line: string) => process.stdout.write(line + '\n');
   print(
-    `nutmeggauge demo: starting stand-ins, agents and a gate on loopback (logs in ${options.runDir})`,
+    `nutmeggauge demo: starting stand-ins, agents and gates on loopback (logs in ${options.runDir})`,
   );
   const cluster = await startLocalCluster({
     runDir: options.runDir,
     engines: 3,
     plainServices: 1,
-    gates: 1,
-    routing: options.routing,
+    gates: options.faults ? 2 : 1,
+    gateSettings: {routing: {policy: options.routing}},
   });
   try {
     await cluster.publish(buildDemoRecord(cluster.targets));
     await cluster.waitUntilReady();
-    const workload = {...DEMO_WORKLOAD, seed: options.seed};
+    const base = options.faults ? FAULT_WORKLOAD : DEMO_WORKLOAD;
+    const workload = {...base, seed: options.seed};
     const plan = planWorkload(workload);
     print(
       `sending ${plan.length} requests (${workload.requests} completions, ${workload.orders} orders, ${workload.repeatedOrders} repeated)`,
     );
-    const results = await runPlan(plan, {
-      gateUrls: cluster.gateUrls,
-      deadlineMs: 30_000,
-      sharedPrefixTokens: workload.sharedPrefixTokens,
-      onResult: (_result, done, total) => {
-        if (done % 50 === 0 || done === total)
-          print(`  ${done}/${total} answered or refused`);
-      },
-    });
-    const executions = await readExecutions(
-      cluster.targets.filter(t => t.kind === 'plain').map(t => t.url),
-    );
+    const faults = options.faults ? DEMO_FAULTS : [];
+    for (const {atMs, forMs, kind, process: name = ''} of faults)
+      print(`  at ${atMs} ms for ${forMs} ms: ${kind} ${name}`);
+    const [results] = await Promise.all([
+      runPlan(plan, {
+        gateUrls: cluster.gateUrls,
+        deadlineMs: DEADLINE_MS,
+        sharedPrefixTokens: workload.sharedPrefixTokens,
+        onResult: (_result, done, total) => {
+          if (done % PROGRESS_EVERY === 0 || done === total)
+            print(`  ${done}/${total} answered or refused`);
+        },
+      }),
+      runFaults(cluster, faults),
+    ]);
+    const executions = readExecutions(options.runDir);
     const summary = summarizeRun(plan, results, executions);
     print(formatSummary(summary));
-    print(
-      `time line of all processes: nutmeggauge timeline ${join(options.runDir)}`,
-    );
+    print(`time line of all processes: nutmeggauge timeline ${options.runDir}`);
     return summary;
   } finally {
     await cluster.stop();
   }
 }
-
-async function readExecutions(
-  urls: readonly string[],
-): Promise<ExecutionRecord[]> {
-  const all: ExecutionRecord[] = [];
-  for (const url of urls) {
-    const response = await request(`${url}/admin/executions`);
-    all.push(
-      ...((await response.body.json()) as {executions: ExecutionRecord[]})
-        .executions,
-    );
-  }
-  return all;
-}
--- /dev/null
+++ b/packages/nutmeggauge/src/faults/schedule.ts
@@ -0,0 +1,88 @@
+/**
+ * Faults played on a local cluster while load runs: processes are killed and
+ * started again, paused and woken, and the configuration service goes down
+ * or serves old records.
+ */
+import {createLogger, waitMs} from '@nutmeggauge/core';
+import {request} from 'undici';
+import {z} from 'zod';
+import type {LocalCluster} from '../cluster/local-cluster.js';
+
+export const FaultSchema = z.object({
+  /** When it begins, in ms from the start of the load. */
+  atMs: z.number().min(0),
+  /** How long it lasts, in ms. */
+  forMs: z.number().positive(),
+  /**
+   * - `kill`: SIGKILL, then a new start.
+   * - `pause`: SIGSTOP, then SIGCONT.
+   * - `config-down`, `config-stale`: the configuration service refuses every
+   *   read, or answers with its oldest record.
+   */
+  kind: z.enum(['kill', 'pause', 'config-down', 'config-stale']),
+  /** Process to kill or pause, such as `agent-engine-01`. */
+  process: z.string().optional(),
+});
+
+export type Fault = z.output<typeof FaultSchema>;
+
+/**
+ * Plays faults on a cluster; resolves when the last one has ended.
+ *
+ * @example
+ * await runFaults(cluster, [{atMs: 1000, forMs: 500, kind: 'kill', process: 'engine-01'}]);
+ */
+export async function runFaults(
+  cluster: LocalCluster,
+  faults: readonly Fault[],
+): Promise<void> {
+  const log = createLogger('faults');
+  await Promise.all(
+    faults.map(async fault => {
+      await waitMs(fault.atMs);
+      log.info('fault_began', {...fault});
+      await beginFault(cluster, fault);
+      await waitMs(fault.forMs);
+      await endFault(cluster, fault);
+      log.info('fault_ended', {...fault});
+    }),
+  );
+}
+
+async function beginFault(cluster: LocalCluster, fault: Fault): Promise<void> {
+  const name = fault.process ?? '';
+  switch (fault.kind) {
+    case 'kill':
+      return cluster.kill(name);
+    case 'pause':
+      return cluster.signal(name, 'SIGSTOP');
+    case 'config-down':
+      return setConfigMode(cluster, 'down');
+    case 'config-stale':
+      return setConfigMode(cluster, 'stale');
+  }
+}
+
+async function endFault(cluster: LocalCluster, fault: Fault): Promise<void> {
+  const name = fault.process ?? '';
+  switch (fault.kind) {
+    case 'kill':
+      return cluster.restart(name);
+    case 'pause':
+      return cluster.signal(name, 'SIGCONT');
+    case 'config-down':
+    case 'config-stale':
+      return setConfigMode(cluster, 'up');
+  }
+}
+
+async function setConfigMode(
+  cluster: LocalCluster,
+  mode: 'up' | 'down' | 'stale',
+): Promise<void> {
+  const response = await request(`${cluster.configUrl}/admin/mode`, {
+    method: 'POST',
+    body: JSON.stringify({mode}),
+  });
+  await response.body.dump();
+}
--- a/packages/nutmeggauge/src/load/client.ts
+++ b/packages/nutmeggauge/src/load/client.ts
@@ -2,133 +2,173 @@
  * The load tool's caller: sends one planned request through a gate and
  * measures what a caller sees (status, time to first token, whole answer).
  */
+import {readSseEvents, waitMs} from '@nutmeggauge/core';
 import {request} from 'undici';
+import type {Dispatcher} from 'undici';
+
+/**
+ * - `answered`: the whole answer came.
+ * - `refused`: told that it did not run, and when to come back.
+ * - `unknown`: told that it may have run.
+ * - `broken`: no whole answer and no final word.
+ */
+export type Verdict = 'answered' | 'refused' | 'unknown' | 'broken';
 
 /** What the caller saw of one request. */
 export interface CallerResult {
   readonly index: number;
   readonly kind: 'generate' | 'order';
   readonly httpStatus: number;
-  /** `answered`: whole answer; `refused`: told no or not run; `unknown`; `broken`: no whole answer and no final word. */
-  readonly verdict: 'answered' | 'refused' | 'unknown' | 'broken';
+  readonly verdict: Verdict;
+  /** Id that the gate gave the request, when an error body told it. */
+  readonly requestId?: string;
   readonly errorType?: string;
   readonly reason?: string;
   readonly ttftMs?: number;
   readonly totalMs: number;
-  readonly pieces: number;
-  readonly retryAfter?: string;
+  /** Pauses between the pieces of a streamed answer, in ms. */
+  readonly gapsMs: readonly number[];
   readonly slip?: number;
 }
 
+/** How a caller reaches the system. */
+export interface CallerOptions {
+  readonly gateUrl: string;
+  /** API key of the caller's client account. */
+  readonly key: string;
+  /** Window of the request, in ms. */
+  readonly deadlineMs: number;
+  /** Time that a message takes from the caller to the gate, one way, in ms. */
+  readonly distanceMs: number;
+}
+
+interface GateError {
+  readonly type?: string;
+  readonly reason?: string;
+  readonly request_id?: string;
+}
+
+/** Time past its window after which a caller gives a request up, in ms. */
+const GIVE_UP_MS = 10_000;
+
 /** Whole-answer check: the stand-in engines emit ` t0 t1 …` in order. */
 function isWholeAnswer(text: string, expected: number): boolean {
   return text === Array.from({length: expected}, (_, i) => ` t${i}`).join('');
 }
 
+function judgeError(error: GateError | undefined): Verdict {
+  if (error === undefined) return 'broken';
+  const mayHaveRun =
+    error.type === 'outcome_unknown' ||
+    error.reason === 'deadline_passed_may_have_run';
+  return mayHaveRun ? 'unknown' : 'refused';
+}
+
+function toErrorFields(error: GateError | undefined) {
+  return {
+    errorType: error?.type,
+    reason: error?.reason,
+    requestId: error?.request_id,
+  };
+}
+
+async function post(
+  options: CallerOptions,
+  path: string,
+  body: object,
+  headers: Readonly<Record<string, string>> = {},
+): Promise<Dispatcher.ResponseData> {
+  await waitMs(options.distanceMs);
+  return request(`${options.gateUrl}${path}`, {
+    method: 'POST',
+    headers: {
+      authorization: `Bearer ${options.key}`,
+      'content-type': 'application/json',
+      'x-deadline-ms': String(options.deadlineMs),
+      ...headers,
+    },
+    body: JSON.stringify(body),
+    headersTimeout: options.deadlineMs + GIVE_UP_MS,
+    bodyTimeout: options.deadlineMs + GIVE_UP_MS,
+  });
+}
+
+/** Reads one streamed answer; times are from the caller's send. */
+async function readStream(
+  response: Dispatcher.ResponseData,
+  startedAt: number,
+  distanceMs: number,
+) {
+  let text = '';
+  let isDone = false;
+  let error: GateError | undefined;
+  let ttftMs: number | undefined;
+  let lastAt = 0;
+  const gapsMs: number[] = [];
+  for await (const {event, data} of readSseEvents(response.body)) {
+    if (event === 'error') {
+      error = (JSON.parse(data) as {error: GateError}).error;
+      continue;
+    }
+    if (data === '[DONE]') {
+      isDone = true;
+      continue;
+    }
+    const now = performance.now();
+    if (ttftMs === undefined) ttftMs = now - startedAt + distanceMs;
+    else gapsMs.push(now - lastAt);
+    lastAt = now;
+    text += (JSON.parse(data) as {choices: Array<{text: string}>}).choices[0]
+      .text;
+  }
+  return {text, isDone, error, ttftMs, gapsMs};
+}
+
 /**
  * Streams one completion and classifies the answer.
  *
  * @example
- * const result = await sendCompletion(gateUrl, key, 0, prompt, 32, 30_000);
+ * const result = await sendCompletion(options, 0, prompt, 32);
  */
 export async function sendCompletion(
-  gateUrl: string,
-  key: string,
+  options: CallerOptions,
   index: number,
   prompt: string,
   maxTokens: number,
-  deadlineMs: number,
 ): Promise<CallerResult> {
   const startedAt = performance.now();
-  let ttftMs: number | undefined;
+  const base = {index, kind: 'generate' as const, gapsMs: []};
+  const end = () => performance.now() - startedAt;
   try {
-    const response = await request(`${gateUrl}/v1/completions`, {
-      method: 'POST',
-      headers: {
-        authorization: `Bearer ${key}`,
-        'content-type': 'application/json',
-        'x-deadline-ms': String(deadlineMs),
-      },
-      body: JSON.stringify({
-        model: 'chat',
-        prompt,
-        max_tokens: maxTokens,
-        stream: true,
-      }),
-      headersTimeout: deadlineMs + 10_000,
-      bodyTimeout: deadlineMs + 10_000,
+    const response = await post(options, '/v1/completions', {
+      model: 'chat',
+      prompt,
+      max_tokens: maxTokens,
+      stream: true,
     });
     if (response.statusCode !== 200) {
-      const body = (await response.body.json()) as {
-        error?: {type?: string; reason?: string};
-      };
-      const type = body.error?.type;
+      const {error} = (await response.body.json()) as {error?: GateError};
       return {
-        index,
-        kind: 'generate',
+        ...base,
+        ...toErrorFields(error),
         httpStatus: response.statusCode,
-        verdict: type === 'outcome_unknown' ? 'unknown' : 'refused',
-        errorType: type,
-        reason: body.error?.reason,
-        totalMs: performance.now() - startedAt,
-        pieces: 0,
-        retryAfter: response.headers['retry-after'] as string | undefined,
+        verdict: judgeError(error),
+        totalMs: end(),
       };
     }
-    let buffer = '';
-    let text = '';
-    let pieces = 0;
-    let done = false;
-    let failure: {type?: string; reason?: string} | undefined;
-    for await (const part of response.body) {
-      buffer += part.toString();
-      const blocks = buffer.split('\n\n');
-      buffer = blocks.pop() ?? '';
-      for (const block of blocks) {
-        const data =
-          block
-            .split('\n')
-            .find(line => line.startsWith('data: '))
-            ?.slice(6) ?? '';
-        if (block.startsWith('event: error'))
-          failure = (JSON.parse(data) as {error: typeof failure}).error;
-        else if (data === '[DONE]') done = true;
-        else {
-          ttftMs ??= performance.now() - startedAt;
-          text += (JSON.parse(data) as {choices: Array<{text: string}>})
-            .choices[0].text;
-          pieces++;
-        }
-      }
-    }
-    const whole = done && isWholeAnswer(text, maxTokens);
+    const answer = await readStream(response, startedAt, options.distanceMs);
+    const isWhole = answer.isDone && isWholeAnswer(answer.text, maxTokens);
     return {
-      index,
-      kind: 'generate',
+      ...base,
+      ...toErrorFields(answer.error),
       httpStatus: 200,
-      verdict: whole
-        ? 'answered'
-        : failure?.type === 'outcome_unknown'
-          ? 'unknown'
-          : failure !== undefined
-            ? 'refused'
-            : 'broken',
-      errorType: failure?.type,
-      reason: failure?.reason,
-      ttftMs,
-      totalMs: performance.now() - startedAt,
-      pieces,
+      verdict: isWhole ? 'answered' : judgeError(answer.error),
+      ttftMs: answer.ttftMs,
+      gapsMs: answer.gapsMs,
+      totalMs: end(),
     };
   } catch {
-    return {
-      index,
-      kind: 'generate',
-      httpStatus: 0,
-      verdict: 'broken',
-      ttftMs,
-      totalMs: performance.now() - startedAt,
-      pieces: 0,
-    };
+    return {...base, httpStatus: 0, verdict: 'broken', totalMs: end()};
   }
 }
 
@@ -136,57 +176,37 @@
  * Places one not-repeatable order call with an Idempotency-Key.
  *
  * @example
- * await sendOrder(gateUrl, key, 7, 'order-1');
+ * await sendOrder(options, 7, uuidv7());
  */
 export async function sendOrder(
-  gateUrl: string,
-  key: string,
+  options: CallerOptions,
   index: number,
   idempotencyKey: string,
 ): Promise<CallerResult> {
   const startedAt = performance.now();
+  const base = {index, kind: 'order' as const, gapsMs: []};
+  const end = () => performance.now() - startedAt;
   try {
-    const response = await request(
-      `${gateUrl}/v1/services/orders/place-order`,
-      {
-        method: 'POST',
-        headers: {
-          authorization: `Bearer ${key}`,
-          'content-type': 'application/json',
-          'idempotency-key': idempotencyKey,
-        },
-        body: JSON.stringify({sku: 'lens-30', quantity: 1}),
-      },
+    const response = await post(
+      options,
+      '/v1/services/orders/place-order',
+      {sku: 'lens-30', quantity: 1},
+      {'idempotency-key': idempotencyKey},
     );
     const body = (await response.body.json()) as {
       result?: {slip?: number};
-      error?: {type?: string; reason?: string};
+      error?: GateError;
     };
-    const verdict =
-      response.statusCode === 200
-        ? 'answered'
-        : body.error?.type === 'outcome_unknown'
-          ? 'unknown'
-          : 'refused';
+    const isAnswered = response.statusCode === 200;
     return {
-      index,
-      kind: 'order',
+      ...base,
+      ...toErrorFields(body.error),
       httpStatus: response.statusCode,
-      verdict,
-      errorType: body.error?.type,
-      reason: body.error?.reason,
-      totalMs: performance.now() - startedAt,
-      pieces: 0,
+      verdict: isAnswered ? 'answered' : judgeError(body.error),
       slip: body.result?.slip,
+      totalMs: end(),
     };
   } catch {
-    return {
-      index,
-      kind: 'order',
-      httpStatus: 0,
-      verdict: 'broken',
-      totalMs: performance.now() - startedAt,
-      pieces: 0,
-    };
+    return {...base, httpStatus: 0, verdict: 'broken', totalMs: end()};
   }
 }
--- a/packages/nutmeggauge/src/load/run-plan.ts
+++ b/packages/nutmeggauge/src/load/run-plan.ts
@@ -1,18 +1,26 @@
 /**
- * Runs a plan open-loop: each request is sent at its planned time whatever
- * the earlier ones are doing, and the run is bounded in count and time.
+ * Sends a plan open-loop: each request goes out at its planned time whether
+ * or not earlier ones have been answered, so a slow system cannot hide its
+ * queue by slowing the callers down.
  */
 import {waitMs} from '@nutmeggauge/core';
-import {renderPrompt} from './workload.js';
+import {v7 as uuidv7} from 'uuid';
 import {sendCompletion, sendOrder} from './client.js';
+import {renderPrompt} from './workload.js';
 import type {CallerResult} from './client.js';
 import type {PlannedRequest} from './workload.js';
 
 /** How to run a plan. */
 export interface RunOptions {
   readonly gateUrls: readonly string[];
+  /** Window of every request, in ms. */
   readonly deadlineMs: number;
   readonly sharedPrefixTokens: number;
+  /**
+   * Time that a message takes between a caller and a gate, one way, in ms.
+   * @default 0
+   */
+  readonly distanceMs?: number;
   /** Called after each result, for progress lines. */
   readonly onResult?: (
     result: CallerResult,
@@ -21,6 +29,19 @@
   ) => void;
 }
 
+/** Keys of one run's orders: a caller makes its key when it first sends. */
+class OrderKeys {
+  private readonly byName = new Map<string, string>();
+
+  resolve(name: string): string {
+    const held = this.byName.get(name);
+    if (held !== undefined) return held;
+    const key = uuidv7();
+    this.byName.set(name, key);
+    return key;
+  }
+}
+
 /**
  * Sends every planned request and resolves with all results, in plan order.
  *
@@ -32,30 +53,28 @@
   options: RunOptions,
 ): Promise<CallerResult[]> {
   const startedAt = performance.now();
+  const keys = new OrderKeys();
   let done = 0;
   const sends = plan.map(async (planned, position) => {
     await waitMs(Math.max(0, planned.atMs - (performance.now() - startedAt)));
-    const gateUrl = options.gateUrls[position % options.gateUrls.length];
+    const caller = {
+      gateUrl: options.gateUrls[position % options.gateUrls.length],
+      key: planned.key,
+      deadlineMs: options.deadlineMs,
+      distanceMs: options.distanceMs ?? 0,
+    };
     const result =
       planned.kind === 'order'
         ? await sendOrder(
-            gateUrl,
-            planned.key,
+            caller,
             planned.index,
-            planned.idempotencyKey,
+            keys.resolve(planned.orderName),
           )
         : await sendCompletion(
-            gateUrl,
-            planned.key,
+            caller,
             planned.index,
-            renderPrompt(
-              planned.promptTokens,
-              planned.index,
-              planned.shared,
-              options.sharedPrefixTokens,
-            ),
+            renderPrompt(planned, options.sharedPrefixTokens),
             planned.maxNewTokens,
-            options.deadlineMs,
           );
     options.onResult?.(result, ++done, plan.length);
     return result;
--- a/packages/nutmeggauge/src/load/summary.ts
+++ b/packages/nutmeggauge/src/load/summary.ts
@@ -1,19 +1,15 @@
 /**
  * Turns caller results into the figures the users measure: answered,
- * refused, unknown, lost, doubled, and TTFT by prompt-length bucket.
+ * refused, unknown, lost, doubled, false "not run", TTFT by prompt length,
+ * and the pauses between tokens.
  */
 import {createLatencyHistogram} from '@nutmeggauge/core';
 import {LENGTH_BUCKETS, resolveBucket} from './workload.js';
-import type {LatencySummary} from '@nutmeggauge/core';
-import type {CallerResult} from './client.js';
+import type {LatencyHistogram, LatencySummary} from '@nutmeggauge/core';
+import type {CallerResult, Verdict} from './client.js';
+import type {ExecutionRecord} from './executions.js';
 import type {PlannedRequest} from './workload.js';
 
-/** One execution the plain service recorded. */
-export interface ExecutionRecord {
-  readonly requestId: string;
-  readonly ledgerKey?: string;
-}
-
 /** Figures of one run. */
 export interface RunSummary {
   readonly sent: number;
@@ -25,16 +21,26 @@
   readonly lost: number;
   /** Not-repeatable keys that ran more than once. */
   readonly doubled: number;
+  /** Requests whose caller heard "not run" although a target ran them. */
+  readonly falseNotRun: number;
   /** Order calls whose repeat got a different slip than the first. */
   readonly repeatMismatches: number;
   readonly ttftByBucket: Readonly<Record<string, LatencySummary>>;
+  /** TTFT of prompts of the short lane, all buckets together. */
+  readonly shortTtft: LatencySummary;
+  /** Pauses between tokens. */
+  readonly gaps: LatencySummary;
 }
 
+/** Buckets of prompts that run in the short lane. */
+const SHORT_BUCKETS: ReadonlySet<string> = new Set(['1k-8k', '8k-32k']);
+
 /**
  * Summarises one run.
  *
+ * @param executions - Everything that targets ran, from their logs.
  * @example
- * const summary = summarizeRun(plan, results, executions);
+ * const summary = summarizeRun(plan, results, readExecutions(runDir));
  */
 export function summarizeRun(
   plan: readonly PlannedRequest[],
@@ -42,56 +48,105 @@
   executions: readonly ExecutionRecord[],
 ): RunSummary {
   const byIndex = new Map(plan.map(p => [p.index, p]));
-  const histograms = new Map<string, ReturnType<typeof createLatencyHistogram>>(
-    LENGTH_BUCKETS.map(b => [b.name, createLatencyHistogram()]),
-  );
-  const refusedByReason: Record<string, number> = {};
-  for (const result of results) {
-    const planned = byIndex.get(result.index);
-    if (result.verdict === 'refused') {
-      const reason = `${result.errorType}:${result.reason}`;
-      refusedByReason[reason] = (refusedByReason[reason] ?? 0) + 1;
-    }
-    if (
-      planned?.kind !== 'generate' ||
-      result.verdict !== 'answered' ||
-      result.ttftMs === undefined
-    )
-      continue;
-    histograms
-      .get(resolveBucket(planned.promptTokens))
-      ?.recordMs(result.ttftMs);
-  }
-  const runsByKey = new Map<string, number>();
-  for (const execution of executions) {
-    const key = execution.ledgerKey ?? execution.requestId;
-    runsByKey.set(key, (runsByKey.get(key) ?? 0) + 1);
-  }
-  const slips = new Map<string, Set<number>>();
-  for (const result of results) {
-    const planned = byIndex.get(result.index);
-    if (planned?.kind !== 'order' || result.slip === undefined) continue;
-    const set = slips.get(planned.idempotencyKey) ?? new Set<number>();
-    set.add(result.slip);
-    slips.set(planned.idempotencyKey, set);
-  }
-  const count = (verdict: CallerResult['verdict']) =>
-    results.filter(r => r.verdict === verdict).length;
+  const count = (verdict: Verdict) =>
+    results.filter(result => result.verdict === verdict).length;
   return {
     sent: results.length,
     answered: count('answered'),
     refused: count('refused'),
-    refusedByReason,
+    refusedByReason: countReasons(results),
     unknown: count('unknown'),
     lost: count('broken') + (plan.length - results.length),
-    doubled: [...runsByKey.values()].filter(n => n > 1).length,
-    repeatMismatches: [...slips.values()].filter(s => s.size > 1).length,
+    doubled: countDoubled(executions),
+    falseNotRun: countFalseNotRun(results, executions),
+    repeatMismatches: countMismatches(byIndex, results),
+    ...recordLatencies(byIndex, results),
+  };
+}
+
+function countReasons(
+  results: readonly CallerResult[],
+): Readonly<Record<string, number>> {
+  const reasons: Record<string, number> = {};
+  for (const {verdict, errorType, reason} of results) {
+    if (verdict !== 'refused') continue;
+    const name = `${errorType}:${reason}`;
+    reasons[name] = (reasons[name] ?? 0) + 1;
+  }
+  return reasons;
+}
+
+function countDoubled(executions: readonly ExecutionRecord[]): number {
+  const runs = new Map<string, number>();
+  for (const {ledgerKey} of executions) {
+    if (ledgerKey !== undefined)
+      runs.set(ledgerKey, (runs.get(ledgerKey) ?? 0) + 1);
+  }
+  return [...runs.values()].filter(n => n > 1).length;
+}
+
+function countFalseNotRun(
+  results: readonly CallerResult[],
+  executions: readonly ExecutionRecord[],
+): number {
+  const ran = new Set(executions.map(execution => execution.requestId));
+  return results.filter(
+    ({verdict, requestId}) =>
+      verdict === 'refused' && requestId !== undefined && ran.has(requestId),
+  ).length;
+}
+
+function countMismatches(
+  byIndex: ReadonlyMap<number, PlannedRequest>,
+  results: readonly CallerResult[],
+): number {
+  const slips = new Map<string, Set<number>>();
+  for (const {index, slip} of results) {
+    const planned = byIndex.get(index);
+    if (planned?.kind !== 'order' || slip === undefined) continue;
+    const held = slips.get(planned.orderName) ?? new Set<number>();
+    slips.set(planned.orderName, held.add(slip));
+  }
+  return [...slips.values()].filter(held => held.size > 1).length;
+}
+
+function recordLatencies(
+  byIndex: ReadonlyMap<number, PlannedRequest>,
+  results: readonly CallerResult[],
+): Pick<RunSummary, 'ttftByBucket' | 'shortTtft' | 'gaps'> {
+  const byBucket = new Map<string, LatencyHistogram>(
+    LENGTH_BUCKETS.map(bucket => [bucket.name, createLatencyHistogram()]),
+  );
+  const short = createLatencyHistogram();
+  const gaps = createLatencyHistogram();
+  for (const {index, verdict, ttftMs, gapsMs} of results) {
+    const planned = byIndex.get(index);
+    if (planned?.kind !== 'generate' || verdict !== 'answered') continue;
+    if (ttftMs === undefined) continue;
+    const bucket = resolveBucket(planned.promptTokens);
+    byBucket.get(bucket)?.recordMs(ttftMs);
+    if (SHORT_BUCKETS.has(bucket)) short.recordMs(ttftMs);
+    for (const gap of gapsMs) gaps.recordMs(gap);
+  }
+  return {
     ttftByBucket: Object.fromEntries(
-      [...histograms].map(([name, h]) => [name, h.summarize()]),
+      [...byBucket].map(([name, histogram]) => [name, histogram.summarize()]),
     ),
+    shortTtft: short.summarize(),
+    gaps: gaps.summarize(),
   };
 }
 
+/** Tells whether a run kept the promises on loss, doubles and "not run". */
+export function isClean(summary: RunSummary): boolean {
+  return (
+    summary.lost === 0 &&
+    summary.doubled === 0 &&
+    summary.falseNotRun === 0 &&
+    summary.repeatMismatches === 0
+  );
+}
+
 /**
  * Renders a summary as the lines the demo prints.
  *
@@ -100,7 +155,7 @@
  */
 export function formatSummary(summary: RunSummary): string {
   const lines = [
-    `sent ${summary.sent}  answered ${summary.answered}  refused ${summary.refused}  unknown ${summary.unknown}  lost ${summary.lost}  doubled ${summary.doubled}`,
+    `sent ${summary.sent}  answered ${summary.answered}  refused ${summary.refused}  unknown ${summary.unknown}  lost ${summary.lost}  doubled ${summary.doubled}  false-not-run ${summary.falseNotRun}`,
   ];
   for (const [reason, n] of Object.entries(summary.refusedByReason))
     lines.push(`  refused ${reason}: ${n}`);
--- a/packages/nutmeggauge/src/load/workload.ts
+++ b/packages/nutmeggauge/src/load/workload.ts
@@ -3,16 +3,14 @@
  * 1k to 1M tokens (a share of them over 100k), shared prefixes, accounts,
  * and not-repeatable order calls, some sent twice as a caller's retry.
  */
+import {CHARS_PER_TOKEN} from '@nutmeggauge/core';
 import {xoroshiro128plus} from 'pure-rand/generator/xoroshiro128plus';
 import {uniformFloat64} from 'pure-rand/distribution/uniformFloat64';
 
-/** Characters counted as one token. */
-const CHARS_PER_TOKEN = 4;
-
 /** What to generate. */
 export interface WorkloadSpec {
   readonly seed: number;
-  /** Generate requests in the plan. */
+  /** Completions in the plan. */
   readonly requests: number;
   /** Mean arrivals a second (Poisson). */
   readonly ratePerSecond: number;
@@ -35,6 +33,11 @@
   readonly orders: number;
   /** Of these, how many the caller sends a second time with the same key. */
   readonly repeatedOrders: number;
+  /**
+   * How long after the first try a repeat is sent, in ms.
+   * @default 50
+   */
+  readonly repeatAfterMs?: number;
 }
 
 /** One planned request. */
@@ -53,7 +56,8 @@
       readonly index: number;
       readonly atMs: number;
       readonly key: string;
-      readonly idempotencyKey: string;
+      /** Orders of the same name carry the same Idempotency-Key. */
+      readonly orderName: string;
     };
 
 /**
@@ -94,38 +98,36 @@
       kind: 'order',
       index: spec.requests + o,
       key: spec.orderKeys[o % spec.orderKeys.length],
-      idempotencyKey: `order-${spec.seed}-${o}`,
+      orderName: `order-${o}`,
     } as const;
     plan.push({...order, atMs: at});
     if (o < spec.repeatedOrders)
       plan.push({
         ...order,
         index: spec.requests + spec.orders + o,
-        atMs: at + 50,
+        atMs: at + (spec.repeatAfterMs ?? 50),
       });
   }
   return plan.sort((a, b) => a.atMs - b.atMs);
 }
 
 /**
- * Builds prompt text of `tokens` tokens; shared prompts begin with the same
- * `sharedPrefixTokens`, the rest differs from the first block on.
+ * Builds the prompt text of a planned completion; shared prompts begin with
+ * the same `sharedPrefixTokens`, the rest differs from the first block on.
  *
  * @example
- * renderPrompt(1000, 0, false, 500).length; // 4000
+ * renderPrompt(planned, 2000).length; // 4 characters a token
  */
 export function renderPrompt(
-  tokens: number,
-  index: number,
-  shared: boolean,
+  planned: Extract<PlannedRequest, {kind: 'generate'}>,
   sharedPrefixTokens: number,
 ): string {
-  const total = tokens * CHARS_PER_TOKEN;
+  const {promptTokens, index, shared} = planned;
+  const length = promptTokens * CHARS_PER_TOKEN;
   const prefix = shared
-    ? 'sys '.repeat(Math.min(tokens, sharedPrefixTokens))
+    ? 'sys '.repeat(Math.min(promptTokens, sharedPrefixTokens))
     : '';
-  const head = `q${index} `;
-  return (prefix + head + 'word'.repeat(Math.ceil(total / 4))).slice(0, total);
+  return (prefix + `q${index} `).padEnd(length, 'word').slice(0, length);
 }
 
 /** Prompt-length buckets that TTFT is reported by. */
--- a/packages/nutmeggauge/src/standin/run-standin.ts
+++ b/packages/nutmeggauge/src/standin/run-standin.ts
@@ -2,7 +2,7 @@
  * `nutmeggauge standin <kind>`: runs one stand-in of the platform as its own
  * process, so the demo and the bench can kill or pause it.
  */
-import {setProcessName} from '@nutmeggauge/core';
+import {UnknownStandInError, setProcessName} from '@nutmeggauge/core';
 import {
   startConfigServiceStandIn,
   startEngineStandIn,
@@ -19,6 +19,7 @@
   readonly lagMs: number;
   readonly latencyMs: number;
   readonly prefillRate: number;
+  readonly chunkTokens: number;
 }
 
 /** Kinds that `nutmeggauge standin` can run. */
@@ -28,7 +29,7 @@
  * Starts the stand-in of `kind` on 127.0.0.1 and keeps the process alive.
  *
  * @example
- * await runStandIn('engine', {id: 'engine-1', port: 7101, fencing: 'refuse', lagMs: 250, latencyMs: 20, prefillRate: 400000});
+ * await runStandIn('engine', {id: 'engine-1', port: 7101, fencing: 'refuse', lagMs: 250, latencyMs: 20, prefillRate: 400000, chunkTokens: 16384});
  */
 export async function runStandIn(
   kind: string,
@@ -44,6 +45,7 @@
           fencing: flags.fencing as FencingMode,
           loadLagMs: flags.lagMs,
           prefillTokensPerSecond: flags.prefillRate,
+          prefillChunkTokens: flags.chunkTokens,
         },
         host,
         flags.port,
@@ -54,26 +56,13 @@
       return;
     case 'hosts':
       await startHostListStandIn(host, flags.port, flags.lagMs);
-      process.stderr.write(
-        JSON.stringify({
-          t: Date.now(),
-          proc: flags.id,
-          event: 'hosts_listening',
-        }) + '\n',
-      );
       return;
     case 'plain':
       await startPlainServiceStandIn(host, flags.port, flags.latencyMs);
-      process.stderr.write(
-        JSON.stringify({
-          t: Date.now(),
-          proc: flags.id,
-          event: 'plain_listening',
-        }) + '\n',
-      );
       return;
     default:
-      throw new Error(
+      throw new UnknownStandInError(
+        {info: {kind}},
         `unknown stand-in kind ${kind}; one of ${STAND_IN_KINDS.join(', ')}`,
       );
   }
--- a/packages/standins/src/engine/server.ts
+++ b/packages/standins/src/engine/server.ts
@@ -50,6 +50,7 @@
   readonly orders: OrderBook;
   private reported: EngineLoad;
   private readonly lagTimer: NodeJS.Timeout;
+  private readonly log = createLogger('engine');
 
   constructor(private readonly options: ResolvedEngineOptions) {
     this.scheduler = new EngineScheduler(options);
@@ -135,6 +136,8 @@
       sendJson(res, 503, {error: 'overloaded'});
       return;
     }
+    // The log outlives the process: a run with kills is judged from it.
+    this.log.info('sequence_submitted', {requestId});
     startSse(res);
     // A caller that goes away must not keep KV memory: cancel at once.
     res.on('close', () => {
--- a/packages/standins/src/plain-service/server.ts
+++ b/packages/standins/src/plain-service/server.ts
@@ -84,12 +84,16 @@
         op: call.op,
         at: Date.now(),
       });
+      // The log outlives the process: a run with kills is judged from it.
+      log.info('call_executed', {
+        requestId: call.requestId,
+        ledgerKey: call.ledgerKey,
+      });
       const slip = nextSlip++;
       if (fault === 'drop-reply') {
         res.socket?.destroy();
         return;
       }
-      log.debug('call_executed', {requestId: call.requestId, op: call.op});
       setTimeout(() => sendJson(res, 200, {op: call.op, slip}), latencyMs);
     });
   });
