--- a/packages/agent/src/agent.ts
+++ b/packages/agent/src/agent.ts
@@ -81,6 +81,7 @@
       counters: this.counters,
       shortMaxTokens: lanes.shortMaxTokens,
       readRecordVersion: () => this.watcher?.version,
+      onWorkChange: () => this.reporter.notifyChange(),
     });
     this.reporter = new LoadReporter({
       reportMs: settings.loadReportMs,
--- a/packages/agent/src/intake/intake.test.ts
+++ b/packages/agent/src/intake/intake.test.ts
@@ -46,6 +46,7 @@
     counters: createCounters(),
     shortMaxTokens: 100,
     readRecordVersion: () => recordVersion,
+    onWorkChange: () => {},
   });
   const send = (requestId: string, more: Partial<DispatchRequest> = {}) =>
     intake.dispatch(
--- a/packages/agent/src/intake/intake.ts
+++ b/packages/agent/src/intake/intake.ts
@@ -34,6 +34,8 @@
   readonly shortMaxTokens: number;
   /** Version of the record this agent holds; undefined when it reads none. */
   readonly readRecordVersion: () => number | undefined;
+  /** Called when the work figures have changed much. */
+  readonly onWorkChange: () => void;
 }
 
 /** Work of one agent, as its load report gives it. */
@@ -295,6 +297,7 @@
       produced: 0,
     };
     this.active.set(request.requestId, active);
+    this.options.onWorkChange();
     // A gate that froze or was cut off sends no cancel at the deadline.
     const expiry = setTimeout(
       () => this.cancel(request.requestId),
@@ -309,7 +312,7 @@
         return await target.run(
           request,
           (seq, text) => {
-            active.produced++;
+            if (active.produced++ === 0) this.options.onWorkChange();
             receive({requestId: request.requestId, seq, text});
           },
           signal,
@@ -320,6 +323,7 @@
     } finally {
       clearTimeout(expiry);
       this.active.delete(request.requestId);
+      this.options.onWorkChange();
     }
   }
 }
--- a/packages/agent/src/reporting/load-reporter.ts
+++ b/packages/agent/src/reporting/load-reporter.ts
@@ -1,7 +1,7 @@
 /**
  * Load reports to gates. A link with requests in flight, or one that had
- * them a moment ago, hears of changes at once (at most every `reportMs`);
- * every other link gets a slow heartbeat. So the cost of control grows with
+ * them a moment ago, hears of a change at once, and of those that follow at
+ * most every `reportMs`; every other link gets a slow heartbeat. So the cost of control grows with
  * the traffic of a node and not with the number of gates and targets.
  */
 import {RpcMethod} from '@nutmeggauge/core';
@@ -25,6 +25,10 @@
   lastSent: string;
 }
 
+function isInUse(state: LinkState, now: number): boolean {
+  return now - state.lastDispatchAt <= IN_USE_MS;
+}
+
 /** The part of a report whose change is worth a message. */
 function renderFigures(report: LoadReport): string {
   return JSON.stringify({...report, sentAt: 0});
@@ -67,6 +71,20 @@
     if (state !== undefined) state.lastDispatchAt = Date.now();
   }
 
+  /**
+   * Reports a change on the links in use that were not sent one lately; the
+   * others hear of it with the next period.
+   */
+  notifyChange(): void {
+    const {reportMs} = this.options;
+    const now = Date.now();
+    this.broadcast(
+      [...this.links]
+        .filter(([, s]) => isInUse(s, now) && now - s.lastSentAt >= reportMs)
+        .map(([link]) => link),
+    );
+  }
+
   /** Reports to `links` now, such as when a drain begins. */
   broadcast(links: Iterable<RpcLink> = this.links.keys()): void {
     const report = this.options.readLoad();
@@ -79,8 +97,7 @@
     const report = this.options.readLoad();
     const figures = renderFigures(report);
     for (const [link, state] of this.links) {
-      const inUse = now - state.lastDispatchAt <= IN_USE_MS;
-      const changed = inUse && state.lastSent !== figures;
+      const changed = isInUse(state, now) && state.lastSent !== figures;
       const beatDue = now - state.lastSentAt >= this.options.heartbeatMs;
       if (changed || beatDue) this.send(link, report, figures);
     }
--- a/packages/agent/src/settings.ts
+++ b/packages/agent/src/settings.ts
@@ -28,7 +28,7 @@
       /** Short requests in flight at the target at once. */
       shortSlots: z.number().int().positive().default(48),
       /** Long requests in flight at the target at once. */
-      longSlots: z.number().int().positive().default(4),
+      longSlots: z.number().int().positive().default(16),
     })
     .prefault({}),
   /** The configuration service; without it keyed requests are not fenced by record version. */
@@ -54,7 +54,7 @@
     })
     .prefault({}),
   /** Shortest time between two load reports on a link in use, in ms. */
-  loadReportMs: z.number().int().positive().default(200),
+  loadReportMs: z.number().int().positive().default(100),
   /** Period of heartbeats on links without requests, in ms. */
   heartbeatMs: z.number().int().positive().default(1000),
   /** Longest time a drain waits for requests in flight, in ms. */
--- a/packages/nutmeggauge/src/test/world.ts
+++ b/packages/nutmeggauge/src/test/world.ts
@@ -170,6 +170,7 @@
       counters: createCounters(),
       shortMaxTokens: 100,
       readRecordVersion: () => this.record.version,
+      onWorkChange: () => {},
     });
   }
 }
