--- a/packages/agent/src/agent.ts
+++ b/packages/agent/src/agent.ts
@@ -12,7 +12,6 @@
   createLogger,
   createRpcLink,
   openListener,
-  readClockMs,
   readPort,
   waitMs,
 } from '@nutmeggauge/core';
@@ -202,7 +201,6 @@
       draining: this.intake.isDraining,
       recordVersion: this.watcher?.version,
       ...this.intake.readWork(),
-      sentAt: readClockMs(),
     };
   }
 }
--- a/packages/agent/src/intake/intake.ts
+++ b/packages/agent/src/intake/intake.ts
@@ -42,7 +42,6 @@
 export interface WorkFigures {
   readonly queued: number;
   readonly inFlight: number;
-  readonly pendingPrefillTokens: number;
   readonly pendingByClass: readonly number[];
   readonly pendingDecodeTokens: number;
 }
@@ -57,7 +56,10 @@
   produced: number;
 }
 
-const notRun = (reason: string, retryAfterMs?: number): DispatchOutcome => ({
+const createNotRun = (
+  reason: string,
+  retryAfterMs?: number,
+): DispatchOutcome => ({
   status: 'not-run',
   reason,
   retryAfterMs,
@@ -132,12 +134,10 @@
   /** Figures for the load report. */
   readWork(): WorkFigures {
     const lanes = this.options.lanes.read();
-    let pendingPrefillTokens = 0;
     const pendingByClass = createClassCounts();
     let pendingDecodeTokens = 0;
     for (const request of this.active.values()) {
       if (request.produced === 0) {
-        pendingPrefillTokens += request.promptTokens;
         pendingByClass[findLengthClass(request.promptTokens)] +=
           request.promptTokens;
       }
@@ -146,7 +146,6 @@
     return {
       queued: lanes.queued,
       inFlight: lanes.inFlight,
-      pendingPrefillTokens,
       pendingByClass,
       pendingDecodeTokens,
     };
@@ -162,9 +161,10 @@
     const key = request.notRepeatable ? request.ledgerKey : undefined;
     const held = key === undefined ? undefined : ledger.find(key);
     if (key !== undefined && held !== undefined)
-      return this.answerCopy(key, held, request, receive);
-    if (this.draining) return notRun('draining', 100);
-    if (Date.now() >= request.deadlineAt) return notRun('deadline_passed');
+      return this.serveCopy(key, held, request, receive);
+    if (this.draining) return createNotRun('draining', 100);
+    if (Date.now() >= request.deadlineAt)
+      return createNotRun('deadline_passed');
     if (key === undefined) return this.runInLane(request, owner, receive);
     if (request.keyed) {
       const refusal = this.checkOwnership(key, request);
@@ -175,10 +175,10 @@
     const claim = ledger.claim(key, request.requestId);
     if (claim === LEDGER_FULL) {
       counters.add('agent.ledger_full');
-      return notRun('ledger_full', 5000);
+      return createNotRun('ledger_full', 5000);
     }
     if (claim !== undefined)
-      return this.answerCopy(key, claim, request, receive);
+      return this.serveCopy(key, claim, request, receive);
     const running = this.runClaimed(key, request, owner, receive);
     this.pending.set(key, running);
     return running.finally(() => this.pending.delete(key));
@@ -204,7 +204,7 @@
    * Answers a copy of a request that this agent has taken on: with the
    * outcome of the first run, waiting for it while time remains.
    */
-  private async answerCopy(
+  private async serveCopy(
     key: string,
     held: LedgerEntry,
     request: DispatchRequest,
@@ -266,7 +266,7 @@
   ): DispatchOutcome | undefined {
     const version = this.options.readRecordVersion();
     if (version !== undefined && request.recordVersion > version)
-      return notRun('agent_config_behind', 500);
+      return createNotRun('agent_config_behind', 500);
     const verdict = this.options.ownership.checkKey(
       request.pool,
       key,
@@ -275,7 +275,7 @@
     );
     if (verdict === 'owned') return undefined;
     this.options.counters.add(`agent.key_${verdict}`);
-    if (verdict === 'not-home') return notRun('not_home', 1000);
+    if (verdict === 'not-home') return createNotRun('not_home', 1000);
     return {status: 'unknown', reason: 'ledger_has_no_record'};
   }
 
@@ -306,7 +306,7 @@
     const {signal} = active.controller;
     try {
       const refusal = await lanes.enter(lane, request.deadlineAt, signal);
-      if (refusal !== undefined) return notRun(refusal);
+      if (refusal !== undefined) return createNotRun(refusal);
       active.started = true;
       try {
         return await target.run(
--- a/packages/agent/src/orders/engine-orders.ts
+++ b/packages/agent/src/orders/engine-orders.ts
@@ -86,7 +86,7 @@
     if (this.busy || this.findDesired() === undefined) return;
     this.busy = true;
     try {
-      await this.orderDifferences();
+      await this.sendDifferences();
     } catch {
       // The engine is down or slow; the next round tries again.
       this.options.counters.add('orders.round_failed');
@@ -101,7 +101,7 @@
       .find(target => target.id === this.options.targetId)?.desired;
   }
 
-  private async orderDifferences(): Promise<void> {
+  private async sendDifferences(): Promise<void> {
     const {counters, source} = this.options;
     const state = await this.readEngine();
     if (planOrders(this.findDesired() ?? {}, state.setting).length === 0)
--- a/packages/agent/src/reporting/load-reporter.ts
+++ b/packages/agent/src/reporting/load-reporter.ts
@@ -29,11 +29,6 @@
   return now - state.lastDispatchAt <= IN_USE_MS;
 }
 
-/** The part of a report whose change is worth a message. */
-function renderFigures(report: LoadReport): string {
-  return JSON.stringify({...report, sentAt: 0});
-}
-
 /**
  * A task that reports the load of one agent to its links.
  *
@@ -88,14 +83,14 @@
   /** Reports to `links` now, such as when a drain begins. */
   broadcast(links: Iterable<RpcLink> = this.links.keys()): void {
     const report = this.options.readLoad();
-    const figures = renderFigures(report);
+    const figures = JSON.stringify(report);
     for (const link of links) this.send(link, report, figures);
   }
 
   private sendDue(): void {
     const now = Date.now();
     const report = this.options.readLoad();
-    const figures = renderFigures(report);
+    const figures = JSON.stringify(report);
     for (const [link, state] of this.links) {
       const changed = isInUse(state, now) && state.lastSent !== figures;
       const beatDue = now - state.lastSentAt >= this.options.heartbeatMs;
--- a/packages/core/src/config/delta.test.ts
+++ b/packages/core/src/config/delta.test.ts
@@ -29,7 +29,7 @@
     ),
   });
 
-const byId = (list: ReadonlyArray<{readonly id: string}>) =>
+const listById = (list: ReadonlyArray<{readonly id: string}>) =>
   [...list].sort((a, b) => a.id.localeCompare(b.id));
 
 describe('configuration deltas', () => {
@@ -40,9 +40,13 @@
         const next = applyDelta(from, delta) as typeof to;
         expect({
           ...next,
-          accounts: byId(next.accounts),
-          pools: byId(next.pools),
-        }).toEqual({...to, accounts: byId(to.accounts), pools: byId(to.pools)});
+          accounts: listById(next.accounts),
+          pools: listById(next.pools),
+        }).toEqual({
+          ...to,
+          accounts: listById(to.accounts),
+          pools: listById(to.pools),
+        });
       }),
     );
   });
--- a/packages/core/src/config/record.ts
+++ b/packages/core/src/config/record.ts
@@ -59,13 +59,18 @@
   notRepeatable: z.literal(true),
 });
 
-export const ConfigRecordSchema = z.object({
-  version: z.number().int().positive(),
-  schemaVersion: z.number().int().positive(),
-  accounts: z.array(AccountSchema),
-  pools: z.array(PoolSchema),
-  rules: z.array(RuleSchema).default([]),
-});
+export const ConfigRecordSchema = z
+  .object({
+    version: z.number().int().positive(),
+    schemaVersion: z.number().int().positive(),
+    accounts: z.array(AccountSchema),
+    pools: z.array(PoolSchema),
+    rules: z.array(RuleSchema).default([]),
+  })
+  .superRefine((record, context) => {
+    for (const message of listConflicts(record))
+      context.addIssue({code: 'custom', message});
+  });
 
 export type Account = z.output<typeof AccountSchema>;
 export type EngineState = Readonly<z.output<typeof EngineStateSchema>>;
@@ -74,6 +79,56 @@
 export type Rule = z.output<typeof RuleSchema>;
 export type ConfigRecord = Readonly<z.output<typeof ConfigRecordSchema>>;
 
+/** Lists values that occur more than once. */
+function listDoubles(values: readonly string[]): readonly string[] {
+  const seen = new Set<string>();
+  return values.filter(value => seen.size === seen.add(value).size);
+}
+
+interface RecordParts {
+  readonly accounts: ReadonlyArray<z.output<typeof AccountSchema>>;
+  readonly pools: ReadonlyArray<z.output<typeof PoolSchema>>;
+  readonly rules: ReadonlyArray<z.output<typeof RuleSchema>>;
+}
+
+/**
+ * Lists what no single field shows: one key held by two accounts would let
+ * one of them act as the other, a target listed twice would take double its
+ * share, and a name of a pool that is not there is a typing error that would
+ * show only as refused callers, or as a rule that never holds.
+ */
+function listConflicts(record: RecordParts): readonly string[] {
+  const {accounts, pools, rules} = record;
+  const poolIds = pools.map(pool => pool.id);
+  const known = new Set(poolIds);
+  const keyOwners = accounts.flatMap(({id, keys}) => keys.map(() => id));
+  const allKeys = accounts.flatMap(account => account.keys);
+  return [
+    ...listDoubles(accounts.map(account => account.id)).map(
+      id => `accounts: ${id} is listed twice`,
+    ),
+    // Keys are secrets: the message names the account, not the key.
+    ...listDoubles(allKeys).map(
+      key =>
+        `accounts: a key of ${keyOwners[allKeys.lastIndexOf(key)]} is held twice`,
+    ),
+    ...listDoubles(poolIds).map(id => `pools: ${id} is listed twice`),
+    ...pools.flatMap(pool =>
+      listDoubles(pool.targets.map(target => target.id)).map(
+        id => `pools.${pool.id}: target ${id} is listed twice`,
+      ),
+    ),
+    ...accounts.flatMap(account =>
+      account.pools
+        .filter(pool => !known.has(pool))
+        .map(pool => `accounts.${account.id}: no pool ${pool}`),
+    ),
+    ...rules
+      .filter(rule => !known.has(rule.pool))
+      .map(rule => `rules: no pool ${rule.pool}`),
+  ];
+}
+
 /**
  * Validates a record read from the configuration service.
  *
--- a/packages/core/src/config/watch.ts
+++ b/packages/core/src/config/watch.ts
@@ -8,7 +8,7 @@
 import {waitMs} from '../clock.js';
 import {createLogger} from '../log.js';
 import {ConfigDeltaSchema, applyDelta} from './delta.js';
-import {resolveConfigRecord} from './record.js';
+import {SUPPORTED_SCHEMA_VERSIONS, resolveConfigRecord} from './record.js';
 import type {Counters} from '../metrics.js';
 import type {ConfigRecord} from './record.js';
 
@@ -164,6 +164,8 @@
     const query = new URLSearchParams({
       after: String(this.version),
       waitMs: String(wait),
+      // Records of newer schemas may stand beside those this release reads.
+      schemas: SUPPORTED_SCHEMA_VERSIONS.join(','),
     });
     if (this.options.sections !== undefined)
       query.set('sections', this.options.sections.join(','));
--- /dev/null
+++ b/packages/gate/src/admin/admin-api.ts
@@ -0,0 +1,155 @@
+/**
+ * The administration API of a gate, on a port of its own: what the gate
+ * sees (targets, accounts, record), its figures, and a check of a
+ * configuration record before an operator publishes it. It changes nothing:
+ * operators change the system by publishing records.
+ */
+import {createServer} from 'node:http';
+import {
+  ConfigRecordError,
+  openListener,
+  readJsonBody,
+  readPort,
+  resolveConfigRecord,
+  sendJson,
+} from '@nutmeggauge/core';
+import {renderPrometheus} from './prometheus.js';
+import type {IncomingMessage, ServerResponse} from 'node:http';
+import type {
+  ConfigRecord,
+  Counters,
+  LatencyHistogram,
+  ListenAddress,
+} from '@nutmeggauge/core';
+import type {AccountLimits} from '../admission/limits.js';
+import type {Membership} from '../membership/membership.js';
+
+/** What the administration API reads from the gate. */
+export interface AdminContext {
+  readonly gateId: string;
+  readonly zone: string;
+  readonly counters: Counters;
+  readonly ttft: LatencyHistogram;
+  readonly limits: AccountLimits;
+  readonly membership: Membership;
+  readonly readRecord: () => ConfigRecord | undefined;
+  readonly isDraining: () => boolean;
+}
+
+/** Options of the administration API. */
+export interface AdminApiOptions {
+  readonly listen: ListenAddress;
+  /** Token that callers send as a bearer; absent only on loopback. */
+  readonly token?: string;
+  readonly context: AdminContext;
+}
+
+/**
+ * The task that owns the administration listener.
+ *
+ * @example
+ * const admin = new AdminApi({listen: {host: '127.0.0.1', port: 0}, context});
+ * await admin.start();
+ */
+export class AdminApi {
+  private readonly server = createServer(
+    (req, res) => void this.serve(req, res),
+  );
+
+  constructor(private readonly options: AdminApiOptions) {}
+
+  /** The bound port, once started. */
+  get port(): number {
+    return readPort(this.server);
+  }
+
+  async start(): Promise<void> {
+    await openListener(this.server, this.options.listen);
+  }
+
+  stop(): void {
+    this.server.close();
+    this.server.closeAllConnections();
+  }
+
+  private async serve(
+    req: IncomingMessage,
+    res: ServerResponse,
+  ): Promise<void> {
+    const {token, context} = this.options;
+    if (
+      token !== undefined &&
+      req.headers.authorization !== `Bearer ${token}`
+    ) {
+      sendJson(res, 401, {error: {type: 'unauthorized'}});
+      return;
+    }
+    const path = new URL(req.url ?? '/', 'http://admin').pathname;
+    switch (`${req.method} ${path}`) {
+      case 'GET /v1/status':
+        return sendJson(res, 200, this.describeStatus());
+      case 'GET /v1/targets':
+        return sendJson(res, 200, {targets: this.describeTargets()});
+      case 'GET /v1/accounts':
+        return sendJson(res, 200, {accounts: context.limits.describe()});
+      case 'GET /v1/counters':
+        return sendJson(res, 200, {
+          counters: context.counters.read(),
+          ttftMs: context.ttft.summarize(),
+        });
+      case 'GET /metrics':
+        return this.sendMetrics(res);
+      case 'POST /v1/record/check':
+        return sendJson(res, 200, checkRecord(await readJsonBody(req)));
+      default:
+        return sendJson(res, 404, {error: {type: 'not_found', path}});
+    }
+  }
+
+  private describeStatus(): object {
+    const {gateId, zone, readRecord, isDraining, membership} =
+      this.options.context;
+    const record = readRecord();
+    return {
+      id: gateId,
+      zone,
+      draining: isDraining(),
+      record: {
+        version: record?.version ?? 0,
+        schemaVersion: record?.schemaVersion,
+        accounts: record?.accounts.length ?? 0,
+        pools: record?.pools.length ?? 0,
+      },
+      links: membership.listAll().length,
+    };
+  }
+
+  private describeTargets(): readonly object[] {
+    return this.options.context.membership.listAll().map(connection => ({
+      id: connection.id,
+      pool: connection.pool,
+      zone: connection.zone,
+      usable: connection.isUsable,
+      outstanding: connection.outstanding,
+      load: connection.load,
+    }));
+  }
+
+  private async sendMetrics(res: ServerResponse): Promise<void> {
+    const {counters, ttft} = this.options.context;
+    const text = await renderPrometheus(counters.read(), ttft.summarize());
+    res.writeHead(200, {'content-type': 'text/plain; version=0.0.4'});
+    res.end(text);
+  }
+}
+
+/** Tells whether gates would accept a record, and if not, every bad key. */
+function checkRecord(raw: unknown): object {
+  try {
+    const record = resolveConfigRecord(raw);
+    return {ok: true, version: record.version};
+  } catch (error) {
+    if (!(error instanceof ConfigRecordError)) throw error;
+    return {ok: false, reason: error.message};
+  }
+}
--- a/packages/gate/src/admission/estimate.ts
+++ b/packages/gate/src/admission/estimate.ts
@@ -3,30 +3,38 @@
  * the target's last load report. A request whose estimate passes its
  * deadline is refused at once rather than failed late.
  */
-import type {RouteRequest} from '../routing/router.js';
+import {findLengthClass} from '@nutmeggauge/core';
 import type {TargetView} from '../membership/target-link.js';
+import type {RouteRequest} from '../routing/router.js';
 
 /** Engine figures behind the estimate. */
 export interface EstimateFigures {
   readonly prefillTokensPerSecond: number;
   readonly decodeStepMs: number;
+  /** False admits whatever has a target, however long its queue. */
+  readonly refusesLate: boolean;
 }
 
 /**
- * Estimates ms until a request finishes on `target`. Short prompts run in
- * the agent's short lane ahead of long prefills, so only their own prefill
- * counts; long prompts wait behind the target's pending prefill.
+ * Estimates ms until a request finishes on `target`. Engines read shorter
+ * prompts first, so what is pending in the request's own and shorter length
+ * classes stands before it, and longer prompts do not.
  *
  * @example
- * estimateFinishMs(target, {promptTokens: 1000, maxTokens: 64, isLong: false}, figures);
+ * estimateFinishMs(target, {promptTokens: 1000, maxTokens: 64}, figures);
  */
 export function estimateFinishMs(
   target: TargetView,
-  request: Pick<RouteRequest, 'promptTokens' | 'maxTokens' | 'isLong'>,
+  request: Pick<RouteRequest, 'promptTokens' | 'maxTokens'>,
   figures: EstimateFigures,
 ): number {
-  const ahead = request.isLong ? (target.load?.pendingPrefillTokens ?? 0) : 0;
-  const prefillMs =
-    ((ahead + request.promptTokens) / figures.prefillTokensPerSecond) * 1000;
+  const own = findLengthClass(request.promptTokens);
+  let tokens = request.promptTokens;
+  for (let lengthClass = 0; lengthClass <= own; lengthClass++) {
+    tokens +=
+      (target.load?.pendingByClass[lengthClass] ?? 0) +
+      target.unreportedByClass[lengthClass];
+  }
+  const prefillMs = (tokens / figures.prefillTokensPerSecond) * 1000;
   return prefillMs + request.maxTokens * figures.decodeStepMs;
 }
--- a/packages/gate/src/admission/limits.ts
+++ b/packages/gate/src/admission/limits.ts
@@ -20,6 +20,16 @@
   tokens: number;
   updatedAt: number;
   inFlight: number;
+  admitted: number;
+  refused: number;
+}
+
+/** What one client account has used at this gate since it started. */
+export interface AccountUsage {
+  readonly id: string;
+  readonly inFlight: number;
+  readonly admitted: number;
+  readonly refused: number;
 }
 
 /**
@@ -37,9 +47,11 @@
   enter(account: Account, now = Date.now()): Refusal | undefined {
     const bucket = this.readBucket(account, now);
     if (bucket.inFlight >= account.maxConcurrent) {
+      bucket.refused++;
       return {status: 429, reason: 'too_many_in_flight', retryAfterMs: 1000};
     }
     if (bucket.tokens < 1) {
+      bucket.refused++;
       const retryAfterMs = Math.ceil(
         ((1 - bucket.tokens) / account.ratePerSecond) * 1000,
       );
@@ -47,6 +59,7 @@
     }
     bucket.tokens -= 1;
     bucket.inFlight++;
+    bucket.admitted++;
     return undefined;
   }
 
@@ -57,11 +70,29 @@
       bucket.inFlight = Math.max(0, bucket.inFlight - 1);
   }
 
+  /** Usage of every account that has sent a request, by id. */
+  describe(): readonly AccountUsage[] {
+    return [...this.buckets]
+      .map(([id, {inFlight, admitted, refused}]) => ({
+        id,
+        inFlight,
+        admitted,
+        refused,
+      }))
+      .sort((a, b) => a.id.localeCompare(b.id));
+  }
+
   private readBucket(account: Account, now: number): Bucket {
     const burst = Math.max(1, account.ratePerSecond);
     let bucket = this.buckets.get(account.id);
     if (bucket === undefined) {
-      bucket = {tokens: burst, updatedAt: now, inFlight: 0};
+      bucket = {
+        tokens: burst,
+        updatedAt: now,
+        inFlight: 0,
+        admitted: 0,
+        refused: 0,
+      };
       this.buckets.set(account.id, bucket);
     }
     const refill = ((now - bucket.updatedAt) / 1000) * account.ratePerSecond;
--- a/packages/gate/src/api/serve-admitted.ts
+++ b/packages/gate/src/api/serve-admitted.ts
@@ -153,6 +153,7 @@
   const candidates = context.membership.listUsable(pool);
   if (candidates.length === 0)
     return {status: 503, reason: 'no_target', retryAfterMs: 1000};
+  if (!context.figures.refusesLate) return undefined;
   const bestMs = Math.min(
     ...candidates.map(c => estimateFinishMs(c, route, context.figures)),
   );
--- a/packages/gate/src/dispatch/dispatcher.ts
+++ b/packages/gate/src/dispatch/dispatcher.ts
@@ -23,6 +23,7 @@
 import type {TargetDirectory, TargetLink} from '../membership/target-link.js';
 import type {RouteRequest, Router} from '../routing/router.js';
 import type {ChunkStream} from '../streaming/reassembly.js';
+import type {RetryBudget} from './retry-budget.js';
 
 /**
  * Time past a request's deadline that the gate waits for the agent's own
@@ -69,6 +70,7 @@
   readonly maxAttempts: number;
   /** Longest wait for an agent's receipt of a repeatable request, in ms. */
   readonly acceptTimeoutMs: number;
+  readonly retryBudget: RetryBudget;
 }
 
 /** What the tries of one request have shown so far. */
@@ -101,7 +103,9 @@
       },
       mayHaveRun: false,
     };
+    this.options.retryBudget.recordRequest();
     for (let attempt = 1; attempt <= this.options.maxAttempts; attempt++) {
+      if (attempt > 1 && !this.claimRetry()) break;
       if (Date.now() >= job.request.deadlineAt) break;
       const target = await this.pickTarget(job, progress.tried);
       if (target === undefined) break;
@@ -117,6 +121,13 @@
       : progress.lastNotRun;
   }
 
+  private claimRetry(): boolean {
+    const {retryBudget, counters} = this.options;
+    const isAllowed = retryBudget.claimRetry();
+    counters.add(isAllowed ? 'dispatch.retries' : 'dispatch.retry_refused');
+    return isAllowed;
+  }
+
   /** Returns the final result, or undefined when another try is allowed. */
   private judgeOutcome(
     outcome: DispatchOutcome,
@@ -230,7 +241,7 @@
  * Creates a dispatcher.
  *
  * @example
- * const dispatcher = createDispatcher({directory, router, counters, maxAttempts: 3, acceptTimeoutMs: 1000});
+ * const dispatcher = createDispatcher({directory, router, counters, maxAttempts: 3, acceptTimeoutMs: 1000, retryBudget});
  */
 export function createDispatcher(options: DispatcherOptions): Dispatcher {
   return new Dispatcher(options);
--- /dev/null
+++ b/packages/gate/src/dispatch/retry-budget.test.ts
@@ -0,0 +1,94 @@
+import {describe, it} from 'node:test';
+import {expect} from 'earl';
+import fc from 'fast-check';
+import {
+  TargetUnreachableError,
+  createCounters,
+  createClassCounts,
+} from '@nutmeggauge/core';
+import {RoundRobinRouter} from '../routing/router.js';
+import {createChunkStream} from '../streaming/reassembly.js';
+import {createDispatcher} from './dispatcher.js';
+import {createRetryBudget} from './retry-budget.js';
+import type {TargetLink} from '../membership/target-link.js';
+
+// One seed, so that the suite gives the same verdict every time.
+fc.configureGlobal({seed: 20261202});
+
+/** A target whose host is gone: every send fails before it is sent. */
+function createDeadTarget(id: string, onSend: () => void): TargetLink {
+  return {
+    id,
+    zone: 'az-1',
+    outstanding: 0,
+    load: undefined,
+    unreportedByClass: createClassCounts(),
+    isUsable: true,
+    dispatch: async () => {
+      onSend();
+      throw new TargetUnreachableError({}, 'gone');
+    },
+    cancel: () => {},
+  };
+}
+
+describe('retry budget', () => {
+  it('never lets retries pass its ratio and burst (property)', () => {
+    fc.assert(
+      fc.property(fc.array(fc.boolean(), {maxLength: 500}), steps => {
+        const budget = createRetryBudget({ratio: 0.2, burst: 5});
+        let requests = 0;
+        let retries = 0;
+        for (const isRequest of steps) {
+          if (isRequest) {
+            requests++;
+            budget.recordRequest();
+            continue;
+          }
+          if (budget.claimRetry()) retries++;
+          expect(retries).toBeLessThanOrEqual(5 + 0.2 * requests);
+        }
+      }),
+    );
+  });
+
+  it('keeps an outage from multiplying the load', async () => {
+    // A switch dies and every target of a pool is gone, but still looks
+    // usable. Each of a hundred questions used to be sent three times.
+    let sends = 0;
+    const targets = ['e1', 'e2', 'e3'].map(id =>
+      createDeadTarget(id, () => sends++),
+    );
+    const dispatcher = createDispatcher({
+      directory: {
+        listUsable: () => targets,
+        findHome: async () => undefined,
+      },
+      router: new RoundRobinRouter(),
+      counters: createCounters(),
+      maxAttempts: 3,
+      acceptTimeoutMs: 1000,
+      retryBudget: createRetryBudget({ratio: 0.2, burst: 10}),
+    });
+    for (let i = 0; i < 100; i++) {
+      const result = await dispatcher.run({
+        request: {
+          requestId: `r${i}`,
+          account: 'a',
+          pool: 'chat',
+          kind: 'generate',
+          deadlineAt: Date.now() + 60_000,
+          notRepeatable: false,
+          keyed: false,
+          recordVersion: 1,
+        },
+        route: {promptTokens: 1, maxTokens: 1, isLong: false, prefixes: []},
+        resumable: true,
+        chunks: createChunkStream(),
+        signal: new AbortController().signal,
+      });
+      expect(result.status).toEqual('not-run');
+    }
+    expect(sends).toBeLessThanOrEqual(100 + 10 + 20);
+  });
+});
--- a/packages/gate/src/gate.ts
+++ b/packages/gate/src/gate.ts
@@ -13,9 +13,11 @@
   sendJson,
   waitMs,
 } from '@nutmeggauge/core';
+import {AdminApi} from './admin/admin-api.js';
 import {createAccountLimits} from './admission/limits.js';
 import {handleCallerRequest} from './api/handler.js';
 import {createDispatcher} from './dispatch/dispatcher.js';
+import {createRetryBudget} from './dispatch/retry-budget.js';
 import {createMembership} from './membership/membership.js';
 import {PeerRelay} from './relay/peer-relay.js';
 import {resolveRouter} from './routing/policies.js';
@@ -41,6 +43,7 @@
   private readonly watcher;
   private readonly membership;
   private readonly relay: PeerRelay | undefined;
+  private readonly admin: AdminApi | undefined;
   private readonly context: HandlerContext;
   private server: Server | undefined;
   private keys = new Map<string, Account>();
@@ -54,12 +57,13 @@
       counters: this.counters,
       waitMs: settings.configService.waitMs,
     });
+    const readRecord = () => this.watcher.current;
     const {subsetSize, heartbeatStaleMs} = settings.routing;
     this.membership = createMembership({
       gateId: settings.id,
       subsetSize,
       heartbeatStaleMs,
-      readRecord: () => this.watcher.current,
+      readRecord,
       counters: this.counters,
       hostListUrl: settings.hostList?.url,
       hostListPollMs: settings.hostList?.pollMs,
@@ -84,13 +88,25 @@
         counters: this.counters,
         maxAttempts: settings.routing.maxAttempts,
         acceptTimeoutMs: settings.routing.acceptTimeoutMs,
+        retryBudget: createRetryBudget(settings.retryBudget),
       }),
       figures: settings.estimate,
       ttft: this.ttft,
-      readRecord: () => this.watcher.current,
+      readRecord,
       findAccount: key => this.keys.get(key),
       isClosed: () => this.closed,
     };
+    this.admin =
+      settings.admin === undefined
+        ? undefined
+        : new AdminApi({
+            ...settings.admin,
+            context: {
+              ...this.context,
+              zone: settings.zone,
+              isDraining: () => this.draining,
+            },
+          });
   }
 
   /** The bound port, once started. */
@@ -98,6 +114,11 @@
     return readPort(this.server);
   }
 
+  /** Port of the administration API; 0 when there is none. */
+  get adminPort(): number {
+    return this.admin?.port ?? 0;
+  }
+
   /** Port on which other gates ask for records; 0 when there is no relay. */
   get relayPort(): number {
     return this.relay?.port ?? 0;
@@ -108,7 +129,8 @@
     this.watcher.start();
     this.membership.start();
     await this.relay?.start();
-    const server = createServer((req, res) => this.route(req, res));
+    await this.admin?.start();
+    const server = createServer((req, res) => this.serve(req, res));
     this.server = server;
     await openListener(server, this.settings.listen);
     this.log.info('gate_listening', {
@@ -143,6 +165,7 @@
     this.watcher.stop();
     this.membership.stop();
     this.relay?.stop();
+    this.admin?.stop();
     this.server?.closeAllConnections();
     this.server?.close();
   }
@@ -156,16 +179,15 @@
     this.membership.apply(record);
   }
 
-  private route(req: IncomingMessage, res: ServerResponse): void {
+  private serve(req: IncomingMessage, res: ServerResponse): void {
     const path = new URL(req.url ?? '/', 'http://gate').pathname;
     if (req.method === 'GET' && path === '/healthz') {
-      sendJson(res, this.draining ? 503 : 200, this.describe());
-      return;
-    }
-    if (req.method === 'GET' && path === '/metrics') {
-      sendJson(res, 200, {
-        counters: this.counters.read(),
-        ttftMs: this.ttft.summarize(),
+      // Callers reach this port: what the gate sees of the fleet stays on
+      // the administration API.
+      sendJson(res, this.draining ? 503 : 200, {
+        id: this.settings.id,
+        draining: this.draining,
+        configVersion: this.watcher.version,
       });
       return;
     }
@@ -180,21 +202,6 @@
       () => this.inFlight--,
     );
   }
-
-  private describe(): object {
-    return {
-      id: this.settings.id,
-      zone: this.settings.zone,
-      draining: this.draining,
-      configVersion: this.watcher.current?.version ?? 0,
-      targets: this.membership.listAll().map(c => ({
-        id: c.id,
-        pool: c.pool,
-        usable: c.isUsable,
-        outstanding: c.outstanding,
-      })),
-    };
-  }
 }
 
 /**
--- a/packages/gate/src/membership/agent-connection.ts
+++ b/packages/gate/src/membership/agent-connection.ts
@@ -249,10 +249,10 @@
     this.lastReportAt = Date.now();
     this.unreportedByClass = createClassCounts();
     for (const wake of this.linkWaiters.splice(0)) wake();
-    this.handRecord(report.recordVersion);
+    this.sendRecord(report.recordVersion);
   }
 
-  private handRecord(agentVersion: number | undefined): void {
+  private sendRecord(agentVersion: number | undefined): void {
     const record = this.options.readRecord();
     const isBehind =
       record !== undefined &&
--- a/packages/gate/src/settings.ts
+++ b/packages/gate/src/settings.ts
@@ -34,6 +34,30 @@
       pollMs: z.number().int().positive().default(1000),
     })
     .optional(),
+  /** The administration API; absent means none. */
+  admin: z
+    .object({
+      listen: z.object({
+        host: z.string().min(1).default('127.0.0.1'),
+        port: z.number().int().min(0).max(65535),
+      }),
+      /** Bearer token; may be left out on loopback only. */
+      token: z.string().min(16).optional(),
+    })
+    .refine(
+      admin => admin.token !== undefined || admin.listen.host === '127.0.0.1',
+      {path: ['token'], message: 'needed unless listen.host is 127.0.0.1'},
+    )
+    .optional(),
+  /** Retries over all requests of this gate. */
+  retryBudget: z
+    .object({
+      /** Retries that each request earns. */
+      ratio: z.number().min(0).max(1).default(0.2),
+      /** Retries that may be saved up. */
+      burst: z.number().min(0).default(50),
+    })
+    .prefault({}),
   /** Exchange of records with other gates, for when the service is out of reach. */
   relay: z
     .object({
@@ -50,7 +74,7 @@
     .optional(),
   routing: z
     .object({
-      policy: RoutingPolicySchema.default('least-outstanding'),
+      policy: RoutingPolicySchema.default('class-load'),
       /** Most targets one request is tried on. */
       maxAttempts: z.number().int().positive().default(3),
       /** Targets of each pool to keep links to; 0 for all. */
@@ -69,6 +93,8 @@
     .object({
       prefillTokensPerSecond: z.number().positive().default(400_000),
       decodeStepMs: z.number().positive().default(8),
+      /** Refuses at once what no usable target can finish in its window. */
+      refusesLate: z.boolean().default(true),
     })
     .prefault({}),
   /**
--- a/packages/gate/src/streaming/reassembly.test.ts
+++ b/packages/gate/src/streaming/reassembly.test.ts
@@ -6,7 +6,7 @@
 // One seed, so that the suite gives the same verdict every time.
 fc.configureGlobal({seed: 20261202});
 
-async function reassemble(
+async function readInOrder(
   order: ReadonlyArray<{seq: number; text: string}>,
 ): Promise<string[]> {
   const stream = createChunkStream();
@@ -21,7 +21,7 @@
 describe('ordered reassembly', () => {
   it('releases early chunks only once the gap before them fills', async () => {
     expect(
-      await reassemble([
+      await readInOrder([
         {seq: 1, text: 'b'},
         {seq: 0, text: 'a'},
         {seq: 2, text: 'c'},
@@ -32,7 +32,7 @@
   it('drops the copies a resumed stream sends again', async () => {
     const first = [0, 1, 2].map(seq => ({seq, text: `p${seq}`}));
     const resumed = [0, 1, 2, 3, 4].map(seq => ({seq, text: `p${seq}`}));
-    expect(await reassemble([...first, ...resumed])).toEqual([
+    expect(await readInOrder([...first, ...resumed])).toEqual([
       'p0',
       'p1',
       'p2',
@@ -54,7 +54,7 @@
           ),
         ),
         async ([n, arrival]) => {
-          const out = await reassemble(
+          const out = await readInOrder(
             arrival.map(seq => ({seq, text: `t${seq}`})),
           );
           expect(out).toEqual([...Array(n).keys()].map(i => `t${i}`));
--- a/packages/nutmeggauge/src/bench/report.ts
+++ b/packages/nutmeggauge/src/bench/report.ts
@@ -12,29 +12,29 @@
 
 type Cell = readonly [title: string, read: (v: VariantResult) => string];
 
-const ms = (value: number) => value.toFixed(0);
-const ratio = (value: number) => value.toFixed(2);
+const formatMs = (value: number) => value.toFixed(0);
+const formatRatio = (value: number) => value.toFixed(2);
 
 /** Columns of the table, one row a variant. */
 const COLUMNS: readonly Cell[] = [
   ['variant', v => v.name],
-  ['HOL p50', v => ratio(v.headOfLine.p50)],
-  ['HOL p95', v => ratio(v.headOfLine.p95)],
-  ['HOL 1k-8k p50', v => ratio(v.headOfLineShortest.p50)],
-  ['HOL 1k-8k p95', v => ratio(v.headOfLineShortest.p95)],
-  ['short alone p95', v => ms(v.alone.shortTtft.p95)],
-  ['short mixed p95', v => ms(v.mixed.shortTtft.p95)],
+  ['HOL p50', v => formatRatio(v.headOfLine.p50)],
+  ['HOL p95', v => formatRatio(v.headOfLine.p95)],
+  ['HOL 1k-8k p50', v => formatRatio(v.headOfLineShortest.p50)],
+  ['HOL 1k-8k p95', v => formatRatio(v.headOfLineShortest.p95)],
+  ['short alone p95', v => formatMs(v.alone.shortTtft.p95)],
+  ['short mixed p95', v => formatMs(v.mixed.shortTtft.p95)],
   ...BUCKET_NAMES.map(
     name =>
       [
         `${name} p50/p95/p99`,
         (v: VariantResult) => {
           const {p50, p95, p99} = v.mixed.ttftByBucket[name];
-          return `${ms(p50)}/${ms(p95)}/${ms(p99)}`;
+          return `${formatMs(p50)}/${formatMs(p95)}/${formatMs(p99)}`;
         },
       ] as const,
   ),
-  ['ITL p95', v => ms(v.mixed.gaps.p95)],
+  ['ITL p95', v => formatMs(v.mixed.gaps.p95)],
   ['goodput/s', v => v.goodputPerSecond.toFixed(1)],
   ['refused', v => String(v.mixed.refused)],
   ['unknown', v => String(v.mixed.unknown)],
--- a/packages/nutmeggauge/src/bench/run-experiment.ts
+++ b/packages/nutmeggauge/src/bench/run-experiment.ts
@@ -103,7 +103,10 @@
     engine,
     gateSettings: {
       ...variant.gate,
-      estimate: {prefillTokensPerSecond: engine.prefillRate},
+      estimate: {
+        prefillTokensPerSecond: engine.prefillRate,
+        ...(variant.gate.estimate as object | undefined),
+      },
     },
     agentSettings: variant.agent,
   });
--- a/packages/nutmeggauge/src/bin.ts
+++ b/packages/nutmeggauge/src/bin.ts
@@ -4,6 +4,7 @@
  *   demo      whole deployment on loopback with the default workload
  *   bench     run experiment files and write their reports
  *   measure   measure the slopes behind docs/CAPACITY.md
+ *   capacity  work out docs/capacity/figures.md from those slopes
  *   timeline  merge the logs of every process of a run
  *   standin   run one stand-in of the platform (used by demo and bench)
  */
@@ -13,6 +14,7 @@
 import {runBench} from './bench/bench.js';
 import {runDemo} from './demo.js';
 import {isClean} from './load/summary.js';
+import {writeCapacity} from './measure/capacity.js';
 import {runMeasure} from './measure/measure.js';
 import {runStandIn} from './standin/run-standin.js';
 import {formatTimelineEvent, mergeTimeline} from './timeline/merge.js';
@@ -23,6 +25,7 @@
     $ nutmeggauge demo [--faults] [--seed N] [--routing POLICY] [--run-dir DIR]
     $ nutmeggauge bench <experiment.yaml…> [--run-dir DIR]
     $ nutmeggauge measure [--out DIR] [--run-dir DIR]
+    $ nutmeggauge capacity <folder of measured.json>
     $ nutmeggauge timeline <run-dir or .log files…>
     $ nutmeggauge standin <engine|config|hosts|plain> --id ID --port N
 
@@ -45,7 +48,7 @@
     flags: {
       faults: {type: 'boolean', default: false},
       seed: {type: 'number', default: 20261202},
-      routing: {type: 'string', default: 'least-outstanding'},
+      routing: {type: 'string', default: 'class-load'},
       runDir: {type: 'string'},
       out: {type: 'string'},
       id: {type: 'string', default: 'stand-in'},
@@ -93,6 +96,9 @@
     process.exit(0);
     break;
   }
+  case 'capacity':
+    process.stdout.write(writeCapacity(rest[0] ?? join('docs', 'capacity')));
+    break;
   case 'timeline':
     for (const event of mergeTimeline(rest))
       process.stdout.write(formatTimelineEvent(event) + '\n');
--- a/packages/nutmeggauge/src/cluster/launch-plan.ts
+++ b/packages/nutmeggauge/src/cluster/launch-plan.ts
@@ -24,6 +24,8 @@
   readonly launches: readonly Launch[];
   readonly targets: readonly ClusterTarget[];
   readonly gateUrls: readonly string[];
+  /** Administration APIs of the gates. */
+  readonly adminUrls: readonly string[];
   readonly configUrl: string;
 }
 
@@ -45,10 +47,11 @@
 
 /**
  * Lays out the processes of `spec` over `ports`: two for the platform, two
- * for each target (stand-in and agent), two for each gate (callers, relay).
+ * for each target (stand-in and agent), three for each gate (callers, relay,
+ * administration).
  *
  * @example
- * planLaunches(spec, await findFreePorts(2 + targets * 2 + spec.gates * 2)).launches;
+ * planLaunches(spec, await findFreePorts(2 + targets * 2 + spec.gates * 3)).launches;
  */
 export function planLaunches(
   spec: ClusterSpec,
@@ -62,11 +65,14 @@
     planTarget(spec, i, rest.slice(i * 2, i * 2 + 2)),
   );
   const gatePorts = rest.slice(count * 2, count * 2 + spec.gates);
-  const relayPorts = rest.slice(count * 2 + spec.gates);
+  const internal = rest.slice(count * 2 + spec.gates);
+  const relayPorts = internal.slice(0, spec.gates);
+  const adminPorts = internal.slice(spec.gates);
   return {
     configUrl,
     targets,
     gateUrls: gatePorts.map(port => `http://${HOST}:${port}`),
+    adminUrls: adminPorts.map(port => `http://${HOST}:${port}`),
     launches: [
       planStandIn('config', 'config-service', configPort),
       planStandIn('hosts', 'host-list', hostsPort, [
@@ -76,7 +82,12 @@
       ...targets.map((target, i) => planTargetStandIn(spec, target, i)),
       ...targets.map(target => planAgent(spec, target, configUrl)),
       ...gatePorts.map((port, i) =>
-        planGate(spec, i, port, {configUrl, hostListUrl, relayPorts}),
+        planGate(spec, i, port, {
+          configUrl,
+          hostListUrl,
+          relayPorts,
+          adminPort: adminPorts[i],
+        }),
       ),
     ],
   };
@@ -167,6 +178,7 @@
     readonly configUrl: string;
     readonly hostListUrl: string;
     readonly relayPorts: readonly number[];
+    readonly adminPort: number;
   },
 ): Launch {
   const name = `gate-${index + 1}`;
@@ -185,6 +197,7 @@
           listen: {host: HOST, port},
           configService: {url: shared.configUrl, waitMs: CONFIG_WAIT_MS},
           hostList: {url: shared.hostListUrl, pollMs: HOST_LIST_POLL_MS},
+          admin: {listen: {host: HOST, port: shared.adminPort}},
           relay: {
             listen: {host: HOST, port: shared.relayPorts[index]},
             peers: shared.relayPorts
--- a/packages/nutmeggauge/src/cluster/local-cluster.ts
+++ b/packages/nutmeggauge/src/cluster/local-cluster.ts
@@ -68,8 +68,8 @@
 /** Processes that are started at the same time. */
 const START_BATCH = 8;
 
-interface GateHealth {
-  readonly configVersion: number;
+interface GateState {
+  readonly version: number;
   readonly targets: ReadonlyArray<{readonly usable: boolean}>;
 }
 
@@ -136,7 +136,9 @@
   async waitUntilReady(timeoutMs = 30_000): Promise<void> {
     const giveUpAt = Date.now() + timeoutMs;
     while (Date.now() < giveUpAt) {
-      const states = await Promise.all(this.gateUrls.map(readGateHealth));
+      const states = await Promise.all(
+        this.layout.adminUrls.map(readGateState),
+      );
       if (states.every(state => this.isReady(state))) return;
       await waitMs(READY_POLL_MS);
     }
@@ -187,10 +189,10 @@
     this.children.set(name, await startChild(name, script, args, log));
   }
 
-  private isReady(state: GateHealth | undefined): boolean {
+  private isReady(state: GateState | undefined): boolean {
     return (
       state !== undefined &&
-      state.configVersion >= this.lastVersion &&
+      state.version >= this.lastVersion &&
       state.targets.length > 0 &&
       state.targets.every(target => target.usable)
     );
@@ -209,7 +211,7 @@
 ): Promise<LocalCluster> {
   mkdirSync(spec.runDir, {recursive: true});
   const targets = spec.engines + spec.plainServices;
-  const ports = await findFreePorts(2 + (targets + spec.gates) * 2);
+  const ports = await findFreePorts(2 + targets * 2 + spec.gates * 3);
   const cluster = new LocalCluster(spec, planLaunches(spec, ports));
   try {
     await cluster.start();
@@ -220,10 +222,19 @@
   return cluster;
 }
 
-async function readGateHealth(url: string): Promise<GateHealth | undefined> {
+async function readGateState(url: string): Promise<GateState | undefined> {
   try {
-    const response = await request(`${url}/healthz`);
-    return (await response.body.json()) as GateHealth;
+    const [status, targets] = await Promise.all(
+      ['status', 'targets'].map(async page => {
+        const response = await request(`${url}/v1/${page}`);
+        return response.body.json();
+      }),
+    );
+    const {record} = status as {record: {version: number}};
+    return {
+      version: record.version,
+      ...(targets as Omit<GateState, 'version'>),
+    };
   } catch {
     return undefined;
   }
--- /dev/null
+++ b/packages/nutmeggauge/src/e2e/admin.test.ts
@@ -0,0 +1,108 @@
+import {after, before, describe, it} from 'node:test';
+import {expect} from 'earl';
+import {request} from 'undici';
+import {GateSettingsSchema} from '@nutmeggauge/gate';
+import {
+  TEST_AUTH,
+  postJson,
+  readAdmin,
+  startStack,
+  stripVersion,
+  waitUntil,
+} from '../test/stack.js';
+import type {Stack} from '../test/stack.js';
+
+describe('administration API', () => {
+  let stack: Stack;
+  before(async () => {
+    stack = await startStack({engines: 1});
+  });
+  after(async () => {
+    await stack.close();
+  });
+
+  const adminUrl = () => `http://127.0.0.1:${stack.gate.adminPort}`;
+
+  it('shows what each account has used', async () => {
+    const body = {model: 'chat', prompt: 'x', max_tokens: 1};
+    await postJson(`${stack.gateUrl}/v1/completions`, body, TEST_AUTH);
+    const {accounts} = await readAdmin<{accounts: object[]}>(
+      stack.gate,
+      'accounts',
+    );
+    expect(accounts).toEqual([
+      {id: 'acct-a', inFlight: 0, admitted: 1, refused: 0},
+    ]);
+  });
+
+  it('checks a record before it is published', async () => {
+    const good = stack.record;
+    const bad = {...good, rules: [{pool: 'ordres', notRepeatable: true}]};
+    const check = (record: object) =>
+      postJson(`${adminUrl()}/v1/record/check`, record);
+    expect((await check(good)).body.ok).toEqual(true);
+    expect((await check(bad)).body).toEqual({
+      ok: false,
+      reason: '(root): rules: no pool ordres',
+    });
+  });
+
+  it('gives its figures in the text format of Prometheus', async () => {
+    const response = await request(`${adminUrl()}/metrics`);
+    const text = await response.body.text();
+    expect(text).toInclude('nutmeggauge_api_requests_total');
+    expect(text).toInclude('nutmeggauge_ttft_ms{quantile="0.95"}');
+  });
+
+  it('keeps the fleet off the port that callers reach', async () => {
+    // Any caller could list the targets and their addresses on /healthz, and
+    // read the gate's counters.
+    const health = await request(`${stack.gateUrl}/healthz`);
+    expect(Object.keys((await health.body.json()) as object)).toEqual([
+      'id',
+      'draining',
+      'configVersion',
+    ]);
+    const metrics = await request(`${stack.gateUrl}/metrics`);
+    expect(metrics.statusCode).toEqual(405);
+  });
+
+  it('needs a token on any address but loopback', () => {
+    const settings = {
+      id: 'g',
+      zone: 'az-1',
+      listen: {port: 0},
+      configService: {url: 'http://127.0.0.1:1'},
+      admin: {listen: {host: '10.0.0.1', port: 0}},
+    };
+    expect(GateSettingsSchema.safeParse(settings).success).toEqual(false);
+  });
+});
+
+describe('records of two schemas side by side', () => {
+  let stack: Stack;
+  before(async () => {
+    stack = await startStack({engines: 1});
+  });
+  after(async () => {
+    await stack.close();
+  });
+
+  it('leave a gate of this release on the newest record it can read', async () => {
+    // Operators move to schema 2 while gates of this release still run: they
+    // publish each change twice. A gate that was handed the schema 2 record
+    // refused it and was never told of the schema 1 record beside it.
+    const {config, gate} = stack;
+    const next = stripVersion(stack.record);
+    config.publish({...next, schemaVersion: 2});
+    const version = config.publish(next);
+    config.publish({...next, schemaVersion: 2});
+    await waitUntil(async () => {
+      const {record} = await readAdmin<{record: {version: number}}>(
+        gate,
+        'status',
+      );
+      return record.version === version;
+    });
+  });
+});
--- a/packages/nutmeggauge/src/e2e/at-most-once.test.ts
+++ b/packages/nutmeggauge/src/e2e/at-most-once.test.ts
@@ -17,7 +17,7 @@
 import type {Stack} from '../test/stack.js';
 
 const auth = TEST_AUTH;
-const submittedTotal = (stack: Stack) =>
+const countSubmitted = (stack: Stack) =>
   stack.engines.reduce((sum, e) => sum + e.scheduler.submitted, 0);
 const killBusyEngine = async (stack: Stack) => {
   let busy: Stack['engines'][number] | undefined;
@@ -70,7 +70,7 @@
     // A dealer's order request carries an Idempotency-Key; the engine dies
     // mid-answer. Resending could place the order twice, so the gate stops
     // and says "outcome unknown" with the request id, never "not run".
-    const before = submittedTotal(stack);
+    const before = countSubmitted(stack);
     const pending = postJson(
       `${stack.gateUrl}/v1/completions`,
       {model: 'chat', prompt: 'o'.repeat(4000), max_tokens: 150},
@@ -80,7 +80,7 @@
     const res = await pending;
     expect(res.status).toEqual(502);
     expect(res.body.error.type).toEqual('outcome_unknown');
-    expect(submittedTotal(stack) - before).toEqual(1);
+    expect(countSubmitted(stack) - before).toEqual(1);
   });
 });
 
@@ -232,7 +232,7 @@
     const repeat = await send();
     expect(repeat.status).toEqual(200);
     expect(repeat.body.choices[0].text).toEqual(renderWholeAnswer(7));
-    expect(submittedTotal(stack)).toEqual(1);
+    expect(countSubmitted(stack)).toEqual(1);
   });
 });
 
--- a/packages/nutmeggauge/src/e2e/fencing.test.ts
+++ b/packages/nutmeggauge/src/e2e/fencing.test.ts
@@ -1,7 +1,7 @@
 import {after, before, describe, it} from 'node:test';
 import {expect} from 'earl';
 import {EngineOrders} from '@nutmeggauge/agent';
-import {createConfigWatcher, createCounters} from '@nutmeggauge/core';
+import {createConfigWatcher, createCounters, readPort} from '@nutmeggauge/core';
 import {
   startConfigServiceStandIn,
   startEngineStandIn,
@@ -23,9 +23,6 @@
   ],
 });
 
-const portOf = (standIn: {readonly server: {address(): unknown}}) =>
-  (standIn.server.address() as {port: number}).port;
-
 for (const fencing of ['refuse', 'ignore'] as const) {
   describe(`orders to an engine that would ${fencing} old fences`, () => {
     let config: ConfigServiceStandIn;
@@ -41,12 +38,12 @@
     const startAgentOrders = async () => {
       const counters = createCounters();
       const watcher = createConfigWatcher({
-        url: `http://127.0.0.1:${portOf(config)}`,
+        url: `http://127.0.0.1:${readPort(config.server)}`,
         counters,
       });
       await watcher.confirmNewest();
       const orders = new EngineOrders({
-        engineUrl: `http://127.0.0.1:${portOf(engine)}`,
+        engineUrl: `http://127.0.0.1:${readPort(engine.server)}`,
         targetId: 'e',
         source: watcher,
         counters,
--- a/packages/nutmeggauge/src/e2e/streams.test.ts
+++ b/packages/nutmeggauge/src/e2e/streams.test.ts
@@ -88,7 +88,7 @@
       {id: 'frozen', agent: `127.0.0.1:${frozen.port}`, zone: 'az-1'},
       ...targets,
     ]);
-    await waitForGate(stack.gateUrl, version);
+    await waitForGate(stack.gate, version);
     const answers = await Promise.all(
       [1, 2, 3].map(() =>
         streamCompletion(stack.gateUrl, {...quote, max_tokens: 3}, TEST_AUTH),
--- /dev/null
+++ b/packages/nutmeggauge/src/e2e/subset.test.ts
@@ -0,0 +1,30 @@
+import {after, before, describe, it} from 'node:test';
+import {expect} from 'earl';
+import {countRuns, placeOrder, readUsable, startStack} from '../test/stack.js';
+import type {Stack} from '../test/stack.js';
+
+describe('gate that links to a subset of each pool', () => {
+  let stack: Stack;
+  before(async () => {
+    stack = await startStack({engines: 1, plain: 4, subsetSize: 1});
+  });
+  after(async () => {
+    await stack.close();
+  });
+
+  it('reaches the home of every key all the same', async () => {
+    // A gate of a large fleet keeps links to a few order desks only. A key
+    // whose home is another one must still run there and nowhere else, or
+    // its copies through other gates would not meet one ledger.
+    const linked = Object.keys(await readUsable(stack));
+    expect(linked.filter(id => id.startsWith('plain-')).length).toEqual(1);
+    for (let i = 0; i < 8; i++) {
+      const key = `o-subset-${i}`;
+      expect((await placeOrder(stack, key)).status).toEqual(200);
+      expect((await placeOrder(stack, key)).status).toEqual(200);
+      expect(countRuns(stack, key)).toEqual(1);
+    }
+    const used = stack.plain.filter(service => service.executions.length > 0);
+    expect(used.length).toBeGreaterThanOrEqual(2);
+  });
+});
--- a/packages/nutmeggauge/src/measure/agent-measures.ts
+++ b/packages/nutmeggauge/src/measure/agent-measures.ts
@@ -141,6 +141,64 @@
   ];
 }
 
+/** Tokens of each streamed answer. */
+const STREAM_TOKENS = 100;
+
+/** Processor time by streamed pieces a second, and by prompt text a second. */
+async function measureStreams(runDir: string): Promise<Slope[]> {
+  const platform = await startPlatform();
+  const [port] = await findFreePorts(1);
+  const agent = await startProbe('agent', runDir, {
+    id: 'agent-m',
+    zone: 'az-1',
+    listen: {host: HOST, port},
+    target: {kind: 'engine', url: platform.engineUrl},
+  });
+  const gates = await openGateLinks(4, port);
+  const measure = async (ratePerSecond: number, promptChars: number) => {
+    await waitMs(REST_MS);
+    const prompt = 'p'.repeat(promptChars);
+    const total = Math.round((ratePerSecond * LOAD_MS) / 1000);
+    const sends = Array.from({length: total}, async (_, i) => {
+      await waitMs((i * 1000) / ratePerSecond);
+      await gates.links[i % gates.links.length].call(RpcMethod.dispatch, {
+        ...buildCall(false),
+        kind: 'generate',
+        prompt,
+        maxTokens: STREAM_TOKENS,
+      });
+    });
+    const [share] = await Promise.all([
+      agent.measureCoreShare(LOAD_MS),
+      Promise.all(sends),
+    ]);
+    return share;
+  };
+  const byPieces: Array<[number, number]> = [];
+  for (const rate of [1, 5, 15, 30])
+    byPieces.push([rate * STREAM_TOKENS, await measure(rate, 400)]);
+  const byPrompt: Array<[number, number]> = [];
+  for (const kb of [1, 100, 400, 1000])
+    byPrompt.push([kb * 2, await measure(2, kb * 1000)]);
+  gates.close();
+  await agent.stop();
+  await platform.close();
+  return [
+    fitSlope(
+      'agent.core_percent_by_pieces_s',
+      'streamed pieces a second',
+      '% of a core',
+      byPieces,
+    ),
+    fitSlope(
+      'agent.core_percent_by_prompt_kb_s',
+      'prompt text, KB a second',
+      '% of a core',
+      byPrompt,
+    ),
+  ];
+}
+
 /** Memory by keys in the ledger. */
 async function measureLedger(runDir: string): Promise<Slope[]> {
   const rss: Array<[number, number]> = [];
@@ -174,6 +232,7 @@
   return [
     ...(await measureLinks(runDir)),
     ...(await measureRequests(runDir)),
+    ...(await measureStreams(runDir)),
     ...(await measureLedger(runDir)),
   ];
 }
--- a/packages/nutmeggauge/src/measure/fixtures.ts
+++ b/packages/nutmeggauge/src/measure/fixtures.ts
@@ -12,6 +12,7 @@
 } from '@nutmeggauge/core';
 import {
   startConfigServiceStandIn,
+  startEngineStandIn,
   startPlainServiceStandIn,
 } from '@nutmeggauge/standins';
 import type {Agent} from '@nutmeggauge/agent';
@@ -32,7 +33,8 @@
 }
 
 /**
- * Builds a record of `accounts` client accounts and one plain pool.
+ * Builds a record of `accounts` client accounts, a plain pool `orders` and a
+ * pool `chat` of engines.
  *
  * @example
  * buildRecord(3700, targets);
@@ -40,17 +42,21 @@
 export function buildRecord(
   accounts: number,
   targets: readonly RecordTarget[],
+  engines: readonly RecordTarget[] = [],
 ): Record<string, unknown> {
   return {
     schemaVersion: 1,
     accounts: Array.from({length: accounts}, (_, i) => ({
       id: `account-${i}`,
       keys: [`measure-key-${String(i).padStart(4, '0')}`],
-      pools: ['orders'],
+      pools: ['orders', 'chat'],
       maxConcurrent: 10_000,
       ratePerSecond: 10_000,
     })),
-    pools: [{id: 'orders', kind: 'plain', targets}],
+    pools: [
+      {id: 'orders', kind: 'plain', targets},
+      {id: 'chat', kind: 'engine', targets: engines},
+    ],
     rules: [{pool: 'orders', op: 'place-order', notRepeatable: true}],
   };
 }
@@ -75,28 +81,40 @@
   readonly configUrl: string;
   readonly plain: PlainServiceStandIn;
   readonly plainUrl: string;
+  readonly engineUrl: string;
   close(): Promise<void>;
 }
 
+/** An engine that costs the measured process little but the pieces themselves. */
+const FAST_ENGINE = {
+  id: 'engine-m',
+  prefillTokensPerSecond: 1e9,
+  prefillChunkTokens: 1e9,
+  decodeStepMs: 5,
+};
+
 /** Starts the platform's stand-ins in this process. */
 export async function startPlatform(): Promise<Platform> {
   const config = await startConfigServiceStandIn(HOST, 0);
   const plain = await startPlainServiceStandIn(HOST, 0, 1);
+  const engine = await startEngineStandIn(FAST_ENGINE, HOST, 0);
   return {
     config,
     configUrl: `http://${HOST}:${readPort(config.server)}`,
     plain,
     plainUrl: `http://${HOST}:${readPort(plain.server)}`,
+    engineUrl: `http://${HOST}:${readPort(engine.server)}`,
     close: async () => {
-      await Promise.all([config.close(), plain.close()]);
+      await Promise.all([config, plain, engine].map(s => s.close()));
     },
   };
 }
 
-/** Starts `count` agents in this process, all before one plain service. */
+/** Starts `count` agents in this process, all before one target. */
 export async function startAgents(
   count: number,
-  plainUrl: string,
+  url: string,
+  kind: 'plain' | 'engine' = 'plain',
 ): Promise<{
   readonly agents: readonly Agent[];
   readonly targets: readonly RecordTarget[];
@@ -108,7 +126,7 @@
         id: `near-${i}`,
         zone: 'az-1',
         listen: {host: HOST, port: 0},
-        target: {kind: 'plain', url: plainUrl},
+        target: {kind, url},
         ledger: {bootstrap: true},
       }),
     ),
--- a/packages/nutmeggauge/src/measure/gate-measures.ts
+++ b/packages/nutmeggauge/src/measure/gate-measures.ts
@@ -31,11 +31,12 @@
   platform: Platform,
   routing: Readonly<Record<string, unknown>> = {},
 ): Promise<Probe> {
-  const [port] = await findFreePorts(1);
+  const [port, adminPort] = await findFreePorts(2);
   return startProbe('gate', runDir, {
     id: 'gate-m',
     zone: 'az-1',
     listen: {host: HOST, port},
+    admin: {listen: {host: HOST, port: adminPort}},
     configService: {url: platform.configUrl},
     routing,
   });
@@ -51,9 +52,7 @@
     await waitMs(REST_MS);
     const before = await gate.readUsage();
     const version = platform.config.publish(buildRecord(accounts, []));
-    await measureUntil(
-      async () => (await gate.readHealth()).configVersion === version,
-    );
+    await measureUntil(async () => (await gate.readVersion()) === version);
     await waitMs(REST_MS);
     const after = await gate.readUsage();
     rss.push([accounts, after.rssMb]);
@@ -93,7 +92,7 @@
     platform.config.publish(buildRecord(10, near.targets));
     const gate = await startGate(runDir, platform);
     await measureUntil(async () => {
-      const {targets} = await gate.readHealth();
+      const targets = await gate.listTargets();
       return targets.length === links && targets.every(t => t.usable);
     });
     await waitMs(REST_MS);
@@ -127,7 +126,7 @@
   platform.config.publish(buildRecord(10, near.targets));
   const gate = await startGate(runDir, platform);
   await measureUntil(async () => {
-    const {targets} = await gate.readHealth();
+    const targets = await gate.listTargets();
     return targets.length === 8 && targets.every(t => t.usable);
   });
   for (const rate of [5, 20, 80, 160]) {
@@ -182,6 +181,88 @@
   );
 }
 
+/** Tokens of each streamed answer. */
+const STREAM_TOKENS = 100;
+
+/** Starts a gate before four engines' agents, ready to stream. */
+async function startStreaming(runDir: string) {
+  const platform = await startPlatform();
+  const near = await startAgents(4, platform.engineUrl, 'engine');
+  platform.config.publish(buildRecord(1, [], near.targets));
+  const gate = await startGate(runDir, platform);
+  await measureUntil(async () => {
+    const targets = await gate.listTargets();
+    return targets.length === 4 && targets.every(t => t.usable);
+  });
+  return {
+    gate,
+    close: async () => {
+      near.close();
+      await gate.stop();
+      await platform.close();
+    },
+  };
+}
+
+/** Processor time by streamed pieces a second, and by prompt text a second. */
+async function measureStreams(runDir: string): Promise<Slope[]> {
+  const {gate, close} = await startStreaming(runDir);
+  const measure = async (ratePerSecond: number, promptChars: number) => {
+    await waitMs(REST_MS);
+    const [share] = await Promise.all([
+      gate.measureCoreShare(LOAD_MS),
+      sendStreams(gate.port, ratePerSecond, 'p'.repeat(promptChars)),
+    ]);
+    return share;
+  };
+  const byPieces: Array<[number, number]> = [];
+  for (const rate of [1, 5, 15, 30])
+    byPieces.push([rate * STREAM_TOKENS, await measure(rate, 400)]);
+  const byPrompt: Array<[number, number]> = [];
+  for (const kb of [1, 100, 400, 1000])
+    byPrompt.push([kb * 2, await measure(2, kb * 1000)]);
+  await close();
+  return [
+    fitSlope(
+      'gate.core_percent_by_pieces_s',
+      'streamed pieces a second',
+      '% of a core',
+      byPieces,
+    ),
+    fitSlope(
+      'gate.core_percent_by_prompt_kb_s',
+      'prompt text, KB a second',
+      '% of a core',
+      byPrompt,
+    ),
+  ];
+}
+
+async function sendStreams(
+  port: number,
+  ratePerSecond: number,
+  prompt: string,
+): Promise<void> {
+  const total = Math.round((ratePerSecond * LOAD_MS) / 1000);
+  const body = JSON.stringify({
+    model: 'chat',
+    prompt,
+    max_tokens: STREAM_TOKENS,
+    stream: true,
+  });
+  await Promise.all(
+    Array.from({length: total}, async (_, i) => {
+      await waitMs((i * 1000) / ratePerSecond);
+      const response = await request(`http://${HOST}:${port}/v1/completions`, {
+        method: 'POST',
+        headers: {authorization: `Bearer ${MEASURE_KEY}`},
+        body,
+      });
+      await response.body.dump();
+    }),
+  );
+}
+
 /** Measures every slope of the gate. */
 export async function measureGate(runDir: string): Promise<readonly Slope[]> {
   return [
@@ -189,6 +270,7 @@
     ...(await measureTargets(runDir)),
     ...(await measureLinks(runDir)),
     ...(await measureRequests(runDir)),
+    ...(await measureStreams(runDir)),
   ];
 }
 
@@ -225,7 +307,7 @@
   platform.config.publish(buildRecord(1, targets));
   const gate = await startGate(runDir, platform);
   const isUsable = async (id: string) =>
-    (await gate.readHealth()).targets.find(t => t.id === id)?.usable === true;
+    (await gate.listTargets()).find(t => t.id === id)?.usable === true;
   await measureUntil(async () =>
     (await Promise.all(targets.map(t => isUsable(t.id)))).every(Boolean),
   );
--- a/packages/nutmeggauge/src/measure/probe.ts
+++ b/packages/nutmeggauge/src/measure/probe.ts
@@ -37,6 +37,7 @@
   constructor(
     private readonly child: ChildHandle,
     readonly port: number,
+    private readonly adminPort: number,
   ) {}
 
   async readUsage(): Promise<Usage> {
@@ -54,25 +55,33 @@
 
   /** Counters of a gate, by name. */
   async readCounters(): Promise<Readonly<Record<string, number>>> {
-    const response = await request(`http://127.0.0.1:${this.port}/metrics`);
-    const body = (await response.body.json()) as {
-      counters: Record<string, number>;
-    };
+    const body = await this.readAdmin<{counters: Record<string, number>}>(
+      'counters',
+    );
     return body.counters;
   }
 
-  /** What a gate says of itself on `/healthz`. */
-  async readHealth(): Promise<{
-    readonly configVersion: number;
-    readonly targets: ReadonlyArray<{
-      readonly id: string;
-      readonly usable: boolean;
-    }>;
-  }> {
-    const response = await request(`http://127.0.0.1:${this.port}/healthz`);
-    return (await response.body.json()) as Awaited<
-      ReturnType<Probe['readHealth']>
-    >;
+  /** Targets that a gate keeps links to. */
+  async listTargets(): Promise<
+    ReadonlyArray<{readonly id: string; readonly usable: boolean}>
+  > {
+    const body = await this.readAdmin<{
+      targets: Array<{id: string; usable: boolean}>;
+    }>('targets');
+    return body.targets;
+  }
+
+  /** Version of the record that a gate holds. */
+  async readVersion(): Promise<number> {
+    const body = await this.readAdmin<{record: {version: number}}>('status');
+    return body.record.version;
+  }
+
+  private async readAdmin<T>(page: string): Promise<T> {
+    const response = await request(
+      `http://127.0.0.1:${this.adminPort}/v1/${page}`,
+    );
+    return (await response.body.json()) as T;
   }
 
   signal(signal: NodeJS.Signals): void {
@@ -98,6 +107,7 @@
   runDir: string,
   settings: Readonly<Record<string, unknown>> & {
     readonly listen: ListenAddress;
+    readonly admin?: {readonly listen: ListenAddress};
   },
 ): Promise<Probe> {
   mkdirSync(runDir, {recursive: true});
@@ -110,7 +120,11 @@
     ['--config', file],
     join(runDir, `${name}.log`),
   );
-  return new Probe(child, settings.listen.port);
+  return new Probe(
+    child,
+    settings.listen.port,
+    settings.admin?.listen.port ?? 0,
+  );
 }
 
 /**
--- a/packages/nutmeggauge/src/properties/protocol.test.ts
+++ b/packages/nutmeggauge/src/properties/protocol.test.ts
@@ -96,7 +96,7 @@
   },
 );
 
-const tick = (ms: number) => mock.timers.tick(ms);
+const advanceTimers = (ms: number) => mock.timers.tick(ms);
 
 async function runStep(world: World, next: Step): Promise<void> {
   switch (next.do) {
@@ -134,7 +134,7 @@
       world.applyRecord(next.gate, next.host);
       return;
     case 'wait':
-      await world.advance(next.ms, tick);
+      await world.advance(next.ms, advanceTimers);
   }
 }
 
@@ -182,9 +182,9 @@
           if (sincePublish >= CONFIG_BOUND_MS) world.settleRecord();
         }
         // Some requests meet their deadline at a frozen host; then all wake.
-        await world.advance(SETTLE_MS, tick, 100);
+        await world.advance(SETTLE_MS, advanceTimers, 100);
         for (let i = 0; i < HOSTS; i++) world.pickHost(i).thaw();
-        await world.advance(SETTLE_MS, tick, 100);
+        await world.advance(SETTLE_MS, advanceTimers, 100);
         for (const sent of world.sent) checkRequest(world, sent);
       }),
       {
--- a/packages/nutmeggauge/src/test/frozen-agent.ts
+++ b/packages/nutmeggauge/src/test/frozen-agent.ts
@@ -25,10 +25,8 @@
         draining: false,
         queued: 0,
         inFlight: 0,
-        pendingPrefillTokens: 0,
         pendingByClass: [0, 0, 0, 0],
         pendingDecodeTokens: 0,
-        sentAt: Date.now(),
       });
     beat();
     const timer = setInterval(beat, 100);
--- a/packages/nutmeggauge/src/test/stack.ts
+++ b/packages/nutmeggauge/src/test/stack.ts
@@ -4,7 +4,7 @@
  */
 import {request} from 'undici';
 import {AgentSettingsSchema, createAgent} from '@nutmeggauge/agent';
-import {findHome, readSseEvents, waitMs} from '@nutmeggauge/core';
+import {findHome, readPort, readSseEvents, waitMs} from '@nutmeggauge/core';
 import {createGate, GateSettingsSchema} from '@nutmeggauge/gate';
 import {
   startConfigServiceStandIn,
@@ -49,12 +49,11 @@
   /** Settings of every agent, over the tests' own. */
   readonly agent?: Readonly<Record<string, unknown>>;
   readonly resumable?: boolean;
+  /** Targets of each pool that the gate links to; 0 for all. */
+  readonly subsetSize?: number;
   readonly routing?: string;
 }
 
-const portOf = (server: {address(): unknown}) =>
-  (server.address() as {port: number}).port;
-
 export async function startStack(options: StackOptions = {}): Promise<Stack> {
   const config = await startConfigServiceStandIn('127.0.0.1', 0);
   const hostList = await startHostListStandIn('127.0.0.1', 0, 0);
@@ -76,15 +75,15 @@
     ...engines.map((e, i) => ({
       id: `engine-${i + 1}`,
       kind: 'engine' as const,
-      url: `http://127.0.0.1:${portOf(e.server)}`,
+      url: `http://127.0.0.1:${readPort(e.server)}`,
     })),
     ...plain.map((p, i) => ({
       id: `plain-${i + 1}`,
       kind: 'plain' as const,
-      url: `http://127.0.0.1:${portOf(p.server)}`,
+      url: `http://127.0.0.1:${readPort(p.server)}`,
     })),
   ];
-  const configUrl = `http://127.0.0.1:${portOf(config.server)}`;
+  const configUrl = `http://127.0.0.1:${readPort(config.server)}`;
   const startAgent = async (
     index: number,
     port: number,
@@ -159,7 +158,8 @@
   const version = config.publish(record);
   const gate = await startTestGate(configUrl, version, {
     routing: options.routing,
-    hostListUrl: `http://127.0.0.1:${portOf(hostList.server)}`,
+    subsetSize: options.subsetSize,
+    hostListUrl: `http://127.0.0.1:${readPort(hostList.server)}`,
   });
   const gateUrl = `http://127.0.0.1:${gate.port}`;
   return {
@@ -174,7 +174,7 @@
       const {port} = agents[index];
       agents[index].close();
       agents[index] = await startAgent(index, port, false);
-      await waitForGate(gateUrl, version);
+      await waitForGate(gate, version);
     },
     record: {...record, version},
     close: async () => {
@@ -212,15 +212,22 @@
   return ids.indexOf(findHome(ids, `acct-a:${key}`) ?? '');
 }
 
+/** Reads a page of a gate's administration API. */
+export async function readAdmin<T>(gate: Gate, page: string): Promise<T> {
+  const response = await request(
+    `http://127.0.0.1:${gate.adminPort}/v1/${page}`,
+  );
+  return (await response.body.json()) as T;
+}
+
 /** Which targets the gate would route to, by id. */
 export async function readUsable(
   stack: Stack,
 ): Promise<Record<string, boolean>> {
-  const response = await request(`${stack.gateUrl}/healthz`);
-  const health = (await response.body.json()) as {
+  const {targets} = await readAdmin<{
     targets: Array<{id: string; usable: boolean}>;
-  };
-  return Object.fromEntries(health.targets.map(t => [t.id, t.usable]));
+  }>(stack.gate, 'targets');
+  return Object.fromEntries(targets.map(t => [t.id, t.usable]));
 }
 
 /** Publishes the stack's record with other targets in the chat pool. */
@@ -243,6 +250,7 @@
   options: {
     readonly routing?: string;
     readonly hostListUrl?: string;
+    readonly subsetSize?: number;
     readonly peers?: readonly string[];
   } = {},
 ): Promise<Gate> {
@@ -256,10 +264,12 @@
         options.hostListUrl === undefined
           ? undefined
           : {url: options.hostListUrl, pollMs: 50},
+      admin: {listen: {port: 0}},
       relay: {listen: {port: 0}, peers: options.peers, periodMs: 100},
       routing: {
         policy: options.routing ?? 'least-outstanding',
         heartbeatStaleMs: 10_000,
+        subsetSize: options.subsetSize,
         acceptTimeoutMs: 300,
       },
       drainNoticeMs: 0,
@@ -267,7 +277,7 @@
     }),
   );
   await gate.start();
-  await waitForGate(`http://127.0.0.1:${gate.port}`, version);
+  await waitForGate(gate, version);
   return gate;
 }
 
@@ -340,28 +350,18 @@
 }
 
 /** Waits until the gate has `version` and every target is usable. */
-export async function waitForGate(
-  gateUrl: string,
-  version: number,
-): Promise<void> {
-  for (let i = 0; i < 400; i++) {
-    try {
-      const response = await request(`${gateUrl}/healthz`);
-      const health = (await response.body.json()) as {
-        configVersion: number;
-        targets: Array<{usable: boolean}>;
-      };
-      if (
-        health.configVersion >= version &&
-        health.targets.every(t => t.usable)
-      )
-        return;
-    } catch {
-      // not listening yet
-    }
-    await waitMs(25);
-  }
-  throw new Error('gate not ready');
+export async function waitForGate(gate: Gate, version: number): Promise<void> {
+  await waitUntil(async () => {
+    const {record} = await readAdmin<{record: {version: number}}>(
+      gate,
+      'status',
+    );
+    const {targets} = await readAdmin<{targets: Array<{usable: boolean}>}>(
+      gate,
+      'targets',
+    );
+    return record.version >= version && targets.every(t => t.usable);
+  }, 10_000);
 }
 
 /** Posts JSON to the gate and returns status, headers and parsed body. */
--- a/packages/nutmeggauge/src/test/world.ts
+++ b/packages/nutmeggauge/src/test/world.ts
@@ -23,6 +23,7 @@
   RoundRobinRouter,
   createChunkStream,
   createDispatcher,
+  createRetryBudget,
 } from '@nutmeggauge/gate';
 import type {
   ChunkNotice,
@@ -257,6 +258,7 @@
       counters: createCounters(),
       maxAttempts: 3,
       acceptTimeoutMs: 200,
+      retryBudget: createRetryBudget(),
     });
   }
 
--- a/packages/standins/src/config-service/server.ts
+++ b/packages/standins/src/config-service/server.ts
@@ -16,6 +16,8 @@
 } from '@nutmeggauge/core';
 import type {Server, ServerResponse} from 'node:http';
 
+type StoredRecord = Readonly<Record<string, unknown>>;
+
 /** How the stand-in answers readers. */
 export type ConfigServiceMode = 'up' | 'down' | 'stale';
 
@@ -55,7 +57,7 @@
   port: number,
 ): Promise<ConfigServiceStandIn> {
   const log = createLogger('config-service');
-  const records: Array<Readonly<Record<string, unknown>>> = [];
+  const records: StoredRecord[] = [];
   const watchers = new Set<() => void>();
   let mode: ConfigServiceMode = 'up';
   let calls = 0;
@@ -76,11 +78,24 @@
    * What a reader that holds version `after` is sent: the changed items when
    * the service still has that version, else the whole record.
    */
-  const renderFor = (after: number, sections: string | null): object => {
-    const latest = pickSections(records[records.length - 1], sections);
+  const renderFor = (
+    latest: StoredRecord,
+    after: number,
+    sections: string | null,
+  ): object => {
     const held = records[after - 1];
-    if (held === undefined) return latest;
-    return buildDelta(pickSections(held, sections), latest);
+    if (held === undefined) return pickSections(latest, sections);
+    return buildDelta(
+      pickSections(held, sections),
+      pickSections(latest, sections),
+    );
+  };
+
+  /** The newest record of a schema that the reader knows. */
+  const findLatest = (schemas: string | null): StoredRecord | undefined => {
+    if (schemas === null) return records.at(-1);
+    const known = new Set(schemas.split(',').map(Number));
+    return records.findLast(r => known.has(r.schemaVersion as number));
   };
 
   const server = createServer((req, res) => {
@@ -110,10 +125,11 @@
       Number(url.searchParams.get('waitMs') ?? 0),
     );
     const answer = (): boolean => {
-      const latest = records.at(-1);
+      const latest = findLatest(url.searchParams.get('schemas'));
       if (latest === undefined || (latest.version as number) <= after)
         return false;
-      sendJson(res, 200, renderFor(after, url.searchParams.get('sections')));
+      const sections = url.searchParams.get('sections');
+      sendJson(res, 200, renderFor(latest, after, sections));
       return true;
     };
     if (answer() || waitFor <= 0) {
--- a/packages/standins/src/engine/scheduler.ts
+++ b/packages/standins/src/engine/scheduler.ts
@@ -190,7 +190,7 @@
       producing.push(sequence);
     }
     for (const sequence of producing) {
-      if (sequence.reserved) this.produceToken(sequence);
+      if (sequence.reserved) this.sendToken(sequence);
     }
     this.startStep();
   }
@@ -249,7 +249,7 @@
     return reads;
   }
 
-  private produceToken(sequence: Sequence): void {
+  private sendToken(sequence: Sequence): void {
     sequence.listener.onToken(
       sequence.generated,
       ` ${sequence.letter}${sequence.generated}`,
--- /dev/null
+++ b/scripts/check-verbs.mjs
@@ -0,0 +1,66 @@
+// Checks that every function and method name begins with a verb listed in
+// docs/VERBS.md (house style). Prints each name that does not, and exits 1.
+import {readFileSync, readdirSync} from 'node:fs';
+import {join} from 'node:path';
+import ts from 'typescript';
+
+/** First words that need no verb: lifecycle hooks of Node and of libraries. */
+const EXEMPT = /^(constructor|on[A-Z])/;
+
+const verbs = new Set(
+  readFileSync('docs/VERBS.md', 'utf8')
+    .split('\n')
+    .filter(line => line.startsWith('| '))
+    .flatMap(line => line.split('|')[1].split(','))
+    .map(word => word.trim())
+    .filter(word => /^[a-z]+$/.test(word)),
+);
+
+function listSources(dir) {
+  return readdirSync(dir, {withFileTypes: true}).flatMap(entry => {
+    const path = join(dir, entry.name);
+    if (entry.isDirectory())
+      return entry.name === 'dist' || entry.name === 'node_modules'
+        ? []
+        : listSources(path);
+    return path.endsWith('.ts') ? [path] : [];
+  });
+}
+
+function findName(node) {
+  if (ts.isFunctionDeclaration(node) || ts.isMethodDeclaration(node))
+    return node.name;
+  // Arrow functions count when the whole module sees them.
+  const isArrow =
+    ts.isVariableDeclaration(node) &&
+    node.parent.parent.parent.kind === ts.SyntaxKind.SourceFile &&
+    node.initializer !== undefined &&
+    ts.isArrowFunction(node.initializer);
+  return isArrow ? node.name : undefined;
+}
+
+let failures = 0;
+for (const path of listSources('packages')) {
+  const source = ts.createSourceFile(
+    path,
+    readFileSync(path, 'utf8'),
+    ts.ScriptTarget.ES2022,
+    true,
+  );
+  const visit = node => {
+    const name = findName(node);
+    const text = name !== undefined && ts.isIdentifier(name) ? name.text : '';
+    const first = /^[a-z]+/.exec(text)?.[0] ?? '';
+    if (text !== '' && !EXEMPT.test(text) && !verbs.has(first)) {
+      const {line} = source.getLineAndCharacterOfPosition(node.getStart());
+      console.error(`${path}:${line + 1} ${text}`);
+      failures++;
+    }
+    ts.forEachChild(node, visit);
+  };
+  visit(source);
+}
+if (failures > 0) {
+  console.error(`${failures} names do not begin with a verb of docs/VERBS.md`);
+  process.exit(1);
+}
