--- a/packages/agent/src/reporting/load-reporter.ts
+++ b/packages/agent/src/reporting/load-reporter.ts
@@ -1,14 +1,18 @@
 /**
- * Load reports to gates. A link with requests in flight, or one that had
- * them a moment ago, hears of a change at once, and of those that follow at
- * most every `reportMs`; every other link gets a slow heartbeat. So the cost of control grows with
+ * Load reports to gates. A link in use hears of a change at once, and of
+ * those that follow at most every `reportMs`; every other link gets a slow
+ * heartbeat. So the cost of control grows with
  * the traffic of a node and not with the number of gates and targets.
  */
 import {RpcMethod} from '@nutmeggauge/core';
 import type {LoadReport, RpcLink} from '@nutmeggauge/core';
 
-/** How long after its last dispatch a link counts as in use, in ms. */
-const IN_USE_MS = 2000;
+/**
+ * A link counts as in use once it brought two dispatches within this time, in
+ * ms. A gate of a large fleet sends a target a request a minute: fresh
+ * figures on such a link would be old again before its next choice.
+ */
+const IN_USE_MS = 5000;
 
 /** Options of a load reporter. */
 export interface LoadReporterOptions {
@@ -20,13 +24,15 @@
 }
 
 interface LinkState {
+  /** Times of the last dispatch and of the one before it, in epoch ms. */
   lastDispatchAt: number;
+  formerDispatchAt: number;
   lastSentAt: number;
   lastSent: string;
 }
 
 function isInUse(state: LinkState, now: number): boolean {
-  return now - state.lastDispatchAt <= IN_USE_MS;
+  return now - state.formerDispatchAt <= IN_USE_MS;
 }
 
 /**
@@ -52,7 +58,12 @@
 
   /** Takes in a new link and reports to it at once. */
   addLink(link: RpcLink): void {
-    this.links.set(link, {lastDispatchAt: 0, lastSentAt: 0, lastSent: ''});
+    this.links.set(link, {
+      lastDispatchAt: 0,
+      formerDispatchAt: 0,
+      lastSentAt: 0,
+      lastSent: '',
+    });
     this.broadcast([link]);
   }
 
@@ -60,10 +71,12 @@
     this.links.delete(link);
   }
 
-  /** Marks a link as in use. */
+  /** Records that a link brought a request. */
   markDispatch(link: RpcLink): void {
     const state = this.links.get(link);
-    if (state !== undefined) state.lastDispatchAt = Date.now();
+    if (state === undefined) return;
+    state.formerDispatchAt = state.lastDispatchAt;
+    state.lastDispatchAt = Date.now();
   }
 
   /**
--- a/packages/gate/src/admission/estimate.test.ts
+++ b/packages/gate/src/admission/estimate.test.ts
@@ -1,7 +1,7 @@
 import {describe, it} from 'node:test';
 import {expect} from 'earl';
+import {createTarget} from '../test/target.js';
 import {estimateFinishMs} from './estimate.js';
-import type {TargetView} from '../membership/target-link.js';
 
 const figures = {
   prefillTokensPerSecond: 100_000,
@@ -9,33 +9,19 @@
   refusesLate: true,
 };
 
-const createTarget = (pendingByClass: readonly number[]): TargetView => ({
-  id: 'e1',
-  zone: 'az-1',
-  outstanding: 0,
-  unreportedByClass: [0, 0, 0, 0],
-  load: {
-    draining: false,
-    queued: 0,
-    inFlight: 0,
-    pendingByClass,
-    pendingDecodeTokens: 0,
-  },
-});
-
 describe('admission estimate', () => {
   it('counts the short prompts that stand before a short one', () => {
     // At a rush of short questions each was admitted on the time of its own
     // prompt alone, and subscribers heard "too late" after their window
     // instead of "come back" at its start.
     const request = {promptTokens: 5000, maxTokens: 10};
-    const busy = createTarget([500_000, 0, 0, 0]);
+    const busy = createTarget('e1', [500_000, 0, 0, 0]);
     expect(estimateFinishMs(busy, request, figures)).toEqual(5150);
   });
 
   it('leaves out the long prompts that a short one is read before', () => {
     const request = {promptTokens: 5000, maxTokens: 10};
-    const beside = createTarget([0, 0, 0, 900_000]);
+    const beside = createTarget('e1', [0, 0, 0, 900_000]);
     expect(estimateFinishMs(beside, request, figures)).toEqual(150);
   });
 });
--- a/packages/gate/src/api/results.ts
+++ b/packages/gate/src/api/results.ts
@@ -9,6 +9,9 @@
 import type {DispatchResult} from '../dispatch/dispatcher.js';
 import type {CallerRequest} from './requests.js';
 
+/** When a caller whose request ran out of time unrun may come back, in ms. */
+const RETRY_AFTER_MS = 1000;
+
 /** An answer that did not stream. */
 export interface CollectedAnswer {
   readonly text: string;
@@ -112,10 +115,10 @@
     ];
   }
   if (result.status === 'deadline') {
-    const reason = result.ran
-      ? 'deadline_passed_may_have_run'
-      : 'deadline_passed_not_run';
-    return [504, renderError('deadline_exceeded', reason, requestId), {}];
+    const [reason, headers] = result.ran
+      ? ['deadline_passed_may_have_run', {}]
+      : ['deadline_passed_not_run', toRetryAfter(RETRY_AFTER_MS)];
+    return [504, renderError('deadline_exceeded', reason, requestId), headers];
   }
   return [502, renderError('outcome_unknown', result.reason, requestId), {}];
 }
--- a/packages/gate/src/membership/agent-connection.ts
+++ b/packages/gate/src/membership/agent-connection.ts
@@ -57,6 +57,12 @@
   readonly readRecord: () => ConfigRecord | undefined;
 }
 
+/** The wait for one dispatch's receipt. */
+interface Receipt {
+  readonly silence: Promise<never>;
+  readonly markAccepted: () => void;
+}
+
 interface InFlight {
   readonly onChunk: ChunkHandler;
   readonly markAccepted: () => void;
@@ -159,23 +165,10 @@
     this.outstanding++;
     this.unreportedByClass[findLengthClass(bounds.promptTokens)] +=
       bounds.promptTokens;
-    let acceptTimer: NodeJS.Timeout | undefined;
-    const silence = new Promise<never>((_resolve, reject) => {
-      if (bounds.acceptMs === undefined) return;
-      acceptTimer = setTimeout(() => {
-        // No load report from before this moment may call the agent usable.
-        this.lastReportAt = 0;
-        reject(
-          new RpcFailedError(
-            {info: {target: this.id}},
-            `${this.id} took no request in ${bounds.acceptMs} ms`,
-          ),
-        );
-      }, bounds.acceptMs);
-    });
+    const receipt = this.waitReceipt(bounds.acceptMs);
     this.inFlight.set(request.requestId, {
       onChunk,
-      markAccepted: () => clearTimeout(acceptTimer),
+      markAccepted: receipt.markAccepted,
     });
     const answer = link.call<DispatchOutcome>(
       RpcMethod.dispatch,
@@ -185,9 +178,9 @@
     // When silence wins, the late answer of the call has no reader.
     answer.catch(() => undefined);
     try {
-      return await Promise.race([answer, silence]);
+      return await Promise.race([answer, receipt.silence]);
     } finally {
-      clearTimeout(acceptTimer);
+      receipt.markAccepted();
       this.outstanding--;
       this.inFlight.delete(request.requestId);
     }
@@ -197,6 +190,25 @@
     this.link?.notify(RpcMethod.cancel, {requestId});
   }
 
+  /**
+   * Starts the wait for an agent's receipt; `silence` rejects when none comes
+   * in time. Without `acceptMs` it never does.
+   */
+  private waitReceipt(acceptMs: number | undefined): Receipt {
+    if (acceptMs === undefined)
+      return {silence: new Promise(() => {}), markAccepted: () => {}};
+    let timer: NodeJS.Timeout | undefined;
+    const silence = new Promise<never>((_resolve, reject) => {
+      timer = setTimeout(() => {
+        // No load report from before this moment may call the agent usable.
+        this.lastReportAt = 0;
+        const message = `${this.id} took no request in ${acceptMs} ms`;
+        reject(new RpcFailedError({info: {target: this.id}}, message));
+      }, acceptMs);
+    });
+    return {silence, markAccepted: () => clearTimeout(timer)};
+  }
+
   private async runConnectLoop(): Promise<void> {
     let backoffMs = BACKOFF_MIN_MS;
     while (this.running) {
--- a/packages/gate/src/routing/load-routers.test.ts
+++ b/packages/gate/src/routing/load-routers.test.ts
@@ -1,28 +1,10 @@
 import {describe, it} from 'node:test';
 import {expect} from 'earl';
+import {createTarget} from '../test/target.js';
 import {ClassLoadRouter, TokenLoadRouter} from './load-routers.js';
 import {hashPrefixes} from './prefix-memory.js';
-import type {TargetView} from '../membership/target-link.js';
 import type {RouteRequest} from './router.js';
 
-const createTarget = (
-  id: string,
-  pendingByClass: readonly number[],
-  unreportedByClass: readonly number[] = [0, 0, 0, 0],
-): TargetView => ({
-  id,
-  zone: 'az-1',
-  outstanding: 0,
-  unreportedByClass,
-  load: {
-    draining: false,
-    queued: 0,
-    inFlight: 0,
-    pendingByClass,
-    pendingDecodeTokens: 0,
-  },
-});
-
 const createRequest = (prompt: string): RouteRequest => ({
   promptTokens: prompt.length / 4,
   maxTokens: 16,
--- a/packages/nutmeggauge/src/bench/charts.ts
+++ b/packages/nutmeggauge/src/bench/charts.ts
@@ -23,7 +23,8 @@
   chart.setOption({
     animation: false,
     backgroundColor: '#fff',
-    legend: {bottom: 0},
+    // Without a browser text widths are estimated too small.
+    legend: {bottom: 0, itemGap: 36},
     grid: {left: 70, right: 20, top: 50, bottom: 70},
     ...option,
   });
@@ -47,7 +48,11 @@
 ): string {
   return renderSvg({
     title: {text: title},
-    xAxis: {type: 'category', data: [...categories]},
+    xAxis: {
+      type: 'category',
+      data: [...categories],
+      axisLabel: {interval: 0, fontSize: 10},
+    },
     yAxis: isLog ? {type: 'log', logBase: 10} : {type: 'value'},
     series: series.map(({name, values}) => ({
       name,
--- a/packages/nutmeggauge/src/measure/capacity.ts
+++ b/packages/nutmeggauge/src/measure/capacity.ts
@@ -70,6 +70,20 @@
   }
 }
 
+/** What a process of one role meets at the letter's size. */
+interface RoleLoad {
+  readonly role: 'gate' | 'agent';
+  readonly links: number;
+  readonly requestsPerSecond: number;
+  readonly piecesPerSecond: number;
+  /** Memory beside that of its links, in MB, and what it is made of. */
+  readonly stateMb: number;
+  readonly state: string;
+  /** Processor time of taking records in, in % of a core. */
+  readonly recordCorePercent: number;
+  readonly recordBytesPerSecond: number;
+}
+
 /**
  * Lists every figure at the letter's size.
  *
@@ -78,143 +92,111 @@
  */
 export function listFigures(measurement: Measurement): readonly Row[] {
   const slopes = new Slopes(measurement);
-  const targetsPerModel = SIZE.targets / SIZE.models;
-  const gateLinks = SIZE.models * SETTINGS.subsetSize;
-  const agentLinks = (SIZE.gates * SETTINGS.subsetSize) / targetsPerModel;
   return [
-    ...listGateFigures(slopes, gateLinks),
-    ...listAgentFigures(slopes, agentLinks),
+    ...listRoleFigures(slopes, describeGate(slopes)),
+    ...listRoleFigures(slopes, describeAgent(slopes)),
     ...listConfigFigures(slopes),
   ];
 }
 
-/** Idle bytes at the heartbeat of that size, from those measured at 1 s. */
-function toLongHeartbeat(bytesPerSecond: number): number {
-  return (bytesPerSecond * MEASURED_HEARTBEAT_MS) / SETTINGS.heartbeatMs;
+/** Idle cost at the heartbeat of that size, from the one measured at 1 s. */
+function toLongHeartbeat(perSecond: number): number {
+  return (perSecond * MEASURED_HEARTBEAT_MS) / SETTINGS.heartbeatMs;
 }
 
-function listGateFigures(slopes: Slopes, links: number): readonly Row[] {
-  const requests = SIZE.requestsPerSecond / SIZE.gates;
-  const pieces = SIZE.tokensPerSecond / SIZE.gates;
-  const promptKb = requests * PROMPT_KB_PER_REQUEST;
-  const idleBytes = toLongHeartbeat(
-    slopes.readSlope('gate.control_bytes_s_by_links') * links,
+/** Cost a second of something that each change of the configuration costs. */
+function toPerSecond(perChange: number): number {
+  return (perChange * SIZE.changesPerDay) / SECONDS_PER_DAY;
+}
+
+function describeGate(slopes: Slopes): RoleLoad {
+  const recordCpuMs = slopes.readAt(
+    'gate.record_cpu_ms_by_accounts',
+    SIZE.accounts,
   );
-  const callBytes =
-    slopes.readSlope('gate.control_bytes_s_by_calls_s') * requests;
-  const configBytes =
-    (slopes.readAt('config.gate_delta_bytes_by_accounts', SIZE.accounts) *
-      SIZE.changesPerDay) /
-    SECONDS_PER_DAY;
-  const memory =
-    slopes.readAt('gate.rss_mb_by_accounts', SIZE.accounts) +
-    slopes.readSlope('gate.rss_mb_by_targets') * SIZE.targets +
-    slopes.readSlope('gate.rss_mb_by_links') * links;
-  const recordCpu =
-    (slopes.readAt('gate.record_cpu_ms_by_accounts', SIZE.accounts) *
-      SIZE.changesPerDay) /
-    SECONDS_PER_DAY /
-    10;
-  const idleCpu =
-    slopes.readAt('gate.idle_core_percent_by_links', 0) +
-    toLongHeartbeat(
-      slopes.readSlope('gate.idle_core_percent_by_links') * links,
-    );
-  const dataCpu =
-    slopes.readSlope('gate.core_percent_by_calls_s') * requests +
-    slopes.readSlope('gate.core_percent_by_pieces_s') * pieces +
-    slopes.readSlope('gate.core_percent_by_prompt_kb_s') * promptKb;
-  return [
-    {
-      role: 'gate',
-      figure: 'memory',
-      working: `record of ${SIZE.accounts} accounts and ${SIZE.targets} targets, ${links} links`,
-      value: memory,
-      unit: 'MB',
-      budget: BUDGET.memoryMb,
-    },
-    {
-      role: 'gate',
-      figure: 'processor time, control',
-      working: `${links} idle links at a ${SETTINGS.heartbeatMs / 1000} s heartbeat + ${SIZE.changesPerDay} records a day`,
-      value: idleCpu + recordCpu,
-      unit: '% of a core',
-      budget: BUDGET.corePercent,
-    },
-    {
-      role: 'gate',
-      figure: 'control bytes',
-      working: `${links} heartbeats each ${SETTINGS.heartbeatMs / 1000} s (${idleBytes.toFixed(0)}) + ${requests.toFixed(2)} requests/s (${callBytes.toFixed(0)}) + changes (${configBytes.toFixed(0)})`,
-      value: idleBytes + callBytes + configBytes,
-      unit: 'bytes/s',
-      budget: BUDGET.bytesPerSecond,
-    },
-    {
-      role: 'gate',
-      figure: 'processor time, traffic',
-      working: `${requests.toFixed(2)} requests/s, ${pieces.toFixed(0)} pieces/s, ${promptKb.toFixed(0)} KB/s of prompts`,
-      value: dataCpu,
-      unit: '% of a core',
-    },
-  ];
+  return {
+    role: 'gate',
+    links: SIZE.models * SETTINGS.subsetSize,
+    requestsPerSecond: SIZE.requestsPerSecond / SIZE.gates,
+    piecesPerSecond: SIZE.tokensPerSecond / SIZE.gates,
+    stateMb:
+      slopes.readAt('gate.rss_mb_by_accounts', SIZE.accounts) +
+      slopes.readSlope('gate.rss_mb_by_targets') * SIZE.targets,
+    state: `record of ${SIZE.accounts} accounts and ${SIZE.targets} targets`,
+    // Milliseconds a second are tenths of a percent.
+    recordCorePercent: toPerSecond(recordCpuMs) / 10,
+    recordBytesPerSecond: toPerSecond(
+      slopes.readAt('config.gate_delta_bytes_by_accounts', SIZE.accounts),
+    ),
+  };
+}
+
+function describeAgent(slopes: Slopes): RoleLoad {
+  const requestsPerSecond = SIZE.requestsPerSecond / SIZE.targets;
+  const targetsPerModel = SIZE.targets / SIZE.models;
+  const keys = requestsPerSecond * KEYED_SHARE * RETAIN_S;
+  return {
+    role: 'agent',
+    links: (SIZE.gates * SETTINGS.subsetSize) / targetsPerModel,
+    requestsPerSecond,
+    piecesPerSecond: SIZE.tokensPerSecond / SIZE.targets,
+    stateMb:
+      slopes.readAt('agent.rss_mb_by_links', 0) +
+      slopes.readSlope('agent.rss_mb_by_ledger_keys') * keys,
+    state: `${keys.toFixed(0)} keys in the ledger`,
+    recordCorePercent: 0,
+    recordBytesPerSecond: toPerSecond(
+      slopes.readAt('config.agent_delta_bytes_by_accounts', SIZE.accounts),
+    ),
+  };
 }
 
-function listAgentFigures(slopes: Slopes, links: number): readonly Row[] {
-  const requests = SIZE.requestsPerSecond / SIZE.targets;
-  const pieces = SIZE.tokensPerSecond / SIZE.targets;
-  const promptKb = requests * PROMPT_KB_PER_REQUEST;
-  const keys = requests * KEYED_SHARE * RETAIN_S;
+function listRoleFigures(slopes: Slopes, load: RoleLoad): readonly Row[] {
+  const {role, links, requestsPerSecond, piecesPerSecond} = load;
+  const promptKb = requestsPerSecond * PROMPT_KB_PER_REQUEST;
+  const readSlope = (name: string) => slopes.readSlope(`${role}.${name}`);
   const idleBytes = toLongHeartbeat(
-    slopes.readSlope('agent.control_bytes_s_by_links') * links,
+    readSlope('control_bytes_s_by_links') * links,
   );
-  const callBytes =
-    slopes.readSlope('agent.control_bytes_s_by_calls_s') * requests;
-  const configBytes =
-    (slopes.readAt('config.agent_delta_bytes_by_accounts', SIZE.accounts) *
-      SIZE.changesPerDay) /
-    SECONDS_PER_DAY;
-  const memory =
-    slopes.readAt('agent.rss_mb_by_links', links) +
-    slopes.readSlope('agent.rss_mb_by_ledger_keys') * keys;
-  const idleCpu =
-    slopes.readAt('agent.idle_core_percent_by_links', 0) +
-    toLongHeartbeat(
-      slopes.readSlope('agent.idle_core_percent_by_links') * links,
-    );
-  const dataCpu =
-    slopes.readSlope('agent.core_percent_by_calls_s') * requests +
-    slopes.readSlope('agent.core_percent_by_pieces_s') * pieces +
-    slopes.readSlope('agent.core_percent_by_prompt_kb_s') * promptKb;
+  const callBytes = readSlope('control_bytes_s_by_calls_s') * requestsPerSecond;
+  const idleCore =
+    slopes.readAt(`${role}.idle_core_percent_by_links`, 0) +
+    toLongHeartbeat(readSlope('idle_core_percent_by_links') * links);
+  const traffic = `${requestsPerSecond.toFixed(2)} requests/s`;
+  const heartbeat = `${links.toFixed(0)} links at a ${SETTINGS.heartbeatMs / 1000} s heartbeat`;
   return [
     {
-      role: 'agent',
+      role,
       figure: 'memory',
-      working: `${links.toFixed(0)} links, ${keys.toFixed(0)} keys in the ledger`,
-      value: memory,
+      working: `${load.state}, ${links.toFixed(0)} links`,
+      value: load.stateMb + readSlope('rss_mb_by_links') * links,
       unit: 'MB',
       budget: BUDGET.memoryMb,
     },
     {
-      role: 'agent',
+      role,
       figure: 'processor time, control',
-      working: `${links.toFixed(0)} idle links at a ${SETTINGS.heartbeatMs / 1000} s heartbeat`,
-      value: idleCpu,
+      working: `${heartbeat} + ${SIZE.changesPerDay} changes a day`,
+      value: idleCore + load.recordCorePercent,
       unit: '% of a core',
       budget: BUDGET.corePercent,
     },
     {
-      role: 'agent',
+      role,
       figure: 'control bytes',
-      working: `heartbeats (${idleBytes.toFixed(0)}) + ${requests.toFixed(2)} requests/s (${callBytes.toFixed(0)}) + changes (${configBytes.toFixed(0)})`,
-      value: idleBytes + callBytes + configBytes,
+      working: `${heartbeat} (${idleBytes.toFixed(0)}) + ${traffic} (${callBytes.toFixed(0)}) + changes (${load.recordBytesPerSecond.toFixed(0)})`,
+      value: idleBytes + callBytes + load.recordBytesPerSecond,
       unit: 'bytes/s',
       budget: BUDGET.bytesPerSecond,
     },
     {
-      role: 'agent',
+      role,
       figure: 'processor time, traffic',
-      working: `${requests.toFixed(2)} requests/s, ${pieces.toFixed(0)} pieces/s, ${promptKb.toFixed(0)} KB/s of prompts`,
-      value: dataCpu,
+      working: `${traffic}, ${piecesPerSecond.toFixed(0)} pieces/s, ${promptKb.toFixed(0)} KB/s of prompts`,
+      value:
+        readSlope('core_percent_by_calls_s') * requestsPerSecond +
+        readSlope('core_percent_by_pieces_s') * piecesPerSecond +
+        readSlope('core_percent_by_prompt_kb_s') * promptKb,
       unit: '% of a core',
     },
   ];
--- /dev/null
+++ b/packages/nutmeggauge/src/measure/leaving-measures.ts
@@ -0,0 +1,59 @@
+/**
+ * How soon a gate stops routing to a target that drains, freezes or is
+ * killed.
+ */
+import {findFreePorts} from '../cluster/ports.js';
+import {HOST, buildRecord, startPlatform} from './fixtures.js';
+import {startGate} from './gate-measures.js';
+import {measureUntil, startProbe} from './probe.js';
+
+/** Times until a gate stops routing to a target, in ms. */
+export interface LeavingBounds {
+  /** After its agent began to drain. */
+  readonly drainMs: number;
+  /** After its agent was paused (SIGSTOP). */
+  readonly freezeMs: number;
+  /** After its agent was killed (SIGKILL). */
+  readonly killMs: number;
+}
+
+/** Measures how soon a gate stops routing to a target that goes. */
+export async function measureLeaving(runDir: string): Promise<LeavingBounds> {
+  const platform = await startPlatform();
+  const ports = await findFreePorts(3);
+  const agents = await Promise.all(
+    ports.map((port, i) =>
+      startProbe('agent', runDir, {
+        id: `t-${i}`,
+        zone: 'az-1',
+        listen: {host: HOST, port},
+        target: {kind: 'plain', url: platform.plainUrl},
+        ledger: {bootstrap: true},
+      }),
+    ),
+  );
+  const targets = ports.map((port, i) => ({
+    id: `t-${i}`,
+    agent: `${HOST}:${port}`,
+    zone: 'az-1',
+  }));
+  platform.config.publish(buildRecord(1, targets));
+  const gate = await startGate(runDir, platform);
+  const listUsable = async () =>
+    (await gate.listTargets()).filter(t => t.usable).map(t => t.id);
+  await measureUntil(async () => (await listUsable()).length === ports.length);
+  const measure = (index: number, signal: NodeJS.Signals) => {
+    agents[index].signal(signal);
+    return measureUntil(
+      async () => !(await listUsable()).includes(`t-${index}`),
+    );
+  };
+  const bounds = {
+    drainMs: await measure(0, 'SIGTERM'),
+    freezeMs: await measure(1, 'SIGSTOP'),
+    killMs: await measure(2, 'SIGKILL'),
+  };
+  await Promise.all([...agents, gate].map(probe => probe.stop()));
+  await platform.close();
+  return bounds;
+}
--- a/packages/nutmeggauge/src/measure/measure.ts
+++ b/packages/nutmeggauge/src/measure/measure.ts
@@ -8,9 +8,10 @@
 import {renderFits} from '../bench/charts.js';
 import {measureAgent} from './agent-measures.js';
 import {measureConfig} from './config-measures.js';
-import {measureGate, measureLeaving} from './gate-measures.js';
+import {measureGate} from './gate-measures.js';
+import {measureLeaving} from './leaving-measures.js';
 import type {Slope} from './fit.js';
-import type {LeavingBounds} from './gate-measures.js';
+import type {LeavingBounds} from './leaving-measures.js';
 
 /** Everything that one run measured. */
 export interface Measurement {
--- /dev/null
+++ b/packages/nutmeggauge/src/measure/role-slopes.ts
@@ -0,0 +1,172 @@
+/**
+ * Slopes that gates and agents have alike: by links, by requests and by
+ * streamed text. A role says how to load one of its processes; the names and
+ * the points are the same for both.
+ */
+import {waitMs} from '@nutmeggauge/core';
+import {fitSlope} from './fit.js';
+import type {Slope} from './fit.js';
+import type {Probe} from './probe.js';
+
+/** Role whose process is measured. */
+export type MeasuredRole = 'gate' | 'agent';
+
+/** Time that a process rests before it is measured, in ms. */
+export const REST_MS = 2000;
+
+/** Time that a process is measured for, idle or under load, in ms. */
+export const MEASURE_MS = 6000;
+
+/** Tokens of each streamed answer. */
+export const STREAM_TOKENS = 100;
+
+type Points = Array<[number, number]>;
+
+/** Processor time and control bytes over one measured stretch. */
+export interface Stretch {
+  /** Mean share of a core, in %. */
+  readonly corePercent: number;
+  readonly bytesPerSecond: number;
+}
+
+/**
+ * Measures a process for `MEASURE_MS` while `load` runs.
+ *
+ * @param readBytes - Control bytes so far.
+ * @example
+ * await measureStretch(gate, readBytes, sendCalls);
+ */
+export async function measureStretch(
+  probe: Probe,
+  readBytes: () => number | Promise<number>,
+  load: () => Promise<unknown> = async () => {},
+): Promise<Stretch> {
+  await waitMs(REST_MS);
+  const before = await readBytes();
+  const [corePercent] = await Promise.all([
+    probe.measureCoreShare(MEASURE_MS),
+    load(),
+  ]);
+  const bytes = (await readBytes()) - before;
+  return {corePercent, bytesPerSecond: bytes / (MEASURE_MS / 1000)};
+}
+
+/**
+ * Runs `send` at a steady rate for `MEASURE_MS` and waits for every answer.
+ *
+ * @example
+ * await sendAtRate(20, i => call(i));
+ */
+export async function sendAtRate(
+  ratePerSecond: number,
+  send: (index: number) => Promise<unknown>,
+): Promise<void> {
+  const total = Math.round((ratePerSecond * MEASURE_MS) / 1000);
+  await Promise.all(
+    Array.from({length: total}, async (_, i) => {
+      await waitMs((i * 1000) / ratePerSecond);
+      await send(i);
+    }),
+  );
+}
+
+/** Memory, idle processor time and idle control bytes by links. */
+export async function fitLinks(
+  role: MeasuredRole,
+  counts: readonly number[],
+  measureAt: (links: number) => Promise<Stretch & {readonly rssMb: number}>,
+): Promise<Slope[]> {
+  const rss: Points = [];
+  const cpu: Points = [];
+  const bytes: Points = [];
+  for (const links of counts) {
+    const stretch = await measureAt(links);
+    rss.push([links, stretch.rssMb]);
+    cpu.push([links, stretch.corePercent]);
+    bytes.push([links, stretch.bytesPerSecond]);
+  }
+  return [
+    fitSlope(`${role}.rss_mb_by_links`, 'links', 'MB', rss),
+    fitSlope(`${role}.idle_core_percent_by_links`, 'links', '% of a core', cpu),
+    fitSlope(
+      `${role}.control_bytes_s_by_links`,
+      'idle links',
+      'bytes/s',
+      bytes,
+    ),
+  ];
+}
+
+/** Processor time by plain calls a second. */
+export async function fitCalls(
+  role: MeasuredRole,
+  rates: readonly number[],
+  measureAt: (ratePerSecond: number) => Promise<Stretch>,
+): Promise<Slope> {
+  const cpu: Points = [];
+  for (const rate of rates)
+    cpu.push([rate, (await measureAt(rate)).corePercent]);
+  const xName = 'plain calls a second (8 links)';
+  return fitSlope(`${role}.core_percent_by_calls_s`, xName, '% of a core', cpu);
+}
+
+/**
+ * Control bytes by plain calls a second that are spread over as many links
+ * as at the size to design for: few links are in use at a time there, so a
+ * few busy links would show another cost.
+ */
+export async function fitSparseCalls(
+  role: MeasuredRole,
+  links: number,
+  rates: readonly number[],
+  measureAt: (ratePerSecond: number) => Promise<Stretch>,
+): Promise<Slope> {
+  const bytes: Points = [];
+  for (const rate of rates)
+    bytes.push([rate, (await measureAt(rate)).bytesPerSecond]);
+  const xName = `plain calls a second over ${links} links`;
+  return fitSlope(
+    `${role}.control_bytes_s_by_calls_s`,
+    xName,
+    'bytes/s',
+    bytes,
+  );
+}
+
+/** Requests a second, and prompt lengths in KB at two requests a second. */
+const STREAM_RATES = [1, 5, 15, 30];
+const PROMPT_KB = [1, 100, 400, 1000];
+const PROMPT_RATE = 2;
+const SHORT_PROMPT_CHARS = 400;
+
+/** Processor time by streamed pieces a second, and by prompt text a second. */
+export async function fitStreams(
+  role: MeasuredRole,
+  measureAt: (ratePerSecond: number, prompt: string) => Promise<Stretch>,
+): Promise<Slope[]> {
+  const byPieces: Points = [];
+  for (const rate of STREAM_RATES) {
+    const prompt = 'p'.repeat(SHORT_PROMPT_CHARS);
+    const {corePercent} = await measureAt(rate, prompt);
+    byPieces.push([rate * STREAM_TOKENS, corePercent]);
+  }
+  const byPrompt: Points = [];
+  for (const kb of PROMPT_KB) {
+    const {corePercent} = await measureAt(PROMPT_RATE, 'p'.repeat(kb * 1000));
+    byPrompt.push([kb * PROMPT_RATE, corePercent]);
+  }
+  return [
+    fitSlope(
+      `${role}.core_percent_by_pieces_s`,
+      'streamed pieces a second',
+      '% of a core',
+      byPieces,
+    ),
+    fitSlope(
+      `${role}.core_percent_by_prompt_kb_s`,
+      'prompt text, KB a second',
+      '% of a core',
+      byPrompt,
+    ),
+  ];
+}
