--- a/packages/nutmeggauge/src/measure/fit.ts
+++ b/packages/nutmeggauge/src/measure/fit.ts
@@ -33,6 +33,7 @@
 ): Slope {
   const pairs = points.map(([x, y]) => [x, y]);
   const {m, b} = linearRegression(pairs);
+  const fit = rSquared(pairs, x => m * x + b);
   return {
     name,
     xName,
@@ -40,6 +41,7 @@
     points,
     slope: m,
     intercept: b,
-    rSquared: rSquared(pairs, x => m * x + b),
+    // A figure that does not vary has no variance to explain: the line is exact.
+    rSquared: Number.isNaN(fit) ? 1 : fit,
   };
 }
