One way to open a json-rpc link; no load report without a reader

Connecting and wrapping a socket stood three times (gate to agent, gate to peer, measurements). The agent made and stringified a load report three times a request also when no link was due one. Two error classes had no use.

Change: core's openRpcLink serves all three; notifyChange returns when no link is due; TargetFailedError and StandInFaultError are gone. Behaviour and tests are as they were.

No timing is claimed for the report.

--- a/packages/agent/src/reporting/load-reporter.ts
+++ b/packages/agent/src/reporting/load-reporter.ts
@@ -86,11 +86,11 @@
   notifyChange(): void {
     const {reportMs} = this.options;
     const now = Date.now();
-    this.broadcast(
-      [...this.links]
-        .filter(([, s]) => isInUse(s, now) && now - s.lastSentAt >= reportMs)
-        .map(([link]) => link),
-    );
+    const due = [...this.links]
+      .filter(([, s]) => isInUse(s, now) && now - s.lastSentAt >= reportMs)
+      .map(([link]) => link);
+    // Called three times a request: without a reader the report is not made.
+    if (due.length > 0) this.broadcast(due);
   }
 
   /** Reports to `links` now, such as when a drain begins. */
--- a/packages/core/src/errors.ts
+++ b/packages/core/src/errors.ts
@@ -11,10 +11,8 @@
   | 'rpc_closed'
   | 'rpc_failed'
   | 'target_unreachable'
-  | 'target_failed'
   | 'cluster_failed'
-  | 'unknown_stand_in'
-  | 'stand_in_fault';
+  | 'unknown_stand_in';
 
 /**
  * Base of every failure raised by nutmeggauge.
@@ -65,12 +63,6 @@
   override name = 'TargetUnreachableError';
 }
 
-/** A target that failed after the request may have reached it. */
-export class TargetFailedError extends NutmeggaugeError {
-  readonly code = 'target_failed';
-  override name = 'TargetFailedError';
-}
-
 /** A local cluster whose processes did not start or become ready. */
 export class ClusterError extends NutmeggaugeError {
   readonly code = 'cluster_failed';
@@ -82,9 +74,3 @@
   readonly code = 'unknown_stand_in';
   override name = 'UnknownStandInError';
 }
-
-/** A fault that a stand-in was told to show (down, refusing, stale). */
-export class StandInFaultError extends NutmeggaugeError {
-  readonly code = 'stand_in_fault';
-  override name = 'StandInFaultError';
-}
--- a/packages/core/src/rpc.ts
+++ b/packages/core/src/rpc.ts
@@ -2,6 +2,7 @@
  * A json-rpc 2.0 link over one TCP socket, one JSON message a line. The link
  * owns its socket: calls, notifications and the close are its only surface.
  */
+import {connect} from 'node:net';
 import {createInterface} from 'node:readline';
 import {
   JSONRPCClient,
@@ -163,3 +164,23 @@
 export function createRpcLink(socket: Socket, counters?: Counters): RpcLink {
   return new RpcLink(socket, counters);
 }
+
+/**
+ * Connects to a json-rpc listener.
+ *
+ * @param address - Where it listens, `host:port`.
+ * @throws The system's error (ECONNREFUSED, EHOSTUNREACH) when it cannot.
+ * @example
+ * const link = await openRpcLink('10.0.1.5:7101', counters);
+ */
+export function openRpcLink(
+  address: string,
+  counters?: Counters,
+): Promise<RpcLink> {
+  const [host, port] = address.split(':');
+  return new Promise((resolve, reject) => {
+    const socket = connect(Number(port), host);
+    socket.once('error', reject);
+    socket.once('connect', () => resolve(createRpcLink(socket, counters)));
+  });
+}
--- a/packages/gate/src/membership/agent-connection.ts
+++ b/packages/gate/src/membership/agent-connection.ts
@@ -3,15 +3,14 @@
  * connects and reconnects with backoff, keeps the agent's latest load
  * report, counts outstanding requests, and hands chunks to their request.
  */
-import {connect} from 'node:net';
 import {
   RpcFailedError,
   RpcMethod,
   TargetUnreachableError,
   createClassCounts,
   createLogger,
-  createRpcLink,
   findLengthClass,
+  openRpcLink,
   waitMs,
 } from '@nutmeggauge/core';
 import type {
@@ -232,28 +231,22 @@
     }
   }
 
-  private openLink(): Promise<RpcLink | undefined> {
-    const [host, port] = this.options.target.agent.split(':');
-    return new Promise(resolve => {
-      const socket = connect(Number(port), host);
-      socket.once('error', () => resolve(undefined));
-      socket.once('connect', () => {
-        const link = createRpcLink(socket, this.options.counters);
-        link.handle(RpcMethod.load, params =>
-          this.receiveLoad(params as LoadReport),
-        );
-        link.handle(RpcMethod.accepted, params =>
-          this.inFlight
-            .get((params as AcceptedNotice).requestId)
-            ?.markAccepted(),
-        );
-        link.handle(RpcMethod.chunk, params => {
-          const notice = params as ChunkNotice;
-          this.inFlight.get(notice.requestId)?.onChunk(notice);
-        });
-        resolve(link);
-      });
+  private async openLink(): Promise<RpcLink | undefined> {
+    const {target, counters} = this.options;
+    const link = await openRpcLink(target.agent, counters).catch(
+      () => undefined,
+    );
+    link?.handle(RpcMethod.load, params =>
+      this.receiveLoad(params as LoadReport),
+    );
+    link?.handle(RpcMethod.accepted, params =>
+      this.inFlight.get((params as AcceptedNotice).requestId)?.markAccepted(),
+    );
+    link?.handle(RpcMethod.chunk, params => {
+      const notice = params as ChunkNotice;
+      this.inFlight.get(notice.requestId)?.onChunk(notice);
     });
+    return link;
   }
 
   private receiveLoad(report: LoadReport): void {
--- a/packages/gate/src/relay/peer-relay.ts
+++ b/packages/gate/src/relay/peer-relay.ts
@@ -6,12 +6,13 @@
  * record from another gate instead. A record comes in by the same rule as
  * one from the service: checked, and only when its version is higher.
  */
-import {connect, createServer} from 'node:net';
+import {createServer} from 'node:net';
 import {
   RpcMethod,
   createLogger,
   createRpcLink,
   openListener,
+  openRpcLink,
   readPort,
 } from '@nutmeggauge/core';
 import type {
@@ -103,17 +104,10 @@
     this.log.info('record_taken_from_peer', {peer, version});
   }
 
-  private openLink(peer: string): Promise<RpcLink> {
-    const [host, port] = peer.split(':');
-    return new Promise((resolve, reject) => {
-      const socket = connect(Number(port), host);
-      socket.once('error', reject);
-      socket.once('connect', () => {
-        const link = createRpcLink(socket, this.options.counters);
-        this.outgoing.set(peer, link);
-        link.onClose(() => this.outgoing.delete(peer));
-        resolve(link);
-      });
-    });
+  private async openLink(peer: string): Promise<RpcLink> {
+    const link = await openRpcLink(peer, this.options.counters);
+    this.outgoing.set(peer, link);
+    link.onClose(() => this.outgoing.delete(peer));
+    return link;
   }
 }
--- a/packages/nutmeggauge/src/measure/fixtures.ts
+++ b/packages/nutmeggauge/src/measure/fixtures.ts
@@ -2,12 +2,11 @@
  * Small stand-ins for measurements: records of any size, agents without a
  * process of their own, and gate links without a gate.
  */
-import {connect} from 'node:net';
 import {AgentSettingsSchema, createAgent} from '@nutmeggauge/agent';
 import {
   RpcMethod,
   createCounters,
-  createRpcLink,
+  openRpcLink,
   readPort,
 } from '@nutmeggauge/core';
 import {
@@ -167,21 +166,11 @@
   };
 }
 
-function openLink(port: number, counters: Counters): Promise<RpcLink> {
-  return new Promise((resolve, reject) => {
-    const socket = connect(port, HOST);
-    socket.once('error', reject);
-    socket.once('connect', () => {
-      const link = createRpcLink(socket, counters);
-      for (const method of [
-        RpcMethod.load,
-        RpcMethod.chunk,
-        RpcMethod.accepted,
-      ])
-        link.handle(method, () => undefined);
-      resolve(link);
-    });
-  });
+async function openLink(port: number, counters: Counters): Promise<RpcLink> {
+  const link = await openRpcLink(`${HOST}:${port}`, counters);
+  for (const method of [RpcMethod.load, RpcMethod.chunk, RpcMethod.accepted])
+    link.handle(method, () => undefined);
+  return link;
 }
 
 /**
