--- a/packages/agent/src/agent.ts
+++ b/packages/agent/src/agent.ts
@@ -73,7 +73,7 @@
     this.intake = new Intake({
       target:
         target.kind === 'engine'
-          ? new EngineTarget(target.url)
+          ? new EngineTarget(target.url, lanes.prioritize)
           : new PlainTarget(target.url),
       lanes: createLanes({short: lanes.shortSlots, long: lanes.longSlots}),
       ledger: createLedger(ledger),
@@ -175,6 +175,8 @@
     link.handle(RpcMethod.cancel, params =>
       this.intake.cancel((params as CancelNotice).requestId),
     );
+    // A gate hands its record over when this agent stays behind it.
+    link.handle(RpcMethod.record, params => this.watcher?.offer(params));
     link.onClose(() => {
       this.links.delete(link);
       this.reporter.dropLink(link);
@@ -197,6 +199,7 @@
   private readLoad(): LoadReport {
     return {
       draining: this.intake.isDraining,
+      recordVersion: this.watcher?.version,
       ...this.intake.readWork(),
       sentAt: readClockMs(),
     };
--- a/packages/agent/src/intake/intake.ts
+++ b/packages/agent/src/intake/intake.ts
@@ -3,7 +3,11 @@
  * or run it at the target in its lane. Holds no sockets, so that tests can
  * drive it through any order of events.
  */
-import {countTokens} from '@nutmeggauge/core';
+import {
+  countTokens,
+  createClassCounts,
+  findLengthClass,
+} from '@nutmeggauge/core';
 import {LEDGER_FULL} from '../ledger/ledger.js';
 import type {
   ChunkNotice,
@@ -11,10 +15,10 @@
   DispatchOutcome,
   DispatchRequest,
 } from '@nutmeggauge/core';
-import type {Lanes} from '../lanes/lanes.js';
+import type {Lane, Lanes} from '../lanes/lanes.js';
 import type {Ledger, LedgerEntry} from '../ledger/ledger.js';
 import type {KeyOwnership} from '../ledger/ownership.js';
-import type {Lane, TargetClient} from '../target/target.js';
+import type {TargetClient} from '../target/target.js';
 
 /** Receives the chunks of one request. */
 export type ChunkReceiver = (notice: ChunkNotice) => void;
@@ -37,8 +41,8 @@
   readonly queued: number;
   readonly inFlight: number;
   readonly pendingPrefillTokens: number;
+  readonly pendingByClass: readonly number[];
   readonly pendingDecodeTokens: number;
-  readonly longRequests: number;
 }
 
 interface ActiveRequest {
@@ -127,17 +131,22 @@
   readWork(): WorkFigures {
     const lanes = this.options.lanes.read();
     let pendingPrefillTokens = 0;
+    const pendingByClass = createClassCounts();
     let pendingDecodeTokens = 0;
     for (const request of this.active.values()) {
-      if (request.produced === 0) pendingPrefillTokens += request.promptTokens;
+      if (request.produced === 0) {
+        pendingPrefillTokens += request.promptTokens;
+        pendingByClass[findLengthClass(request.promptTokens)] +=
+          request.promptTokens;
+      }
       pendingDecodeTokens += Math.max(0, request.maxTokens - request.produced);
     }
     return {
       queued: lanes.queued,
       inFlight: lanes.inFlight,
       pendingPrefillTokens,
+      pendingByClass,
       pendingDecodeTokens,
-      longRequests: lanes.long,
     };
   }
 
@@ -299,7 +308,6 @@
       try {
         return await target.run(
           request,
-          lane,
           (seq, text) => {
             active.produced++;
             receive({requestId: request.requestId, seq, text});
--- a/packages/agent/src/lanes/lanes.ts
+++ b/packages/agent/src/lanes/lanes.ts
@@ -3,7 +3,8 @@
  * apart, each lane with its own slots, so a burst of long prompts cannot
  * take every slot from the short ones.
  */
-import type {Lane} from '../target/target.js';
+/** Lane that a request waits in for a slot at the target. */
+export type Lane = 'short' | 'long';
 
 /** Why a request left a lane without a slot. */
 export type LaneRefusal = 'deadline_in_queue' | 'cancelled_in_queue';
@@ -16,8 +17,6 @@
 export interface LaneFigures {
   readonly queued: number;
   readonly inFlight: number;
-  /** Long prompts queued or in flight. */
-  readonly long: number;
 }
 
 /**
@@ -85,7 +84,6 @@
     return {
       queued: this.waiting.short.length + this.waiting.long.length,
       inFlight: this.inFlight.short + this.inFlight.long,
-      long: this.waiting.long.length + this.inFlight.long,
     };
   }
 }
--- a/packages/agent/src/settings.ts
+++ b/packages/agent/src/settings.ts
@@ -23,6 +23,8 @@
     .object({
       /** Prompts up to this many tokens go to the short lane. */
       shortMaxTokens: z.number().int().positive().default(SHORT_MAX_TOKENS),
+      /** Asks the engine to read shorter prompts first. */
+      prioritize: z.boolean().default(true),
       /** Short requests in flight at the target at once. */
       shortSlots: z.number().int().positive().default(48),
       /** Long requests in flight at the target at once. */
--- a/packages/agent/src/target/engine-target.ts
+++ b/packages/agent/src/target/engine-target.ts
@@ -1,14 +1,11 @@
 /**
  * Client of the engine's `POST /v1/generate` SSE stream.
  */
-import {readSseEvents} from '@nutmeggauge/core';
+import {countTokens, findLengthClass, readSseEvents} from '@nutmeggauge/core';
 import {request} from 'undici';
 import {TargetClient, isNeverSent} from './target.js';
 import type {DispatchOutcome, DispatchRequest} from '@nutmeggauge/core';
-import type {ChunkSink, Lane} from './target.js';
-
-/** Engine priority of each lane; lower runs first at the engine. */
-const LANE_PRIORITY: Readonly<Record<Lane, number>> = {short: 0, long: 1};
+import type {ChunkSink} from './target.js';
 
 /**
  * Shortest lease on the engine's memory, in ms. The lease ends at the
@@ -24,9 +21,18 @@
  * const engine = new EngineTarget('http://127.0.0.1:7101');
  */
 export class EngineTarget extends TargetClient {
+  /**
+   * @param prioritizes - Asks the engine to read shorter prompts first.
+   */
+  constructor(
+    url: string,
+    private readonly prioritizes = true,
+  ) {
+    super(url);
+  }
+
   async run(
     job: DispatchRequest,
-    lane: Lane,
     sink: ChunkSink,
     signal: AbortSignal,
   ): Promise<DispatchOutcome> {
@@ -39,7 +45,9 @@
           requestId: job.requestId,
           prompt: job.prompt ?? '',
           maxTokens: job.maxTokens ?? 16,
-          priority: LANE_PRIORITY[lane],
+          priority: this.prioritizes
+            ? findLengthClass(countTokens(job.prompt ?? ''))
+            : 0,
           leaseMs: Math.max(MIN_LEASE_MS, job.deadlineAt - Date.now()),
           resume: job.resume,
         }),
--- a/packages/agent/src/target/plain-target.ts
+++ b/packages/agent/src/target/plain-target.ts
@@ -4,7 +4,7 @@
 import {request} from 'undici';
 import {TargetClient, isNeverSent} from './target.js';
 import type {DispatchOutcome, DispatchRequest} from '@nutmeggauge/core';
-import type {ChunkSink, Lane} from './target.js';
+import type {ChunkSink} from './target.js';
 
 /**
  * Time past a call's deadline after which its outcome is taken as unknown,
@@ -29,7 +29,6 @@
 export class PlainTarget extends TargetClient {
   async run(
     job: DispatchRequest,
-    _lane: Lane,
     _sink: ChunkSink,
     signal: AbortSignal,
   ): Promise<DispatchOutcome> {
--- a/packages/agent/src/target/target.ts
+++ b/packages/agent/src/target/target.ts
@@ -10,14 +10,11 @@
   (seq: number, text: string): void;
 }
 
-/** Priority lane a request runs in at the target. */
-export type Lane = 'short' | 'long';
-
 /**
  * A client of one local target.
  *
  * @example
- * const outcome = await target.run(request, 'short', sink, signal);
+ * const outcome = await target.run(request, sink, signal);
  */
 export abstract class TargetClient {
   constructor(protected readonly url: string) {}
@@ -25,7 +22,6 @@
   /** Runs one request; never throws, every failure is an outcome. */
   abstract run(
     request: DispatchRequest,
-    lane: Lane,
     sink: ChunkSink,
     signal: AbortSignal,
   ): Promise<DispatchOutcome>;
--- a/packages/gate/src/dispatch/dispatcher.ts
+++ b/packages/gate/src/dispatch/dispatcher.ts
@@ -199,7 +199,6 @@
             ? undefined
             : this.options.acceptTimeoutMs,
           promptTokens: route.promptTokens,
-          isLong: route.isLong,
         },
       );
     } catch (error) {
--- a/packages/gate/src/gate.ts
+++ b/packages/gate/src/gate.ts
@@ -17,6 +17,7 @@
 import {handleCallerRequest} from './api/handler.js';
 import {createDispatcher} from './dispatch/dispatcher.js';
 import {createMembership} from './membership/membership.js';
+import {PeerRelay} from './relay/peer-relay.js';
 import {resolveRouter} from './routing/policies.js';
 import type {IncomingMessage, Server, ServerResponse} from 'node:http';
 import type {Account, ConfigRecord} from '@nutmeggauge/core';
@@ -39,6 +40,7 @@
   private readonly log = createLogger('gate');
   private readonly watcher;
   private readonly membership;
+  private readonly relay: PeerRelay | undefined;
   private readonly context: HandlerContext;
   private server: Server | undefined;
   private keys = new Map<string, Account>();
@@ -57,11 +59,20 @@
       gateId: settings.id,
       subsetSize,
       heartbeatStaleMs,
+      readRecord: () => this.watcher.current,
       counters: this.counters,
       hostListUrl: settings.hostList?.url,
       hostListPollMs: settings.hostList?.pollMs,
     });
     this.watcher.onChange(record => this.applyRecord(record));
+    this.relay =
+      settings.relay === undefined
+        ? undefined
+        : new PeerRelay({
+            ...settings.relay,
+            watcher: this.watcher,
+            counters: this.counters,
+          });
     this.context = {
       gateId: settings.id,
       counters: this.counters,
@@ -87,10 +98,16 @@
     return readPort(this.server);
   }
 
+  /** Port on which other gates ask for records; 0 when there is no relay. */
+  get relayPort(): number {
+    return this.relay?.port ?? 0;
+  }
+
   /** Starts watching configuration and listening for callers. */
   async start(): Promise<void> {
     this.watcher.start();
     this.membership.start();
+    await this.relay?.start();
     const server = createServer((req, res) => this.route(req, res));
     this.server = server;
     await openListener(server, this.settings.listen);
@@ -125,6 +142,7 @@
   close(): void {
     this.watcher.stop();
     this.membership.stop();
+    this.relay?.stop();
     this.server?.closeAllConnections();
     this.server?.close();
   }
--- a/packages/gate/src/index.ts
+++ b/packages/gate/src/index.ts
@@ -7,6 +7,7 @@
 export * from './membership/membership.js';
 export * from './membership/subset.js';
 export * from './membership/target-link.js';
+export * from './relay/peer-relay.js';
 export * from './routing/load-routers.js';
 export * from './routing/policies.js';
 export * from './routing/prefix-memory.js';
--- a/packages/gate/src/membership/agent-connection.ts
+++ b/packages/gate/src/membership/agent-connection.ts
@@ -8,13 +8,16 @@
   RpcFailedError,
   RpcMethod,
   TargetUnreachableError,
+  createClassCounts,
   createLogger,
   createRpcLink,
+  findLengthClass,
   waitMs,
 } from '@nutmeggauge/core';
 import type {
   AcceptedNotice,
   ChunkNotice,
+  ConfigRecord,
   Counters,
   DispatchOutcome,
   DispatchRequest,
@@ -28,6 +31,13 @@
 const BACKOFF_MIN_MS = 50;
 const BACKOFF_MAX_MS = 2000;
 
+/**
+ * How long an agent may hold an older record than the gate before it is
+ * handed the gate's, in ms. An agent reads the service itself, within
+ * milliseconds; only one that cannot reach it stays behind.
+ */
+const BEHIND_MS = 2000;
+
 /** Receives the chunks of one request. */
 export type ChunkHandler = (notice: ChunkNotice) => void;
 
@@ -43,6 +53,8 @@
    * it stops within this bound instead of waiting for the socket to fail.
    */
   readonly heartbeatStaleMs: number;
+  /** The gate's record, handed to an agent that stays behind it. */
+  readonly readRecord: () => ConfigRecord | undefined;
 }
 
 interface InFlight {
@@ -59,16 +71,15 @@
  */
 export class AgentConnection implements TargetLink {
   outstanding = 0;
-  servesLong = false;
   load: LoadReport | undefined;
   /** Prompt tokens sent since the last load report, which cannot show them. */
-  unreportedTokens = 0;
-  /** Long prompts sent since the last load report. */
-  unreportedLong = 0;
+  unreportedByClass = createClassCounts();
   /** Set from the host list: the platform says this host is leaving. */
   leavingByHostList = false;
   /** Gate-local time of the last load report, in epoch ms. */
   private lastReportAt = 0;
+  /** Since when the agent's record is older than the gate's, in epoch ms. */
+  private behindSince: number | undefined;
   private link: RpcLink | undefined;
   private running = false;
   private linkWaiters: Array<() => void> = [];
@@ -146,8 +157,8 @@
       );
     }
     this.outstanding++;
-    this.unreportedTokens += bounds.promptTokens;
-    if (bounds.isLong) this.unreportedLong++;
+    this.unreportedByClass[findLengthClass(bounds.promptTokens)] +=
+      bounds.promptTokens;
     let acceptTimer: NodeJS.Timeout | undefined;
     const silence = new Promise<never>((_resolve, reject) => {
       if (bounds.acceptMs === undefined) return;
@@ -236,8 +247,26 @@
   private receiveLoad(report: LoadReport): void {
     this.load = report;
     this.lastReportAt = Date.now();
-    this.unreportedTokens = 0;
-    this.unreportedLong = 0;
+    this.unreportedByClass = createClassCounts();
     for (const wake of this.linkWaiters.splice(0)) wake();
+    this.handRecord(report.recordVersion);
+  }
+
+  private handRecord(agentVersion: number | undefined): void {
+    const record = this.options.readRecord();
+    const isBehind =
+      record !== undefined &&
+      agentVersion !== undefined &&
+      agentVersion < record.version;
+    if (!isBehind) {
+      this.behindSince = undefined;
+      return;
+    }
+    this.behindSince ??= Date.now();
+    if (Date.now() - this.behindSince < BEHIND_MS) return;
+    this.behindSince = undefined;
+    this.options.counters.add('relay.records_handed');
+    // Client accounts and their keys stay at the gates.
+    this.link?.notify(RpcMethod.record, {...record, accounts: []});
   }
 }
--- a/packages/gate/src/membership/membership.ts
+++ b/packages/gate/src/membership/membership.ts
@@ -6,7 +6,7 @@
 import {request} from 'undici';
 import {createLogger, findHome} from '@nutmeggauge/core';
 import {AgentConnection} from './agent-connection.js';
-import {listLongPart, pickPoolSubset} from './subset.js';
+import {pickSubset} from './subset.js';
 import type {ConfigRecord, Counters, Pool} from '@nutmeggauge/core';
 import type {TargetDirectory} from './target-link.js';
 
@@ -17,6 +17,8 @@
   readonly counters: Counters;
   /** Age past which a silent agent is not routed to, in ms. */
   readonly heartbeatStaleMs: number;
+  /** The gate's record. */
+  readonly readRecord: () => ConfigRecord | undefined;
   /**
    * Targets of each pool to keep links to; 0 for all.
    * @default 0
@@ -41,7 +43,7 @@
  * Connections of one gate, by pool.
  *
  * @example
- * const membership = createMembership({gateId: 'gate-1', counters, heartbeatStaleMs: 2500});
+ * const membership = createMembership({gateId: 'gate-1', counters, heartbeatStaleMs: 2500, readRecord});
  * membership.apply(record);
  * membership.listUsable('chat');
  */
@@ -118,9 +120,8 @@
 
   private connectPool(pool: Pool): Map<string, AgentConnection> {
     const ids = pool.targets.map(target => target.id);
-    const {gateId, subsetSize = 0, counters, heartbeatStaleMs} = this.options;
-    const subset = pickPoolSubset(gateId, ids, subsetSize);
-    const longPart = new Set(listLongPart(ids));
+    const {gateId, subsetSize = 0, ...shared} = this.options;
+    const subset = pickSubset(gateId, ids, subsetSize);
     const connections = new Map<string, AgentConnection>();
     for (const target of pool.targets) {
       const held = this.byPool.get(pool.id)?.get(target.id);
@@ -130,11 +131,11 @@
           : new AgentConnection({
               target,
               pool: pool.id,
-              counters,
-              heartbeatStaleMs,
+              counters: shared.counters,
+              heartbeatStaleMs: shared.heartbeatStaleMs,
+              readRecord: shared.readRecord,
             });
       connection.leavingByHostList = this.leaving.has(target.id);
-      connection.servesLong = longPart.has(target.id);
       connections.set(target.id, connection);
       if (subset.has(target.id)) connection.start();
     }
@@ -183,7 +184,7 @@
  * Creates an empty membership view.
  *
  * @example
- * const membership = createMembership({gateId: 'gate-1', counters, heartbeatStaleMs: 2500, hostListUrl: 'http://127.0.0.1:7300'});
+ * const membership = createMembership({gateId: 'gate-1', counters, heartbeatStaleMs: 2500, readRecord, hostListUrl: 'http://127.0.0.1:7300'});
  */
 export function createMembership(options: MembershipOptions): Membership {
   return new Membership(options);
--- a/packages/gate/src/membership/subset.ts
+++ b/packages/gate/src/membership/subset.ts
@@ -7,43 +7,6 @@
  */
 import {createHash} from 'node:crypto';
 
-/** Share of a pool's targets that long prompts are kept to. */
-const LONG_TARGET_SHARE = 0.34;
-
-/**
- * Lists the targets of a pool that long prompts are kept to: the first by
- * id, so that every gate with the same record finds the same ones.
- *
- * @example
- * listLongPart(['engine-1', 'engine-2', 'engine-3']); // ['engine-1']
- */
-export function listLongPart(ids: readonly string[]): readonly string[] {
-  const count = Math.max(1, Math.floor(ids.length * LONG_TARGET_SHARE));
-  return [...ids].sort((a, b) => a.localeCompare(b)).slice(0, count);
-}
-
-/**
- * Picks a gate's subset of a pool, with targets for long prompts and for
- * short ones in the pool's own proportion.
- *
- * @example
- * pickPoolSubset('gate-1', ids, 8); // some 3 for long prompts, 5 for short
- */
-export function pickPoolSubset(
-  gateId: string,
-  ids: readonly string[],
-  size: number,
-): ReadonlySet<string> {
-  if (size === 0 || ids.length <= size) return new Set(ids);
-  const longPart = new Set(listLongPart(ids));
-  const longSize = Math.max(1, Math.round(size * LONG_TARGET_SHARE));
-  const rest = ids.filter(id => !longPart.has(id));
-  return new Set([
-    ...pickSubset(gateId, [...longPart], longSize),
-    ...pickSubset(gateId, rest, Math.max(1, size - longSize)),
-  ]);
-}
-
 /**
  * Picks the ids of `size` targets for `gateId`; all of them when `size` is 0.
  *
--- a/packages/gate/src/membership/target-link.ts
+++ b/packages/gate/src/membership/target-link.ts
@@ -13,15 +13,11 @@
 export interface TargetView {
   readonly id: string;
   readonly zone: string;
-  /** True when the target is of the part of its pool that long prompts are kept to. */
-  readonly servesLong: boolean;
   /** Requests of this gate that the target has not answered. */
   readonly outstanding: number;
   readonly load: LoadReport | undefined;
-  /** Prompt tokens sent since the last load report. */
-  readonly unreportedTokens: number;
-  /** Long prompts sent since the last load report. */
-  readonly unreportedLong: number;
+  /** Prompt tokens this gate sent since the last load report, by length class. */
+  readonly unreportedByClass: readonly number[];
 }
 
 /** Bounds on one dispatch, and what the load figures need of it. */
@@ -31,7 +27,6 @@
   /** Longest wait for its receipt, in ms; undefined waits for the answer only. */
   readonly acceptMs?: number;
   readonly promptTokens: number;
-  readonly isLong: boolean;
 }
 
 /** A target that requests can be sent to. */
--- /dev/null
+++ b/packages/gate/src/relay/peer-relay.ts
@@ -0,0 +1,119 @@
+/**
+ * Hands configuration records from gate to gate. The configuration service
+ * can be down, or out of reach for some hosts, for long stretches, and a gate
+ * keeps nothing when it is replaced: one that starts during such a stretch
+ * would refuse every caller until the service is back. It takes the newest
+ * record from another gate instead. A record comes in by the same rule as
+ * one from the service: checked, and only when its version is higher.
+ */
+import {connect, createServer} from 'node:net';
+import {
+  RpcMethod,
+  createLogger,
+  createRpcLink,
+  openListener,
+  readPort,
+} from '@nutmeggauge/core';
+import type {
+  ConfigWatcher,
+  Counters,
+  ListenAddress,
+  RpcLink,
+} from '@nutmeggauge/core';
+
+/** Options of a peer relay. */
+export interface PeerRelayOptions {
+  /** Where other gates reach this one. */
+  readonly listen: ListenAddress;
+  /** Relay addresses of other gates, `host:port`. */
+  readonly peers: readonly string[];
+  /** Period between two questions to a peer, in ms. */
+  readonly periodMs: number;
+  readonly watcher: ConfigWatcher;
+  readonly counters: Counters;
+}
+
+/** Longest wait for a peer's answer, in ms. */
+const ANSWER_MS = 2000;
+
+/**
+ * A task that owns the links between this gate and its peers.
+ *
+ * @example
+ * const relay = new PeerRelay({listen, peers: ['10.0.1.4:7340'], periodMs: 2000, watcher, counters});
+ * await relay.start();
+ */
+export class PeerRelay {
+  private readonly server = createServer(socket =>
+    this.accept(createRpcLink(socket, this.options.counters)),
+  );
+  private readonly incoming = new Set<RpcLink>();
+  private readonly outgoing = new Map<string, RpcLink>();
+  private readonly log = createLogger('relay');
+  private timer: NodeJS.Timeout | undefined;
+
+  constructor(private readonly options: PeerRelayOptions) {}
+
+  /** The bound port, once started. */
+  get port(): number {
+    return readPort(this.server);
+  }
+
+  async start(): Promise<void> {
+    await openListener(this.server, this.options.listen);
+    this.askAll();
+    this.timer = setInterval(() => this.askAll(), this.options.periodMs);
+  }
+
+  stop(): void {
+    clearInterval(this.timer);
+    this.server.close();
+    for (const link of [...this.incoming, ...this.outgoing.values()])
+      link.close();
+  }
+
+  private accept(link: RpcLink): void {
+    const {watcher} = this.options;
+    this.incoming.add(link);
+    link.onClose(() => this.incoming.delete(link));
+    link.handle(RpcMethod.recordVersion, () => watcher.version);
+    link.handle(RpcMethod.record, () => watcher.current ?? null);
+  }
+
+  private askAll(): void {
+    for (const peer of this.options.peers) {
+      void this.ask(peer).catch(() =>
+        this.options.counters.add('relay.peer_failed'),
+      );
+    }
+  }
+
+  private async ask(peer: string): Promise<void> {
+    const {watcher, counters} = this.options;
+    const link = this.outgoing.get(peer) ?? (await this.openLink(peer));
+    const version = await link.call<number>(
+      RpcMethod.recordVersion,
+      {},
+      ANSWER_MS,
+    );
+    if (version <= watcher.version) return;
+    const record = await link.call<unknown>(RpcMethod.record, {}, ANSWER_MS);
+    if (!watcher.offer(record)) return;
+    counters.add('relay.records_taken');
+    this.log.info('record_taken_from_peer', {peer, version});
+  }
+
+  private openLink(peer: string): Promise<RpcLink> {
+    const [host, port] = peer.split(':');
+    return new Promise((resolve, reject) => {
+      const socket = connect(Number(port), host);
+      socket.once('error', reject);
+      socket.once('connect', () => {
+        const link = createRpcLink(socket, this.options.counters);
+        this.outgoing.set(peer, link);
+        link.onClose(() => this.outgoing.delete(peer));
+        resolve(link);
+      });
+    });
+  }
+}
--- a/packages/gate/src/routing/load-routers.ts
+++ b/packages/gate/src/routing/load-routers.ts
@@ -1,6 +1,7 @@
 /**
  * Routers that read the agents' load reports.
  */
+import {LENGTH_CLASSES, findLengthClass} from '@nutmeggauge/core';
 import {PrefixMemory} from './prefix-memory.js';
 import {Router} from './router.js';
 import type {TargetView} from '../membership/target-link.js';
@@ -11,14 +12,28 @@
   return target.outstanding + (target.load?.queued ?? 0);
 }
 
-/** Prompt tokens queued or in prefill at the target, with this gate's own newest sends. */
-function readPendingPrefill(target: TargetView): number {
-  return (target.load?.pendingPrefillTokens ?? 0) + target.unreportedTokens;
+/**
+ * Prompt tokens queued or in prefill at the target in one length class, with
+ * this gate's own newest sends.
+ */
+function readPending(target: TargetView, lengthClass: number): number {
+  return (
+    (target.load?.pendingByClass[lengthClass] ?? 0) +
+    target.unreportedByClass[lengthClass]
+  );
+}
+
+/** Prompt tokens pending at the target in the classes from `first` to `last`. */
+function sumPending(target: TargetView, first: number, last: number): number {
+  let sum = 0;
+  for (let c = first; c <= last; c++) sum += readPending(target, c);
+  return sum;
 }
 
-/** Long prompts queued or in flight at the target. */
-function readLongRequests(target: TargetView): number {
-  return (target.load?.longRequests ?? 0) + target.unreportedLong;
+/** Requests at the target: those reported, or this gate's own if they are more. */
+function readActive(target: TargetView): number {
+  const reported = (target.load?.queued ?? 0) + (target.load?.inFlight ?? 0);
+  return Math.max(reported, target.outstanding);
 }
 
 /**
@@ -104,53 +119,55 @@
     this.memory.record(target.id, request.prefixes);
   }
 
-  protected readTokenLoad(target: TargetView, request: RouteRequest): number {
+  /** The request's prefill that is left after prefix-cache overlap, in tokens. */
+  protected readOwnPrefill(target: TargetView, request: RouteRequest): number {
     const overlap = this.memory.countOverlap(target.id, request.prefixes);
+    return Math.max(0, request.promptTokens - overlap);
+  }
+
+  protected readTokenLoad(target: TargetView, request: RouteRequest): number {
     return (
-      Math.max(0, request.promptTokens - overlap) +
-      readPendingPrefill(target) +
+      this.readOwnPrefill(target, request) +
+      sumPending(target, 0, LENGTH_CLASSES - 1) +
       DECODE_WEIGHT * (target.load?.pendingDecodeTokens ?? 0)
     );
   }
 }
 
-/** Pending prefill at which a long prompt may go to any target, in tokens. */
-const LONG_SPILL_TOKENS = 3_000_000;
+/**
+ * What a longer prompt under way costs a shorter one beside it, in prompt
+ * tokens: the rest of the engine's present chunk and its share of the next.
+ */
+const LONGER_BESIDE_TOKENS = 8192;
 
-/** Pending prefill of the best other target at which a short prompt may join long ones. */
-const SHORT_SPILL_TOKENS = 200_000;
+/** What each request at a target adds to the steps of the others, in prompt tokens. */
+const ACTIVE_REQUEST_TOKENS = 256;
 
 /**
- * Keeps long prompts to a part of the pool and short ones off it, each by
- * token load. An engine reads prompts in chunks between its token steps, so
- * a short prompt beside a long one waits for the chunk under way even when
- * it has priority; only keeping the two on different engines avoids that.
- * Every gate finds the same part (membership/long-part) without talking to
- * the others; when one part is overloaded, both spill into the other.
+ * Token load by length class. Engines read shorter prompts first, so what is
+ * pending in longer classes costs a prompt no more than the chunk under way,
+ * however many tokens it has; what is pending in its own and shorter classes
+ * counts in full. Adds a cost for each request at the target, after the
+ * active-request weight of the same note (PAPER-kv-aware-routing-ray-20bc.md).
  *
  * @example
- * new LengthSplitRouter().choose(candidates, request);
+ * new ClassLoadRouter().choose(candidates, request);
  */
-export class LengthSplitRouter extends TokenLoadRouter {
-  override readonly name = 'length-split';
+export class ClassLoadRouter extends TokenLoadRouter {
+  override readonly name = 'class-load';
 
-  override choose<T extends TargetView>(
-    candidates: readonly T[],
+  protected override readTokenLoad(
+    target: TargetView,
     request: RouteRequest,
-  ): T | undefined {
-    if (candidates.length < 2) return super.choose(candidates, request);
-    const longPart = candidates.filter(target => target.servesLong);
-    const shortPart = candidates.filter(target => !target.servesLong);
-    if (request.isLong) {
-      const best = super.choose(longPart, request);
-      if (best !== undefined && readPendingPrefill(best) <= LONG_SPILL_TOKENS)
-        return best;
-      return super.choose(candidates, request);
-    }
-    const best = super.choose(shortPart, request);
-    if (best !== undefined && readPendingPrefill(best) <= SHORT_SPILL_TOKENS)
-      return best;
-    const quiet = longPart.filter(target => readLongRequests(target) === 0);
-    return super.choose([...shortPart, ...quiet], request);
+  ): number {
+    const own = findLengthClass(request.promptTokens);
+    const before = sumPending(target, 0, own);
+    const longer = sumPending(target, own + 1, LENGTH_CLASSES - 1);
+    return (
+      this.readOwnPrefill(target, request) +
+      before +
+      Math.min(longer, LONGER_BESIDE_TOKENS) +
+      ACTIVE_REQUEST_TOKENS * readActive(target)
+    );
   }
 }
--- a/packages/gate/src/routing/policies.ts
+++ b/packages/gate/src/routing/policies.ts
@@ -3,7 +3,7 @@
  */
 import {LeastOutstandingRouter, RoundRobinRouter} from './router.js';
 import {
-  LengthSplitRouter,
+  ClassLoadRouter,
   PowerOfTwoRouter,
   TokenLoadRouter,
 } from './load-routers.js';
@@ -26,7 +26,7 @@
       return new PowerOfTwoRouter();
     case 'token-load':
       return new TokenLoadRouter();
-    case 'length-split':
-      return new LengthSplitRouter();
+    case 'class-load':
+      return new ClassLoadRouter();
   }
 }
--- a/packages/gate/src/settings.ts
+++ b/packages/gate/src/settings.ts
@@ -8,7 +8,7 @@
   'least-outstanding',
   'power-of-two',
   'token-load',
-  'length-split',
+  'class-load',
 ]);
 
 export const GateSettingsSchema = z.object({
@@ -34,6 +34,20 @@
       pollMs: z.number().int().positive().default(1000),
     })
     .optional(),
+  /** Exchange of records with other gates, for when the service is out of reach. */
+  relay: z
+    .object({
+      /** Where other gates reach this one; an internal port. */
+      listen: z.object({
+        host: z.string().min(1).default('127.0.0.1'),
+        port: z.number().int().min(0).max(65535),
+      }),
+      /** Relay addresses of some other gates, host:port. */
+      peers: z.array(z.string().regex(/^[^:\s]+:\d{1,5}$/)).default([]),
+      /** Period between two questions to a peer, in ms. */
+      periodMs: z.number().int().positive().default(2000),
+    })
+    .optional(),
   routing: z
     .object({
       policy: RoutingPolicySchema.default('least-outstanding'),
--- /dev/null
+++ b/packages/nutmeggauge/src/bench/report.ts
@@ -0,0 +1,147 @@
+/**
+ * The report of an experiment: its figures as JSON, as a table of text, and
+ * as an HTML page with plots.
+ */
+import {mkdirSync, writeFileSync} from 'node:fs';
+import {join} from 'node:path';
+import {LENGTH_BUCKETS} from '../load/workload.js';
+import {renderBars} from './charts.js';
+import type {ExperimentResult, VariantResult} from './run-experiment.js';
+
+const BUCKET_NAMES = LENGTH_BUCKETS.map(bucket => bucket.name);
+
+type Cell = readonly [title: string, read: (v: VariantResult) => string];
+
+const ms = (value: number) => value.toFixed(0);
+const ratio = (value: number) => value.toFixed(2);
+
+/** Columns of the table, one row a variant. */
+const COLUMNS: readonly Cell[] = [
+  ['variant', v => v.name],
+  ['HOL p50', v => ratio(v.headOfLine.p50)],
+  ['HOL p95', v => ratio(v.headOfLine.p95)],
+  ['HOL 1k-8k p50', v => ratio(v.headOfLineShortest.p50)],
+  ['HOL 1k-8k p95', v => ratio(v.headOfLineShortest.p95)],
+  ['short alone p95', v => ms(v.alone.shortTtft.p95)],
+  ['short mixed p95', v => ms(v.mixed.shortTtft.p95)],
+  ...BUCKET_NAMES.map(
+    name =>
+      [
+        `${name} p50/p95/p99`,
+        (v: VariantResult) => {
+          const {p50, p95, p99} = v.mixed.ttftByBucket[name];
+          return `${ms(p50)}/${ms(p95)}/${ms(p99)}`;
+        },
+      ] as const,
+  ),
+  ['ITL p95', v => ms(v.mixed.gaps.p95)],
+  ['goodput/s', v => v.goodputPerSecond.toFixed(1)],
+  ['refused', v => String(v.mixed.refused)],
+  ['unknown', v => String(v.mixed.unknown)],
+  ['lost', v => String(v.mixed.lost)],
+  ['doubled', v => String(v.mixed.doubled)],
+  ['false not-run', v => String(v.mixed.falseNotRun)],
+];
+
+/**
+ * Renders the figures as a Markdown table.
+ *
+ * @example
+ * console.log(formatTable(result));
+ */
+export function formatTable(result: ExperimentResult): string {
+  const rows = [
+    COLUMNS.map(([title]) => title),
+    COLUMNS.map(() => '---'),
+    ...result.variants.map(v => COLUMNS.map(([, read]) => read(v))),
+  ];
+  return rows.map(row => `| ${row.join(' | ')} |`).join('\n');
+}
+
+/** Draws every plot of an experiment. */
+function renderPlots(result: ExperimentResult): readonly string[] {
+  const {variants} = result;
+  const names = variants.map(v => v.name);
+  const byBucket = (percentile: 'p50' | 'p95' | 'p99') =>
+    variants.map(v => ({
+      name: v.name,
+      values: BUCKET_NAMES.map(b => v.mixed.ttftByBucket[b][percentile]),
+    }));
+  return [
+    renderBars(
+      'TTFT p50 by prompt length (ms)',
+      BUCKET_NAMES,
+      byBucket('p50'),
+      true,
+    ),
+    renderBars(
+      'TTFT p95 by prompt length (ms)',
+      BUCKET_NAMES,
+      byBucket('p95'),
+      true,
+    ),
+    renderBars(
+      'TTFT p99 by prompt length (ms)',
+      BUCKET_NAMES,
+      byBucket('p99'),
+      true,
+    ),
+    renderBars(
+      'Head-of-line slowdown of short prompts (mixed over alone)',
+      names,
+      [
+        {name: 'p50', values: variants.map(v => v.headOfLine.p50)},
+        {name: 'p95', values: variants.map(v => v.headOfLine.p95)},
+      ],
+    ),
+    renderBars('Whole answers within the window, a second', names, [
+      {name: 'goodput', values: variants.map(v => v.goodputPerSecond)},
+    ]),
+  ];
+}
+
+function renderHtml(result: ExperimentResult): string {
+  const cells = (row: readonly string[], tag: string) =>
+    `<tr>${row.map(c => `<${tag}>${c}</${tag}>`).join('')}</tr>`;
+  const head = cells(
+    COLUMNS.map(([title]) => title),
+    'th',
+  );
+  const body = result.variants
+    .map(v =>
+      cells(
+        COLUMNS.map(([, read]) => read(v)),
+        'td',
+      ),
+    )
+    .join('\n');
+  const {name} = result.experiment;
+  return `<!doctype html>
+<html lang="en"><meta charset="utf-8"><title>nutmeggauge bench: ${name}</title>
+<style>body{font:14px sans-serif;margin:2em}table{border-collapse:collapse}td,th{border:1px solid #ccc;padding:4px 8px;text-align:right}</style>
+<h1>nutmeggauge bench: ${name}</h1>
+<p>Started ${result.startedAt}. Times in ms. HOL: TTFT of short prompts under mixed load over the same alone.</p>
+<table>${head}\n${body}</table>
+${renderPlots(result).join('\n')}
+<h2>Experiment</h2><pre>${JSON.stringify(result.experiment, undefined, 2)}</pre>
+</html>
+`;
+}
+
+/**
+ * Writes `<name>.json` and `<name>.html` into `dir`.
+ *
+ * @returns Paths of the two files.
+ * @example
+ * writeReport(result, 'runs/bench');
+ */
+export function writeReport(
+  result: ExperimentResult,
+  dir: string,
+): readonly string[] {
+  mkdirSync(dir, {recursive: true});
+  const base = join(dir, result.experiment.name);
+  writeFileSync(`${base}.json`, JSON.stringify(result, undefined, 2) + '\n');
+  writeFileSync(`${base}.html`, renderHtml(result));
+  return [`${base}.json`, `${base}.html`];
+}
--- a/packages/nutmeggauge/src/bin.ts
+++ b/packages/nutmeggauge/src/bin.ts
@@ -2,13 +2,18 @@
 /**
  * `nutmeggauge`: the operators' and developers' command line.
  *   demo      whole deployment on loopback with the default workload
+ *   bench     run experiment files and write their reports
+ *   measure   measure the slopes behind docs/CAPACITY.md
  *   timeline  merge the logs of every process of a run
  *   standin   run one stand-in of the platform (used by demo and bench)
  */
 import {join} from 'node:path';
 import meow from 'meow';
+import {EXIT_BAD_SETTINGS, SettingsError} from '@nutmeggauge/core';
+import {runBench} from './bench/bench.js';
 import {runDemo} from './demo.js';
 import {isClean} from './load/summary.js';
+import {runMeasure} from './measure/measure.js';
 import {runStandIn} from './standin/run-standin.js';
 import {formatTimelineEvent, mergeTimeline} from './timeline/merge.js';
 
@@ -16,6 +21,8 @@
   `
   Usage
     $ nutmeggauge demo [--faults] [--seed N] [--routing POLICY] [--run-dir DIR]
+    $ nutmeggauge bench <experiment.yaml…> [--run-dir DIR]
+    $ nutmeggauge measure [--out DIR] [--run-dir DIR]
     $ nutmeggauge timeline <run-dir or .log files…>
     $ nutmeggauge standin <engine|config|hosts|plain> --id ID --port N
 
@@ -23,8 +30,9 @@
     --faults      Kill, pause and cut off processes while the load runs
     --seed        Seed of the workload (default 20261202)
     --routing     round-robin | least-outstanding | power-of-two | token-load |
-                  length-split
+                  class-load
     --run-dir     Folder for settings and logs (default runs/<command>-<time>)
+    --out         Folder for the figures of measure (default runs/measure-<time>)
     --id, --port  Name and port of a stand-in
     --fencing     Engine stand-in: refuse | ignore orders with old fencing numbers
     --lag-ms      Engine load lag, or host list lag, in ms
@@ -39,6 +47,7 @@
       seed: {type: 'number', default: 20261202},
       routing: {type: 'string', default: 'least-outstanding'},
       runDir: {type: 'string'},
+      out: {type: 'string'},
       id: {type: 'string', default: 'stand-in'},
       port: {type: 'number', default: 0},
       fencing: {type: 'string', default: 'refuse'},
@@ -53,6 +62,12 @@
 const [command, ...rest] = cli.input;
 const stamp = new Date().toISOString().replace(/[:.]/g, '-');
 
+function endOnBadSettings(error: unknown): never {
+  if (!(error instanceof SettingsError)) throw error;
+  process.stderr.write(`nutmeggauge: ${error.message}\n`);
+  process.exit(EXIT_BAD_SETTINGS);
+}
+
 switch (command) {
   case 'demo': {
     const summary = await runDemo({
@@ -64,6 +79,20 @@
     process.exit(isClean(summary) ? 0 : 1);
     break;
   }
+  case 'bench': {
+    const isCleanRun = await runBench({
+      files: rest,
+      runDir: cli.flags.runDir ?? join('runs', `bench-${stamp}`),
+    }).catch(endOnBadSettings);
+    process.exit(isCleanRun ? 0 : 1);
+    break;
+  }
+  case 'measure': {
+    const runDir = cli.flags.runDir ?? join('runs', `measure-${stamp}`);
+    await runMeasure({outDir: cli.flags.out ?? runDir, runDir});
+    process.exit(0);
+    break;
+  }
   case 'timeline':
     for (const event of mergeTimeline(rest))
       process.stdout.write(formatTimelineEvent(event) + '\n');
--- a/packages/nutmeggauge/src/cluster/launch-plan.ts
+++ b/packages/nutmeggauge/src/cluster/launch-plan.ts
@@ -45,10 +45,10 @@
 
 /**
  * Lays out the processes of `spec` over `ports`: two for the platform, two
- * for each target (stand-in and agent), one for each gate.
+ * for each target (stand-in and agent), two for each gate (callers, relay).
  *
  * @example
- * planLaunches(spec, await findFreePorts(2 + targets * 2 + spec.gates)).launches;
+ * planLaunches(spec, await findFreePorts(2 + targets * 2 + spec.gates * 2)).launches;
  */
 export function planLaunches(
   spec: ClusterSpec,
@@ -61,7 +61,8 @@
   const targets = Array.from({length: count}, (_, i) =>
     planTarget(spec, i, rest.slice(i * 2, i * 2 + 2)),
   );
-  const gatePorts = rest.slice(count * 2);
+  const gatePorts = rest.slice(count * 2, count * 2 + spec.gates);
+  const relayPorts = rest.slice(count * 2 + spec.gates);
   return {
     configUrl,
     targets,
@@ -75,7 +76,7 @@
       ...targets.map((target, i) => planTargetStandIn(spec, target, i)),
       ...targets.map(target => planAgent(spec, target, configUrl)),
       ...gatePorts.map((port, i) =>
-        planGate(spec, i, port, {configUrl, hostListUrl}),
+        planGate(spec, i, port, {configUrl, hostListUrl, relayPorts}),
       ),
     ],
   };
@@ -162,7 +163,11 @@
   spec: ClusterSpec,
   index: number,
   port: number,
-  platform: {readonly configUrl: string; readonly hostListUrl: string},
+  shared: {
+    readonly configUrl: string;
+    readonly hostListUrl: string;
+    readonly relayPorts: readonly number[];
+  },
 ): Launch {
   const name = `gate-${index + 1}`;
   const file = join(spec.runDir, `${name}.yaml`);
@@ -178,8 +183,14 @@
           id: name,
           zone: pickZone(spec, index),
           listen: {host: HOST, port},
-          configService: {url: platform.configUrl, waitMs: CONFIG_WAIT_MS},
-          hostList: {url: platform.hostListUrl, pollMs: HOST_LIST_POLL_MS},
+          configService: {url: shared.configUrl, waitMs: CONFIG_WAIT_MS},
+          hostList: {url: shared.hostListUrl, pollMs: HOST_LIST_POLL_MS},
+          relay: {
+            listen: {host: HOST, port: shared.relayPorts[index]},
+            peers: shared.relayPorts
+              .filter((_port, i) => i !== index)
+              .map(peerPort => `${HOST}:${peerPort}`),
+          },
           // No balancer stands before a local gate that must notice its drain.
           drainNoticeMs: 0,
           ...spec.gateSettings,
--- a/packages/nutmeggauge/src/cluster/local-cluster.ts
+++ b/packages/nutmeggauge/src/cluster/local-cluster.ts
@@ -209,7 +209,7 @@
 ): Promise<LocalCluster> {
   mkdirSync(spec.runDir, {recursive: true});
   const targets = spec.engines + spec.plainServices;
-  const ports = await findFreePorts(2 + targets * 2 + spec.gates);
+  const ports = await findFreePorts(2 + (targets + spec.gates) * 2);
   const cluster = new LocalCluster(spec, planLaunches(spec, ports));
   try {
     await cluster.start();
--- a/packages/nutmeggauge/src/cluster/process.ts
+++ b/packages/nutmeggauge/src/cluster/process.ts
@@ -57,6 +57,8 @@
 ): Promise<ChildHandle> {
   const child = spawn(process.execPath, [script, ...args], {
     stdio: ['ignore', 'ignore', 'pipe'],
+    // Readiness and executions are read from the children's logs.
+    env: {...process.env, NUTMEGGAUGE_LOG: 'info'},
   });
   const handle = new ChildHandle(name, child);
   const log = createWriteStream(logPath, {flags: 'a'});
--- a/packages/nutmeggauge/src/defaults.ts
+++ b/packages/nutmeggauge/src/defaults.ts
@@ -7,8 +7,15 @@
 import type {Fault} from './faults/schedule.js';
 import type {WorkloadSpec} from './load/workload.js';
 
+/** A client account of a demo or bench record. */
+export interface DemoAccount {
+  readonly id: string;
+  readonly key: string;
+  readonly pools: readonly string[];
+}
+
 /** Client accounts of the demo; those that may order name both pools. */
-const DEMO_ACCOUNTS = [
+const DEMO_ACCOUNTS: readonly DemoAccount[] = [
   {id: 'hinokuni-care', key: 'hk-care-0001-demo', pools: ['chat', 'orders']},
   {id: 'hinokuni-staff', key: 'hk-staff-0002-demo', pools: ['chat']},
   {
@@ -22,7 +29,7 @@
 /** Limits that the demo's load stays within. */
 const DEMO_LIMITS = {ratePerSecond: 500, maxConcurrent: 2000};
 
-const listKeys = (accounts: typeof DEMO_ACCOUNTS) =>
+const listKeys = (accounts: readonly DemoAccount[]) =>
   accounts.map(account => account.key);
 
 /**
@@ -31,14 +38,17 @@
  * @example
  * await cluster.publish(buildDemoRecord(cluster.targets));
  */
-export function buildDemoRecord(targets: readonly ClusterTarget[]): object {
+export function buildDemoRecord(
+  targets: readonly ClusterTarget[],
+  accounts: readonly DemoAccount[] = DEMO_ACCOUNTS,
+): object {
   const listTargets = (kind: ClusterTarget['kind']) =>
     targets
       .filter(target => target.kind === kind)
       .map(({id, agent, zone}) => ({id, agent, zone}));
   return {
     schemaVersion: 1,
-    accounts: DEMO_ACCOUNTS.map(({id, key, pools}) => ({
+    accounts: accounts.map(({id, key, pools}) => ({
       id,
       keys: [key],
       pools,
--- a/packages/nutmeggauge/src/e2e/config-faults.test.ts
+++ b/packages/nutmeggauge/src/e2e/config-faults.test.ts
@@ -1,10 +1,14 @@
 import {after, before, describe, it} from 'node:test';
 import {expect} from 'earl';
+import {readPort} from '@nutmeggauge/core';
 import {request} from 'undici';
+import {v7 as uuidv7} from 'uuid';
 import {
   TEST_KEY,
+  placeOrder,
   postJson,
   startStack,
+  startTestGate,
   stripVersion,
   waitUntil,
 } from '../test/stack.js';
@@ -62,4 +66,37 @@
     expect(await readVersion(stack)).toEqual(v2);
     expect(res.status).toEqual(200);
   });
+
+  it("lets a gate that starts meanwhile serve on its peer's record", async () => {
+    // The configuration service is down for an hour; an entry host is
+    // replaced. Its gate kept nothing and used to refuse every caller until
+    // the service came back.
+    const configUrl = `http://127.0.0.1:${readPort(stack.config.server)}`;
+    const version = await readVersion(stack);
+    stack.config.setMode('down');
+    const gate = await startTestGate(configUrl, version, {
+      peers: [`127.0.0.1:${stack.gate.relayPort}`],
+    });
+    const res = await postJson(
+      `http://127.0.0.1:${gate.port}/v1/completions`,
+      {model: 'chat', prompt: 'x', max_tokens: 2},
+      auth,
+    );
+    gate.close();
+    stack.config.setMode('up');
+    expect(res.status).toEqual(200);
+  });
+
+  it('lets an agent that starts meanwhile take keyed orders', async () => {
+    // While the service is down the order desk's agent restarts. It knows no
+    // record, so it refused every keyed order as "behind" until the service
+    // came back (22 of 49 refusals of the first run of demo --faults).
+    stack.config.setMode('down');
+    await stack.restartAgent(1);
+    await waitUntil(
+      async () => (await placeOrder(stack, uuidv7())).status === 200,
+      10_000,
+    );
+    stack.config.setMode('up');
+  });
 });
--- a/packages/nutmeggauge/src/load/workload.ts
+++ b/packages/nutmeggauge/src/load/workload.ts
@@ -38,6 +38,11 @@
    * @default 50
    */
   readonly repeatAfterMs?: number;
+  /**
+   * Leaves out the longer prompts of the same plan: what short ones see alone.
+   * @default every length is sent
+   */
+  readonly onlyUpToTokens?: number;
 }
 
 /** One planned request. */
@@ -108,7 +113,10 @@
         atMs: at + (spec.repeatAfterMs ?? 50),
       });
   }
-  return plan.sort((a, b) => a.atMs - b.atMs);
+  const longest = spec.onlyUpToTokens ?? Infinity;
+  return plan
+    .filter(p => p.kind === 'order' || p.promptTokens <= longest)
+    .sort((a, b) => a.atMs - b.atMs);
 }
 
 /**
--- /dev/null
+++ b/packages/nutmeggauge/src/measure/fit.ts
@@ -0,0 +1,45 @@
+/**
+ * Straight lines through measured points: what one more account, link or
+ * request costs, and where that leads at the size to design for.
+ */
+import {linearRegression, rSquared} from 'simple-statistics';
+
+/** A measured figure and the line fitted to it. */
+export interface Slope {
+  /** Name of the figure, such as `gate.rss_mb_by_accounts`. */
+  readonly name: string;
+  /** What was varied. */
+  readonly xName: string;
+  /** Unit of the figure. */
+  readonly yName: string;
+  readonly points: ReadonlyArray<readonly [number, number]>;
+  readonly slope: number;
+  readonly intercept: number;
+  /** Share of the variance that the line explains, 0 to 1. */
+  readonly rSquared: number;
+}
+
+/**
+ * Fits a line by least squares.
+ *
+ * @example
+ * fitSlope('gate.rss_mb_by_accounts', 'client accounts', 'MB', [[100, 60], [1000, 63]]).slope;
+ */
+export function fitSlope(
+  name: string,
+  xName: string,
+  yName: string,
+  points: ReadonlyArray<readonly [number, number]>,
+): Slope {
+  const pairs = points.map(([x, y]) => [x, y]);
+  const {m, b} = linearRegression(pairs);
+  return {
+    name,
+    xName,
+    yName,
+    points,
+    slope: m,
+    intercept: b,
+    rSquared: rSquared(pairs, x => m * x + b),
+  };
+}
--- /dev/null
+++ b/packages/nutmeggauge/src/measure/fixtures.ts
@@ -0,0 +1,183 @@
+/**
+ * Small stand-ins for measurements: records of any size, agents without a
+ * process of their own, and gate links without a gate.
+ */
+import {connect} from 'node:net';
+import {AgentSettingsSchema, createAgent} from '@nutmeggauge/agent';
+import {
+  RpcMethod,
+  createCounters,
+  createRpcLink,
+  readPort,
+} from '@nutmeggauge/core';
+import {
+  startConfigServiceStandIn,
+  startPlainServiceStandIn,
+} from '@nutmeggauge/standins';
+import type {Agent} from '@nutmeggauge/agent';
+import type {Counters, RpcLink} from '@nutmeggauge/core';
+import type {
+  ConfigServiceStandIn,
+  PlainServiceStandIn,
+} from '@nutmeggauge/standins';
+
+export const HOST = '127.0.0.1';
+export const MEASURE_KEY = 'measure-key-0000';
+
+/** A target as a record lists it. */
+export interface RecordTarget {
+  readonly id: string;
+  readonly agent: string;
+  readonly zone: string;
+}
+
+/**
+ * Builds a record of `accounts` client accounts and one plain pool.
+ *
+ * @example
+ * buildRecord(3700, targets);
+ */
+export function buildRecord(
+  accounts: number,
+  targets: readonly RecordTarget[],
+): Record<string, unknown> {
+  return {
+    schemaVersion: 1,
+    accounts: Array.from({length: accounts}, (_, i) => ({
+      id: `account-${i}`,
+      keys: [`measure-key-${String(i).padStart(4, '0')}`],
+      pools: ['orders'],
+      maxConcurrent: 10_000,
+      ratePerSecond: 10_000,
+    })),
+    pools: [{id: 'orders', kind: 'plain', targets}],
+    rules: [{pool: 'orders', op: 'place-order', notRepeatable: true}],
+  };
+}
+
+/**
+ * Builds `count` targets that nobody listens at.
+ *
+ * @example
+ * buildFarTargets(1500).length;
+ */
+export function buildFarTargets(count: number): RecordTarget[] {
+  return Array.from({length: count}, (_, i) => ({
+    id: `far-${i}`,
+    agent: `${HOST}:1`,
+    zone: `az-${i % 12}`,
+  }));
+}
+
+/** A configuration service and a plain service in this process. */
+export interface Platform {
+  readonly config: ConfigServiceStandIn;
+  readonly configUrl: string;
+  readonly plain: PlainServiceStandIn;
+  readonly plainUrl: string;
+  close(): Promise<void>;
+}
+
+/** Starts the platform's stand-ins in this process. */
+export async function startPlatform(): Promise<Platform> {
+  const config = await startConfigServiceStandIn(HOST, 0);
+  const plain = await startPlainServiceStandIn(HOST, 0, 1);
+  return {
+    config,
+    configUrl: `http://${HOST}:${readPort(config.server)}`,
+    plain,
+    plainUrl: `http://${HOST}:${readPort(plain.server)}`,
+    close: async () => {
+      await Promise.all([config.close(), plain.close()]);
+    },
+  };
+}
+
+/** Starts `count` agents in this process, all before one plain service. */
+export async function startAgents(
+  count: number,
+  plainUrl: string,
+): Promise<{
+  readonly agents: readonly Agent[];
+  readonly targets: readonly RecordTarget[];
+  close(): void;
+}> {
+  const agents = Array.from({length: count}, (_, i) =>
+    createAgent(
+      AgentSettingsSchema.parse({
+        id: `near-${i}`,
+        zone: 'az-1',
+        listen: {host: HOST, port: 0},
+        target: {kind: 'plain', url: plainUrl},
+        ledger: {bootstrap: true},
+      }),
+    ),
+  );
+  await Promise.all(agents.map(agent => agent.start()));
+  return {
+    agents,
+    targets: agents.map((agent, i) => ({
+      id: `near-${i}`,
+      agent: `${HOST}:${agent.port}`,
+      zone: 'az-1',
+    })),
+    close: () => {
+      for (const agent of agents) agent.close();
+    },
+  };
+}
+
+/** Links to an agent as gates open them, with their counters. */
+export async function openGateLinks(
+  count: number,
+  port: number,
+): Promise<{
+  readonly links: readonly RpcLink[];
+  readonly counters: Counters;
+  close(): void;
+}> {
+  const counters = createCounters();
+  const links = await Promise.all(
+    Array.from({length: count}, () => openLink(port, counters)),
+  );
+  return {
+    links,
+    counters,
+    close: () => {
+      for (const link of links) link.close();
+    },
+  };
+}
+
+function openLink(port: number, counters: Counters): Promise<RpcLink> {
+  return new Promise((resolve, reject) => {
+    const socket = connect(port, HOST);
+    socket.once('error', reject);
+    socket.once('connect', () => {
+      const link = createRpcLink(socket, counters);
+      for (const method of [
+        RpcMethod.load,
+        RpcMethod.chunk,
+        RpcMethod.accepted,
+      ])
+        link.handle(method, () => undefined);
+      resolve(link);
+    });
+  });
+}
+
+/**
+ * Sums the bytes of control messages, both ways: everything on the links but
+ * requests, their receipts, chunks, cancels and answers.
+ *
+ * @example
+ * sumControlBytes({'rpc.in.load.bytes': 120}); // 120
+ */
+export function sumControlBytes(
+  counters: Readonly<Record<string, number>>,
+): number {
+  const methods = [RpcMethod.load, RpcMethod.record, RpcMethod.recordVersion];
+  return methods
+    .flatMap(method => [`rpc.in.${method}.bytes`, `rpc.out.${method}.bytes`])
+    .reduce((sum, name) => sum + (counters[name] ?? 0), 0);
+}
--- /dev/null
+++ b/packages/nutmeggauge/src/measure/probe.ts
@@ -0,0 +1,133 @@
+/**
+ * One process under measurement: its settings, its processor time and
+ * memory, and, for a gate, its counters.
+ */
+import {mkdirSync, writeFileSync} from 'node:fs';
+import {join} from 'node:path';
+import {fileURLToPath} from 'node:url';
+import pidusage from 'pidusage';
+import {request} from 'undici';
+import {stringify as stringifyYaml} from 'yaml';
+import {waitMs} from '@nutmeggauge/core';
+import {startChild} from '../cluster/process.js';
+import type {ListenAddress} from '@nutmeggauge/core';
+import type {ChildHandle} from '../cluster/process.js';
+
+const BINARIES = {
+  gate: new URL('bin.js', import.meta.resolve('@nutmeggauge/gate')),
+  agent: new URL('bin.js', import.meta.resolve('@nutmeggauge/agent')),
+} as const;
+
+const BYTES_PER_MB = 1024 * 1024;
+
+/** Processor time used so far, in ms, and resident memory, in MB. */
+export interface Usage {
+  readonly cpuMs: number;
+  readonly rssMb: number;
+}
+
+/**
+ * A gate or agent process under measurement.
+ *
+ * @example
+ * const probe = await startProbe('gate', 'runs/measure', settings);
+ * const share = await probe.measureCoreShare(5000);
+ */
+export class Probe {
+  constructor(
+    private readonly child: ChildHandle,
+    readonly port: number,
+  ) {}
+
+  async readUsage(): Promise<Usage> {
+    const {ctime, memory} = await pidusage(this.child.child.pid ?? 0);
+    return {cpuMs: ctime, rssMb: memory / BYTES_PER_MB};
+  }
+
+  /** Mean share of one core, in %, over the next `ms`. */
+  async measureCoreShare(ms: number): Promise<number> {
+    const before = await this.readUsage();
+    await waitMs(ms);
+    const after = await this.readUsage();
+    return ((after.cpuMs - before.cpuMs) / ms) * 100;
+  }
+
+  /** Counters of a gate, by name. */
+  async readCounters(): Promise<Readonly<Record<string, number>>> {
+    const response = await request(`http://127.0.0.1:${this.port}/metrics`);
+    const body = (await response.body.json()) as {
+      counters: Record<string, number>;
+    };
+    return body.counters;
+  }
+
+  /** What a gate says of itself on `/healthz`. */
+  async readHealth(): Promise<{
+    readonly configVersion: number;
+    readonly targets: ReadonlyArray<{
+      readonly id: string;
+      readonly usable: boolean;
+    }>;
+  }> {
+    const response = await request(`http://127.0.0.1:${this.port}/healthz`);
+    return (await response.body.json()) as Awaited<
+      ReturnType<Probe['readHealth']>
+    >;
+  }
+
+  signal(signal: NodeJS.Signals): void {
+    this.child.signal(signal);
+  }
+
+  async stop(): Promise<void> {
+    this.child.signal('SIGKILL');
+    await this.child.waitForExit();
+  }
+}
+
+let nextProbe = 1;
+
+/**
+ * Starts a gate or an agent with `settings`, whose `listen.port` is its port.
+ *
+ * @example
+ * await startProbe('agent', 'runs/measure', {id: 'a', listen: {port: 7101}, ...});
+ */
+export async function startProbe(
+  role: keyof typeof BINARIES,
+  runDir: string,
+  settings: Readonly<Record<string, unknown>> & {
+    readonly listen: ListenAddress;
+  },
+): Promise<Probe> {
+  mkdirSync(runDir, {recursive: true});
+  const name = `${role}-${nextProbe++}`;
+  const file = join(runDir, `${name}.yaml`);
+  writeFileSync(file, stringifyYaml(settings));
+  const child = await startChild(
+    name,
+    fileURLToPath(BINARIES[role]),
+    ['--config', file],
+    join(runDir, `${name}.log`),
+  );
+  return new Probe(child, settings.listen.port);
+}
+
+/**
+ * Polls `check` every `everyMs` and resolves with the time it took to hold.
+ *
+ * @example
+ * const ms = await measureUntil(() => gate.isReady());
+ */
+export async function measureUntil(
+  check: () => boolean | Promise<boolean>,
+  everyMs = 5,
+  giveUpMs = 60_000,
+): Promise<number> {
+  const startedAt = performance.now();
+  while (!(await check())) {
+    if (performance.now() - startedAt > giveUpMs) return NaN;
+    await waitMs(everyMs);
+  }
+  return performance.now() - startedAt;
+}
