--- /dev/null
+++ b/packages/direct/src/errors.ts
@@ -0,0 +1,58 @@
+/** Typed failures of the direct gate. */
+import VError from 'verror';
+
+/** Base of the direct gate's failures. */
+abstract class DirectGateError extends VError {
+  constructor(message: string, cause?: Error) {
+    super({cause}, '%s', message);
+  }
+}
+
+/** The store gave no whole answer in time; nothing is known from it. */
+export class StoreUnavailableError extends DirectGateError {
+  override name = 'StoreUnavailableError';
+}
+
+/** The store has dropped the history that a watch wanted to go on from. */
+export class HistoryLostError extends DirectGateError {
+  override name = 'HistoryLostError';
+}
+
+/** A value from outside that does not decode; `field` says where. */
+export class DecodeError extends DirectGateError {
+  override name = 'DecodeError';
+
+  constructor(
+    readonly field: string,
+    message: string,
+  ) {
+    super(`${field}: ${message}`);
+  }
+}
+
+/** Why an exchange with a target brought no whole answer. */
+export type ExchangeFault =
+  | 'connect'
+  | 'reset'
+  | 'malformed'
+  | 'foreign-answer'
+  | 'truncated'
+  | 'stalled'
+  | 'cancelled';
+
+/** An exchange with a target that brought no whole answer. */
+export class ExchangeError extends DirectGateError {
+  override name = 'ExchangeError';
+
+  /**
+   * @param wasSent - False only when no byte of the request left this host:
+   *   the request then has not run and never will.
+   */
+  constructor(
+    readonly fault: ExchangeFault,
+    readonly wasSent: boolean,
+    cause?: Error,
+  ) {
+    super(`exchange failed: ${fault}`, cause);
+  }
+}
--- /dev/null
+++ b/packages/direct/src/fleet/fleet-state.ts
@@ -0,0 +1,260 @@
+/**
+ * What this gate believes of configuration and targets. Versions only go up:
+ * neither the store nor another gate can take the state back behind what it
+ * has acted on.
+ */
+import {createRouteTable} from './route-table.js';
+import type {FactChange, FactSnapshot} from '../ports.js';
+import type {
+  ClientAccount,
+  FleetConfig,
+  ServiceConfig,
+  Target,
+} from '../types.js';
+import type {RouteTable} from './route-table.js';
+
+/**
+ * How long after the store's return a target whose entry lapsed meanwhile is
+ * still used, in ms. A store outage longer than three heartbeats lapses the
+ * entries of healthy targets; without the wait a gate would find itself with
+ * no target at all at the moment the store is back. Entries of live targets
+ * are back within two seconds; the rest is the delay of the watch.
+ */
+export const LAPSE_HOLD_MS = 2300;
+
+/** State as one gate hands it to another. */
+export interface SharedFacts {
+  readonly revision: number;
+  readonly config: FleetConfig | undefined;
+  readonly targets: readonly Target[];
+  /** Targets kept although their entry is missing: id and time left in ms. */
+  readonly held: readonly (readonly [string, number])[];
+}
+
+/** Told of each change that took effect. */
+export type FleetListener = (event: FleetEvent) => void;
+
+/** A change of what the gate believes. */
+export interface FleetEvent {
+  readonly event:
+    | 'config_applied'
+    | 'target_added'
+    | 'target_changed'
+    | 'target_removed'
+    | 'target_held';
+  readonly source: 'store' | 'peer' | 'hold_expired';
+  readonly id: string;
+  readonly revision: number;
+}
+
+/**
+ * Configuration and targets of this gate.
+ *
+ * @example
+ * const state = createFleetState(() => performance.now());
+ * state.applySnapshot(await store.readSnapshot(1000));
+ */
+export class FleetState {
+  /** Newest configuration; absent until the first is known. */
+  config: FleetConfig | undefined;
+  /** Revision of the newest fact applied; compared between gates. */
+  revision = 0;
+  private routes: RouteTable | undefined;
+  private accounts = new Map<string, ClientAccount>();
+  private services = new Map<string, ServiceConfig>();
+  private readonly targets = new Map<string, Target>();
+  private readonly heldUntil = new Map<string, number>();
+  private storeBackAt = -Infinity;
+  private readonly listeners: FleetListener[] = [];
+
+  constructor(private readonly readNow: () => number) {}
+
+  /** Registers a listener of changes. */
+  onChange(listener: FleetListener): void {
+    this.listeners.push(listener);
+  }
+
+  /** Routes in force; absent until a configuration is known. */
+  get routeTable(): RouteTable | undefined {
+    return this.routes;
+  }
+
+  /** True once a configuration and at least one target are known. */
+  get isServing(): boolean {
+    return this.config !== undefined && this.targets.size > 0;
+  }
+
+  /** Finds the client account that holds `key`. */
+  findAccount(key: string): ClientAccount | undefined {
+    return this.accounts.get(key);
+  }
+
+  /** Finds a service of the configuration. */
+  findService(name: string): ServiceConfig | undefined {
+    return this.services.get(name);
+  }
+
+  /** Finds a target by its incarnation. */
+  findTarget(id: string): Target | undefined {
+    return this.targets.get(id);
+  }
+
+  /** Lists targets of a service that take new work. */
+  listUsable(service: string): readonly Target[] {
+    const usable: Target[] = [];
+    for (const target of this.targets.values()) {
+      if (target.service !== service || target.isDraining) continue;
+      usable.push(target);
+    }
+    return usable;
+  }
+
+  /** Counts every target that is known. */
+  get targetCount(): number {
+    return this.targets.size;
+  }
+
+  /** Notes that the store answers again after an outage. */
+  markStoreBack(): void {
+    this.storeBackAt = this.readNow();
+  }
+
+  /** Applies one change that the store's watch reported. */
+  applyChange(change: FactChange, revision: number): void {
+    if (change.kind === 'config') this.applyConfig(change.config, 'store');
+    if (change.kind === 'target') this.applyTarget(change.target, 'store');
+    if (change.kind === 'target-gone') {
+      const known = this.targets.get(change.id);
+      if (known !== undefined && known.revision <= change.revision)
+        this.removeOrHold(known, 'store');
+    }
+    this.revision = Math.max(this.revision, revision);
+  }
+
+  /** Applies a whole read of the store. */
+  applySnapshot(snapshot: FactSnapshot): void {
+    if (snapshot.config !== undefined)
+      this.applyConfig(snapshot.config, 'store');
+    this.replaceTargets(snapshot.targets, snapshot.revision, 'store');
+    for (const target of snapshot.targets)
+      this.revision = Math.max(this.revision, target.revision);
+  }
+
+  /** Applies what another gate knows; older facts change nothing. */
+  applyShared(shared: SharedFacts): void {
+    if (shared.config !== undefined) this.applyConfig(shared.config, 'peer');
+    if (shared.revision <= this.revision) return;
+    this.replaceTargets(shared.targets, shared.revision, 'peer');
+    const now = this.readNow();
+    for (const [id, leftMs] of shared.held)
+      if (this.targets.has(id)) this.heldUntil.set(id, now + leftMs);
+    this.revision = shared.revision;
+  }
+
+  /** What this gate can tell another one. */
+  describeShared(): SharedFacts {
+    const now = this.readNow();
+    return {
+      revision: this.revision,
+      config: this.config,
+      targets: [...this.targets.values()],
+      held: [...this.heldUntil].map(([id, until]) => [id, until - now]),
+    };
+  }
+
+  /** Drops held targets whose entry has not come back in time. */
+  expireHeld(): void {
+    const now = this.readNow();
+    for (const [id, until] of this.heldUntil) {
+      if (until > now) continue;
+      this.heldUntil.delete(id);
+      const target = this.targets.get(id);
+      if (target !== undefined) this.remove(target, 'hold_expired');
+    }
+  }
+
+  private applyConfig(config: FleetConfig, source: 'store' | 'peer'): void {
+    if (this.config !== undefined && config.version <= this.config.version)
+      return;
+    this.config = config;
+    this.routes = createRouteTable(config.routes);
+    this.accounts = new Map(
+      config.accounts.flatMap(account =>
+        account.keys.map(key => [key, account] as const),
+      ),
+    );
+    this.services = new Map(
+      config.services.map(service => [service.name, service]),
+    );
+    this.notify(
+      'config_applied',
+      source,
+      String(config.version),
+      config.version,
+    );
+  }
+
+  private applyTarget(target: Target, source: 'store' | 'peer'): void {
+    const known = this.targets.get(target.id);
+    if (known !== undefined && known.revision > target.revision) return;
+    this.heldUntil.delete(target.id);
+    this.targets.set(target.id, target);
+    if (known === undefined)
+      this.notify('target_added', source, target.id, target.revision);
+    else if (known.isDraining !== target.isDraining)
+      this.notify('target_changed', source, target.id, target.revision);
+  }
+
+  private replaceTargets(
+    targets: readonly Target[],
+    revision: number,
+    source: 'store' | 'peer',
+  ): void {
+    const present = new Set(targets.map(target => target.id));
+    for (const target of targets) this.applyTarget(target, source);
+    for (const known of [...this.targets.values()]) {
+      // An entry newer than the read is not in it and yet stands.
+      if (present.has(known.id) || known.revision > revision) continue;
+      this.removeOrHold(known, source);
+    }
+  }
+
+  private removeOrHold(target: Target, source: 'store' | 'peer'): void {
+    const holdEnd = this.storeBackAt + LAPSE_HOLD_MS;
+    const isLapse =
+      source === 'store' && !target.isDraining && holdEnd > this.readNow();
+    if (!isLapse) {
+      this.remove(target, source);
+      return;
+    }
+    this.heldUntil.set(target.id, holdEnd);
+    this.notify('target_held', source, target.id, target.revision);
+  }
+
+  private remove(target: Target, source: FleetEvent['source']): void {
+    this.targets.delete(target.id);
+    this.heldUntil.delete(target.id);
+    this.notify('target_removed', source, target.id, target.revision);
+  }
+
+  private notify(
+    event: FleetEvent['event'],
+    source: FleetEvent['source'],
+    id: string,
+    revision: number,
+  ): void {
+    for (const listener of this.listeners)
+      listener({event, source, id, revision});
+  }
+}
+
+/**
+ * Creates an empty state.
+ *
+ * @param readNow - Monotonic clock, in ms.
+ * @example
+ * const state = createFleetState(() => performance.now());
+ */
+export function createFleetState(readNow: () => number): FleetState {
+  return new FleetState(readNow);
+}
--- /dev/null
+++ b/packages/direct/src/fleet/store-watcher.ts
@@ -0,0 +1,148 @@
+/**
+ * Keeps the fleet state in step with the store: one whole read, then a watch
+ * that goes on from the last revision. Lost history brings another whole
+ * read; an outage brings retries with backoff while the last state stays.
+ */
+import {setTimeout as sleep} from 'node:timers/promises';
+import {HistoryLostError, StoreUnavailableError} from '../errors.js';
+import type {DecisionLog} from '../observe/decision-log.js';
+import type {FactStore} from '../ports.js';
+import type {FleetState} from './fleet-state.js';
+
+/**
+ * How long one watch waits, in ms. A connection that has gone silent shows
+ * only by this time-out, and a leaving target must be known within 2,000 ms
+ * of contact regained; each call has a price, so it is no shorter.
+ */
+const WATCH_WAIT_MS = 2500;
+
+/** What a watch may take past its wait, in ms: a slow store's answer. */
+const WATCH_SLACK_MS = 700;
+
+/** Longest whole read, in ms: two pages from a store slowed sixtyfold. */
+const SNAPSHOT_TIMEOUT_MS = 1500;
+
+/** Backoff between failed calls, in ms; each failed call has a price too. */
+const BACKOFF_MIN_MS = 100;
+const BACKOFF_MAX_MS = 1000;
+
+/**
+ * Time without an answer past which entries may have lapsed, in ms: below
+ * three heartbeats, so that no lapse goes unrecognised.
+ */
+const OUTAGE_MS = 1500;
+
+/** What the watcher works with. */
+export interface StoreWatcherOptions {
+  readonly store: FactStore;
+  readonly state: FleetState;
+  readonly log: DecisionLog;
+  readonly readNow: () => number;
+}
+
+/**
+ * The watch of one gate.
+ *
+ * @example
+ * const watcher = createStoreWatcher({store, state, log, readNow});
+ * void watcher.run();
+ */
+export class StoreWatcher {
+  private isStopped = false;
+  private position: number | undefined;
+  private backoffMs = BACKOFF_MIN_MS;
+  private isDown = false;
+  private answeredAt: number;
+
+  constructor(private readonly options: StoreWatcherOptions) {
+    this.answeredAt = options.readNow();
+  }
+
+  /** Time since the store last answered, in ms. */
+  get ageMs(): number {
+    return this.options.readNow() - this.answeredAt;
+  }
+
+  /** Watches until stopped. */
+  async run(): Promise<void> {
+    while (!this.isStopped) {
+      try {
+        await this.step();
+      } catch (error) {
+        await this.handleFailure(error as Error);
+      }
+    }
+  }
+
+  /** Ends the loop after the call that is under way. */
+  stop(): void {
+    this.isStopped = true;
+  }
+
+  private async step(): Promise<void> {
+    const {store, state} = this.options;
+    if (this.position === undefined) {
+      const snapshot = await store.readSnapshot(SNAPSHOT_TIMEOUT_MS);
+      this.markAnswered();
+      state.applySnapshot(snapshot);
+      this.position = snapshot.revision;
+      return;
+    }
+    const changes = await store.waitForChanges(
+      this.position,
+      WATCH_WAIT_MS,
+      WATCH_WAIT_MS + WATCH_SLACK_MS,
+    );
+    this.markAnswered();
+    for (const change of changes.changes) {
+      const revision = change.kind === 'target' ? change.target.revision : 0;
+      state.applyChange(
+        change,
+        change.kind === 'target-gone' ? change.revision : revision,
+      );
+    }
+    this.position = Math.max(this.position, changes.revision);
+  }
+
+  private markAnswered(): void {
+    const {state, log, readNow} = this.options;
+    const silentMs = readNow() - this.answeredAt;
+    if (silentMs > OUTAGE_MS + WATCH_WAIT_MS || this.isDown)
+      state.markStoreBack();
+    if (this.isDown) log.info('store_regained', {silentMs});
+    this.isDown = false;
+    this.answeredAt = readNow();
+    this.backoffMs = BACKOFF_MIN_MS;
+  }
+
+  private async handleFailure(error: Error): Promise<void> {
+    const {log, state} = this.options;
+    if (error instanceof HistoryLostError) {
+      log.info('store_history_lost', {position: this.position});
+      this.position = undefined;
+      return;
+    }
+    if (!(error instanceof StoreUnavailableError)) throw error;
+    if (!this.isDown)
+      log.warn('store_lost', {
+        reason: error.message,
+        configVersion: state.config?.version,
+        revision: state.revision,
+        ageMs: this.ageMs,
+      });
+    this.isDown = true;
+    // Jitter keeps the gates from asking a returning store all at once.
+    await sleep(this.backoffMs * (0.5 + Math.random() / 2));
+    this.backoffMs = Math.min(BACKOFF_MAX_MS, this.backoffMs * 2);
+  }
+}
+
+/**
+ * Creates a watcher; call `run` to start it.
+ *
+ * @example
+ * const watcher = createStoreWatcher(options);
+ */
+export function createStoreWatcher(options: StoreWatcherOptions): StoreWatcher {
+  return new StoreWatcher(options);
+}
--- /dev/null
+++ b/packages/direct/src/forward/call-forwarder.ts
@@ -0,0 +1,272 @@
+/**
+ * Forwards a call to a plain service. A call that may be repeated goes to a
+ * second target when the first fails or is slow; one that may not is sent
+ * again only where it provably did not run.
+ */
+import {ExchangeError} from '../errors.js';
+import {openExchange} from './exchange.js';
+import {readVerdict} from './judge-answer.js';
+import {chooseReturnMs} from './retry-after.js';
+import type {Target} from '../types.js';
+import type {ForwardContext} from './context.js';
+import type {AnswerHead, Exchange} from './exchange.js';
+import type {GateRequest} from './request.js';
+
+/**
+ * Share of the objective after which a repeatable call that has no answer is
+ * sent to a second target as well: half is left for that one's answer.
+ */
+const HEDGE_SHARE = 0.5;
+
+/** How often a call whose connection could not be opened tries another target. */
+const MAX_UNSENT_TRIES = 4;
+
+/** A target's whole answer. */
+interface WholeAnswer {
+  readonly status: number;
+  readonly headers: readonly string[];
+  readonly body: Buffer;
+}
+
+type AttemptResult =
+  | {readonly kind: 'answer'; readonly answer: WholeAnswer}
+  | {readonly kind: 'target-failure'; readonly answer: WholeAnswer}
+  | {readonly kind: 'not-run'}
+  | {readonly kind: 'failed'; readonly error: ExchangeError};
+
+/** Reads a body whole; rejects with an ExchangeError when it breaks off. */
+async function readWholeBody(head: AnswerHead): Promise<Buffer> {
+  const parts: Buffer[] = [];
+  try {
+    for await (const part of head.message as AsyncIterable<Buffer>)
+      parts.push(part);
+  } catch (cause) {
+    throw new ExchangeError('truncated', true, cause as Error);
+  }
+  if (!head.message.complete) throw new ExchangeError('truncated', true);
+  return Buffer.concat(parts);
+}
+
+/** One call on its way. */
+class CallRun {
+  private readonly tried = new Set<string>();
+  private readonly open = new Set<Exchange>();
+  private sends = 0;
+  private unsentTries = 0;
+  private mayHaveRun = false;
+  private spareAnswer: WholeAnswer | undefined;
+  private isSettled = false;
+  private expiry: NodeJS.Timeout | undefined;
+  private hedge: NodeJS.Timeout | undefined;
+
+  constructor(
+    private readonly context: ForwardContext,
+    private readonly request: GateRequest,
+  ) {}
+
+  start(): void {
+    const {request, context} = this;
+    request.caller.onLeave(() => this.settle('caller_left'));
+    const leftMs = request.expiresAt - context.readNow();
+    this.expiry = setTimeout(() => this.expire(), leftMs);
+    if (request.route.kind === 'safe')
+      this.hedge = setTimeout(
+        () => this.tryNext('slow'),
+        request.route.goalMs * HEDGE_SHARE,
+      );
+    this.tryNext('first');
+  }
+
+  private tryNext(why: string): void {
+    if (this.isSettled) return;
+    const {context, request} = this;
+    const isRepeat = this.sends > 0;
+    if (this.sends >= request.route.maxAttempts) return this.giveUpIfIdle(why);
+    const target = context.calls.choose(request.service, this.tried);
+    if (target === undefined) return this.giveUpIfIdle(why);
+    if (
+      isRepeat &&
+      !context.budget.claimRetry(request.service, context.readNow())
+    )
+      return this.giveUpIfIdle('retry_budget_spent');
+    this.tried.add(target.id);
+    this.sends++;
+    void this.runAttempt(target, why);
+  }
+
+  private async runAttempt(target: Target, why: string): Promise<void> {
+    const {context, request} = this;
+    context.calls.enter(target.id);
+    const exchange = openExchange({
+      target,
+      method: request.method,
+      path: request.path,
+      headers: context.dialect.buildForTarget(request.headers, {
+        deadlineLeftMs: request.expiresAt - context.readNow(),
+        target,
+        account: request.account,
+        urgency: undefined,
+        helpers: [],
+        lastEventId: undefined,
+      }),
+      body: request.body,
+    });
+    this.open.add(exchange);
+    const result = await this.readResult(exchange);
+    this.open.delete(exchange);
+    context.calls.leave(target.id);
+    if (this.isSettled) return;
+    this.recordHealth(target, result);
+    this.handleResult(target, result, why);
+  }
+
+  private async readResult(exchange: Exchange): Promise<AttemptResult> {
+    const {context, request} = this;
+    try {
+      const head = await exchange.head;
+      const {verdict} = readVerdict(
+        head,
+        context.dialect,
+        request.facts.requestId,
+      );
+      if (verdict === 'foreign') {
+        exchange.cancel();
+        const error = new ExchangeError('foreign-answer', true);
+        return {kind: 'failed', error};
+      }
+      if (verdict === 'not-run') {
+        exchange.cancel();
+        return {kind: 'not-run'};
+      }
+      const body = await readWholeBody(head);
+      const answer = {
+        status: head.status,
+        headers: head.message.rawHeaders,
+        body,
+      };
+      return {kind: verdict, answer};
+    } catch (error) {
+      if (error instanceof ExchangeError) return {kind: 'failed', error};
+      throw error;
+    }
+  }
+
+  private recordHealth(target: Target, result: AttemptResult): void {
+    const {health, readNow} = this.context;
+    if (result.kind === 'answer') health.recordSuccess(target.id);
+    else if (result.kind !== 'failed')
+      health.recordFailure(target.id, readNow(), false);
+    else if (result.error.fault !== 'cancelled')
+      health.recordFailure(target.id, readNow(), !result.error.wasSent);
+  }
+
+  private handleResult(
+    target: Target,
+    result: AttemptResult,
+    why: string,
+  ): void {
+    if (result.kind === 'answer') return this.sendAnswer(result.answer, target);
+    this.context.counters.add(`call.attempt_${result.kind}`);
+    this.context.log.warn('attempt_failed', {
+      requestId: this.request.facts.requestId,
+      target: target.id,
+      attempt: this.sends,
+      why,
+      outcome: result.kind === 'failed' ? result.error.fault : result.kind,
+    });
+    if (result.kind === 'not-run') return this.tryNext('not_run');
+    if (result.kind === 'target-failure') {
+      this.spareAnswer = result.answer;
+      if (this.request.route.kind === 'safe') return this.tryNext('failure');
+      return this.sendAnswer(result.answer, target);
+    }
+    if (!result.error.wasSent) return this.tryUnsentAgain();
+    this.mayHaveRun = true;
+    if (this.request.route.kind === 'safe') return this.tryNext('broken');
+    this.refuse(502, 'outcome_unknown');
+  }
+
+  /** No byte left this host: the attempt does not count as one. */
+  private tryUnsentAgain(): void {
+    this.sends--;
+    if (++this.unsentTries < MAX_UNSENT_TRIES) return this.tryNext('unsent');
+    this.giveUpIfIdle('unsent');
+  }
+
+  /** Answers with what there is once no attempt is under way. */
+  private giveUpIfIdle(why: string): void {
+    if (this.open.size > 0 || this.isSettled) return;
+    if (this.spareAnswer !== undefined)
+      return this.sendAnswer(this.spareAnswer, undefined);
+    if (this.mayHaveRun && this.request.route.kind !== 'safe')
+      return this.refuse(502, 'outcome_unknown');
+    this.context.log.warn('request_given_up', {
+      requestId: this.request.facts.requestId,
+      why,
+      tried: [...this.tried],
+    });
+    if (this.mayHaveRun) return this.refuse(502, 'outcome_unknown');
+    this.refuse(503, this.tried.size === 0 ? 'no_target' : 'not_run');
+  }
+
+  private expire(): void {
+    this.refuse(504, 'timeout');
+  }
+
+  private sendAnswer(answer: WholeAnswer, target: Target | undefined): void {
+    if (this.isSettled) return;
+    this.request.caller.sendWhole(answer.status, answer.headers, answer.body);
+    this.settle('answered', target);
+  }
+
+  private refuse(
+    status: number,
+    reason: Parameters<GateRequest['caller']['refuse']>[1],
+  ): void {
+    if (this.isSettled) return;
+    const {context, request} = this;
+    const leftMs = request.expiresAt - context.readNow();
+    const returnMs = status === 503 ? chooseReturnMs(0, leftMs) : undefined;
+    request.caller.refuse(status, reason, returnMs);
+    this.settle(reason);
+  }
+
+  private settle(outcome: string, target?: Target): void {
+    if (this.isSettled) return;
+    this.isSettled = true;
+    clearTimeout(this.expiry);
+    clearTimeout(this.hedge);
+    for (const exchange of this.open) exchange.cancel();
+    const {context, request} = this;
+    const ms = context.readNow() - request.arrivedAt;
+    if (outcome === 'answered') context.answerMs.recordMs(ms);
+    context.counters.add(`call.${outcome}`);
+    context.log[outcome === 'answered' ? 'info' : 'warn']('request_ended', {
+      requestId: request.facts.requestId,
+      route: request.route.name,
+      kind: request.route.kind,
+      account: request.account,
+      outcome,
+      status: request.caller.status,
+      target: target?.id,
+      tried: [...this.tried],
+      ms: Math.round(ms),
+      configVersion: request.configVersion,
+      factsAgeMs: Math.round(context.readFactsAgeMs()),
+    });
+  }
+}
+
+/**
+ * Forwards one call; the caller gets exactly one answer.
+ *
+ * @example
+ * forwardCall(context, request);
+ */
+export function forwardCall(
+  context: ForwardContext,
+  request: GateRequest,
+): void {
+  context.budget.recordRequest(request.service, context.readNow());
+  new CallRun(context, request).start();
+}
--- /dev/null
+++ b/packages/direct/src/forward/event-splitter.ts
@@ -0,0 +1,60 @@
+/**
+ * Cuts a stream of server-sent events into whole events. Only whole events
+ * are passed on: a target that dies in the middle of one leaves nothing
+ * behind, so that another target can go on after the last whole event.
+ */
+
+/** One whole event with the bytes that end it. */
+export interface StreamEvent {
+  readonly bytes: Buffer;
+  /** Value of its `id` field; absent when it has none. */
+  readonly id: string | undefined;
+}
+
+const BOUNDARY = '\n\n';
+
+/**
+ * Collects bytes and gives out whole events.
+ *
+ * @example
+ * splitter.push(Buffer.from('id: 1\ndata: a\n\nid')); // one event
+ */
+export class EventSplitter {
+  private rest: Buffer = Buffer.alloc(0);
+
+  /** True when bytes of an event that has not ended are held. */
+  get hasPartialEvent(): boolean {
+    return this.rest.length > 0;
+  }
+
+  /** Takes bytes and returns the events that they complete. */
+  push(bytes: Buffer): readonly StreamEvent[] {
+    let buffer =
+      this.rest.length === 0 ? bytes : Buffer.concat([this.rest, bytes]);
+    const events: StreamEvent[] = [];
+    let end = buffer.indexOf(BOUNDARY);
+    while (end >= 0) {
+      const event = buffer.subarray(0, end + BOUNDARY.length);
+      events.push({bytes: event, id: parseEventId(event)});
+      buffer = buffer.subarray(end + BOUNDARY.length);
+      end = buffer.indexOf(BOUNDARY);
+    }
+    this.rest = buffer;
+    return events;
+  }
+}
+
+function parseEventId(event: Buffer): string | undefined {
+  const match = /(?:^|\n)id: ?([^\r\n]*)/.exec(event.toString('latin1'));
+  return match?.[1];
+}
+
+/**
+ * Creates a splitter.
+ *
+ * @example
+ * const splitter = createEventSplitter();
+ */
+export function createEventSplitter(): EventSplitter {
+  return new EventSplitter();
+}
--- /dev/null
+++ b/packages/direct/src/forward/exchange.ts
@@ -0,0 +1,124 @@
+/**
+ * One request to one target over a connection of its own. A kept connection
+ * may be closed unseen, gone silent, or hold bytes of an earlier answer; a
+ * new one costs a round trip within the site and can hold none of these.
+ */
+import {request as sendRequest} from 'node:http';
+import {ExchangeError} from '../errors.js';
+import type {ClientRequest, IncomingMessage} from 'node:http';
+import type {ExchangeFault} from '../errors.js';
+import type {RawHeaders, Target} from '../types.js';
+
+/**
+ * Longest wait for a connection, in ms: two orders above the round trip
+ * within a site (3 ms), and below the first retransmission of a lost opening
+ * packet (1 s), which a new connection beats.
+ */
+const CONNECT_TIMEOUT_MS = 250;
+
+/** A request as it goes to a target. */
+export interface ExchangeOptions {
+  readonly target: Target;
+  readonly method: string;
+  readonly path: string;
+  readonly headers: RawHeaders;
+  readonly body: Buffer;
+}
+
+/** Head of a target's answer; the body is still to be read. */
+export interface AnswerHead {
+  readonly status: number;
+  readonly message: IncomingMessage;
+}
+
+/**
+ * An exchange under way.
+ *
+ * @example
+ * const exchange = openExchange(options);
+ * const head = await exchange.head;
+ */
+export class Exchange {
+  /** Resolves with the head; rejects with an ExchangeError. */
+  readonly head: Promise<AnswerHead>;
+  private readonly request: ClientRequest;
+  private isConnected = false;
+  private isCancelled = false;
+
+  constructor(options: ExchangeOptions) {
+    this.request = sendRequest({
+      host: options.target.host,
+      port: options.target.port,
+      method: options.method,
+      path: options.path,
+      headers: options.headers,
+      setHost: false,
+      agent: false,
+    });
+    this.head = this.waitForHead();
+    // Whoever lost interest in the head still must not leave it unhandled.
+    this.head.catch(() => undefined);
+    this.observeConnection();
+    this.request.end(options.body.length > 0 ? options.body : undefined);
+  }
+
+  /** True once bytes of the request may have reached the target. */
+  get wasSent(): boolean {
+    return this.isConnected;
+  }
+
+  /** Closes the connection, which makes the target drop the request. */
+  cancel(): void {
+    this.isCancelled = true;
+    this.request.destroy();
+  }
+
+  private observeConnection(): void {
+    this.request.once('socket', socket => {
+      const timer = setTimeout(
+        () => this.request.destroy(),
+        CONNECT_TIMEOUT_MS,
+      );
+      socket.once('connect', () => {
+        this.isConnected = true;
+        clearTimeout(timer);
+      });
+      socket.once('close', () => clearTimeout(timer));
+    });
+  }
+
+  private waitForHead(): Promise<AnswerHead> {
+    return new Promise((resolve, reject) => {
+      this.request.once('response', message =>
+        resolve({status: message.statusCode ?? 0, message}),
+      );
+      // Bytes behind a complete answer raise errors too: by then the head
+      // has resolved and the body has ended, and they change nothing.
+      this.request.on('error', cause =>
+        reject(
+          new ExchangeError(this.findFault(cause), this.isConnected, cause),
+        ),
+      );
+      this.request.once('close', () =>
+        reject(new ExchangeError(this.findFault(), this.isConnected)),
+      );
+    });
+  }
+
+  private findFault(cause?: Error): ExchangeFault {
+    if (this.isCancelled) return 'cancelled';
+    if (!this.isConnected) return 'connect';
+    const code = (cause as NodeJS.ErrnoException | undefined)?.code ?? '';
+    return code.startsWith('HPE_') ? 'malformed' : 'reset';
+  }
+}
+
+/**
+ * Sends a request to a target.
+ *
+ * @example
+ * const {status} = await openExchange(options).head;
+ */
+export function openExchange(options: ExchangeOptions): Exchange {
+  return new Exchange(options);
+}
--- /dev/null
+++ b/packages/direct/src/forward/memory-lease.ts
@@ -0,0 +1,100 @@
+/**
+ * Memory set aside on helpers for one long prompt. Each reservation is a
+ * short lease that is renewed while the stream lasts: when this process dies
+ * or a release is lost, the lease runs out soon after.
+ */
+import type {MemoryReservations} from '../ports.js';
+import type {Target} from '../types.js';
+
+/**
+ * Length of a lease, in ms. Memory that is idle or left over for four
+ * seconds counts as leaked, and a lease lost in flight may start late.
+ */
+const LEASE_MS = 3200;
+
+/** Period of the renewals, in ms: two may be lost before the lease ends. */
+const RENEW_MS = 1200;
+
+/** One reservation. */
+export interface LeasedTicket {
+  readonly target: Target;
+  readonly ticket: string;
+}
+
+/**
+ * The reservations of one prompt.
+ *
+ * @example
+ * const lease = await openMemoryLease(reservations, wanted);
+ * lease?.close();
+ */
+export class MemoryLease {
+  private readonly timer: NodeJS.Timeout;
+
+  constructor(
+    private readonly reservations: MemoryReservations,
+    readonly tickets: readonly LeasedTicket[],
+    private readonly tokens: ReadonlyMap<string, number>,
+  ) {
+    this.timer = setInterval(() => this.renew(), RENEW_MS);
+  }
+
+  /** Finds the ticket held on `target`. */
+  findTicket(target: string): string | undefined {
+    return this.tickets.find(held => held.target.id === target)?.ticket;
+  }
+
+  /** Gives all of it back. */
+  close(): void {
+    clearInterval(this.timer);
+    for (const {target, ticket} of this.tickets)
+      void this.reservations.release(target, ticket);
+  }
+
+  private renew(): void {
+    for (const {target, ticket} of this.tickets)
+      void this.reservations.reserve(
+        target,
+        ticket,
+        this.tokens.get(target.id) ?? 0,
+        LEASE_MS,
+      );
+  }
+}
+
+/** Memory wanted on one target. */
+export interface MemoryWish {
+  readonly target: Target;
+  readonly tokens: number;
+}
+
+/**
+ * Reserves everything or nothing. A reservation that was refused or not
+ * answered makes the others pointless: they are given back at once, and so
+ * is the unanswered one, which may have been granted.
+ *
+ * @returns Nothing when one of them was not granted.
+ * @example
+ * const lease = await openMemoryLease(reservations, 'gate-1/7', wishes);
+ */
+export async function openMemoryLease(
+  reservations: MemoryReservations,
+  name: string,
+  wishes: readonly MemoryWish[],
+): Promise<MemoryLease | undefined> {
+  const outcomes = await Promise.all(
+    wishes.map(({target, tokens}) =>
+      reservations.reserve(target, name, tokens, LEASE_MS),
+    ),
+  );
+  if (outcomes.every(outcome => outcome === 'granted'))
+    return new MemoryLease(
+      reservations,
+      wishes.map(({target}) => ({target, ticket: name})),
+      new Map(wishes.map(({target, tokens}) => [target.id, tokens])),
+    );
+  wishes.forEach(({target}, i) => {
+    if (outcomes[i] !== 'refused') void reservations.release(target, name);
+  });
+  return undefined;
+}
--- /dev/null
+++ b/packages/direct/src/health/target-health.ts
@@ -0,0 +1,100 @@
+/**
+ * What requests have shown of each target: failures in a row take it out for
+ * a while, and one request at a time then tries whether it is back. Health
+ * probes have a price and may lie, so requests themselves are the evidence.
+ */
+
+/** Failures in a row that take a target out. */
+const FAILURES_TO_SUSPEND = 2;
+
+/** First and longest time out, in ms: doubled at each failed trial. */
+const SUSPEND_MIN_MS = 800;
+const SUSPEND_MAX_MS = 4000;
+
+/** Weight of the newest outcome in a target's share of failures. */
+const FAILURE_WEIGHT = 0.15;
+
+/** Share of failures from which on a target is passed over where others are. */
+export const GREY_SHARE = 0.35;
+
+interface Record {
+  failuresInRow: number;
+  suspendedUntil: number;
+  suspendMs: number;
+  failureShare: number;
+}
+
+/**
+ * Evidence about every target, at this gate.
+ *
+ * @example
+ * health.recordFailure('i-1', now, true);
+ * health.isSuspended('i-1', now); // true
+ */
+export class TargetHealth {
+  private readonly records = new Map<string, Record>();
+
+  /** Notes a whole answer that is no failure of the target. */
+  recordSuccess(id: string): void {
+    const record = this.records.get(id);
+    if (record === undefined) return;
+    record.failuresInRow = 0;
+    record.suspendMs = SUSPEND_MIN_MS;
+    record.suspendedUntil = 0;
+    record.failureShare *= 1 - FAILURE_WEIGHT;
+  }
+
+  /**
+   * Notes a failure.
+   *
+   * @param isDead - True when nothing answers at all: one such failure is
+   *   enough.
+   */
+  recordFailure(id: string, now: number, isDead: boolean): void {
+    const record = this.readRecord(id);
+    record.failuresInRow++;
+    record.failureShare += (1 - record.failureShare) * FAILURE_WEIGHT;
+    if (!isDead && record.failuresInRow < FAILURES_TO_SUSPEND) return;
+    record.suspendedUntil = now + record.suspendMs;
+    record.suspendMs = Math.min(SUSPEND_MAX_MS, record.suspendMs * 2);
+  }
+
+  /** True while a target is taken out. */
+  isSuspended(id: string, now: number): boolean {
+    return (this.records.get(id)?.suspendedUntil ?? 0) > now;
+  }
+
+  /** Recent share of failures, 0 to 1. */
+  readFailureShare(id: string): number {
+    return this.records.get(id)?.failureShare ?? 0;
+  }
+
+  /** Forgets a target that is gone. */
+  drop(id: string): void {
+    this.records.delete(id);
+  }
+
+  private readRecord(id: string): Record {
+    let record = this.records.get(id);
+    if (record === undefined) {
+      record = {
+        failuresInRow: 0,
+        suspendedUntil: 0,
+        suspendMs: SUSPEND_MIN_MS,
+        failureShare: 0,
+      };
+      this.records.set(id, record);
+    }
+    return record;
+  }
+}
+
+/**
+ * Creates health records.
+ *
+ * @example
+ * const health = createTargetHealth();
+ */
+export function createTargetHealth(): TargetHealth {
+  return new TargetHealth();
+}
--- /dev/null
+++ b/packages/direct/src/index.ts
@@ -0,0 +1,8 @@
+/** Public surface of the direct gate. */
+export * from './types.js';
+export * from './ports.js';
+export * from './errors.js';
+export * from './gate.js';
+export {createDecisionLog} from './observe/decision-log.js';
+export type {DecisionLog} from './observe/decision-log.js';
+export {stripHopByHop} from './forward/caller-response.js';
--- /dev/null
+++ b/packages/direct/src/ingress/ingress.ts
@@ -0,0 +1,241 @@
+/**
+ * The callers' side: reads a request whole, checks route and key, and hands
+ * it to the forwarders.
+ */
+import {createServer} from 'node:http';
+import {openListener} from '@nutmeggauge/core';
+import {CallerResponse} from '../forward/caller-response.js';
+import {forwardCall} from '../forward/call-forwarder.js';
+import {chooseReturnMs} from '../forward/retry-after.js';
+import {forwardStream} from '../forward/stream-forwarder.js';
+import type {IncomingMessage, Server, ServerResponse} from 'node:http';
+import type {ListenAddress} from '@nutmeggauge/core';
+import type {ForwardContext} from '../forward/context.js';
+import type {GateRequest} from '../forward/request.js';
+import type {RequestFacts, Route} from '../types.js';
+
+/** Deadline of a caller that names none, in ms; the route's timeout is less. */
+const DEFAULT_DEADLINE_MS = 60_000;
+
+/** Largest request head that is read, in bytes; above it Node answers 431. */
+const MAX_HEAD_BYTES = 64 * 1024;
+
+/** Idle time of callers' connections until a configuration is known, in ms. */
+const DEFAULT_IDLE_MS = 15_000;
+
+/**
+ * Age of the facts past which an unknown key or route may be one that was
+ * added meanwhile, in ms: the watch waits 2.5 s, other gates beat each second.
+ */
+const STALE_FACTS_MS = 4000;
+
+/**
+ * The callers' HTTP server.
+ *
+ * @example
+ * const ingress = createIngress(context, () => false);
+ * await ingress.start({host: '10.1.0.4', port: 8080});
+ */
+export class Ingress {
+  private readonly server: Server;
+  private open = 0;
+
+  constructor(
+    private readonly context: ForwardContext,
+    private readonly isStopping: () => boolean,
+  ) {
+    this.server = createServer(
+      {
+        maxHeaderSize: MAX_HEAD_BYTES,
+        keepAliveTimeout: DEFAULT_IDLE_MS,
+        noDelay: true,
+      },
+      (req, res) => void this.serve(req, res),
+    );
+    context.state.onChange(event => {
+      if (event.event === 'config_applied') this.applyLimits();
+    });
+  }
+
+  /** Requests that are not yet answered. */
+  get inFlight(): number {
+    return this.open;
+  }
+
+  /** Starts listening; resolves with the bound port. */
+  start(address: ListenAddress): Promise<number> {
+    return openListener(this.server, address);
+  }
+
+  /** Closes connections that carry no request. */
+  closeIdle(): void {
+    this.server.close();
+    this.server.closeIdleConnections();
+  }
+
+  /** Cuts every connection. */
+  close(): void {
+    this.server.close();
+    this.server.closeAllConnections();
+  }
+
+  private applyLimits(): void {
+    const limits = this.context.state.config?.limits;
+    if (limits === undefined) return;
+    this.server.keepAliveTimeout = limits.idleTimeoutMs;
+    this.server.headersTimeout = limits.headerTimeoutMs;
+  }
+
+  private async serve(
+    req: IncomingMessage,
+    res: ServerResponse,
+  ): Promise<void> {
+    const arrivedAt = this.context.readNow();
+    this.open++;
+    res.once('close', () => this.open--);
+    const caller = new CallerResponse(res, this.isStopping);
+    const body = await readBody(req, this.readBodyLimit());
+    if (caller.isGone) return;
+    if (body === undefined)
+      return this.refuseEarly(caller, 413, 'body_too_large');
+    this.dispatch(req, body, caller, arrivedAt);
+  }
+
+  private dispatch(
+    req: IncomingMessage,
+    body: Buffer,
+    caller: CallerResponse,
+    arrivedAt: number,
+  ): void {
+    const {state, dialect, readNow} = this.context;
+    const facts = dialect.parseRequest(req.headers);
+    const config = state.config;
+    if (config === undefined)
+      return this.refuseEarly(caller, 503, 'no_configuration', facts);
+    const path = req.url ?? '/';
+    const host = req.headers.host ?? '';
+    const route = state.routeTable?.find(host, path.split('?', 1)[0]);
+    if (route === undefined)
+      return this.refuseUnknown(caller, 404, 'unknown_route', facts);
+    const account =
+      facts.apiKey === undefined ? undefined : state.findAccount(facts.apiKey);
+    const needsKey = !route.isPublic && config.accounts.length > 0;
+    if (needsKey && account === undefined)
+      return this.refuseUnknown(caller, 401, 'unknown_key', facts);
+    const leftMs = Math.min(
+      facts.deadlineMs ?? DEFAULT_DEADLINE_MS,
+      route.timeoutMs,
+    );
+    if (arrivedAt + leftMs <= readNow())
+      return this.refuseEarly(caller, 503, 'too_late', facts);
+    this.forward({
+      method: req.method ?? 'GET',
+      path,
+      headers: req.rawHeaders,
+      body,
+      facts,
+      route,
+      service: chooseService(route),
+      account: account?.name,
+      arrivedAt,
+      expiresAt: arrivedAt + leftMs,
+      configVersion: config.version,
+      lastEventId: readOne(req.headers['last-event-id']),
+      caller,
+    });
+  }
+
+  private forward(request: GateRequest): void {
+    const engine = this.context.state.findService(request.service)?.engine;
+    if (request.route.kind === 'stream' && engine !== undefined)
+      forwardStream(this.context, request, engine);
+    else forwardCall(this.context, request);
+  }
+
+  private readBodyLimit(): number {
+    return this.context.state.config?.limits.maxBodyBytes ?? 4 * 1024 * 1024;
+  }
+
+  /** A gate out of touch cannot say that a key or a route does not exist. */
+  private refuseUnknown(
+    caller: CallerResponse,
+    status: 401 | 404,
+    reason: 'unknown_key' | 'unknown_route',
+    facts: RequestFacts,
+  ): void {
+    if (this.context.readFactsAgeMs() > STALE_FACTS_MS)
+      return this.refuseEarly(caller, 503, 'configuration_stale', facts);
+    this.refuseEarly(caller, status, reason, facts);
+  }
+
+  private refuseEarly(
+    caller: CallerResponse,
+    status: number,
+    reason: Parameters<CallerResponse['refuse']>[1],
+    facts?: RequestFacts,
+  ): void {
+    const {log, counters, state, readFactsAgeMs} = this.context;
+    const leftMs = facts?.deadlineMs ?? DEFAULT_DEADLINE_MS;
+    caller.refuse(
+      status,
+      reason,
+      status === 503 ? chooseReturnMs(0, leftMs) : undefined,
+    );
+    counters.add(`ingress.${reason}`);
+    log.warn('request_refused', {
+      requestId: facts?.requestId,
+      status,
+      reason,
+      configVersion: state.config?.version,
+      factsAgeMs: Math.round(readFactsAgeMs()),
+    });
+  }
+}
+
+/** Reads a body; nothing when it is larger than `limit`. */
+async function readBody(
+  req: IncomingMessage,
+  limit: number,
+): Promise<Buffer | undefined> {
+  const parts: Buffer[] = [];
+  let size = 0;
+  try {
+    for await (const part of req as AsyncIterable<Buffer>) {
+      size += part.length;
+      if (size > limit) return undefined;
+      parts.push(part);
+    }
+  } catch {
+    // The caller has left; its response's close event says so.
+    return Buffer.alloc(0);
+  }
+  return Buffer.concat(parts);
+}
+
+function readOne(value: string | string[] | undefined): string | undefined {
+  return Array.isArray(value) ? value[0] : value;
+}
+
+/** Chooses among a route's services by weight. */
+function chooseService(route: Route): string {
+  const total = route.splits.reduce((sum, split) => sum + split.weight, 0);
+  let left = Math.random() * total;
+  for (const split of route.splits) {
+    left -= split.weight;
+    if (left < 0) return split.service;
+  }
+  return route.splits[route.splits.length - 1].service;
+}
+
+/**
+ * Creates the callers' server.
+ *
+ * @example
+ * const ingress = createIngress(context, () => isDraining);
+ */
+export function createIngress(
+  context: ForwardContext,
+  isStopping: () => boolean,
+): Ingress {
+  return new Ingress(context, isStopping);
+}
--- /dev/null
+++ b/packages/direct/src/observe/decision-log.ts
@@ -0,0 +1,110 @@
+/**
+ * Structured log on stdout: one JSON line for each decision. A reader that
+ * stands still must not stall or grow the process, so lines are dropped and
+ * counted once the unwritten part passes a bound, and lines of level `info`
+ * also once the second's budget is spent.
+ */
+import type {Writable} from 'node:stream';
+
+/** Fields of one line; values must be JSON-serialisable. */
+export type DecisionFields = Readonly<Record<string, unknown>>;
+
+/** Lines of level `info` a second; failures have their own, equal budget. */
+const LINES_PER_SECOND = 120;
+
+/** Unwritten bytes past which every line is dropped. */
+const MAX_UNWRITTEN_BYTES = 256 * 1024;
+
+/** What a log is made of. */
+export interface DecisionLogOptions {
+  readonly node: string;
+  readonly output: Writable;
+  /** Wall clock, in ms since the epoch; for readers only. */
+  readonly readWallMs: () => number;
+}
+
+type Level = 'info' | 'warn' | 'error';
+
+/**
+ * The decision log of one process.
+ *
+ * @example
+ * log.info('request_answered', {requestId, status: 200, ms: 31});
+ */
+export class DecisionLog {
+  private second = 0;
+  private infoLines = 0;
+  private failureLines = 0;
+  private dropped = 0;
+
+  constructor(private readonly options: DecisionLogOptions) {}
+
+  /** A decision or a change of state. */
+  info(event: string, fields: DecisionFields = {}): void {
+    this.write('info', event, fields);
+  }
+
+  /** A failure that a caller or a dependency may notice. */
+  warn(event: string, fields: DecisionFields = {}): void {
+    this.write('warn', event, fields);
+  }
+
+  /** A failure that ends the process. */
+  error(event: string, fields: DecisionFields = {}): void {
+    this.write('error', event, fields);
+  }
+
+  private write(level: Level, event: string, fields: DecisionFields): void {
+    const wallMs = this.options.readWallMs();
+    this.startSecond(Math.floor(wallMs / 1000));
+    if (!this.admit(level)) {
+      this.dropped++;
+      return;
+    }
+    this.print(level, event, fields, wallMs);
+  }
+
+  private admit(level: Level): boolean {
+    if (this.options.output.writableLength > MAX_UNWRITTEN_BYTES) return false;
+    // Failures never wait behind successes: each has a budget of its own.
+    if (level === 'info') return ++this.infoLines <= LINES_PER_SECOND;
+    return ++this.failureLines <= LINES_PER_SECOND;
+  }
+
+  private startSecond(second: number): void {
+    if (second === this.second) return;
+    this.second = second;
+    this.infoLines = 0;
+    this.failureLines = 0;
+    if (this.dropped === 0) return;
+    const lines = this.dropped;
+    this.dropped = 0;
+    this.print('warn', 'log_lines_dropped', {lines}, second * 1000);
+  }
+
+  private print(
+    level: Level,
+    event: string,
+    fields: DecisionFields,
+    wallMs: number,
+  ): void {
+    const line = {
+      t: wallMs,
+      node: this.options.node,
+      level,
+      event,
+      ...fields,
+    };
+    this.options.output.write(JSON.stringify(line) + '\n');
+  }
+}
+
+/**
+ * Creates a log.
+ *
+ * @example
+ * const log = createDecisionLog({node: 'gate-1', output: process.stdout, readWallMs: Date.now});
+ */
+export function createDecisionLog(options: DecisionLogOptions): DecisionLog {
+  return new DecisionLog(options);
+}
--- /dev/null
+++ b/packages/direct/src/observe/metrics-text.ts
@@ -0,0 +1,38 @@
+/** Counters, gauges and latency quantiles as text, one figure a line. */
+import type {LatencySummary} from '@nutmeggauge/core';
+
+const PREFIX = 'nutmeggauge_';
+
+/** Figures of one process. */
+export interface MetricFigures {
+  readonly counters: Readonly<Record<string, number>>;
+  readonly gauges: Readonly<Record<string, number>>;
+  readonly latencies: Readonly<Record<string, LatencySummary>>;
+}
+
+function toMetricName(name: string): string {
+  return PREFIX + name.replace(/[^a-zA-Z0-9]/g, '_');
+}
+
+/**
+ * Renders figures in the text format that Prometheus reads. Names carry
+ * their unit; quantiles come from the histograms, in ms.
+ *
+ * @example
+ * renderMetrics({counters: {'call.answered': 3}, gauges: {}, latencies: {}});
+ */
+export function renderMetrics(figures: MetricFigures): string {
+  const lines: string[] = [];
+  for (const [name, value] of Object.entries(figures.counters))
+    lines.push(`${toMetricName(name)}_total ${value}`);
+  for (const [name, value] of Object.entries(figures.gauges))
+    lines.push(`${toMetricName(name)} ${value}`);
+  for (const [name, latency] of Object.entries(figures.latencies)) {
+    const metric = `${toMetricName(name)}_ms`;
+    lines.push(`${metric}{quantile="0.5"} ${latency.p50}`);
+    lines.push(`${metric}{quantile="0.95"} ${latency.p95}`);
+    lines.push(`${metric}{quantile="0.99"} ${latency.p99}`);
+    lines.push(`${metric}_count ${latency.count}`);
+  }
+  return lines.join('\n') + '\n';
+}
--- /dev/null
+++ b/packages/direct/src/peers/peer-group.ts
@@ -0,0 +1,390 @@
+/**
+ * The other gates: who they are, what they have placed, and whether they know
+ * newer facts. Found through seeds that may be stale or down; every gate that
+ * was ever heard of is beaten for a while, so a restarted one is found again
+ * even when all seeds are gone.
+ */
+import {createSocket} from 'node:dgram';
+import {createServer} from 'node:net';
+import {createRpcLink, openListener, openRpcLink} from '@nutmeggauge/core';
+import {PlacementAnnouncer} from '../placement/prompt-placer.js';
+import {DatagramSchema, toPlacement, toWirePlacement} from './messages.js';
+import type {Socket as DatagramSocket} from 'node:dgram';
+import type {Server} from 'node:net';
+import type {FleetState, SharedFacts} from '../fleet/fleet-state.js';
+import type {DecisionLog} from '../observe/decision-log.js';
+import type {LoadBook, Placement} from '../placement/load-book.js';
+import type {Beat, Datagram} from './messages.js';
+
+/** Period of the beats, in ms: the age up to which another gate's facts may be behind. */
+const BEAT_MS = 1000;
+
+/** Silence after which a gate's placements are dropped, in ms: three beats. */
+const SILENT_MS = 3200;
+
+/** Silence after which a gate no longer counts for shared budgets, in ms. */
+const FORGET_BUDGET_MS = 30_000;
+
+/** Silence after which a gate is beaten no more, in ms. */
+const FORGET_MS = 120_000;
+
+/** Shortest time between two beats that new facts cause, in ms. */
+const NEWS_MIN_MS = 100;
+
+/**
+ * How long another gate may be ahead before its facts are asked for, in ms:
+ * the store's own watch usually brings them first, within some 10 ms.
+ */
+const AHEAD_MS = 150;
+
+/** Longest exchange of facts, in ms. */
+const FETCH_TIMEOUT_MS = 1200;
+
+/** Method that hands out facts. */
+const READ_FACTS = 'read-facts';
+
+interface Peer {
+  readonly host: string;
+  incarnation: string | undefined;
+  /** Last beat, on the monotonic clock; -Infinity before the first. */
+  heardAt: number;
+  /** When it was first heard of. */
+  knownAt: number;
+  configVersion: number;
+  revision: number;
+  factsAgeMs: number;
+}
+
+/** What a peer group works with. */
+export interface PeerGroupOptions {
+  /** Own address; peers are told apart by it. */
+  readonly host: string;
+  readonly port: number;
+  /** New at each start of the process. */
+  readonly incarnation: string;
+  readonly seedHosts: readonly string[];
+  readonly state: FleetState;
+  readonly book: LoadBook;
+  readonly log: DecisionLog;
+  readonly readNow: () => number;
+  /** Age of this gate's own last answer from the store, in ms. */
+  readonly readStoreAgeMs: () => number;
+}
+
+/**
+ * The peer group of one gate.
+ *
+ * @example
+ * const peers = new PeerGroup(options);
+ * await peers.start();
+ */
+export class PeerGroup extends PlacementAnnouncer {
+  private readonly peers = new Map<string, Peer>();
+  private seedHosts: readonly string[];
+  private socket: DatagramSocket | undefined;
+  private server: Server | undefined;
+  private timer: NodeJS.Timeout | undefined;
+  private newsTimer: NodeJS.Timeout | undefined;
+  private isFetching = false;
+  private isLeaving = false;
+
+  constructor(private readonly options: PeerGroupOptions) {
+    super();
+    this.seedHosts = options.seedHosts;
+    options.state.onChange(event => {
+      if (event.source === 'store') this.scheduleNews();
+    });
+  }
+
+  /** Prefix of this gate's placement keys. */
+  get owner(): string {
+    return formatOwner(this.options.host, this.options.incarnation);
+  }
+
+  /** Gates that share budgets with this one, itself included. */
+  countGates(): number {
+    const since = this.options.readNow() - FORGET_BUDGET_MS;
+    let count = 1;
+    for (const peer of this.peers.values()) if (peer.heardAt > since) count++;
+    return count;
+  }
+
+  /**
+   * Age of the freshest confirmation that this gate's facts are current, in
+   * ms: its own, or that of a gate that knows nothing newer.
+   */
+  readFactsAgeMs(): number {
+    const {readNow, readStoreAgeMs, state} = this.options;
+    let age = readStoreAgeMs();
+    for (const peer of this.peers.values())
+      if (peer.revision <= state.revision)
+        age = Math.min(age, readNow() - peer.heardAt + peer.factsAgeMs);
+    return age;
+  }
+
+  /** Opens the sockets and starts beating. */
+  async start(): Promise<void> {
+    const {host, port} = this.options;
+    const socket = createSocket('udp4');
+    this.socket = socket;
+    socket.on('message', bytes => this.receive(bytes));
+    socket.on('error', error =>
+      this.options.log.warn('peer_socket_failed', {reason: error.message}),
+    );
+    await new Promise<void>(resolve => socket.bind(port, host, resolve));
+    this.server = createServer(connection => {
+      createRpcLink(connection).handle(READ_FACTS, () =>
+        this.options.state.describeShared(),
+      );
+    });
+    await openListener(this.server, {host, port});
+    this.timer = setInterval(() => this.broadcastBeats(), BEAT_MS);
+    this.broadcastBeats(true);
+  }
+
+  /** Replaces the seeds after a change of the settings. */
+  setSeeds(seedHosts: readonly string[]): void {
+    this.seedHosts = seedHosts;
+    this.broadcastBeats(true);
+  }
+
+  /** Tells the others that this gate goes away, and stops. */
+  stop(): void {
+    this.isLeaving = true;
+    this.broadcastBeats();
+    clearInterval(this.timer);
+    clearTimeout(this.newsTimer);
+    this.server?.close();
+    this.socket?.unref();
+  }
+
+  override announcePlaced(placement: Placement): void {
+    this.broadcast({
+      jsonrpc: '2.0',
+      method: 'placed',
+      params: toWirePlacement(placement, false, this.options.readNow()),
+    });
+  }
+
+  override announceBegun(key: string): void {
+    this.broadcast({jsonrpc: '2.0', method: 'begun', params: {key}});
+  }
+
+  override announceEnded(key: string): void {
+    this.broadcast({jsonrpc: '2.0', method: 'ended', params: {key}});
+  }
+
+  private broadcast(message: Datagram): void {
+    const since = this.options.readNow() - SILENT_MS;
+    const bytes = Buffer.from(JSON.stringify(message));
+    for (const peer of this.peers.values())
+      if (peer.heardAt > since) this.sendBytes(peer.host, bytes);
+  }
+
+  private sendBytes(host: string, bytes: Buffer): void {
+    this.socket?.send(bytes, this.options.port, host, error => {
+      if (error !== null && error !== undefined)
+        this.options.log.warn('peer_send_failed', {
+          peer: host,
+          reason: error.message,
+        });
+    });
+  }
+
+  private broadcastBeats(asks = false): void {
+    this.dropSilent();
+    const hosts = new Set([...this.seedHosts, ...this.peers.keys()]);
+    hosts.delete(this.options.host);
+    for (const host of hosts) {
+      const isUnheard = (this.peers.get(host)?.heardAt ?? -Infinity) < 0;
+      this.sendBeat(host, asks || isUnheard);
+    }
+  }
+
+  private sendBeat(host: string, asks: boolean): void {
+    const {state, book, readNow, readStoreAgeMs, incarnation} = this.options;
+    const now = readNow();
+    const params: Beat = {
+      from: this.options.host,
+      incarnation,
+      configVersion: state.config?.version ?? 0,
+      revision: state.revision,
+      factsAgeMs: Math.round(readStoreAgeMs()),
+      peers: [...this.peers.keys()],
+      placements: book
+        .listOwnedBy(this.owner)
+        .map(({placement, hasBegun}) =>
+          toWirePlacement(placement, hasBegun, now),
+        ),
+      asks,
+      leaves: this.isLeaving,
+    };
+    const message: Datagram = {jsonrpc: '2.0', method: 'beat', params};
+    this.sendBytes(host, Buffer.from(JSON.stringify(message)));
+  }
+
+  private receive(bytes: Buffer): void {
+    const message = this.parse(bytes);
+    if (message === undefined) return;
+    const {book, readNow} = this.options;
+    if (message.method === 'beat') this.applyBeat(message.params);
+    if (message.method === 'placed')
+      book.add(toPlacement(message.params, readNow()), message.params.begun);
+    if (message.method === 'begun') book.markBegun(message.params.key);
+    if (message.method === 'ended') book.remove(message.params.key);
+  }
+
+  private parse(bytes: Buffer): Datagram | undefined {
+    try {
+      return DatagramSchema.parse(JSON.parse(bytes.toString('utf8')));
+    } catch (error) {
+      this.options.log.warn('peer_message_malformed', {
+        bytes: bytes.length,
+        reason: (error as Error).message.slice(0, 200),
+      });
+      return undefined;
+    }
+  }
+
+  private applyBeat(beat: Beat): void {
+    if (beat.from === this.options.host) return;
+    const now = this.options.readNow();
+    const peer = this.readPeer(beat.from, now);
+    if (peer.incarnation !== beat.incarnation) this.applyRestart(peer, beat);
+    const isNew = peer.heardAt === -Infinity;
+    peer.heardAt = now;
+    peer.configVersion = beat.configVersion;
+    peer.revision = beat.revision;
+    peer.factsAgeMs = beat.factsAgeMs;
+    for (const host of beat.peers) this.readPeer(host, now);
+    if (beat.leaves) return this.dropPeer(peer, 'left');
+    this.applyPlacements(beat, now);
+    if (isNew) this.options.log.info('peer_joined', {peer: peer.host});
+    if (beat.asks || isNew) this.sendBeat(peer.host, false);
+    if (this.isAhead(peer)) this.scheduleFetch(peer);
+  }
+
+  private applyRestart(peer: Peer, beat: Beat): void {
+    const {book, log} = this.options;
+    if (peer.incarnation !== undefined) {
+      book.dropUnlessKept(formatOwner(peer.host, peer.incarnation), new Set());
+      log.info('peer_restarted', {peer: peer.host});
+    }
+    peer.incarnation = beat.incarnation;
+  }
+
+  private applyPlacements(beat: Beat, now: number): void {
+    const {book} = this.options;
+    const owner = formatOwner(beat.from, beat.incarnation);
+    book.dropUnlessKept(owner, new Set(beat.placements.map(({key}) => key)));
+    for (const wire of beat.placements)
+      book.add(toPlacement(wire, now), wire.begun);
+  }
+
+  private readPeer(host: string, now: number): Peer {
+    const known = this.peers.get(host);
+    if (known !== undefined) return known;
+    const peer: Peer = {
+      host,
+      incarnation: undefined,
+      heardAt: -Infinity,
+      knownAt: now,
+      configVersion: 0,
+      revision: 0,
+      factsAgeMs: Infinity,
+    };
+    if (host !== this.options.host) this.peers.set(host, peer);
+    return peer;
+  }
+
+  private dropSilent(): void {
+    const now = this.options.readNow();
+    for (const peer of this.peers.values()) {
+      const silentMs = now - Math.max(peer.heardAt, peer.knownAt);
+      if (silentMs > SILENT_MS && peer.incarnation !== undefined)
+        this.dropPeer(peer, 'silent');
+      if (silentMs > FORGET_MS) this.peers.delete(peer.host);
+    }
+  }
+
+  /** Forgets what a gate has placed; a later beat brings it back. */
+  private dropPeer(peer: Peer, reason: 'left' | 'silent'): void {
+    const {book, log} = this.options;
+    if (peer.incarnation === undefined) return;
+    book.dropUnlessKept(formatOwner(peer.host, peer.incarnation), new Set());
+    peer.incarnation = undefined;
+    log.info('peer_lost', {peer: peer.host, reason});
+  }
+
+  private isAhead(peer: Peer): boolean {
+    const {state} = this.options;
+    return (
+      peer.revision > state.revision ||
+      peer.configVersion > (state.config?.version ?? 0)
+    );
+  }
+
+  private scheduleNews(): void {
+    if (this.newsTimer !== undefined) return;
+    this.newsTimer = setTimeout(() => {
+      this.newsTimer = undefined;
+      this.broadcastBeats();
+    }, NEWS_MIN_MS);
+  }
+
+  private scheduleFetch(peer: Peer): void {
+    if (this.isFetching) return;
+    this.isFetching = true;
+    setTimeout(() => {
+      void this.fetchFacts(peer).finally(() => (this.isFetching = false));
+    }, AHEAD_MS);
+  }
+
+  private async fetchFacts(peer: Peer): Promise<void> {
+    if (!this.isAhead(peer)) return;
+    const {state, log, port} = this.options;
+    try {
+      const facts = await callReadFacts(`${peer.host}:${port}`);
+      state.applyShared(facts);
+      log.info('facts_from_peer', {
+        peer: peer.host,
+        configVersion: state.config?.version,
+        revision: state.revision,
+      });
+    } catch (error) {
+      log.warn('facts_from_peer_failed', {
+        peer: peer.host,
+        reason: (error as Error).message,
+      });
+    }
+  }
+}
+
+function formatOwner(host: string, incarnation: string): string {
+  return `${host}/${incarnation}`;
+}
+
+/** Asks a gate for its facts; the time covers the connection as well. */
+async function callReadFacts(address: string): Promise<SharedFacts> {
+  let timer: NodeJS.Timeout | undefined;
+  const timeout = new Promise<never>((_, reject) => {
+    timer = setTimeout(
+      () => reject(new Error('no answer in time')),
+      FETCH_TIMEOUT_MS,
+    );
+  });
+  const opening = openRpcLink(address);
+  try {
+    const link = await Promise.race([opening, timeout]);
+    return await Promise.race([
+      link.call<SharedFacts>(READ_FACTS, {}),
+      timeout,
+    ]);
+  } finally {
+    clearTimeout(timer);
+    void opening.then(
+      link => link.close(),
+      () => undefined,
+    );
+  }
+}
--- /dev/null
+++ b/packages/direct/src/placement/load-book.ts
@@ -0,0 +1,171 @@
+/**
+ * Which stream works on which engine, as this gate and the others have
+ * placed them. Load that engines report is some hundred ms old; what the
+ * gates tell each other is a few ms old, and all work comes through gates.
+ */
+
+/** A part of a prompt's reading on one engine. */
+export interface ReadPart {
+  readonly target: string;
+  readonly workMs: number;
+}
+
+/** One stream that is placed. */
+export interface Placement {
+  /** Unique over all gates: gate and number. */
+  readonly key: string;
+  /** The engine that writes the answer; reads the first part. */
+  readonly first: string;
+  readonly parts: readonly ReadPart[];
+  readonly promptTokens: number;
+  /** Tokens kept at the first engine until the stream ends. */
+  readonly memoryTokens: number;
+  readonly goalMs: number;
+  readonly gapGoalMs: number;
+  /** What an answer within its objective is worth beside others. */
+  readonly value: number;
+  /** When it was placed, on this process's monotonic clock, in ms. */
+  readonly placedAt: number;
+}
+
+interface Entry {
+  readonly placement: Placement;
+  hasBegun: boolean;
+}
+
+/** What works on one engine at a moment. */
+export interface EngineLoad {
+  /** Reading still to do, in ms. */
+  readonly backlogMs: number;
+  /** Streams that this engine writes or will write. */
+  readonly active: number;
+  /** Streams that are being written. */
+  readonly writers: readonly Placement[];
+  /** Prompts whose first event is still to come and that are read here alone. */
+  readonly waiting: readonly Placement[];
+  /** Long prompts that are read here with others. */
+  readonly jointReads: number;
+  readonly contextTokens: number;
+  readonly memoryTokens: number;
+}
+
+/**
+ * The placements of all gates.
+ *
+ * @example
+ * book.add(placement);
+ * book.describe('i-1', now).backlogMs;
+ */
+export class LoadBook {
+  private readonly entries = new Map<string, Entry>();
+  private readonly byTarget = new Map<string, Set<Entry>>();
+
+  /** Adds a placement; a known key changes nothing. */
+  add(placement: Placement, hasBegun = false): void {
+    const known = this.entries.get(placement.key);
+    if (known !== undefined) {
+      known.hasBegun ||= hasBegun;
+      return;
+    }
+    const entry: Entry = {placement, hasBegun};
+    this.entries.set(placement.key, entry);
+    for (const target of listTargets(placement)) {
+      const set = this.byTarget.get(target) ?? new Set();
+      set.add(entry);
+      this.byTarget.set(target, set);
+    }
+  }
+
+  /** Notes that the first event has come: nothing is left to read. */
+  markBegun(key: string): void {
+    const entry = this.entries.get(key);
+    if (entry !== undefined) entry.hasBegun = true;
+  }
+
+  /** Removes an ended stream. */
+  remove(key: string): void {
+    const entry = this.entries.get(key);
+    if (entry === undefined) return;
+    this.entries.delete(key);
+    for (const target of listTargets(entry.placement)) {
+      const set = this.byTarget.get(target);
+      set?.delete(entry);
+      if (set?.size === 0) this.byTarget.delete(target);
+    }
+  }
+
+  /** Lists the placements whose key begins with `owner`. */
+  listOwnedBy(owner: string): ReadonlyArray<{
+    readonly placement: Placement;
+    readonly hasBegun: boolean;
+  }> {
+    const prefix = `${owner}#`;
+    return [...this.entries.values()].filter(entry =>
+      entry.placement.key.startsWith(prefix),
+    );
+  }
+
+  /** Removes every placement of `owner` that is not in `keep`. */
+  dropUnlessKept(owner: string, keep: ReadonlySet<string>): void {
+    for (const {placement} of this.listOwnedBy(owner))
+      if (!keep.has(placement.key)) this.remove(placement.key);
+  }
+
+  /** Describes what works on one engine. */
+  describe(target: string, now: number): EngineLoad {
+    const writers: Placement[] = [];
+    const waiting: Placement[] = [];
+    let active = 0;
+    let jointReads = 0;
+    let contextTokens = 0;
+    let memoryTokens = 0;
+    let readUntil = -Infinity;
+    for (const {placement, hasBegun} of this.byTarget.get(target) ?? []) {
+      if (placement.first === target) {
+        active++;
+        memoryTokens += placement.memoryTokens;
+        if (hasBegun) {
+          writers.push(placement);
+          contextTokens += placement.promptTokens;
+        } else if (placement.parts.length === 1) {
+          waiting.push(placement);
+        }
+      }
+      if (hasBegun) continue;
+      if (placement.parts.length > 1) jointReads++;
+      // Entries stand in the order of placing: each is read after the last.
+      readUntil =
+        Math.max(readUntil, placement.placedAt) + readPartMs(placement, target);
+    }
+    return {
+      backlogMs: Math.max(0, readUntil - now),
+      active,
+      writers,
+      waiting,
+      jointReads,
+      contextTokens,
+      memoryTokens,
+    };
+  }
+}
+
+function readPartMs(placement: Placement, target: string): number {
+  return placement.parts.find(part => part.target === target)?.workMs ?? 0;
+}
+
+function listTargets(placement: Placement): ReadonlySet<string> {
+  return new Set([
+    placement.first,
+    ...placement.parts.map(part => part.target),
+  ]);
+}
+
+/**
+ * Creates an empty book.
+ *
+ * @example
+ * const book = createLoadBook();
+ */
+export function createLoadBook(): LoadBook {
+  return new LoadBook();
+}
--- /dev/null
+++ b/packages/direct/src/placement/prompt-placer.ts
@@ -0,0 +1,135 @@
+/**
+ * Places streams on engines: gathers the candidates, chooses among them, and
+ * keeps the load book and the other gates informed.
+ */
+import {buildPlacement, choosePromptEngines} from './place-prompt.js';
+import {estimateValue} from './place-prompt.js';
+import type {FleetState} from '../fleet/fleet-state.js';
+import type {TargetHealth} from '../health/target-health.js';
+import type {EngineFigures, Target} from '../types.js';
+import type {LoadBook, Placement} from './load-book.js';
+import type {Candidate, PromptChoice, PromptDemand} from './place-prompt.js';
+
+/** Told of placements so that other gates learn of them. */
+export abstract class PlacementAnnouncer {
+  /** A stream was placed. */
+  abstract announcePlaced(placement: Placement): void;
+  /** Its first event has come. */
+  abstract announceBegun(key: string): void;
+  /** It has ended. */
+  abstract announceEnded(key: string): void;
+}
+
+/** A stream that holds a place until it is released. */
+export class PlacedPrompt {
+  private isReleased = false;
+
+  constructor(
+    readonly target: Target,
+    readonly helpers: readonly Target[],
+    readonly choice: PromptChoice,
+    private readonly key: string,
+    private readonly book: LoadBook,
+    private readonly announcer: PlacementAnnouncer,
+  ) {}
+
+  /** Notes the first event: the prompt is read. */
+  markBegun(): void {
+    this.book.markBegun(this.key);
+    this.announcer.announceBegun(this.key);
+  }
+
+  /** Gives the place back; further calls change nothing. */
+  release(): void {
+    if (this.isReleased) return;
+    this.isReleased = true;
+    this.book.remove(this.key);
+    this.announcer.announceEnded(this.key);
+  }
+}
+
+/** What a request asks of the engines. */
+export interface PromptRequest {
+  readonly service: string;
+  readonly promptTokens: number;
+  readonly maxOutputTokens: number;
+  readonly goalLeftMs: number;
+  readonly gapGoalMs: number;
+}
+
+/** Dependencies of a placer. */
+export interface PromptPlacerOptions {
+  readonly owner: string;
+  readonly zone: string;
+  readonly state: FleetState;
+  readonly health: TargetHealth;
+  readonly book: LoadBook;
+  readonly announcer: PlacementAnnouncer;
+  readonly readNow: () => number;
+}
+
+/**
+ * The placer of one gate.
+ *
+ * @example
+ * const placed = placer.place(request, engine, new Set());
+ */
+export class PromptPlacer {
+  private lastNumber = 0;
+
+  constructor(private readonly options: PromptPlacerOptions) {}
+
+  /** Places a stream; nothing when no engine can take it. */
+  place(
+    request: PromptRequest,
+    engine: EngineFigures,
+    tried: ReadonlySet<string>,
+  ): PlacedPrompt | undefined {
+    const {book, announcer, owner, readNow} = this.options;
+    const now = readNow();
+    const targets = this.listTargets(request.service, tried);
+    const demand: PromptDemand = {
+      ...request,
+      goalMs: Math.max(1, request.goalLeftMs),
+      value: estimateValue(request.promptTokens),
+    };
+    const choice = choosePromptEngines(
+      targets.map(target => this.describeCandidate(target, now)),
+      demand,
+      engine,
+      now,
+    );
+    if (choice === undefined) return undefined;
+    const key = `${owner}#${++this.lastNumber}`;
+    const placement = buildPlacement(key, choice, demand, now);
+    book.add(placement);
+    announcer.announcePlaced(placement);
+    const byId = new Map(targets.map(target => [target.id, target]));
+    const [first, ...helpers] = choice.parts.flatMap(
+      part => byId.get(part.target) ?? [],
+    );
+    return new PlacedPrompt(first, helpers, choice, key, book, announcer);
+  }
+
+  private listTargets(
+    service: string,
+    tried: ReadonlySet<string>,
+  ): readonly Target[] {
+    const {state, health, readNow} = this.options;
+    const now = readNow();
+    const left = state
+      .listUsable(service)
+      .filter(target => !tried.has(target.id));
+    const sound = left.filter(target => !health.isSuspended(target.id, now));
+    return sound.length > 0 ? sound : left;
+  }
+
+  private describeCandidate(target: Target, now: number): Candidate {
+    return {
+      id: target.id,
+      isRemote: target.zone !== this.options.zone,
+      pace: 1,
+      load: this.options.book.describe(target.id, now),
+    };
+  }
+}
--- a/scripts/test.sh
+++ b/scripts/test.sh
@@ -8,6 +8,6 @@
 bash scripts/ensure-spin.sh
 npx tsc -b
 # From the sources: dist may hold tests whose source was moved or removed.
-mapfile -t files < <(find packages -path '*/src/*' -name '*.test.ts' |
+mapfile -t files < <(find packages platform -path '*/src/*' -not -path '*/node_modules/*' -name '*.test.ts' |
   sed 's#/src/#/dist/#; s#\.ts$#.js#' | sort)
 NUTMEGGAUGE_LOG=silent node --test --test-concurrency=4 "${files[@]}"
