--- /dev/null
+++ b/packages/direct/src/fleet/fleet-state.test.ts
@@ -0,0 +1,109 @@
+import {describe, it} from 'node:test';
+import {expect} from 'earl';
+import {buildConfig} from '../test/gate-world.js';
+import {LAPSE_HOLD_MS, createFleetState} from './fleet-state.js';
+import type {Target} from '../types.js';
+
+function buildTarget(id: string, revision: number, isDraining = false): Target {
+  return {
+    id,
+    service: 'chat',
+    host: '10.0.0.1',
+    port: 80,
+    zone: 'az-1',
+    isDraining,
+    revision,
+  };
+}
+
+function listIds(state: ReturnType<typeof createFleetState>): string[] {
+  return state
+    .listUsable('chat')
+    .map(target => target.id)
+    .sort();
+}
+
+describe('fleet state', () => {
+  it('never goes back to an older configuration', () => {
+    // A gate took version 7 from the store. Another gate that was cut off
+    // hands over its version 5, and a removed key would work again.
+    const state = createFleetState(() => 0);
+    state.applyChange({kind: 'config', config: buildConfig(7)}, 10);
+    state.applyShared({
+      revision: 20,
+      config: buildConfig(5, {accounts: [{name: 'old', keys: ['old-key']}]}),
+      targets: [],
+      held: [],
+    });
+    expect(state.config?.version).toEqual(7);
+    expect(state.findAccount('old-key')).toEqual(undefined);
+  });
+
+  it('keeps targets whose entries lapsed while the store was away', () => {
+    // The store is down for longer than three heartbeats, so the entries of
+    // all healthy targets lapse. At its return a gate reads an empty list
+    // and would refuse every request until the targets are listed again.
+    let now = 0;
+    const state = createFleetState(() => now);
+    state.applySnapshot({
+      revision: 5,
+      config: buildConfig(1),
+      targets: [buildTarget('a', 3), buildTarget('b', 4)],
+    });
+    now = 10_000;
+    state.markStoreBack();
+    state.applySnapshot({revision: 9, config: undefined, targets: []});
+    expect(listIds(state)).toEqual(['a', 'b']);
+    state.applyChange({kind: 'target', target: buildTarget('a', 12)}, 12);
+    now += LAPSE_HOLD_MS + 1;
+    state.expireHeld();
+    expect(listIds(state)).toEqual(['a']);
+  });
+
+  it('drops a target that was leaving, also right after an outage', () => {
+    // A target said that it drains; its entry is gone when the store is
+    // back. Holding it would send requests to a process that has exited.
+    const state = createFleetState(() => 0);
+    state.applySnapshot({
+      revision: 5,
+      config: undefined,
+      targets: [buildTarget('a', 3, true), buildTarget('b', 4)],
+    });
+    state.markStoreBack();
+    state.applyChange({kind: 'target-gone', id: 'a', revision: 8}, 8);
+    expect(state.findTarget('a')).toEqual(undefined);
+  });
+
+  it('removes a target at once while the store is sound', () => {
+    const state = createFleetState(() => 100_000);
+    state.applyChange({kind: 'target', target: buildTarget('a', 3)}, 3);
+    state.applyChange({kind: 'target-gone', id: 'a', revision: 4}, 4);
+    expect(listIds(state)).toEqual([]);
+  });
+
+  it('takes newer facts from another gate and leaves older ones', () => {
+    // This gate is turned away by the store while a target drains. Another
+    // gate has seen it; without its word requests would go on to a target
+    // that exits in two seconds.
+    const state = createFleetState(() => 0);
+    state.applyChange({kind: 'target', target: buildTarget('a', 3)}, 3);
+    const shared = {
+      revision: 8,
+      config: undefined,
+      targets: [buildTarget('a', 8, true)],
+      held: [],
+    };
+    state.applyShared(shared);
+    expect(listIds(state)).toEqual([]);
+    state.applyShared({...shared, revision: 2, targets: [buildTarget('a', 2)]});
+    expect(listIds(state)).toEqual([]);
+  });
+
+  it('tells a restarted target at the same address apart', () => {
+    const state = createFleetState(() => 0);
+    state.applyChange({kind: 'target', target: buildTarget('a', 3)}, 3);
+    state.applyChange({kind: 'target', target: buildTarget('a2', 4)}, 4);
+    state.applyChange({kind: 'target-gone', id: 'a', revision: 5}, 5);
+    expect(listIds(state)).toEqual(['a2']);
+  });
+});
--- a/packages/direct/src/forward/call-forwarder.ts
+++ b/packages/direct/src/forward/call-forwarder.ts
@@ -4,10 +4,11 @@
  * again only where it provably did not run.
  */
 import {ExchangeError} from '../errors.js';
-import {openExchange} from './exchange.js';
+import {findFraming, openExchange} from './exchange.js';
 import {readVerdict} from './judge-answer.js';
 import {chooseReturnMs} from './retry-after.js';
 import type {Target} from '../types.js';
+import type {AnswerFraming} from './caller-response.js';
 import type {ForwardContext} from './context.js';
 import type {AnswerHead, Exchange} from './exchange.js';
 import type {GateRequest} from './request.js';
@@ -26,6 +27,7 @@
   readonly status: number;
   readonly headers: readonly string[];
   readonly body: Buffer;
+  readonly framing: AnswerFraming;
 }
 
 type AttemptResult =
@@ -35,7 +37,10 @@
   | {readonly kind: 'failed'; readonly error: ExchangeError};
 
 /** Reads a body whole; rejects with an ExchangeError when it breaks off. */
-async function readWholeBody(head: AnswerHead): Promise<Buffer> {
+async function readWholeBody(
+  exchange: Exchange,
+  head: AnswerHead,
+): Promise<Buffer> {
   const parts: Buffer[] = [];
   try {
     for await (const part of head.message as AsyncIterable<Buffer>)
@@ -43,7 +48,8 @@
   } catch (cause) {
     throw new ExchangeError('truncated', true, cause as Error);
   }
-  if (!head.message.complete) throw new ExchangeError('truncated', true);
+  if (!exchange.isWhole(head.message))
+    throw new ExchangeError('truncated', true);
   return Buffer.concat(parts);
 }
 
@@ -138,11 +144,12 @@
         exchange.cancel();
         return {kind: 'not-run'};
       }
-      const body = await readWholeBody(head);
+      const body = await readWholeBody(exchange, head);
       const answer = {
         status: head.status,
         headers: head.message.rawHeaders,
         body,
+        framing: findFraming(head.message),
       };
       return {kind: verdict, answer};
     } catch (error) {
@@ -215,7 +222,8 @@
 
   private sendAnswer(answer: WholeAnswer, target: Target | undefined): void {
     if (this.isSettled) return;
-    this.request.caller.sendWhole(answer.status, answer.headers, answer.body);
+    const {status, headers, body, framing} = answer;
+    this.request.caller.sendWhole(status, headers, body, framing);
     this.settle('answered', target);
   }
 
--- a/packages/direct/src/forward/caller-response.ts
+++ b/packages/direct/src/forward/caller-response.ts
@@ -42,6 +42,12 @@
   return kept;
 }
 
+/**
+ * How the end of a target's answer shows: by its length or its chunks, or
+ * only by the end of its connection.
+ */
+export type AnswerFraming = 'framed' | 'by-close';
+
 /** Why the gate answers by itself. */
 export type OwnAnswerReason =
   | 'no_configuration'
@@ -66,6 +72,7 @@
 export class CallerResponse {
   /** Status that the caller was given; absent while none has gone out. */
   status: number | undefined;
+  private isUnframed = false;
   private readonly leaveListeners: Array<() => void> = [];
   private hasLeft = false;
 
@@ -91,11 +98,11 @@
     else this.leaveListeners.push(listener);
   }
 
-  /** Starts a target's answer. */
-  start(status: number, headers: RawHeaders): void {
+  /** Starts a target's answer whose bytes follow. */
+  start(status: number, headers: RawHeaders, framing: AnswerFraming): void {
     this.status = status;
     const kept = stripHopByHop(headers);
-    if (this.isStopping()) kept.push('Connection', 'close');
+    this.closeAfter(kept, framing);
     this.response.sendDate = false;
     this.response.writeHead(status, kept);
     this.response.flushHeaders();
@@ -111,15 +118,21 @@
     this.response.end();
   }
 
-  /** Sends a target's whole answer. */
-  sendWhole(status: number, headers: RawHeaders, body: Buffer): void {
+  /** Sends a target's answer that has been read to its end. */
+  sendWhole(
+    status: number,
+    headers: RawHeaders,
+    body: Buffer,
+    framing: AnswerFraming,
+  ): void {
     this.status = status;
     const kept = stripHopByHop(headers);
     const hasLength = kept.some(
       (name, i) => i % 2 === 0 && name.toLowerCase() === 'content-length',
     );
-    if (!hasLength) kept.push('Content-Length', String(body.length));
-    if (this.isStopping()) kept.push('Connection', 'close');
+    if (!hasLength && framing === 'framed')
+      kept.push('Content-Length', String(body.length));
+    this.closeAfter(kept, framing);
     this.response.sendDate = false;
     this.response.writeHead(status, kept);
     this.response.end(body);
@@ -152,6 +165,21 @@
 
   /** Cuts the connection: what was sent so far is no whole answer. */
   drop(): void {
+    // An ordinary close would be the proper end of an answer without frame.
+    if (this.isUnframed) this.response.socket?.resetAndDestroy();
     this.response.destroy();
   }
+
+  /**
+   * Adds what ends the connection behind the answer. A target that names no
+   * length and dies closes its connection just as at the end of its answer,
+   * so nobody can tell that bytes are missing. Such an answer is passed on
+   * without length as well: the gate must not vouch for it.
+   */
+  private closeAfter(headers: string[], framing: AnswerFraming): void {
+    this.isUnframed = framing === 'by-close';
+    if (this.isUnframed) this.response.useChunkedEncodingByDefault = false;
+    if (this.isUnframed || this.isStopping())
+      headers.push('Connection', 'close');
+  }
 }
--- a/packages/direct/src/forward/exchange.ts
+++ b/packages/direct/src/forward/exchange.ts
@@ -8,6 +8,7 @@
 import type {ClientRequest, IncomingMessage} from 'node:http';
 import type {ExchangeFault} from '../errors.js';
 import type {RawHeaders, Target} from '../types.js';
+import type {AnswerFraming} from './caller-response.js';
 
 /**
  * Longest wait for a connection, in ms: two orders above the round trip
@@ -44,6 +45,7 @@
   private readonly request: ClientRequest;
   private isConnected = false;
   private isCancelled = false;
+  private hasFailed = false;
 
   constructor(options: ExchangeOptions) {
     this.request = sendRequest({
@@ -67,6 +69,17 @@
     return this.isConnected;
   }
 
+  /**
+   * True when the body that has ended is all that the target had to send. A
+   * body without a length ends with its connection, and Node's parser takes
+   * a reset for such an end as well: only the connection's error tells that
+   * the answer was broken off.
+   */
+  isWhole(message: IncomingMessage): boolean {
+    if (!message.complete) return false;
+    return findFraming(message) === 'framed' || !this.hasFailed;
+  }
+
   /** Closes the connection, which makes the target drop the request. */
   cancel(): void {
     this.isCancelled = true;
@@ -94,11 +107,12 @@
       );
       // Bytes behind a complete answer raise errors too: by then the head
       // has resolved and the body has ended, and they change nothing.
-      this.request.on('error', cause =>
+      this.request.on('error', cause => {
+        this.hasFailed = true;
         reject(
           new ExchangeError(this.findFault(cause), this.isConnected, cause),
-        ),
-      );
+        );
+      });
       this.request.once('close', () =>
         reject(new ExchangeError(this.findFault(), this.isConnected)),
       );
@@ -113,6 +127,20 @@
   }
 }
 
+/**
+ * Finds how the end of an answer shows.
+ *
+ * @example
+ * findFraming(message); // 'framed'
+ */
+export function findFraming(message: IncomingMessage): AnswerFraming {
+  const {headers} = message;
+  const isFramed =
+    headers['content-length'] !== undefined ||
+    headers['transfer-encoding'] !== undefined;
+  return isFramed ? 'framed' : 'by-close';
+}
+
 /**
  * Sends a request to a target.
  *
--- /dev/null
+++ b/packages/direct/src/forward/stream-forwarder.test.ts
@@ -0,0 +1,180 @@
+import {describe, it} from 'node:test';
+import {expect} from 'earl';
+import {
+  answerNotRun,
+  buildSignedHead,
+  formatEvents,
+} from '../test/fake-target.js';
+import {buildConfig, openGateWorld} from '../test/gate-world.js';
+import type {TargetScript} from '../test/fake-target.js';
+import type {GateWorld} from '../test/gate-world.js';
+
+/** Streams events up to `last`, after the one that the caller already has. */
+const streamWhole: TargetScript = (req, res) => {
+  const after = Number(req.headers['x-test-after'] ?? 0);
+  res.writeHead(200, {
+    ...buildSignedHead(req),
+    'content-type': 'text/event-stream',
+  });
+  res.end(formatEvents(after + 1, 6));
+};
+
+async function openStreams(
+  scripts: readonly TargetScript[],
+  isResumable = true,
+): Promise<GateWorld> {
+  const base = buildConfig(1);
+  const routes = base.routes.map(route => ({
+    ...route,
+    isResumable: route.kind === 'stream' && isResumable,
+  }));
+  const world = await openGateWorld({config: {...base, routes}});
+  for (const [i, script] of scripts.entries())
+    await world.addTarget(`e${i}`, 'chat', script);
+  await world.waitUntil(
+    () =>
+      world.lines.filter(line => line.includes('"target_added"')).length ===
+      scripts.length,
+  );
+  return world;
+}
+
+describe('forwarded streams', () => {
+  it('goes on at another engine after the last whole event', async () => {
+    // An engine dies in the middle of an event. The caller must get each
+    // event once, in order, in one answer.
+    let isFirst = true;
+    const dieOnce: TargetScript = (req, res) => {
+      if (!isFirst) return streamWhole(req, res);
+      isFirst = false;
+      res.writeHead(200, buildSignedHead(req));
+      res.write(formatEvents(1, 3) + 'id: 4\ndata: pie');
+      setTimeout(() => res.destroy(), 30);
+    };
+    const world = await openStreams([dieOnce, dieOnce]);
+    try {
+      const answer = await world.call('/stream/x', {tokens: 1000});
+      expect(answer.isWhole).toEqual(true);
+      expect(answer.body).toEqual(formatEvents(1, 6));
+    } finally {
+      world.close();
+    }
+  });
+
+  it('never makes a broken stream look whole', async () => {
+    // Every engine breaks off; the caller must see a broken connection.
+    const breakOff: TargetScript = (req, res) => {
+      res.writeHead(200, buildSignedHead(req));
+      res.write(formatEvents(1, 1));
+      setTimeout(() => res.destroy(), 20);
+    };
+    const world = await openStreams([breakOff, breakOff]);
+    try {
+      const answer = await world.call('/stream/x', {tokens: 1000});
+      expect(answer.isWhole).toEqual(false);
+    } finally {
+      world.close();
+    }
+  });
+
+  it('never makes a stream without a length whole when it is reset', async () => {
+    // The engine ends its events with the connection, and the connection is
+    // reset between two events: nothing but the reset shows that more was due.
+    const resetUnframed: TargetScript = req => {
+      const {socket} = req;
+      socket.write(
+        'HTTP/1.1 200 OK\r\nx-test-signature: s\r\n' +
+          `x-test-id: ${String(req.headers['x-test-id'])}\r\n\r\n` +
+          formatEvents(1, 2),
+      );
+      setTimeout(() => socket.resetAndDestroy(), 30);
+    };
+    const world = await openStreams([resetUnframed, resetUnframed]);
+    try {
+      const answer = await world.call('/stream/x', {tokens: 1000});
+      expect(answer.isWhole).toEqual(false);
+    } finally {
+      world.close();
+    }
+  });
+
+  it('runs a stream that cannot be resumed once only', async () => {
+    const world = await openStreams([req => req.socket.destroy()], false);
+    try {
+      const answer = await world.call('/stream/x', {tokens: 1000});
+      expect(answer.status).toEqual(502);
+      const attempts = world.lines.filter(line =>
+        line.includes('"stream_placed"'),
+      );
+      expect(attempts.length).toEqual(1);
+    } finally {
+      world.close();
+    }
+  });
+
+  it('closes the engine’s connection when the caller leaves', async () => {
+    // A dealer closes the window. An engine that is not told goes on reading
+    // a long prompt for nobody.
+    let isClosed = false;
+    const hang: TargetScript = req => {
+      req.socket.once('close', () => (isClosed = true));
+    };
+    const world = await openStreams([hang]);
+    try {
+      await world.call('/stream/x', {tokens: 1000, leaveAfterMs: 60});
+      await world.waitUntil(() => isClosed);
+    } finally {
+      world.close();
+    }
+  });
+
+  it('moves to another engine when the first goes silent', async () => {
+    let isFirst = true;
+    const stallOnce: TargetScript = (req, res) => {
+      if (!isFirst) return streamWhole(req, res);
+      isFirst = false;
+      res.writeHead(200, buildSignedHead(req));
+      res.write(formatEvents(1, 2));
+    };
+    const world = await openStreams([stallOnce, stallOnce]);
+    try {
+      const answer = await world.call('/stream/x', {tokens: 1000});
+      expect(answer.body).toEqual(formatEvents(1, 6));
+    } finally {
+      world.close();
+    }
+  });
+
+  it('gives reserved memory back whatever happens', async () => {
+    // A prompt larger than one engine's memory is kept on helpers too; their
+    // memory must not stay reserved when the stream breaks.
+    const breakOff: TargetScript = (req, res) => {
+      res.writeHead(200, buildSignedHead(req));
+      res.write(formatEvents(1, 1));
+      setTimeout(() => res.destroy(), 20);
+    };
+    const world = await openStreams([breakOff, breakOff, breakOff]);
+    try {
+      await world.call('/stream/x', {tokens: 330_000, deadlineMs: 5000});
+      await world.waitUntil(() => world.reservations.held.size === 0);
+      const reserved = world.lines.some(line =>
+        /"reservations":[1-9]/.test(line),
+      );
+      expect(reserved).toEqual(true);
+    } finally {
+      world.close();
+    }
+  });
+
+  it('refuses at once when no engine runs it, and says when to return', async () => {
+    const world = await openStreams([answerNotRun, answerNotRun]);
+    try {
+      const answer = await world.call('/stream/x', {tokens: 1000});
+      expect(answer.status).toEqual(503);
+      expect(Number(answer.retryAfter) > 0).toEqual(true);
+      expect(answer.ms < 1000).toEqual(true);
+    } finally {
+      world.close();
+    }
+  });
+});
--- a/packages/direct/src/forward/stream-forwarder.ts
+++ b/packages/direct/src/forward/stream-forwarder.ts
@@ -5,9 +5,10 @@
  */
 import {ExchangeError} from '../errors.js';
 import {createEventSplitter} from './event-splitter.js';
-import {openExchange} from './exchange.js';
+import {findFraming, openExchange} from './exchange.js';
 import {readVerdict} from './judge-answer.js';
 import {openMemoryLease} from './memory-lease.js';
+import {estimateReadMs} from '../placement/engine-model.js';
 import {chooseReturnMs} from './retry-after.js';
 import type {PlacedPrompt} from '../placement/prompt-placer.js';
 import type {EngineFigures, Target} from '../types.js';
@@ -18,11 +19,19 @@
 
 /**
  * Time without the first event after which another engine is tried, in ms:
- * the prediction, twice over for its error, and one stall of a dead helper.
+ * the prediction, twice over for its error, and a slack.
  */
 const FIRST_EVENT_FACTOR = 2;
 const FIRST_EVENT_SLACK_MS = 700;
 
+/**
+ * The slack for a prompt that takes long to read: a helper's death is told by
+ * the engine itself after a stall of 1,500 ms, and sent again too early such
+ * a prompt is read twice by engines that were merely busy.
+ */
+const LONG_READ_MS = 400;
+const LONG_READ_SLACK_MS = 2500;
+
 /**
  * Time between two events after which another engine goes on: a pause of
  * several objectives, at least what one long part beside it may take, in ms.
@@ -61,6 +70,8 @@
   private mayHaveRun = false;
   private isSettled = false;
   private hasHead = false;
+  /** The answer that the caller gets ends with its connection. */
+  private isUnframed = false;
   private lastEventId: string | undefined;
   private eventsSent = 0;
   private firstEventAt: number | undefined;
@@ -111,6 +122,7 @@
         service: request.service,
         promptTokens: request.facts.promptTokens ?? 0,
         maxOutputTokens: request.facts.maxOutputTokens ?? 0,
+        goalMs: request.route.goalMs,
         goalLeftMs: request.route.goalMs - elapsedMs,
         gapGoalMs: request.route.gapGoalMs ?? request.route.goalMs,
       },
@@ -194,9 +206,13 @@
     placed: PlacedPrompt,
     exchange: Exchange,
   ): Promise<AttemptEnd> {
+    const readMs = estimateReadMs(
+      this.request.facts.promptTokens ?? 0,
+      this.engine,
+    );
     const firstLimitMs =
       placed.choice.predictedFirstMs * FIRST_EVENT_FACTOR +
-      FIRST_EVENT_SLACK_MS;
+      (readMs > LONG_READ_MS ? LONG_READ_SLACK_MS : FIRST_EVENT_SLACK_MS);
     const stall = new StallTimer(() => this.stopStalled(exchange));
     stall.restart(firstLimitMs);
     try {
@@ -208,8 +224,8 @@
         return {kind: 'not-run', faultyAddress: facts.faultyAddress};
       if (verdict === 'foreign')
         throw new ExchangeError('foreign-answer', true);
-      if (head.status !== 200) return await this.forwardFailure(head);
-      return await this.forwardEvents(placed, head, stall);
+      if (head.status !== 200) return await this.forwardFailure(exchange, head);
+      return await this.forwardEvents(placed, exchange, head, stall);
     } catch (error) {
       if (stall.hasFired) throw new ExchangeError('stalled', true);
       throw error;
@@ -227,6 +243,7 @@
 
   private async forwardEvents(
     placed: PlacedPrompt,
+    exchange: Exchange,
     head: AnswerHead,
     stall: StallTimer,
   ): Promise<AttemptEnd> {
@@ -235,7 +252,9 @@
     const gapGoalMs = route.gapGoalMs ?? route.goalMs;
     const stallMs = Math.max(STALL_MIN_MS, STALL_GAPS * gapGoalMs);
     const isResumed = this.hasHead;
-    if (!isResumed) caller.start(head.status, head.message.rawHeaders);
+    const framing = findFraming(head.message);
+    if (!isResumed) caller.start(head.status, head.message.rawHeaders, framing);
+    if (!isResumed) this.isUnframed = framing === 'by-close';
     this.hasHead = true;
     this.mayHaveRun = true;
     let isFirst = true;
@@ -255,7 +274,10 @@
     } catch (cause) {
       throw new ExchangeError('truncated', true, cause as Error);
     }
-    if (!head.message.complete || splitter.hasPartialEvent)
+    if (!exchange.isWhole(head.message) || splitter.hasPartialEvent)
+      throw new ExchangeError('truncated', true);
+    // The caller was promised a framed end that this engine does not give.
+    if (framing === 'by-close' && !this.isUnframed)
       throw new ExchangeError('truncated', true);
     caller.finish();
     return {kind: 'done'};
@@ -274,7 +296,10 @@
   }
 
   /** Passes on a failure that the target signed, before any event. */
-  private async forwardFailure(head: AnswerHead): Promise<AttemptEnd> {
+  private async forwardFailure(
+    exchange: Exchange,
+    head: AnswerHead,
+  ): Promise<AttemptEnd> {
     const parts: Buffer[] = [];
     try {
       for await (const part of head.message as AsyncIterable<Buffer>)
@@ -282,6 +307,8 @@
     } catch (cause) {
       throw new ExchangeError('truncated', true, cause as Error);
     }
+    if (!exchange.isWhole(head.message))
+      throw new ExchangeError('truncated', true);
     if (this.hasHead || this.isRetryLeft())
       throw new ExchangeError('malformed', true);
     const {caller} = this.request;
@@ -289,6 +316,7 @@
       head.status,
       head.message.rawHeaders,
       Buffer.concat(parts),
+      findFraming(head.message),
     );
     return {kind: 'passed-on'};
   }
@@ -422,6 +450,21 @@
     this.readers = placed.choice.parts.length;
     this.context.counters.add('stream.placed');
     this.context.counters.add('stream.readers', this.readers);
+    const {first, parts, reservations, memoryTokens, cost} = placed.choice;
+    this.context.log.info('stream_placed', {
+      requestId: this.request.facts.requestId,
+      attempt: this.sends,
+      tokens: this.request.facts.promptTokens,
+      first,
+      helpers: parts.slice(1).map(part => part.target),
+      partMs: Math.round(parts[0].workMs),
+      backlogMs: Math.round(placed.choice.backlogMs),
+      predictedFirstMs: Math.round(this.predictedFirstMs),
+      memoryTokens,
+      reservations: reservations.length,
+      cost: Number(cost.toFixed(3)),
+      factsAgeMs: Math.round(this.context.readFactsAgeMs()),
+    });
   }
 
   private recordFailure(
--- /dev/null
+++ b/packages/direct/src/gate.test.ts
@@ -0,0 +1,127 @@
+import {describe, it} from 'node:test';
+import {expect} from 'earl';
+import {answerWhole} from './test/fake-target.js';
+import {
+  buildConfig,
+  buildLoopbackHost,
+  openGateWorld,
+} from './test/gate-world.js';
+import type {TargetScript} from './test/fake-target.js';
+
+describe('direct gate', () => {
+  it('serves what it has when told to stop, and takes itself out at once', async () => {
+    // A roll restarts the gates one by one; no caller may notice.
+    const world = await openGateWorld();
+    try {
+      const answerSlowly: TargetScript = (req, res) =>
+        void setTimeout(() => answerWhole(req, res), 400);
+      await world.addTarget('t', 'orders', answerSlowly);
+      await world.waitUntil(async () => (await world.askReady()) === 200);
+      const running = world.call('/unsafe/order', {method: 'POST'});
+      await new Promise(resolve => setTimeout(resolve, 50));
+      const drained = world.gate.drain();
+      expect(await world.askReady()).toEqual(503);
+      const arriving = world.call('/unsafe/order', {method: 'POST', id: 'q2'});
+      expect((await running).status).toEqual(200);
+      expect((await arriving).status).toEqual(200);
+      await drained;
+    } finally {
+      world.close();
+    }
+  });
+
+  it('takes no request that it could not finish before it is killed', async () => {
+    // A caller's kept connection brings a request four seconds after the
+    // order to stop. Taken, it would be cut off by the kill; refused, it has
+    // not run and its caller goes to another gate at once.
+    const world = await openGateWorld();
+    try {
+      const answerSlowly: TargetScript = (req, res) =>
+        void setTimeout(() => answerWhole(req, res), 700);
+      await world.addTarget('t', 'orders', answerSlowly);
+      await world.waitUntil(async () => (await world.askReady()) === 200);
+      const drained = world.gate.drain();
+      await new Promise(resolve => setTimeout(resolve, 600));
+      const running = world.call('/unsafe/order', {method: 'POST'});
+      await new Promise(resolve => setTimeout(resolve, 600));
+      const late = await world.call('/unsafe/order', {
+        method: 'POST',
+        id: 'q2',
+      });
+      expect(late.status).toEqual(503);
+      expect(Number(late.retryAfter) > 0).toEqual(true);
+      expect((await running).status).toEqual(200);
+      await drained;
+    } finally {
+      world.close();
+    }
+  });
+
+  it('learns from another gate what the store does not tell it', async () => {
+    // The store turns this gate away while a key is revoked; only the other
+    // gate hears of it. The key must stop working here as well.
+    const port = 22_000;
+    const hosts = [buildLoopbackHost(0), buildLoopbackHost(1)];
+    const one = await openGateWorld({host: hosts[0], port});
+    const two = await openGateWorld({
+      host: hosts[1],
+      port,
+      seedHosts: [hosts[0]],
+    });
+    try {
+      await one.addTarget('t', 'orders', answerWhole);
+      const entry = (await two.addTarget('t2', 'orders', answerWhole)).entry;
+      one.store.publishTarget(entry);
+      await two.waitUntil(async () => (await two.askReady()) === 200);
+      two.store.isDown = true;
+      one.store.publishConfig(
+        buildConfig(9, {accounts: [{name: 'acme', keys: ['k9']}]}),
+      );
+      await two.waitUntil(
+        async () => (await two.call('/safe/x', {key: 'k9'})).status === 200,
+      );
+      expect((await two.call('/safe/x', {key: 'k1'})).status).toEqual(401);
+    } finally {
+      one.close();
+      two.close();
+    }
+  });
+
+  it('starts without a store from what another gate knows', async () => {
+    // All gates restart while the store is down for some of them: a gate
+    // that waited for the store would refuse everything for its whole outage.
+    const port = 22_100;
+    const hosts = [buildLoopbackHost(2), buildLoopbackHost(3)];
+    const one = await openGateWorld({host: hosts[0], port});
+    await one.addTarget('t', 'orders', answerWhole);
+    await one.waitUntil(async () => (await one.askReady()) === 200);
+    const two = await openGateWorld({
+      host: hosts[1],
+      port,
+      seedHosts: [hosts[0]],
+      config: 'none',
+    });
+    two.store.isDown = true;
+    try {
+      await two.waitUntil(async () => (await two.askReady()) === 200);
+      expect((await two.call('/safe/x')).status).toEqual(200);
+    } finally {
+      one.close();
+      two.close();
+    }
+  });
+
+  it('shows its figures as text', async () => {
+    const world = await openGateWorld();
+    try {
+      await world.addTarget('t', 'orders', answerWhole);
+      await world.waitUntil(async () => (await world.askReady()) === 200);
+      await world.call('/safe/x');
+      const figures = await fetch(`http://${world.host}:${world.port + 3}/`);
+      const text = await figures.text();
+      expect(text.includes('nutmeggauge_call_answered_total 1')).toEqual(true);
+    } finally {
+      world.close();
+    }
+  });
+});
--- a/packages/direct/src/gate.ts
+++ b/packages/direct/src/gate.ts
@@ -29,7 +29,7 @@
 
 /** How long the balancer takes to send nothing more to a stopping gate, in ms:
  * it asks each second and believes the second refusal. */
-const DRAIN_NOTICE_MS = 3200;
+const DRAIN_NOTICE_MS = 2900;
 
 /** Part of the grace that is left at the end for the exit itself, in ms. */
 const DRAIN_RESERVE_MS = 500;
@@ -167,8 +167,8 @@
 
   /**
    * Graceful stop: the balancer hears at once that this gate takes no more,
-   * requests that still arrive are served, and the process may exit when the
-   * balancer has noticed and the last request has ended.
+   * requests that still arrive until it has noticed are served, later ones
+   * are sent to other gates, and the process exits after the last answer.
    */
   async drain(): Promise<void> {
     if (this.isStopping) return;
@@ -178,6 +178,7 @@
     const startedAt = this.readNow();
     const giveUpAt = startedAt + this.settings.stopGraceMs - DRAIN_RESERVE_MS;
     await sleep(Math.min(DRAIN_NOTICE_MS, this.settings.stopGraceMs / 2));
+    this.ingress.stopTaking();
     while (this.ingress.inFlight > 0 && this.readNow() < giveUpAt)
       await sleep(DRAIN_POLL_MS);
     this.ingress.closeIdle();
--- a/packages/direct/src/ingress/ingress.ts
+++ b/packages/direct/src/ingress/ingress.ts
@@ -29,6 +29,9 @@
  */
 const STALE_FACTS_MS = 4000;
 
+/** Wait of a caller that another gate can serve at once, in ms. */
+const ELSEWHERE_MS = 20;
+
 /**
  * The callers' HTTP server.
  *
@@ -39,6 +42,7 @@
 export class Ingress {
   private readonly server: Server;
   private open = 0;
+  private isClosing = false;
 
   constructor(
     private readonly context: ForwardContext,
@@ -67,6 +71,15 @@
     return openListener(this.server, address);
   }
 
+  /**
+   * Takes no new requests: what still arrives over kept connections is told
+   * that it has not run, and its caller goes to another gate.
+   */
+  stopTaking(): void {
+    this.isClosing = true;
+    this.server.closeIdleConnections();
+  }
+
   /** Closes connections that carry no request. */
   closeIdle(): void {
     this.server.close();
@@ -109,6 +122,8 @@
   ): void {
     const {state, dialect, readNow} = this.context;
     const facts = dialect.parseRequest(req.headers);
+    if (this.isClosing)
+      return this.refuseEarly(caller, 503, 'stopping', facts, ELSEWHERE_MS);
     const config = state.config;
     if (config === undefined)
       return this.refuseEarly(caller, 503, 'no_configuration', facts);
@@ -173,14 +188,12 @@
     status: number,
     reason: Parameters<CallerResponse['refuse']>[1],
     facts?: RequestFacts,
+    returnMs?: number,
   ): void {
     const {log, counters, state, readFactsAgeMs} = this.context;
     const leftMs = facts?.deadlineMs ?? DEFAULT_DEADLINE_MS;
-    caller.refuse(
-      status,
-      reason,
-      status === 503 ? chooseReturnMs(0, leftMs) : undefined,
-    );
+    const waitMs = returnMs ?? chooseReturnMs(0, leftMs);
+    caller.refuse(status, reason, status === 503 ? waitMs : undefined);
     counters.add(`ingress.${reason}`);
     log.warn('request_refused', {
       requestId: facts?.requestId,
--- /dev/null
+++ b/packages/direct/src/observe/decision-log.test.ts
@@ -0,0 +1,46 @@
+import {describe, it} from 'node:test';
+import {Writable} from 'node:stream';
+import {expect} from 'earl';
+import {createDecisionLog} from './decision-log.js';
+
+describe('decision log', () => {
+  it('drops lines and says how many when nobody reads them', () => {
+    // The reader of stdout stands still. Lines that pile up would grow the
+    // process until it is killed; a write that blocks would stop it.
+    const stuck = new Writable({write: () => undefined, highWaterMark: 1});
+    const log = createDecisionLog({
+      node: 'g',
+      output: stuck,
+      readWallMs: () => 1000,
+    });
+    for (let i = 0; i < 5000; i++)
+      log.warn('request_ended', {requestId: 'x'.repeat(4000)});
+    expect(stuck.writableLength < 300 * 1024).toEqual(true);
+  });
+
+  it('keeps failures when successes have spent the second', () => {
+    const lines: string[] = [];
+    const output = new Writable({
+      write: (chunk, _, done) => {
+        lines.push(String(chunk));
+        done();
+      },
+    });
+    let wallMs = 1000;
+    const log = createDecisionLog({
+      node: 'g',
+      output,
+      readWallMs: () => wallMs,
+    });
+    for (let i = 0; i < 1000; i++) log.info('request_ended');
+    log.warn('request_given_up');
+    wallMs = 2000;
+    log.info('request_ended');
+    const events = lines.map(line => JSON.parse(line).event);
+    expect(
+      events.filter(event => event === 'request_ended').length < 200,
+    ).toEqual(true);
+    expect(events.includes('request_given_up')).toEqual(true);
+    expect(events.includes('log_lines_dropped')).toEqual(true);
+  });
+});
--- /dev/null
+++ b/packages/direct/src/placement/place-prompt.test.ts
@@ -0,0 +1,193 @@
+import {describe, it} from 'node:test';
+import {expect} from 'earl';
+import fc from 'fast-check';
+import {ENGINE} from '../test/gate-world.js';
+import {estimateReadMs} from './engine-model.js';
+import {createLoadBook} from './load-book.js';
+import {
+  buildPlacement,
+  choosePromptEngines,
+  estimateValue,
+} from './place-prompt.js';
+import type {LoadBook} from './load-book.js';
+import type {Candidate, PromptChoice, PromptDemand} from './place-prompt.js';
+
+function buildDemand(promptTokens: number): PromptDemand {
+  const isShort = promptTokens < 24_000;
+  return {
+    promptTokens,
+    maxOutputTokens: 1600,
+    goalMs: isShort ? 300 : 3000,
+    goalLeftMs: isShort ? 300 : 3000,
+    gapGoalMs: isShort ? 250 : 1000,
+    value: estimateValue(promptTokens),
+  };
+}
+
+function listCandidates(
+  book: LoadBook,
+  count: number,
+  now: number,
+): readonly Candidate[] {
+  return Array.from({length: count}, (_, i) => ({
+    id: `e${i}`,
+    isRemote: false,
+    pace: 1,
+    load: book.describe(`e${i}`, now),
+  }));
+}
+
+let lastKey = 0;
+
+function placeOne(
+  book: LoadBook,
+  promptTokens: number,
+  engines: number,
+  now: number,
+): PromptChoice | undefined {
+  const demand = buildDemand(promptTokens);
+  const choice = choosePromptEngines(
+    listCandidates(book, engines, now),
+    demand,
+    ENGINE,
+    now,
+  );
+  if (choice !== undefined)
+    book.add(buildPlacement(`g#${++lastKey}`, choice, demand, now));
+  return choice;
+}
+
+describe('placing of prompts', () => {
+  it('reads a long prompt by several engines so that it is on time', () => {
+    // A full schedule of 300,000 tokens takes 10 s on one engine; its caller
+    // expects the first event within 3 s.
+    const choice = placeOne(createLoadBook(), 300_000, 16, 0);
+    expect((choice?.parts.length ?? 0) > 3).toEqual(true);
+    expect((choice?.predictedFirstMs ?? Infinity) < 3000).toEqual(true);
+  });
+
+  it('does not leave a prompt that is late anyway to one engine', () => {
+    // 600,000 tokens cannot be on time. On one engine they would take 35 s:
+    // the caller leaves after 12 s and the engine is blocked meanwhile.
+    const choice = placeOne(createLoadBook(), 600_000, 16, 0);
+    expect((choice?.predictedFirstMs ?? Infinity) < 6000).toEqual(true);
+  });
+
+  it('reads a short prompt on one engine', () => {
+    // Small parts wait longer for the pass they join than they take: with
+    // eleven readers 3,000 tokens took 760 ms in place of 100.
+    for (const tokens of [400, 3000, 4900]) {
+      const choice = placeOne(createLoadBook(), tokens, 16, 0);
+      expect((choice?.parts.length ?? 0) <= 2).toEqual(true);
+    }
+  });
+
+  it('keeps short streams together and long reads away from them', () => {
+    // One pass that reads 500 ms of a long prompt makes every stream beside
+    // it pause longer than its callers accept.
+    const book = createLoadBook();
+    const shortOnes = new Set<string>();
+    for (let i = 0; i < 12; i++) {
+      const choice = placeOne(book, 3000, 16, i * 40);
+      book.markBegun(`g#${lastKey}`);
+      shortOnes.add(choice?.first ?? '');
+    }
+    expect(shortOnes.size <= 3).toEqual(true);
+    const long = placeOne(book, 200_000, 16, 500);
+    const shared = (long?.parts ?? []).filter(part =>
+      shortOnes.has(part.target),
+    );
+    expect(shared).toEqual([]);
+  });
+
+  it('harms no others for a prompt that has missed its objective', () => {
+    // A long prompt is placed for a second time, after its objective. Spread
+    // over every engine it would gain nothing and make all short streams
+    // pause: 60 of them were late at once.
+    const book = createLoadBook();
+    for (let i = 0; i < 40; i++) {
+      placeOne(book, 3000, 16, i * 10);
+      book.markBegun(`g#${lastKey}`);
+    }
+    const demand = {...buildDemand(190_000), goalLeftMs: -500};
+    const choice = choosePromptEngines(
+      listCandidates(book, 16, 500),
+      demand,
+      ENGINE,
+      500,
+    );
+    const beside = (choice?.parts ?? []).filter(
+      part => book.describe(part.target, 500).writers.length > 0,
+    );
+    expect(beside).toEqual([]);
+  });
+
+  it('reserves on helpers what one engine cannot hold', () => {
+    const choice = placeOne(createLoadBook(), 400_000, 16, 0);
+    const reserved = (choice?.reservations ?? []).reduce(
+      (sum, item) => sum + item.tokens,
+      0,
+    );
+    expect((choice?.memoryTokens ?? Infinity) <= 315_000).toEqual(true);
+    expect(reserved + (choice?.memoryTokens ?? 0) >= 401_600).toEqual(true);
+  });
+
+  it('places nothing that all engines together cannot hold', () => {
+    expect(placeOne(createLoadBook(), 700_000, 2, 0)).toEqual(undefined);
+  });
+
+  it('gives every placement a whole read and room for it', () => {
+    // Whatever stands on the engines, the parts add up to the prompt's
+    // reading, and no engine takes two parts of one prompt.
+    const tokens = fc.oneof(
+      fc.integer({min: 1, max: 20_000}),
+      fc.integer({min: 20_000, max: 700_000}),
+    );
+    fc.assert(
+      fc.property(
+        fc.array(tokens, {minLength: 1, maxLength: 40}),
+        fc.integer({min: 1, max: 24}),
+        (sizes, engines) => {
+          const book = createLoadBook();
+          for (const [i, size] of sizes.entries()) {
+            const choice = placeOne(book, size, engines, i * 25);
+            if (choice === undefined) continue;
+            const work = choice.parts.reduce(
+              (sum, part) => sum + part.workMs,
+              0,
+            );
+            expect(Math.abs(work - estimateReadMs(size, ENGINE)) < 1).toEqual(
+              true,
+            );
+            const targets = new Set(choice.parts.map(part => part.target));
+            expect(targets.size).toEqual(choice.parts.length);
+            expect(choice.parts.length <= 16).toEqual(true);
+            expect(choice.parts[0].target).toEqual(choice.first);
+          }
+        },
+      ),
+      {numRuns: 60},
+    );
+  });
+});
+
+describe('load book', () => {
+  it('forgets what a gate had placed that is gone', () => {
+    const book = createLoadBook();
+    placeOne(book, 200_000, 4, 0);
+    expect(book.describe('e0', 0).backlogMs > 0).toEqual(true);
+    book.dropUnlessKept('g', new Set());
+    expect(book.describe('e0', 0).backlogMs).toEqual(0);
+    expect(book.describe('e0', 0).active).toEqual(0);
+  });
+
+  it('counts no reading once the first event has come', () => {
+    const book = createLoadBook();
+    const choice = placeOne(book, 3000, 1, 0);
+    expect(book.describe('e0', 0).backlogMs > 0).toEqual(true);
+    book.markBegun(`g#${lastKey}`);
+    const load = book.describe(choice?.first ?? '', 0);
+    expect(load.backlogMs).toEqual(0);
+    expect(load.writers.length).toEqual(1);
+  });
+});
--- a/packages/direct/src/placement/place-prompt.ts
+++ b/packages/direct/src/placement/place-prompt.ts
@@ -42,6 +42,24 @@
 /** Engines that may read one prompt: the first and 15 helpers. */
 const MAX_READERS = 16;
 
+/**
+ * Smallest part that is worth a reader of its own, in ms: about half a pass.
+ * Smaller parts wait longer for the pass they join than they take, and the
+ * first event waits for the slowest of them.
+ */
+const MIN_PART_MS = 25;
+
+/**
+ * Part of its worth that a stream is taken to lose on the way from its
+ * objective to the time at which callers leave. Without it, a prompt that is
+ * late anyway is left to one engine for many seconds, since nothing more can
+ * be lost by it: it then blocks that engine, and its caller leaves.
+ */
+const OVERDUE_LOSS = 0.5;
+
+/** Objectives after which callers leave a stream that has not begun. */
+const LEAVE_GOALS = 4;
+
 /** Memory left free on an engine for the streams that it writes, in tokens. */
 const MEMORY_MARGIN_TOKENS = 6000;
 
@@ -58,8 +76,10 @@
 export interface PromptDemand {
   readonly promptTokens: number;
   readonly maxOutputTokens: number;
-  /** Time left until the first event is late, in ms. */
+  /** Latency objective of the first event, in ms. */
   readonly goalMs: number;
+  /** What is left of it, in ms; below zero once it is missed. */
+  readonly goalLeftMs: number;
   readonly gapGoalMs: number;
   readonly value: number;
 }
@@ -75,6 +95,8 @@
   }>;
   /** Tokens that stay at the first engine. */
   readonly memoryTokens: number;
+  /** Reading that stood before this one at the first engine, in ms. */
+  readonly backlogMs: number;
   readonly predictedFirstMs: number;
   readonly cost: number;
 }
@@ -91,6 +113,7 @@
 }
 
 function estimateRisk(ms: number, limitMs: number): number {
+  if (limitMs <= 0) return 1;
   const share = ms / limitMs;
   return Math.min(1, Math.max(0, (share - RISK_FROM) / (1 - RISK_FROM)));
 }
@@ -257,9 +280,13 @@
     LATE_LOSS *
     Math.min(
       1,
-      estimateRisk(predictedFirstMs, demand.goalMs) +
+      estimateRisk(predictedFirstMs, demand.goalLeftMs) +
         estimateRisk(ownWriteMs, demand.gapGoalMs),
     );
+  const overdueMs = Math.max(0, predictedFirstMs - demand.goalLeftMs);
+  const overdue =
+    (demand.value * OVERDUE_LOSS * overdueMs) /
+    (demand.goalMs * (LEAVE_GOALS - 1));
   const harm = readers.reduce((sum, reader) => sum + reader.harm, 0);
   const reserved = reservations.reduce((sum, item) => sum + item.tokens, 0);
   return {
@@ -269,9 +296,11 @@
     ),
     reservations,
     memoryTokens: demand.promptTokens + demand.maxOutputTokens - reserved,
+    backlogMs: load.backlogMs,
     predictedFirstMs,
     cost:
       late +
+      overdue +
       harm +
       priceFirst(first, demand, engine) +
       READER_PRICE * (readers.length - 1),
@@ -294,7 +323,11 @@
 ): PromptChoice | undefined {
   const readMs = estimateReadMs(demand.promptTokens, engine);
   let best: PromptChoice | undefined;
-  const most = Math.min(MAX_READERS, candidates.length);
+  const most = Math.min(
+    MAX_READERS,
+    candidates.length,
+    Math.ceil(readMs / MIN_PART_MS),
+  );
   for (const candidate of candidates) {
     const alone = priceReaders([candidate], readMs, 1, engine, now);
     const choice = buildChoice(alone, demand, engine);
@@ -328,7 +361,7 @@
     parts: choice.parts,
     promptTokens: demand.promptTokens,
     memoryTokens: choice.memoryTokens,
-    goalMs: demand.goalMs,
+    goalMs: Math.max(1, demand.goalLeftMs),
     gapGoalMs: demand.gapGoalMs,
     value: demand.value,
     placedAt: now,
--- a/packages/direct/src/placement/prompt-placer.ts
+++ b/packages/direct/src/placement/prompt-placer.ts
@@ -53,6 +53,8 @@
   readonly service: string;
   readonly promptTokens: number;
   readonly maxOutputTokens: number;
+  /** Latency objective of the first event, and what is left of it, in ms. */
+  readonly goalMs: number;
   readonly goalLeftMs: number;
   readonly gapGoalMs: number;
 }
@@ -90,7 +92,6 @@
     const targets = this.listTargets(request.service, tried);
     const demand: PromptDemand = {
       ...request,
-      goalMs: Math.max(1, request.goalLeftMs),
       value: estimateValue(request.promptTokens),
     };
     const choice = choosePromptEngines(
--- /dev/null
+++ b/packages/direct/src/test/fake-store.ts
@@ -0,0 +1,105 @@
+/** A store of facts in memory, with the outages that tests need. */
+import {HistoryLostError, StoreUnavailableError} from '../errors.js';
+import {FactStore} from '../ports.js';
+import type {FactChange, FactChanges, FactSnapshot} from '../ports.js';
+import type {FleetConfig, Target} from '../types.js';
+
+interface LoggedChange {
+  readonly revision: number;
+  readonly change: FactChange;
+}
+
+/**
+ * A store whose facts a test sets.
+ *
+ * @example
+ * const store = new FakeStore();
+ * store.publishTarget(target);
+ */
+export class FakeStore extends FactStore {
+  isDown = false;
+  /** Calls that were answered or refused. */
+  calls = 0;
+  private revision = 1;
+  private config: FleetConfig | undefined;
+  private readonly targets = new Map<string, Target>();
+  private history: LoggedChange[] = [];
+  private readonly waiters = new Set<() => void>();
+
+  /** Publishes a configuration. */
+  publishConfig(config: FleetConfig): void {
+    this.config = config;
+    this.record({kind: 'config', config});
+  }
+
+  /** Publishes a target; its revision is set here. */
+  publishTarget(target: Target): void {
+    const stored = {...target, revision: this.revision + 1};
+    this.targets.set(target.id, stored);
+    this.record({kind: 'target', target: stored});
+  }
+
+  /** Removes a target's entry. */
+  dropTarget(id: string): void {
+    this.targets.delete(id);
+    this.record({kind: 'target-gone', id, revision: this.revision + 1});
+  }
+
+  /** Forgets the history: watches must read everything anew. */
+  dropHistory(): void {
+    this.history = [];
+    this.notify();
+  }
+
+  override async readSnapshot(): Promise<FactSnapshot> {
+    this.calls++;
+    if (this.isDown) throw new StoreUnavailableError('down');
+    return {
+      revision: this.revision,
+      config: this.config,
+      targets: [...this.targets.values()],
+    };
+  }
+
+  override async waitForChanges(
+    after: number,
+    waitMs: number,
+  ): Promise<FactChanges> {
+    this.calls++;
+    if (this.isDown) throw new StoreUnavailableError('down');
+    if (this.revision === after) await this.waitForNotice(waitMs);
+    if (this.isDown) throw new StoreUnavailableError('down');
+    const oldest = this.history[0]?.revision ?? this.revision + 1;
+    if (this.revision > after && oldest > after + 1)
+      throw new HistoryLostError('history dropped');
+    return {
+      revision: this.revision,
+      changes: this.history
+        .filter(logged => logged.revision > after)
+        .map(logged => logged.change),
+    };
+  }
+
+  private waitForNotice(waitMs: number): Promise<void> {
+    return new Promise(resolve => {
+      const finish = () => {
+        clearTimeout(timer);
+        this.waiters.delete(finish);
+        resolve();
+      };
+      const timer = setTimeout(finish, waitMs);
+      timer.unref();
+      this.waiters.add(finish);
+    });
+  }
+
+  private record(change: FactChange): void {
+    this.revision++;
+    this.history.push({revision: this.revision, change});
+    this.notify();
+  }
+
+  private notify(): void {
+    for (const waiter of [...this.waiters]) waiter();
+  }
+}
--- /dev/null
+++ b/packages/direct/src/test/fake-target.ts
@@ -0,0 +1,107 @@
+/** A target over HTTP whose answers a test scripts. */
+import {createServer} from 'node:http';
+import {openListener, readPort} from '@nutmeggauge/core';
+import type {IncomingMessage, Server, ServerResponse} from 'node:http';
+import type {Target} from '../types.js';
+
+/** Acts on one request that reached the target. */
+export type TargetScript = (req: IncomingMessage, res: ServerResponse) => void;
+
+/** Head of a signed answer to `req`. */
+export function buildSignedHead(req: IncomingMessage): Record<string, string> {
+  return {
+    'x-test-id': String(req.headers['x-test-id']),
+    'x-test-signature': 'signed',
+  };
+}
+
+/** Answers whole with a signature. */
+export function answerWhole(req: IncomingMessage, res: ServerResponse): void {
+  res.writeHead(200, buildSignedHead(req));
+  res.end('whole');
+}
+
+/** States that the request did not run. */
+export function answerNotRun(req: IncomingMessage, res: ServerResponse): void {
+  res.writeHead(503, {
+    'x-test-id': String(req.headers['x-test-id']),
+    'x-test-not-run': '1',
+  });
+  res.end();
+}
+
+/** Formats events `from` to `to`, both included. */
+export function formatEvents(from: number, to: number): string {
+  let text = '';
+  for (let id = from; id <= to; id++)
+    text += `id: ${id}\ndata: piece-${id}\n\n`;
+  return text;
+}
+
+/**
+ * A scripted target.
+ *
+ * @example
+ * const target = await openFakeTarget('t1', 'orders', answerWhole);
+ */
+export class FakeTarget {
+  /** Ids of the requests that reached it, in order. */
+  readonly received: string[] = [];
+  readonly heads: IncomingMessage['headers'][] = [];
+  script: TargetScript;
+  private readonly server: Server;
+
+  constructor(
+    readonly id: string,
+    readonly service: string,
+    script: TargetScript,
+  ) {
+    this.script = script;
+    this.server = createServer((req, res) => {
+      this.received.push(String(req.headers['x-test-id']));
+      this.heads.push(req.headers);
+      req.resume();
+      req.once('end', () => this.script(req, res));
+    });
+  }
+
+  /** Its entry as the store lists it. */
+  get entry(): Target {
+    return {
+      id: this.id,
+      service: this.service,
+      host: '127.0.0.1',
+      port: readPort(this.server),
+      zone: 'az-1',
+      isDraining: false,
+      revision: 0,
+    };
+  }
+
+  /** Starts listening. */
+  async start(): Promise<void> {
+    await openListener(this.server, {host: '127.0.0.1', port: 0});
+  }
+
+  /** Ends it like a crash: every connection is reset. */
+  close(): void {
+    this.server.closeAllConnections();
+    this.server.close();
+  }
+}
+
+/**
+ * Starts a scripted target.
+ *
+ * @example
+ * const target = await openFakeTarget('t1', 'chat', answerWhole);
+ */
+export async function openFakeTarget(
+  id: string,
+  service: string,
+  script: TargetScript,
+): Promise<FakeTarget> {
+  const target = new FakeTarget(id, service, script);
+  await target.start();
+  return target;
+}
--- /dev/null
+++ b/packages/direct/src/test/gate-world.ts
@@ -0,0 +1,318 @@
+/** One gate with a store and targets of the tests, on loopback. */
+import {request} from 'node:http';
+import {Writable} from 'node:stream';
+import {createDirectGate} from '../gate.js';
+import {createDecisionLog} from '../observe/decision-log.js';
+import {MemoryReservations} from '../ports.js';
+import {FakeStore} from './fake-store.js';
+import {openFakeTarget} from './fake-target.js';
+import {TestDialect} from './test-dialect.js';
+import type {DirectGate} from '../gate.js';
+import type {ReservationOutcome} from '../ports.js';
+import type {EngineFigures, FleetConfig, Route} from '../types.js';
+import type {FakeTarget, TargetScript} from './fake-target.js';
+
+/** An engine as the tests use it: figures of a usual one. */
+export const ENGINE: EngineFigures = {
+  slots: 11,
+  memoryTokens: 315_000,
+  stepMs: 0.85,
+  stepMsPerWriter: 0.006,
+  stepMsPerContextK: 0.00285,
+  readTokensPerMs: 177,
+  pairsMsPerMillion: 0.184,
+  stepsPerPass: 51,
+};
+
+const BASE_ROUTE: Route = {
+  name: 'r',
+  host: 'site',
+  prefix: '/',
+  kind: 'safe',
+  timeoutMs: 2000,
+  goalMs: 300,
+  gapGoalMs: undefined,
+  splits: [{service: 'orders', weight: 1}],
+  maxAttempts: 2,
+  isPublic: false,
+  isResumable: false,
+};
+
+/** The configuration of most tests: one route of each kind, one account. */
+export function buildConfig(
+  version: number,
+  changes: Partial<FleetConfig> = {},
+): FleetConfig {
+  return {
+    version,
+    routes: [
+      {...BASE_ROUTE, name: 'safe', prefix: '/safe/'},
+      {
+        ...BASE_ROUTE,
+        name: 'unsafe',
+        prefix: '/unsafe/',
+        kind: 'unsafe',
+        maxAttempts: 1,
+      },
+      {
+        ...BASE_ROUTE,
+        name: 'unsafe2',
+        prefix: '/unsafe2/',
+        kind: 'unsafe',
+        maxAttempts: 2,
+      },
+      {
+        ...BASE_ROUTE,
+        name: 'stream',
+        prefix: '/stream/',
+        kind: 'stream',
+        gapGoalMs: 250,
+        timeoutMs: 5000,
+        splits: [{service: 'chat', weight: 1}],
+        isResumable: true,
+      },
+    ],
+    services: [
+      {name: 'orders', engine: undefined},
+      {name: 'chat', engine: ENGINE},
+    ],
+    limits: {
+      maxBodyBytes: 100_000,
+      headerTimeoutMs: 3000,
+      idleTimeoutMs: 15_000,
+    },
+    accounts: [{name: 'acme', keys: ['k1']}],
+    ...changes,
+  };
+}
+
+/** Reservations that are always granted, and recorded. */
+export class FakeReservations extends MemoryReservations {
+  readonly held = new Map<string, number>();
+  outcome: ReservationOutcome = 'granted';
+
+  override async reserve(
+    target: {readonly id: string},
+    ticket: string,
+    tokens: number,
+  ): Promise<ReservationOutcome> {
+    if (this.outcome !== 'granted') return this.outcome;
+    this.held.set(`${target.id}/${ticket}`, tokens);
+    return this.outcome;
+  }
+
+  override async release(
+    target: {readonly id: string},
+    ticket: string,
+  ): Promise<void> {
+    this.held.delete(`${target.id}/${ticket}`);
+  }
+}
+
+/** What a caller saw. */
+export interface CallerAnswer {
+  readonly status: number;
+  readonly body: string;
+  /** False when the connection broke before the answer was whole. */
+  readonly isWhole: boolean;
+  readonly retryAfter: string | undefined;
+  readonly ms: number;
+}
+
+/** Options of one call. */
+export interface CallOptions {
+  readonly id?: string;
+  readonly key?: string;
+  readonly deadlineMs?: number;
+  readonly tokens?: number;
+  readonly method?: string;
+  readonly body?: string;
+  /** Leaves after so many ms. */
+  readonly leaveAfterMs?: number;
+}
+
+/**
+ * A gate, its store and its targets.
+ *
+ * @example
+ * const world = await openGateWorld();
+ * await world.addTarget('t1', 'orders', answerWhole);
+ * await world.call('/safe/x');
+ */
+export class GateWorld {
+  readonly store = new FakeStore();
+  readonly reservations = new FakeReservations();
+  readonly gate: DirectGate;
+  readonly lines: string[] = [];
+  private readonly targets: FakeTarget[] = [];
+
+  constructor(
+    readonly host: string,
+    readonly port: number,
+    seedHosts: readonly string[],
+  ) {
+    const output = new Writable({
+      write: (chunk, _, done) => {
+        this.lines.push(String(chunk));
+        done();
+      },
+    });
+    this.gate = createDirectGate(
+      {
+        node: `gate-${host}`,
+        zone: 'az-1',
+        ingress: {host, port},
+        ready: {host, port: port + 1},
+        peers: {host, port: port + 2},
+        metrics: {host, port: port + 3},
+        seedHosts,
+        retryBounds: {ratio: 0.2, slack: 100, windowMs: 10_000},
+        stopGraceMs: 2000,
+      },
+      {
+        dialect: new TestDialect(),
+        store: this.store,
+        reservations: this.reservations,
+        log: createDecisionLog({
+          node: host,
+          output,
+          readWallMs: Date.now,
+        }),
+      },
+    );
+  }
+
+  /** Adds a running target to the store. */
+  async addTarget(
+    id: string,
+    service: string,
+    script: TargetScript,
+  ): Promise<FakeTarget> {
+    const target = await openFakeTarget(id, service, script);
+    this.targets.push(target);
+    this.store.publishTarget(target.entry);
+    return target;
+  }
+
+  /** Makes every target act alike from now on. */
+  setScripts(script: TargetScript): void {
+    for (const target of this.targets) target.script = script;
+  }
+
+  /** Calls the gate and waits for the end of the answer. */
+  call(path: string, options: CallOptions = {}): Promise<CallerAnswer> {
+    return callGate({host: this.host, port: this.port}, path, options);
+  }
+
+  /** Asks as the balancer does. */
+  async askReady(): Promise<number> {
+    const answer = await callGate(
+      {host: this.host, port: this.port + 1},
+      '/ready',
+      {},
+    );
+    return answer.status;
+  }
+
+  /** Waits until `check` holds; fails the test after two seconds. */
+  async waitUntil(check: () => boolean | Promise<boolean>): Promise<void> {
+    const giveUpAt = performance.now() + 2000;
+    while (!(await check())) {
+      if (performance.now() > giveUpAt) throw new Error('still not so');
+      await new Promise(resolve => setTimeout(resolve, 10));
+    }
+  }
+
+  /** Stops everything. */
+  close(): void {
+    this.gate.close();
+    for (const target of this.targets) target.close();
+  }
+}
+
+function callGate(
+  address: {readonly host: string; readonly port: number},
+  path: string,
+  options: CallOptions,
+): Promise<CallerAnswer> {
+  const startedAt = performance.now();
+  return new Promise(resolve => {
+    let status = 0;
+    let body = '';
+    let retryAfter: string | undefined;
+    const finish = (isWhole: boolean) =>
+      resolve({
+        status,
+        body,
+        isWhole,
+        retryAfter,
+        ms: performance.now() - startedAt,
+      });
+    const headers: Record<string, string> = {
+      host: 'site',
+      'x-test-id': options.id ?? 'q1',
+      'x-test-key': options.key ?? 'k1',
+      'x-test-deadline': String(options.deadlineMs ?? 4000),
+    };
+    if (options.tokens !== undefined)
+      headers['x-test-tokens'] = String(options.tokens);
+    const req = request({
+      ...address,
+      path,
+      method: options.method ?? 'GET',
+      headers,
+      agent: false,
+    });
+    req.once('error', () => finish(false));
+    req.once('response', res => {
+      status = res.statusCode ?? 0;
+      retryAfter = res.headers['retry-after'];
+      res.on('data', chunk => (body += String(chunk)));
+      res.once('error', () => finish(false));
+      res.once('end', () => finish(res.complete));
+    });
+    if (options.leaveAfterMs !== undefined)
+      setTimeout(() => req.destroy(), options.leaveAfterMs);
+    req.end(options.body);
+  });
+}
+
+let lastPort = 21_000;
+
+/**
+ * A loopback address that no other test process uses: its low bits are this
+ * process's id and `n`, from 0 to 3.
+ *
+ * @example
+ * buildLoopbackHost(1); // '127.0.98.13'
+ */
+export function buildLoopbackHost(n: number): string {
+  const bits = process.pid * 4 + n;
+  return `127.${(bits >> 16) & 255}.${(bits >> 8) & 255}.${bits & 255}`;
+}
+
+/**
+ * Starts a gate with the usual configuration.
+ *
+ * @example
+ * const world = await openGateWorld({host: '127.0.0.2'});
+ */
+export async function openGateWorld(
+  options: {
+    readonly host?: string;
+    readonly port?: number;
+    readonly seedHosts?: readonly string[];
+    readonly config?: FleetConfig | 'none';
+  } = {},
+): Promise<GateWorld> {
+  const port = options.port ?? (lastPort += 10);
+  const world = new GateWorld(
+    options.host ?? buildLoopbackHost(0),
+    port,
+    options.seedHosts ?? [],
+  );
+  if (options.config !== 'none')
+    world.store.publishConfig(options.config ?? buildConfig(1));
+  await world.gate.start();
+  return world;
+}
--- /dev/null
+++ b/packages/direct/src/test/test-dialect.ts
@@ -0,0 +1,58 @@
+/** Header names of the tests' own, so that none of an adapter's are needed. */
+import {stripHopByHop} from '../forward/caller-response.js';
+import {HeaderDialect} from '../ports.js';
+import type {
+  AnswerFacts,
+  ForwardFacts,
+  RawHeaders,
+  RequestFacts,
+} from '../types.js';
+
+type ParsedHeaders = Readonly<Record<string, string | string[] | undefined>>;
+
+function readNumber(value: string | string[] | undefined): number | undefined {
+  return value === undefined ? undefined : Number(value);
+}
+
+/**
+ * The tests' dialect.
+ *
+ * @example
+ * createDirectGate(settings, {dialect: new TestDialect(), …});
+ */
+export class TestDialect extends HeaderDialect {
+  override readonly readyPath = '/ready';
+
+  override parseRequest(headers: ParsedHeaders): RequestFacts {
+    return {
+      requestId: headers['x-test-id'] as string | undefined,
+      deadlineMs: readNumber(headers['x-test-deadline']),
+      apiKey: headers['x-test-key'] as string | undefined,
+      promptTokens: readNumber(headers['x-test-tokens']),
+      maxOutputTokens: 100,
+    };
+  }
+
+  override buildForTarget(caller: RawHeaders, facts: ForwardFacts): string[] {
+    const headers = stripHopByHop(caller).filter(
+      (_, i, all) => all[i - (i % 2)].toLowerCase() !== 'x-test-key',
+    );
+    headers.push('x-test-target', facts.target.id);
+    headers.push('x-test-left', String(facts.deadlineLeftMs));
+    if (facts.account !== undefined)
+      headers.push('x-test-account', facts.account);
+    if (facts.lastEventId !== undefined)
+      headers.push('x-test-after', facts.lastEventId);
+    headers.push('Connection', 'close');
+    return headers;
+  }
+
+  override parseAnswer(headers: ParsedHeaders): AnswerFacts {
+    return {
+      requestId: headers['x-test-id'] as string | undefined,
+      isSigned: headers['x-test-signature'] !== undefined,
+      isNotRun: headers['x-test-not-run'] !== undefined,
+      faultyAddress: undefined,
+    };
+  }
+}
--- a/scripts/bundle.mjs
+++ b/scripts/bundle.mjs
@@ -8,7 +8,8 @@
   platform: 'node',
   target: 'node20',
   format: 'esm',
-  minify: false,
+  minifyWhitespace: true,
+  minifySyntax: true,
   // Packages inside the workspace are bundled from their sources.
   alias: {
     '@nutmeggauge/core': './packages/core/src/index.ts',
