Long prompts stay off engines where others wait

The log of placements shows each followed by later prompts whose parts lie on its own engine: an engine reads parts for others ahead of its own prompt, and the harm to prompts read by several engines was not counted. A waiter already late counted nothing more, so it could be put off without end. Ruled out: dead engines (no attempt failed there), wrong read times (predictions of undisturbed prompts are within 30 ms).

Change: every prompt that waits on an engine is weighed, and a missed objective goes on counting until its caller leaves; a small price on waiting uses idle engines.

--- a/packages/direct/src/placement/load-book.ts
+++ b/packages/direct/src/placement/load-book.ts
@@ -41,10 +41,12 @@
   readonly active: number;
   /** Streams that are being written. */
   readonly writers: readonly Placement[];
-  /** Prompts whose first event is still to come and that are read here alone. */
+  /**
+   * Prompts read here, alone or with others, whose first event is still to
+   * come. An engine reads parts for others ahead of its own prompts, so what
+   * is placed later may well be read earlier.
+   */
   readonly waiting: readonly Placement[];
-  /** Long prompts that are read here with others. */
-  readonly jointReads: number;
   readonly contextTokens: number;
   readonly memoryTokens: number;
 }
@@ -116,7 +118,6 @@
     const writers: Placement[] = [];
     const waiting: Placement[] = [];
     let active = 0;
-    let jointReads = 0;
     let contextTokens = 0;
     let memoryTokens = 0;
     let readUntil = -Infinity;
@@ -127,12 +128,10 @@
         if (hasBegun) {
           writers.push(placement);
           contextTokens += placement.promptTokens;
-        } else if (placement.parts.length === 1) {
-          waiting.push(placement);
         }
       }
       if (hasBegun) continue;
-      if (placement.parts.length > 1) jointReads++;
+      waiting.push(placement);
       // Entries stand in the order of placing: each is read after the last.
       readUntil =
         Math.max(readUntil, placement.placedAt) + readPartMs(placement, target);
@@ -142,7 +141,6 @@
       active,
       writers,
       waiting,
-      jointReads,
       contextTokens,
       memoryTokens,
     };
--- a/packages/direct/src/placement/place-prompt.test.ts
+++ b/packages/direct/src/placement/place-prompt.test.ts
@@ -122,6 +122,20 @@
     expect(beside).toEqual([]);
   });
 
+  it('reads no part on an engine where another long prompt waits', () => {
+    // An engine reads parts for others ahead of its own prompt. Long prompts
+    // that came one after the other each put parts on the engines of the one
+    // before: it took 10 s in place of 1.5 while other engines stood idle.
+    const book = createLoadBook();
+    const early = placeOne(book, 150_000, 16, 0);
+    const taken = new Set(early?.parts.map(part => part.target));
+    const free = 16 - taken.size;
+    const late = placeOne(book, 150_000, 16, 10);
+    const shared = late?.parts.filter(part => taken.has(part.target)) ?? [];
+    expect(free > 0 ? shared : []).toEqual([]);
+    expect((late?.predictedFirstMs ?? Infinity) < 3000).toEqual(true);
+  });
+
   it('reserves on helpers what one engine cannot hold', () => {
     const choice = placeOne(createLoadBook(), 400_000, 16, 0);
     const reserved = (choice?.reservations ?? []).reduce(
--- a/packages/direct/src/placement/place-prompt.ts
+++ b/packages/direct/src/placement/place-prompt.ts
@@ -60,6 +60,16 @@
 /** Objectives after which callers leave a stream that has not begun. */
 const LEAVE_GOALS = 4;
 
+/** Pause objectives after which callers leave a stream that has begun. */
+const LEAVE_GAPS = 8;
+
+/**
+ * Price of a whole objective's wait, in shares of a stream's worth. Idle
+ * engines are worth using although the objective would be met without: the
+ * prompt is out of the way before the next one comes.
+ */
+const HASTE_LOSS = 0.05;
+
 /** Memory left free on an engine for the streams that it writes, in tokens. */
 const MEMORY_MARGIN_TOKENS = 6000;
 
@@ -118,6 +128,36 @@
   return Math.min(1, Math.max(0, (share - RISK_FROM) / (1 - RISK_FROM)));
 }
 
+/** An objective and when the caller leaves if it is missed by far. */
+interface Objective {
+  /** Time until it is missed, in ms; below zero once it is. */
+  readonly leftMs: number;
+  /** The whole objective, in ms. */
+  readonly wholeMs: number;
+  /** Objectives after which the caller leaves. */
+  readonly leaveAfter: number;
+}
+
+/**
+ * Share of its worth that a stream is expected to lose by `ms` more waiting:
+ * the chance of missing the objective, and past it the way to the time at
+ * which its caller leaves.
+ */
+function estimateLoss(ms: number, objective: Objective): number {
+  const {leftMs, wholeMs, leaveAfter} = objective;
+  const overdue = Math.max(0, ms - leftMs) / (wholeMs * (leaveAfter - 1));
+  return LATE_LOSS * estimateRisk(ms, leftMs) + OVERDUE_LOSS * overdue;
+}
+
+/** Loss of one stream when its next event comes `addedMs` later. */
+function estimateAddedLoss(
+  ms: number,
+  addedMs: number,
+  objective: Objective,
+): number {
+  return estimateLoss(ms + addedMs, objective) - estimateLoss(ms, objective);
+}
+
 /** Harm that `addedMs` more reading does to the streams of one engine. */
 function estimateHarm(
   candidate: Candidate,
@@ -126,22 +166,24 @@
   now: number,
 ): number {
   const {load} = candidate;
-  const before = writeMs + load.backlogMs;
   let harm = 0;
   for (const writer of load.writers)
     harm +=
       writer.value *
-      (estimateRisk(before + addedMs, writer.gapGoalMs) -
-        estimateRisk(before, writer.gapGoalMs));
-  for (const waiter of load.waiting) {
-    const elapsed = now - waiter.placedAt;
-    const due = elapsed + load.backlogMs + 2 * writeMs;
+      estimateAddedLoss(writeMs + load.backlogMs, addedMs, {
+        leftMs: writer.gapGoalMs,
+        wholeMs: writer.gapGoalMs,
+        leaveAfter: LEAVE_GAPS,
+      });
+  for (const waiter of load.waiting)
     harm +=
       waiter.value *
-      (estimateRisk(due + addedMs, waiter.goalMs) -
-        estimateRisk(due, waiter.goalMs));
-  }
-  return harm * LATE_LOSS;
+      estimateAddedLoss(load.backlogMs + 2 * writeMs, addedMs, {
+        leftMs: waiter.goalMs - (now - waiter.placedAt),
+        wholeMs: waiter.goalMs,
+        leaveAfter: LEAVE_GOALS,
+      });
+  return harm;
 }
 
 interface Priced {
@@ -276,17 +318,13 @@
   );
   const predictedFirstMs = readDoneMs + ownWriteMs;
   const late =
-    demand.value *
-    LATE_LOSS *
-    Math.min(
-      1,
-      estimateRisk(predictedFirstMs, demand.goalLeftMs) +
-        estimateRisk(ownWriteMs, demand.gapGoalMs),
-    );
-  const overdueMs = Math.max(0, predictedFirstMs - demand.goalLeftMs);
-  const overdue =
-    (demand.value * OVERDUE_LOSS * overdueMs) /
-    (demand.goalMs * (LEAVE_GOALS - 1));
+    estimateLoss(predictedFirstMs, {
+      leftMs: demand.goalLeftMs,
+      wholeMs: demand.goalMs,
+      leaveAfter: LEAVE_GOALS,
+    }) +
+    LATE_LOSS * estimateRisk(ownWriteMs, demand.gapGoalMs) +
+    (HASTE_LOSS * predictedFirstMs) / demand.goalMs;
   const harm = readers.reduce((sum, reader) => sum + reader.harm, 0);
   const reserved = reservations.reduce((sum, item) => sum + item.tokens, 0);
   return {
@@ -299,8 +337,7 @@
     backlogMs: load.backlogMs,
     predictedFirstMs,
     cost:
-      late +
-      overdue +
+      late * demand.value +
       harm +
       priceFirst(first, demand, engine) +
       READER_PRICE * (readers.length - 1),
