--- a/packages/direct/src/forward/context.ts
+++ b/packages/direct/src/forward/context.ts
@@ -1,5 +1,6 @@
 /** What both forwarders work with. */
 import type {Counters, LatencyHistogram} from '@nutmeggauge/core';
+import type {WaitingLines} from '../admission/waiting-line.js';
 import type {FleetState} from '../fleet/fleet-state.js';
 import type {TargetHealth} from '../health/target-health.js';
 import type {DecisionLog} from '../observe/decision-log.js';
@@ -16,6 +17,7 @@
   readonly budget: SharedRetryBudget;
   readonly calls: CallPlacer;
   readonly prompts: PromptPlacer;
+  readonly lines: WaitingLines;
   readonly reservations: MemoryReservations;
   readonly log: DecisionLog;
   readonly counters: Counters;
--- a/packages/direct/src/forward/stream-forwarder.ts
+++ b/packages/direct/src/forward/stream-forwarder.ts
@@ -9,8 +9,9 @@
 import {readVerdict} from './judge-answer.js';
 import {openMemoryLease} from './memory-lease.js';
 import {estimateReadMs} from '../placement/engine-model.js';
+import {PlacedPrompt} from '../placement/prompt-placer.js';
 import {chooseReturnMs} from './retry-after.js';
-import type {PlacedPrompt} from '../placement/prompt-placer.js';
+import type {WaitingLine} from '../admission/waiting-line.js';
 import type {EngineFigures, Target} from '../types.js';
 import type {ForwardContext} from './context.js';
 import type {AnswerHead, Exchange} from './exchange.js';
@@ -39,6 +40,15 @@
 const STALL_GAPS = 2.5;
 const STALL_MIN_MS = 1000;
 
+/**
+ * Wait of a caller that finds all places taken, in ms: about as long as a
+ * place is held, so that it does not meet the same streams again.
+ */
+const OVERLOAD_RETURN_MS = 1200;
+
+/** Time in which another answer of an engine shows that it lives, in ms. */
+const HEARD_MS = 600;
+
 /** Time left below which no further engine is tried, in ms. */
 const MIN_RETRY_LEFT_MS = 250;
 
@@ -99,40 +109,96 @@
       request.expiresAt - context.readNow(),
     );
     while (!this.isSettled) {
-      const placed = this.place();
+      const placed = await this.place();
       if (placed === undefined) return;
+      const placedAt = context.readNow();
       const end = await this.tryOnce(placed);
       placed.release();
+      if (end.kind === 'done')
+        this.line.recordHold(context.readNow() - placedAt);
       if (this.isSettled) return;
       this.handleEnd(placed, end);
     }
   }
 
+  private get line(): WaitingLine {
+    return this.context.lines.find(this.request.service);
+  }
+
   /** Places the stream, or answers the caller when it cannot be. */
-  private place(): PlacedPrompt | undefined {
+  private async place(): Promise<PlacedPrompt | undefined> {
     const {context, request} = this;
     const leftMs = request.expiresAt - context.readNow();
     if (this.sends > 0 && leftMs < MIN_RETRY_LEFT_MS) {
       this.giveUp('no_time_left');
       return undefined;
     }
+    // A stream that was begun or failed once has waited already.
+    const mayOverfill = this.sends > 0 || this.unsentTries > 0;
+    let result = this.tryPlace(mayOverfill);
+    if (result === 'full') result = await this.waitForPlace();
+    if (this.isSettled) {
+      if (result instanceof PlacedPrompt) result.release();
+      return undefined;
+    }
+    if (result instanceof PlacedPrompt) return this.checkInTime(result, leftMs);
+    if (result === 'none') this.giveUp('no_target');
+    else this.refuse('overloaded', OVERLOAD_RETURN_MS);
+    return undefined;
+  }
+
+  private tryPlace(mayOverfill: boolean): PlacedPrompt | 'full' | 'none' {
+    const {context, request} = this;
+    const {route, facts} = request;
     const elapsedMs = context.readNow() - request.arrivedAt;
-    const placed = context.prompts.place(
+    return context.prompts.place(
       {
         service: request.service,
-        promptTokens: request.facts.promptTokens ?? 0,
-        maxOutputTokens: request.facts.maxOutputTokens ?? 0,
-        goalMs: request.route.goalMs,
-        goalLeftMs: request.route.goalMs - elapsedMs,
-        gapGoalMs: request.route.gapGoalMs ?? request.route.goalMs,
+        promptTokens: facts.promptTokens ?? 0,
+        maxOutputTokens: facts.maxOutputTokens ?? 0,
+        goalMs: route.goalMs,
+        goalLeftMs: route.goalMs - elapsedMs,
+        gapGoalMs: route.gapGoalMs ?? route.goalMs,
       },
       this.engine,
       this.tried,
+      mayOverfill,
     );
-    if (placed === undefined) {
-      this.giveUp('no_target');
-      return undefined;
-    }
+  }
+
+  private async waitForPlace(): Promise<PlacedPrompt | 'full' | 'none'> {
+    const {request, context} = this;
+    let result: PlacedPrompt | 'full' | 'none' = 'full';
+    const leave = new AbortController();
+    request.caller.onLeave(() => leave.abort());
+    const predictedMs = this.line.estimateWaitMs();
+    const outcome = await this.line.enter(
+      {
+        arrivedAt: request.arrivedAt,
+        goalMs: request.route.goalMs,
+        tryPlace: () => {
+          result = this.tryPlace(false);
+          return result !== 'full';
+        },
+      },
+      leave.signal,
+    );
+    context.counters.add(`line.${outcome}`);
+    context.log.info('waited_for_place', {
+      requestId: request.facts.requestId,
+      outcome,
+      predictedMs: Math.round(predictedMs),
+      inLine: this.line.length,
+      ms: Math.round(context.readNow() - request.arrivedAt),
+    });
+    return result;
+  }
+
+  /** Gives the place back when the answer would come after the deadline. */
+  private checkInTime(
+    placed: PlacedPrompt,
+    leftMs: number,
+  ): PlacedPrompt | undefined {
     if (placed.choice.predictedFirstMs <= leftMs) return placed;
     placed.release();
     this.refuse('too_late', placed.choice.predictedFirstMs - leftMs);
@@ -213,7 +279,7 @@
     const firstLimitMs =
       placed.choice.predictedFirstMs * FIRST_EVENT_FACTOR +
       (readMs > LONG_READ_MS ? LONG_READ_SLACK_MS : FIRST_EVENT_SLACK_MS);
-    const stall = new StallTimer(() => this.stopStalled(exchange));
+    const stall = new StallTimer(() => this.judgeStall(placed, exchange));
     stall.restart(firstLimitMs);
     try {
       const head = await exchange.head;
@@ -234,11 +300,18 @@
     }
   }
 
-  /** A stall ends the attempt only where another one may follow. */
-  private stopStalled(exchange: Exchange): boolean {
-    if (this.sends >= this.request.route.maxAttempts) return false;
+  /**
+   * A stall ends the attempt only where another one may follow, and not while
+   * the engine answers others: sent again, the prompt would be read twice by
+   * engines that have too much to read already.
+   */
+  private judgeStall(placed: PlacedPrompt, exchange: Exchange): StallVerdict {
+    const {health, readNow} = this.context;
+    if (this.sends >= this.request.route.maxAttempts) return 'ignore';
+    if (health.isHeardSince(placed.target.id, readNow() - HEARD_MS))
+      return 'wait';
     exchange.cancel();
-    return true;
+    return 'stop';
   }
 
   private async forwardEvents(
@@ -265,6 +338,7 @@
         if (isFirst) placed.markBegun();
         isFirst = false;
         stall.restart(stallMs);
+        this.context.health.markHeard(placed.target.id, this.context.readNow());
         for (const event of events) {
           caller.write(event.bytes);
           if (event.id !== undefined) this.lastEventId = event.id;
@@ -393,7 +467,7 @@
   }
 
   private refuse(
-    reason: 'no_target' | 'not_run' | 'too_late',
+    reason: 'no_target' | 'not_run' | 'too_late' | 'overloaded',
     queueMs: number,
   ): void {
     const {context, request} = this;
@@ -486,22 +560,30 @@
   }
 }
 
+/** What to do about a stall. */
+type StallVerdict = 'stop' | 'wait' | 'ignore';
+
 /** A timer that is set anew with each sign of life. */
 class StallTimer {
   hasFired = false;
   private timer: NodeJS.Timeout | undefined;
 
-  /** @param onStall - Acts on the stall; false when it lets things go on. */
-  constructor(private readonly onStall: () => boolean) {}
+  constructor(private readonly judge: () => StallVerdict) {}
 
   restart(ms: number): void {
     clearTimeout(this.timer);
-    this.timer = setTimeout(() => (this.hasFired = this.onStall()), ms);
+    this.timer = setTimeout(() => this.handleExpiry(), ms);
   }
 
   stop(): void {
     clearTimeout(this.timer);
   }
+
+  private handleExpiry(): void {
+    const verdict = this.judge();
+    this.hasFired = verdict === 'stop';
+    if (verdict === 'wait') this.restart(HEARD_MS);
+  }
 }
 
 /**
--- a/packages/direct/src/gate.ts
+++ b/packages/direct/src/gate.ts
@@ -9,6 +9,7 @@
   createLatencyHistogram,
   openListener,
 } from '@nutmeggauge/core';
+import {WaitingLines, createWaitingLine} from './admission/waiting-line.js';
 import {createFleetState} from './fleet/fleet-state.js';
 import {createStoreWatcher} from './fleet/store-watcher.js';
 import {createTargetHealth} from './health/target-health.js';
@@ -127,6 +128,13 @@
         announcer: this.peers,
         readNow,
       }),
+      lines: new WaitingLines(service =>
+        createWaitingLine({
+          countPlaces: () => this.countPlaces(service),
+          countGates: () => this.peers.countGates(),
+          readNow,
+        }),
+      ),
       reservations: parts.reservations,
       log,
       counters: this.counters,
@@ -136,6 +144,7 @@
       readFactsAgeMs: () => this.peers.readFactsAgeMs(),
     };
     this.ingress = createIngress(this.context, () => this.isStopping);
+    book.onRemove(() => this.context.lines.advance());
     this.observeChanges();
   }
 
@@ -232,6 +241,12 @@
     res.end(text);
   }
 
+  /** Places of all engines of a service together. */
+  private countPlaces(service: string): number {
+    const slots = this.state.findService(service)?.engine?.slots ?? 0;
+    return this.state.listUsable(service).length * slots;
+  }
+
   private observeChanges(): void {
     this.state.onChange(event => {
       if (event.event === 'target_removed') this.health.drop(event.id);
--- a/packages/direct/src/health/target-health.ts
+++ b/packages/direct/src/health/target-health.ts
@@ -33,6 +33,7 @@
  */
 export class TargetHealth {
   private readonly records = new Map<string, Record>();
+  private readonly heardAt = new Map<string, number>();
 
   /** Notes a whole answer that is no failure of the target. */
   recordSuccess(id: string): void {
@@ -59,6 +60,19 @@
     record.suspendMs = Math.min(SUSPEND_MAX_MS, record.suspendMs * 2);
   }
 
+  /** Notes that bytes of an answer came from a target. */
+  markHeard(id: string, now: number): void {
+    this.heardAt.set(id, now);
+  }
+
+  /**
+   * True when a target sent bytes after `since`, to whichever request: it is
+   * then busy, not dead, and sending a request again only adds to its load.
+   */
+  isHeardSince(id: string, since: number): boolean {
+    return (this.heardAt.get(id) ?? -Infinity) > since;
+  }
+
   /** True while a target is taken out. */
   isSuspended(id: string, now: number): boolean {
     return (this.records.get(id)?.suspendedUntil ?? 0) > now;
@@ -72,6 +86,7 @@
   /** Forgets a target that is gone. */
   drop(id: string): void {
     this.records.delete(id);
+    this.heardAt.delete(id);
   }
 
   private readRecord(id: string): Record {
--- a/packages/direct/src/placement/load-book.ts
+++ b/packages/direct/src/placement/load-book.ts
@@ -61,6 +61,12 @@
 export class LoadBook {
   private readonly entries = new Map<string, Entry>();
   private readonly byTarget = new Map<string, Set<Entry>>();
+  private readonly removeListeners: Array<() => void> = [];
+
+  /** Registers a listener for places that come free. */
+  onRemove(listener: () => void): void {
+    this.removeListeners.push(listener);
+  }
 
   /** Adds a placement; a known key changes nothing. */
   add(placement: Placement, hasBegun = false): void {
@@ -94,6 +100,7 @@
       set?.delete(entry);
       if (set?.size === 0) this.byTarget.delete(target);
     }
+    for (const listener of this.removeListeners) listener();
   }
 
   /** Lists the placements whose key begins with `owner`. */
--- a/packages/direct/src/placement/prompt-placer.ts
+++ b/packages/direct/src/placement/prompt-placer.ts
@@ -81,12 +81,20 @@
 
   constructor(private readonly options: PromptPlacerOptions) {}
 
-  /** Places a stream; nothing when no engine can take it. */
+  /**
+   * Places a stream.
+   *
+   * @param mayOverfill - Places it also where all places are taken: it then
+   *   waits in the engine's own queue.
+   * @returns `full` when all places are taken, `none` when no engine can
+   *   take it at all.
+   */
   place(
     request: PromptRequest,
     engine: EngineFigures,
     tried: ReadonlySet<string>,
-  ): PlacedPrompt | undefined {
+    mayOverfill: boolean,
+  ): PlacedPrompt | 'full' | 'none' {
     const {book, announcer, owner, readNow} = this.options;
     const now = readNow();
     const targets = this.listTargets(request.service, tried);
@@ -100,7 +108,9 @@
       engine,
       now,
     );
-    if (choice === undefined) return undefined;
+    if (choice === undefined) return 'none';
+    const {active} = book.describe(choice.first, now);
+    if (!mayOverfill && active >= engine.slots) return 'full';
     const key = `${owner}#${++this.lastNumber}`;
     const placement = buildPlacement(key, choice, demand, now);
     book.add(placement);
