Engines that are behind show at once; first events are predicted with an error

And short streams predicted at 120 to 195 ms of 300 came at 310 to 520, where the chance of that was counted as nothing. Ruled out: gates not hearing each other (placements arrive within 3 ms).

Change: the book keeps each prediction, and how far a short stream's first event is behind it counts as backlog of its engine at every gate, up to 200 ms. Predictions of first events are taken with an error of two passes.

--- a/packages/direct/src/peers/messages.ts
+++ b/packages/direct/src/peers/messages.ts
@@ -16,6 +16,7 @@
   goalMs: z.number(),
   gapMs: z.number(),
   value: z.number(),
+  predictedMs: z.number(),
   ageMs: z.number(),
   begun: z.boolean(),
 });
@@ -76,6 +77,7 @@
     goalMs: Math.round(placement.goalMs),
     gapMs: placement.gapGoalMs,
     value: placement.value,
+    predictedMs: Math.round(placement.predictedFirstMs),
     ageMs: Math.round(now - placement.placedAt),
     begun,
   };
@@ -100,6 +102,7 @@
     goalMs: wire.goalMs,
     gapGoalMs: wire.gapMs,
     value: wire.value,
+    predictedFirstMs: wire.predictedMs,
     placedAt: now - wire.ageMs,
   };
 }
--- a/packages/direct/src/placement/load-book.ts
+++ b/packages/direct/src/placement/load-book.ts
@@ -4,6 +4,19 @@
  * gates tell each other is a few ms old, and all work comes through gates.
  */
 
+/**
+ * Longest prediction whose failure says something of the engine, in ms. A
+ * long prompt is late for many reasons, most of them not its first engine's.
+ */
+const SHORT_WAIT_MS = 400;
+
+/**
+ * Most that a late first event counts, in ms: enough that the next short
+ * stream goes elsewhere. Without a bound one stuck stream closed an engine
+ * for good, and the others were overfull.
+ */
+const MAX_OVERDUE_MS = 200;
+
 /** A part of a prompt's reading on one engine. */
 export interface ReadPart {
   readonly target: string;
@@ -24,6 +37,8 @@
   readonly gapGoalMs: number;
   /** What an answer within its objective is worth beside others. */
   readonly value: number;
+  /** Time until the first event as predicted at the placing, in ms. */
+  readonly predictedFirstMs: number;
   /** When it was placed, on this process's monotonic clock, in ms. */
   readonly placedAt: number;
 }
@@ -35,8 +50,14 @@
 
 /** What works on one engine at a moment. */
 export interface EngineLoad {
-  /** Reading still to do, in ms. */
+  /** Reading still to do, in ms, and what the engine is behind. */
   readonly backlogMs: number;
+  /**
+   * How far the first event of a stream here is behind its prediction, in ms.
+   * An engine that is slow, dead, or reads for callers who have left shows
+   * by nothing else; it is expected to stay behind by as much again.
+   */
+  readonly overdueMs: number;
   /** What of it are parts read for other engines, which go first, in ms. */
   readonly helperBacklogMs: number;
   /** Streams that this engine writes or will write. */
@@ -127,12 +148,15 @@
     let memoryTokens = 0;
     let readUntil = -Infinity;
     let helperUntil = -Infinity;
+    let overdueMs = 0;
     for (const {placement, hasBegun} of this.byTarget.get(target) ?? []) {
       if (placement.first === target) {
         active++;
         memoryTokens += placement.memoryTokens;
-        if (!hasBegun) waiting.push(placement);
-        else {
+        if (!hasBegun) {
+          waiting.push(placement);
+          overdueMs = Math.max(overdueMs, countOverdueMs(placement, now));
+        } else {
           writers.push(placement);
           contextTokens += placement.promptTokens;
         }
@@ -145,8 +169,9 @@
         helperUntil = Math.max(helperUntil, placement.placedAt) + workMs;
     }
     return {
-      backlogMs: Math.max(0, readUntil - now),
-      helperBacklogMs: Math.max(0, helperUntil - now),
+      backlogMs: Math.max(0, readUntil - now) + overdueMs,
+      helperBacklogMs: Math.max(0, helperUntil - now) + overdueMs,
+      overdueMs,
       active,
       writers,
       waiting,
@@ -156,6 +181,13 @@
   }
 }
 
+/** How far a short stream's first event is behind its prediction, in ms. */
+function countOverdueMs(placement: Placement, now: number): number {
+  if (placement.predictedFirstMs > SHORT_WAIT_MS) return 0;
+  const dueAt = placement.placedAt + placement.predictedFirstMs;
+  return Math.min(MAX_OVERDUE_MS, Math.max(0, now - dueAt));
+}
+
 function readPartMs(placement: Placement, target: string): number {
   return placement.parts.find(part => part.target === target)?.workMs ?? 0;
 }
--- a/packages/direct/src/placement/place-prompt.ts
+++ b/packages/direct/src/placement/place-prompt.ts
@@ -5,7 +5,13 @@
  * longer than theirs, because one pass reads a long part beside them.
  */
 import {estimateReadMs, estimateWriteMs} from './engine-model.js';
-import {LATE_LOSS, estimateLoss, estimateRisk} from './loss.js';
+import {
+  FIRST_EVENT_ERROR_MS,
+  LATE_LOSS,
+  PAUSE_ERROR_MS,
+  estimateLoss,
+  estimateRisk,
+} from './loss.js';
 import {LEAVE_GOALS, priceReader} from './price-reader.js';
 import type {EngineFigures} from '../types.js';
 import type {Placement, ReadPart} from './load-book.js';
@@ -157,8 +163,9 @@
       leftMs: demand.goalLeftMs,
       wholeMs: demand.goalMs,
       leaveAfter: LEAVE_GOALS,
+      errorMs: FIRST_EVENT_ERROR_MS,
     }) +
-    LATE_LOSS * estimateRisk(passMs, demand.gapGoalMs) +
+    LATE_LOSS * estimateRisk(passMs, demand.gapGoalMs, PAUSE_ERROR_MS) +
     (HASTE_LOSS * predictedFirstMs) / demand.goalMs
   );
 }
@@ -272,6 +279,7 @@
     goalMs: Math.max(1, demand.goalLeftMs),
     gapGoalMs: demand.gapGoalMs,
     value: demand.value,
+    predictedFirstMs: choice.predictedFirstMs,
     placedAt: now,
   };
 }
--- a/packages/direct/src/placement/price-reader.ts
+++ b/packages/direct/src/placement/price-reader.ts
@@ -4,7 +4,11 @@
  * prompts that wait there, and an own part waits for all that stands there.
  */
 import {estimateWriteMs} from './engine-model.js';
-import {estimateAddedLoss} from './loss.js';
+import {
+  FIRST_EVENT_ERROR_MS,
+  PAUSE_ERROR_MS,
+  estimateAddedLoss,
+} from './loss.js';
 import type {EngineFigures} from '../types.js';
 import type {EngineLoad} from './load-book.js';
 
@@ -50,6 +54,7 @@
         leftMs: writer.gapGoalMs,
         wholeMs: writer.gapGoalMs,
         leaveAfter: LEAVE_GAPS,
+        errorMs: PAUSE_ERROR_MS,
       });
   return harm;
 }
@@ -69,6 +74,7 @@
         leftMs: waiter.goalMs - (now - waiter.placedAt),
         wholeMs: waiter.goalMs,
         leaveAfter: LEAVE_GOALS,
+        errorMs: FIRST_EVENT_ERROR_MS,
       });
   return harm;
 }
