--- a/packages/direct/src/forward/exchange.ts
+++ b/packages/direct/src/forward/exchange.ts
@@ -102,20 +102,24 @@
 
   private waitForHead(): Promise<AnswerHead> {
     return new Promise((resolve, reject) => {
-      this.request.once('response', message =>
-        resolve({status: message.statusCode ?? 0, message}),
-      );
+      let hasHead = false;
+      this.request.once('response', message => {
+        hasHead = true;
+        resolve({status: message.statusCode ?? 0, message});
+      });
       // Bytes behind a complete answer raise errors too: by then the head
       // has resolved and the body has ended, and they change nothing.
       this.request.on('error', cause => {
         this.hasFailed = true;
+        if (hasHead) return;
         reject(
           new ExchangeError(this.findFault(cause), this.isConnected, cause),
         );
       });
-      this.request.once('close', () =>
-        reject(new ExchangeError(this.findFault(), this.isConnected)),
-      );
+      this.request.once('close', () => {
+        if (hasHead) return;
+        reject(new ExchangeError(this.findFault(), this.isConnected));
+      });
     });
   }
 
--- a/packages/direct/src/observe/decision-log.test.ts
+++ b/packages/direct/src/observe/decision-log.test.ts
@@ -9,7 +9,7 @@
     // process until it is killed; a write that blocks would stop it.
     const stuck = new Writable({write: () => undefined, highWaterMark: 1});
     const log = createDecisionLog({
-      node: 'g',
+      proc: 'g',
       output: stuck,
       readWallMs: () => 1000,
     });
@@ -28,7 +28,7 @@
     });
     let wallMs = 1000;
     const log = createDecisionLog({
-      node: 'g',
+      proc: 'g',
       output,
       readWallMs: () => wallMs,
     });
--- a/packages/direct/src/observe/decision-log.ts
+++ b/packages/direct/src/observe/decision-log.ts
@@ -17,7 +17,8 @@
 
 /** What a log is made of. */
 export interface DecisionLogOptions {
-  readonly node: string;
+  /** Name of the process, in every line. */
+  readonly proc: string;
   readonly output: Writable;
   /** Wall clock, in ms since the epoch; for readers only. */
   readonly readWallMs: () => number;
@@ -90,7 +91,7 @@
   ): void {
     const line = {
       t: wallMs,
-      node: this.options.node,
+      proc: this.options.proc,
       level,
       event,
       ...fields,
@@ -103,7 +104,7 @@
  * Creates a log.
  *
  * @example
- * const log = createDecisionLog({node: 'gate-1', output: process.stdout, readWallMs: Date.now});
+ * const log = createDecisionLog({proc: 'gate-1', output: process.stdout, readWallMs: Date.now});
  */
 export function createDecisionLog(options: DecisionLogOptions): DecisionLog {
   return new DecisionLog(options);
--- a/packages/direct/src/test/gate-world.ts
+++ b/packages/direct/src/test/gate-world.ts
@@ -174,7 +174,7 @@
         store: this.store,
         reservations: this.reservations,
         log: createDecisionLog({
-          node: host,
+          proc: host,
           output,
           readWallMs: Date.now,
         }),
--- a/packages/nutmeggauge/src/bin.ts
+++ b/packages/nutmeggauge/src/bin.ts
@@ -6,6 +6,7 @@
  *   measure   measure the slopes behind docs/CAPACITY.md
  *   capacity  work out docs/capacity/figures.md from those slopes
  *   timeline  merge the logs of every process of a run
+ *   explain   one request's way through the logs of every process
  *   standin   run one stand-in of the platform (used by demo and bench)
  */
 import {join} from 'node:path';
@@ -17,6 +18,7 @@
 import {writeCapacity} from './measure/capacity.js';
 import {runMeasure} from './measure/measure.js';
 import {runStandIn} from './standin/run-standin.js';
+import {explainRequest} from './timeline/explain.js';
 import {formatTimelineEvent, mergeTimeline} from './timeline/merge.js';
 
 const cli = meow(
@@ -27,6 +29,7 @@
     $ nutmeggauge measure [--out DIR] [--run-dir DIR]
     $ nutmeggauge capacity <folder of measured.json>
     $ nutmeggauge timeline <run-dir or .log files…>
+    $ nutmeggauge explain <request id> <run-dir or .log files…>
     $ nutmeggauge standin <engine|config|hosts|plain> --id ID --port N
 
   Options
@@ -103,6 +106,13 @@
     for (const event of mergeTimeline(rest))
       process.stdout.write(formatTimelineEvent(event) + '\n');
     break;
+  case 'explain':
+    for (const event of explainRequest(
+      mergeTimeline(rest.slice(1)),
+      rest[0] ?? '',
+    ))
+      process.stdout.write(formatTimelineEvent(event) + '\n');
+    break;
   case 'standin':
     await runStandIn(rest[0] ?? '', cli.flags);
     break;
--- /dev/null
+++ b/packages/nutmeggauge/src/timeline/explain.test.ts
@@ -0,0 +1,54 @@
+import {describe, it} from 'node:test';
+import {mkdtempSync, writeFileSync} from 'node:fs';
+import {tmpdir} from 'node:os';
+import {join} from 'node:path';
+import {expect} from 'earl';
+import {explainRequest} from './explain.js';
+import {mergeTimeline} from './merge.js';
+
+/** Writes lines as a collector prints them and reads them back. */
+function mergeLines(lines: readonly object[]) {
+  const file = join(mkdtempSync(join(tmpdir(), 'timeline-')), 'all.log');
+  const text = lines.map(line => `  12.0 front-1 ${JSON.stringify(line)}`);
+  writeFileSync(file, text.join('\n'));
+  return mergeTimeline([file]);
+}
+
+describe('explain', () => {
+  it('shows why a request failed, and nothing of others', () => {
+    // A caller complains of a failed request. Its target had begun to leave
+    // two seconds before; another gate's troubles are not the cause.
+    const events = mergeLines([
+      {t: 1000, proc: 'g1', event: 'target_changed', id: 'i-1'},
+      {t: 2000, proc: 'g2', event: 'store_lost'},
+      {t: 2500, proc: 'g1', event: 'target_changed', id: 'i-9'},
+      {
+        t: 3000,
+        proc: 'g1',
+        event: 'stream_placed',
+        requestId: 'q',
+        first: 'i-1',
+      },
+      {
+        t: 3001,
+        proc: 'g1',
+        event: 'stream_placed',
+        requestId: 'r',
+        first: 'i-1',
+      },
+      {
+        t: 3500,
+        proc: 'g1',
+        event: 'request_ended',
+        requestId: 'q',
+        status: 502,
+      },
+    ]);
+    const shown = explainRequest(events, 'q').map(event => event.event);
+    expect(shown).toEqual(['target_changed', 'stream_placed', 'request_ended']);
+  });
+
+  it('shows nothing of a request that no process has seen', () => {
+    expect(explainRequest(mergeLines([]), 'q')).toEqual([]);
+  });
+});
--- /dev/null
+++ b/packages/nutmeggauge/src/timeline/explain.ts
@@ -0,0 +1,71 @@
+/**
+ * `nutmeggauge explain`: one request's way through all processes, with what
+ * was known of its targets and of the configuration meanwhile.
+ */
+import type {TimelineEvent} from './merge.js';
+
+/**
+ * How long before a request its context begins, in ms: a target's leaving or
+ * a lost dependency shows in requests up to some seconds later.
+ */
+const CONTEXT_BEFORE_MS = 5000;
+
+/** How long after a request its context ends, in ms. */
+const CONTEXT_AFTER_MS = 500;
+
+/** Fields of a line that name targets. */
+const TARGET_FIELDS = ['target', 'first', 'tried', 'helpers', 'id'] as const;
+
+/** Changes of state that concern every request of a process. */
+const PROCESS_EVENTS: ReadonlySet<string> = new Set([
+  'config_applied',
+  'store_lost',
+  'store_regained',
+  'store_history_lost',
+  'facts_from_peer',
+  'facts_from_peer_failed',
+  'drain_started',
+  'drain_finished',
+  'gate_started',
+  'settings_reloaded',
+  'peer_lost',
+  'log_lines_dropped',
+]);
+
+function listTargets(event: TimelineEvent): readonly string[] {
+  return TARGET_FIELDS.flatMap(field => {
+    const value = event[field];
+    if (typeof value === 'string') return [value];
+    return Array.isArray(value)
+      ? value.filter(item => typeof item === 'string')
+      : [];
+  });
+}
+
+/**
+ * Picks the lines that explain one request: its own, those of its targets,
+ * and changes of state at the processes that it passed.
+ *
+ * @param events - A merged time line.
+ * @example
+ * explainRequest(mergeTimeline(['run.log']), '9c41d07be2a35f68');
+ */
+export function explainRequest(
+  events: readonly TimelineEvent[],
+  requestId: string,
+): readonly TimelineEvent[] {
+  const own = events.filter(event => event.requestId === requestId);
+  if (own.length === 0) return [];
+  const from = own[0].t - CONTEXT_BEFORE_MS;
+  const to = own[own.length - 1].t + CONTEXT_AFTER_MS;
+  const procs = new Set(own.map(event => event.proc));
+  const targets = new Set(own.flatMap(listTargets));
+  return events.filter(event => {
+    if (event.requestId !== undefined) return event.requestId === requestId;
+    if (event.t < from || event.t > to || !procs.has(event.proc)) return false;
+    return (
+      PROCESS_EVENTS.has(event.event) ||
+      listTargets(event).some(target => targets.has(target))
+    );
+  });
+}
--- a/packages/nutmeggauge/src/timeline/merge.ts
+++ b/packages/nutmeggauge/src/timeline/merge.ts
@@ -32,11 +32,12 @@
   const events: TimelineEvent[] = [];
   for (const file of files) {
     for (const line of readFileSync(file, 'utf8').split('\n')) {
-      if (!line.startsWith('{')) continue;
+      // Whoever collected the lines may have put a prefix before them.
+      const start = line.indexOf('{');
+      if (start < 0) continue;
       try {
-        const event = JSON.parse(line) as TimelineEvent;
-        if (typeof event.t === 'number' && typeof event.event === 'string')
-          events.push(event);
+        const event = JSON.parse(line.slice(start)) as TimelineEvent;
+        if (isTimelineEvent(event)) events.push(event);
       } catch {
         continue;
       }
@@ -45,6 +46,15 @@
   return events.sort((a, b) => a.t - b.t || a.proc.localeCompare(b.proc));
 }
 
+/** A line of another program has other fields; it is passed over. */
+function isTimelineEvent(event: Partial<TimelineEvent>): boolean {
+  return (
+    typeof event.t === 'number' &&
+    typeof event.proc === 'string' &&
+    typeof event.event === 'string'
+  );
+}
+
 /** Fields printed in the fixed columns of a time line row, or left out. */
 const TIMELINE_HEAD: ReadonlySet<string> = new Set([
   't',
