Split the stream forwarder; one way to read a body; a stream that cannot be resumed may pause

While splitting, a fault showed: a stream that cannot be resumed was cut after a silent second although no other attempt may follow.

Change: stall timer, progress, attempt and forwarder apart; exchange of facts apart from the peer group; readSettingsText in core.

Conclusion: no other behaviour changed on purpose.

--- a/packages/core/src/settings.ts
+++ b/packages/core/src/settings.ts
@@ -56,24 +56,33 @@
 }
 
 /**
- * Reads and validates a YAML settings file.
+ * Reads the text of a settings file.
  *
- * @throws SettingsError when the file is missing, not YAML, or a key is bad.
+ * @throws SettingsError when the file cannot be read.
  * @example
- * const settings = loadSettings(AgentSettingsSchema, 'agent.yaml');
+ * readSettingsText('agent.yaml');
  */
-export function loadSettings<S extends z.ZodType>(
-  schema: S,
-  path: string,
-): z.output<S> {
-  let text: string;
+export function readSettingsText(path: string): string {
   try {
-    text = readFileSync(path, 'utf8');
+    return readFileSync(path, 'utf8');
   } catch (cause) {
     throw new SettingsError(
       {cause: cause as Error, info: {source: path}},
       `${path}: cannot be read`,
     );
   }
-  return parseSettings(schema, text, path);
+}
+
+/**
+ * Reads and validates a YAML settings file.
+ *
+ * @throws SettingsError when the file is missing, not YAML, or a key is bad.
+ * @example
+ * const settings = loadSettings(AgentSettingsSchema, 'agent.yaml');
+ */
+export function loadSettings<S extends z.ZodType>(
+  schema: S,
+  path: string,
+): z.output<S> {
+  return parseSettings(schema, readSettingsText(path), path);
 }
--- a/packages/direct/src/forward/call-forwarder.ts
+++ b/packages/direct/src/forward/call-forwarder.ts
@@ -10,7 +10,7 @@
 import type {Target} from '../types.js';
 import type {AnswerFraming} from './caller-response.js';
 import type {ForwardContext} from './context.js';
-import type {AnswerHead, Exchange} from './exchange.js';
+import type {Exchange} from './exchange.js';
 import type {GateRequest} from './request.js';
 
 /**
@@ -36,23 +36,6 @@
   | {readonly kind: 'not-run'}
   | {readonly kind: 'failed'; readonly error: ExchangeError};
 
-/** Reads a body whole; rejects with an ExchangeError when it breaks off. */
-async function readWholeBody(
-  exchange: Exchange,
-  head: AnswerHead,
-): Promise<Buffer> {
-  const parts: Buffer[] = [];
-  try {
-    for await (const part of head.message as AsyncIterable<Buffer>)
-      parts.push(part);
-  } catch (cause) {
-    throw new ExchangeError('truncated', true, cause as Error);
-  }
-  if (!exchange.isWhole(head.message))
-    throw new ExchangeError('truncated', true);
-  return Buffer.concat(parts);
-}
-
 /** One call on its way. */
 class CallRun {
   private readonly tried = new Set<string>();
@@ -144,7 +127,7 @@
         exchange.cancel();
         return {kind: 'not-run'};
       }
-      const body = await readWholeBody(exchange, head);
+      const body = await exchange.readWholeBody(head);
       const answer = {
         status: head.status,
         headers: head.message.rawHeaders,
--- a/packages/direct/src/forward/exchange.ts
+++ b/packages/direct/src/forward/exchange.ts
@@ -75,11 +75,31 @@
    * a reset for such an end as well: only the connection's error tells that
    * the answer was broken off.
    */
-  isWhole(message: IncomingMessage): boolean {
+  private isWhole(message: IncomingMessage): boolean {
     if (!message.complete) return false;
     return findFraming(message) === 'framed' || !this.hasFailed;
   }
 
+  /**
+   * Reads the body as it comes; rejects with an ExchangeError when it breaks
+   * off.
+   */
+  async *readBody({message}: AnswerHead): AsyncGenerator<Buffer> {
+    try {
+      yield* message as AsyncIterable<Buffer>;
+    } catch (cause) {
+      throw new ExchangeError('truncated', true, cause as Error);
+    }
+    if (!this.isWhole(message)) throw new ExchangeError('truncated', true);
+  }
+
+  /** Reads the whole body; rejects with an ExchangeError when it breaks off. */
+  async readWholeBody(head: AnswerHead): Promise<Buffer> {
+    const parts: Buffer[] = [];
+    for await (const part of this.readBody(head)) parts.push(part);
+    return Buffer.concat(parts);
+  }
+
   /** Closes the connection, which makes the target drop the request. */
   cancel(): void {
     this.isCancelled = true;
--- /dev/null
+++ b/packages/direct/src/forward/stream-attempt.ts
@@ -0,0 +1,262 @@
+/**
+ * One attempt to have a stream written: memory on helpers where the prompt
+ * needs it, one exchange with the first engine, and its events passed on.
+ */
+import {ExchangeError} from '../errors.js';
+import {estimateReadMs} from '../placement/engine-model.js';
+import {createEventSplitter} from './event-splitter.js';
+import {findFraming, openExchange} from './exchange.js';
+import {readVerdict} from './judge-answer.js';
+import {openMemoryLease} from './memory-lease.js';
+import {HEARD_MS, StallTimer} from './stall-timer.js';
+import type {PlacedPrompt} from '../placement/prompt-placer.js';
+import type {EngineFigures} from '../types.js';
+import type {ForwardContext} from './context.js';
+import type {AnswerHead, Exchange} from './exchange.js';
+import type {MemoryLease} from './memory-lease.js';
+import type {GateRequest} from './request.js';
+import type {StallVerdict} from './stall-timer.js';
+import type {StreamProgress} from './stream-progress.js';
+
+/**
+ * Time without the first event after which another engine is tried, in ms:
+ * the prediction, twice over for its error, and a slack.
+ */
+const FIRST_EVENT_FACTOR = 2;
+const FIRST_EVENT_SLACK_MS = 700;
+
+/**
+ * The slack for a prompt that takes long to read: a helper's death is told by
+ * the engine itself after a stall of 1,500 ms, and sent again too early such
+ * a prompt is read twice by engines that were merely busy.
+ */
+const LONG_READ_MS = 400;
+const LONG_READ_SLACK_MS = 2500;
+
+/**
+ * Time between two events after which another engine goes on: a pause of
+ * several objectives, at least what one long part beside it may take, in ms.
+ */
+const STALL_GAPS = 2.5;
+const STALL_MIN_MS = 1000;
+
+/** Urgency for the engine, by prompt size: short prompts are admitted first. */
+const URGENCY_BY_TOKENS: ReadonlyArray<readonly [number, number]> = [
+  [16_000, 2],
+  [80_000, 4],
+  [Infinity, 5],
+];
+
+/** How an attempt ended. */
+export type AttemptEnd =
+  /** The caller has the whole answer. */
+  | {readonly kind: 'done'}
+  /** The caller has a failure that the target signed. */
+  | {readonly kind: 'passed-on'}
+  /** Helpers had no memory; nothing was sent. */
+  | {readonly kind: 'no-memory'}
+  | {readonly kind: 'not-run'; readonly faultyAddress: string | undefined}
+  | {readonly kind: 'failed'; readonly error: ExchangeError};
+
+/** What one attempt is made of. */
+export interface StreamAttemptOptions {
+  readonly context: ForwardContext;
+  readonly request: GateRequest;
+  readonly engine: EngineFigures;
+  readonly placed: PlacedPrompt;
+  readonly progress: StreamProgress;
+  /** Name of this attempt, for its reservations. */
+  readonly name: string;
+  /** True when another attempt may follow this one. */
+  readonly mayFollow: boolean;
+}
+
+/**
+ * One attempt.
+ *
+ * @example
+ * const end = await new StreamAttempt(options).run();
+ */
+export class StreamAttempt {
+  private exchange: Exchange | undefined;
+  private isCancelled = false;
+
+  constructor(private readonly options: StreamAttemptOptions) {}
+
+  /** Runs to its end; never rejects for a failure of targets. */
+  async run(): Promise<AttemptEnd> {
+    const lease = await this.openLease();
+    if (lease === 'refused') return {kind: 'no-memory'};
+    try {
+      return await this.runExchange(lease);
+    } catch (error) {
+      if (!(error instanceof ExchangeError)) throw error;
+      return {kind: 'failed', error};
+    } finally {
+      this.exchange?.cancel();
+      lease?.close();
+    }
+  }
+
+  /** Ends the attempt: its engine drops the request. */
+  cancel(): void {
+    this.isCancelled = true;
+    this.exchange?.cancel();
+  }
+
+  private async openLease(): Promise<MemoryLease | undefined | 'refused'> {
+    const {context, placed, name} = this.options;
+    const {reservations} = placed.choice;
+    if (reservations.length === 0) return undefined;
+    const wishes = reservations.flatMap(({target, tokens}) => {
+      const helper = placed.helpers.find(({id}) => id === target);
+      return helper === undefined ? [] : [{target: helper, tokens}];
+    });
+    const lease = await openMemoryLease(context.reservations, name, wishes);
+    return lease ?? 'refused';
+  }
+
+  private async runExchange(lease?: MemoryLease): Promise<AttemptEnd> {
+    // The caller may have left while memory was reserved.
+    if (this.isCancelled) throw new ExchangeError('cancelled', false);
+    const exchange = this.sendToFirst(lease);
+    this.exchange = exchange;
+    const stall = new StallTimer(() => this.judgeStall(exchange));
+    stall.restart(this.countFirstLimitMs());
+    try {
+      return await this.readAnswer(exchange, stall);
+    } catch (error) {
+      if (stall.hasFired) throw new ExchangeError('stalled', true);
+      throw error;
+    } finally {
+      stall.stop();
+    }
+  }
+
+  private countFirstLimitMs(): number {
+    const {request, engine, placed} = this.options;
+    const readMs = estimateReadMs(request.facts.promptTokens ?? 0, engine);
+    const slackMs =
+      readMs > LONG_READ_MS ? LONG_READ_SLACK_MS : FIRST_EVENT_SLACK_MS;
+    return placed.choice.predictedFirstMs * FIRST_EVENT_FACTOR + slackMs;
+  }
+
+  private sendToFirst(lease?: MemoryLease): Exchange {
+    const {context, request, placed, progress} = this.options;
+    const tokens = request.facts.promptTokens ?? 0;
+    const urgency = URGENCY_BY_TOKENS.find(([most]) => tokens <= most)?.[1];
+    return openExchange({
+      target: placed.target,
+      method: request.method,
+      path: request.path,
+      headers: context.dialect.buildForTarget(request.headers, {
+        deadlineLeftMs: request.expiresAt - context.readNow(),
+        target: placed.target,
+        account: request.account,
+        urgency,
+        helpers: placed.helpers.map(target => ({
+          target,
+          ticket: lease?.findTicket(target.id),
+        })),
+        lastEventId: progress.lastEventId,
+      }),
+      body: request.body,
+    });
+  }
+
+  /**
+   * A stall ends the attempt only where another one may follow, and not while
+   * the engine answers others: sent again, the prompt would be read twice by
+   * engines that have too much to read already.
+   */
+  private judgeStall(exchange: Exchange): StallVerdict {
+    const {context, placed, mayFollow} = this.options;
+    const {health, readNow} = context;
+    if (!mayFollow) return 'ignore';
+    if (health.isHeardSince(placed.target.id, readNow() - HEARD_MS))
+      return 'wait';
+    exchange.cancel();
+    return 'stop';
+  }
+
+  private async readAnswer(
+    exchange: Exchange,
+    stall: StallTimer,
+  ): Promise<AttemptEnd> {
+    const {context, request} = this.options;
+    const head = await exchange.head;
+    const {verdict, facts} = readVerdict(
+      head,
+      context.dialect,
+      request.facts.requestId,
+    );
+    if (verdict === 'not-run')
+      return {kind: 'not-run', faultyAddress: facts.faultyAddress};
+    if (verdict === 'foreign') throw new ExchangeError('foreign-answer', true);
+    if (head.status !== 200) return this.forwardFailure(exchange, head);
+    this.startAnswer(head);
+    await this.forwardEvents(exchange, head, stall);
+    request.caller.finish();
+    return {kind: 'done'};
+  }
+
+  private startAnswer(head: AnswerHead): void {
+    const {request, progress} = this.options;
+    // A resumed stream keeps the head of its first engine.
+    if (progress.hasHead) return;
+    const framing = findFraming(head.message);
+    request.caller.start(head.status, head.message.rawHeaders, framing);
+    progress.hasHead = true;
+    progress.isUnframed = framing === 'by-close';
+  }
+
+  private async forwardEvents(
+    exchange: Exchange,
+    head: AnswerHead,
+    stall: StallTimer,
+  ): Promise<void> {
+    const {context, request, placed, progress} = this.options;
+    const {route, caller} = request;
+    const gapGoalMs = route.gapGoalMs ?? route.goalMs;
+    const stallMs = Math.max(STALL_MIN_MS, STALL_GAPS * gapGoalMs);
+    const splitter = createEventSplitter();
+    let isFirst = true;
+    for await (const bytes of exchange.readBody(head)) {
+      const events = splitter.push(bytes);
+      if (events.length === 0) continue;
+      if (isFirst) placed.markBegun();
+      isFirst = false;
+      stall.restart(stallMs);
+      const now = context.readNow();
+      context.health.markHeard(placed.target.id, now);
+      for (const event of events) {
+        caller.write(event.bytes);
+        const firstMs = progress.recordEvent(event.id, now);
+        if (firstMs !== undefined) context.firstEventMs.recordMs(firstMs);
+      }
+    }
+    // A caller that was promised a framed end gets none from this engine.
+    const framing = findFraming(head.message);
+    const isPromiseBroken = framing === 'by-close' && !progress.isUnframed;
+    if (splitter.hasPartialEvent || isPromiseBroken)
+      throw new ExchangeError('truncated', true);
+  }
+
+  /** Passes on a failure that the target signed, before any event. */
+  private async forwardFailure(
+    exchange: Exchange,
+    head: AnswerHead,
+  ): Promise<AttemptEnd> {
+    const {request, progress, mayFollow} = this.options;
+    const body = await exchange.readWholeBody(head);
+    if (progress.hasHead || mayFollow)
+      throw new ExchangeError('malformed', true);
+    request.caller.sendWhole(
+      head.status,
+      head.message.rawHeaders,
+      body,
+      findFraming(head.message),
+    );
+    return {kind: 'passed-on'};
+  }
+}
--- a/packages/direct/src/forward/stream-forwarder.test.ts
+++ b/packages/direct/src/forward/stream-forwarder.test.ts
@@ -112,6 +112,24 @@
     }
   });
 
+  it('lets a stream pause that no other engine could go on with', async () => {
+    // The engine reads a long prompt beside a stream that cannot be resumed.
+    // Given up after a second, the caller would lose what comes next.
+    const pause: TargetScript = (req, res) => {
+      res.writeHead(200, buildSignedHead(req));
+      res.write(formatEvents(1, 2));
+      setTimeout(() => res.end(formatEvents(3, 3)), 1300);
+    };
+    const world = await openStreams([pause, pause], false);
+    try {
+      const answer = await world.call('/stream/x', {tokens: 1000});
+      expect(answer.isWhole).toEqual(true);
+      expect(answer.body).toEqual(formatEvents(1, 3));
+    } finally {
+      world.close();
+    }
+  });
+
   it('closes the engine’s connection when the caller leaves', async () => {
     // A dealer closes the window. An engine that is not told goes on reading
     // a long prompt for nobody.
--- a/packages/direct/src/peers/peer-group.ts
+++ b/packages/direct/src/peers/peer-group.ts
@@ -5,14 +5,13 @@
  * even when all seeds are gone.
  */
 import {createSocket} from 'node:dgram';
-import {createServer} from 'node:net';
 import {setTimeout as sleep} from 'node:timers/promises';
-import {createRpcLink, openListener, openRpcLink} from '@nutmeggauge/core';
 import {PlacementAnnouncer} from '../placement/prompt-placer.js';
+import {fetchSharedFacts, openFactsServer} from './facts-exchange.js';
 import {DatagramSchema, toPlacement, toWirePlacement} from './messages.js';
 import type {Socket as DatagramSocket} from 'node:dgram';
 import type {Server} from 'node:net';
-import type {FleetState, SharedFacts} from '../fleet/fleet-state.js';
+import type {FleetState} from '../fleet/fleet-state.js';
 import type {DecisionLog} from '../observe/decision-log.js';
 import type {LoadBook, Placement} from '../placement/load-book.js';
 import type {Beat, Datagram} from './messages.js';
@@ -38,15 +37,9 @@
  */
 const AHEAD_MS = 150;
 
-/** Longest exchange of facts, in ms. */
-const FETCH_TIMEOUT_MS = 1200;
-
 /** Time for the last messages to leave, in ms. */
 const LEAVE_MS = 30;
 
-/** Method that hands out facts. */
-const READ_FACTS = 'read-facts';
-
 interface Peer {
   readonly host: string;
   incarnation: string | undefined;
@@ -139,12 +132,7 @@
       socket.once('error', reject);
       socket.bind(port, host, resolve);
     });
-    this.server = createServer(connection => {
-      createRpcLink(connection).handle(READ_FACTS, () =>
-        this.options.state.describeShared(),
-      );
-    });
-    await openListener(this.server, {host, port});
+    this.server = await openFactsServer({host, port}, this.options.state);
     this.timer = setInterval(() => this.broadcastBeats(), BEAT_MS);
     this.broadcastBeats(true);
   }
@@ -364,7 +352,7 @@
     if (!this.isAhead(peer)) return;
     const {state, log, port} = this.options;
     try {
-      const facts = await callReadFacts(`${peer.host}:${port}`);
+      const facts = await fetchSharedFacts(`${peer.host}:${port}`);
       state.applyShared(facts);
       log.info('facts_from_peer', {
         peer: peer.host,
@@ -388,28 +376,3 @@
 function formatOwner(host: string, incarnation: string): string {
   return `${host}/${incarnation}`;
 }
-
-/** Asks a gate for its facts; the time covers the connection as well. */
-async function callReadFacts(address: string): Promise<SharedFacts> {
-  let timer: NodeJS.Timeout | undefined;
-  const timeout = new Promise<never>((_, reject) => {
-    timer = setTimeout(
-      () => reject(new Error('no answer in time')),
-      FETCH_TIMEOUT_MS,
-    );
-  });
-  const opening = openRpcLink(address);
-  try {
-    const link = await Promise.race([opening, timeout]);
-    return await Promise.race([
-      link.call<SharedFacts>(READ_FACTS, {}),
-      timeout,
-    ]);
-  } finally {
-    clearTimeout(timer);
-    void opening.then(
-      link => link.close(),
-      () => undefined,
-    );
-  }
-}
