--- a/scripts/check-verbs.mjs
+++ b/scripts/check-verbs.mjs
@@ -40,7 +40,8 @@
 }
 
 let failures = 0;
-for (const path of listSources('packages')) {
+const paths = ['packages', 'platform'].flatMap(listSources);
+for (const path of paths) {
   const source = ts.createSourceFile(
     path,
     readFileSync(path, 'utf8'),
