--- a/packages/direct/src/forward/call-forwarder.ts
+++ b/packages/direct/src/forward/call-forwarder.ts
@@ -8,7 +8,7 @@
 import {readVerdict} from './judge-answer.js';
 import {chooseReturnMs} from './retry-after.js';
 import type {Target} from '../types.js';
-import type {AnswerFraming} from './caller-response.js';
+import type {AnswerFraming, OwnAnswerReason} from './caller-response.js';
 import type {ForwardContext} from './context.js';
 import type {Exchange} from './exchange.js';
 import type {GateRequest} from './request.js';
@@ -188,8 +188,6 @@
     if (this.open.size > 0 || this.isSettled) return;
     if (this.spareAnswer !== undefined)
       return this.sendAnswer(this.spareAnswer, undefined);
-    if (this.mayHaveRun && this.request.route.kind !== 'safe')
-      return this.refuse(502, 'outcome_unknown');
     this.context.log.warn('request_given_up', {
       requestId: this.request.facts.requestId,
       why,
@@ -210,10 +208,7 @@
     this.settle('answered', target);
   }
 
-  private refuse(
-    status: number,
-    reason: Parameters<GateRequest['caller']['refuse']>[1],
-  ): void {
+  private refuse(status: number, reason: OwnAnswerReason): void {
     if (this.isSettled) return;
     const {context, request} = this;
     const leftMs = request.expiresAt - context.readNow();
--- a/packages/direct/src/ingress/ingress.ts
+++ b/packages/direct/src/ingress/ingress.ts
@@ -10,6 +10,7 @@
 import {forwardStream} from '../forward/stream-forwarder.js';
 import type {IncomingMessage, Server, ServerResponse} from 'node:http';
 import type {ListenAddress} from '@nutmeggauge/core';
+import type {OwnAnswerReason} from '../forward/caller-response.js';
 import type {ForwardContext} from '../forward/context.js';
 import type {GateRequest} from '../forward/request.js';
 import type {RequestFacts, Route} from '../types.js';
@@ -186,7 +187,7 @@
   private refuseEarly(
     caller: CallerResponse,
     status: number,
-    reason: Parameters<CallerResponse['refuse']>[1],
+    reason: OwnAnswerReason,
     facts?: RequestFacts,
     returnMs?: number,
   ): void {
