--- a/packages/core/src/config/record.ts
+++ b/packages/core/src/config/record.ts
@@ -6,7 +6,7 @@
  */
 import {z} from 'zod';
 import {ConfigRecordError} from '../errors.js';
-import {describeIssues} from '../settings.js';
+import {describeIssues} from '../settings-text.js';
 
 /** Schema versions this release can read. */
 export const SUPPORTED_SCHEMA_VERSIONS: readonly number[] = [1];
--- a/packages/core/src/index.ts
+++ b/packages/core/src/index.ts
@@ -13,6 +13,7 @@
 export * from './protocol.js';
 export * from './rendezvous.js';
 export * from './rpc.js';
+export * from './settings-text.js';
 export * from './settings.js';
 export * from './sse.js';
 export * from './tokens.js';
--- a/packages/core/src/settings.ts
+++ b/packages/core/src/settings.ts
@@ -2,26 +2,11 @@
  * Reads a YAML settings file and checks it against a zod schema. A bad file
  * fails with a SettingsError naming the file and every bad key.
  */
-import {readFileSync} from 'node:fs';
 import {parse as parseYaml} from 'yaml';
 import {SettingsError} from './errors.js';
+import {describeIssues, readSettingsText} from './settings-text.js';
 import type {z} from 'zod';
 
-/**
- * Formats zod issues as `key.path: message` lines.
- *
- * @example
- * describeIssues(result.error.issues); // 'listen.port: Expected number'
- */
-export function describeIssues(issues: readonly z.core.$ZodIssue[]): string {
-  return issues
-    .map(
-      issue =>
-        `${issue.path.length > 0 ? issue.path.join('.') : '(root)'}: ${issue.message}`,
-    )
-    .join('; ');
-}
-
 /**
  * Parses YAML text and validates it.
  *
@@ -55,24 +40,6 @@
   return result.data;
 }
 
-/**
- * Reads the text of a settings file.
- *
- * @throws SettingsError when the file cannot be read.
- * @example
- * readSettingsText('agent.yaml');
- */
-export function readSettingsText(path: string): string {
-  try {
-    return readFileSync(path, 'utf8');
-  } catch (cause) {
-    throw new SettingsError(
-      {cause: cause as Error, info: {source: path}},
-      `${path}: cannot be read`,
-    );
-  }
-}
-
 /**
  * Reads and validates a YAML settings file.
  *
--- a/packages/direct/src/gate.ts
+++ b/packages/direct/src/gate.ts
@@ -86,7 +86,7 @@
   private readonly context: ForwardContext;
   private readonly servers: Server[] = [];
   private sweep: NodeJS.Timeout | undefined;
-  private isStopping = false;
+  private draining: Promise<void> | undefined;
 
   constructor(
     private readonly settings: DirectGateSettings,
@@ -179,9 +179,16 @@
    * requests that still arrive until it has noticed are served, later ones
    * are sent to other gates, and the process exits after the last answer.
    */
-  async drain(): Promise<void> {
-    if (this.isStopping) return;
-    this.isStopping = true;
+  drain(): Promise<void> {
+    this.draining ??= this.runDrain();
+    return this.draining;
+  }
+
+  private get isStopping(): boolean {
+    return this.draining !== undefined;
+  }
+
+  private async runDrain(): Promise<void> {
     const {log} = this.parts;
     log.info('drain_started', {inFlight: this.ingress.inFlight});
     const startedAt = this.readNow();
