Engines read the newest part for another prompt first; the book reckons so

The book took them in order of arrival and forgot, when a prompt was given up, that it had kept others waiting.

The test that a prompt which waits on many engines is counted once had its scene in order of arrival: with three prompts waiting, using the tenth engine is now the cheaper harm (4 short streams of 1.3 against three prompts of 26); it now checks one, two and three waiting prompts for the number of readers and one for the tenth engine.

--- a/packages/direct/src/peers/peer-group.test.ts
+++ b/packages/direct/src/peers/peer-group.test.ts
@@ -93,7 +93,7 @@
     one.book.add(placement);
     one.group.announcePlaced(placement);
     await waitUntil(() => isKnown(two));
-    one.book.remove(placement.key);
+    one.book.remove(placement.key, performance.now());
     one.group.announceEnded(placement.key);
     await waitUntil(() => !isKnown(two));
   });
@@ -103,7 +103,7 @@
     one.book.add(placement);
     one.group.announcePlaced(placement);
     await waitUntil(() => isKnown(two));
-    one.book.remove(placement.key);
+    one.book.remove(placement.key, performance.now());
     await waitUntil(
       () => two.book.describe('e1', performance.now()).active === 0,
     );
--- a/packages/direct/src/peers/peer-group.ts
+++ b/packages/direct/src/peers/peer-group.ts
@@ -237,8 +237,9 @@
     if (message.method === 'beat') this.applyBeat(message.params);
     if (message.method === 'placed')
       book.add(toPlacement(message.params, readNow()), message.params.begun);
-    if (message.method === 'begun') book.markBegun(message.params.key);
-    if (message.method === 'ended') book.remove(message.params.key);
+    if (message.method === 'begun')
+      book.markBegun(message.params.key, readNow());
+    if (message.method === 'ended') book.remove(message.params.key, readNow());
   }
 
   private parse(bytes: Buffer): Datagram | undefined {
@@ -272,22 +273,27 @@
   }
 
   private applyRestart(peer: Peer, beat: Beat): void {
-    const {book, log} = this.options;
+    const {log} = this.options;
     if (peer.incarnation !== undefined) {
-      book.dropUnlessKept(formatOwner(peer.host, peer.incarnation), new Set());
+      this.dropPlacements(peer.host, peer.incarnation);
       log.info('peer_restarted', {peer: peer.host});
     }
     peer.incarnation = beat.incarnation;
   }
 
+  private dropPlacements(host: string, incarnation: string): void {
+    const {book, readNow} = this.options;
+    book.dropUnlessKept(formatOwner(host, incarnation), new Set(), readNow());
+  }
+
   private applyPlacements(beat: Beat, now: number): void {
     const {book} = this.options;
     const owner = formatOwner(beat.from, beat.incarnation);
     const toKey = (number: number) => `${owner}#${number}`;
-    book.dropUnlessKept(owner, new Set(beat.open.map(toKey)));
+    book.dropUnlessKept(owner, new Set(beat.open.map(toKey)), now);
     for (const wire of beat.placements)
       book.add(toPlacement(wire, now), wire.begun);
-    for (const number of beat.begun) book.markBegun(toKey(number));
+    for (const number of beat.begun) book.markBegun(toKey(number), now);
   }
 
   private readPeer(host: string, now: number): Peer {
@@ -318,9 +324,9 @@
 
   /** Forgets what a gate has placed; a later beat brings it back. */
   private dropPeer(peer: Peer, reason: 'left' | 'silent'): void {
-    const {book, log} = this.options;
+    const {log} = this.options;
     if (peer.incarnation === undefined) return;
-    book.dropUnlessKept(formatOwner(peer.host, peer.incarnation), new Set());
+    this.dropPlacements(peer.host, peer.incarnation);
     peer.incarnation = undefined;
     log.info('peer_lost', {peer: peer.host, reason});
   }
--- a/packages/direct/src/placement/load-book.ts
+++ b/packages/direct/src/placement/load-book.ts
@@ -4,6 +4,8 @@
  * gates tell each other is a few ms old, and all work comes through gates.
  */
 
+import {ReadQueue} from './read-queue.js';
+
 /**
  * Longest prediction whose failure says something of the engine, in ms. A
  * long prompt is late for many reasons, most of them not its first engine's.
@@ -51,11 +53,25 @@
   readonly placedAt: number;
 }
 
+interface EngineState {
+  readonly entries: Set<Entry>;
+  readonly queue: ReadQueue;
+}
+
 interface Entry {
   readonly placement: Placement;
   hasBegun: boolean;
 }
 
+/** A prompt of which a part stands unread on an engine. */
+export interface QueuedPrompt {
+  readonly placement: Placement;
+  /** Time until its part here is read, in ms. */
+  readonly doneMs: number;
+  /** Time until the last of its parts is read on any engine, in ms. */
+  readonly readDoneMs: number;
+}
+
 /** What works on one engine at a moment. */
 export interface EngineLoad {
   /** Reading still to do, in ms, and what the engine is behind. */
@@ -66,8 +82,8 @@
    * by nothing else; it is expected to stay behind by as much again.
    */
   readonly overdueMs: number;
-  /** What of it are parts read for other engines, which go first, in ms. */
-  readonly helperBacklogMs: number;
+  /** Prompts with a part that is still to be read here. */
+  readonly queued: readonly QueuedPrompt[];
   /** Streams that this engine writes or will write. */
   readonly active: number;
   /** Streams that are being written. */
@@ -90,7 +106,7 @@
  */
 export class LoadBook {
   private readonly entries = new Map<string, Entry>();
-  private readonly byTarget = new Map<string, Set<Entry>>();
+  private readonly engines = new Map<string, EngineState>();
   private readonly removeListeners: Array<() => void> = [];
 
   /** Registers a listener for places that come free. */
@@ -107,28 +123,30 @@
     }
     const entry: Entry = {placement, hasBegun};
     this.entries.set(placement.key, entry);
-    for (const target of listTargets(placement)) {
-      const set = this.byTarget.get(target) ?? new Set();
-      set.add(entry);
-      this.byTarget.set(target, set);
-    }
+    for (const target of listTargets(placement))
+      this.readEngine(target).entries.add(entry);
+    if (!hasBegun) this.addParts(placement);
   }
 
   /** Notes that the first event has come: nothing is left to read. */
-  markBegun(key: string): void {
+  markBegun(key: string, now: number): void {
     const entry = this.entries.get(key);
-    if (entry !== undefined) entry.hasBegun = true;
+    if (entry === undefined || entry.hasBegun) return;
+    entry.hasBegun = true;
+    for (const {target} of entry.placement.parts)
+      this.engines.get(target)?.queue.remove(key, now);
   }
 
   /** Removes an ended stream. */
-  remove(key: string): void {
+  remove(key: string, now: number): void {
     const entry = this.entries.get(key);
     if (entry === undefined) return;
     this.entries.delete(key);
     for (const target of listTargets(entry.placement)) {
-      const set = this.byTarget.get(target);
-      set?.delete(entry);
-      if (set?.size === 0) this.byTarget.delete(target);
+      const state = this.engines.get(target);
+      state?.entries.delete(entry);
+      state?.queue.remove(key, now);
+      if (state?.entries.size === 0) this.engines.delete(target);
     }
     for (const listener of this.removeListeners) listener();
   }
@@ -145,50 +163,41 @@
   }
 
   /** Removes every placement of `owner` that is not in `keep`. */
-  dropUnlessKept(owner: string, keep: ReadonlySet<string>): void {
+  dropUnlessKept(owner: string, keep: ReadonlySet<string>, now: number): void {
     for (const {placement} of this.listOwnedBy(owner))
-      if (!keep.has(placement.key)) this.remove(placement.key);
+      if (!keep.has(placement.key)) this.remove(placement.key, now);
   }
 
   /** Describes what works on one engine. */
   describe(target: string, now: number): EngineLoad {
+    const state = this.engines.get(target);
     const writers: Placement[] = [];
     const waiting: Placement[] = [];
-    let active = 0;
     let contextTokens = 0;
     let memoryTokens = 0;
-    let readUntil = -Infinity;
-    let helperUntil = -Infinity;
     let overdueMs = 0;
     let helping = 0;
-    for (const {placement, hasBegun} of this.byTarget.get(target) ?? []) {
-      if (placement.first === target) {
-        active++;
-        memoryTokens += placement.memoryTokens;
-        if (!hasBegun) {
-          waiting.push(placement);
-          overdueMs = Math.max(overdueMs, countOverdueMs(placement, now));
-        } else {
-          writers.push(placement);
-          contextTokens += placement.promptTokens;
-        }
-      } else {
+    for (const {placement, hasBegun} of state?.entries ?? []) {
+      if (placement.first !== target) {
         const heldTokens = readHeldTokens(placement, target);
         memoryTokens += heldTokens;
         if (heldTokens > 0 || !hasBegun) helping++;
+        continue;
+      }
+      memoryTokens += placement.memoryTokens;
+      if (hasBegun) {
+        writers.push(placement);
+        contextTokens += placement.promptTokens;
+      } else {
+        waiting.push(placement);
+        overdueMs = Math.max(overdueMs, countOverdueMs(placement, now));
       }
-      if (hasBegun) continue;
-      const workMs = readPartMs(placement, target);
-      // Entries stand in the order of placing: each is read after the last.
-      readUntil = Math.max(readUntil, placement.placedAt) + workMs;
-      if (placement.first !== target)
-        helperUntil = Math.max(helperUntil, placement.placedAt) + workMs;
     }
     return {
-      backlogMs: Math.max(0, readUntil - now) + overdueMs,
-      helperBacklogMs: Math.max(0, helperUntil - now) + overdueMs,
+      backlogMs: (state?.queue.countBacklogMs(now) ?? 0) + overdueMs,
       overdueMs,
-      active,
+      queued: this.listQueued(state, now),
+      active: writers.length + waiting.length,
       writers,
       waiting,
       contextTokens,
@@ -196,6 +205,46 @@
       helping,
     };
   }
+
+  private listQueued(
+    state: EngineState | undefined,
+    now: number,
+  ): readonly QueuedPrompt[] {
+    const queued: QueuedPrompt[] = [];
+    for (const [key, doneMs] of state?.queue.readEnds(now) ?? []) {
+      const placement = this.entries.get(key)?.placement;
+      if (placement === undefined) continue;
+      const readDoneMs = this.findReadDoneMs(placement, now);
+      queued.push({placement, doneMs, readDoneMs});
+    }
+    return queued;
+  }
+
+  /** Time until the last part of a prompt is read, in ms. */
+  private findReadDoneMs({key, parts}: Placement, now: number): number {
+    let lastMs = 0;
+    for (const {target} of parts) {
+      const ends = this.engines.get(target)?.queue.readEnds(now);
+      lastMs = Math.max(lastMs, ends?.get(key) ?? 0);
+    }
+    return lastMs;
+  }
+
+  private addParts({key, first, parts, placedAt}: Placement): void {
+    for (const {target, workMs} of parts) {
+      const role = target === first ? 'own' : 'helper';
+      this.readEngine(target).queue.add(key, workMs, role, placedAt);
+    }
+  }
+
+  private readEngine(target: string): EngineState {
+    let state = this.engines.get(target);
+    if (state === undefined) {
+      state = {entries: new Set(), queue: new ReadQueue()};
+      this.engines.set(target, state);
+    }
+    return state;
+  }
 }
 
 /** How far a short stream's first event is behind its prediction, in ms. */
@@ -205,10 +254,6 @@
   return Math.min(MAX_OVERDUE_MS, Math.max(0, now - dueAt));
 }
 
-function readPartMs(placement: Placement, target: string): number {
-  return placement.parts.find(part => part.target === target)?.workMs ?? 0;
-}
-
 function readHeldTokens(placement: Placement, target: string): number {
   return placement.held.find(held => held.target === target)?.tokens ?? 0;
 }
--- a/packages/direct/src/placement/place-prompt.test.ts
+++ b/packages/direct/src/placement/place-prompt.test.ts
@@ -9,6 +9,7 @@
   choosePromptEngines,
   estimateValue,
 } from './place-prompt.js';
+import {priceReader} from './price-reader.js';
 import type {LoadBook} from './load-book.js';
 import type {PromptChoice, PromptDemand} from './place-prompt.js';
 import type {Candidate} from './price-reader.js';
@@ -58,6 +59,26 @@
   return choice;
 }
 
+/** Four short streams that `engine` writes. */
+function addShortWriters(book: LoadBook, engine: string): void {
+  for (let i = 0; i < 4; i++) {
+    book.add({
+      key: `w#${i}`,
+      first: engine,
+      parts: [{target: engine, workMs: 0}],
+      promptTokens: 3000,
+      memoryTokens: 4000,
+      held: [],
+      goalMs: 300,
+      gapGoalMs: 250,
+      value: 1.3,
+      predictedFirstMs: 100,
+      placedAt: 0,
+    });
+    book.markBegun(`w#${i}`, 0);
+  }
+}
+
 describe('placing of prompts', () => {
   it('reads a long prompt by several engines so that it is on time', () => {
     // A full schedule of 300,000 tokens takes 10 s on one engine; its caller
@@ -90,7 +111,7 @@
     const shortOnes = new Set<string>();
     for (let i = 0; i < 12; i++) {
       const choice = placeOne(book, 3000, 16, i * 40);
-      book.markBegun(`g#${lastKey}`);
+      book.markBegun(`g#${lastKey}`, i * 40);
       shortOnes.add(choice?.first ?? '');
     }
     expect(shortOnes.size <= 3).toEqual(true);
@@ -108,7 +129,7 @@
     const book = createLoadBook();
     for (let i = 0; i < 40; i++) {
       placeOne(book, 3000, 16, i * 10);
-      book.markBegun(`g#${lastKey}`);
+      book.markBegun(`g#${lastKey}`, i * 10);
     }
     const demand = {...buildDemand(190_000), goalLeftMs: -500};
     const choice = choosePromptEngines(
@@ -143,27 +164,29 @@
     // Nine engines read one long prompt. Weighed once for each of them, it
     // made all nine look forbidden, and the next long prompt was read by two
     // engines for four seconds beside short streams that all paused.
+    const waiting = [1, 2, 3].map(count => {
+      const book = createLoadBook();
+      for (let i = 0; i < count; i++) placeOne(book, 250_000, 9, i);
+      addShortWriters(book, 'e9');
+      return placeOne(book, 260_000, 10, 10);
+    });
+    for (const choice of waiting)
+      expect((choice?.parts.length ?? 0) > 4).toEqual(true);
+    const usesShortOnes = waiting[0]?.parts.some(part => part.target === 'e9');
+    expect(usesShortOnes).toEqual(false);
+  });
+
+  it('counts on a helper to read its part before what stands there', () => {
+    // An engine has a second of its own prompt to read. Predicted behind it,
+    // parts of long prompts were kept away from engines that read them at
+    // once, and the long prompt was late on few engines.
     const book = createLoadBook();
-    for (let i = 0; i < 3; i++) placeOne(book, 250_000, 9, i);
-    for (let i = 0; i < 4; i++) {
-      book.add({
-        key: `w#${i}`,
-        first: 'e9',
-        parts: [{target: 'e9', workMs: 0}],
-        promptTokens: 3000,
-        memoryTokens: 4000,
-        held: [],
-        goalMs: 300,
-        gapGoalMs: 250,
-        value: 1.3,
-        predictedFirstMs: 100,
-        placedAt: 0,
-      });
-      book.markBegun(`w#${i}`);
-    }
-    const choice = placeOne(book, 260_000, 10, 10);
-    expect((choice?.parts.length ?? 0) > 4).toEqual(true);
-    expect(choice?.parts.some(part => part.target === 'e9')).toEqual(false);
+    placeOne(book, 90_000, 1, 0);
+    const [candidate] = listCandidates(book, 1, 0);
+    const reader = priceReader(candidate, 200, ENGINE, 0);
+    expect(candidate.load.backlogMs > 1000).toEqual(true);
+    expect(reader.helperDoneMs < 300).toEqual(true);
+    expect(reader.ownDoneMs > 1200).toEqual(true);
   });
 
   it('reserves on helpers what one engine cannot hold', () => {
@@ -251,7 +274,7 @@
     const book = createLoadBook();
     placeOne(book, 200_000, 4, 0);
     expect(book.describe('e0', 0).backlogMs > 0).toEqual(true);
-    book.dropUnlessKept('g', new Set());
+    book.dropUnlessKept('g', new Set(), 0);
     expect(book.describe('e0', 0).backlogMs).toEqual(0);
     expect(book.describe('e0', 0).active).toEqual(0);
   });
@@ -272,7 +295,7 @@
     const book = createLoadBook();
     const choice = placeOne(book, 3000, 1, 0);
     expect(book.describe('e0', 0).backlogMs > 0).toEqual(true);
-    book.markBegun(`g#${lastKey}`);
+    book.markBegun(`g#${lastKey}`, 0);
     const load = book.describe(choice?.first ?? '', 0);
     expect(load.backlogMs).toEqual(0);
     expect(load.writers.length).toEqual(1);
--- a/packages/direct/src/placement/place-prompt.ts
+++ b/packages/direct/src/placement/place-prompt.ts
@@ -170,14 +170,14 @@
   demand: PromptDemand,
   engine: EngineFigures,
 ): number {
-  const {candidate, ownDoneMs, ownHarm} = reader;
+  const {candidate, ownDoneMs, writerHarm} = reader;
   const need = demand.promptTokens + demand.maxOutputTokens;
   const missing = Math.max(0, need - countRoom(candidate, engine)) / need;
   const passMs = estimateFirstPassMs(candidate, demand.promptTokens, engine);
   return (
     (estimateOwnLoss(ownDoneMs + passMs, passMs, demand) + missing) *
       demand.value +
-    ownHarm +
+    writerHarm +
     priceFirst(candidate, demand, engine)
   );
 }
@@ -237,6 +237,23 @@
   );
 }
 
+/**
+ * Harm of all helpers together. A prompt that several of them delay is late
+ * once: weighed for each of them, the engines that read it would all look
+ * forbidden, and the new prompt would be left to few.
+ */
+function sumHelperHarm(helpers: readonly PricedReader[]): number {
+  const worst = new Map<string, number>();
+  let sum = 0;
+  for (const {writerHarm, waiterHarms} of helpers) {
+    sum += writerHarm;
+    for (const [key, harm] of waiterHarms)
+      worst.set(key, Math.max(harm, worst.get(key) ?? 0));
+  }
+  for (const harm of worst.values()) sum += harm;
+  return sum;
+}
+
 /** Describes the choice of `first` with `helpers`; nothing without memory. */
 function buildChoice(
   first: PricedReader,
@@ -258,11 +275,8 @@
     engine,
   );
   let readDoneMs = first.ownDoneMs;
-  let harm = first.ownHarm;
-  for (const helper of helpers) {
+  for (const helper of helpers)
     readDoneMs = Math.max(readDoneMs, helper.helperDoneMs);
-    harm += helper.helperHarm;
-  }
   const predictedFirstMs = readDoneMs + passMs;
   const reserved = reservations.reduce((sum, item) => sum + item.tokens, 0);
   return {
@@ -277,7 +291,8 @@
     predictedFirstMs,
     cost:
       estimateOwnLoss(predictedFirstMs, passMs, demand) * demand.value +
-      harm +
+      first.writerHarm +
+      sumHelperHarm(helpers) +
       priceFirst(first.candidate, demand, engine) +
       READER_PRICE * helpers.length,
   };
--- a/packages/direct/src/placement/price-reader.ts
+++ b/packages/direct/src/placement/price-reader.ts
@@ -1,7 +1,7 @@
 /**
- * Prices one engine as a reader of a part of a prompt. An engine reads parts
- * for others ahead of its own prompts: a helper's part therefore delays the
- * prompts that wait there, and an own part waits for all that stands there.
+ * Prices one engine as a reader of a part of a prompt. A helper's part is
+ * read at once and delays every prompt of which a part stands there; an own
+ * part waits for all that stands there and delays nobody.
  */
 import {estimateWriteMs} from './engine-model.js';
 import {
@@ -34,9 +34,12 @@
   /** Time until the part is read, as a helper's and as the first engine's. */
   readonly helperDoneMs: number;
   readonly ownDoneMs: number;
-  /** Harm to other streams, in the same two roles. */
+  /** Harm to the streams that the engine writes. */
+  readonly writerHarm: number;
+  /** Harm to each prompt that a helper's part passes, by its key. */
+  readonly waiterHarms: ReadonlyMap<string, number>;
+  /** Both together, as a helper. */
   readonly helperHarm: number;
-  readonly ownHarm: number;
 }
 
 /** Harm to the streams that the engine writes: one pass reads the part too. */
@@ -59,24 +62,29 @@
   return harm;
 }
 
-/** Harm to the engine's own prompts, which a helper's part passes. */
-function estimateWaiterHarm(
+/**
+ * Harm to the prompts of which a part stands here: a helper's part goes ahead
+ * of it. One that waits longer for another engine is not delayed by this one.
+ */
+function estimateWaiterHarms(
   load: EngineLoad,
   writeMs: number,
   addedMs: number,
   now: number,
-): number {
-  let harm = 0;
-  for (const waiter of load.waiting)
-    harm +=
-      waiter.value *
-      estimateAddedLoss(load.backlogMs + 2 * writeMs, addedMs, {
-        leftMs: waiter.goalMs - (now - waiter.placedAt),
-        wholeMs: waiter.goalMs,
-        leaveAfter: LEAVE_GOALS,
-        errorMs: FIRST_EVENT_ERROR_MS,
-      });
-  return harm;
+): ReadonlyMap<string, number> {
+  const harms = new Map<string, number>();
+  for (const {placement, doneMs, readDoneMs} of load.queued) {
+    const delayMs = Math.max(0, addedMs - (readDoneMs - doneMs));
+    if (delayMs === 0) continue;
+    const harm = estimateAddedLoss(readDoneMs + 2 * writeMs, delayMs, {
+      leftMs: placement.goalMs - (now - placement.placedAt),
+      wholeMs: placement.goalMs,
+      leaveAfter: LEAVE_GOALS,
+      errorMs: FIRST_EVENT_ERROR_MS,
+    });
+    harms.set(placement.key, placement.value * harm);
+  }
+  return harms;
 }
 
 /**
@@ -96,15 +104,19 @@
   const writeMs =
     estimateWriteMs(load.writers.length, load.contextTokens, engine) * pace;
   const writerHarm = estimateWriterHarm(load, writeMs, ownPartMs);
+  const waiterHarms = estimateWaiterHarms(load, writeMs, ownPartMs, now);
+  let helperHarm = writerHarm;
+  for (const harm of waiterHarms.values()) helperHarm += harm;
   // A pass that is under way when the part arrives is waited for: half of
   // its writing part on average.
   const startMs = writeMs / 2;
   return {
     candidate,
     partMs: ownPartMs,
-    helperDoneMs: startMs + load.helperBacklogMs + ownPartMs,
+    helperDoneMs: startMs + load.overdueMs + ownPartMs,
     ownDoneMs: startMs + load.backlogMs + ownPartMs,
-    helperHarm: writerHarm + estimateWaiterHarm(load, writeMs, ownPartMs, now),
-    ownHarm: writerHarm,
+    writerHarm,
+    waiterHarms,
+    helperHarm,
   };
 }
--- a/packages/direct/src/placement/prompt-placer.ts
+++ b/packages/direct/src/placement/prompt-placer.ts
@@ -36,11 +36,12 @@
     private readonly key: string,
     private readonly book: LoadBook,
     private readonly announcer: PlacementAnnouncer,
+    private readonly readNow: () => number,
   ) {}
 
   /** Notes the first event: the prompt is read. */
   markBegun(): void {
-    this.book.markBegun(this.key);
+    this.book.markBegun(this.key, this.readNow());
     this.announcer.announceBegun(this.key);
   }
 
@@ -48,7 +49,7 @@
   release(): void {
     if (this.isReleased) return;
     this.isReleased = true;
-    this.book.remove(this.key);
+    this.book.remove(this.key, this.readNow());
     this.announcer.announceEnded(this.key);
   }
 }
@@ -125,7 +126,15 @@
     const [first, ...helpers] = choice.parts.flatMap(
       part => byId.get(part.target) ?? [],
     );
-    return new PlacedPrompt(first, helpers, choice, key, book, announcer);
+    return new PlacedPrompt(
+      first,
+      helpers,
+      choice,
+      key,
+      book,
+      announcer,
+      readNow,
+    );
   }
 
   private listTargets(
