Models of the direct gate: one request at most once, facts handed between gates

Cause: the spin models were of the product's own path only; design note 0008 lists the direct gate as unproved. Change: spec/direct-once.pml (a request that may run once, targets that lose answers and run late) and spec/facts-relay.pml (revisions from a store to two gates, one cut off for good, restarts, answers overtaken; with fairness), two mutations each.

--- a/packages/nutmeggauge/src/spec/model-check.test.ts
+++ b/packages/nutmeggauge/src/spec/model-check.test.ts
@@ -7,21 +7,25 @@
 import {expect} from 'earl';
 
 interface SpecRun {
-  readonly spec: 'at-most-once' | 'fencing' | 'drain';
+  readonly spec:
+    'at-most-once' | 'direct-once' | 'drain' | 'facts-relay' | 'fencing';
   readonly defines?: readonly string[];
   /** Name of the LTL property to check; absent checks the assertions. */
   readonly ltl?: string;
+  /** Whatever can go on does so at some time. */
+  readonly isFair?: boolean;
 }
 
 /** Runs spin's exhaustive check and returns the number of errors found. */
-function checkSpec({spec, defines = [], ltl}: SpecRun): number {
+function checkSpec({spec, defines = [], ltl, isFair}: SpecRun): number {
   const dir = mkdtempSync(join(tmpdir(), 'ng-spin-'));
   const source = new URL(`../../../../spec/${spec}.pml`, import.meta.url);
   copyFileSync(fileURLToPath(source), join(dir, 'model.pml'));
   execFileSync('spin', ['-a', ...defines, 'model.pml'], {cwd: dir});
-  const compile = ltl === undefined ? ['-DSAFETY'] : [];
+  const compile = ltl === undefined ? ['-DSAFETY'] : ['-DNFAIR=4'];
   execFileSync('gcc', ['-O2', ...compile, '-o', 'pan', 'pan.c'], {cwd: dir});
-  const run = ltl === undefined ? [] : ['-a', '-N', ltl];
+  const fair = isFair ? ['-f'] : [];
+  const run = ltl === undefined ? [] : ['-a', ...fair, '-N', ltl];
   let report: string;
   try {
     report = execFileSync('./pan', ['-m100000', ...run], {
@@ -91,3 +95,46 @@
     expect(checkSpec({spec: 'drain', defines})).toEqual(1);
   });
 });
+
+describe('model check of one request at a direct gate (spin)', () => {
+  it('finds no double run and no false not-run, whatever targets do', () => {
+    expect(checkSpec({spec: 'direct-once'})).toEqual(0);
+  });
+
+  it('finds the double run when a request is sent again after a reset', () => {
+    const defines = ['-DRETRY_AFTER_RESET'];
+    expect(checkSpec({spec: 'direct-once', defines})).toEqual(1);
+  });
+
+  it('finds the false not-run when a reset is taken for a refusal', () => {
+    const defines = ['-DPROMISE_AFTER_RESET'];
+    expect(checkSpec({spec: 'direct-once', defines})).toEqual(1);
+  });
+});
+
+describe('model check of facts handed between gates (spin)', () => {
+  it('takes no gate back and brings the newest to one that is cut off', () => {
+    expect(checkSpec({spec: 'facts-relay'})).toEqual(0);
+    const settles = {
+      spec: 'facts-relay',
+      ltl: 'settles',
+      isFair: true,
+    } as const;
+    expect(checkSpec(settles)).toEqual(0);
+  });
+
+  it('finds the gate that goes back when it takes whatever comes last', () => {
+    const defines = ['-DTRUST_ANY'];
+    expect(checkSpec({spec: 'facts-relay', defines})).toEqual(1);
+  });
+
+  it('finds the gate that never learns when gates do not hand facts on', () => {
+    const defines = ['-DNO_RELAY'];
+    const settles = {
+      spec: 'facts-relay',
+      ltl: 'settles',
+      isFair: true,
+    } as const;
+    expect(checkSpec({...settles, defines})).toEqual(1);
+  });
+});
