--- a/packages/nutmeggauge/src/soak/gate-process.ts
+++ b/packages/nutmeggauge/src/soak/gate-process.ts
@@ -2,18 +2,13 @@
 import {spawn} from 'node:child_process';
 import {createWriteStream, writeFileSync} from 'node:fs';
 import {join} from 'node:path';
-import {renderSettings} from '@nutmeggauge/platform';
+import {readRunWords, renderSettings} from '@nutmeggauge/platform';
 import pidusage from 'pidusage';
 import type {ChildProcess} from 'node:child_process';
 import type {GateAddresses} from '@nutmeggauge/platform';
 
-/** The bundled program and how the deploy file starts it. */
-const RUN_WORDS = [
-  '--max-old-space-size=160',
-  '--max-semi-space-size=8',
-  'deploy/start-cached.cjs',
-  'target/nutmeggauge-gate.cjs',
-] as const;
+/** The bundled program as the deploy file starts it, on its hosts' terms. */
+const RUN_WORDS = readRunWords('deploy/system.toml');
 
 /** Pause between an end and the next start, in ms: as a supervisor makes it. */
 const RESTART_MS = 300;
--- a/packages/nutmeggauge/src/soak/soak-world.ts
+++ b/packages/nutmeggauge/src/soak/soak-world.ts
@@ -120,23 +120,25 @@
   begin(action: FaultAction): () => void {
     switch (action.kind) {
       case 'gate-kill':
-        return this.run(() => this.gates[action.gate].process.kill());
+        return this.runOnce(() => this.gates[action.gate].process.kill());
       case 'gate-drain':
-        return this.run(() => this.gates[action.gate].process.drain());
+        return this.runOnce(() => this.gates[action.gate].process.drain());
       case 'gate-pause':
         this.gates[action.gate].process.freeze();
         return () => this.gates[action.gate].process.resume();
       case 'gate-reload':
-        return this.run(() =>
+        return this.runOnce(() =>
           this.gates[action.gate].process.reload(this.listHosts().reverse()),
         );
       case 'all-gates-kill':
-        return this.run(() => this.gates.forEach(gate => gate.process.kill()));
+        return this.runOnce(() =>
+          this.gates.forEach(gate => gate.process.kill()),
+        );
       case 'store':
         this.store.mode = action.mode;
         return () => (this.store.mode = 'up');
       case 'store-history':
-        return this.run(() => this.store.dropHistory());
+        return this.runOnce(() => this.store.dropHistory());
       case 'store-link':
         return this.setLinkMode(this.gates[action.gate].storeLink, action.mode);
       case 'caller-link':
@@ -147,22 +149,22 @@
       case 'target-link':
         return this.setLinkMode(this.slots[action.target].link, action.mode);
       case 'link-reset':
-        return this.run(() => this.slots[action.target].link.dropAll());
+        return this.runOnce(() => this.slots[action.target].link.dropAll());
       case 'target-crash':
-        return this.run(() => this.killTarget(action.target));
+        return this.runOnce(() => this.killTarget(action.target));
       case 'target-leave':
-        return this.run(() => this.drainTarget(action.target));
+        return this.runOnce(() => this.drainTarget(action.target));
       case 'target-mode':
         return this.setTargetMode(this.slots[action.target], action.mode);
       case 'config-change':
-        return this.run(() => this.publishConfig());
+        return this.runOnce(() => this.publishConfig());
       case 'key-revoke':
-        return this.run(() => this.dropKey());
+        return this.runOnce(() => this.dropKey());
     }
   }
 
   /** Does something that has no end of its own. */
-  private run(act: () => void): () => void {
+  private runOnce(act: () => void): () => void {
     act();
     return () => undefined;
   }
