Split the choice of engines: memory, the first engine's price, types

Cause: place-prompt.ts had grown to 400 lines with three jobs. Change: engine memory, the price of the first engine and the types stand apart; the choice itself is 213 lines.

--- a/packages/direct/src/forward/stream-progress.ts
+++ b/packages/direct/src/forward/stream-progress.ts
@@ -1,6 +1,6 @@
 /** What a caller has got of one stream so far, over all attempts. */
 import type {DecisionFields} from '../observe/decision-log.js';
-import type {PromptChoice} from '../placement/place-prompt.js';
+import type {PromptChoice} from '../placement/prompt-types.js';
 
 /**
  * Progress of one stream.
--- a/packages/direct/src/placement/place-prompt.test.ts
+++ b/packages/direct/src/placement/place-prompt.test.ts
@@ -11,7 +11,7 @@
 } from './place-prompt.js';
 import {priceReader} from './price-reader.js';
 import type {LoadBook} from './load-book.js';
-import type {PromptChoice, PromptDemand} from './place-prompt.js';
+import type {PromptChoice, PromptDemand} from './prompt-types.js';
 import type {Candidate} from './price-reader.js';
 
 function buildDemand(promptTokens: number): PromptDemand {
--- a/packages/direct/src/placement/place-prompt.ts
+++ b/packages/direct/src/placement/place-prompt.ts
@@ -4,43 +4,25 @@
  * and the chance that streams already written on the chosen engines pause
  * longer than theirs, because one pass reads a long part beside them.
  */
-import {estimateReadMs, estimateWriteMs} from './engine-model.js';
+import {planReservations} from './engine-memory.js';
+import {estimateReadMs} from './engine-model.js';
 import {
-  FIRST_EVENT_ERROR_MS,
-  LATE_LOSS,
-  PAUSE_ERROR_MS,
-  estimateLoss,
-  estimateRisk,
-} from './loss.js';
-import {LEAVE_GOALS, priceReader} from './price-reader.js';
+  estimateFirstPassMs,
+  estimateOwnLoss,
+  priceAsFirst,
+  priceFirst,
+} from './price-first.js';
+import {priceReader} from './price-reader.js';
 import type {EngineFigures} from '../types.js';
-import type {HeldMemory, Placement, ReadPart} from './load-book.js';
+import type {Placement} from './load-book.js';
 import type {Candidate, PricedReader} from './price-reader.js';
-
-/**
- * Price of the first tightly paced stream on an engine that has none. It
- * keeps short streams packed on few engines, so that the others can read
- * long parts with nobody beside them.
- */
-const FRESH_ENGINE_PRICE = 0.25;
-
-/** Pause objective up to which a stream counts as tightly paced, in ms. */
-const TIGHT_GAP_MS = 400;
+import type {PromptChoice, PromptDemand} from './prompt-types.js';
 
 /** Price of each further reader: one more engine whose loss breaks the read. */
 const READER_PRICE = 0.01;
 
-/** Price of a target in another availability zone: its bytes. */
-const REMOTE_PRICE = 0.02;
-
-/** Price, in shares of its value, of each stream above an engine's slots. */
-const OVERFULL_PRICE = 0.5;
-
-/** Share of the slots above which an engine's passes grow long. */
-const FULL_SHARE = 0.8;
-
 /** Engines that may read one prompt: the first and 15 helpers. */
-const MAX_READERS = 16;
+export const MAX_READERS = 16;
 
 /**
  * Smallest part that is worth a reader of its own, in ms: about half a pass.
@@ -49,13 +31,6 @@
  */
 const MIN_PART_MS = 25;
 
-/**
- * Price of a whole objective's wait, in shares of a stream's worth. Idle
- * engines are worth using although the objective would be met without: the
- * prompt is out of the way before the next one comes.
- */
-const HASTE_LOSS = 0.05;
-
 /**
  * Engines that are tried as the one that writes the answer, for each number
  * of readers: the cheapest by themselves. With all of 69 engines a long prompt
@@ -64,35 +39,6 @@
  */
 const MAX_FIRSTS = 12;
 
-/** Memory left free on an engine for the streams that it writes, in tokens. */
-const MEMORY_MARGIN_TOKENS = 6000;
-
-/** The stream to place. */
-export interface PromptDemand {
-  readonly promptTokens: number;
-  readonly maxOutputTokens: number;
-  /** Latency objective of the first event, in ms. */
-  readonly goalMs: number;
-  /** What is left of it, in ms; below zero once it is missed. */
-  readonly goalLeftMs: number;
-  readonly gapGoalMs: number;
-  readonly value: number;
-}
-
-/** The chosen engines. */
-export interface PromptChoice {
-  readonly first: string;
-  readonly parts: readonly ReadPart[];
-  /** Memory to reserve on helpers, for a prompt that one engine cannot hold. */
-  readonly reservations: readonly HeldMemory[];
-  /** Tokens that stay at the first engine. */
-  readonly memoryTokens: number;
-  /** Reading that stood before this one at the first engine, in ms. */
-  readonly backlogMs: number;
-  readonly predictedFirstMs: number;
-  readonly cost: number;
-}
-
 /**
  * Weighs one stream against others by its size: a generation's worth grows
  * with its prompt, from about 1 for a short one.
@@ -104,33 +50,6 @@
   return 1 + promptTokens / 10_000;
 }
 
-/** Price of an engine as the one that writes the answer. */
-function priceFirst(
-  candidate: Candidate,
-  demand: PromptDemand,
-  engine: EngineFigures,
-): number {
-  const {load, isRemote} = candidate;
-  const isTight = demand.gapGoalMs <= TIGHT_GAP_MS;
-  const hasTight =
-    load.writers.some(writer => writer.gapGoalMs <= TIGHT_GAP_MS) ||
-    load.waiting.some(waiter => waiter.gapGoalMs <= TIGHT_GAP_MS);
-  const over = load.active + 1 - engine.slots * FULL_SHARE;
-  let price = isRemote ? REMOTE_PRICE : 0;
-  if (isTight !== hasTight) price += FRESH_ENGINE_PRICE;
-  if (over > 0) price += (over / engine.slots) * OVERFULL_PRICE * demand.value;
-  if (load.active >= engine.slots)
-    price += (load.active + 1 - engine.slots) * OVERFULL_PRICE * demand.value;
-  return price;
-}
-
-/** Memory that an engine has left for one more prompt, in tokens. */
-function countRoom(candidate: Candidate, engine: EngineFigures): number {
-  return (
-    engine.memoryTokens - MEMORY_MARGIN_TOKENS - candidate.load.memoryTokens
-  );
-}
-
 /**
  * Picks the engines that a part harms least, one more than are needed: the
  * first engine may be among them. One that helps as many prompts as it has
@@ -165,79 +84,6 @@
     .slice(0, MAX_FIRSTS);
 }
 
-/** What a choice costs by its first engine alone. */
-function priceAsFirst(
-  reader: PricedReader,
-  demand: PromptDemand,
-  engine: EngineFigures,
-): number {
-  const {candidate, ownDoneMs, writerHarm} = reader;
-  const need = demand.promptTokens + demand.maxOutputTokens;
-  const missing = Math.max(0, need - countRoom(candidate, engine)) / need;
-  const passMs = estimateFirstPassMs(candidate, demand.promptTokens, engine);
-  return (
-    (estimateOwnLoss(ownDoneMs + passMs, passMs, demand) + missing) *
-      demand.value +
-    writerHarm +
-    priceFirst(candidate, demand, engine)
-  );
-}
-
-/** One pass of an engine that writes this stream beside its others, in ms. */
-function estimateFirstPassMs(
-  {load, pace}: Candidate,
-  contextTokens: number,
-  engine: EngineFigures,
-): number {
-  const writers = load.writers.length + 1;
-  const context = load.contextTokens + contextTokens;
-  return estimateWriteMs(writers, context, engine) * pace;
-}
-
-/** What the first engine cannot hold and helpers take, largest room first. */
-function planReservations(
-  first: Candidate,
-  helpers: readonly PricedReader[],
-  demand: PromptDemand,
-  engine: EngineFigures,
-): PromptChoice['reservations'] | undefined {
-  const need = demand.promptTokens + demand.maxOutputTokens;
-  let missing = need - countRoom(first, engine);
-  if (missing <= 0) return [];
-  const plan: HeldMemory[] = [];
-  const byRoom = helpers
-    .map(({candidate}) => ({
-      id: candidate.id,
-      room: countRoom(candidate, engine),
-    }))
-    .sort((a, b) => b.room - a.room);
-  for (const {id, room} of byRoom) {
-    if (missing <= 0 || room <= 0) break;
-    const tokens = Math.ceil(Math.min(missing, room));
-    plan.push({target: id, tokens});
-    missing -= tokens;
-  }
-  return missing <= 0 ? plan : undefined;
-}
-
-/** Share of its worth that the new stream is expected to lose. */
-function estimateOwnLoss(
-  predictedFirstMs: number,
-  passMs: number,
-  demand: PromptDemand,
-): number {
-  return (
-    estimateLoss(predictedFirstMs, {
-      leftMs: demand.goalLeftMs,
-      wholeMs: demand.goalMs,
-      leaveAfter: LEAVE_GOALS,
-      errorMs: FIRST_EVENT_ERROR_MS,
-    }) +
-    LATE_LOSS * estimateRisk(passMs, demand.gapGoalMs, PAUSE_ERROR_MS) +
-    (HASTE_LOSS * predictedFirstMs) / demand.goalMs
-  );
-}
-
 /**
  * Harm of all helpers together. A prompt that several of them delay is late
  * once: weighed for each of them, the engines that read it would all look
@@ -264,7 +110,7 @@
 ): PromptChoice | undefined {
   const reservations = planReservations(
     first.candidate,
-    helpers,
+    helpers.map(helper => helper.candidate),
     demand,
     engine,
   );
@@ -339,22 +185,6 @@
   return best;
 }
 
-/**
- * Says whether idle engines could hold a prompt between them.
- *
- * @example
- * isEverFitting({promptTokens: 700_000, maxOutputTokens: 100}, figures, 2); // false
- */
-export function isEverFitting(
-  demand: Pick<PromptDemand, 'promptTokens' | 'maxOutputTokens'>,
-  engine: EngineFigures,
-  engines: number,
-): boolean {
-  const need = demand.promptTokens + demand.maxOutputTokens;
-  const room = engine.memoryTokens - MEMORY_MARGIN_TOKENS;
-  return need <= room * Math.min(engines, MAX_READERS);
-}
-
 /**
  * Turns a choice into the placement that the load book keeps.
  *
--- a/packages/direct/src/placement/prompt-placer.ts
+++ b/packages/direct/src/placement/prompt-placer.ts
@@ -2,17 +2,18 @@
  * Places streams on engines: gathers the candidates, chooses among them, and
  * keeps the load book and the other gates informed.
  */
+import {isEverFitting} from './engine-memory.js';
 import {
+  MAX_READERS,
   buildPlacement,
   choosePromptEngines,
   estimateValue,
-  isEverFitting,
 } from './place-prompt.js';
 import type {FleetState} from '../fleet/fleet-state.js';
 import type {TargetHealth} from '../health/target-health.js';
 import type {EngineFigures, Target} from '../types.js';
 import type {LoadBook, Placement} from './load-book.js';
-import type {PromptChoice, PromptDemand} from './place-prompt.js';
+import type {PromptChoice, PromptDemand} from './prompt-types.js';
 import type {Candidate} from './price-reader.js';
 
 /** Told of placements so that other gates learn of them. */
@@ -115,7 +116,9 @@
       now,
     );
     if (choice === undefined)
-      return isEverFitting(demand, engine, targets.length) ? 'full' : 'none';
+      return isEverFitting(demand, engine, targets.length, MAX_READERS)
+        ? 'full'
+        : 'none';
     const {active} = book.describe(choice.first, now);
     if (!mayOverfill && active >= engine.slots) return 'full';
     const key = `${owner}#${++this.lastNumber}`;
