A silent link of the soak leaves no socket behind

A connection that was reset behind a silent link was forgotten by the link while its other side was still open; that socket kept the process. Ruled out: gates left running (none was its child). Change: the link keeps every socket by itself until it has closed. Test first: on the code before, its process does not end.

Open: that process also took most of a core while it hung, which an open socket does not explain; not seen again.

--- /dev/null
+++ b/packages/nutmeggauge/src/soak/faulty-link.test.ts
@@ -0,0 +1,54 @@
+import {connect, createServer} from 'node:net';
+import {once} from 'node:events';
+import {afterEach, beforeEach, describe, it} from 'node:test';
+import {openListener} from '@nutmeggauge/core';
+import {expect} from 'earl';
+import {FaultyLink} from './faulty-link.js';
+import type {Server, Socket} from 'node:net';
+
+describe('faulty link', () => {
+  let target: Server;
+  let accepted: Promise<Socket>;
+  let link: FaultyLink;
+  let port: number;
+
+  beforeEach(async () => {
+    target = createServer();
+    accepted = once(target, 'connection').then(([socket]) => socket as Socket);
+    link = new FaultyLink(
+      await openListener(target, {host: '127.0.0.1', port: 0}),
+    );
+    port = await link.start();
+  });
+
+  afterEach(() => {
+    link.stop();
+    target.close();
+  });
+
+  it('passes bytes both ways', async () => {
+    const caller = connect(port, '127.0.0.1');
+    caller.write('ask');
+    const served = await accepted;
+    expect(String((await once(served, 'data'))[0])).toEqual('ask');
+    served.end('answer');
+    expect(String((await once(caller, 'data'))[0])).toEqual('answer');
+  });
+
+  it('tells nobody while it is silent, and leaves no socket behind', async () => {
+    // A gate is killed behind a silent link. The other side hears nothing, as
+    // it should; but once the link is stopped it must end too: a socket that
+    // was left open kept the process of the soak, and CI with it, for good.
+    const caller = connect(port, '127.0.0.1');
+    const served = await accepted;
+    served.on('error', () => undefined);
+    link.mode = 'silent';
+    caller.resetAndDestroy();
+    await once(caller, 'close');
+    await new Promise(resolve => setTimeout(resolve, 50));
+    expect(served.destroyed).toEqual(false);
+    const ended = new Promise(resolve => served.once('close', resolve));
+    link.stop();
+    await ended;
+  });
+});
--- a/packages/nutmeggauge/src/soak/faulty-link.ts
+++ b/packages/nutmeggauge/src/soak/faulty-link.ts
@@ -22,11 +22,6 @@
 /** Delay of late bytes, in ms: a hundred round trips within a site. */
 const DELAY_MS = 150;
 
-interface Connection {
-  readonly caller: Socket;
-  readonly target: Socket;
-}
-
 /**
  * One link.
  *
@@ -37,7 +32,12 @@
  */
 export class FaultyLink {
   mode: LinkMode = 'pass';
-  private readonly connections = new Set<Connection>();
+  /**
+   * Sockets of both sides that are open. Each stands by itself: a silent link
+   * tells neither side of the other's end, and one that nobody closed would
+   * keep the process running.
+   */
+  private readonly sockets = new Set<Socket>();
   private readonly server: Server = createServer(
     {allowHalfOpen: true, pauseOnConnect: false},
     caller => this.accept(caller),
@@ -55,10 +55,7 @@
 
   /** Resets every connection that is open. */
   dropAll(): void {
-    for (const {caller, target} of this.connections) {
-      caller.resetAndDestroy();
-      target.resetAndDestroy();
-    }
+    for (const socket of this.sockets) socket.resetAndDestroy();
   }
 
   /** Resets everything and stops listening. */
@@ -77,24 +74,18 @@
       port: this.targetPort,
       allowHalfOpen: true,
     });
-    const connection: Connection = {caller, target};
-    this.connections.add(connection);
-    this.forward(connection, caller, target, 'cut-to-target');
-    this.forward(connection, target, caller, 'cut-to-caller');
+    this.forward(caller, target, 'cut-to-target');
+    this.forward(target, caller, 'cut-to-caller');
   }
 
-  private forward(
-    connection: Connection,
-    from: Socket,
-    to: Socket,
-    cut: LinkMode,
-  ): void {
+  private forward(from: Socket, to: Socket, cut: LinkMode): void {
+    this.sockets.add(from);
     from.on('data', bytes => this.sendUnlessCut(cut, () => to.write(bytes)));
     from.on('end', () => this.sendUnlessCut(cut, () => to.end()));
     // A reset on one side is one on the other; a silent link tells nobody.
     from.on('error', () => this.sendUnlessCut(cut, () => to.resetAndDestroy()));
     from.on('close', () => {
-      this.connections.delete(connection);
+      this.sockets.delete(from);
       this.sendUnlessCut(cut, () => to.destroySoon());
     });
   }
