--- a/packages/nutmeggauge/src/soak/faulty-link.ts
+++ b/packages/nutmeggauge/src/soak/faulty-link.ts
@@ -53,12 +53,12 @@
     return openListener(this.server, {host: '127.0.0.1', port: 0});
   }
 
-  /** Resets every connection that is open. */
+  /** Closes every connection that is open. */
   dropAll(): void {
-    for (const socket of this.sockets) socket.resetAndDestroy();
+    for (const socket of this.sockets) socket.destroy();
   }
 
-  /** Resets everything and stops listening. */
+  /** Closes everything and stops listening. */
   stop(): void {
     this.server.close();
     this.dropAll();
