The soak records only what its checks look at

Cause: reading the change once more: whether a connection was opened and whether a run was resumed were recorded and never used, and an option stood at its default. Before: 3 such; after: 0.

--- a/packages/nutmeggauge/src/soak/callers.ts
+++ b/packages/nutmeggauge/src/soak/callers.ts
@@ -88,7 +88,6 @@
   private hasSignature = false;
   private body = '';
   private hasGivenUp = false;
-  private isConnected = false;
 
   constructor(private readonly sent: Sent) {}
 
@@ -120,11 +119,6 @@
         clearTimeout(timer);
         resolve(this.buildRecord(isWhole));
       };
-      req.once('socket', socket => {
-        this.isConnected = !socket.connecting;
-        if (socket.connecting)
-          socket.once('connect', () => (this.isConnected = true));
-      });
       req.once('error', () => finish(false));
       req.once('response', res => this.read(res, finish));
       req.end();
@@ -149,7 +143,6 @@
       isWhole,
       body: this.body,
       hasGivenUp: this.hasGivenUp,
-      isUnsent: !this.isConnected,
     };
   }
 }
--- a/packages/nutmeggauge/src/soak/check.test.ts
+++ b/packages/nutmeggauge/src/soak/check.test.ts
@@ -17,7 +17,6 @@
   isWhole: true,
   body: buildCallBody('q1'),
   hasGivenUp: false,
-  isUnsent: false,
 };
 
 const RUN: TargetRun = {
@@ -26,7 +25,6 @@
   at: 10_005,
   hasKey: false,
   account: 'acme',
-  isResumed: false,
 };
 
 function buildHistory(changes: Partial<SoakHistory>): SoakHistory {
--- a/packages/nutmeggauge/src/soak/faulty-link.ts
+++ b/packages/nutmeggauge/src/soak/faulty-link.ts
@@ -39,7 +39,7 @@
    */
   private readonly sockets = new Set<Socket>();
   private readonly server: Server = createServer(
-    {allowHalfOpen: true, pauseOnConnect: false},
+    {allowHalfOpen: true},
     caller => this.accept(caller),
   );
 
--- a/packages/nutmeggauge/src/soak/history.ts
+++ b/packages/nutmeggauge/src/soak/history.ts
@@ -20,8 +20,6 @@
   readonly body: string;
   /** The caller left when its deadline had passed. */
   readonly hasGivenUp: boolean;
-  /** The connection was never opened. */
-  readonly isUnsent: boolean;
 }
 
 /** One fault as it was played. */
