--- a/packages/direct/src/fleet/fleet-state.test.ts
+++ b/packages/direct/src/fleet/fleet-state.test.ts
@@ -7,6 +7,8 @@
 function buildTarget(id: string, revision: number, isDraining = false): Target {
   return {
     id,
+    name: id,
+    bornAt: undefined,
     service: 'chat',
     host: '10.0.0.1',
     port: 80,
@@ -49,10 +51,16 @@
       revision: 5,
       config: buildConfig(1),
       targets: [buildTarget('a', 3), buildTarget('b', 4)],
+      malformed: [],
     });
     now = 10_000;
     state.markStoreBack();
-    state.applySnapshot({revision: 9, config: undefined, targets: []});
+    state.applySnapshot({
+      revision: 9,
+      config: undefined,
+      targets: [],
+      malformed: [],
+    });
     expect(listIds(state)).toEqual(['a', 'b']);
     state.applyChange({kind: 'target', target: buildTarget('a', 12)}, 12);
     now += LAPSE_HOLD_MS + 1;
@@ -68,16 +76,23 @@
       revision: 5,
       config: undefined,
       targets: [buildTarget('a', 3, true), buildTarget('b', 4)],
+      malformed: [],
     });
     state.markStoreBack();
-    state.applyChange({kind: 'target-gone', id: 'a', revision: 8}, 8);
+    state.applyChange(
+      {kind: 'target-gone', name: 'a', revision: 8, isMalformed: false},
+      8,
+    );
     expect(state.findTarget('a')).toEqual(undefined);
   });
 
   it('removes a target at once while the store is sound', () => {
     const state = createFleetState(() => 100_000);
     state.applyChange({kind: 'target', target: buildTarget('a', 3)}, 3);
-    state.applyChange({kind: 'target-gone', id: 'a', revision: 4}, 4);
+    state.applyChange(
+      {kind: 'target-gone', name: 'a', revision: 4, isMalformed: false},
+      4,
+    );
     expect(listIds(state)).toEqual([]);
   });
 
@@ -103,7 +118,60 @@
     const state = createFleetState(() => 0);
     state.applyChange({kind: 'target', target: buildTarget('a', 3)}, 3);
     state.applyChange({kind: 'target', target: buildTarget('a2', 4)}, 4);
-    state.applyChange({kind: 'target-gone', id: 'a', revision: 5}, 5);
+    state.applyChange(
+      {kind: 'target-gone', name: 'a', revision: 5, isMalformed: false},
+      5,
+    );
     expect(listIds(state)).toEqual(['a2']);
   });
+
+  it('takes a server that starts again under its name for another one', () => {
+    // A server crashes and comes back under its name, empty. Placements,
+    // health and memory of its first life must not count for the second, nor
+    // a late message of the first bring back its address.
+    const state = createFleetState(() => 0);
+    const events: string[] = [];
+    state.onChange(({event, id}) => events.push(`${event} ${id}`));
+    const buildLife = (bornAt: number, revision: number): Target => ({
+      ...buildTarget('a', revision),
+      id: `a@${bornAt}`,
+      bornAt,
+      port: bornAt,
+    });
+    const apply = (target: Target) =>
+      state.applyChange({kind: 'target', target}, target.revision);
+    apply(buildLife(1000, 3));
+    apply(buildLife(2000, 5));
+    apply(buildLife(1000, 6));
+    expect(state.findTarget('a')?.port).toEqual(2000);
+    expect(listIds(state)).toEqual(['a@2000']);
+    expect(events).toEqual([
+      'target_added a@1000',
+      'target_removed a@1000',
+      'target_added a@2000',
+    ]);
+    state.applyShared({
+      revision: 9,
+      config: undefined,
+      targets: [buildLife(1000, 8)],
+      held: [],
+    });
+    expect(listIds(state)).toEqual(['a@2000']);
+  });
+
+  it('uses no target whose entry somebody else has overwritten', () => {
+    // The store is just back, so missing entries are waited for. One that
+    // stands and cannot be read is not missing: it names no target any more.
+    const state = createFleetState(() => 100);
+    state.applyChange({kind: 'target', target: buildTarget('a', 3)}, 3);
+    state.applyChange({kind: 'target', target: buildTarget('b', 4)}, 4);
+    state.markStoreBack();
+    state.applySnapshot({
+      revision: 9,
+      config: undefined,
+      targets: [],
+      malformed: ['a'],
+    });
+    expect(listIds(state)).toEqual(['b']);
+  });
 });
--- a/packages/direct/src/fleet/fleet-state.ts
+++ b/packages/direct/src/fleet/fleet-state.ts
@@ -62,7 +62,9 @@
   private routes: RouteTable | undefined;
   private accounts = new Map<string, ClientAccount>();
   private services = new Map<string, ServiceConfig>();
+  /** By name. */
   private readonly targets = new Map<string, Target>();
+  /** By name, as well. */
   private readonly heldUntil = new Map<string, number>();
   private storeBackAt = -Infinity;
   private readonly listeners: FleetListener[] = [];
@@ -94,9 +96,9 @@
     return this.services.get(name);
   }
 
-  /** Finds a target by its incarnation. */
-  findTarget(id: string): Target | undefined {
-    return this.targets.get(id);
+  /** Finds a target by its name. */
+  findTarget(name: string): Target | undefined {
+    return this.targets.get(name);
   }
 
   /** Lists targets of a service that take new work. */
@@ -124,9 +126,9 @@
     if (change.kind === 'config') this.applyConfig(change.config, 'store');
     if (change.kind === 'target') this.applyTarget(change.target, 'store');
     if (change.kind === 'target-gone') {
-      const known = this.targets.get(change.id);
+      const known = this.targets.get(change.name);
       if (known !== undefined && known.revision <= change.revision)
-        this.removeOrHold(known, 'store');
+        this.removeOrHold(known, 'store', change.isMalformed);
     }
     this.revision = Math.max(this.revision, revision);
   }
@@ -135,7 +137,8 @@
   applySnapshot(snapshot: FactSnapshot): void {
     if (snapshot.config !== undefined)
       this.applyConfig(snapshot.config, 'store');
-    this.replaceTargets(snapshot.targets, snapshot.revision, 'store');
+    const {targets, revision, malformed} = snapshot;
+    this.replaceTargets(targets, revision, 'store', new Set(malformed));
     for (const target of snapshot.targets)
       this.revision = Math.max(this.revision, target.revision);
   }
@@ -146,8 +149,8 @@
     if (shared.revision <= this.revision) return;
     this.replaceTargets(shared.targets, shared.revision, 'peer');
     const now = this.readNow();
-    for (const [id, leftMs] of shared.held)
-      if (this.targets.has(id)) this.heldUntil.set(id, now + leftMs);
+    for (const [name, leftMs] of shared.held)
+      if (this.targets.has(name)) this.heldUntil.set(name, now + leftMs);
     this.revision = shared.revision;
   }
 
@@ -158,17 +161,17 @@
       revision: this.revision,
       config: this.config,
       targets: [...this.targets.values()],
-      held: [...this.heldUntil].map(([id, until]) => [id, until - now]),
+      held: [...this.heldUntil].map(([name, until]) => [name, until - now]),
     };
   }
 
   /** Drops held targets whose entry has not come back in time. */
   expireHeld(): void {
     const now = this.readNow();
-    for (const [id, until] of this.heldUntil) {
+    for (const [name, until] of this.heldUntil) {
       if (until > now) continue;
-      this.heldUntil.delete(id);
-      const target = this.targets.get(id);
+      this.heldUntil.delete(name);
+      const target = this.targets.get(name);
       if (target !== undefined) this.remove(target, 'hold_expired');
     }
   }
@@ -195,11 +198,14 @@
   }
 
   private applyTarget(target: Target, source: 'store' | 'peer'): void {
-    const known = this.targets.get(target.id);
+    const known = this.targets.get(target.name);
     if (known !== undefined && known.revision > target.revision) return;
-    this.heldUntil.delete(target.id);
-    this.targets.set(target.id, target);
-    if (known === undefined)
+    if (known !== undefined && isEarlierLife(target, known)) return;
+    this.heldUntil.delete(target.name);
+    const isRestarted = known !== undefined && known.id !== target.id;
+    if (isRestarted) this.remove(known, source);
+    this.targets.set(target.name, target);
+    if (known === undefined || isRestarted)
       this.notify('target_added', source, target.id, target.revision);
     else if (known.isDraining !== target.isDraining)
       this.notify('target_changed', source, target.id, target.revision);
@@ -209,31 +215,40 @@
     targets: readonly Target[],
     revision: number,
     source: 'store' | 'peer',
+    malformed: ReadonlySet<string> = new Set(),
   ): void {
-    const present = new Set(targets.map(target => target.id));
+    const present = new Set(targets.map(target => target.name));
     for (const target of targets) this.applyTarget(target, source);
     for (const known of [...this.targets.values()]) {
       // An entry newer than the read is not in it and yet stands.
-      if (present.has(known.id) || known.revision > revision) continue;
-      this.removeOrHold(known, source);
+      if (present.has(known.name) || known.revision > revision) continue;
+      this.removeOrHold(known, source, malformed.has(known.name));
     }
   }
 
-  private removeOrHold(target: Target, source: 'store' | 'peer'): void {
+  /** @param isMalformed - Its entry has not lapsed: it names no target. */
+  private removeOrHold(
+    target: Target,
+    source: 'store' | 'peer',
+    isMalformed: boolean,
+  ): void {
     const holdEnd = this.storeBackAt + LAPSE_HOLD_MS;
     const isLapse =
-      source === 'store' && !target.isDraining && holdEnd > this.readNow();
+      source === 'store' &&
+      !isMalformed &&
+      !target.isDraining &&
+      holdEnd > this.readNow();
     if (!isLapse) {
       this.remove(target, source);
       return;
     }
-    this.heldUntil.set(target.id, holdEnd);
+    this.heldUntil.set(target.name, holdEnd);
     this.notify('target_held', source, target.id, target.revision);
   }
 
   private remove(target: Target, source: FleetEvent['source']): void {
-    this.targets.delete(target.id);
-    this.heldUntil.delete(target.id);
+    this.targets.delete(target.name);
+    this.heldUntil.delete(target.name);
     this.notify('target_removed', source, target.id, target.revision);
   }
 
@@ -248,6 +263,16 @@
   }
 }
 
+/**
+ * Says whether an entry tells of a life before the one that is known. A last
+ * message of the old process may be taken up late; followed, it would bring
+ * back the address of a process that is gone.
+ */
+function isEarlierLife(target: Target, known: Target): boolean {
+  if (target.bornAt === undefined || known.bornAt === undefined) return false;
+  return target.bornAt < known.bornAt;
+}
+
 /**
  * Creates an empty state.
  *
--- a/packages/direct/src/fleet/store-watcher.test.ts
+++ b/packages/direct/src/fleet/store-watcher.test.ts
@@ -51,6 +51,8 @@
     for (let i = 0; i < 30; i++) {
       store.publishTarget({
         id: `t${i}`,
+        name: `t${i}`,
+        bornAt: undefined,
         service: 'orders',
         host: '10.0.0.9',
         port: 80,
--- a/packages/direct/src/forward/stream-attempt.ts
+++ b/packages/direct/src/forward/stream-attempt.ts
@@ -149,12 +149,16 @@
   /**
    * A stall ends the attempt only where another one may follow, and not while
    * the engine answers others: sent again, the prompt would be read twice by
-   * engines that have too much to read already.
+   * engines that have too much to read already. Nor while every other engine
+   * is full: the next one would refuse, the attempts be spent, and a caller
+   * that has half of its answer be cut off, where this engine may go on yet.
    */
   private judgeStall(exchange: Exchange): StallVerdict {
-    const {context, placed, mayFollow} = this.options;
-    const {health, readNow} = context;
+    const {context, placed, mayFollow, request, engine} = this.options;
+    const {health, readNow, prompts} = context;
     if (!mayFollow) return 'ignore';
+    const others = new Set([placed.target.id]);
+    if (!prompts.hasFreePlace(request.service, engine, others)) return 'wait';
     if (health.isHeardSince(placed.target.id, readNow() - HEARD_MS))
       return 'wait';
     exchange.cancel();
--- a/packages/direct/src/forward/stream-forwarder.test.ts
+++ b/packages/direct/src/forward/stream-forwarder.test.ts
@@ -5,7 +5,7 @@
   buildSignedHead,
   formatEvents,
 } from '../test/fake-target.js';
-import {buildConfig, openGateWorld} from '../test/gate-world.js';
+import {ENGINE, buildConfig, openGateWorld} from '../test/gate-world.js';
 import type {TargetScript} from '../test/fake-target.js';
 import type {GateWorld} from '../test/gate-world.js';
 
@@ -23,14 +23,19 @@
   scripts: readonly TargetScript[],
   isResumable = true,
   timeoutMs = 5000,
+  slots = ENGINE.slots,
 ): Promise<GateWorld> {
   const base = buildConfig(1);
+  const services = base.services.map(service => ({
+    ...service,
+    engine: service.engine && {...service.engine, slots},
+  }));
   const routes = base.routes.map(route => ({
     ...route,
     timeoutMs,
     isResumable: route.kind === 'stream' && isResumable,
   }));
-  const world = await openGateWorld({config: {...base, routes}});
+  const world = await openGateWorld({config: {...base, routes, services}});
   for (const [i, script] of scripts.entries())
     await world.addTarget(`e${i}`, 'chat', script);
   await world.waitUntil(
@@ -163,6 +168,38 @@
     }
   });
 
+  it('keeps a stream on its engine while every other one is full', async () => {
+    // An engine pauses in the middle of a stream, the other one is full.
+    // Given up, the stream was refused there, its attempts were spent, and
+    // the caller was cut off with half of an answer that was still coming.
+    let arrivals = 0;
+    const script: TargetScript = (req, res) => {
+      arrivals++;
+      if (arrivals > 2) return answerNotRun(req, res);
+      res.writeHead(200, buildSignedHead(req));
+      res.write(formatEvents(1, 2));
+      const isBusy = arrivals === 2;
+      const tick = setInterval(() => isBusy && res.write(': on\n\n'), 100);
+      setTimeout(() => {
+        clearInterval(tick);
+        res.end(formatEvents(3, 3));
+      }, 1800);
+    };
+    const world = await openStreams([script, script], true, 5000, 1);
+    try {
+      const paused = world.call('/stream/x', {tokens: 1000});
+      await world.waitUntil(() => arrivals === 1);
+      const busy = world.call('/stream/x', {tokens: 1000});
+      for (const answer of await Promise.all([paused, busy])) {
+        expect(answer.isWhole).toEqual(true);
+        expect(answer.body.endsWith(formatEvents(3, 3))).toEqual(true);
+      }
+      expect(arrivals).toEqual(2);
+    } finally {
+      world.close();
+    }
+  });
+
   it('closes the engine’s connection when the caller leaves', async () => {
     // A dealer closes the window. An engine that is not told goes on reading
     // a long prompt for nobody.
--- a/packages/direct/src/placement/prompt-placer.ts
+++ b/packages/direct/src/placement/prompt-placer.ts
@@ -140,6 +140,19 @@
     );
   }
 
+  /** Says whether an engine that is not in `tried` has a place left. */
+  hasFreePlace(
+    service: string,
+    engine: EngineFigures,
+    tried: ReadonlySet<string>,
+  ): boolean {
+    const {book, readNow} = this.options;
+    const now = readNow();
+    return this.listTargets(service, tried).some(
+      ({id}) => book.describe(id, now).active < engine.slots,
+    );
+  }
+
   private listTargets(
     service: string,
     tried: ReadonlySet<string>,
--- a/packages/direct/src/ports.ts
+++ b/packages/direct/src/ports.ts
@@ -36,8 +36,11 @@
   | {readonly kind: 'target'; readonly target: Target}
   | {
       readonly kind: 'target-gone';
-      readonly id: string;
+      /** Name of the target. */
+      readonly name: string;
       readonly revision: number;
+      /** Its entry stands but cannot be used: somebody else wrote it. */
+      readonly isMalformed: boolean;
     };
 
 /** Everything the store holds, read at one time. */
@@ -46,6 +49,8 @@
   readonly revision: number;
   readonly config: FleetConfig | undefined;
   readonly targets: readonly Target[];
+  /** Names whose entry stands but cannot be used. */
+  readonly malformed: readonly string[];
 }
 
 /** Changes since a revision. */
--- a/packages/direct/src/test/fake-store.ts
+++ b/packages/direct/src/test/fake-store.ts
@@ -42,7 +42,12 @@
   /** Removes a target's entry. */
   dropTarget(id: string): void {
     this.targets.delete(id);
-    this.record({kind: 'target-gone', id, revision: this.revision + 1});
+    this.record({
+      kind: 'target-gone',
+      name: id,
+      revision: this.revision + 1,
+      isMalformed: false,
+    });
   }
 
   /** Forgets the history: watches must read everything anew. */
@@ -58,6 +63,7 @@
       revision: this.revision,
       config: this.config,
       targets: [...this.targets.values()],
+      malformed: [],
     };
   }
 
--- a/packages/direct/src/test/fake-target.ts
+++ b/packages/direct/src/test/fake-target.ts
@@ -69,6 +69,8 @@
   get entry(): Target {
     return {
       id: this.id,
+      name: this.id,
+      bornAt: undefined,
       service: this.service,
       host: '127.0.0.1',
       port: readPort(this.server),
--- a/packages/direct/src/types.ts
+++ b/packages/direct/src/types.ts
@@ -88,8 +88,16 @@
 
 /** One running target; a restart is another target with another id. */
 export interface Target {
-  /** Incarnation of the target: new at each of its starts. */
+  /**
+   * Incarnation of the target, new at each of its starts: its name and, where
+   * it says so, the time of its start. Load, health, memory and placements are
+   * kept by it, so that nothing of an earlier life counts for a later one.
+   */
   readonly id: string;
+  /** Name under which it registers and answers; may outlive a restart. */
+  readonly name: string;
+  /** Its start, in ms since the epoch; absent where it does not say. */
+  readonly bornAt: number | undefined;
   readonly service: string;
   readonly host: string;
   readonly port: number;
