--- a/packages/direct/src/placement/price-first.ts
+++ b/packages/direct/src/placement/price-first.ts
@@ -33,11 +33,13 @@
 const FULL_SHARE = 0.8;
 
 /**
- * Price of a whole objective's wait, in shares of a stream's worth. Idle
- * engines are worth using although the objective would be met without: the
- * prompt is out of the way before the next one comes.
+ * Price of a whole objective's wait, in shares of a stream's worth: it decides
+ * between choices that are on time alike. At 0.05 prompts were spread over more
+ * engines than they needed, and those that came next found none free: on two
+ * days of eight seeds the mean worth was 0.877 and 0.696, at 0.01 0.895 and
+ * 0.721.
  */
-const HASTE_LOSS = 0.05;
+const HASTE_LOSS = 0.01;
 
 /**
  * Prices an engine by what it writes already and where it stands.
