One builder of targets for tests; no moment that is weighed and then skipped

Cause: reading the whole change: buildEngine stood beside its twin buildTarget, and the list of moments held a zero that the loop passed over.

--- a/packages/direct/src/fleet/fleet-state.test.ts
+++ b/packages/direct/src/fleet/fleet-state.test.ts
@@ -1,23 +1,10 @@
 import {describe, it} from 'node:test';
 import {expect} from 'earl';
+import {buildTarget} from '../test/build-target.js';
 import {buildConfig} from '../test/gate-world.js';
 import {LAPSE_HOLD_MS, createFleetState} from './fleet-state.js';
 import type {Target} from '../types.js';
 
-function buildTarget(id: string, revision: number, isDraining = false): Target {
-  return {
-    id,
-    name: id,
-    bornAt: undefined,
-    service: 'chat',
-    host: '10.0.0.1',
-    port: 80,
-    zone: 'az-1',
-    isDraining,
-    revision,
-  };
-}
-
 function listIds(state: ReturnType<typeof createFleetState>): string[] {
   return state
     .listUsable('chat')
--- a/packages/direct/src/health/engine-paces.test.ts
+++ b/packages/direct/src/health/engine-paces.test.ts
@@ -2,25 +2,11 @@
 import {describe, it} from 'node:test';
 import {expect} from 'earl';
 import {createDecisionLog} from '../observe/decision-log.js';
+import {buildTarget} from '../test/build-target.js';
 import {FakeReports} from '../test/fake-reports.js';
 import {EnginePaces} from './engine-paces.js';
-import type {Target} from '../types.js';
 import type {EnginePace} from './engine-paces.js';
 
-function buildEngine(id: string): Target {
-  return {
-    id,
-    name: id,
-    bornAt: undefined,
-    service: 'chat',
-    host: '10.0.0.1',
-    port: 80,
-    zone: 'az-1',
-    isDraining: false,
-    revision: 1,
-  };
-}
-
 function openPaces(mine: readonly string[] = ['e1', 'e2']) {
   const reports = new FakeReports();
   const told: EnginePace[] = [];
@@ -28,7 +14,7 @@
   const output = new Writable({write: (_chunk, _encoding, done) => done()});
   const paces = new EnginePaces({
     reports,
-    listEngines: () => ['e1', 'e2', 'e3'].map(buildEngine),
+    listEngines: () => ['e1', 'e2', 'e3'].map(id => buildTarget(id, 1)),
     isMine: ({id}) => mine.includes(id),
     onPace: pace => told.push(pace),
     log: createDecisionLog({proc: 'g', output, readWallMs: () => now}),
--- a/packages/direct/src/placement/choose-moment.ts
+++ b/packages/direct/src/placement/choose-moment.ts
@@ -11,10 +11,10 @@
 import type {PromptChoice, PromptDemand} from './prompt-types.js';
 
 /**
- * Moments that are weighed, in ms from now: some passes apart at first, then
+ * Moments that are weighed beside now, in ms from now: some passes apart at first, then
  * in the steps in which long prompts end (300 to 1,500 ms).
  */
-const DELAYS_MS = [0, 120, 300, 700, 1500];
+const DELAYS_MS = [120, 300, 700, 1500];
 
 /**
  * What sending later must save, in the worth of a short stream, before a
@@ -57,7 +57,7 @@
   if (choice === undefined) return undefined;
   let best: MomentChoice = {choice, waitMs: 0};
   for (const delayMs of DELAYS_MS) {
-    if (delayMs === 0 || best.choice.cost < MIN_SAVING) continue;
+    if (best.choice.cost < MIN_SAVING) break;
     const later = choosePromptEngines(
       candidates.map(candidate => ({
         ...candidate,
