Later moments are weighed only where few engines are: gates of the grown size choked

A choice among 78 engines takes 6 ms of a core, five of them each 60 ms for each prompt that is kept more than a quarter of a core has. Change: above 32 engines a prompt is sent when it comes; a caller that has left while its prompt was kept enters no line.

--- a/packages/direct/src/forward/stream-forwarder.ts
+++ b/packages/direct/src/forward/stream-forwarder.ts
@@ -90,7 +90,8 @@
     // A stream that was begun or failed once has waited already.
     const mayOverfill = this.sends > 0 || this.unsentTries > 0;
     let result = await this.waitForMoment(mayOverfill);
-    if (result === 'full') result = await this.waitForPlace();
+    if (result === 'full' && !this.isSettled)
+      result = await this.waitForPlace();
     if (this.isSettled) {
       if (result instanceof PlacedPrompt) result.release();
       return undefined;
--- a/packages/direct/src/placement/choose-moment.ts
+++ b/packages/direct/src/placement/choose-moment.ts
@@ -22,6 +22,15 @@
  */
 const MIN_SAVING = 0.2;
 
+/**
+ * Most engines with which later moments are weighed. Weighing takes five
+ * choices and is done again every 60 ms for each prompt that is kept; with 78
+ * engines a choice takes 6 ms of a whole core, hosts have a quarter of one, and
+ * gates that spent all of their time so noticed callers' leaving too late. With
+ * 23 engines all of it is a few percent of half a core.
+ */
+const MAX_WEIGHED_ENGINES = 32;
+
 /** A choice, and how long to wait before it is looked at again. */
 export interface MomentChoice {
   readonly choice: PromptChoice;
@@ -56,6 +65,7 @@
   const choice = choosePromptEngines(candidates, demand, engine, now);
   if (choice === undefined) return undefined;
   let best: MomentChoice = {choice, waitMs: 0};
+  if (candidates.length > MAX_WEIGHED_ENGINES) return best;
   for (const delayMs of DELAYS_MS) {
     if (best.choice.cost < MIN_SAVING) break;
     const later = choosePromptEngines(
