A gate ended out of memory on a configuration that another gate had handed on

Cause: an engine that names no tokens of a step got an infinite bound; handed between gates as JSON it became null, a pass then reads nothing, and the list of coming passes grew until the heap was full (SIGABRT). Ruled out: load (the log shows the heap's limit and GrowArray).

--- a/packages/direct/src/placement/engine-passes.test.ts
+++ b/packages/direct/src/placement/engine-passes.test.ts
@@ -145,6 +145,17 @@
     expect(passes.listPassReads(0).map(Math.round)).toEqual([2000, 1000]);
   });
 
+  it('end for an engine whose bound on a step was lost', () => {
+    // A gate has its configuration from another one, without the tokens of a
+    // step. It planned passes that read nothing, one after the other, until
+    // its memory was full and every stream that it forwarded was cut.
+    const passes = new EnginePasses({...ENGINE, chunkTokens: 0});
+    passes.addWriter('w', 2000, 0);
+    passes.addPart('a', {...buildPart(10), tokens: 20}, 0);
+    expect(passes.listPassReads(0).length).toEqual(20);
+    expect(passes.readEnds(0).size).toEqual(1);
+  });
+
   it('end with the stream', () => {
     const passes = openWriting();
     passes.removeWriter('w', 10);
--- a/packages/direct/src/placement/engine-passes.ts
+++ b/packages/direct/src/placement/engine-passes.ts
@@ -187,7 +187,11 @@
 
   /** Reads one pass's share of `parts`, newest first. */
   private planPass(parts: readonly QueuedPart[]): PassPlan {
-    let mostTokens = this.engine.stepsPerPass * this.engine.chunkTokens;
+    // A pass reads something, or what is planned would never end.
+    let mostTokens = Math.max(
+      1,
+      this.engine.stepsPerPass * this.engine.chunkTokens,
+    );
     let readMs = 0;
     const ended: QueuedPart[] = [];
     for (const part of parts) {
