--- /dev/null
+++ b/packages/direct/src/forward/memory-lease.test.ts
@@ -0,0 +1,61 @@
+import {describe, it, mock} from 'node:test';
+import {expect} from 'earl';
+import {MemoryReservations} from '../ports.js';
+import {buildTarget} from '../test/build-target.js';
+import {openMemoryLease} from './memory-lease.js';
+import type {ReservationOutcome} from '../ports.js';
+
+/** Grants at once, but for renewals, which wait until the test lets them go. */
+class SlowRenewals extends MemoryReservations {
+  readonly orders: string[] = [];
+  readonly waiting: Array<() => void> = [];
+
+  override reserve(): Promise<ReservationOutcome> {
+    this.orders.push('reserve');
+    if (this.orders.length === 1) return Promise.resolve('granted');
+    return new Promise(resolve => this.waiting.push(() => resolve('granted')));
+  }
+
+  override release(): Promise<void> {
+    this.orders.push('release');
+    return Promise.resolve();
+  }
+}
+
+async function openLease(reservations: MemoryReservations) {
+  const target = buildTarget('e1', 1);
+  const lease = await openMemoryLease(reservations, 'r', [
+    {target, tokens: 9000},
+  ]);
+  if (lease === undefined) throw new Error('not granted');
+  return lease;
+}
+
+describe('a lease on memory', () => {
+  it('is given back behind a renewal that was under way', async () => {
+    // A stream ends while its lease is being renewed. The renewal overtakes
+    // nothing, it arrives behind the release and sets the memory aside again
+    // for three seconds, in which no prompt that needs it is taken.
+    mock.timers.enable({apis: ['setInterval']});
+    try {
+      const reservations = new SlowRenewals();
+      const lease = await openLease(reservations);
+      mock.timers.tick(1200);
+      lease.close();
+      expect(reservations.orders).toEqual(['reserve', 'reserve', 'release']);
+      for (const answer of reservations.waiting) answer();
+      await new Promise(resolve => setImmediate(resolve));
+      expect(reservations.orders.slice(3)).toEqual(['release']);
+    } finally {
+      mock.timers.reset();
+    }
+  });
+
+  it('is given back once when no renewal is under way', async () => {
+    const reservations = new SlowRenewals();
+    const lease = await openLease(reservations);
+    lease.close();
+    await new Promise(resolve => setImmediate(resolve));
+    expect(reservations.orders).toEqual(['reserve', 'release']);
+  });
+});
--- a/packages/direct/src/forward/memory-lease.ts
+++ b/packages/direct/src/forward/memory-lease.ts
@@ -30,6 +30,8 @@
  */
 export class MemoryLease {
   private readonly timer: NodeJS.Timeout;
+  /** Renewals under way. */
+  private readonly renewals = new Set<Promise<LeasedTicket>>();
 
   constructor(
     private readonly reservations: MemoryReservations,
@@ -44,21 +46,34 @@
     return this.tickets.find(held => held.target.id === target)?.ticket;
   }
 
-  /** Gives all of it back. */
+  /**
+   * Gives all of it back. Orders go over connections of their own, so a
+   * renewal under way may arrive behind the release and set the memory aside
+   * once more for a whole lease: it is given back again once that is answered.
+   */
   close(): void {
     clearInterval(this.timer);
-    for (const {target, ticket} of this.tickets)
-      void this.reservations.release(target, ticket);
+    for (const held of this.tickets) this.release(held);
+    for (const renewal of this.renewals)
+      void renewal.then(held => this.release(held));
+  }
+
+  private release({target, ticket}: LeasedTicket): void {
+    void this.reservations.release(target, ticket);
   }
 
   private renew(): void {
-    for (const {target, ticket} of this.tickets)
-      void this.reservations.reserve(
-        target,
-        ticket,
-        this.tokens.get(target.id) ?? 0,
-        LEASE_MS,
-      );
+    for (const held of this.tickets) {
+      const renewal = this.renewOne(held);
+      this.renewals.add(renewal);
+      void renewal.then(() => this.renewals.delete(renewal));
+    }
+  }
+
+  private async renewOne(held: LeasedTicket): Promise<LeasedTicket> {
+    const tokens = this.tokens.get(held.target.id) ?? 0;
+    await this.reservations.reserve(held.target, held.ticket, tokens, LEASE_MS);
+    return held;
   }
 }
 
