--- a/packages/direct/src/peers/peer-group.ts
+++ b/packages/direct/src/peers/peer-group.ts
@@ -131,18 +131,19 @@
 
   /** Opens the sockets and starts beating. */
   async start(): Promise<void> {
-    const {host, port} = this.options;
+    const {host, port, state, log, readNow} = this.options;
     const socket = createSocket('udp4');
     this.socket = socket;
     socket.on('message', bytes => this.receive(bytes));
     socket.on('error', error =>
-      this.options.log.warn('peer_socket_failed', {reason: error.message}),
+      log.warn('peer_socket_failed', {reason: error.message}),
     );
     await new Promise<void>((resolve, reject) => {
       socket.once('error', reject);
       socket.bind(port, host, resolve);
     });
-    this.server = await openFactsServer({host, port}, this.options.state);
+    const address = {host, port};
+    this.server = await openFactsServer({address, state, log, readNow});
     this.timer = setInterval(() => this.broadcastBeats(), BEAT_MS);
     this.broadcastBeats(true);
   }
@@ -369,7 +370,8 @@
 
   private async fetchFacts(peer: Peer): Promise<void> {
     if (!this.isAhead(peer)) return;
-    const {state, log, port} = this.options;
+    const {state, log, port, readNow} = this.options;
+    const startedAt = readNow();
     try {
       const facts = await fetchSharedFacts(`${peer.host}:${port}`);
       state.applyShared(facts);
@@ -377,10 +379,12 @@
         peer: peer.host,
         configVersion: state.config?.version,
         revision: state.revision,
+        ms: Math.round(readNow() - startedAt),
       });
     } catch (error) {
       log.warn('facts_from_peer_failed', {
         peer: peer.host,
+        ms: Math.round(readNow() - startedAt),
         reason: (error as Error).message,
       });
     }
