Gates hand their configuration to two at a time, and only what the asker lacks

Cause (of the incident): beside a large configuration and a slow store every gate asked the one whose beat came first for its whole state, in the same moment; its link could not carry so many copies in 1.2 s, and all hung up at once. Ruled out: the heap (status 1, no SIGABRT); a longer time-out alone (the copies would come later still, beside callers' answers). Change: an answer leaves out what the asker has; two copies of a configuration at a time, others are told so at once and ask any gate that is ahead, not the first; gates wait 400 to 800 ms for the store, differently; a gate that got a configuration from another one says so; an exchange ends after a second of silence and not 1.2 s after its start; the connection has its own 400 ms; facts are checked before they are used, field by field (JSON loses what is not finite).

--- a/packages/core/src/rpc.test.ts
+++ b/packages/core/src/rpc.test.ts
@@ -1,13 +1,33 @@
 import {once} from 'node:events';
 import {connect, createServer} from 'node:net';
 import {describe, it} from 'node:test';
+import {Worker} from 'node:worker_threads';
 import {expect} from 'earl';
 import fc from 'fast-check';
 import {openListener} from './listen.js';
-import {createRpcLink, openRpcLink} from './rpc.js';
+import {RpcFailedError} from './errors.js';
+import {
+  createRpcLink,
+  createRpcRefusal,
+  findRefusalCode,
+  openRpcLink,
+} from './rpc.js';
 import type {Socket} from 'node:net';
 import type {RpcLink} from './rpc.js';
 
+/** A thread that listens, and then takes no connection. */
+const DEAF_LISTENER = `
+  const {createServer} = require('node:net');
+  const {parentPort} = require('node:worker_threads');
+  const server = createServer();
+  server.listen({port: 0, host: '127.0.0.1', backlog: 1}, () => {
+    parentPort.postMessage(server.address().port);
+    setImmediate(() =>
+      Atomics.wait(new Int32Array(new SharedArrayBuffer(4)), 0, 0, 30_000),
+    );
+  });
+`;
+
 interface Pair {
   readonly link: RpcLink;
   readonly far: Socket;
@@ -94,4 +114,52 @@
     const opening = openRpcLink(`127.0.0.1:${port}`);
     await expect(opening).toBeRejected();
   });
+
+  it('tells a refusal by its code, and a fault by none', async () => {
+    const {link, far, close} = await openPair();
+    link.handle('full', () => {
+      throw createRpcRefusal(7, 'no place');
+    });
+    const asker = createRpcLink(far);
+    const refused = await asker.call('full', {}).catch(error => error);
+    const unknown = await asker.call('other', {}, 1000).catch(error => error);
+    expect(findRefusalCode(refused)).toEqual(7);
+    expect(findRefusalCode(unknown)).not.toEqual(7);
+    expect(findRefusalCode(new Error('x'))).toEqual(undefined);
+    close();
+  });
+
+  it('closes when the far end has gone silent', async () => {
+    // The host at the far end is frozen: no reset comes, and the link kept
+    // its place and its memory for as long as the process lived.
+    const {link, close} = await openPair();
+    const closed = waitForClose(link);
+    const call = link.call('x', {}).catch((error: Error) => error.name);
+    link.closeWhenIdle(20);
+    await closed;
+    expect(await call).toEqual('RpcClosedError');
+    close();
+  });
+
+  it('gives up a connection that is not taken in time', async () => {
+    // A host that is cut off answers nothing. The system gives up after two
+    // minutes, and all that time nobody else is asked.
+    const worker = new Worker(DEAF_LISTENER, {eval: true});
+    const [port] = (await once(worker, 'message')) as [number];
+    const opened: RpcLink[] = [];
+    const openOne = () => openRpcLink(`127.0.0.1:${port}`, undefined, 200);
+    // The system takes a few for the listener before it drops the next one.
+    const attempts = Array.from({length: 12}, () =>
+      openOne().then(
+        link => void opened.push(link),
+        (error: unknown) => error,
+      ),
+    );
+    const errors = (await Promise.all(attempts)).filter(
+      error => error instanceof RpcFailedError,
+    );
+    expect(errors.length).toBeGreaterThan(0);
+    for (const link of opened) link.close();
+    await worker.terminate();
+  });
 });
--- a/packages/core/src/rpc.ts
+++ b/packages/core/src/rpc.ts
@@ -6,6 +6,7 @@
 import {createInterface} from 'node:readline';
 import {
   JSONRPCClient,
+  JSONRPCErrorException,
   JSONRPCServer,
   JSONRPCServerAndClient,
 } from 'json-rpc-2.0';
@@ -34,7 +35,7 @@
     private readonly counters?: Counters,
   ) {
     this.peer = new JSONRPCServerAndClient(
-      new JSONRPCServer(),
+      new JSONRPCServer({errorListener: warnOfFault}),
       new JSONRPCClient(message => this.send(message)),
     );
     socket.setNoDelay(true);
@@ -115,6 +116,14 @@
     this.closeListeners.push(listener);
   }
 
+  /**
+   * Closes the link once no byte has moved for a while, in ms: a far end that
+   * is frozen or cut off keeps its connection open for good.
+   */
+  closeWhenIdle(idleMs: number): void {
+    this.socket.setTimeout(idleMs, () => this.close());
+  }
+
   /** Closes the socket; outstanding calls fail with RpcClosedError. */
   close(): void {
     this.socket.destroy();
@@ -160,6 +169,33 @@
   }
 }
 
+/**
+ * Creates what a handler throws to answer a call with a code; anything else
+ * that it throws is a fault of the program.
+ *
+ * @example
+ * throw createRpcRefusal(1, 'busy');
+ */
+export function createRpcRefusal(code: number, message: string): Error {
+  return new JSONRPCErrorException(message, code);
+}
+
+/**
+ * Finds the code with which the far end refused a call.
+ *
+ * @example
+ * link.call('take', {}).catch(error => findRefusalCode(error) === 1);
+ */
+export function findRefusalCode(error: unknown): number | undefined {
+  if (!(error instanceof RpcFailedError)) return undefined;
+  const cause: unknown = error.cause();
+  return cause instanceof JSONRPCErrorException ? cause.code : undefined;
+}
+
+function warnOfFault(message: string, error: unknown): void {
+  if (!(error instanceof JSONRPCErrorException)) console.warn(message, error);
+}
+
 /**
  * Wraps a connected socket in a json-rpc link.
  *
@@ -176,19 +212,31 @@
  * Connects to a json-rpc listener.
  *
  * @param address - Where it listens, `host:port`.
- * @throws The system's error (ECONNREFUSED, EHOSTUNREACH) when it cannot.
+ * @param timeoutMs - Longest time for the connection; absent waits for the
+ *   system, which takes minutes for a host that is cut off.
+ * @throws The system's error (ECONNREFUSED, EHOSTUNREACH) when it cannot;
+ *   RpcFailedError when the timeout passes.
  * @example
  * const link = await openRpcLink('10.0.1.5:7101', counters);
  */
 export function openRpcLink(
   address: string,
   counters?: Counters,
+  timeoutMs = 0,
 ): Promise<RpcLink> {
   const [host, port] = address.split(':');
   return new Promise((resolve, reject) => {
     const socket = connect(Number(port), host);
     // Lasting: an error that comes after the first one has nobody else.
     socket.on('error', reject);
-    socket.once('connect', () => resolve(createRpcLink(socket, counters)));
+    socket.setTimeout(timeoutMs, () => {
+      reject(new RpcFailedError({info: {address}}, 'no connection in time'));
+      socket.destroy();
+    });
+    socket.once('connect', () => {
+      socket.setTimeout(0);
+      socket.removeAllListeners('timeout');
+      resolve(createRpcLink(socket, counters));
+    });
   });
 }
--- a/packages/direct/src/errors.ts
+++ b/packages/direct/src/errors.ts
@@ -18,6 +18,11 @@
   override name = 'HistoryLostError';
 }
 
+/** Another gate has the facts, and serves as many gates as it can. */
+export class FactsBusyError extends DirectGateError {
+  override name = 'FactsBusyError';
+}
+
 /** A value from outside that does not decode; `field` says where. */
 export class DecodeError extends DirectGateError {
   override name = 'DecodeError';
--- a/packages/direct/src/fleet/fleet-state.ts
+++ b/packages/direct/src/fleet/fleet-state.ts
@@ -23,10 +23,20 @@
  */
 export const LAPSE_HOLD_MS = 2300;
 
+/** How far a gate's facts go. */
+export interface VersionedFacts {
+  /** Version of its configuration, 0 for none. */
+  readonly configVersion: number;
+  /** Revision of its targets, 0 for none. */
+  readonly revision: number;
+}
+
 /** State as one gate hands it to another. */
 export interface SharedFacts {
   readonly revision: number;
+  /** Absent where the other gate has one as new. */
   readonly config: FleetConfig | undefined;
+  /** Empty where the other gate has a revision as new. */
   readonly targets: readonly Target[];
   /** Targets kept although their entry is missing: id and time left in ms. */
   readonly held: readonly (readonly [string, number])[];
@@ -171,13 +181,18 @@
     this.revision = shared.revision;
   }
 
-  /** What this gate can tell another one. */
-  describeShared(): SharedFacts {
+  /**
+   * What this gate can tell another one that has some facts already. Whole
+   * answers to gates that were behind by one target were a megabyte each.
+   */
+  describeShared(known: VersionedFacts): SharedFacts {
     const now = this.readNow();
+    const isConfigNews = (this.config?.version ?? 0) > known.configVersion;
+    const isTargetNews = this.revision > known.revision;
     return {
       revision: this.revision,
-      config: this.config,
-      targets: [...this.targets.values()],
+      config: isConfigNews ? this.config : undefined,
+      targets: isTargetNews ? [...this.targets.values()] : [],
       held: [...this.heldUntil].map(([name, until]) => [name, until - now]),
     };
   }
--- a/packages/direct/src/peers/facts-exchange.test.ts
+++ b/packages/direct/src/peers/facts-exchange.test.ts
@@ -20,6 +20,9 @@
 /** Gates that may be sent facts at the same time. */
 const MOST_AT_ONCE = 2;
 
+/** Longer than any test, in ms: askers pause on purpose. */
+const TEST_IDLE_MS = 60_000;
+
 function buildLargeConfig(version: number): FleetConfig {
   const [route] = buildConfig(version).routes;
   const routes = Array.from({length: ROUTE_COUNT}, (_, i) => ({
@@ -44,6 +47,7 @@
       state,
       log: createDecisionLog({proc: 'g', output, readWallMs: Date.now}),
       readNow,
+      idleMs: TEST_IDLE_MS,
     });
     state.applyChange({kind: 'config', config: buildLargeConfig(7)}, 0);
   });
@@ -132,6 +136,18 @@
     }
   });
 
+  it('keeps no place for an asker that was gone before its answer', async () => {
+    // The bytes behind the question are no message, so the link closes while
+    // the answer is being made. Two such askers, and nobody was served again.
+    for (let i = 0; i < MOST_AT_ONCE; i++) {
+      const socket = await openAsker();
+      socket.write('{"jsonrpc":"2.0","id":1,"method":"read-facts"}\n{{\n');
+      socket.resume();
+      await once(socket, 'close');
+    }
+    expect((await askWhole({})).config?.version).toEqual(7);
+  });
+
   it('leaves out the configuration that the asker has', async () => {
     // Servers are replaced, and a gate that is behind by one of them asks
     // another: for a list of 60 targets it got a megabyte of routes again.
--- /dev/null
+++ b/packages/direct/src/peers/facts-fetcher.test.ts
@@ -0,0 +1,252 @@
+import {Writable} from 'node:stream';
+import {describe, it} from 'node:test';
+import {expect} from 'earl';
+import fc from 'fast-check';
+import {FactsBusyError, StoreUnavailableError} from '../errors.js';
+import {createFleetState} from '../fleet/fleet-state.js';
+import {createDecisionLog} from '../observe/decision-log.js';
+import {buildConfig} from '../test/gate-world.js';
+import {createFactsFetcher} from './facts-fetcher.js';
+import type {SharedFacts} from '../fleet/fleet-state.js';
+
+/** Time in which a configuration has to be in force at all gates, in ms. */
+const APPLY_MS = 2000;
+
+/** Time until another gate's news is heard of, in ms: its beat waits so long. */
+const NEWS_MS = 100;
+
+/** Gates that one gate serves at a time. */
+const MOST_AT_ONCE = 2;
+
+/** Gates of a large deployment. */
+const MOST_GATES = 30;
+
+/** A megabyte over a link of 140 Mbit/s, in ms. */
+const MOST_COPY_MS = 60;
+
+/** Uniform figures in [0, 1) that a seed determines. */
+function createRandom(seed: number): () => number {
+  let state = seed;
+  return () => {
+    state = (Math.imul(state, 48_271) >>> 0) % 2_147_483_647;
+    return state / 2_147_483_647;
+  };
+}
+
+/** Virtual time: whoever waits is resumed in order of time. */
+class VirtualClock {
+  now = 0;
+  private readonly queue: Array<{
+    readonly at: number;
+    readonly go: () => void;
+  }> = [];
+
+  readonly wait = (ms: number) =>
+    new Promise<void>(go => this.queue.push({at: this.now + ms, go}));
+
+  async run(isOver: () => boolean): Promise<void> {
+    for (;;) {
+      // Whatever follows from the last step happens before the next one.
+      await new Promise(resolve => setImmediate(resolve));
+      if (isOver() || this.queue.length === 0) return;
+      this.queue.sort((a, b) => a.at - b.at);
+      const next = this.queue.shift()!;
+      this.now = next.at;
+      next.go();
+    }
+  }
+}
+
+function createLog(lines: string[] = []) {
+  return createDecisionLog({
+    proc: 'g',
+    output: new Writable({
+      write: (chunk, _encoding, done) => {
+        lines.push(String(chunk));
+        done();
+      },
+    }),
+    readWallMs: () => 0,
+  });
+}
+
+/** A fetcher whose asks are scripted by host. */
+function createWorld(
+  answers: Readonly<Record<string, () => Promise<SharedFacts>>>,
+  random: () => number = () => 0,
+) {
+  const clock = new VirtualClock();
+  const state = createFleetState(() => clock.now);
+  const asked: string[] = [];
+  const lines: string[] = [];
+  const fetcher = createFactsFetcher({
+    state,
+    listAhead: () =>
+      (state.config?.version ?? 0) < 7 ? Object.keys(answers) : [],
+    fetch: host => {
+      asked.push(host);
+      return answers[host]();
+    },
+    log: createLog(lines),
+    readNow: () => clock.now,
+    random,
+    wait: clock.wait,
+  });
+  return {clock, state, asked, lines, fetcher};
+}
+
+const FACTS: SharedFacts = {
+  revision: 3,
+  config: buildConfig(7),
+  targets: [],
+  held: [],
+};
+const giveFacts = () => Promise.resolve(FACTS);
+const refuse = () => Promise.reject(new FactsBusyError('busy'));
+const dropAsk = () => Promise.reject(new StoreUnavailableError('gone'));
+
+describe('fetching facts from other gates', () => {
+  it('leaves it to the store while that is only slow', async () => {
+    // A slow store has answered one gate. The answers to the others are under
+    // way; a copy from that gate would bring nothing but load on its link.
+    const {clock, state, asked, fetcher} = createWorld({a: giveFacts});
+    fetcher.schedule();
+    state.applyChange({kind: 'config', config: buildConfig(7)}, 0);
+    await clock.run(() => false);
+    expect(asked).toEqual([]);
+  });
+
+  it('asks any of the gates that are ahead', async () => {
+    // All gates heard the same gate first, and all asked that one.
+    const asked = new Set<string>();
+    for (const part of [0, 0.4, 0.9]) {
+      const world = createWorld(
+        {a: giveFacts, b: giveFacts, c: giveFacts},
+        () => part,
+      );
+      world.fetcher.schedule();
+      await world.clock.run(() => false);
+      for (const host of world.asked) asked.add(host);
+    }
+    expect([...asked]).toEqual(['a', 'b', 'c']);
+  });
+
+  it('asks again after a gate that serves others', async () => {
+    let refusals = 2;
+    const {clock, state, asked, fetcher} = createWorld({
+      a: () => (refusals-- > 0 ? refuse() : giveFacts()),
+    });
+    fetcher.schedule();
+    await clock.run(() => false);
+    expect(asked).toEqual(['a', 'a', 'a']);
+    expect(state.config?.version).toEqual(7);
+  });
+
+  it('goes on to another gate when one is gone', async () => {
+    // The gate that was ahead lost its power just after its last beat.
+    const {clock, state, asked, lines, fetcher} = createWorld({
+      a: dropAsk,
+      b: giveFacts,
+    });
+    fetcher.schedule();
+    await clock.run(() => false);
+    expect(asked).toEqual(['a', 'b']);
+    expect(state.config?.version).toEqual(7);
+    expect(lines.some(line => line.includes('facts_from_peer_failed'))).toEqual(
+      true,
+    );
+  });
+
+  it('ends when nobody gives anything, and starts anew when told', async () => {
+    const {clock, asked, fetcher} = createWorld({a: refuse});
+    fetcher.schedule();
+    fetcher.schedule();
+    await clock.run(() => false);
+    const first = asked.length;
+    fetcher.schedule();
+    await clock.run(() => false);
+    expect(asked.length).toEqual(2 * first);
+  });
+});
+
+/** A fleet of which one gate knows news; times are virtual. */
+class NewsFleet {
+  readonly clock = new VirtualClock();
+  /** Copies that each gate has handed out. */
+  readonly copies = new Map<string, number>();
+  private readonly knownSince = new Map<string, number>([['0', 0]]);
+  private readonly serving = new Map<string, number>();
+
+  /** @param copyMs - Time of one copy over an idle link. */
+  constructor(
+    private readonly count: number,
+    private readonly copyMs: number,
+    private readonly random: () => number,
+  ) {}
+
+  /** Runs until every gate has the news; returns the time that it took. */
+  async run(): Promise<number> {
+    for (let i = 1; i < this.count; i++) void this.runGate(String(i));
+    await this.clock.run(() => this.knownSince.size === this.count);
+    return this.clock.now;
+  }
+
+  private async runGate(name: string): Promise<void> {
+    const {clock, random} = this;
+    const state = createFleetState(() => clock.now);
+    state.onChange(() => this.knownSince.set(name, clock.now));
+    const fetcher = createFactsFetcher({
+      state,
+      listAhead: () => (state.config === undefined ? this.listHeard() : []),
+      fetch: host => this.serveCopy(host),
+      log: createLog(),
+      readNow: () => clock.now,
+      random,
+      wait: clock.wait,
+    });
+    while (state.config === undefined) {
+      await clock.wait(NEWS_MS);
+      fetcher.schedule();
+    }
+  }
+
+  private listHeard(): readonly string[] {
+    return [...this.knownSince]
+      .filter(([, since]) => this.clock.now >= since + NEWS_MS)
+      .map(([host]) => host);
+  }
+
+  private async serveCopy(host: string): Promise<SharedFacts> {
+    const busy = this.serving.get(host) ?? 0;
+    if (busy >= MOST_AT_ONCE) throw new FactsBusyError('busy');
+    this.serving.set(host, busy + 1);
+    this.copies.set(host, (this.copies.get(host) ?? 0) + 1);
+    // The copies under way share the link.
+    await this.clock.wait(this.copyMs * (busy + 1));
+    this.serving.set(host, (this.serving.get(host) ?? 0) - 1);
+    return FACTS;
+  }
+}
+
+describe('a configuration that one gate alone has', () => {
+  it('reaches every gate in time, with one copy for each', async () => {
+    // The store turns all gates away but one. All asked that one for its
+    // megabyte at once, gave up after 1.2 s, asked again, and served on the
+    // old routes for as long as the store stayed away.
+    await fc.assert(
+      fc.asyncProperty(
+        fc.integer({min: 2, max: MOST_GATES}),
+        fc.integer({min: 5, max: MOST_COPY_MS}),
+        fc.integer({min: 1}),
+        async (count, copyMs, seed) => {
+          const fleet = new NewsFleet(count, copyMs, createRandom(seed));
+          const tookMs = await fleet.run();
+          const copies = [...fleet.copies.values()];
+          expect(copies.reduce((sum, n) => sum + n, 0)).toEqual(count - 1);
+          expect(tookMs).toBeLessThanOrEqual(APPLY_MS);
+        },
+      ),
+      {numRuns: 60, seed: 21},
+    );
+  });
+});
--- /dev/null
+++ b/packages/direct/src/peers/facts-fetcher.ts
@@ -0,0 +1,139 @@
+/**
+ * Brings this gate up to what other gates know when the store does not: it is
+ * slow or away, or turns this gate away.
+ */
+import {setTimeout as sleep} from 'node:timers/promises';
+import {FactsBusyError} from '../errors.js';
+import type {
+  FleetState,
+  SharedFacts,
+  VersionedFacts,
+} from '../fleet/fleet-state.js';
+import type {DecisionLog} from '../observe/decision-log.js';
+
+/**
+ * How long another gate may be ahead before its facts are asked for, in ms:
+ * the store's own watch usually brings them first, at the latest after the
+ * pause in which it lets changes gather (300 ms).
+ */
+const AHEAD_MS = 400;
+
+/**
+ * Part of that time by which gates differ, in ms. Without it all gates ask
+ * in the same moment. With a slow store 22 watches were 570 ms behind the
+ * first: half of the gates have the news by themselves when it ends.
+ */
+const AHEAD_SPREAD_MS = 400;
+
+/**
+ * Pause after an answer of a gate that serves others, in ms, and its spread:
+ * a megabyte takes 60 ms over a link of 140 Mbit/s.
+ */
+const RETRY_MS = 100;
+const RETRY_SPREAD_MS = 150;
+
+/** Most gates asked in a row; each later beat of another gate starts anew. */
+const MOST_ASKS = 10;
+
+/** What the fetcher works with. */
+export interface FactsFetcherOptions {
+  readonly state: FleetState;
+  /** Hosts of the gates that are alive and know newer facts than this one. */
+  readonly listAhead: () => readonly string[];
+  readonly fetch: (host: string, known: VersionedFacts) => Promise<SharedFacts>;
+  readonly log: DecisionLog;
+  readonly readNow: () => number;
+  /** Uniform in [0, 1). */
+  readonly random: () => number;
+  /** Waits; passed in so that tests take no time. */
+  readonly wait?: (ms: number) => Promise<void>;
+}
+
+/**
+ * The fetcher of one gate.
+ *
+ * @example
+ * const fetcher = createFactsFetcher(options);
+ * fetcher.schedule();
+ */
+export class FactsFetcher {
+  private isUnderWay = false;
+
+  constructor(private readonly options: FactsFetcherOptions) {}
+
+  /** Notes that another gate is ahead; asks unless the store is faster. */
+  schedule(): void {
+    if (this.isUnderWay) return;
+    this.isUnderWay = true;
+    void this.run().finally(() => (this.isUnderWay = false));
+  }
+
+  private async run(): Promise<void> {
+    await this.wait(AHEAD_MS, AHEAD_SPREAD_MS);
+    const failed = new Set<string>();
+    for (let asks = 0; asks < MOST_ASKS; asks++) {
+      const host = this.pickAhead(failed);
+      if (host === undefined) return;
+      if (await this.tryFetch(host, failed)) return;
+      await this.wait(RETRY_MS, RETRY_SPREAD_MS);
+    }
+  }
+
+  /**
+   * Any of the gates that are ahead, not the first that was heard of: that
+   * one is the same for all.
+   */
+  private pickAhead(failed: ReadonlySet<string>): string | undefined {
+    const {listAhead, random} = this.options;
+    const hosts = listAhead().filter(host => !failed.has(host));
+    return hosts[Math.floor(random() * hosts.length)];
+  }
+
+  /** Says whether facts came. */
+  private async tryFetch(host: string, failed: Set<string>): Promise<boolean> {
+    const {state, fetch, log, readNow} = this.options;
+    const startedAt = readNow();
+    try {
+      const configVersion = state.config?.version ?? 0;
+      const {revision} = state;
+      state.applyShared(await fetch(host, {configVersion, revision}));
+    } catch (error) {
+      const ms = Math.round(readNow() - startedAt);
+      if (error instanceof FactsBusyError) {
+        log.info('facts_from_peer_busy', {peer: host, ms});
+        return false;
+      }
+      failed.add(host);
+      const reason = (error as Error).message;
+      log.warn('facts_from_peer_failed', {peer: host, ms, reason});
+      return false;
+    }
+    log.info('facts_from_peer', {
+      peer: host,
+      configVersion: state.config?.version,
+      revision: state.revision,
+      ms: Math.round(readNow() - startedAt),
+    });
+    return true;
+  }
+
+  private wait(ms: number, spreadMs: number): Promise<void> {
+    const {random, wait = waitIdly} = this.options;
+    return wait(ms + random() * spreadMs);
+  }
+}
+
+/** Keeps no process alive that has nothing else to do. */
+function waitIdly(ms: number): Promise<void> {
+  return sleep(ms, undefined, {ref: false});
+}
+
+/**
+ * Creates a fetcher.
+ *
+ * @example
+ * const fetcher = createFactsFetcher(options);
+ */
+export function createFactsFetcher(options: FactsFetcherOptions): FactsFetcher {
+  return new FactsFetcher(options);
+}
--- a/packages/direct/src/peers/peer-group.test.ts
+++ b/packages/direct/src/peers/peer-group.test.ts
@@ -5,9 +5,10 @@
 import {createFleetState} from '../fleet/fleet-state.js';
 import {createDecisionLog} from '../observe/decision-log.js';
 import {createIdlePaces} from '../test/fake-reports.js';
-import {ENGINE} from '../test/gate-world.js';
+import {ENGINE, buildConfig} from '../test/gate-world.js';
 import {createLoadBook} from '../placement/load-book.js';
 import {PeerGroup} from './peer-group.js';
+import type {FleetState} from '../fleet/fleet-state.js';
 import type {LoadBook, Placement} from '../placement/load-book.js';
 
 const PORT = 23_000;
@@ -15,6 +16,7 @@
 interface Member {
   readonly group: PeerGroup;
   readonly book: LoadBook;
+  readonly state: FleetState;
 }
 
 function buildMember(host: string, seedHosts: readonly string[]): Member {
@@ -35,7 +37,7 @@
     readNow,
     readStoreAgeMs: () => 0,
   });
-  return {group, book};
+  return {group, book, state};
 }
 
 function buildPlacement(member: Member, number: number): Placement {
@@ -129,4 +131,19 @@
       await three.group.stop();
     }
   });
+
+  it('brings a configuration to gates that the store turns away', async () => {
+    // The store answers one gate only. The others served on the old routes
+    // until it answered them as well.
+    const three = buildMember(hosts[2], [hosts[0]]);
+    await three.group.start();
+    try {
+      const config = buildConfig(7);
+      one.state.applyChange({kind: 'config', config}, 0);
+      const hasNews = (member: Member) => member.state.config?.version === 7;
+      await waitUntil(() => hasNews(two) && hasNews(three));
+    } finally {
+      await three.group.stop();
+    }
+  });
 });
--- a/packages/direct/src/peers/peer-group.ts
+++ b/packages/direct/src/peers/peer-group.ts
@@ -8,6 +8,7 @@
 import {setTimeout as sleep} from 'node:timers/promises';
 import {PlacementAnnouncer} from '../placement/prompt-placer.js';
 import {fetchSharedFacts, openFactsServer} from './facts-exchange.js';
+import {createFactsFetcher} from './facts-fetcher.js';
 import {DatagramSchema, toPlacement, toWirePlacement} from './messages.js';
 import type {Socket as DatagramSocket} from 'node:dgram';
 import type {Server} from 'node:net';
@@ -15,6 +16,7 @@
 import type {FleetState} from '../fleet/fleet-state.js';
 import type {DecisionLog} from '../observe/decision-log.js';
 import type {LoadBook, Placement} from '../placement/load-book.js';
+import type {FactsFetcher} from './facts-fetcher.js';
 import type {Beat, Datagram} from './messages.js';
 
 /** Period of the beats, in ms: the age up to which another gate's facts may be behind. */
@@ -32,13 +34,6 @@
 /** Shortest time between two beats that new facts cause, in ms. */
 const NEWS_MIN_MS = 100;
 
-/**
- * How long another gate may be ahead before its facts are asked for, in ms:
- * the store's own watch usually brings them first, at the latest after the
- * pause in which it lets changes gather (300 ms).
- */
-const AHEAD_MS = 400;
-
 /** Time for the last messages to leave, in ms. */
 const LEAVE_MS = 30;
 
@@ -85,14 +80,25 @@
   private server: Server | undefined;
   private timer: NodeJS.Timeout | undefined;
   private newsTimer: NodeJS.Timeout | undefined;
-  private isFetching = false;
+  private readonly fetcher: FactsFetcher;
   private isLeaving = false;
 
   constructor(private readonly options: PeerGroupOptions) {
     super();
     this.seedHosts = options.seedHosts;
-    options.state.onChange(event => {
-      if (event.source === 'store') this.scheduleNews();
+    const {state, log, readNow, port} = options;
+    this.fetcher = createFactsFetcher({
+      state,
+      listAhead: () => this.listAhead(),
+      fetch: (host, known) => fetchSharedFacts(`${host}:${port}`, known),
+      log,
+      readNow,
+      random: Math.random,
+    });
+    state.onChange(({source, event}) => {
+      // Who has a configuration from another gate hands it on: were only the
+      // first gate known to have it, all others would wait for that one.
+      if (source === 'store' || event === 'config_applied') this.scheduleNews();
     });
   }
 
@@ -282,7 +288,7 @@
     for (const pace of beat.paces) this.options.paces.apply(pace);
     if (isNew) this.options.log.info('peer_joined', {peer: peer.host});
     if (beat.asks || isNew) this.sendBeat(peer.host, false, true);
-    if (this.isAhead(peer)) this.scheduleFetch(peer);
+    if (this.isAhead(peer)) this.fetcher.schedule();
   }
 
   private applyRestart(peer: Peer, beat: Beat): void {
@@ -352,6 +358,15 @@
     );
   }
 
+  private listAhead(): readonly string[] {
+    if (this.isLeaving) return [];
+    const since = this.options.readNow() - SILENT_MS;
+    const ahead = [...this.peers.values()].filter(
+      peer => peer.heardAt > since && this.isAhead(peer),
+    );
+    return ahead.map(peer => peer.host);
+  }
+
   private scheduleNews(): void {
     if (this.newsTimer !== undefined) return;
     this.newsTimer = setTimeout(() => {
@@ -359,36 +374,6 @@
       this.broadcastBeats();
     }, NEWS_MIN_MS);
   }
-
-  private scheduleFetch(peer: Peer): void {
-    if (this.isFetching) return;
-    this.isFetching = true;
-    setTimeout(() => {
-      void this.fetchFacts(peer).finally(() => (this.isFetching = false));
-    }, AHEAD_MS);
-  }
-
-  private async fetchFacts(peer: Peer): Promise<void> {
-    if (!this.isAhead(peer)) return;
-    const {state, log, port, readNow} = this.options;
-    const startedAt = readNow();
-    try {
-      const facts = await fetchSharedFacts(`${peer.host}:${port}`);
-      state.applyShared(facts);
-      log.info('facts_from_peer', {
-        peer: peer.host,
-        configVersion: state.config?.version,
-        revision: state.revision,
-        ms: Math.round(readNow() - startedAt),
-      });
-    } catch (error) {
-      log.warn('facts_from_peer_failed', {
-        peer: peer.host,
-        ms: Math.round(readNow() - startedAt),
-        reason: (error as Error).message,
-      });
-    }
-  }
 }
 
 /** Number of a placement within its gate. */
--- /dev/null
+++ b/packages/direct/src/peers/shared-facts.test.ts
@@ -0,0 +1,101 @@
+import {describe, it} from 'node:test';
+import {expect} from 'earl';
+import fc from 'fast-check';
+import {DecodeError} from '../errors.js';
+import {createFleetState} from '../fleet/fleet-state.js';
+import {buildTarget} from '../test/build-target.js';
+import {buildConfig} from '../test/gate-world.js';
+import {decodeSharedFacts, toKnownFacts} from './shared-facts.js';
+
+const NOTHING = {configVersion: 0, revision: 0};
+
+/** Facts as they arrive at the other gate. */
+function describeOnWire(): unknown {
+  const state = createFleetState(() => 0);
+  state.applySnapshot({
+    revision: 9,
+    config: buildConfig(7),
+    targets: [buildTarget('a', 3), buildTarget('b', 9)],
+    malformed: [],
+  });
+  return JSON.parse(JSON.stringify(state.describeShared(NOTHING)));
+}
+
+/** Paths of all values in `value`, as keys from the top. */
+function listPaths(value: unknown): ReadonlyArray<readonly string[]> {
+  if (typeof value !== 'object' || value === null) return [[]];
+  return Object.entries(value).flatMap(([key, inner]) =>
+    listPaths(inner).map(path => [key, ...path]),
+  );
+}
+
+function replaceAt(path: readonly string[], bad: unknown): unknown {
+  const facts = describeOnWire();
+  let parent = facts as Record<string, unknown>;
+  for (const key of path.slice(0, -1))
+    parent = parent[key] as Record<string, unknown>;
+  parent[path[path.length - 1]] = bad;
+  return facts;
+}
+
+describe('facts that another gate has handed over', () => {
+  it('are what that gate knows', () => {
+    const state = createFleetState(() => 0);
+    state.applyShared(decodeSharedFacts(describeOnWire()));
+    expect(JSON.parse(JSON.stringify(state.describeShared(NOTHING)))).toEqual(
+      describeOnWire(),
+    );
+  });
+
+  it('are not used when any figure was lost on the way', () => {
+    // An engine without a bound on a step's tokens had an infinite one. JSON
+    // knows no such figure and wrote null; the gate that got it reckoned with
+    // zero tokens a step, and its heap filled with passes that read nothing.
+    fc.assert(
+      fc.property(
+        fc.constantFrom(...listPaths(describeOnWire())),
+        fc.constantFrom(null, [], {}),
+        (path, bad) => {
+          expect(() => decodeSharedFacts(replaceAt(path, bad))).toThrow(
+            DecodeError,
+          );
+        },
+      ),
+      {numRuns: 300, seed: 21},
+    );
+  });
+
+  it('are asked for whole by a gate that says nothing of its own', () => {
+    // Gates of two versions run side by side while a new one is rolled out.
+    expect(toKnownFacts(undefined)).toEqual(NOTHING);
+    expect(toKnownFacts({})).toEqual(NOTHING);
+    expect(toKnownFacts({configVersion: 'x'})).toEqual(NOTHING);
+  });
+
+  it('leave out what the asker has', () => {
+    const state = createFleetState(() => 0);
+    state.applyShared(decodeSharedFacts(describeOnWire()));
+    const news = state.describeShared({configVersion: 7, revision: 9});
+    expect([news.config, news.targets.length]).toEqual([undefined, 0]);
+    const targets = state.describeShared({configVersion: 7, revision: 3});
+    expect([targets.config, targets.targets.length]).toEqual([undefined, 2]);
+  });
+
+  it('keep the targets of a gate that is ahead of the other by a config', () => {
+    // A gate without the newest configuration knows the newest targets. The
+    // answer lists none, and must not be taken for an empty list.
+    const ahead = createFleetState(() => 0);
+    ahead.applyShared(decodeSharedFacts(describeOnWire()));
+    const behind = createFleetState(() => 0);
+    behind.applySnapshot({
+      revision: 12,
+      config: buildConfig(5),
+      targets: [buildTarget('c', 12)],
+      malformed: [],
+    });
+    const known = {configVersion: 5, revision: behind.revision};
+    behind.applyShared(ahead.describeShared(known));
+    expect(behind.config?.version).toEqual(7);
+    expect(behind.targetCount).toEqual(1);
+  });
+});
