What a gate knows of the others is a table of its own

Cause: peer-group.ts held two jobs in 386 lines: sockets and beats, and the record of who is alive, for how long, and with which facts. Ruled out: a split by message, which would tear the table. Change: peer-table.ts, no behaviour changed. Before: 386 lines, table untested by itself.

--- a/packages/direct/src/peers/peer-group.ts
+++ b/packages/direct/src/peers/peer-group.ts
@@ -10,6 +10,7 @@
 import {fetchSharedFacts, openFactsServer} from './facts-exchange.js';
 import {createFactsFetcher} from './facts-fetcher.js';
 import {DatagramSchema, toPlacement, toWirePlacement} from './messages.js';
+import {PeerTable} from './peer-table.js';
 import type {Socket as DatagramSocket} from 'node:dgram';
 import type {Server} from 'node:net';
 import type {EnginePaces} from '../health/engine-paces.js';
@@ -18,37 +19,17 @@
 import type {LoadBook, Placement} from '../placement/load-book.js';
 import type {FactsFetcher} from './facts-fetcher.js';
 import type {Beat, Datagram} from './messages.js';
+import type {Peer} from './peer-table.js';
 
 /** Period of the beats, in ms: the age up to which another gate's facts may be behind. */
 const BEAT_MS = 1000;
 
-/** Silence after which a gate's placements are dropped, in ms: three beats. */
-const SILENT_MS = 3200;
-
-/** Silence after which a gate no longer counts for shared budgets, in ms. */
-const FORGET_BUDGET_MS = 30_000;
-
-/** Silence after which a gate is beaten no more, in ms. */
-const FORGET_MS = 120_000;
-
 /** Shortest time between two beats that new facts cause, in ms. */
 const NEWS_MIN_MS = 100;
 
 /** Time for the last messages to leave, in ms. */
 const LEAVE_MS = 30;
 
-interface Peer {
-  readonly host: string;
-  incarnation: string | undefined;
-  /** Last beat, on the monotonic clock; -Infinity before the first. */
-  heardAt: number;
-  /** When it was first heard of. */
-  knownAt: number;
-  configVersion: number;
-  revision: number;
-  factsAgeMs: number;
-}
-
 /** What a peer group works with. */
 export interface PeerGroupOptions {
   /** Own address; peers are told apart by it. */
@@ -74,7 +55,7 @@
  * await peers.start();
  */
 export class PeerGroup extends PlacementAnnouncer {
-  private readonly peers = new Map<string, Peer>();
+  private readonly table: PeerTable;
   private seedHosts: readonly string[];
   private socket: DatagramSocket | undefined;
   private server: Server | undefined;
@@ -86,7 +67,8 @@
   constructor(private readonly options: PeerGroupOptions) {
     super();
     this.seedHosts = options.seedHosts;
-    const {state, log, readNow, port} = options;
+    const {host: ownHost, state, log, readNow, port} = options;
+    this.table = new PeerTable(ownHost, readNow);
     this.fetcher = createFactsFetcher({
       state,
       listAhead: () => this.listAhead(),
@@ -109,17 +91,12 @@
 
   /** Gates that share budgets with this one, itself included. */
   countGates(): number {
-    const since = this.options.readNow() - FORGET_BUDGET_MS;
-    let count = 1;
-    for (const peer of this.peers.values()) if (peer.heardAt > since) count++;
-    return count;
+    return this.table.countSharing();
   }
 
   /** Hosts of the gates that are alive, this one included. */
   listGates(): readonly string[] {
-    const since = this.options.readNow() - SILENT_MS;
-    const alive = [...this.peers.values()].filter(peer => peer.heardAt > since);
-    return [this.options.host, ...alive.map(peer => peer.host)];
+    return [this.options.host, ...this.table.listAlive().map(({host}) => host)];
   }
 
   /**
@@ -127,12 +104,9 @@
    * ms: its own, or that of a gate that knows nothing newer.
    */
   readFactsAgeMs(): number {
-    const {readNow, readStoreAgeMs, state} = this.options;
-    let age = readStoreAgeMs();
-    for (const peer of this.peers.values())
-      if (peer.revision <= state.revision)
-        age = Math.min(age, readNow() - peer.heardAt + peer.factsAgeMs);
-    return age;
+    const {readStoreAgeMs, state} = this.options;
+    const confirmedMs = this.table.readConfirmedAgeMs(state.revision);
+    return Math.min(readStoreAgeMs(), confirmedMs);
   }
 
   /** Opens the sockets and starts beating. */
@@ -192,10 +166,8 @@
   }
 
   private broadcast(message: Datagram): void {
-    const since = this.options.readNow() - SILENT_MS;
     const bytes = Buffer.from(JSON.stringify(message));
-    for (const peer of this.peers.values())
-      if (peer.heardAt > since) this.sendBytes(peer.host, bytes);
+    for (const {host} of this.table.listAlive()) this.sendBytes(host, bytes);
   }
 
   private sendBytes(host: string, bytes: Buffer): void {
@@ -209,13 +181,11 @@
   }
 
   private broadcastBeats(asks = false): void {
-    this.dropSilent();
-    const hosts = new Set([...this.seedHosts, ...this.peers.keys()]);
+    for (const peer of this.table.expireSilent()) this.dropPeer(peer, 'silent');
+    const hosts = new Set([...this.seedHosts, ...this.table.listHosts()]);
     hosts.delete(this.options.host);
-    for (const host of hosts) {
-      const isUnheard = (this.peers.get(host)?.heardAt ?? -Infinity) < 0;
-      this.sendBeat(host, asks || isUnheard);
-    }
+    for (const host of hosts)
+      this.sendBeat(host, asks || !this.table.isHeard(host));
   }
 
   /** @param isFull - With whole placements, for a gate that knows none. */
@@ -230,7 +200,7 @@
       configVersion: state.config?.version ?? 0,
       revision: state.revision,
       factsAgeMs: Math.round(readStoreAgeMs()),
-      peers: [...this.peers.keys()],
+      peers: [...this.table.listHosts()],
       open: own.map(({placement}) => readNumber(placement.key)),
       begun: own
         .filter(({hasBegun}) => hasBegun)
@@ -275,14 +245,9 @@
   private applyBeat(beat: Beat): void {
     if (beat.from === this.options.host) return;
     const now = this.options.readNow();
-    const peer = this.readPeer(beat.from, now);
+    const peer = this.table.readPeer(beat.from);
     if (peer.incarnation !== beat.incarnation) this.applyRestart(peer, beat);
-    const isNew = peer.heardAt === -Infinity;
-    peer.heardAt = now;
-    peer.configVersion = beat.configVersion;
-    peer.revision = beat.revision;
-    peer.factsAgeMs = beat.factsAgeMs;
-    for (const host of beat.peers) this.readPeer(host, now);
+    const isNew = this.table.recordBeat(peer, beat);
     if (beat.leaves) return this.dropPeer(peer, 'left');
     this.applyPlacements(beat, now);
     for (const pace of beat.paces) this.options.paces.apply(pace);
@@ -315,32 +280,6 @@
     for (const number of beat.begun) book.markBegun(toKey(number), now);
   }
 
-  private readPeer(host: string, now: number): Peer {
-    const known = this.peers.get(host);
-    if (known !== undefined) return known;
-    const peer: Peer = {
-      host,
-      incarnation: undefined,
-      heardAt: -Infinity,
-      knownAt: now,
-      configVersion: 0,
-      revision: 0,
-      factsAgeMs: Infinity,
-    };
-    if (host !== this.options.host) this.peers.set(host, peer);
-    return peer;
-  }
-
-  private dropSilent(): void {
-    const now = this.options.readNow();
-    for (const peer of this.peers.values()) {
-      const silentMs = now - Math.max(peer.heardAt, peer.knownAt);
-      if (silentMs > SILENT_MS && peer.incarnation !== undefined)
-        this.dropPeer(peer, 'silent');
-      if (silentMs > FORGET_MS) this.peers.delete(peer.host);
-    }
-  }
-
   /** Forgets what a gate has placed; a later beat brings it back. */
   private dropPeer(peer: Peer, reason: 'left' | 'silent'): void {
     const {log} = this.options;
@@ -360,11 +299,8 @@
 
   private listAhead(): readonly string[] {
     if (this.isLeaving) return [];
-    const since = this.options.readNow() - SILENT_MS;
-    const ahead = [...this.peers.values()].filter(
-      peer => peer.heardAt > since && this.isAhead(peer),
-    );
-    return ahead.map(peer => peer.host);
+    const ahead = this.table.listAlive().filter(peer => this.isAhead(peer));
+    return ahead.map(({host}) => host);
   }
 
   private scheduleNews(): void {
