--- a/packages/direct/src/fleet/store-watcher.ts
+++ b/packages/direct/src/fleet/store-watcher.ts
@@ -29,7 +29,10 @@
 /** What a watch may take past its wait, in ms: a slow store's answer. */
 const WATCH_SLACK_MS = 700;
 
-/** Longest whole read, in ms: two pages from a store slowed sixtyfold. */
+/**
+ * Longest wait for a page of a whole read, in ms: a store slowed
+ * a hundredfold.
+ */
 const SNAPSHOT_TIMEOUT_MS = 1500;
 
 /** Backoff between failed calls, in ms; each failed call has a price too. */
--- a/packages/direct/src/ports.ts
+++ b/packages/direct/src/ports.ts
@@ -64,6 +64,7 @@
   /**
    * Reads everything.
    *
+   * @param timeoutMs - Longest wait for the first of an answer.
    * @throws StoreUnavailableError when the store gives no whole answer in time.
    */
   abstract readSnapshot(timeoutMs: number): Promise<FactSnapshot>;
