Failing tests: a paused stream is given up although nothing can follow

Ruled out: an exit of the gate (its log goes on), the hand-over (two copies at most). The same class: a reading that would come too late at any other engine.

--- a/packages/direct/src/forward/stream-forwarder.test.ts
+++ b/packages/direct/src/forward/stream-forwarder.test.ts
@@ -6,6 +6,7 @@
   formatEvents,
 } from '../test/fake-target.js';
 import {ENGINE, buildConfig, openGateWorld} from '../test/gate-world.js';
+import type {RetryBounds} from '../retry/shared-retry-budget.js';
 import type {TargetScript} from '../test/fake-target.js';
 import type {GateWorld} from '../test/gate-world.js';
 
@@ -24,6 +25,7 @@
   isResumable = true,
   timeoutMs = 5000,
   slots = ENGINE.slots,
+  retryBounds?: RetryBounds,
 ): Promise<GateWorld> {
   const base = buildConfig(1);
   const services = base.services.map(service => ({
@@ -35,7 +37,10 @@
     timeoutMs,
     isResumable: route.kind === 'stream' && isResumable,
   }));
-  const world = await openGateWorld({config: {...base, routes, services}});
+  const world = await openGateWorld({
+    config: {...base, routes, services},
+    retryBounds,
+  });
   for (const [i, script] of scripts.entries())
     await world.addTarget(`e${i}`, 'chat', script);
   await world.waitUntil(
@@ -46,6 +51,13 @@
   return world;
 }
 
+/** Pauses in the middle for longer than a stall takes to show. */
+const pauseMidway: TargetScript = (req, res) => {
+  res.writeHead(200, buildSignedHead(req));
+  res.write(formatEvents(1, 2));
+  setTimeout(() => res.end(formatEvents(3, 6)), 1800);
+};
+
 /** Finds the line that says where a request was placed. */
 function isPlaced(requestId: string): (line: string) => boolean {
   return line =>
@@ -200,6 +212,45 @@
     }
   });
 
+  it('lets a begun stream pause while no retry may be sent', async () => {
+    // Gates restart one after the other, engines are replaced, and the retry
+    // budget is spent. Streams whose engines paused for a second were taken
+    // off them, nothing could follow, and their callers were cut off with half
+    // of an answer that was still coming.
+    const bounds = {ratio: 0, slack: 0, windowMs: 10_000};
+    const world = await openStreams(
+      [pauseMidway, pauseMidway],
+      true,
+      5000,
+      ENGINE.slots,
+      bounds,
+    );
+    try {
+      const answer = await world.call('/stream/x', {tokens: 1000});
+      expect(answer.isWhole).toEqual(true);
+      expect(answer.body).toEqual(formatEvents(1, 6));
+    } finally {
+      world.close();
+    }
+  });
+
+  it('lets a begun stream pause that no engine could read again', async () => {
+    // A long prompt's engine pauses midway. Another one would need longer for
+    // the reading alone than its caller will wait: the stream was given up
+    // there as too late.
+    const world = await openStreams([pauseMidway, pauseMidway], true, 3000);
+    try {
+      const answer = await world.call('/stream/x', {
+        tokens: 200_000,
+        deadlineMs: 3000,
+      });
+      expect(answer.isWhole).toEqual(true);
+      expect(answer.body).toEqual(formatEvents(1, 6));
+    } finally {
+      world.close();
+    }
+  });
+
   it('closes the engine’s connection when the caller leaves', async () => {
     // A dealer closes the window. An engine that is not told goes on reading
     // a long prompt for nobody.
--- a/packages/direct/src/test/gate-world.ts
+++ b/packages/direct/src/test/gate-world.ts
@@ -11,6 +11,7 @@
 import {TestDialect} from './test-dialect.js';
 import type {DirectGate} from '../gate.js';
 import type {ReservationOutcome} from '../ports.js';
+import type {RetryBounds} from '../retry/shared-retry-budget.js';
 import type {EngineFigures, FleetConfig, Route} from '../types.js';
 import type {FakeTarget, TargetScript} from './fake-target.js';
 
@@ -27,6 +28,8 @@
   chunkTokens: 2048,
 };
 
+const RETRY_BOUNDS: RetryBounds = {ratio: 0.2, slack: 100, windowMs: 10_000};
+
 const BASE_ROUTE: Route = {
   name: 'r',
   host: 'site',
@@ -153,6 +156,7 @@
     readonly host: string,
     readonly port: number,
     seedHosts: readonly string[],
+    retryBounds: RetryBounds = RETRY_BOUNDS,
   ) {
     const output = new Writable({
       write: (chunk, _, done) => {
@@ -169,7 +173,7 @@
         peers: {host, port: port + 2},
         metrics: {host, port: port + 3},
         seedHosts,
-        retryBounds: {ratio: 0.2, slack: 100, windowMs: 10_000},
+        retryBounds,
         stopGraceMs: 2000,
       },
       {
@@ -295,6 +299,7 @@
     readonly port?: number;
     readonly seedHosts?: readonly string[];
     readonly config?: FleetConfig | 'none';
+    readonly retryBounds?: RetryBounds;
   } = {},
 ): Promise<GateWorld> {
   const port = options.port ?? (lastPort += 10);
@@ -302,6 +307,7 @@
     options.host ?? buildLoopbackHost(0),
     port,
     options.seedHosts ?? [],
+    options.retryBounds,
   );
   if (options.config !== 'none')
     world.store.publishConfig(options.config ?? buildConfig(1));
