A begun stream keeps its paused engine unless another reading is paid for and in time

Ruled out: giving the budget more (it is bounded for all gates together), a longer stall limit (silent engines are left later). Streams that have not begun are answered at once as before: their callers can come back.

--- a/packages/direct/src/forward/stream-attempt.ts
+++ b/packages/direct/src/forward/stream-attempt.ts
@@ -54,6 +54,11 @@
   readonly name: string;
   /** True when another attempt may follow this one. */
   readonly mayFollow: boolean;
+  /**
+   * Takes what the next attempt needs, should this one be ended now; false
+   * when none could follow in time.
+   */
+  readonly claimFollow: () => boolean;
 }
 
 /**
@@ -154,9 +159,13 @@
    * a second time although their engines were sound. Nor while every other engine
    * is full: the next one would refuse, the attempts be spent, and a caller
    * that has half of its answer be cut off, where this engine may go on yet.
+   * Nor, for the same reason, while nothing may be sent again or another
+   * reading would come too late: streams that paused for a second while all
+   * gates restarted in turn were cut with the retry budget spent.
    */
   private judgeStall(exchange: Exchange): StallVerdict {
-    const {context, placed, mayFollow, request, engine} = this.options;
+    const {context, placed, mayFollow, claimFollow, progress} = this.options;
+    const {request, engine} = this.options;
     const {health, readNow, prompts} = context;
     if (!mayFollow) return 'ignore';
     if (placed.isUnread()) return 'wait';
@@ -164,6 +173,7 @@
     if (!prompts.isPlaceFree(request.service, engine, others)) return 'wait';
     if (health.isHeardSince(placed.target.id, readNow() - HEARD_MS))
       return 'wait';
+    if (progress.hasHead && !claimFollow()) return 'wait';
     exchange.cancel();
     return 'stop';
   }
--- a/packages/direct/src/forward/stream-forwarder.test.ts
+++ b/packages/direct/src/forward/stream-forwarder.test.ts
@@ -52,7 +52,7 @@
 }
 
 /** Pauses in the middle for longer than a stall takes to show. */
-const pauseMidway: TargetScript = (req, res) => {
+const streamWithPause: TargetScript = (req, res) => {
   res.writeHead(200, buildSignedHead(req));
   res.write(formatEvents(1, 2));
   setTimeout(() => res.end(formatEvents(3, 6)), 1800);
@@ -219,7 +219,7 @@
     // of an answer that was still coming.
     const bounds = {ratio: 0, slack: 0, windowMs: 10_000};
     const world = await openStreams(
-      [pauseMidway, pauseMidway],
+      [streamWithPause, streamWithPause],
       true,
       5000,
       ENGINE.slots,
@@ -238,7 +238,11 @@
     // A long prompt's engine pauses midway. Another one would need longer for
     // the reading alone than its caller will wait: the stream was given up
     // there as too late.
-    const world = await openStreams([pauseMidway, pauseMidway], true, 3000);
+    const world = await openStreams(
+      [streamWithPause, streamWithPause],
+      true,
+      3000,
+    );
     try {
       const answer = await world.call('/stream/x', {
         tokens: 200_000,
--- a/packages/direct/src/forward/stream-forwarder.ts
+++ b/packages/direct/src/forward/stream-forwarder.ts
@@ -47,6 +47,8 @@
   private sends = 0;
   private unsentTries = 0;
   private mayHaveRun = false;
+  /** True when the budget has paid for the next attempt already. */
+  private isRetryClaimed = false;
   private isSettled = false;
   private expiry: NodeJS.Timeout | undefined;
   private attempt: StreamAttempt | undefined;
@@ -189,6 +191,7 @@
       progress,
       name: `${request.facts.requestId ?? 'none'}-${this.sends}-${this.unsentTries}`,
       mayFollow: this.isRetryLeft(),
+      claimFollow: () => this.claimFollow(placed),
     });
     const end = await this.attempt.run();
     placed.release();
@@ -202,6 +205,23 @@
     return isResumable && this.sends < maxAttempts;
   }
 
+  /** Claimed before the end of an attempt, as others stall at the same time. */
+  private claimFollow({choice}: PlacedPrompt): boolean {
+    const leftMs = this.request.expiresAt - this.context.readNow();
+    if (leftMs < Math.max(MIN_RETRY_LEFT_MS, choice.predictedFirstMs))
+      return false;
+    return this.claimRetry();
+  }
+
+  private claimRetry(): boolean {
+    const {context, request} = this;
+    this.isRetryClaimed ||= context.budget.claimRetry(
+      request.service,
+      context.readNow(),
+    );
+    return this.isRetryClaimed;
+  }
+
   private handleEnd(placed: PlacedPrompt, end: AttemptEnd): void {
     if (end.kind === 'done') {
       this.context.health.recordSuccess(placed.target.id);
@@ -226,12 +246,11 @@
   }
 
   private claimNextAttempt(isAllowed: boolean): void {
-    const {context, request} = this;
     if (!isAllowed) return this.giveUp('not_repeatable');
-    if (this.sends >= request.route.maxAttempts)
+    if (this.sends >= this.request.route.maxAttempts)
       return this.giveUp('attempts_spent');
-    if (!context.budget.claimRetry(request.service, context.readNow()))
-      return this.giveUp('retry_budget_spent');
+    if (!this.claimRetry()) return this.giveUp('retry_budget_spent');
+    this.isRetryClaimed = false;
   }
 
   /** Notes who failed, so that the next attempt goes elsewhere. */
