One request that cannot be sent or answered no longer ends the gate

Cause: three errors thrown where nobody catches them, each met by the last handler, which drains the gate and ends it with status 1: a head that Node refuses to write (an account's or a target's name with a letter outside Latin-1: ERR_INVALID_CHAR out of http.request), a target's status line such as 099, which Node reads and refuses to write (RangeError out of writeHead), and a route that names no service (TypeError in the choice of one). Ruled out: header values and paths of callers (Node's parser lets through only what it also writes), 101 (its request closes with no head: 'reset'). Change: an exchange whose head cannot be written has not run and blames no target; a status below 200 is a malformed answer; a route without a service is refused as no_target. Conclusion: a caller, a target or a configuration of that kind costs one request and not the gate.

--- a/packages/direct/src/errors.ts
+++ b/packages/direct/src/errors.ts
@@ -33,6 +33,8 @@
 /** Why an exchange with a target brought no whole answer. */
 export type ExchangeFault =
   | 'connect'
+  /** The head cannot be written; the target is not to blame. */
+  | 'unwritable'
   | 'reset'
   | 'malformed'
   | 'foreign-answer'
@@ -55,4 +57,9 @@
   ) {
     super(`exchange failed: ${fault}`, cause);
   }
+
+  /** False when it says nothing of the target. */
+  get isByTarget(): boolean {
+    return this.fault !== 'cancelled' && this.fault !== 'unwritable';
+  }
 }
--- a/packages/direct/src/forward/call-forwarder.test.ts
+++ b/packages/direct/src/forward/call-forwarder.test.ts
@@ -5,7 +5,7 @@
   answerWhole,
   buildSignedHead,
 } from '../test/fake-target.js';
-import {openGateWorld} from '../test/gate-world.js';
+import {buildConfig, openGateWorld} from '../test/gate-world.js';
 import type {TargetScript} from '../test/fake-target.js';
 import type {GateWorld} from '../test/gate-world.js';
 
@@ -182,4 +182,48 @@
       world.close();
     }
   });
+
+  it('survives a head that cannot be written', async () => {
+    // An account's name has a letter that no header field can hold. Writing
+    // the head raised an error that nothing caught: each request of that
+    // account ended the gate that took it. It goes nowhere, so it has not run.
+    const world = await openGateWorld({
+      config: buildConfig(1, {
+        accounts: [
+          {name: 'acme', keys: ['k1']},
+          {name: 'Žofín', keys: ['k2']},
+        ],
+      }),
+    });
+    try {
+      const target = await world.addTarget('t', 'orders', answerWhole);
+      const engine = await world.addTarget('e', 'chat', answerWhole);
+      await world.waitUntil(() => isListed(world, 2));
+      for (const path of ['/safe/x', '/unsafe/x', '/stream/x']) {
+        const {status} = await world.call(path, {key: 'k2', tokens: 10});
+        expect(status).toEqual(503);
+      }
+      expect([...target.received, ...engine.received]).toEqual([]);
+      expect((await world.call('/safe/x')).status).toEqual(200);
+    } finally {
+      world.close();
+    }
+  });
+
+  it('takes a status that no answer has for a broken one', async () => {
+    // A target garbles its status line to 099, which Node reads and refuses
+    // to write: the error ended the gate in place of the one request.
+    const garble: TargetScript = req =>
+      void req.socket.end(
+        `HTTP/1.1 099 Odd\r\nx-test-signature: s\r\nx-test-id: ${String(
+          req.headers['x-test-id'],
+        )}\r\nContent-Length: 2\r\n\r\nok`,
+      );
+    await checkWithTargets(garble, garble, async world => {
+      expect((await world.call('/unsafe/x')).status).toEqual(502);
+      expect((await world.call('/safe/x')).status).toEqual(502);
+      world.setScripts(answerWhole);
+      expect((await world.call('/safe/x')).status).toEqual(200);
+    });
+  });
 });
--- a/packages/direct/src/forward/call-forwarder.ts
+++ b/packages/direct/src/forward/call-forwarder.ts
@@ -146,7 +146,7 @@
     if (result.kind === 'answer') health.recordSuccess(target.id);
     else if (result.kind !== 'failed')
       health.recordFailure(target.id, readNow(), false);
-    else if (result.error.fault !== 'cancelled')
+    else if (result.error.isByTarget)
       health.recordFailure(target.id, readNow(), !result.error.wasSent);
   }
 
--- a/packages/direct/src/forward/exchange.ts
+++ b/packages/direct/src/forward/exchange.ts
@@ -17,6 +17,13 @@
  */
 const CONNECT_TIMEOUT_MS = 250;
 
+/**
+ * Lowest status that ends an exchange. Node reads a garbled status line such
+ * as 099 and then refuses to write it; passed on, that error was nobody's and
+ * ended the gate in place of the one request.
+ */
+const MIN_FINAL_STATUS = 200;
+
 /** A request as it goes to a target. */
 export interface ExchangeOptions {
   readonly target: Target;
@@ -42,26 +49,24 @@
 export class Exchange {
   /** Resolves with the head; rejects with an ExchangeError. */
   readonly head: Promise<AnswerHead>;
-  private readonly request: ClientRequest;
+  /** Absent where the head could not be written. */
+  private readonly request: ClientRequest | undefined;
   private isConnected = false;
   private isCancelled = false;
   private hasFailed = false;
 
   constructor(options: ExchangeOptions) {
-    this.request = sendRequest({
-      host: options.target.host,
-      port: options.target.port,
-      method: options.method,
-      path: options.path,
-      headers: options.headers,
-      setHost: false,
-      agent: false,
-    });
-    this.head = this.waitForHead();
+    const opened = openRequest(options);
+    if (opened instanceof ExchangeError) {
+      this.head = Promise.reject(opened);
+    } else {
+      this.request = opened;
+      this.head = this.waitForHead(opened);
+      this.observeConnection(opened);
+      opened.end(options.body.length > 0 ? options.body : undefined);
+    }
     // Whoever lost interest in the head still must not leave it unhandled.
     this.head.catch(() => undefined);
-    this.observeConnection();
-    this.request.end(options.body.length > 0 ? options.body : undefined);
   }
 
   /** True once bytes of the request may have reached the target. */
@@ -103,15 +108,12 @@
   /** Closes the connection, which makes the target drop the request. */
   cancel(): void {
     this.isCancelled = true;
-    this.request.destroy();
+    this.request?.destroy();
   }
 
-  private observeConnection(): void {
-    this.request.once('socket', socket => {
-      const timer = setTimeout(
-        () => this.request.destroy(),
-        CONNECT_TIMEOUT_MS,
-      );
+  private observeConnection(request: ClientRequest): void {
+    request.once('socket', socket => {
+      const timer = setTimeout(() => request.destroy(), CONNECT_TIMEOUT_MS);
       socket.once('connect', () => {
         this.isConnected = true;
         clearTimeout(timer);
@@ -120,23 +122,26 @@
     });
   }
 
-  private waitForHead(): Promise<AnswerHead> {
+  private waitForHead(request: ClientRequest): Promise<AnswerHead> {
     return new Promise((resolve, reject) => {
       let hasHead = false;
-      this.request.once('response', message => {
+      request.once('response', message => {
         hasHead = true;
-        resolve({status: message.statusCode ?? 0, message});
+        const {statusCode: status = 0} = message;
+        if (status >= MIN_FINAL_STATUS) return resolve({status, message});
+        reject(new ExchangeError('malformed', true));
+        request.destroy();
       });
       // Bytes behind a complete answer raise errors too: by then the head
       // has resolved and the body has ended, and they change nothing.
-      this.request.on('error', cause => {
+      request.on('error', cause => {
         this.hasFailed = true;
         if (hasHead) return;
         reject(
           new ExchangeError(this.findFault(cause), this.isConnected, cause),
         );
       });
-      this.request.once('close', () => {
+      request.once('close', () => {
         if (hasHead) return;
         reject(new ExchangeError(this.findFault(), this.isConnected));
       });
@@ -151,6 +156,27 @@
   }
 }
 
+/**
+ * Begins to send a request. A head that holds a letter which no header field
+ * may hold (an account's name, a target's) is refused by Node with an error
+ * thrown here; unheard, it ended the gate at each request of that account.
+ */
+function openRequest(options: ExchangeOptions): ClientRequest | ExchangeError {
+  try {
+    return sendRequest({
+      host: options.target.host,
+      port: options.target.port,
+      method: options.method,
+      path: options.path,
+      headers: options.headers,
+      setHost: false,
+      agent: false,
+    });
+  } catch (cause) {
+    return new ExchangeError('unwritable', false, cause as Error);
+  }
+}
+
 /**
  * Finds how the end of an answer shows.
  *
--- a/packages/direct/src/forward/stream-forwarder.ts
+++ b/packages/direct/src/forward/stream-forwarder.ts
@@ -249,6 +249,7 @@
     const culprit = helper ?? placed.target;
     const isUnsent = end.kind === 'failed' && !end.error.wasSent;
     this.tried.add(culprit.id);
+    if (end.kind === 'failed' && !end.error.isByTarget) return;
     health.recordFailure(
       culprit.id,
       readNow(),
--- a/packages/direct/src/ingress/ingress.test.ts
+++ b/packages/direct/src/ingress/ingress.test.ts
@@ -2,7 +2,7 @@
 import {connect} from 'node:net';
 import {expect} from 'earl';
 import {answerWhole} from '../test/fake-target.js';
-import {openGateWorld} from '../test/gate-world.js';
+import {buildConfig, openGateWorld} from '../test/gate-world.js';
 import type {TargetScript} from '../test/fake-target.js';
 import type {GateWorld} from '../test/gate-world.js';
 
@@ -108,4 +108,25 @@
       expect(text.startsWith('HTTP/1.1 400')).toEqual(true);
     });
   });
+
+  it('refuses what a route without a service sends nowhere', async () => {
+    // A configuration names a route and leaves its service out. The first
+    // request on it found no service to choose, the error was one that
+    // nothing caught, and each gate that a caller tried drained and ended.
+    const {routes} = buildConfig(1);
+    const world = await openGateWorld({
+      config: buildConfig(1, {
+        routes: [...routes, {...routes[0], prefix: '/nowhere/', splits: []}],
+      }),
+    });
+    try {
+      await world.addTarget('t', 'orders', answerWhole);
+      await world.waitUntil(async () => (await world.askReady()) === 200);
+      const lost = await world.call('/nowhere/x');
+      expect(lost.status).toEqual(503);
+      expect((await world.call('/safe/x')).status).toEqual(200);
+    } finally {
+      world.close();
+    }
+  });
 });
--- a/packages/direct/src/ingress/ingress.ts
+++ b/packages/direct/src/ingress/ingress.ts
@@ -144,6 +144,9 @@
     );
     if (arrivedAt + leftMs <= readNow())
       return this.refuseEarly(caller, 503, 'too_late', facts);
+    const service = chooseService(route);
+    if (service === undefined)
+      return this.refuseEarly(caller, 503, 'no_target', facts);
     this.forward({
       method: req.method ?? 'GET',
       path,
@@ -151,7 +154,7 @@
       body,
       facts,
       route,
-      service: chooseService(route),
+      service,
       account: account?.name,
       arrivedAt,
       expiresAt: arrivedAt + leftMs,
@@ -230,15 +233,18 @@
   return Array.isArray(value) ? value[0] : value;
 }
 
-/** Chooses among a route's services by weight. */
-function chooseService(route: Route): string {
+/**
+ * Chooses among a route's services by weight; nothing where the configuration
+ * names none, which ended the gate at the first request on such a route.
+ */
+function chooseService(route: Route): string | undefined {
   const total = route.splits.reduce((sum, split) => sum + split.weight, 0);
   let left = Math.random() * total;
   for (const split of route.splits) {
     left -= split.weight;
     if (left < 0) return split.service;
   }
-  return route.splits[route.splits.length - 1].service;
+  return route.splits[route.splits.length - 1]?.service;
 }
 
 /**
