--- a/packages/direct/src/index.ts
+++ b/packages/direct/src/index.ts
@@ -4,6 +4,5 @@
 export * from './errors.js';
 export * from './gate.js';
 export {createDecisionLog} from './observe/decision-log.js';
-export {createLastResort} from './observe/last-resort.js';
 export type {DecisionLog} from './observe/decision-log.js';
 export {stripHopByHop} from './forward/caller-response.js';
