A json-rpc line whose method is no name closes its link only

Cause: bytes are counted by method; a method that is an object without a text (a line of JSON from a foreign program) raised a TypeError inside the 'line' listener of readline, where nobody catches it. Ruled out: the json-rpc library itself (it looks the method up in a map and answers 'method not found'). Change: such a message closes the link, as other foreign messages do. Before: rpc.test.ts 1 of 5 red (Cannot convert object to primitive value). After: 5 of 5.

--- a/packages/core/src/rpc.test.ts
+++ b/packages/core/src/rpc.test.ts
@@ -4,6 +4,7 @@
 import {expect} from 'earl';
 import fc from 'fast-check';
 import {openListener} from './listen.js';
+import {createCounters} from './metrics.js';
 import {createRpcLink, openRpcLink} from './rpc.js';
 import type {Socket} from 'node:net';
 import type {RpcLink} from './rpc.js';
@@ -23,7 +24,7 @@
   far.on('error', () => undefined);
   const [near] = (await once(server, 'connection')) as [Socket];
   return {
-    link: createRpcLink(near),
+    link: createRpcLink(near, createCounters()),
     far,
     near,
     close: () => {
@@ -65,6 +66,21 @@
     }
   });
 
+  it('closes on a message whose method is no name', async () => {
+    // A line is JSON, but its method is an object that no text can be made
+    // of. Counting its bytes by method raised an error on the reader of the
+    // lines: one such line ended every gate and agent that it reached.
+    const bad = {jsonrpc: '2.0', method: {toString: 1}, id: 1};
+    for (const message of [bad, {...bad, id: undefined}, {method: 7}]) {
+      const {link, far, close} = await openPair();
+      const closed = waitForClose(link);
+      far.write(`${JSON.stringify(message)}\n`);
+      await closed;
+      expect(link.isClosed).toEqual(true);
+      close();
+    }
+  });
+
   it('raises nothing whatever moment errors come in', async () => {
     const moment = fc.constantFrom('call', 'error', 'reset', 'close', 'notify');
     await fc.assert(
--- a/packages/core/src/rpc.ts
+++ b/packages/core/src/rpc.ts
@@ -137,6 +137,9 @@
       this.close();
       return;
     }
+    // A method that is no name cannot be counted by it: making text of an
+    // object raised an error on the reader of the lines and ended the process.
+    if (!isNamed(message)) return this.close();
     this.countBytes('in', message, line.length + 1);
     // JSON that is no json-rpc message is rejected; like a line that is not
     // JSON, it means that the peer speaks another protocol.
@@ -160,6 +163,12 @@
   }
 }
 
+/** True for answers as well, which name no method. */
+function isNamed(message: unknown): boolean {
+  const method = (message as {method?: unknown} | null)?.method;
+  return method === undefined || typeof method === 'string';
+}
+
 /**
  * Wraps a connected socket in a json-rpc link.
  *
