--- a/packages/direct/src/forward/call-forwarder.ts
+++ b/packages/direct/src/forward/call-forwarder.ts
@@ -101,9 +101,13 @@
       body: request.body,
     });
     this.open.add(exchange);
-    const result = await this.readResult(exchange);
-    this.open.delete(exchange);
-    context.calls.leave(target.id);
+    let result: AttemptResult;
+    try {
+      result = await this.readResult(exchange);
+    } finally {
+      this.open.delete(exchange);
+      context.calls.leave(target.id);
+    }
     if (this.isSettled) return;
     this.recordHealth(target, result);
     this.handleResult(target, result, why);
--- a/packages/direct/src/forward/stream-forwarder.ts
+++ b/packages/direct/src/forward/stream-forwarder.ts
@@ -190,8 +190,12 @@
       name: `${request.facts.requestId ?? 'none'}-${this.sends}-${this.unsentTries}`,
       mayFollow: this.isRetryLeft(),
     });
-    const end = await this.attempt.run();
-    placed.release();
+    let end: AttemptEnd;
+    try {
+      end = await this.attempt.run();
+    } finally {
+      placed.release();
+    }
     if (end.kind === 'done') this.line.recordHold(context.readNow() - placedAt);
     return end;
   }
--- a/packages/direct/src/gate.ts
+++ b/packages/direct/src/gate.ts
@@ -262,6 +262,8 @@
       },
       gauges: {
         requests_in_flight: this.ingress.inFlight,
+        calls_in_flight: this.context.calls.countInFlight(),
+        streams_in_flight: this.book.listOwnedBy(this.peers.owner).length,
         targets_known: this.state.targetCount,
         config_version: this.state.config?.version ?? 0,
         facts_age_ms: Math.round(this.peers.readFactsAgeMs()),
--- a/packages/direct/src/placement/place-call.ts
+++ b/packages/direct/src/placement/place-call.ts
@@ -68,6 +68,13 @@
     else this.inFlight.delete(id);
   }
 
+  /** Calls of this gate that no target has ended yet. */
+  countInFlight(): number {
+    let count = 0;
+    for (const calls of this.inFlight.values()) count += calls;
+    return count;
+  }
+
   private estimateScore(target: Target): number {
     const share = this.health.readFailureShare(target.id);
     const failures = share > GREY_SHARE ? share * FAILURE_WEIGHT : 0;
--- a/packages/direct/src/test/gate-world.ts
+++ b/packages/direct/src/test/gate-world.ts
@@ -218,6 +218,14 @@
     return answer.status;
   }
 
+  /** Reads a gauge of the gate; its name without the prefix. */
+  async readGauge(name: string): Promise<number> {
+    const address = {host: this.host, port: this.port + 3};
+    const {body} = await callGate(address, '/metrics', {});
+    const line = body.split('\n').find(text => text.includes(`_${name} `));
+    return Number(line?.split(' ')[1]);
+  }
+
   /** Waits until `check` holds; fails the test after two seconds. */
   async waitUntil(check: () => boolean | Promise<boolean>): Promise<void> {
     const giveUpAt = performance.now() + 2000;
