--- a/packages/core/src/rpc.ts
+++ b/packages/core/src/rpc.ts
@@ -196,8 +196,12 @@
   const [host, port] = address.split(':');
   return new Promise((resolve, reject) => {
     const socket = connect(Number(port), host);
-    // Lasting: an error that comes after the first one has nobody else.
-    socket.on('error', reject);
+    // Lasting: an error that comes after the first one has nobody else. A
+    // socket that connects all the same would stay open with nobody's link.
+    socket.on('error', error => {
+      socket.destroy();
+      reject(error);
+    });
     socket.once('connect', () => resolve(createRpcLink(socket, counters)));
   });
 }
--- a/packages/direct/src/forward/late-errors.test.ts
+++ b/packages/direct/src/forward/late-errors.test.ts
@@ -278,6 +278,7 @@
       fc.asyncProperty(
         fc.array(PLAN, {minLength: 1, maxLength: 6}),
         async plans => {
+          errors.uncaught.length = 0;
           await errors.run(plans);
           expect(errors.uncaught).toEqual([]);
           for (const gauge of ['requests', 'calls', 'streams'])
