--- a/packages/core/src/rpc.ts
+++ b/packages/core/src/rpc.ts
@@ -146,6 +146,9 @@
       this.close();
       return;
     }
+    // A method that is no name cannot be counted by it: making text of an
+    // object raised an error on the reader of the lines and ended the process.
+    if (!isNamed(message)) return this.close();
     this.countBytes('in', message, line.length + 1);
     // JSON that is no json-rpc message is rejected; like a line that is not
     // JSON, it means that the peer speaks another protocol.
@@ -169,6 +172,12 @@
   }
 }
 
+/** True for answers as well, which name no method. */
+function isNamed(message: unknown): boolean {
+  const method = (message as {method?: unknown} | null)?.method;
+  return method === undefined || typeof method === 'string';
+}
+
 /**
  * Creates what a handler throws to answer a call with a code; anything else
  * that it throws is a fault of the program.
@@ -227,8 +236,12 @@
   const [host, port] = address.split(':');
   return new Promise((resolve, reject) => {
     const socket = connect(Number(port), host);
-    // Lasting: an error that comes after the first one has nobody else.
-    socket.on('error', reject);
+    // Lasting: an error that comes after the first one has nobody else. A
+    // socket that connects all the same would stay open with nobody's link.
+    socket.on('error', error => {
+      socket.destroy();
+      reject(error);
+    });
     socket.setTimeout(timeoutMs, () => {
       reject(new RpcFailedError({info: {address}}, 'no connection in time'));
       socket.destroy();
--- a/packages/direct/src/forward/stream-forwarder.ts
+++ b/packages/direct/src/forward/stream-forwarder.ts
@@ -193,8 +193,12 @@
       mayFollow: this.isRetryLeft(),
       claimFollow: () => this.claimFollow(placed),
     });
-    const end = await this.attempt.run();
-    placed.release();
+    let end: AttemptEnd;
+    try {
+      end = await this.attempt.run();
+    } finally {
+      placed.release();
+    }
     if (end.kind === 'done') this.line.recordHold(context.readNow() - placedAt);
     return end;
   }
@@ -268,6 +272,7 @@
     const culprit = helper ?? placed.target;
     const isUnsent = end.kind === 'failed' && !end.error.wasSent;
     this.tried.add(culprit.id);
+    if (end.kind === 'failed' && !end.error.isByTarget) return;
     health.recordFailure(
       culprit.id,
       readNow(),
--- a/packages/gate/src/gate.ts
+++ b/packages/gate/src/gate.ts
@@ -8,7 +8,9 @@
   createCounters,
   createLatencyHistogram,
   createLogger,
+  closeIdleWhenRead,
   openListener,
+  readPath,
   readPort,
   sendJson,
   waitMs,
@@ -16,6 +18,7 @@
 import {AdminApi} from './admin/admin-api.js';
 import {createAccountLimits} from './admission/limits.js';
 import {handleCallerRequest} from './api/handler.js';
+import {renderError} from './api/responses.js';
 import {createDispatcher} from './dispatch/dispatcher.js';
 import {createRetryBudget} from './dispatch/retry-budget.js';
 import {createMembership} from './membership/membership.js';
@@ -29,6 +32,9 @@
 /** How often a drain looks whether the last request has ended, in ms. */
 const DRAIN_POLL_MS = 20;
 
+/** What a drain may take past its own bounds, in ms: a busy host's timers. */
+const DRAIN_SLACK_MS = 2000;
+
 /**
  * One gate process's state and tasks.
  *
@@ -47,7 +53,7 @@
   private readonly context: HandlerContext;
   private server: Server | undefined;
   private keys = new Map<string, Account>();
-  private draining = false;
+  private draining: Promise<void> | undefined;
   private closed = false;
   private inFlight = 0;
 
@@ -104,7 +110,7 @@
             context: {
               ...this.context,
               zone: settings.zone,
-              isDraining: () => this.draining,
+              isDraining: () => this.isDraining,
             },
           });
   }
@@ -132,6 +138,7 @@
     await this.admin?.start();
     const server = createServer((req, res) => this.serve(req, res));
     this.server = server;
+    closeIdleWhenRead(server);
     await openListener(server, this.settings.listen);
     this.log.info('gate_listening', {
       id: this.settings.id,
@@ -145,9 +152,22 @@
    * that the balancer stops sending first; then stop accepting, finish every
    * request in flight (at most `drainTimeoutMs`), and stop the tasks.
    */
-  async drain(): Promise<void> {
-    if (this.draining) return;
-    this.draining = true;
+  drain(): Promise<void> {
+    this.draining ??= this.runDrain();
+    return this.draining;
+  }
+
+  /** Longest time that a drain takes, in ms. */
+  get drainLimitMs(): number {
+    const {drainNoticeMs, drainTimeoutMs} = this.settings;
+    return drainNoticeMs + drainTimeoutMs + DRAIN_SLACK_MS;
+  }
+
+  private get isDraining(): boolean {
+    return this.draining !== undefined;
+  }
+
+  private async runDrain(): Promise<void> {
     this.log.info('drain_started', {inFlight: this.inFlight});
     await waitMs(this.settings.drainNoticeMs);
     this.closed = true;
@@ -180,13 +200,12 @@
   }
 
   private serve(req: IncomingMessage, res: ServerResponse): void {
-    const path = new URL(req.url ?? '/', 'http://gate').pathname;
-    if (req.method === 'GET' && path === '/healthz') {
+    if (req.method === 'GET' && readPath(req) === '/healthz') {
       // Callers reach this port: what the gate sees of the fleet stays on
       // the administration API.
-      sendJson(res, this.draining ? 503 : 200, {
+      sendJson(res, this.isDraining ? 503 : 200, {
         id: this.settings.id,
-        draining: this.draining,
+        draining: this.isDraining,
         configVersion: this.watcher.version,
       });
       return;
@@ -198,9 +217,20 @@
       return;
     }
     this.inFlight++;
-    void handleCallerRequest(this.context, req, res).finally(
-      () => this.inFlight--,
-    );
+    handleCallerRequest(this.context, req, res)
+      .catch((error: unknown) => this.endFailed(res, error))
+      .finally(() => this.inFlight--);
+  }
+
+  /** A fault in the serving of one request costs that request only. */
+  private endFailed(res: ServerResponse, error: unknown): void {
+    this.counters.add('api.failed');
+    this.log.error('request_failed', {reason: String(error)});
+    if (res.headersSent) {
+      res.destroy();
+      return;
+    }
+    sendJson(res, 502, renderError('outcome_unknown', 'gate_failed'));
   }
 }
 
