A test: memory of a prompt whose engine went silent is renewed for 11 s

Ruled out: a renewal that crosses its release (the release came at 21.56 s, after the last renewal was answered), late orders (each was answered 200), gates that end (none did). Change: a test of this, red on this commit; the fake reservations note their times.

--- a/packages/direct/src/forward/memory-lease.test.ts
+++ b/packages/direct/src/forward/memory-lease.test.ts
@@ -1,9 +1,12 @@
 import {describe, it, mock} from 'node:test';
+import {setTimeout as sleep} from 'node:timers/promises';
 import {expect} from 'earl';
 import {MemoryReservations} from '../ports.js';
 import {buildTarget} from '../test/build-target.js';
+import {buildConfig, openGateWorld} from '../test/gate-world.js';
 import {openMemoryLease} from './memory-lease.js';
 import type {ReservationOutcome} from '../ports.js';
+import type {TargetScript} from '../test/fake-target.js';
 
 /** Grants at once, but for renewals, which wait until the test lets them go. */
 class SlowRenewals extends MemoryReservations {
@@ -58,4 +61,39 @@
     await new Promise(resolve => setImmediate(resolve));
     expect(reservations.orders).toEqual(['reserve', 'release']);
   });
+
+  it('runs out soon after the engine that reads the prompt went silent', async () => {
+    // The first engine loses power: no reset, no answer. Its gate takes the
+    // silence for reading, waits twice the prediction, 11 s, and renews what
+    // the prompt holds on helpers all the while. Memory that is set aside for
+    // more than 4 s after its request has ended counts as leaked.
+    const goSilent: TargetScript = () => undefined;
+    const base = buildConfig(1);
+    const routes = base.routes.map(route => ({...route, timeoutMs: 30_000}));
+    const world = await openGateWorld({config: {...base, routes}});
+    try {
+      for (const name of ['e0', 'e1', 'e2'])
+        await world.addTarget(name, 'chat', goSilent);
+      await world.waitUntil(
+        () =>
+          world.lines.filter(line => line.includes('"target_added"')).length ===
+          3,
+      );
+      const call = world.call('/stream/x', {
+        tokens: 330_000,
+        deadlineMs: 30_000,
+        leaveAfterMs: 3000,
+      });
+      const {reservedAt} = world.reservations;
+      await world.waitUntil(() => reservedAt.length > 0);
+      const [sentAt = 0] = reservedAt;
+      await sleep(2600);
+      const lastAt = Math.max(...reservedAt);
+      const leaseMs = 3200;
+      expect(lastAt - sentAt + leaseMs < 4000).toEqual(true);
+      await call.catch(() => undefined);
+    } finally {
+      world.close();
+    }
+  });
 });
--- a/packages/direct/src/test/gate-world.ts
+++ b/packages/direct/src/test/gate-world.ts
@@ -92,6 +92,8 @@
 /** Reservations that are always granted, and recorded. */
 export class FakeReservations extends MemoryReservations {
   readonly held = new Map<string, number>();
+  /** Times of the reservations and renewals, on the monotonic clock, in ms. */
+  readonly reservedAt: number[] = [];
   outcome: ReservationOutcome = 'granted';
 
   override async reserve(
@@ -99,6 +101,7 @@
     ticket: string,
     tokens: number,
   ): Promise<ReservationOutcome> {
+    this.reservedAt.push(performance.now());
     if (this.outcome !== 'granted') return this.outcome;
     this.held.set(`${target.id}/${ticket}`, tokens);
     return this.outcome;
