--- a/packages/direct/src/forward/context.ts
+++ b/packages/direct/src/forward/context.ts
@@ -6,7 +6,11 @@
 import type {DecisionLog} from '../observe/decision-log.js';
 import type {CallPlacer} from '../placement/place-call.js';
 import type {PromptPlacer} from '../placement/prompt-placer.js';
-import type {HeaderDialect, MemoryReservations} from '../ports.js';
+import type {
+  EngineReports,
+  HeaderDialect,
+  MemoryReservations,
+} from '../ports.js';
 import type {SharedRetryBudget} from '../retry/shared-retry-budget.js';
 
 /** Shared parts of one gate. */
@@ -19,6 +23,7 @@
   readonly prompts: PromptPlacer;
   readonly lines: WaitingLines;
   readonly reservations: MemoryReservations;
+  readonly reports: EngineReports;
   readonly log: DecisionLog;
   readonly counters: Counters;
   readonly firstEventMs: LatencyHistogram;
--- a/packages/direct/src/forward/memory-lease.test.ts
+++ b/packages/direct/src/forward/memory-lease.test.ts
@@ -3,10 +3,15 @@
 import {expect} from 'earl';
 import {MemoryReservations} from '../ports.js';
 import {buildTarget} from '../test/build-target.js';
-import {buildConfig, openGateWorld} from '../test/gate-world.js';
+import {
+  FakeReservations,
+  buildConfig,
+  openGateWorld,
+} from '../test/gate-world.js';
 import {openMemoryLease} from './memory-lease.js';
 import type {ReservationOutcome} from '../ports.js';
 import type {TargetScript} from '../test/fake-target.js';
+import type {ReaderWatch} from './memory-lease.js';
 
 /** Grants at once, but for renewals, which wait until the test lets them go. */
 class SlowRenewals extends MemoryReservations {
@@ -25,11 +30,44 @@
   }
 }
 
-async function openLease(reservations: MemoryReservations) {
+/** A reader that sends something all the time. */
+const HEARD: ReaderWatch = {
+  isHeard: () => true,
+  ask: () => Promise.resolve(true),
+};
+
+/** A reader that sends nothing by itself, and answers when the test says so. */
+class SilentReader implements ReaderWatch {
+  isAnswering = true;
+  asked = 0;
+
+  isHeard(): boolean {
+    return false;
+  }
+
+  ask(): Promise<boolean> {
+    this.asked++;
+    return Promise.resolve(this.isAnswering);
+  }
+}
+
+/** Lets a renewal period go by, and what follows from it happen. */
+async function advancePeriod(): Promise<void> {
+  mock.timers.tick(1200);
+  await new Promise(resolve => setImmediate(resolve));
+}
+
+async function openLease(
+  reservations: MemoryReservations,
+  reader: ReaderWatch = HEARD,
+) {
   const target = buildTarget('e1', 1);
-  const lease = await openMemoryLease(reservations, 'r', [
-    {target, tokens: 9000},
-  ]);
+  const lease = await openMemoryLease(
+    reservations,
+    'r',
+    [{target, tokens: 9000}],
+    reader,
+  );
   if (lease === undefined) throw new Error('not granted');
   return lease;
 }
@@ -62,6 +100,67 @@
     expect(reservations.orders).toEqual(['reserve', 'release']);
   });
 
+  it('is renewed while the engine that reads answers, though no event came', async () => {
+    // A long prompt is read for seconds without a sign. Its memory must stay:
+    // an engine cuts off a request whose lease has run out.
+    mock.timers.enable({apis: ['setInterval']});
+    try {
+      const reservations = new FakeReservations();
+      const reader = new SilentReader();
+      const lease = await openLease(reservations, reader);
+      await advancePeriod();
+      reader.isAnswering = false;
+      await advancePeriod();
+      reader.isAnswering = true;
+      await advancePeriod();
+      await advancePeriod();
+      // The first order, and a renewal for each answer: one may be missed.
+      expect(reservations.reservedAt.length).toEqual(4);
+      lease.close();
+    } finally {
+      mock.timers.reset();
+    }
+  });
+
+  it('is renewed no more when the engine comes back after two silent checks', async () => {
+    // The engine that read the prompt was without power for seconds and starts
+    // again. It answers, but the prompt is gone: renewed, its memory on other
+    // engines would stay set aside for nobody.
+    mock.timers.enable({apis: ['setInterval']});
+    try {
+      const reservations = new FakeReservations();
+      const reader = new SilentReader();
+      const lease = await openLease(reservations, reader);
+      reader.isAnswering = false;
+      await advancePeriod();
+      await advancePeriod();
+      reader.isAnswering = true;
+      await advancePeriod();
+      expect(reservations.reservedAt.length).toEqual(1);
+      expect(reader.asked).toEqual(2);
+      lease.close();
+    } finally {
+      mock.timers.reset();
+    }
+  });
+
+  it('is not renewed when it was closed while the engine was asked', async () => {
+    // The stream ends between the question and its answer. A renewal sent then
+    // would come behind the release and set the memory aside once more.
+    mock.timers.enable({apis: ['setInterval']});
+    try {
+      const reservations = new FakeReservations();
+      const lease = await openLease(reservations, new SilentReader());
+      mock.timers.tick(1200);
+      lease.close();
+      await new Promise(resolve => setImmediate(resolve));
+      expect(reservations.reservedAt.length).toEqual(1);
+      expect(reservations.held.size).toEqual(0);
+    } finally {
+      mock.timers.reset();
+    }
+  });
+
   it('runs out soon after the engine that reads the prompt went silent', async () => {
     // The first engine loses power: no reset, no answer. Its gate takes the
     // silence for reading, waits twice the prediction, 11 s, and renews what
--- a/packages/direct/src/forward/memory-lease.ts
+++ b/packages/direct/src/forward/memory-lease.ts
@@ -15,30 +15,53 @@
 /** Period of the renewals, in ms: two may be lost before the lease ends. */
 const RENEW_MS = 1200;
 
+/**
+ * Checks in a row that the reader may leave unanswered: a renewal after two
+ * would come when the lease has run out, and the prompt is cut off by then.
+ */
+const MOST_MISSED = 2;
+
 /** One reservation. */
 export interface LeasedTicket {
   readonly target: Target;
   readonly ticket: string;
 }
 
+/** Tells whether the engine that reads a prompt is alive. */
+export interface ReaderWatch {
+  /** True when it has sent something just now, to whichever request. */
+  isHeard(): boolean;
+  /** Asks it; false when it does not answer in time. */
+  ask(): Promise<boolean>;
+}
+
 /**
  * The reservations of one prompt.
  *
+ * They are renewed only while the engine that reads the prompt is alive. One
+ * that loses power resets no connection, and a long prompt's first event is
+ * waited for up to 11 s, so memory stayed set aside for 5.6 s after the prompt
+ * was gone with its engine. A renewal follows a sign of life by at most half a
+ * second, so the lease ends within 4 s of the engine.
+ *
  * @example
- * const lease = await openMemoryLease(reservations, wanted);
+ * const lease = await openMemoryLease(reservations, 'gate-1/7', wishes, reader);
  * lease?.close();
  */
 export class MemoryLease {
   private readonly timer: NodeJS.Timeout;
   /** Renewals under way. */
   private readonly renewals = new Set<Promise<LeasedTicket>>();
+  private isClosed = false;
+  private missed = 0;
 
   constructor(
     private readonly reservations: MemoryReservations,
     readonly tickets: readonly LeasedTicket[],
     private readonly tokens: ReadonlyMap<string, number>,
+    private readonly reader: ReaderWatch,
   ) {
-    this.timer = setInterval(() => this.renew(), RENEW_MS);
+    this.timer = setInterval(() => this.handleDue(), RENEW_MS);
   }
 
   /** Finds the ticket held on `target`. */
@@ -52,6 +75,7 @@
    * once more for a whole lease: it is given back again once that is answered.
    */
   close(): void {
+    this.isClosed = true;
     clearInterval(this.timer);
     for (const held of this.tickets) this.release(held);
     for (const renewal of this.renewals)
@@ -62,7 +86,20 @@
     void this.reservations.release(target, ticket);
   }
 
+  private handleDue(): void {
+    if (this.reader.isHeard()) this.renew();
+    else void this.renewIfAlive();
+  }
+
+  private async renewIfAlive(): Promise<void> {
+    const isAlive = await this.reader.ask();
+    if (this.isClosed) return;
+    if (isAlive) this.renew();
+    else if (++this.missed >= MOST_MISSED) clearInterval(this.timer);
+  }
+
   private renew(): void {
+    this.missed = 0;
     for (const held of this.tickets) {
       const renewal = this.renewOne(held);
       this.renewals.add(renewal);
@@ -90,12 +127,13 @@
  *
  * @returns Nothing when one of them was not granted.
  * @example
- * const lease = await openMemoryLease(reservations, 'gate-1/7', wishes);
+ * const lease = await openMemoryLease(reservations, 'gate-1/7', wishes, reader);
  */
 export async function openMemoryLease(
   reservations: MemoryReservations,
   name: string,
   wishes: readonly MemoryWish[],
+  reader: ReaderWatch,
 ): Promise<MemoryLease | undefined> {
   const outcomes = await Promise.all(
     wishes.map(({target, tokens}) =>
@@ -107,6 +145,7 @@
       reservations,
       wishes.map(({target}) => ({target, ticket: name})),
       new Map(wishes.map(({target, tokens}) => [target.id, tokens])),
+      reader,
     );
   wishes.forEach(({target}, i) => {
     if (outcomes[i] !== 'refused') void reservations.release(target, name);
--- a/packages/direct/src/forward/stream-attempt.ts
+++ b/packages/direct/src/forward/stream-attempt.ts
@@ -13,7 +13,7 @@
 import type {EngineFigures} from '../types.js';
 import type {ForwardContext} from './context.js';
 import type {AnswerHead, Exchange} from './exchange.js';
-import type {MemoryLease} from './memory-lease.js';
+import type {MemoryLease, ReaderWatch} from './memory-lease.js';
 import type {GateRequest} from './request.js';
 import type {StallVerdict} from './stall-timer.js';
 import type {StreamProgress} from './stream-progress.js';
@@ -25,6 +25,9 @@
 const STALL_GAPS = 2.5;
 const STALL_MIN_MS = 1000;
 
+/** Age up to which bytes of an engine show that it is alive, in ms. */
+const ALIVE_MS = 400;
+
 /** Urgency for the engine, by prompt size: short prompts are admitted first. */
 const URGENCY_BY_TOKENS: ReadonlyArray<readonly [number, number]> = [
   [16_000, 2],
@@ -97,10 +100,24 @@
       const helper = placed.helpers.find(({id}) => id === target);
       return helper === undefined ? [] : [{target: helper, tokens}];
     });
-    const lease = await openMemoryLease(context.reservations, name, wishes);
+    const lease = await openMemoryLease(
+      context.reservations,
+      name,
+      wishes,
+      this.watchReader(),
+    );
     return lease ?? 'refused';
   }
 
+  private watchReader(): ReaderWatch {
+    const {health, readNow, reports} = this.options.context;
+    const {target} = this.options.placed;
+    return {
+      isHeard: () => health.isHeardSince(target.id, readNow() - ALIVE_MS),
+      ask: async () => (await reports.read(target)) !== undefined,
+    };
+  }
+
   private async runExchange(lease?: MemoryLease): Promise<AttemptEnd> {
     // The caller may have left while memory was reserved.
     if (this.isCancelled) throw new ExchangeError('cancelled', false);
--- a/packages/direct/src/gate.ts
+++ b/packages/direct/src/gate.ts
@@ -158,6 +158,7 @@
         }),
       ),
       reservations: parts.reservations,
+      reports: parts.reports,
       log,
       counters: this.counters,
       firstEventMs: createLatencyHistogram(),
