Tests that hold the guards of the hand-over in place

Cause: in a review, changes that take a guard out left all tests green: the spread of the asks, both silence bounds, the news of a configuration from a gate, the busy answer's way to its asker, what the asker says that it has, the check on arrival, the answer without targets, the timer of the connection. Ruled out: nothing; no source changed. Before: those changes survive.

--- a/packages/core/src/rpc.test.ts
+++ b/packages/core/src/rpc.test.ts
@@ -162,4 +162,16 @@
     for (const link of opened) link.close();
     await worker.terminate();
   });
+
+  it('stays open once connected, however long it is idle', async () => {
+    // The bound on connecting went on as one on silence: a link that was idle
+    // for as long was closed, and the next call on it failed.
+    const server = createServer(socket => socket.on('error', () => undefined));
+    const port = await openListener(server, {host: '127.0.0.1', port: 0});
+    const link = await openRpcLink(`127.0.0.1:${port}`, undefined, 100);
+    await new Promise(resolve => setTimeout(resolve, 400));
+    expect(link.isClosed).toEqual(false);
+    link.close();
+    server.close();
+  });
 });
--- a/packages/direct/src/peers/peer-group.test.ts
+++ b/packages/direct/src/peers/peer-group.test.ts
@@ -1,3 +1,5 @@
+import {createSocket} from 'node:dgram';
+import {once} from 'node:events';
 import {afterEach, beforeEach, describe, it} from 'node:test';
 import {Writable} from 'node:stream';
 import {buildLoopbackHost} from '@nutmeggauge/core';
@@ -10,6 +12,7 @@
 import {PeerGroup} from './peer-group.js';
 import type {FleetState} from '../fleet/fleet-state.js';
 import type {LoadBook, Placement} from '../placement/load-book.js';
+import type {Beat} from './messages.js';
 
 const PORT = 23_000;
 
@@ -146,4 +149,29 @@
       await three.group.stop();
     }
   });
+
+  it('tells at once of a configuration that another gate gave it', async () => {
+    // The store answers one gate of many. Were the others silent until their
+    // next beat, all would go on asking the one that serves two at a time.
+    const listener = createSocket('udp4');
+    listener.bind(PORT, hosts[2]);
+    await once(listener, 'listening');
+    const waitForBeat = async (version: number) => {
+      for (;;) {
+        const [bytes] = (await once(listener, 'message')) as [Buffer];
+        const {params} = JSON.parse(String(bytes)) as {params: Beat};
+        if (params.from !== hosts[1]) continue;
+        if (params.configVersion === version) return performance.now();
+      }
+    };
+    try {
+      const before = await waitForBeat(0);
+      const config = buildConfig(7);
+      two.state.applyShared({revision: 0, config, targets: [], held: []});
+      // The next beat of its own is due after 1,000 ms.
+      expect((await waitForBeat(7)) - before).toBeLessThan(700);
+    } finally {
+      listener.close();
+    }
+  });
 });
