Failing tests: what the hand-over of facts still lacks

Cause: found in review. (1) A fetcher is content with the first answer: facts of a gate that is ahead by a server alone end the run, though another gate has the configuration. (2) A gate whose places are taken refuses the list of targets as well. (3) bytes of facts_handed counts what was queued, not what left: 20.2 MB logged for an asker that took 0.07 MB. (4) The last handler throws on a rejection or a throw of undefined: status 7 in place of a drain. Ruled out: the tests' own waits: each fails alone, on an idle connection.

--- a/packages/direct/src/observe/last-resort.test.ts
+++ b/packages/direct/src/observe/last-resort.test.ts
@@ -45,4 +45,16 @@
     expect(exits).toEqual([1]);
     expect(countDrains()).toEqual(1);
   });
+
+  it('ends the gate in order when nothing at all was thrown', async () => {
+    // A promise is rejected without a reason, or `undefined` is thrown. The
+    // handler itself failed on it, and the process ended at once, with status
+    // 7 and every stream that it was forwarding.
+    for (const nothing of [undefined, null]) {
+      const {handle, exits, countDrains} = createWorld();
+      expect(() => handle(nothing)).not.toThrow();
+      await new Promise(resolve => setImmediate(resolve));
+      expect([countDrains(), exits.length]).toEqual([1, 1]);
+    }
+  });
 });
--- /dev/null
+++ b/packages/direct/src/peers/facts-hand-over.test.ts
@@ -0,0 +1,160 @@
+import {once} from 'node:events';
+import {connect} from 'node:net';
+import {PassThrough} from 'node:stream';
+import {afterEach, beforeEach, describe, it} from 'node:test';
+import {expect} from 'earl';
+import {createFleetState} from '../fleet/fleet-state.js';
+import {createDecisionLog} from '../observe/decision-log.js';
+import {buildTarget} from '../test/build-target.js';
+import {buildConfig} from '../test/gate-world.js';
+import {fetchSharedFacts, openFactsServer} from './facts-exchange.js';
+import {createFactsFetcher} from './facts-fetcher.js';
+import type {AddressInfo, Server, Socket} from 'node:net';
+import type {FleetState, SharedFacts} from '../fleet/fleet-state.js';
+import type {FleetConfig} from '../types.js';
+
+/** Routes of the large configuration: 20 MB. */
+const ROUTE_COUNT = 100_000;
+
+/** Most that the system holds of one connection, both ends, in bytes. */
+const SYSTEM_BUFFERS = 10_000_000;
+
+/** Gates that may be sent a configuration at the same time. */
+const MOST_AT_ONCE = 2;
+
+/** Longer than any test, in ms: askers pause on purpose. */
+const TEST_IDLE_MS = 60_000;
+
+function buildLargeConfig(version: number): FleetConfig {
+  const [route] = buildConfig(version).routes;
+  const routes = Array.from({length: ROUTE_COUNT}, (_, i) => ({
+    ...route,
+    name: `route-${i}`,
+    prefix: `/route-${i}/`,
+  }));
+  return buildConfig(version, {routes});
+}
+
+function createLog(output = new PassThrough()) {
+  output.resume();
+  return createDecisionLog({proc: 'g', output, readWallMs: Date.now});
+}
+
+/** Runs a fetcher until it asks no more; its waits take no time. */
+async function runFetcher(
+  state: FleetState,
+  listAhead: () => readonly string[],
+  fetch: Parameters<typeof createFactsFetcher>[0]['fetch'],
+): Promise<void> {
+  let askedAt = performance.now();
+  const fetcher = createFactsFetcher({
+    state,
+    listAhead,
+    fetch: (host, known) => {
+      askedAt = performance.now();
+      return fetch(host, known);
+    },
+    log: createLog(),
+    readNow: () => performance.now(),
+    random: () => 0,
+    wait: () => new Promise(resolve => setTimeout(resolve, 5)),
+  });
+  fetcher.schedule();
+  while (performance.now() - askedAt < 200)
+    await new Promise(resolve => setTimeout(resolve, 20));
+}
+
+describe('a gate that is behind by a server and a configuration', () => {
+  it('goes on to the gate with the configuration', async () => {
+    // The store turns most gates away. All others know of a server that this
+    // gate does not, one of them has the new configuration as well. It asked
+    // one of the former, was content, and served on the old routes until
+    // another beat came, a second later, and its wait of 0.4 to 0.8 s.
+    const state = createFleetState(() => 0);
+    state.applyChange({kind: 'config', config: buildConfig(6)}, 0);
+    const target = buildTarget('t', 3);
+    const ahead: Readonly<Record<string, SharedFacts>> = {
+      a: {revision: 3, config: undefined, targets: [target], held: []},
+      b: {revision: 3, config: buildConfig(7), targets: [target], held: []},
+    };
+    const listAhead = () =>
+      Object.keys(ahead).filter(
+        host =>
+          ahead[host].revision > state.revision ||
+          (ahead[host].config?.version ?? 6) > (state.config?.version ?? 0),
+      );
+    await runFetcher(state, listAhead, host => Promise.resolve(ahead[host]));
+    expect(state.config?.version).toEqual(7);
+  });
+});
+
+describe('a gate whose places are taken', () => {
+  const sockets: Socket[] = [];
+  let output: PassThrough;
+  let server: Server;
+  let address: string;
+
+  beforeEach(async () => {
+    const readNow = () => performance.now();
+    const state = createFleetState(readNow);
+    output = new PassThrough();
+    server = await openFactsServer({
+      address: {host: '127.0.0.1', port: 0},
+      state,
+      log: createDecisionLog({proc: 'g', output, readWallMs: Date.now}),
+      readNow,
+      idleMs: TEST_IDLE_MS,
+    });
+    address = `127.0.0.1:${(server.address() as AddressInfo).port}`;
+    state.applyChange({kind: 'config', config: buildLargeConfig(7)}, 0);
+    state.applyChange({kind: 'target', target: buildTarget('t', 3)}, 3);
+  });
+
+  afterEach(() => {
+    for (const socket of sockets.splice(0)) socket.destroy();
+    server.close();
+  });
+
+  /** Asks, and takes the first bytes of the answer only. */
+  async function askAndPause(): Promise<void> {
+    const [host, port] = address.split(':');
+    const socket = connect(Number(port), host);
+    socket.on('error', () => undefined);
+    sockets.push(socket);
+    socket.write(
+      '{"jsonrpc":"2.0","id":1,"method":"read-facts","params":{}}\n',
+    );
+    await once(socket, 'data');
+    socket.pause();
+  }
+
+  it('still hands out its list of targets', async () => {
+    // A gate lacks the configuration and a server's entry too. Others are
+    // being sent the configuration, so it is refused both, and sends callers
+    // to servers that have left for as long as it finds no place: seconds,
+    // for a list of a few kilobytes.
+    for (let i = 0; i < MOST_AT_ONCE; i++) await askAndPause();
+    const behind = createFleetState(() => 0);
+    const listAhead = () => (behind.revision < 3 ? ['a'] : []);
+    await runFetcher(behind, listAhead, (_host, known) =>
+      fetchSharedFacts(address, known),
+    );
+    expect(behind.findTarget('t')?.id).toEqual('t');
+  });
+
+  it('logs no more bytes than it has sent to one that hung up', async () => {
+    // An asker hangs up after the first piece of twenty megabytes. The line
+    // that is to tell what the link carried counted the whole answer.
+    await askAndPause();
+    const [socket] = sockets;
+    const closed = once(output, 'readable');
+    socket.resetAndDestroy();
+    await closed;
+    const {bytes, isCut} = JSON.parse(String(output.read())) as {
+      bytes: number;
+      isCut: boolean;
+    };
+    expect(isCut).toEqual(true);
+    expect(bytes).toBeLessThan(socket.bytesRead + SYSTEM_BUFFERS);
+  });
+});
