--- a/packages/direct/src/forward/stream-attempt.ts
+++ b/packages/direct/src/forward/stream-attempt.ts
@@ -104,12 +104,12 @@
       context.reservations,
       name,
       wishes,
-      this.watchReader(),
+      this.createReaderWatch(),
     );
     return lease ?? 'refused';
   }
 
-  private watchReader(): ReaderWatch {
+  private createReaderWatch(): ReaderWatch {
     const {health, readNow, reports} = this.options.context;
     const {target} = this.options.placed;
     return {
