A request that came in while a gate stood still is read, not reset

Cause: a process that was stopped (or had no processor time) runs its timers before it reads: a kept connection whose idle time passed meanwhile was closed with a request unread on it, which resets it. The caller had used the connection in time and heard nothing. Ruled out: reading late as such (the bytes stay in the socket's buffer). Change: the idle time-out closes a connection only when a round of reading has brought nothing on it. Both gates' servers for callers use it.

--- a/packages/core/src/listen.ts
+++ b/packages/core/src/listen.ts
@@ -42,6 +42,27 @@
   return typeof address === 'object' && address !== null ? address.port : 0;
 }
 
+/**
+ * Closes idle connections of callers only after what has come in on them was
+ * read. A process that stood still (stopped by its host, or out of processor
+ * time) runs its timers first: a request that came in before the idle time
+ * was over was reset unread, and its caller heard nothing, which showed as a
+ * request lost when a gate was stopped for two seconds. The check runs behind
+ * one round of reading, so a request that waits has begun by then.
+ *
+ * @example
+ * closeIdleWhenRead(createServer(serve));
+ */
+export function closeIdleWhenRead(server: HttpServer): void {
+  // With a listener, Node leaves the closing to it.
+  server.on('timeout', socket => {
+    const bytesRead = socket.bytesRead;
+    setImmediate(() => {
+      if (socket.bytesRead === bytesRead) socket.destroy();
+    });
+  });
+}
+
 /**
  * Cuts every connection and resolves once the server has closed.
  *
--- a/packages/direct/src/ingress/ingress.ts
+++ b/packages/direct/src/ingress/ingress.ts
@@ -3,7 +3,7 @@
  * it to the forwarders.
  */
 import {createServer} from 'node:http';
-import {openListener} from '@nutmeggauge/core';
+import {closeIdleWhenRead, openListener} from '@nutmeggauge/core';
 import {CallerResponse} from '../forward/caller-response.js';
 import {forwardCall} from '../forward/call-forwarder.js';
 import {chooseReturnMs} from '../forward/retry-after.js';
@@ -57,6 +57,7 @@
       },
       (req, res) => void this.serve(req, res),
     );
+    closeIdleWhenRead(this.server);
     context.state.onChange(event => {
       if (event.event === 'config_applied') this.applyLimits();
     });
--- a/packages/gate/src/gate.ts
+++ b/packages/gate/src/gate.ts
@@ -8,6 +8,7 @@
   createCounters,
   createLatencyHistogram,
   createLogger,
+  closeIdleWhenRead,
   openListener,
   readPort,
   sendJson,
@@ -132,6 +133,7 @@
     await this.admin?.start();
     const server = createServer((req, res) => this.serve(req, res));
     this.server = server;
+    closeIdleWhenRead(server);
     await openListener(server, this.settings.listen);
     this.log.info('gate_listening', {
       id: this.settings.id,
