A caller that leaves amid its body, or asks for //, ends no gate of packages/gate

Cause: the promise of a served request was awaited by nobody: a caller that left amid its body ended the whole process (ECONNRESET, unhandled), and an address that URL refuses (//, http://[) was an uncaught TypeError in the listener of the server; the same in the administration API. Ruled out: heads that are no HTTP (Node answers 400 by itself). Change: reading a body tells that the caller left, and nothing runs then; a path that is none is refused; a fault in one request is answered outcome_unknown and costs that request only.

--- a/packages/core/src/http.ts
+++ b/packages/core/src/http.ts
@@ -6,9 +6,25 @@
 /** Largest JSON body accepted: a 1M-token prompt is about 4 MB of text. */
 export const MAX_BODY_BYTES = 16 * 1024 * 1024;
 
+/**
+ * Reads the path that a caller asks for; nothing where its address is none
+ * ("//"): the error that URL raises for it ended the process that was asked.
+ *
+ * @example
+ * readPath(req); // '/v1/completions'
+ */
+export function readPath(req: IncomingMessage): string | undefined {
+  try {
+    return new URL(req.url ?? '/', 'http://host').pathname;
+  } catch {
+    return undefined;
+  }
+}
+
 /**
  * Reads a request body as JSON; resolves undefined when it is not JSON or too large.
  *
+ * @throws The connection's error when the caller leaves amid its body.
  * @example
  * const body = await readJsonBody(req);
  */
--- a/packages/gate/src/admin/admin-api.ts
+++ b/packages/gate/src/admin/admin-api.ts
@@ -9,6 +9,7 @@
   ConfigRecordError,
   openListener,
   readJsonBody,
+  readPath,
   readPort,
   resolveConfigRecord,
   sendJson,
@@ -52,9 +53,10 @@
  * await admin.start();
  */
 export class AdminApi {
-  private readonly server = createServer(
-    (req, res) => void this.serve(req, res),
-  );
+  private readonly server = createServer((req, res) => {
+    // Whoever leaves amid its question gets no answer, and nothing else ends.
+    this.serve(req, res).catch(() => res.destroy());
+  });
 
   constructor(private readonly options: AdminApiOptions) {}
 
@@ -84,7 +86,7 @@
       sendJson(res, 401, {error: {type: 'unauthorized'}});
       return;
     }
-    const path = new URL(req.url ?? '/', 'http://admin').pathname;
+    const path = readPath(req);
     switch (`${req.method} ${path}`) {
       case 'GET /v1/status':
         return sendJson(res, 200, this.describeStatus());
--- a/packages/gate/src/api/handler.ts
+++ b/packages/gate/src/api/handler.ts
@@ -3,7 +3,7 @@
  * account may send it, and hands it on.
  */
 import {randomBytes} from 'node:crypto';
-import {readJsonBody, sendJson} from '@nutmeggauge/core';
+import {readJsonBody, readPath, sendJson} from '@nutmeggauge/core';
 import {parseCallerRequest} from './requests.js';
 import {renderError} from './responses.js';
 import {sendRefusal, toRetryAfter} from './results.js';
@@ -78,8 +78,15 @@
     sendError(401, 'unauthorized', reason);
     return;
   }
-  const path = new URL(req.url ?? '/', 'http://gate').pathname;
-  const request = parseCallerRequest(path, await readJsonBody(req));
+  let body: unknown;
+  try {
+    body = await readJsonBody(req);
+  } catch {
+    // The caller left amid its body: nobody waits, and nothing may run.
+    context.counters.add('api.caller_left');
+    return;
+  }
+  const request = parseCallerRequest(readPath(req) ?? '', body);
   if ('error' in request) {
     sendError(400, 'bad_request', request.error);
     return;
--- a/packages/gate/src/gate.ts
+++ b/packages/gate/src/gate.ts
@@ -10,6 +10,7 @@
   createLogger,
   closeIdleWhenRead,
   openListener,
+  readPath,
   readPort,
   sendJson,
   waitMs,
@@ -17,6 +18,7 @@
 import {AdminApi} from './admin/admin-api.js';
 import {createAccountLimits} from './admission/limits.js';
 import {handleCallerRequest} from './api/handler.js';
+import {renderError} from './api/responses.js';
 import {createDispatcher} from './dispatch/dispatcher.js';
 import {createRetryBudget} from './dispatch/retry-budget.js';
 import {createMembership} from './membership/membership.js';
@@ -182,8 +184,7 @@
   }
 
   private serve(req: IncomingMessage, res: ServerResponse): void {
-    const path = new URL(req.url ?? '/', 'http://gate').pathname;
-    if (req.method === 'GET' && path === '/healthz') {
+    if (req.method === 'GET' && readPath(req) === '/healthz') {
       // Callers reach this port: what the gate sees of the fleet stays on
       // the administration API.
       sendJson(res, this.draining ? 503 : 200, {
@@ -200,9 +201,20 @@
       return;
     }
     this.inFlight++;
-    void handleCallerRequest(this.context, req, res).finally(
-      () => this.inFlight--,
-    );
+    handleCallerRequest(this.context, req, res)
+      .catch((error: unknown) => this.endFailed(res, error))
+      .finally(() => this.inFlight--);
+  }
+
+  /** A fault in the serving of one request costs that request only. */
+  private endFailed(res: ServerResponse, error: unknown): void {
+    this.counters.add('api.failed');
+    this.log.error('request_failed', {reason: String(error)});
+    if (res.headersSent) {
+      res.destroy();
+      return;
+    }
+    sendJson(res, 502, renderError('outcome_unknown', 'gate_failed'));
   }
 }
 
