The product's own binaries have a last handler, a log that may break, one drain

Cause: packages/gate and packages/agent had no last handler of errors; a line written to stderr after its reader had gone raised EPIPE unheard and ended them; the second SIGTERM met the default action, and SIGINT behind SIGTERM exited at once, both with requests under way. Ruled out: loss of lines as such (the log is for readers only). Change: runDaemon uses the last handler, registers signals before the start and for good, and a drain asked for again is the one under way; a start that fails ends with 1 and says why.

--- a/packages/agent/src/agent.ts
+++ b/packages/agent/src/agent.ts
@@ -40,6 +40,9 @@
 /** How often a drain looks whether the last request has ended, in ms. */
 const DRAIN_POLL_MS = 20;
 
+/** What a drain may take past its own bound, in ms: a busy host's timers. */
+const DRAIN_SLACK_MS = 2000;
+
 /**
  * One agent process's state and tasks.
  *
@@ -60,6 +63,7 @@
   private readonly reporter: LoadReporter;
   private readonly watcher: ConfigWatcher | undefined;
   private readonly orders: EngineOrders | undefined;
+  private draining: Promise<void> | undefined;
 
   constructor(private readonly settings: AgentSettings) {
     const {ledger, lanes, target} = settings;
@@ -112,8 +116,17 @@
    * Drains: refuses new work as "not run", tells every gate at once, waits
    * for requests in flight (at most `drainTimeoutMs`), then closes.
    */
-  async drain(): Promise<void> {
-    if (this.intake.isDraining) return;
+  drain(): Promise<void> {
+    this.draining ??= this.runDrain();
+    return this.draining;
+  }
+
+  /** Longest time that a drain takes, in ms. */
+  get drainLimitMs(): number {
+    return this.settings.drainTimeoutMs + DRAIN_SLACK_MS;
+  }
+
+  private async runDrain(): Promise<void> {
     this.intake.drain();
     this.log.info('drain_started', {inFlight: this.intake.size});
     this.reporter.broadcast();
--- a/packages/core/src/daemon.ts
+++ b/packages/core/src/daemon.ts
@@ -4,6 +4,7 @@
  */
 import meow from 'meow';
 import {SettingsError} from './errors.js';
+import {createLastResort, observeUncaught} from './last-resort.js';
 import {createLogger, setProcessName} from './log.js';
 import {loadSettings} from './settings.js';
 import type {z} from 'zod';
@@ -11,11 +12,19 @@
 /** Exit status of a process whose settings are bad. */
 export const EXIT_BAD_SETTINGS = 2;
 
+/** Exit status of a process that could not start. */
+const EXIT_START_FAILED = 1;
+
 /** A long-running task that a binary hosts. */
 export interface DaemonTask {
   start(): Promise<void>;
-  /** Finishes what is in flight; resolves when the process may exit. */
+  /**
+   * Finishes what is in flight; resolves when the process may exit. Called
+   * again, it waits for the drain that is under way.
+   */
   drain(): Promise<void>;
+  /** Longest time that a drain takes, in ms. */
+  readonly drainLimitMs: number;
 }
 
 /** What a binary is made of. */
@@ -62,12 +71,27 @@
   }
   setProcessName(settings.id);
   const task = options.createTask(settings);
-  await task.start();
   const log = createLogger('daemon');
+  observeUncaught(
+    createLastResort({
+      log,
+      drain: () => task.drain(),
+      drainLimitMs: task.drainLimitMs,
+      exit: status => process.exit(status),
+    }),
+  );
   const stop = (signal: string) => {
     log.info('signal_received', {signal});
     void task.drain().then(() => process.exit(0));
   };
-  process.once('SIGTERM', () => stop('SIGTERM'));
-  process.once('SIGINT', () => stop('SIGINT'));
+  // They stay registered: with the default action a second signal would cut
+  // off the requests that the drain waits for.
+  process.on('SIGTERM', () => stop('SIGTERM'));
+  process.on('SIGINT', () => stop('SIGINT'));
+  try {
+    await task.start();
+  } catch (error) {
+    log.error('start_failed', {reason: (error as Error).message});
+    process.exit(EXIT_START_FAILED);
+  }
 }
--- a/packages/gate/src/gate.ts
+++ b/packages/gate/src/gate.ts
@@ -32,6 +32,9 @@
 /** How often a drain looks whether the last request has ended, in ms. */
 const DRAIN_POLL_MS = 20;
 
+/** What a drain may take past its own bounds, in ms: a busy host's timers. */
+const DRAIN_SLACK_MS = 2000;
+
 /**
  * One gate process's state and tasks.
  *
@@ -50,7 +53,7 @@
   private readonly context: HandlerContext;
   private server: Server | undefined;
   private keys = new Map<string, Account>();
-  private draining = false;
+  private draining: Promise<void> | undefined;
   private closed = false;
   private inFlight = 0;
 
@@ -107,7 +110,7 @@
             context: {
               ...this.context,
               zone: settings.zone,
-              isDraining: () => this.draining,
+              isDraining: () => this.isDraining,
             },
           });
   }
@@ -149,9 +152,22 @@
    * that the balancer stops sending first; then stop accepting, finish every
    * request in flight (at most `drainTimeoutMs`), and stop the tasks.
    */
-  async drain(): Promise<void> {
-    if (this.draining) return;
-    this.draining = true;
+  drain(): Promise<void> {
+    this.draining ??= this.runDrain();
+    return this.draining;
+  }
+
+  /** Longest time that a drain takes, in ms. */
+  get drainLimitMs(): number {
+    const {drainNoticeMs, drainTimeoutMs} = this.settings;
+    return drainNoticeMs + drainTimeoutMs + DRAIN_SLACK_MS;
+  }
+
+  private get isDraining(): boolean {
+    return this.draining !== undefined;
+  }
+
+  private async runDrain(): Promise<void> {
     this.log.info('drain_started', {inFlight: this.inFlight});
     await waitMs(this.settings.drainNoticeMs);
     this.closed = true;
@@ -187,9 +203,9 @@
     if (req.method === 'GET' && readPath(req) === '/healthz') {
       // Callers reach this port: what the gate sees of the fleet stays on
       // the administration API.
-      sendJson(res, this.draining ? 503 : 200, {
+      sendJson(res, this.isDraining ? 503 : 200, {
         id: this.settings.id,
-        draining: this.draining,
+        draining: this.isDraining,
         configVersion: this.watcher.version,
       });
       return;
--- /dev/null
+++ b/packages/nutmeggauge/src/e2e/daemon.test.ts
@@ -0,0 +1,132 @@
+import {spawn} from 'node:child_process';
+import {once} from 'node:events';
+import {mkdtempSync, rmSync, writeFileSync} from 'node:fs';
+import {createServer} from 'node:net';
+import {tmpdir} from 'node:os';
+import {join} from 'node:path';
+import {after, before, describe, it} from 'node:test';
+import {fileURLToPath} from 'node:url';
+import {expect} from 'earl';
+import {openListener, waitMs} from '@nutmeggauge/core';
+import type {ChildProcess} from 'node:child_process';
+
+const BINARIES = ['gate', 'agent'] as const;
+
+/** Time that a drain takes at least, in ms. */
+const DRAIN_MS = 400;
+
+const SETTINGS: Readonly<Record<(typeof BINARIES)[number], string>> = {
+  gate: `
+id: gate-d
+zone: az-1
+listen: {host: 127.0.0.1, port: 0}
+configService: {url: 'http://127.0.0.1:9'}
+drainNoticeMs: ${DRAIN_MS}
+`,
+  agent: `
+id: agent-d
+zone: az-1
+listen: {host: 127.0.0.1, port: 0}
+target: {kind: plain, url: 'http://127.0.0.1:9'}
+`,
+};
+
+/** How a process ended, and what it wrote. */
+interface Ending {
+  readonly status: number | null;
+  readonly output: string;
+}
+
+function startBinary(
+  name: (typeof BINARIES)[number],
+  settings: string,
+): ChildProcess {
+  const bin = fileURLToPath(
+    new URL('bin.js', import.meta.resolve(`@nutmeggauge/${name}`)),
+  );
+  return spawn(process.execPath, [bin, '--config', settings], {
+    env: {...process.env, NUTMEGGAUGE_LOG: 'info'},
+    stdio: ['ignore', 'ignore', 'pipe'],
+  });
+}
+
+describe('the binaries', () => {
+  const folder = mkdtempSync(join(tmpdir(), 'nutmeggauge-daemon-'));
+  before(() => {
+    for (const name of BINARIES)
+      writeFileSync(join(folder, `${name}.yaml`), SETTINGS[name]);
+  });
+  after(() => rmSync(folder, {recursive: true}));
+
+  /** Starts a binary, acts on it once it listens, and waits for its end. */
+  async function run(
+    name: (typeof BINARIES)[number],
+    act: (child: ChildProcess) => void | Promise<void>,
+  ): Promise<Ending> {
+    const child = startBinary(name, join(folder, `${name}.yaml`));
+    let output = '';
+    const listening = new Promise<void>(resolve =>
+      child.stderr?.on('data', chunk => {
+        output += String(chunk);
+        if (output.includes('_listening')) resolve();
+      }),
+    );
+    const exited = once(child, 'exit');
+    await listening;
+    // The signals are listened to behind the start.
+    await waitMs(50);
+    await act(child);
+    const [status] = (await exited) as [number | null];
+    return {status, output};
+  }
+
+  it('go on when the reader of their log has gone', async () => {
+    // The collector of the logs is restarted. The first line behind that
+    // raised an error on stderr that nobody listened to: each gate and each
+    // agent of the host ended with the requests that it had under way.
+    for (const name of BINARIES) {
+      const {status} = await run(name, async child => {
+        child.stderr?.destroy();
+        await waitMs(50);
+        child.kill('SIGTERM');
+      });
+      expect([name, status]).toEqual([name, 0]);
+    }
+  });
+
+  it('drain once, however often they are told to stop', async () => {
+    // An operator stops a gate that the platform is stopping already. The
+    // second signal ended it at once, its requests with it.
+    for (const signals of [
+      ['SIGTERM', 'SIGTERM'],
+      ['SIGTERM', 'SIGINT'],
+    ] as const) {
+      const {status, output} = await run('gate', async child => {
+        child.kill(signals[0]);
+        await waitMs(DRAIN_MS / 4);
+        child.kill(signals[1]);
+      });
+      expect(status).toEqual(0);
+      expect(output.includes('drain_finished')).toEqual(true);
+    }
+  });
+
+  it('end when their address is taken', async () => {
+    // Two gates get the same port. The last handler takes the error for one
+    // of a connection; a gate that goes on with it serves nobody and is not
+    // started anew.
+    const taken = createServer();
+    const port = await openListener(taken, {host: '127.0.0.1', port: 0});
+    for (const name of BINARIES) {
+      const file = join(folder, `${name}-taken.yaml`);
+      writeFileSync(file, SETTINGS[name].replace('port: 0', `port: ${port}`));
+      const child = startBinary(name, file);
+      let output = '';
+      child.stderr?.on('data', chunk => (output += String(chunk)));
+      const [status] = (await once(child, 'close')) as [number | null];
+      expect([name, status]).toEqual([name, 1]);
+      expect(output.includes('EADDRINUSE')).toEqual(true);
+    }
+    taken.close();
+  });
+});
