A fault in one run, or an engine's odd event, no longer ends an agent

Cause: copies of an order wait for the first run by a promise whose rejection nobody handled; and events of an engine were used unchecked: a piece without a text made the ledger throw (TypeError in settle), the key stayed taken with no outcome, and a waiting copy then ended the agent with its ledger. Change: a fault in a run is the outcome unknown (agent_failed), settled like any other; pieces, ends and failures of engines are checked, and one that does not fit breaks the stream.

--- a/packages/agent/src/intake/intake.test.ts
+++ b/packages/agent/src/intake/intake.test.ts
@@ -117,4 +117,22 @@
     });
     expect(target.runs).toEqual([]);
   });
+
+  it('answers a copy although the first run failed', async () => {
+    // A fault in the agent ends the run of an order while its copy waits for
+    // the outcome. The wait was a promise that nobody handled: the agent
+    // ended, its ledger was gone, and every order of its lane was in doubt.
+    const {intake, target, send} = createIntake();
+    target.run = async () => {
+      await waitImmediate();
+      throw new TypeError('x is undefined');
+    };
+    const outcomes = await Promise.all([send('r1'), send('r2')]);
+    expect(outcomes.map(outcome => outcome.status)).toEqual([
+      'unknown',
+      'unknown',
+    ]);
+    expect((await send('r3')).status).toEqual('unknown');
+    expect(intake.size).toEqual(0);
+  });
 });
--- a/packages/agent/src/intake/intake.ts
+++ b/packages/agent/src/intake/intake.ts
@@ -191,10 +191,17 @@
     receive: ChunkReceiver,
   ): Promise<DispatchOutcome> {
     const pieces: string[] = [];
-    const outcome = await this.runInLane(request, owner, notice => {
-      pieces.push(notice.text);
-      receive(notice);
-    });
+    let outcome: DispatchOutcome;
+    try {
+      outcome = await this.runInLane(request, owner, notice => {
+        pieces.push(notice.text);
+        receive(notice);
+      });
+    } catch {
+      // A fault in here leaves open whether it ran. Copies wait for this
+      // promise: rejected, it ended the agent and its ledger with it.
+      outcome = {status: 'unknown', reason: 'agent_failed'};
+    }
     if (outcome.status === 'not-run') this.options.ledger.release(key);
     else this.options.ledger.settle(key, outcome, pieces);
     return outcome;
--- a/packages/agent/src/target/engine-target.ts
+++ b/packages/agent/src/target/engine-target.ts
@@ -3,6 +3,7 @@
  */
 import {countTokens, findLengthClass, readSseEvents} from '@nutmeggauge/core';
 import {request} from 'undici';
+import {z} from 'zod';
 import {TargetClient, isNeverSent} from './target.js';
 import type {DispatchOutcome, DispatchRequest} from '@nutmeggauge/core';
 import type {ChunkSink} from './target.js';
@@ -14,6 +15,17 @@
  */
 const MIN_LEASE_MS = 1000;
 
+// Checked: a piece without a text went into the ledger, which failed on it
+// and ended the agent.
+const PieceSchema = z.object({
+  seq: z.number().int().nonnegative(),
+  text: z.string(),
+});
+
+const DoneSchema = z.object({tokens: z.number(), cachedTokens: z.number()});
+
+const FailedSchema = z.object({reason: z.string()});
+
 /**
  * Runs `generate` requests on an engine.
  *
@@ -79,7 +91,7 @@
       for await (const event of readSseEvents(body)) {
         if (event.event === 'done') return toDone(event.data, chunks);
         if (event.event === 'failed') return toFailure(event.data, chunks);
-        const token = JSON.parse(event.data) as {seq: number; text: string};
+        const token = PieceSchema.parse(JSON.parse(event.data));
         sink(token.seq, token.text);
         chunks = token.seq + 1;
       }
@@ -92,15 +104,12 @@
 
 /** `chunks` counts every chunk of the answer, those before a resume too. */
 function toDone(data: string, chunks: number): DispatchOutcome {
-  const {tokens, cachedTokens} = JSON.parse(data) as {
-    tokens: number;
-    cachedTokens: number;
-  };
+  const {tokens, cachedTokens} = DoneSchema.parse(JSON.parse(data));
   return {status: 'done', chunks, tokens, cachedTokens};
 }
 
 function toFailure(data: string, chunks: number): DispatchOutcome {
-  const {reason} = JSON.parse(data) as {reason: string};
+  const {reason} = FailedSchema.parse(JSON.parse(data));
   if (reason === 'too_large' && chunks === 0)
     return {status: 'not-run', reason: 'prompt_too_large'};
   return {status: 'unknown', reason: `target_${reason}`};
