Load reports and host lists are checked before they are used

Cause: data of other processes used as sent: a load report without a figure made every choice among targets throw (which ended the gate before requests had a catch of their own), and an error of the host list answered as JSON was read as an empty list, which called leaving hosts back. Change: a report that is not whole is dropped and counted, its target counts as silent; a host list must be one, with status 200. Before: agent-connection.test.ts 1 of 1 red, membership.test.ts 1 of 1 red. After: green; drain 3, subset 1, streams 3, api 6 green.

--- a/packages/gate/src/membership/agent-connection.ts
+++ b/packages/gate/src/membership/agent-connection.ts
@@ -4,6 +4,7 @@
  * report, counts outstanding requests, and hands chunks to their request.
  */
 import {
+  LoadReportSchema,
   RpcFailedError,
   RpcMethod,
   TargetUnreachableError,
@@ -236,9 +237,7 @@
     const link = await openRpcLink(target.agent, counters).catch(
       () => undefined,
     );
-    link?.handle(RpcMethod.load, params =>
-      this.receiveLoad(params as LoadReport),
-    );
+    link?.handle(RpcMethod.load, params => this.receiveLoad(params));
     link?.handle(RpcMethod.accepted, params =>
       this.inFlight.get((params as AcceptedNotice).requestId)?.markAccepted(),
     );
@@ -249,7 +248,15 @@
     return link;
   }
 
-  private receiveLoad(report: LoadReport): void {
+  private receiveLoad(params: unknown): void {
+    // An agent of another version may leave a figure out, and the choice
+    // among targets would fail on it for every request. Without a whole
+    // report the target counts as silent.
+    const {data: report} = LoadReportSchema.safeParse(params);
+    if (report === undefined) {
+      this.options.counters.add('membership.reports_malformed');
+      return;
+    }
     this.load = report;
     this.lastReportAt = Date.now();
     this.unreportedByClass = createClassCounts();
--- a/packages/gate/src/membership/membership.ts
+++ b/packages/gate/src/membership/membership.ts
@@ -4,6 +4,7 @@
  * agents' own drain flags. Each target has one AgentConnection task.
  */
 import {request} from 'undici';
+import {z} from 'zod';
 import {createLogger, findHome} from '@nutmeggauge/core';
 import {AgentConnection} from './agent-connection.js';
 import {pickSubset} from './subset.js';
@@ -39,6 +40,11 @@
 /** Longest wait for the host list, in ms. */
 const HOST_LIST_TIMEOUT_MS = 2000;
 
+/** An error that is answered as JSON is no list, and calls no host back. */
+const HostListSchema = z.object({
+  hosts: z.array(z.object({id: z.string(), state: z.string()})),
+});
+
 /**
  * Connections of one gate, by pool.
  *
@@ -149,13 +155,10 @@
         headersTimeout: HOST_LIST_TIMEOUT_MS,
         bodyTimeout: HOST_LIST_TIMEOUT_MS,
       });
-      const body = (await response.body.json()) as {
-        hosts?: Array<{id: string; state: string}>;
-      };
+      const {hosts} = HostListSchema.parse(await response.body.json());
+      if (response.statusCode !== 200) throw new Error('no host list');
       this.applyLeaving(
-        new Set(
-          (body.hosts ?? []).filter(h => h.state === 'leaving').map(h => h.id),
-        ),
+        new Set(hosts.filter(h => h.state === 'leaving').map(h => h.id)),
       );
     } catch {
       // The host list lags and fails at times; the agents' own drain flags
