The demo says how a lost request showed to its caller

Ruled out there: an end of a gate or agent beyond the planned kills (none in the logs); a request that never reached its gate (both gates counted as many requests as in the clean runs); the idle time-out of a stopped gate (6 s at this Node, gate-2 woke 5.0 s after the load began). Change: gate, time, error and its cause of each broken answer are kept and printed under the summary.

--- a/packages/nutmeggauge/src/load/client.ts
+++ b/packages/nutmeggauge/src/load/client.ts
@@ -2,7 +2,7 @@
  * The load tool's caller: sends one planned request through a gate and
  * measures what a caller sees (status, time to first token, whole answer).
  */
-import {readSseEvents, waitMs} from '@nutmeggauge/core';
+import {readClockMs, readSseEvents, waitMs} from '@nutmeggauge/core';
 import {request} from 'undici';
 import type {Dispatcher} from 'undici';
 
@@ -29,6 +29,8 @@
   /** Pauses between the pieces of a streamed answer, in ms. */
   readonly gapsMs: readonly number[];
   readonly slip?: number;
+  /** How a broken answer showed, at which gate and when. */
+  readonly brokenBy?: string;
 }
 
 /** How a caller reaches the system. */
@@ -64,6 +66,20 @@
   return mayHaveRun ? 'unknown' : 'refused';
 }
 
+/** What is left to trace a lost request by: its caller alone saw it. */
+function describeBreak(
+  options: CallerOptions,
+  startedAt: number,
+  error: unknown,
+): string {
+  const {code, message, cause} = error as NodeJS.ErrnoException & {
+    readonly cause?: unknown;
+  };
+  const from = cause instanceof Error ? ` from ${cause.message}` : '';
+  const ms = Math.round(performance.now() - startedAt);
+  return `${options.gateUrl} after ${ms} ms, at ${readClockMs()}: ${code ?? ''} ${message}${from}`;
+}
+
 function toErrorFields(error: GateError | undefined) {
   return {
     errorType: error?.type,
@@ -158,17 +174,28 @@
     }
     const answer = await readStream(response, startedAt, options.distanceMs);
     const isWhole = answer.isDone && isWholeAnswer(answer.text, maxTokens);
+    const ending = `${answer.isDone ? 'other' : 'no'} end, ${answer.text.length} characters`;
     return {
       ...base,
       ...toErrorFields(answer.error),
+      brokenBy: isWhole
+        ? undefined
+        : describeBreak(options, startedAt, new Error(ending)),
       httpStatus: 200,
       verdict: isWhole ? 'answered' : judgeError(answer.error),
       ttftMs: answer.ttftMs,
       gapsMs: answer.gapsMs,
       totalMs: end(),
     };
-  } catch {
-    return {...base, httpStatus: 0, verdict: 'broken', totalMs: end()};
+  } catch (error) {
+    const brokenBy = describeBreak(options, startedAt, error);
+    return {
+      ...base,
+      httpStatus: 0,
+      verdict: 'broken',
+      totalMs: end(),
+      brokenBy,
+    };
   }
 }
 
@@ -206,7 +233,14 @@
       slip: body.result?.slip,
       totalMs: end(),
     };
-  } catch {
-    return {...base, httpStatus: 0, verdict: 'broken', totalMs: end()};
+  } catch (error) {
+    const brokenBy = describeBreak(options, startedAt, error);
+    return {
+      ...base,
+      httpStatus: 0,
+      verdict: 'broken',
+      totalMs: end(),
+      brokenBy,
+    };
   }
 }
--- a/packages/nutmeggauge/src/load/summary.ts
+++ b/packages/nutmeggauge/src/load/summary.ts
@@ -19,6 +19,8 @@
   readonly unknown: number;
   /** Requests with neither a whole answer nor an honest final word. */
   readonly lost: number;
+  /** How each of them showed to its caller. */
+  readonly losses: readonly string[];
   /** Not-repeatable keys that ran more than once. */
   readonly doubled: number;
   /** Requests whose caller heard "not run" although a target ran them. */
@@ -57,6 +59,9 @@
     refusedByReason: countReasons(results),
     unknown: count('unknown'),
     lost: count('broken') + (plan.length - results.length),
+    losses: results
+      .filter(({verdict}) => verdict === 'broken')
+      .map(({kind, index, brokenBy}) => `${kind} ${index}: ${brokenBy}`),
     doubled: countDoubled(executions),
     falseNotRun: countFalseNotRun(results, executions),
     repeatMismatches: countMismatches(byIndex, results),
@@ -159,6 +164,7 @@
   ];
   for (const [reason, n] of Object.entries(summary.refusedByReason))
     lines.push(`  refused ${reason}: ${n}`);
+  for (const loss of summary.losses) lines.push(`  lost ${loss}`);
   lines.push('TTFT ms by prompt length   count     p50      p95      p99');
   for (const [bucket, s] of Object.entries(summary.ttftByBucket)) {
     const cell = (v: number) =>
