Ports of a local cluster are none that the system lends out

Cause: one of 32 starts of the demo ended at once: host-list could not listen (EADDRINUSE). Ports were picked from those that Linux lends to outgoing connections, and one was lent before its process had started. Ruled out: a port picked twice (all are held until all are found). Change: ports are drawn from 10,240 to 32,000.

--- a/packages/nutmeggauge/src/cluster/ports.ts
+++ b/packages/nutmeggauge/src/cluster/ports.ts
@@ -3,6 +3,19 @@
  * start so that every settings file can name its peers.
  */
 import {createServer} from 'node:net';
+import type {Server} from 'node:net';
+
+/**
+ * Ports to pick from: above those of well-known services and below those that
+ * systems lend to outgoing connections (from 32,768 on Linux). A port of the
+ * latter was lent to another program between its choice and the start of the
+ * process that it was meant for, which ended with EADDRINUSE (1 of 32 demos).
+ */
+const FIRST_PORT = 10_240;
+const LAST_PORT = 32_000;
+
+/** How often a port is drawn again before the search is given up. */
+const MAX_DRAWS = 200;
 
 /**
  * Finds `count` distinct free TCP ports on 127.0.0.1.
@@ -11,20 +24,28 @@
  * const [configPort, gatePort] = await findFreePorts(2);
  */
 export async function findFreePorts(count: number): Promise<number[]> {
-  const servers = await Promise.all(
-    Array.from({length: count}, () => {
-      const server = createServer();
-      return new Promise<ReturnType<typeof createServer>>(resolve =>
-        server.listen(0, '127.0.0.1', () => resolve(server)),
-      );
-    }),
-  );
-  const ports = servers.map(server => {
-    const address = server.address();
-    return typeof address === 'object' && address !== null ? address.port : 0;
-  });
+  const servers: Server[] = [];
+  const ports: number[] = [];
+  // Held until all are found, so that no port is found twice.
+  for (let draw = 0; ports.length < count; draw++) {
+    if (draw > count + MAX_DRAWS) throw new Error('no free ports');
+    const port =
+      FIRST_PORT + Math.floor(Math.random() * (LAST_PORT - FIRST_PORT));
+    const server = createServer();
+    if (!(await isFree(server, port))) continue;
+    servers.push(server);
+    ports.push(port);
+  }
   await Promise.all(
     servers.map(server => new Promise(resolve => server.close(resolve))),
   );
   return ports;
 }
+
+/** Listens on `port` if nobody else does. */
+function isFree(server: Server, port: number): Promise<boolean> {
+  return new Promise(resolve => {
+    server.on('error', () => resolve(false));
+    server.listen(port, '127.0.0.1', () => resolve(true));
+  });
+}
