No module of a package imports itself by way of others

Cause: packages/gate/src/api/handler.ts and serve-admitted.ts, and packages/nutmeggauge/src/cluster/launch-plan.ts and local-cluster.ts, imported each other for the sake of types. Ruled out: circles of values; both were of types only, so nothing was evaluated in a wrong order. No other package had one. Change: the types stand in modules of their own, api/handler-context.ts and cluster/cluster-spec.ts; behaviour as it was.

--- a/packages/gate/src/api/serve-admitted.ts
+++ b/packages/gate/src/api/serve-admitted.ts
@@ -22,7 +22,7 @@
 import type {Refusal} from '../admission/limits.js';
 import type {DispatchJob} from '../dispatch/dispatcher.js';
 import type {RouteRequest} from '../routing/router.js';
-import type {HandlerContext} from './handler.js';
+import type {HandlerContext} from './handler-context.js';
 import type {CallerRequest} from './requests.js';
 
 /** An authenticated request within its account's limits. */
--- a/packages/gate/src/gate.ts
+++ b/packages/gate/src/gate.ts
@@ -23,7 +23,7 @@
 import {resolveRouter} from './routing/policies.js';
 import type {IncomingMessage, Server, ServerResponse} from 'node:http';
 import type {Account, ConfigRecord} from '@nutmeggauge/core';
-import type {HandlerContext} from './api/handler.js';
+import type {HandlerContext} from './api/handler-context.js';
 import type {GateSettings} from './settings.js';
 
 /** How often a drain looks whether the last request has ended, in ms. */
--- a/packages/nutmeggauge/src/cluster/launch-plan.ts
+++ b/packages/nutmeggauge/src/cluster/launch-plan.ts
@@ -6,7 +6,7 @@
 import {join} from 'node:path';
 import {fileURLToPath} from 'node:url';
 import {stringify as stringifyYaml} from 'yaml';
-import type {ClusterSpec, ClusterTarget} from './local-cluster.js';
+import type {ClusterSpec, ClusterTarget} from './cluster-spec.js';
 
 /** One process to start. */
 export interface Launch {
--- a/packages/nutmeggauge/src/cluster/local-cluster.ts
+++ b/packages/nutmeggauge/src/cluster/local-cluster.ts
@@ -10,58 +10,10 @@
 import {planLaunches} from './launch-plan.js';
 import {findFreePorts} from './ports.js';
 import {startChild} from './process.js';
+import type {ClusterSpec, ClusterTarget} from './cluster-spec.js';
 import type {ClusterLayout, Launch} from './launch-plan.js';
 import type {ChildHandle} from './process.js';
 
-/** Shape of a local cluster. */
-export interface ClusterSpec {
-  /** Folder for settings files and logs. */
-  readonly runDir: string;
-  /** Engines, each with its agent. */
-  readonly engines: number;
-  /** Plain services, each with its agent. */
-  readonly plainServices: number;
-  /** Gates. */
-  readonly gates: number;
-  /**
-   * Zones that targets and gates are spread over.
-   * @default ['az-1', 'az-2', 'az-3']
-   */
-  readonly zones?: readonly string[];
-  /**
-   * Settings of every gate, over the defaults.
-   * @default {}
-   */
-  readonly gateSettings?: Readonly<Record<string, unknown>>;
-  /**
-   * Settings of every agent, over the defaults.
-   * @default {}
-   */
-  readonly agentSettings?: Readonly<Record<string, unknown>>;
-  /**
-   * Options of the engine stand-ins.
-   * @default {prefillRate: 400_000, chunkTokens: 16_384}
-   */
-  readonly engine?: EngineFigures;
-}
-
-/** Speed of the engine stand-ins of a cluster. */
-export interface EngineFigures {
-  /** Prompt tokens prefilled a second by each engine. */
-  readonly prefillRate: number;
-  /** Most prompt tokens read in one step. */
-  readonly chunkTokens: number;
-}
-
-/** A target of the cluster as the configuration record names it. */
-export interface ClusterTarget {
-  readonly id: string;
-  readonly kind: 'engine' | 'plain';
-  readonly agent: string;
-  readonly zone: string;
-  readonly url: string;
-}
-
 /** How often readiness is asked for, in ms. */
 const READY_POLL_MS = 50;
 
--- a/packages/nutmeggauge/src/defaults.ts
+++ b/packages/nutmeggauge/src/defaults.ts
@@ -3,7 +3,7 @@
  * the two operators' client accounts, a chat model pool on engine stand-ins
  * and an order service whose `place-order` call must never be repeated.
  */
-import type {ClusterTarget} from './cluster/local-cluster.js';
+import type {ClusterTarget} from './cluster/cluster-spec.js';
 import type {Fault} from './faults/schedule.js';
 import type {WorkloadSpec} from './load/workload.js';
 
--- a/packages/nutmeggauge/src/index.ts
+++ b/packages/nutmeggauge/src/index.ts
@@ -1,3 +1,4 @@
+export * from './cluster/cluster-spec.js';
 export * from './cluster/local-cluster.js';
 export * from './cluster/ports.js';
 export * from './defaults.js';
