Commands run by name on a fresh clone; bad words get one line

`explain` of an unknown id printed nothing and ended with 0. A missing log, `capacity` without a folder, an unknown stand-in and a flag set twice printed stacks; unknown flags, `--seed abc` and `bench` without a file were passed over. The reading of log files moved to timeline/log-files.ts. Conclusion: closed but for bad flags of nutmeggauge-gate and -agent, which are read in packages/core.

--- /dev/null
+++ b/packages/nutmeggauge/src/cli/commands.ts
@@ -0,0 +1,112 @@
+/** What each command of `nutmeggauge` runs. */
+import {join} from 'node:path';
+import {runBench} from '../bench/bench.js';
+import {runDemo} from '../demo.js';
+import {isClean} from '../load/summary.js';
+import {writeCapacity} from '../measure/capacity.js';
+import {runMeasure} from '../measure/measure.js';
+import {runSoaks} from '../soak/run-soaks.js';
+import {runStandIn} from '../standin/run-standin.js';
+import {explainRequest} from '../timeline/explain.js';
+import {formatTimelineEvent, mergeTimeline} from '../timeline/merge.js';
+import {InputFileError, UnknownRequestError, UsageError} from './errors.js';
+import type {TimelineEvent} from '../timeline/merge.js';
+import type {CommandFlags} from './flags.js';
+
+/**
+ * Runs one command.
+ *
+ * @returns Exit status for a command whose work is over, however many
+ *     connections it left open; nothing when the process ends by itself.
+ */
+type Command = (
+  words: readonly string[],
+  flags: CommandFlags,
+) => number | void | Promise<number | void>;
+
+function resolveRunDir(command: string, {runDir}: CommandFlags): string {
+  const stamp = new Date().toISOString().replace(/[:.]/g, '-');
+  return runDir ?? join('runs', `${command}-${stamp}`);
+}
+
+function printEvents(events: readonly TimelineEvent[]): void {
+  for (const event of events)
+    process.stdout.write(formatTimelineEvent(event) + '\n');
+}
+
+function printExplanation(requestId: string, paths: readonly string[]): void {
+  const events = explainRequest(mergeTimeline(paths), requestId);
+  if (events.length === 0)
+    throw new UnknownRequestError(
+      {info: {requestId, paths}},
+      `no line names the request ${requestId}`,
+    );
+  printEvents(events);
+}
+
+function printCapacity(folder: string): void {
+  let text: string;
+  try {
+    text = writeCapacity(folder);
+  } catch (cause) {
+    // No folder, no file of measurements, or one that is not JSON.
+    if (!isFileFault(cause)) throw cause;
+    throw new InputFileError(
+      {cause, info: {folder}},
+      `${join(folder, 'measured.json')}: cannot be used`,
+    );
+  }
+  process.stdout.write(text);
+}
+
+function isFileFault(error: unknown): error is Error {
+  return (
+    error instanceof SyntaxError || (error instanceof Error && 'code' in error)
+  );
+}
+
+const COMMANDS: Readonly<Record<string, Command>> = {
+  demo: async (_, flags) => {
+    const runDir = resolveRunDir('demo', flags);
+    return isClean(await runDemo({...flags, runDir})) ? 0 : 1;
+  },
+  bench: async (files, flags) => {
+    if (files.length === 0)
+      throw new UsageError({}, 'bench needs an experiment file');
+    const runDir = resolveRunDir('bench', flags);
+    return (await runBench({files, runDir})) ? 0 : 1;
+  },
+  measure: async (_, flags) => {
+    const runDir = resolveRunDir('measure', flags);
+    await runMeasure({outDir: flags.out ?? runDir, runDir});
+    return 0;
+  },
+  capacity: ([folder = join('docs', 'capacity')]) => printCapacity(folder),
+  soak: async (_, flags) => {
+    const runDir = resolveRunDir('soak', flags);
+    const hasTiming = flags.timing;
+    return (await runSoaks({...flags, hasTiming, runDir})) ? 0 : 1;
+  },
+  timeline: paths => printEvents(mergeTimeline(paths)),
+  explain: ([requestId, ...paths]) => {
+    if (requestId === undefined)
+      throw new UsageError({}, 'explain needs the id of a request');
+    printExplanation(requestId, paths);
+  },
+  standin: ([kind = ''], flags) => runStandIn(kind, flags),
+};
+
+/**
+ * Finds a command by its name.
+ *
+ * @throws UsageError when there is none.
+ * @example
+ * await findCommand('timeline')(['runs/demo-1'], flags);
+ */
+export function findCommand(name: string): Command {
+  if (Object.hasOwn(COMMANDS, name)) return COMMANDS[name];
+  throw new UsageError(
+    {info: {name}},
+    `unknown command ${name}; see nutmeggauge --help`,
+  );
+}
--- /dev/null
+++ b/packages/nutmeggauge/src/test/gate-lines.ts
@@ -0,0 +1,101 @@
+/** Lines of gates' decision logs, and files of them, for tests. */
+import {mkdtempSync, writeFileSync} from 'node:fs';
+import {tmpdir} from 'node:os';
+import {join} from 'node:path';
+
+/** Fields of a line. */
+export type LineFields = Readonly<Record<string, unknown>>;
+
+/** Wall clock at which the tests' stories begin, in ms. */
+export const T0 = 1_800_000_000_000;
+
+/**
+ * Builds a line of `g1`, `ms` after the story's begin.
+ *
+ * @example
+ * buildLine(0, 'gate_started', {zone: 'a'});
+ */
+export function buildLine(
+  ms: number,
+  event: string,
+  fields: LineFields = {},
+): LineFields {
+  return {t: T0 + ms, proc: 'g1', level: 'info', event, ...fields};
+}
+
+/**
+ * Builds the line of a stream that was sent to engines.
+ *
+ * @example
+ * buildPlaced(10, 'q', {tokens: 90_000, helpers: ['e2']});
+ */
+export function buildPlaced(
+  ms: number,
+  requestId: string,
+  fields: LineFields = {},
+): LineFields {
+  return buildLine(ms, 'stream_placed', {
+    requestId,
+    attempt: 1,
+    tokens: 5000,
+    first: 'e1',
+    helpers: [],
+    partMs: 40,
+    predictedFirstMs: 100,
+    factsAgeMs: 20,
+    ...fields,
+  });
+}
+
+/**
+ * Builds the line of a stream that ended.
+ *
+ * @example
+ * buildEnded(900, 'q', {ms: 900, firstMs: 400});
+ */
+export function buildEnded(
+  ms: number,
+  requestId: string | undefined,
+  fields: LineFields = {},
+): LineFields {
+  return buildLine(ms, 'request_ended', {
+    requestId,
+    route: 'chat',
+    kind: 'stream',
+    outcome: 'answered',
+    status: 200,
+    target: 'e1',
+    tokens: 5000,
+    firstMs: 100,
+    gapMs: 40,
+    ms: 500,
+    ...fields,
+  });
+}
+
+/**
+ * Writes a file into a folder of its own.
+ *
+ * @returns Its path.
+ * @example
+ * writeTestFile('all.log', 'text');
+ */
+export function writeTestFile(name: string, text: string): string {
+  const file = join(mkdtempSync(join(tmpdir(), 'losses-')), name);
+  writeFileSync(file, text);
+  return file;
+}
+
+/**
+ * Writes a log; text stands in it as it is.
+ *
+ * @returns Its path.
+ * @example
+ * writeLog([buildLine(0, 'gate_started'), '{"t": 12']);
+ */
+export function writeLog(lines: ReadonlyArray<LineFields | string>): string {
+  const texts = lines.map(line =>
+    typeof line === 'string' ? line : JSON.stringify(line),
+  );
+  return writeTestFile('all.log', texts.join('\n') + '\n');
+}
--- a/packages/nutmeggauge/src/timeline/merge.ts
+++ b/packages/nutmeggauge/src/timeline/merge.ts
@@ -2,8 +2,7 @@
  * `nutmeggauge timeline`: merges the JSON log lines of every process of a
  * run into one time line ordered by stamp.
  */
-import {readFileSync, readdirSync, statSync} from 'node:fs';
-import {join} from 'node:path';
+import {listLogFiles, readRawLines} from './log-files.js';
 
 /** One log line as every process writes it. */
 export interface TimelineEvent {
@@ -18,38 +17,36 @@
  * Reads `.log` files (or every `.log` file of a folder) and merges them.
  * Lines that are not JSON are passed over.
  *
+ * @throws InputFileError when there is no file, or one cannot be read.
  * @example
  * mergeTimeline(['runs/demo-1']).map(formatTimelineEvent);
  */
 export function mergeTimeline(paths: readonly string[]): TimelineEvent[] {
-  const files = paths.flatMap(path =>
-    statSync(path).isDirectory()
-      ? readdirSync(path)
-          .filter(name => name.endsWith('.log'))
-          .map(name => join(path, name))
-      : [path],
-  );
   const events: TimelineEvent[] = [];
-  for (const file of files) {
-    for (const line of readFileSync(file, 'utf8').split('\n')) {
-      // Whoever collected the lines may have put a prefix before them.
-      const start = line.indexOf('{');
-      if (start < 0) continue;
-      try {
-        const event = JSON.parse(line.slice(start)) as TimelineEvent;
-        if (isTimelineEvent(event)) events.push(event);
-      } catch {
-        continue;
-      }
+  for (const file of listLogFiles(paths)) {
+    for (const {fields} of readRawLines(file)) {
+      if (fields !== undefined && isTimelineEvent(fields)) events.push(fields);
     }
   }
   return events.sort((a, b) => a.t - b.t || a.proc.localeCompare(b.proc));
 }
 
-/** A line of another program has other fields; it is passed over. */
-function isTimelineEvent(event: Partial<TimelineEvent>): boolean {
+/** Largest stamp that a date can show, in ms (ECMA-262, time values). */
+const MAX_DATE_MS = 8.64e15;
+
+/**
+ * True for a line of ours; one of another program has other fields.
+ *
+ * @example
+ * isTimelineEvent({t: 0, proc: 'gate-1', event: 'gate_started'}); // true
+ */
+export function isTimelineEvent(
+  event: Readonly<Record<string, unknown>>,
+): event is TimelineEvent {
   return (
     typeof event.t === 'number' &&
+    event.t >= 0 &&
+    event.t <= MAX_DATE_MS &&
     typeof event.proc === 'string' &&
     typeof event.event === 'string'
   );
