losses: files in the order of their stamps, equal lines counted apart

Cause: a rotated log sorts behind the newer one, so a gate's later life came first; and equal lines of one file (two nameless refusals in a ms) counted once. Ruled out: sorting lines by stamps: clocks step. Change: files come in the order of their first stamps; a line is left out only if an earlier file holds it. Reading moved to sourced-lines.ts. Cells of text tables hold no bars or control characters.

--- a/packages/nutmeggauge/src/bench/charts.test.ts
+++ b/packages/nutmeggauge/src/bench/charts.test.ts
@@ -60,5 +60,7 @@
     expect(renderHtmlTable(table)).toInclude('<td>a&lt;b&gt;&amp;&quot;</td>');
     expect(formatHtml('plain')).toEqual('plain');
     expect(formatTextTable(table)).toEqual('| id |\n| --- |\n| a<b>&" |');
+    const odd = {head: ['id'], rows: [['a\n|\u001b[1mb']]};
+    expect(formatTextTable(odd)).toEqual('| id |\n| --- |\n| a   [1mb |');
   });
 });
--- a/packages/nutmeggauge/src/bench/page.ts
+++ b/packages/nutmeggauge/src/bench/page.ts
@@ -40,13 +40,15 @@
 }
 
 /**
- * Formats a table as Markdown.
+ * Formats a table as Markdown. Bars and control characters become spaces: a
+ * route's name with a line break would end its row, an escape colour the screen.
  *
  * @example
  * formatTextTable({head: ['gate'], rows: [['gate-1']]});
  */
 export function formatTextTable({head, rows}: TextTable): string {
   return [head, head.map(() => '---'), ...rows]
+    .map(row => row.map(cell => cell.replace(/[|\p{Cc}]/gu, ' ')))
     .map(row => `| ${row.join(' | ')} |`)
     .join('\n');
 }
--- a/packages/nutmeggauge/src/losses/gate-lives.test.ts
+++ b/packages/nutmeggauge/src/losses/gate-lives.test.ts
@@ -133,6 +133,27 @@
     expect(logs.repeatedLines).toEqual(2);
   });
 
+  it('counts equal lines of one file as many events', () => {
+    // Two callers without ids were refused in the same ms.
+    const refused = buildLine(7, 'request_refused', {reason: 'stopping'});
+    const logs = readLives([STARTED, refused, refused]);
+    expect(logs.lives[0].lines.length).toEqual(3);
+    expect(logs.repeatedLines).toEqual(0);
+  });
+
+  it('puts the files of one gate in order', () => {
+    // A rotated log sorts behind the newer one by its name: the later life
+    // would have come first, and its clock would seem to be set back.
+    const older = writeLog([STARTED, buildEnded(500, 'q')]);
+    const newer = writeLog([
+      buildLine(900, 'gate_started'),
+      buildEnded(1500, 'r'),
+    ]);
+    const logs = readGateLogs([newer, older]);
+    expect(describeLives(logs).map(({from}) => from)).toEqual([0, 900]);
+    expect(logs.clockSteps).toEqual({});
+  });
+
   it('says so when there is no file, or none of a gate', () => {
     // The wrong folder was named: an empty table looks like a good day.
     expect(() => readGateLogs([])).toThrow(InputFileError, 'no log file named');
--- a/packages/nutmeggauge/src/losses/gate-lives.ts
+++ b/packages/nutmeggauge/src/losses/gate-lives.ts
@@ -1,13 +1,12 @@
 /**
- * Reads the decision logs of gates and cuts each gate's lines into lives: from
+ * Cuts the lines of each gate into lives: from
  * one start of its process to the next. The order within a gate is that of its
  * file, since its clock may step.
  */
 import {InputFileError} from '../cli/errors.js';
-import {listLogFiles, readRawLines} from '../timeline/log-files.js';
-import {isTimelineEvent} from '../timeline/merge.js';
-import type {RawLine} from '../timeline/log-files.js';
+import {FIRST_EVENT, readSourcedLines} from './sourced-lines.js';
 import type {TimelineEvent} from '../timeline/merge.js';
+import type {SourcedLine} from './sourced-lines.js';
 
 /** What a gate wrote between two starts of its process. */
 export interface GateLife {
@@ -37,9 +36,6 @@
   readonly clockSteps: Readonly<Record<string, number>>;
 }
 
-/** First line of a process, before it knows its own name. */
-const FIRST_EVENT = 'program_starting';
-
 /** Events that only a gate writes; a file without any is not a gate's log. */
 const GATE_EVENTS: ReadonlySet<string> = new Set([
   'gate_started',
@@ -53,12 +49,6 @@
   'facts_from_peer',
 ]);
 
-/** One line with the process or file that it came from. */
-interface SourcedLine {
-  readonly source: string;
-  readonly event: TimelineEvent | typeof FIRST_EVENT;
-}
-
 /** Collects the lines of one life. */
 class LifeBuilder {
   readonly lines: TimelineEvent[] = [];
@@ -110,21 +100,6 @@
   }
 }
 
-/** Name of who wrote a line: the collector's last word, else the file. */
-function resolveSource(file: string, prefix: string): string {
-  return prefix === '' ? file : `${file} ${prefix.split(/\s+/).at(-1)}`;
-}
-
-function toSourcedLine(file: string, raw: RawLine): SourcedLine | undefined {
-  const {fields, prefix} = raw;
-  if (fields === undefined) return undefined;
-  const source = resolveSource(file, prefix);
-  if (isTimelineEvent(fields)) return {source, event: fields};
-  return fields.event === FIRST_EVENT
-    ? {source, event: FIRST_EVENT}
-    : undefined;
-}
-
 /** Sources that only one process wrote to: its first line needs no name. */
 function listOwnSources(lines: readonly SourcedLine[]): ReadonlySet<string> {
   const procs = new Map<string, Set<string>>();
@@ -148,6 +123,43 @@
   return steps;
 }
 
+/** Gates that wrote any of the lines. */
+function listGates(lines: readonly SourcedLine[]): ReadonlySet<string> {
+  const events = lines.flatMap(({event}) =>
+    event === FIRST_EVENT ? [] : event,
+  );
+  return new Set(
+    events.filter(({event}) => GATE_EVENTS.has(event)).map(({proc}) => proc),
+  );
+}
+
+function readLives(
+  lines: readonly SourcedLine[],
+  gates: ReadonlySet<string>,
+): readonly GateLife[] {
+  const own = listOwnSources(lines);
+  const reader = new LivesReader();
+  for (const line of lines) {
+    const {event, source} = line;
+    if (event === FIRST_EVENT ? own.has(source) : gates.has(event.proc))
+      reader.add(line);
+  }
+  return reader.list();
+}
+
+/** Lines that gates could not write, by their own count. */
+function countDropped(lives: readonly GateLife[]): number {
+  return lives
+    .flatMap(life => life.lines)
+    .filter(({event}) => event === 'log_lines_dropped')
+    .map(({lines}) => (typeof lines === 'number' ? lines : 0))
+    .reduce((sum, lines) => sum + lines, 0);
+}
+
+function isOfOther({event}: SourcedLine, gates: ReadonlySet<string>): boolean {
+  return event !== FIRST_EVENT && !gates.has(event.proc);
+}
+
 /**
  * Reads log files, or every `.log` file of a folder.
  *
@@ -156,64 +168,23 @@
  * readGateLogs(['runs/soak-112']).lives.length;
  */
 export function readGateLogs(paths: readonly string[]): GateLogs {
-  const files = listLogFiles(paths);
-  const seen = new Set<string>();
-  const lines: SourcedLine[] = [];
-  let malformedLines = 0;
-  let foreignLines = 0;
-  let repeatedLines = 0;
-  for (const file of files) {
-    for (const raw of readRawLines(file)) {
-      const line = toSourcedLine(file, raw);
-      if (raw.fields === undefined) malformedLines++;
-      else if (line === undefined) foreignLines++;
-      // A day's logs are often given twice, by host and merged.
-      else if (line.event !== FIRST_EVENT && seen.has(raw.text))
-        repeatedLines++;
-      else {
-        if (line.event !== FIRST_EVENT) seen.add(raw.text);
-        lines.push(line);
-      }
-    }
-  }
-  const own = listOwnSources(lines);
+  const {files, lines, malformedLines, foreignLines, repeatedLines} =
+    readSourcedLines(paths);
   const gates = listGates(lines);
   if (gates.size === 0)
     throw new InputFileError(
       {info: {files}},
       `${files.join(', ')}: no line of a gate's decision log`,
     );
-  const reader = new LivesReader();
-  let droppedLines = 0;
-  for (const line of lines) {
-    const {event, source} = line;
-    if (event === FIRST_EVENT) {
-      if (own.has(source)) reader.add(line);
-      continue;
-    }
-    if (!gates.has(event.proc)) foreignLines++;
-    else reader.add(line);
-    if (event.event === 'log_lines_dropped')
-      droppedLines += Number(event.lines ?? 0);
-  }
-  const lives = reader.list();
-  const clockSteps = countClockSteps(lives);
+  const lives = readLives(lines, gates);
+  const ofOthers = lines.filter(line => isOfOther(line, gates)).length;
   return {
     files,
     lives,
     malformedLines,
-    foreignLines,
+    foreignLines: foreignLines + ofOthers,
     repeatedLines,
-    droppedLines,
-    clockSteps,
+    droppedLines: countDropped(lives),
+    clockSteps: countClockSteps(lives),
   };
 }
-
-function listGates(lines: readonly SourcedLine[]): ReadonlySet<string> {
-  const events = lines.flatMap(({event}) =>
-    event === FIRST_EVENT ? [] : event,
-  );
-  return new Set(
-    events.filter(({event}) => GATE_EVENTS.has(event)).map(({proc}) => proc),
-  );
-}
