losses: what a gate held is told apart from ends left out of its log

Cause: gates write at most 120 lines a second of a kind, ends among them. A stream whose end was left out counted as lost with its gate at the gate's next start, minutes later; and what a gate held that never came back counted as open. Ruled out: leaving out all such visits: those are what a killed gate loses. Change: a visit without an end counts as lost with its gate if its last line is no older than a request lasts (the longest in the log, 10 s at least), and the gate began anew or was silent for longer than that while others went on.

--- a/packages/nutmeggauge/src/losses/judge-request.test.ts
+++ b/packages/nutmeggauge/src/losses/judge-request.test.ts
@@ -154,6 +154,27 @@
     ]);
   });
 
+  it('loses nothing with a gate that had ended it unsaid', () => {
+    // Under load the end of a stream was among the lines left out; its gate
+    // was restarted 40 s later. No request lasts so long: it was not lost then.
+    const requests = judge([
+      buildPlaced(10, 'unsaid'),
+      buildEnded(40_000, 'other'),
+      buildLine(41_000, 'gate_started'),
+    ]);
+    const unsaid = requests.find(({requestId}) => requestId === 'unsaid');
+    expect([unsaid?.cause, unsaid?.isOpen]).toEqual([undefined, true]);
+  });
+
+  it('loses what a gate held that never came back', () => {
+    // A host lost power for good: its log ends with a stream placed, while
+    // another gate goes on for longer than any request lasts.
+    const held = buildPlaced(10, 'held');
+    const going = (ms: number) => ({...buildEnded(ms, 'other'), proc: 'g2'});
+    expect(judge([held, going(11_000)])[0].cause).toEqual('gate-ended');
+    expect(judge([held, going(9000)])[0].isOpen).toEqual(true);
+  });
+
   it('says nothing of a forecast that a clock was set back over', () => {
     // The clock went back by 30 s between the placement and the end: the
     // placement seems to lie half a minute after the first event. Taken as it
--- a/packages/nutmeggauge/src/losses/judge-request.ts
+++ b/packages/nutmeggauge/src/losses/judge-request.ts
@@ -50,7 +50,7 @@
   readonly worth: number;
   readonly cause: Cause | undefined;
   readonly lost: number;
-  /** The log ends before the request does: nothing is said of it. */
+  /** Its end is not in the log: nothing is said of it. */
   readonly isOpen: boolean;
   /** Its route has an objective. */
   readonly hasObjective: boolean;
--- a/packages/nutmeggauge/src/losses/summarize-losses.ts
+++ b/packages/nutmeggauge/src/losses/summarize-losses.ts
@@ -20,7 +20,7 @@
   readonly files: readonly string[];
   readonly gates: number;
   readonly requests: number;
-  /** Requests that the log breaks off in. */
+  /** Requests whose end is not in the log: it breaks off, or left it out. */
   readonly openRequests: number;
   /** First events without a stamped forecast: lines dropped, or clocks set. */
   readonly firstEventsWithoutForecast: number;
--- a/packages/nutmeggauge/src/losses/tables.ts
+++ b/packages/nutmeggauge/src/losses/tables.ts
@@ -126,7 +126,7 @@
     [coverage.foreignLines, 'lines of other programs passed over'],
     [coverage.repeatedLines, 'lines that stand there twice counted once'],
     [coverage.droppedLines, 'lines that gates did not write'],
-    [coverage.openRequests, 'requests not ended where the log ends, left out'],
+    [coverage.openRequests, 'requests whose end is not in the log, left out'],
     [
       coverage.firstEventsWithoutForecast,
       'first events whose forecast is not known',
--- a/packages/nutmeggauge/src/losses/visits.ts
+++ b/packages/nutmeggauge/src/losses/visits.ts
@@ -55,7 +55,7 @@
   readonly end: VisitEnd | undefined;
   /** Last line of the gate's life, for a visit without an end. */
   readonly lastSeenAt: number;
-  /** The gate's process ended before the visit did. */
+  /** The gate's process ended, or fell silent for good, before the visit did. */
   readonly isGateGone: boolean;
 }
 
@@ -150,6 +150,7 @@
   life: GateLife,
   lines: readonly TimelineEvent[],
   endLine: TimelineEvent | undefined,
+  span: LogSpan,
 ): Visit {
   const end = endLine === undefined ? undefined : toEnd(endLine);
   const pick = (event: string) => lines.filter(line => line.event === event);
@@ -164,12 +165,56 @@
       target: readText(line, 'target') ?? '',
     })),
     end,
-    lastSeenAt: life.lines[life.lines.length - 1].t,
-    isGateGone: end === undefined && life.isOver,
+    lastSeenAt: readLastStamp(life.lines),
+    isGateGone: end === undefined && isGateGone(life, lines, span),
   };
 }
 
-function listVisitsOfLife(life: GateLife): readonly Visit[] {
+function readLastStamp(lines: readonly TimelineEvent[]): number {
+  return lines[lines.length - 1].t;
+}
+
+/**
+ * Longest time that a request is taken to last, in ms, where the log shows
+ * shorter ones only: the time limit that callers of every deployment set.
+ */
+const USUAL_LIMIT_MS = 10_000;
+
+/** What all logs together tell. */
+interface LogSpan {
+  /** Last stamp of any gate, in ms. */
+  readonly endsAt: number;
+  /** Longest time that a request lasted, in ms. */
+  readonly longestMs: number;
+}
+
+function readSpan(lives: readonly GateLife[]): LogSpan {
+  let endsAt = 0;
+  let longestMs = USUAL_LIMIT_MS;
+  for (const line of lives.flatMap(life => life.lines)) {
+    endsAt = Math.max(endsAt, line.t);
+    if (line.event === 'request_ended')
+      longestMs = Math.max(longestMs, readMs(line, 'ms') ?? 0);
+  }
+  return {endsAt, longestMs};
+}
+
+/**
+ * True when a visit without an end was lost with its gate. A gate leaves lines
+ * out under load, ends among them: a visit whose own last line is older than
+ * any request lasts had ended before its gate did, nobody knows how.
+ */
+function isGateGone(
+  life: GateLife,
+  lines: readonly TimelineEvent[],
+  {endsAt, longestMs}: LogSpan,
+): boolean {
+  const lastAt = readLastStamp(life.lines);
+  if (lastAt - readLastStamp(lines) > longestMs) return false;
+  return life.isOver || endsAt - lastAt > longestMs;
+}
+
+function listVisitsOfLife(life: GateLife, span: LogSpan): readonly Visit[] {
   const open = new Map<string, TimelineEvent[]>();
   const visits: Visit[] = [];
   for (const line of life.lines) {
@@ -180,11 +225,13 @@
       line.event === 'request_ended' || line.event === 'request_refused';
     if (isEnd) {
       open.delete(id ?? '');
-      visits.push(buildVisit(life, id === undefined ? [line] : lines, line));
+      visits.push(
+        buildVisit(life, id === undefined ? [line] : lines, line, span),
+      );
     } else if (id !== undefined) open.set(id, lines);
   }
   for (const lines of open.values())
-    visits.push(buildVisit(life, lines, undefined));
+    visits.push(buildVisit(life, lines, undefined, span));
   return visits;
 }
 
@@ -195,7 +242,8 @@
  * listVisits(readGateLogs(['all.log']).lives).length;
  */
 export function listVisits(lives: readonly GateLife[]): readonly Visit[] {
-  return lives.flatMap(listVisitsOfLife);
+  const span = readSpan(lives);
+  return lives.flatMap(life => listVisitsOfLife(life, span));
 }
 
 /** One request with all its visits, in the order of their arrivals. */
