Tests of losses remove the files that they write

Ruled out: one file for all: tests read several logs at once. Change: one folder a process, removed at its end.

--- a/packages/nutmeggauge/src/cli/launchers.test.ts
+++ b/packages/nutmeggauge/src/cli/launchers.test.ts
@@ -4,6 +4,7 @@
   mkdirSync,
   mkdtempSync,
   readFileSync,
+  rmSync,
   statSync,
 } from 'node:fs';
 import {tmpdir} from 'node:os';
@@ -54,6 +55,7 @@
         encoding: 'utf8',
         timeout: RUN_LIMIT_MS,
       });
+      rmSync(clone, {recursive: true});
       expect(result.status).toEqual(2);
       expect(result.stderr).toEqual(
         `${name}: not built yet; run npx tsc -b first\n`,
--- a/packages/nutmeggauge/src/test/gate-lines.ts
+++ b/packages/nutmeggauge/src/test/gate-lines.ts
@@ -1,5 +1,5 @@
 /** Lines of gates' decision logs, and files of them, for tests. */
-import {mkdtempSync, writeFileSync} from 'node:fs';
+import {mkdirSync, mkdtempSync, rmSync, writeFileSync} from 'node:fs';
 import {tmpdir} from 'node:os';
 import {join} from 'node:path';
 
@@ -73,6 +73,21 @@
   });
 }
 
+let root: string | undefined;
+let folders = 0;
+
+/** A new folder, removed with all others when the process ends. */
+function createFolder(): string {
+  if (root === undefined) {
+    const created = mkdtempSync(join(tmpdir(), 'losses-'));
+    process.once('exit', () => rmSync(created, {recursive: true}));
+    root = created;
+  }
+  const folder = join(root, String(++folders));
+  mkdirSync(folder);
+  return folder;
+}
+
 /**
  * Writes a file into a folder of its own.
  *
@@ -81,7 +96,7 @@
  * writeTestFile('all.log', 'text');
  */
 export function writeTestFile(name: string, text: string): string {
-  const file = join(mkdtempSync(join(tmpdir(), 'losses-')), name);
+  const file = join(createFolder(), name);
   writeFileSync(file, text);
   return file;
 }
