Daemons say in one line what is wrong with their command line

Ruled out: sharing the flag checks of the tools, which name their own flags. The search for free ports fails with a typed error.

--- a/packages/core/src/daemon.ts
+++ b/packages/core/src/daemon.ts
@@ -48,22 +48,9 @@
 export async function runDaemon<S extends z.ZodType<{id: string}>>(
   options: DaemonOptions<S>,
 ): Promise<void> {
-  const cli = meow(
-    `
-  Usage
-    $ ${options.name} --config <file.yaml>
-
-  Options
-    --config, -c  YAML settings file (${options.settingsHelp})
-`,
-    {
-      importMeta: options.importMeta,
-      flags: {config: {type: 'string', shortFlag: 'c', isRequired: true}},
-    },
-  );
   let settings: z.output<S>;
   try {
-    settings = loadSettings(options.schema, cli.flags.config);
+    settings = loadSettings(options.schema, parseConfigPath(options));
   } catch (error) {
     if (!(error instanceof SettingsError)) throw error;
     process.stderr.write(`${options.name}: ${error.message}\n`);
@@ -95,3 +82,40 @@
     process.exit(EXIT_START_FAILED);
   }
 }
+
+/**
+ * Reads the path of the settings file off the command line.
+ *
+ * @throws SettingsError that names the word at fault.
+ */
+function parseConfigPath(options: DaemonOptions<z.ZodType>): string {
+  const {flags, input} = readWords(options);
+  const foreign = Object.keys(flags).find(key => key !== 'config');
+  if (foreign !== undefined)
+    throw new SettingsError({info: {foreign}}, `unknown flag --${foreign}`);
+  if (input.length > 0)
+    throw new SettingsError({info: {input}}, `unknown word ${input[0]}`);
+  const {config} = flags;
+  if (config === undefined || config === '')
+    throw new SettingsError({}, '--config needs the path of a settings file');
+  return config;
+}
+
+function readWords({name, importMeta, settingsHelp}: DaemonOptions<z.ZodType>) {
+  try {
+    return meow(
+      `
+  Usage
+    $ ${name} --config <file.yaml>
+
+  Options
+    --config, -c  YAML settings file (${settingsHelp})
+`,
+      {importMeta, flags: {config: {type: 'string', shortFlag: 'c'}}},
+    );
+  } catch (cause) {
+    // meow throws for a flag that is set twice, in several lines.
+    const message = (cause as Error).message.replace(/\s+/g, ' ');
+    throw new SettingsError({cause: cause as Error}, message);
+  }
+}
--- a/packages/nutmeggauge/src/cli/launchers.test.ts
+++ b/packages/nutmeggauge/src/cli/launchers.test.ts
@@ -63,3 +63,31 @@
     });
   }
 });
+
+/** Words that a daemon cannot start with, and what it says. */
+const BAD_WORDS: ReadonlyArray<readonly [readonly string[], string]> = [
+  [[], '--config needs the path of a settings file'],
+  [['--config'], '--config needs the path of a settings file'],
+  [['--config', 'a', '--config', 'b'], 'config'],
+  [['--confg', 'a'], 'unknown flag --confg'],
+  [['--config', 'a', 'b'], 'unknown word b'],
+  [['--config', '/no/such/file.yaml'], '/no/such/file.yaml'],
+];
+
+describe('daemons that are started with bad words', () => {
+  for (const [folder, name] of COMMANDS.slice(1)) {
+    it(`${name}: says what is wrong in one line`, () => {
+      // A mistyped flag was ignored, a flag set twice printed a stack: the
+      // operator saw a host that ran on other settings, or not why it ended.
+      for (const [words, text] of BAD_WORDS) {
+        const result = spawnSync(findLauncher(folder, name), words, {
+          encoding: 'utf8',
+          timeout: RUN_LIMIT_MS,
+        });
+        expect(result.status).toEqual(2);
+        expect(result.stderr.trimEnd().split('\n').length).toEqual(1);
+        expect(result.stderr).toInclude(text);
+      }
+    });
+  }
+});
--- a/packages/nutmeggauge/src/cluster/ports.ts
+++ b/packages/nutmeggauge/src/cluster/ports.ts
@@ -3,6 +3,7 @@
  * start so that every settings file can name its peers.
  */
 import {createServer} from 'node:net';
+import {ClusterError} from '@nutmeggauge/core';
 import type {Server} from 'node:net';
 
 /**
@@ -28,7 +29,8 @@
   const ports: number[] = [];
   // Held until all are found, so that no port is found twice.
   for (let draw = 0; ports.length < count; draw++) {
-    if (draw > count + MAX_DRAWS) throw new Error('no free ports');
+    if (draw > count + MAX_DRAWS)
+      throw new ClusterError({info: {count}}, 'no free ports');
     const port =
       FIRST_PORT + Math.floor(Math.random() * (LAST_PORT - FIRST_PORT));
     const server = createServer();
