--- a/packages/direct/src/peers/facts-exchange.test.ts
+++ b/packages/direct/src/peers/facts-exchange.test.ts
@@ -5,11 +5,10 @@
 import {expect} from 'earl';
 import {createFleetState} from '../fleet/fleet-state.js';
 import {createDecisionLog} from '../observe/decision-log.js';
-import {buildConfig} from '../test/gate-world.js';
+import {buildLargeConfig} from '../test/gate-world.js';
 import {openFactsServer} from './facts-exchange.js';
 import type {AddressInfo, Server, Socket} from 'node:net';
 import type {SharedFacts} from '../fleet/fleet-state.js';
-import type {FleetConfig} from '../types.js';
 
 /** Routes of the large configuration: 8 MB, more than sockets hold back. */
 const ROUTE_COUNT = 30_000;
@@ -23,16 +22,6 @@
 /** Longer than any test, in ms: askers pause on purpose. */
 const TEST_IDLE_MS = 60_000;
 
-function buildLargeConfig(version: number): FleetConfig {
-  const [route] = buildConfig(version).routes;
-  const routes = Array.from({length: ROUTE_COUNT}, (_, i) => ({
-    ...route,
-    name: `route-${i}`,
-    prefix: `/route-${i}/`,
-  }));
-  return buildConfig(version, {routes});
-}
-
 describe('handing facts to other gates', () => {
   const sockets: Socket[] = [];
   let output: PassThrough;
@@ -49,7 +38,10 @@
       readNow,
       idleMs: TEST_IDLE_MS,
     });
-    state.applyChange({kind: 'config', config: buildLargeConfig(7)}, 0);
+    state.applyChange(
+      {kind: 'config', config: buildLargeConfig(7, ROUTE_COUNT)},
+      0,
+    );
   });
 
   afterEach(() => {
--- a/packages/direct/src/peers/facts-hand-over.test.ts
+++ b/packages/direct/src/peers/facts-hand-over.test.ts
@@ -6,12 +6,11 @@
 import {createFleetState} from '../fleet/fleet-state.js';
 import {createDecisionLog} from '../observe/decision-log.js';
 import {buildTarget} from '../test/build-target.js';
-import {buildConfig} from '../test/gate-world.js';
+import {buildConfig, buildLargeConfig} from '../test/gate-world.js';
 import {fetchSharedFacts, openFactsServer} from './facts-exchange.js';
 import {createFactsFetcher} from './facts-fetcher.js';
 import type {AddressInfo, Server, Socket} from 'node:net';
 import type {FleetState, SharedFacts} from '../fleet/fleet-state.js';
-import type {FleetConfig} from '../types.js';
 
 /** Routes of the large configuration: 20 MB. */
 const ROUTE_COUNT = 100_000;
@@ -22,16 +21,6 @@
 /** Longer than any test, in ms: askers pause on purpose. */
 const TEST_IDLE_MS = 60_000;
 
-function buildLargeConfig(version: number): FleetConfig {
-  const [route] = buildConfig(version).routes;
-  const routes = Array.from({length: ROUTE_COUNT}, (_, i) => ({
-    ...route,
-    name: `route-${i}`,
-    prefix: `/route-${i}/`,
-  }));
-  return buildConfig(version, {routes});
-}
-
 function createLog(output = new PassThrough()) {
   output.resume();
   return createDecisionLog({proc: 'g', output, readWallMs: Date.now});
@@ -103,7 +92,10 @@
       idleMs: TEST_IDLE_MS,
     });
     address = `127.0.0.1:${(server.address() as AddressInfo).port}`;
-    state.applyChange({kind: 'config', config: buildLargeConfig(7)}, 0);
+    state.applyChange(
+      {kind: 'config', config: buildLargeConfig(7, ROUTE_COUNT)},
+      0,
+    );
     state.applyChange({kind: 'target', target: buildTarget('t', 3)}, 3);
   });
 
--- a/packages/direct/src/test/gate-world.ts
+++ b/packages/direct/src/test/gate-world.ts
@@ -92,6 +92,20 @@
   };
 }
 
+/** A configuration that grew by many routes, some 250 bytes each. */
+export function buildLargeConfig(
+  version: number,
+  routeCount: number,
+): FleetConfig {
+  const [route] = buildConfig(version).routes;
+  const routes = Array.from({length: routeCount}, (_, i) => ({
+    ...route,
+    name: `route-${i}`,
+    prefix: `/route-${i}/`,
+  }));
+  return buildConfig(version, {routes});
+}
+
 /** Reservations that are always granted, and recorded. */
 export class FakeReservations extends MemoryReservations {
   readonly held = new Map<string, number>();
