Gates ask each other at once while the store does not answer them

The gate's own watch then takes the missing entry for a lapsed one and keeps the target for 2.3 s; told by another gate first, it drops it at once. Ruled out: the bound on silence of calls to the store (same to the first byte). Change: a gate whose store has been silent for 3 s waits up to 150 ms, not 400 to 800. Before: no test of it.

--- a/packages/direct/src/peers/facts-fetcher.test.ts
+++ b/packages/direct/src/peers/facts-fetcher.test.ts
@@ -74,12 +74,14 @@
 function createWorld(
   answers: Readonly<Record<string, () => Promise<SharedFacts>>>,
   random: () => number = () => 0,
+  isStoreSilent = false,
 ) {
   const clock = new VirtualClock();
   const state = createFleetState(() => clock.now);
   const asked: string[] = [];
   const lines: string[] = [];
   const fetcher = createFactsFetcher({
+    isStoreSilent: () => isStoreSilent,
     state,
     listAhead: () =>
       (state.config?.version ?? 0) < 7 ? Object.keys(answers) : [],
@@ -116,6 +118,17 @@
     expect(asked).toEqual([]);
   });
 
+  it('asks at once while the store does not answer it', async () => {
+    // The store turns one gate away for ten seconds, and a server leaves just
+    // as it comes back. Waiting for the store, the gate heard of it there, took
+    // the entry for one that had lapsed, and used the server for 2.6 s.
+    const world = createWorld({a: giveFacts}, () => 0.99, true);
+    world.fetcher.schedule();
+    await world.clock.run(() => false);
+    expect(world.asked).toEqual(['a']);
+    expect(world.clock.now).toBeLessThan(200);
+  });
+
   it('asks any of the gates that are ahead', async () => {
     // All gates heard the same gate first, and all asked that one.
     const asked = new Set<string>();
@@ -196,6 +209,7 @@
     const state = createFleetState(() => clock.now);
     state.onChange(() => this.knownSince.set(name, clock.now));
     const fetcher = createFactsFetcher({
+      isStoreSilent: () => false,
       state,
       listAhead: () => (state.config === undefined ? this.listHeard() : []),
       fetch: host => this.serveCopy(host),
--- a/packages/direct/src/peers/facts-fetcher.ts
+++ b/packages/direct/src/peers/facts-fetcher.ts
@@ -25,6 +25,14 @@
  */
 const AHEAD_SPREAD_MS = 400;
 
+/**
+ * The same, in ms, while the store does not answer this gate: nothing is to be
+ * waited for. A server that leaves just as the store comes back is known from
+ * another gate before this one's own watch, which at that moment takes a
+ * missing entry for one that lapsed and keeps its target for 2.3 s.
+ */
+const UNHEARD_SPREAD_MS = 150;
+
 /**
  * Pause after an answer of a gate that serves others, in ms, and its spread:
  * a megabyte takes 60 ms over a link of 140 Mbit/s.
@@ -38,6 +46,8 @@
 /** What the fetcher works with. */
 export interface FactsFetcherOptions {
   readonly state: FleetState;
+  /** True while the store has not answered this gate for too long. */
+  readonly isStoreSilent: () => boolean;
   /** Hosts of the gates that are alive and know newer facts than this one. */
   readonly listAhead: () => readonly string[];
   readonly fetch: (host: string, known: FactVersions) => Promise<SharedFacts>;
@@ -69,8 +79,9 @@
   }
 
   private async run(): Promise<void> {
-    await this.wait(AHEAD_MS, AHEAD_SPREAD_MS);
-    const {listAhead} = this.options;
+    const {listAhead, isStoreSilent} = this.options;
+    if (isStoreSilent()) await this.wait(0, UNHEARD_SPREAD_MS);
+    else await this.wait(AHEAD_MS, AHEAD_SPREAD_MS);
     const failed = new Set<string>();
     // One answer need not be all: a gate that is ahead by a target alone does
     // not bring the configuration that another one has.
--- a/packages/direct/src/peers/facts-guards.test.ts
+++ b/packages/direct/src/peers/facts-guards.test.ts
@@ -38,6 +38,7 @@
     const asks: number[] = [];
     const state = createFleetState(() => now);
     const fetcher = createFactsFetcher({
+      isStoreSilent: () => false,
       state,
       listAhead: () => (asks.length < 2 ? ['a'] : []),
       fetch: () => {
--- a/packages/direct/src/peers/facts-hand-over.test.ts
+++ b/packages/direct/src/peers/facts-hand-over.test.ts
@@ -34,6 +34,7 @@
 ): Promise<void> {
   let askedAt = performance.now();
   const fetcher = createFactsFetcher({
+    isStoreSilent: () => false,
     state,
     listAhead,
     fetch: (host, known) => {
--- a/packages/direct/src/peers/peer-group.ts
+++ b/packages/direct/src/peers/peer-group.ts
@@ -27,6 +27,12 @@
 /** Shortest time between two beats that new facts cause, in ms. */
 const NEWS_MIN_MS = 100;
 
+/**
+ * Age of the store's last answer from which on it is not waited for, in ms: a
+ * watch without news is answered each 2.5 s.
+ */
+const STORE_SILENT_MS = 3000;
+
 /** Time for the last messages to leave, in ms. */
 const LEAVE_MS = 30;
 
@@ -67,10 +73,11 @@
   constructor(private readonly options: PeerGroupOptions) {
     super();
     this.seedHosts = options.seedHosts;
-    const {host: ownHost, state, log, readNow, port} = options;
+    const {host: ownHost, state, log, readNow, port, readStoreAgeMs} = options;
     this.table = new PeerTable(ownHost, readNow);
     this.fetcher = createFactsFetcher({
       state,
+      isStoreSilent: () => readStoreAgeMs() > STORE_SILENT_MS,
       listAhead: () => this.listAhead(),
       fetch: (host, known) => fetchSharedFacts(`${host}:${port}`, known),
       log,
