--- a/packages/agent/src/intake/intake.test.ts
+++ b/packages/agent/src/intake/intake.test.ts
@@ -72,9 +72,7 @@
 
 describe('intake', () => {
   it('runs one of two copies that arrive together', async () => {
-    // A caller's order and its retry reach the agent in the same instant.
-    // Both looked at the ledger before either had claimed the key, and two
-    // kits were booked. The property test of the protocol found it.
+    // Guards against a double run of two copies that arrive at the same time.
     const {target, send} = createIntake();
     const both = Promise.all([send('r1'), send('r2')]);
     await target.endOldest();
@@ -86,9 +84,7 @@
   });
 
   it('does not run a queued request whose caller has left', async () => {
-    // A subscriber closes the app while the question still waits for a slot.
-    // The cancel only reached requests already at the engine, so the queued
-    // one ran later for nobody and held memory that others waited for.
+    // Guards against a queued request that runs after its caller has left.
     const {intake, target, send} = createIntake();
     const free = {notRepeatable: false, ledgerKey: undefined, keyed: false};
     const first = send('r1', free);
@@ -105,9 +101,7 @@
   });
 
   it('refuses a keyed request from a gate whose record is newer', async () => {
-    // The operator moves keys to this agent; a gate hears of it first. The
-    // agent does not know yet since when it is the key's home, so it must
-    // not run the key before it has read the record.
+    // Guards against running a key before the agent knows that it is its home.
     const {target, send} = createIntake(1);
     const outcome = await send('r1', {recordVersion: 2});
     expect(outcome).toEqual({
@@ -119,9 +113,8 @@
   });
 
   it('answers a copy although the first run failed', async () => {
-    // A fault in the agent ends the run of an order while its copy waits for
-    // the outcome. The wait was a promise that nobody handled: the agent
-    // ended, its ledger was gone, and every order of its lane was in doubt.
+    // Guards against a rejected promise of a waiting copy, which ended the
+    // agent.
     const {intake, target, send} = createIntake();
     target.run = async () => {
       await waitImmediate();
--- a/packages/agent/src/intake/intake.ts
+++ b/packages/agent/src/intake/intake.ts
@@ -122,8 +122,8 @@
   }
 
   /**
-   * Stops the requests of a gate that went away: it can no longer deliver
-   * their answers, and the engine's memory is wanted by others.
+   * Stops the requests of a gate that is gone, as it cannot deliver their
+   * answers.
    */
   cancelOwned(owner: object): void {
     for (const [requestId, request] of this.active) {
@@ -170,8 +170,8 @@
       const refusal = this.checkOwnership(key, request);
       if (refusal !== undefined) return refusal;
     }
-    // No await may come between the look at the ledger above and the claim:
-    // two copies that arrived together both found the key free, and both ran.
+    // No await between the look-up above and the claim: two copies could both
+    // find the key free.
     const claim = ledger.claim(key, request.requestId);
     if (claim === LEDGER_FULL) {
       counters.add('agent.ledger_full');
@@ -198,8 +198,8 @@
         receive(notice);
       });
     } catch {
-      // A fault in here leaves open whether it ran. Copies wait for this
-      // promise: rejected, it ended the agent and its ledger with it.
+      // An error here leaves open whether it ran. Copies wait for this promise,
+      // so it must not reject.
       outcome = {status: 'unknown', reason: 'agent_failed'};
     }
     if (outcome.status === 'not-run') this.options.ledger.release(key);
@@ -234,8 +234,7 @@
     receive: ChunkReceiver,
   ): DispatchOutcome {
     if (entry.outcome.status !== 'done') return entry.outcome;
-    // The ledger knows that it ran but not what was said: answering "done"
-    // without the text would pass for an empty answer.
+    // "done" without the text would look like an empty answer.
     if (entry.pieces === undefined)
       return {status: 'unknown', reason: 'ran_answer_not_kept'};
     entry.pieces.forEach((text, seq) =>
@@ -263,9 +262,8 @@
   }
 
   /**
-   * Guards against a key running at two homes. A gate with a newer record
-   * may know a change of the pool's targets that this agent does not, and a
-   * restarted or new home has no record of what ran before.
+   * Prevents a key from running at two homes: this agent may lack a change of
+   * the pool, or the history of the key.
    */
   private checkOwnership(
     key: string,
@@ -305,7 +303,7 @@
     };
     this.active.set(request.requestId, active);
     this.options.onWorkChange();
-    // A gate that froze or was cut off sends no cancel at the deadline.
+    // A gate that is frozen or cut off sends no cancel at the deadline.
     const expiry = setTimeout(
       () => this.cancel(request.requestId),
       Math.max(0, request.deadlineAt - Date.now()),
--- a/packages/agent/src/ledger/ledger.test.ts
+++ b/packages/agent/src/ledger/ledger.test.ts
@@ -40,9 +40,8 @@
   });
 
   it('refuses a new key when full rather than forget a settled one', () => {
-    // A subscriber's renewal order runs; the ledger then fills with other
-    // keys and used to drop the oldest settled entry to make room. The
-    // caller's retry of the renewal found no entry and charged the card twice.
+    // Guards against a ledger that drops an entry to make room, after which a
+    // retry runs twice.
     const ledger = createLedger({maxEntries: 2});
     ledger.claim('renewal', 'r1', 0);
     ledger.settle('renewal', {
--- a/packages/agent/src/ledger/ledger.ts
+++ b/packages/agent/src/ledger/ledger.ts
@@ -72,9 +72,8 @@
     this.expire(now);
     const existing = this.entries.get(key);
     if (existing !== undefined) return existing;
-    // Guards against a double run: dropping a live entry to make room would
-    // let a late copy of that request run a second time. A full ledger
-    // refuses the new request instead, which the caller hears as "not run".
+    // Dropping a live entry could let a late copy run twice, so a full ledger
+    // refuses.
     if (this.entries.size >= this.maxEntries) return LEDGER_FULL;
     this.entries.set(key, {state: 'started', requestId, claimedAt: now});
     return undefined;
--- a/packages/agent/src/ledger/ownership.test.ts
+++ b/packages/agent/src/ledger/ownership.test.ts
@@ -27,8 +27,7 @@
 
 describe('key ownership', () => {
   it('forgets a key that a removed target may have run', () => {
-    // An order desk is replaced: its keys move to this agent. A builder's
-    // retry of an order booked there must not be booked here.
+    // Guards against a retry that meets the ledger of a new home.
     const ownership = create(-Infinity);
     ownership.applyTargets('orders', IDS, 1000);
     const moved = Array.from({length: 1000}, (_, i) => `key-${i}`).find(
--- a/packages/agent/src/target/engine-target.test.ts
+++ b/packages/agent/src/target/engine-target.test.ts
@@ -50,9 +50,7 @@
   });
 
   it('is broken where a piece has no text or no number', async () => {
-    // An engine of another version leaves a field out. The piece without a
-    // text went into the ledger, which failed on it: the key stayed taken
-    // with no outcome, and a waiting copy of the request ended the agent.
+    // Guards against a piece without a text, which ended the agent.
     for (const piece of ['{"seq":0}', '{"text":"a"}', 'null', '7', '{}']) {
       const {outcome, pieces} = await runOn(`data: ${piece}\n\n${DONE}`);
       expect(outcome).toEqual({
--- a/packages/agent/src/target/engine-target.ts
+++ b/packages/agent/src/target/engine-target.ts
@@ -9,14 +9,12 @@
 import type {ChunkSink} from './target.js';
 
 /**
- * Shortest lease on the engine's memory, in ms. The lease ends at the
- * request's deadline, so an agent that dies without a cancel costs the
- * engine no memory past it.
+ * Shortest lease on the engine's KV cache, in ms: it ends at the request's
+ * deadline, even if the agent dies.
  */
 const MIN_LEASE_MS = 1000;
 
-// Checked: a piece without a text went into the ledger, which failed on it
-// and ended the agent.
+// A piece without a text would fail in the ledger.
 const PieceSchema = z.object({
   seq: z.number().int().nonnegative(),
   text: z.string(),
--- a/packages/core/src/config/delta.test.ts
+++ b/packages/core/src/config/delta.test.ts
@@ -52,9 +52,7 @@
   });
 
   it('are refused by a reader that does not hold their base', () => {
-    // A reader that was paused holds version 1; a relay hands it the change
-    // from 2 to 3. Taken on top of 1 it would give a record that no operator
-    // ever published.
+    // Guards against a change applied to the wrong version.
     const watcher = createConfigWatcher({
       url: 'http://127.0.0.1:1',
       counters: createCounters(),
--- a/packages/core/src/config/delta.ts
+++ b/packages/core/src/config/delta.ts
@@ -1,8 +1,6 @@
 /**
- * Changes between two configuration records. A record of 3,700 client
- * accounts is over half a megabyte; sending it whole to every process at
- * each of 910 changes a day would cost about 6 KB/s a process, so a watch
- * that names the version it holds is answered with the changed items only.
+ * Changes between two configuration records. A watch that names the version it
+ * holds is answered with the changed items only, as a whole record is large.
  */
 import {z} from 'zod';
 
--- a/packages/core/src/config/record.test.ts
+++ b/packages/core/src/config/record.test.ts
@@ -25,9 +25,7 @@
 
 describe('configuration record', () => {
   it('is refused when two accounts hold one key, without showing the key', () => {
-    // An operator copies an account and forgets to change its key. Whichever
-    // account came last used to win: the other team's requests were counted
-    // and limited as theirs, and could use their pools.
+    // Guards against a copied key that lets one account act as another.
     const copied = {...record, accounts: [care, {...staff, keys: care.keys}]};
     expect(() => resolveConfigRecord(copied)).toThrow(
       ConfigRecordError,
@@ -37,7 +35,7 @@
   });
 
   it('is refused when a rule names a pool that is not there', () => {
-    // A typing error in a not-repeatable rule would leave orders repeatable.
+    // Guards against a misspelt pool that leaves orders repeatable.
     const rules = [{pool: 'ordres', notRepeatable: true}];
     expect(() => resolveConfigRecord({...record, rules})).toThrow(
       ConfigRecordError,
--- a/packages/core/src/config/record.ts
+++ b/packages/core/src/config/record.ts
@@ -92,10 +92,8 @@
 }
 
 /**
- * Lists what no single field shows: one key held by two accounts would let
- * one of them act as the other, a target listed twice would take double its
- * share, and a name of a pool that is not there is a typing error that would
- * show only as refused callers, or as a rule that never holds.
+ * Lists conflicts between fields: a key or target that occurs twice, or a pool
+ * that does not exist.
  */
 function listConflicts(record: RecordParts): readonly string[] {
   const {accounts, pools, rules} = record;
@@ -107,7 +105,7 @@
     ...listDoubles(accounts.map(account => account.id)).map(
       id => `accounts: ${id} is listed twice`,
     ),
-    // Keys are secrets: the message names the account, not the key.
+    // Keys are secrets, so the message names the account.
     ...listDoubles(allKeys).map(
       key =>
         `accounts: a key of ${keyOwners[allKeys.lastIndexOf(key)]} is held twice`,
--- a/packages/core/src/config/watch.test.ts
+++ b/packages/core/src/config/watch.test.ts
@@ -17,8 +17,7 @@
 
 describe('configuration watcher', () => {
   it('ignores a stale record served after a newer one, so configuration never reverts', () => {
-    // An operator publishes v2; a lagging replica of the configuration service
-    // then serves v1 for a long stretch. The gate must keep v2, not go back.
+    // Guards against a lagging replica that reverts the configuration.
     const watcher = createConfigWatcher({
       url: 'http://127.0.0.1:1',
       counters: createCounters(),
--- a/packages/core/src/config/watch.ts
+++ b/packages/core/src/config/watch.ts
@@ -29,8 +29,9 @@
    */
   readonly backoffMinMs?: number;
   /**
-   * Longest pause between failed reads, in ms. Half the 8 s in which a
-   * change must be in force, so that one pause after an outage fits into it.
+   * Longest pause between failed reads, in ms: half the time in which a change
+   * must be in force.
+   *
    * @default 4000
    */
   readonly backoffMaxMs?: number;
--- a/packages/core/src/daemon.ts
+++ b/packages/core/src/daemon.ts
@@ -71,8 +71,8 @@
     log.info('signal_received', {signal});
     void task.drain().then(() => process.exit(0));
   };
-  // They stay registered: with the default action a second signal would cut
-  // off the requests that the drain waits for.
+  // They stay registered: a second signal would otherwise end the process
+  // during the drain.
   process.on('SIGTERM', () => stop('SIGTERM'));
   process.on('SIGINT', () => stop('SIGINT'));
   try {
--- a/packages/core/src/http.ts
+++ b/packages/core/src/http.ts
@@ -7,8 +7,7 @@
 export const MAX_BODY_BYTES = 16 * 1024 * 1024;
 
 /**
- * Reads the path that a caller asks for; nothing where its address is none
- * ("//"): the error that URL raises for it ended the process that was asked.
+ * Reads the path of a request; nothing if its URL is invalid, such as "//".
  *
  * @example
  * readPath(req); // '/v1/completions'
--- a/packages/core/src/last-resort.test.ts
+++ b/packages/core/src/last-resort.test.ts
@@ -21,8 +21,7 @@
 
 describe('an error that nothing caught', () => {
   it('leaves the gate serving when a connection raised it', async () => {
-    // A server resets a connection whose request has ended. Nobody listens
-    // any more, and the gate ended with every stream that it was forwarding.
+    // Guards against a late connection error that ends the process.
     const {handle, exits, readLog, countDrains} = createWorld();
     const reset = Object.assign(new Error('read ECONNRESET'), {
       code: 'ECONNRESET',
@@ -36,7 +35,7 @@
   });
 
   it('ends the gate in order when its own state is in doubt', async () => {
-    // A fault of the program. What it serves is served, then it ends, once.
+    // Guards against going on after an error of the program itself.
     const {handle, exits, countDrains} = createWorld();
     handle(new TypeError('x is undefined'));
     handle('not even an error');
@@ -46,9 +45,7 @@
   });
 
   it('takes whatever may be thrown', async () => {
-    // A program may throw anything, and rejects with nothing at all when a
-    // promise is given up. The handler itself failed on it: its process
-    // ended at once with status 7, with every request under way.
+    // Guards against a handler that fails on a thrown value without a text.
     for (const thrown of [undefined, null, Object.create(null), 7]) {
       const {handle, exits} = createWorld();
       handle(thrown);
@@ -58,8 +55,8 @@
   });
 
   it('goes on after an error of a connection that names no call', () => {
-    // Node words some errors of one connection itself: a hang-up before the
-    // answer, bytes that are no HTTP. One such error drained the gate.
+    // Guards against treating Node's own connection errors as errors of the
+    // program.
     for (const code of ['ECONNRESET', 'EPIPE', 'HPE_INVALID_CONSTANT']) {
       const {handle, exits, countDrains} = createWorld();
       handle(Object.assign(new Error('socket hang up'), {code}));
@@ -68,8 +65,7 @@
   });
 
   it('ends even where the drain never does', async () => {
-    // The fault left a request that is never counted down: the drain waits
-    // for it. A process that takes nothing and never ends is not started anew.
+    // Guards against a drain that never ends.
     for (const drain of [
       () => new Promise<void>(() => undefined),
       () => Promise.reject(new Error('no drain')),
--- a/packages/core/src/last-resort.ts
+++ b/packages/core/src/last-resort.ts
@@ -1,46 +1,40 @@
 /**
- * The last handler of errors that nothing else caught. Without it one
- * connection's late error ends the process, and with it every request that
- * the process has under way.
+ * Last handler of uncaught errors: one connection's late error must not end the
+ * process with all its requests.
  */
 
-/** Most of a stack that goes into a log line, in characters. */
+/** Most characters of a stack in a log line. */
 const STACK_CHARS = 1500;
 
-/** Where the handler writes what it met. */
+/** Log of the handler. */
 export interface LastResortLog {
   error(event: string, fields: Readonly<Record<string, unknown>>): void;
 }
 
-/** What the handler works with. */
+/** Dependencies of the handler. */
 export interface LastResortOptions {
   readonly log: LastResortLog;
-  /** Ends the process in order: serves what is under way, takes nothing new. */
+  /** Shuts down gracefully. */
   readonly drain: () => Promise<void>;
   /**
-   * Longest wait for the drain, in ms. The fault may have left a request that
-   * is never counted down; a process that waits for it takes nothing and is
-   * not started anew.
+   * Longest wait for the drain, in ms: a request that is never counted down
+   * would keep the process alive.
    */
   readonly drainLimitMs: number;
   readonly exit: (status: number) => void;
 }
 
-/** Exit status of a process that ended since its own state is in doubt. */
+/** Exit status after an error of the program. */
 const EXIT_UNCAUGHT = 1;
 
 /**
- * Codes by which Node itself words an error of one connection, with no call
- * of the system: a hang-up before the answer, a write behind it, bytes that
- * are no HTTP.
+ * Codes of connection errors that Node raises itself, without a system call.
  */
 const CONNECTION_CODE = /^(ECONNRESET|EPIPE|HPE_[A-Z_]+)$/;
 
 /**
- * Says whether an error is one of a single connection or socket: the system
- * names the call that failed, or Node the fault of the connection. Nothing of
- * the program's own state is in doubt then, and whoever used that connection
- * hears of its end by its close.
+ * Says whether an error belongs to a single connection: the system call or the
+ * code names it. The program's own state is not affected.
  *
  * @example
  * isConnectionError(new Error('x')); // false
@@ -52,9 +46,9 @@
 }
 
 /**
- * Creates the handler. An error of a connection is logged and the process
- * goes on; after any other the program may hold a half-made change, so it
- * serves what it has and ends, to be started anew.
+ * Creates the handler. Connection errors are logged; after any other error the
+ * state may be inconsistent, so the process shuts down gracefully and is
+ * restarted.
  *
  * @example
  * observeUncaught(createLastResort(options));
@@ -80,9 +74,8 @@
 }
 
 /**
- * Hands every error that nothing else caught to `handle`, as long as the
- * process lives. A reader of its output that has gone is no reason to end
- * either: unheard, the first line written after that ended the process.
+ * Passes every uncaught error to `handle`, including errors of closed output
+ * streams.
  *
  * @example
  * observeUncaught(createLastResort({log, drain, drainLimitMs, exit}));
@@ -104,13 +97,13 @@
   try {
     await Promise.race([drain(), limit]);
   } catch {
-    // A drain that fails has nothing left to wait for.
+    // A failed drain leaves nothing to wait for.
   }
   clearTimeout(timer);
   exit(EXIT_UNCAUGHT);
 }
 
-/** Whatever was thrown; an object without a prototype has no text. */
+/** Anything may be thrown, including objects without a text. */
 function toError(thrown: unknown): NodeJS.ErrnoException {
   if (thrown instanceof Error) return thrown;
   return new Error(
--- a/packages/core/src/length-class.ts
+++ b/packages/core/src/length-class.ts
@@ -1,8 +1,6 @@
 /**
- * Classes of prompt length, shortest first. A class is the priority that an
- * agent asks of its engine, and the unit in which load is reported, so that
- * a gate can tell what stands before a prompt of some length and what does
- * not.
+ * Classes of prompt length, shortest first: the priority at the engine, and the
+ * unit of load reports.
  */
 
 /** Longest prompt of each class but the last, in tokens. */
--- a/packages/core/src/listen.test.ts
+++ b/packages/core/src/listen.test.ts
@@ -4,20 +4,20 @@
 import {expect} from 'earl';
 import {closeHttpServer, closeIdleWhenRead, openListener} from './listen.js';
 
-/** Idle time of kept connections, in ms: far more than a callback waits. */
+/** Idle timeout of kept connections, in ms. */
 const IDLE_MS = 1000;
 
-/** Time that the process stands still, in ms; Node adds a second to the idle time. */
+/** Suspension, in ms: Node adds a second to the idle timeout. */
 const FROZEN_MS = 2600;
 
 const REQUEST = 'POST / HTTP/1.1\r\nHost: a\r\nContent-Length: 0\r\n\r\n';
 
-/** Stands still as a stopped process does: nothing is read, no timer runs. */
+/** Blocks like a stopped process: no reads, no timers. */
 function freezeProcess(): void {
   Atomics.wait(new Int32Array(new SharedArrayBuffer(4)), 0, 0, FROZEN_MS);
 }
 
-/** Asks once, leaves the connection idle, and says how it ends. */
+/** Sends two requests on one connection; returns how each ends. */
 async function askTwice(freezes: boolean): Promise<readonly string[]> {
   const server = createServer({keepAliveTimeout: IDLE_MS}, (_req, res) => {
     res.end('ok');
@@ -30,7 +30,7 @@
     socket.on('data', () => {
       seen.push('answer');
       if (seen.length > 1) socket.end();
-      // Behind a round of reading: timers run before the next one.
+      // After the round of reading that follows the timers.
       else if (freezes)
         setImmediate(() => {
           socket.write(REQUEST);
@@ -46,10 +46,8 @@
 
 describe('connections that are kept', () => {
   it('are not reset over a request that waits to be read', async () => {
-    // A gate is stopped for two seconds. A request comes in on a connection
-    // that has been idle for three. Woken, the gate finds the idle time of
-    // five seconds over before it reads: the request was reset unread, and
-    // its caller, who had used the connection in time, heard nothing.
+    // Guards against closing a connection whose request arrived during a
+    // suspension.
     expect(await askTwice(true)).toEqual(['answer', 'answer']);
   });
 
--- a/packages/core/src/listen.ts
+++ b/packages/core/src/listen.ts
@@ -23,9 +23,8 @@
   address: ListenAddress,
 ): Promise<number> {
   return new Promise((resolve, reject) => {
-    // Lasting: a listener that is open raises an error for each connection
-    // that it cannot accept (no descriptor left). Unheard, it would end the
-    // process with every request under way; the caller just connects again.
+    // Stays registered: an open listener raises an error for each connection
+    // that it cannot accept.
     server.on('error', reject);
     server.listen(address.port, address.host, () => resolve(readPort(server)));
   });
@@ -43,18 +42,14 @@
 }
 
 /**
- * Closes idle connections of callers only after what has come in on them was
- * read. A process that stood still (stopped by its host, or out of processor
- * time) runs its timers first: a request that came in before the idle time
- * was over was reset unread, and its caller heard nothing (5 of 5 in a trial
- * with a stopped server). The check runs behind one round of reading, so a
- * request that waits has begun by then.
+ * Closes idle connections only after pending data has been read: a resumed
+ * process runs its timers before it reads.
  *
  * @example
  * closeIdleWhenRead(createServer(serve));
  */
 export function closeIdleWhenRead(server: HttpServer): void {
-  // With a listener, Node leaves the closing to it.
+  // With a listener, Node leaves closing to it.
   server.on('timeout', socket => {
     const bytesRead = socket.bytesRead;
     setImmediate(() => {
--- a/packages/core/src/read-timeout.ts
+++ b/packages/core/src/read-timeout.ts
@@ -1,11 +1,10 @@
 /**
- * Time-outs on what others send. A process that stood still (stopped by its
- * host, or out of processor time) runs its timers before it reads: what came
- * in time waits unread when its time-out expires.
+ * Timeouts on data from others. A resumed process runs its timers before it
+ * reads, so data that arrived in time may still be unread.
  */
 
 /**
- * A time-out that expires only behind one round of reading.
+ * A timeout that expires only after a round of reading.
  *
  * @example
  * const timeout = new ReadTimeout(() => giveUp(), 1000);
--- a/packages/core/src/rpc-errors.test.ts
+++ b/packages/core/src/rpc-errors.test.ts
@@ -21,7 +21,7 @@
   () => new Error('plain'),
 ];
 
-/** Moments of an exchange, in their order; an error may come at each. */
+/** Points of an exchange at which an error may occur, in order. */
 const MOMENTS = [
   'before the connect',
   'connected',
@@ -32,7 +32,7 @@
   'after the close',
 ] as const;
 
-/** How an error shows: raised on an end's socket, or a reset by that end. */
+/** How an error occurs: raised on one end's socket, or a reset by that end. */
 const WAYS = ['raised', 'raised twice', 'destroyed', 'reset'] as const;
 
 interface Fault {
@@ -170,10 +170,7 @@
   after(() => world.stop());
 
   it('end the link and nothing else', async () => {
-    // Many gates ask one for its configuration and give up. The resets are
-    // raised on sockets at every moment, on some twice, and the second was
-    // one that nobody listened to: the gate that was asked ended, and with it
-    // what it was forwarding. A link may end; its process goes on.
+    // Guards against late socket errors that end the process of either side.
     await fc.assert(
       fc.asyncProperty(fc.array(FAULT, {maxLength: 4}), async faults => {
         world.uncaught.length = 0;
--- a/packages/core/src/rpc.test.ts
+++ b/packages/core/src/rpc.test.ts
@@ -61,9 +61,7 @@
 
 describe('a json-rpc link', () => {
   it('survives a connection that is reset', async () => {
-    // The process at the far end is killed while both write. The reset is
-    // raised on the socket and again on the reader of its lines; unheard
-    // there, it ended gates and agents, and 375 of 520 requests were lost.
+    // Guards against a reset that is raised on the line reader as well.
     const {link, far, near, close} = await openPair();
     const closed = waitForClose(link);
     near.emit('error', new Error('read ECONNRESET'));
@@ -74,8 +72,7 @@
   });
 
   it('closes on JSON that is no message of the protocol', async () => {
-    // Another program speaks JSON lines to this port. Its first line was a
-    // rejected promise that nobody handled, which ends the process.
+    // Guards against JSON lines of another protocol, which ended the process.
     for (const line of ['{"a":1}', '7', 'null', '"x"', '{{']) {
       const {link, far, close} = await openPair();
       const closed = waitForClose(link);
@@ -87,9 +84,7 @@
   });
 
   it('closes on a message whose method is no name', async () => {
-    // A line is JSON, but its method is an object that no text can be made
-    // of. Counting its bytes by method raised an error on the reader of the
-    // lines: one such line ended every gate and agent that it reached.
+    // Guards against a method that has no text, which ended the process.
     const bad = {jsonrpc: '2.0', method: {toString: 1}, id: 1};
     for (const message of [bad, {...bad, id: undefined}, {method: 7}]) {
       const {link, far, close} = await openPair();
@@ -146,8 +141,7 @@
   });
 
   it('closes when the far end has gone silent', async () => {
-    // The host at the far end is frozen: no reset comes, and the link kept
-    // its place and its memory for as long as the process lived.
+    // Guards against a frozen peer that keeps its link for good.
     const {link, close} = await openPair();
     const closed = waitForClose(link);
     const call = link.call('x', {}).catch((error: Error) => error.name);
@@ -158,13 +152,13 @@
   });
 
   it('gives up a connection that is not taken in time', async () => {
-    // A host that is cut off answers nothing. The system gives up after two
-    // minutes, and all that time nobody else is asked.
+    // Guards against a connection attempt that takes as long as the system's
+    // timeout.
     const worker = new Worker(DEAF_LISTENER, {eval: true});
     const [port] = (await once(worker, 'message')) as [number];
     const opened: RpcLink[] = [];
     const openOne = () => openRpcLink(`127.0.0.1:${port}`, undefined, 200);
-    // The system takes a few for the listener before it drops the next one.
+    // The system queues a few connections before it drops one.
     const attempts = Array.from({length: 12}, () =>
       openOne().then(
         link => void opened.push(link),
@@ -180,8 +174,7 @@
   });
 
   it('stays open once connected, however long it is idle', async () => {
-    // The bound on connecting went on as one on silence: a link that was idle
-    // for as long was closed, and the next call on it failed.
+    // Guards against a connection timeout that goes on as an idle timeout.
     const server = createServer(socket => socket.on('error', () => undefined));
     const port = await openListener(server, {host: '127.0.0.1', port: 0});
     const link = await openRpcLink(`127.0.0.1:${port}`, undefined, 100);
--- a/packages/core/src/rpc.ts
+++ b/packages/core/src/rpc.ts
@@ -41,8 +41,7 @@
     socket.setNoDelay(true);
     const lines = createInterface({input: socket, crlfDelay: Infinity});
     lines.on('line', line => this.receive(line));
-    // The reader of lines raises the socket's error once more on itself; with
-    // nobody listening there, one reset connection ended the whole process.
+    // The line reader raises the socket's error once more on itself.
     lines.on('error', () => socket.destroy());
     socket.on('error', () => socket.destroy());
     socket.on('close', () => this.markClosed());
@@ -117,8 +116,8 @@
   }
 
   /**
-   * Closes the link once no byte has moved for a while, in ms: a far end that
-   * is frozen or cut off keeps its connection open for good.
+   * Closes the link after this idle time, in ms: a peer that is frozen or cut
+   * off keeps its connection open.
    */
   closeWhenIdle(idleMs: number): void {
     this.socket.setTimeout(idleMs, () => this.close());
@@ -141,17 +140,14 @@
     try {
       message = JSON.parse(line);
     } catch {
-      // A line that is not JSON means the peer speaks another protocol: the
-      // link cannot resynchronise, so it is closed rather than guessed at.
+      // The peer speaks another protocol.
       this.close();
       return;
     }
-    // A method that is no name cannot be counted by it: making text of an
-    // object raised an error on the reader of the lines and ended the process.
+    // Only a text can be counted as a method.
     if (!isNamed(message)) return this.close();
     this.countBytes('in', message, line.length + 1);
-    // JSON that is no json-rpc message is rejected; like a line that is not
-    // JSON, it means that the peer speaks another protocol.
+    // The peer speaks another protocol.
     this.peer
       .receiveAndSend(message, undefined, undefined)
       .catch(() => this.close());
@@ -179,8 +175,7 @@
 }
 
 /**
- * Creates what a handler throws to answer a call with a code; anything else
- * that it throws is a fault of the program.
+ * Creates an error that answers a call with a code.
  *
  * @example
  * throw createRpcRefusal(1, 'busy');
@@ -190,7 +185,7 @@
 }
 
 /**
- * Finds the code with which the far end refused a call.
+ * Finds the code with which the peer refused a call.
  *
  * @example
  * link.call('take', {}).catch(error => findRefusalCode(error) === 1);
@@ -236,14 +231,15 @@
   const [host, port] = address.split(':');
   return new Promise((resolve, reject) => {
     const socket = connect(Number(port), host);
-    // Lasting: an error that comes after the first one has nobody else. A
-    // socket that connects all the same would stay open with nobody's link.
+    // Stays registered for later errors; a socket that connects after all is
+    // closed.
     socket.on('error', error => {
       socket.destroy();
       reject(error);
     });
     socket.setTimeout(timeoutMs, () => {
-      reject(new RpcFailedError({info: {address}}, 'no connection in time'));
+      const message = `no connection to ${address} in time`;
+      reject(new RpcFailedError({info: {address}}, message));
       socket.destroy();
     });
     socket.once('connect', () => {
--- a/packages/direct/src/errors.ts
+++ b/packages/direct/src/errors.ts
@@ -1,29 +1,29 @@
-/** Typed failures of the direct gate. */
+/** Errors of the direct gate. */
 import VError from 'verror';
 
-/** Base of the direct gate's failures. */
+/** Base class of the direct gate's errors. */
 abstract class DirectGateError extends VError {
   constructor(message: string, cause?: Error) {
     super({cause}, '%s', message);
   }
 }
 
-/** The store gave no whole answer in time; nothing is known from it. */
+/** The store gave no complete answer in time. */
 export class StoreUnavailableError extends DirectGateError {
   override name = 'StoreUnavailableError';
 }
 
-/** The store has dropped the history that a watch wanted to go on from. */
+/** The store has dropped the history after a watch's revision. */
 export class HistoryLostError extends DirectGateError {
   override name = 'HistoryLostError';
 }
 
-/** Another gate has the facts, and serves as many gates as it can. */
+/** A peer has the facts, but serves as many gates as it can. */
 export class FactsBusyError extends DirectGateError {
   override name = 'FactsBusyError';
 }
 
-/** A value from outside that does not decode; `field` says where. */
+/** A value from outside that cannot be decoded; `field` says where. */
 export class DecodeError extends DirectGateError {
   override name = 'DecodeError';
 
@@ -35,10 +35,10 @@
   }
 }
 
-/** Why an exchange with a target brought no whole answer. */
+/** Why an exchange with a target failed. */
 export type ExchangeFault =
   | 'connect'
-  /** The head cannot be written; the target is not to blame. */
+  /** The head cannot be written; the target is not at fault. */
   | 'unwritable'
   | 'reset'
   | 'malformed'
@@ -47,13 +47,13 @@
   | 'stalled'
   | 'cancelled';
 
-/** An exchange with a target that brought no whole answer. */
+/** An exchange that brought no complete answer. */
 export class ExchangeError extends DirectGateError {
   override name = 'ExchangeError';
 
   /**
-   * @param wasSent - False only when no byte of the request left this host:
-   *   the request then has not run and never will.
+   * @param wasSent - False only if no byte of the request left this host, so
+   *   it has not run and never will.
    */
   constructor(
     readonly fault: ExchangeFault,
@@ -63,7 +63,7 @@
     super(`exchange failed: ${fault}`, cause);
   }
 
-  /** False when it says nothing of the target. */
+  /** False if the failure says nothing about the target. */
   get isByTarget(): boolean {
     return this.fault !== 'cancelled' && this.fault !== 'unwritable';
   }
--- a/packages/direct/src/fleet/fleet-state.test.ts
+++ b/packages/direct/src/fleet/fleet-state.test.ts
@@ -14,8 +14,7 @@
 
 describe('fleet state', () => {
   it('never goes back to an older configuration', () => {
-    // A gate took version 7 from the store. Another gate that was cut off
-    // hands over its version 5, and a removed key would work again.
+    // Guards against a cut-off peer that brings back a revoked key.
     const state = createFleetState(() => 0);
     state.applyChange({kind: 'config', config: buildConfig(7)}, 10);
     state.applyShared({
@@ -28,10 +27,9 @@
     expect(state.findAccount('old-key')).toEqual(undefined);
   });
 
-  it('keeps targets whose entries lapsed while the store was away', () => {
-    // The store is down for longer than three heartbeats, so the entries of
-    // all healthy targets lapse. At its return a gate reads an empty list
-    // and would refuse every request until the targets are listed again.
+  it('keeps targets whose entries expired during an outage of the store', () => {
+    // Guards against an empty fleet when the store returns after the entries
+    // have expired.
     let now = 0;
     const state = createFleetState(() => now);
     state.applySnapshot({
@@ -56,9 +54,8 @@
   });
 
   it('drops what another gate saw leave while the store turned this one away', () => {
-    // The store turned this gate away only. A target whose entry is missing at
-    // its return has left, as a gate tells that the store answered throughout;
-    // one that is missing since a later change is still waited for.
+    // Guards against holding a target that left while only this gate was cut
+    // off.
     const state = createFleetState(() => 10_000);
     for (const [id, revision] of [
       ['a', 3],
@@ -85,8 +82,7 @@
   });
 
   it('drops a target that was leaving, also right after an outage', () => {
-    // A target said that it drains; its entry is gone when the store is
-    // back. Holding it would send requests to a process that has exited.
+    // Guards against holding a target that was draining before the outage.
     const state = createFleetState(() => 0);
     state.applySnapshot({
       revision: 5,
@@ -113,9 +109,7 @@
   });
 
   it('takes newer facts from another gate and leaves older ones', () => {
-    // This gate is turned away by the store while a target drains. Another
-    // gate has seen it; without its word requests would go on to a target
-    // that exits in two seconds.
+    // Guards against a drain that a cut-off gate does not learn from its peers.
     const state = createFleetState(() => 0);
     state.applyChange({kind: 'target', target: buildTarget('a', 3)}, 3);
     const shared = {
@@ -142,9 +136,7 @@
   });
 
   it('takes a server that starts again under its name for another one', () => {
-    // A server crashes and comes back under its name, empty. Placements,
-    // health and memory of its first life must not count for the second, nor
-    // a late message of the first bring back its address.
+    // Guards against state or a late message of an earlier incarnation.
     const state = createFleetState(() => 0);
     const events: string[] = [];
     state.onChange(({event, id}) => events.push(`${event} ${id}`));
@@ -176,8 +168,7 @@
   });
 
   it('uses no target whose entry somebody else has overwritten', () => {
-    // The store is just back, so missing entries are waited for. One that
-    // stands and cannot be read is not missing: it names no target any more.
+    // Guards against holding a target whose entry exists but cannot be decoded.
     const state = createFleetState(() => 100);
     state.applyChange({kind: 'target', target: buildTarget('a', 3)}, 3);
     state.applyChange({kind: 'target', target: buildTarget('b', 4)}, 4);
--- a/packages/direct/src/fleet/fleet-state.ts
+++ b/packages/direct/src/fleet/fleet-state.ts
@@ -1,7 +1,6 @@
 /**
- * What this gate believes of configuration and targets. Versions only go up:
- * neither the store nor another gate can take the state back behind what it
- * has acted on.
+ * Configuration and targets as known to this gate. Versions never go back,
+ * whether facts come from the store or from a peer.
  */
 import {createRouteTable} from './route-table.js';
 import type {FactChange, FactSnapshot} from '../ports.js';
@@ -15,45 +14,43 @@
 import type {RouteTable} from './route-table.js';
 
 /**
- * How long after the store's return a target whose entry lapsed meanwhile is
- * still used, in ms. A store outage longer than three heartbeats lapses the
- * entries of healthy targets; without the wait a gate would find itself with
- * no target at all at the moment the store is back. Entries of live targets
- * are back within two seconds; the rest is the delay of the watch.
+ * How long after an outage of the store a target is kept although its entry is
+ * missing, in ms. Live targets register again within two seconds; the rest
+ * covers the delay of the watch.
  */
 export const LAPSE_HOLD_MS = 2300;
 
-/** How far a gate's facts go. */
+/** Versions of a gate's facts. */
 export interface FactVersions {
-  /** Version of its configuration, 0 for none. */
+  /** Version of the configuration, 0 for none. */
   readonly configVersion: number;
-  /** Revision of its targets, 0 for none. */
+  /** Revision of the targets, 0 for none. */
   readonly revision: number;
 }
 
-/** State as one gate hands it to another. */
+/** Facts that a gate hands to a peer. */
 export interface SharedFacts {
   readonly revision: number;
-  /** Absent where the other gate has one as new. */
+  /** Absent if the peer's is as new. */
   readonly config: FleetConfig | undefined;
-  /** Empty where the other gate has a revision as new. */
+  /** Empty if the peer's revision is as new. */
   readonly targets: readonly Target[];
-  /** Targets kept although their entry is missing: id and time left in ms. */
+  /** Targets kept without an entry: name and time left in ms. */
   readonly held: readonly (readonly [string, number])[];
 }
 
-/** A target that is kept although its entry is missing. */
+/** A target that is kept without an entry. */
 interface HeldTarget {
-  /** When it is dropped unless its entry is back. */
+  /** When it is dropped, unless its entry is back. */
   readonly until: number;
   /** Revision at which the entry was missing. */
   readonly revision: number;
 }
 
-/** Told of each change that took effect. */
+/** Called with each change that took effect. */
 export type FleetListener = (event: FleetEvent) => void;
 
-/** A change of what the gate believes. */
+/** A change of the known facts. */
 export interface FleetEvent {
   readonly event:
     | 'config_applied'
@@ -84,7 +81,7 @@
   /** By name. */
   private readonly targets = new Map<string, Target>();
   private readonly serviceById = new Map<string, string>();
-  /** By name, as well. */
+  /** Held targets by name. */
   private readonly held = new Map<string, HeldTarget>();
   private storeBackAt = -Infinity;
   private lastOutageAt = -Infinity;
@@ -127,7 +124,7 @@
     return [...this.targets.values()].find(target => target.id === id);
   }
 
-  /** Finds the figures of a target that is an engine, by its incarnation. */
+  /** Finds the figures of an engine by its incarnation. */
   findEngine(id: string): EngineFigures | undefined {
     const service = this.serviceById.get(id);
     return service === undefined
@@ -152,28 +149,28 @@
     );
   }
 
-  /** Counts every target that is known. */
+  /** Number of known targets. */
   get targetCount(): number {
     return this.targets.size;
   }
 
-  /** When the newest outage of the store began; -Infinity before the first. */
+  /** Start of the newest outage of the store; -Infinity before the first. */
   get outageAt(): number {
     return this.lastOutageAt;
   }
 
   /**
-   * Notes that the store answers again after an outage.
+   * Records that the store answers again after an outage.
    *
-   * @param outageAt - Its last answer before, on the monotonic clock, in ms;
-   *   left out, nobody can tell what has left meanwhile from what lapsed.
+   * @param outageAt - Its last answer before, on the monotonic clock, in ms; if
+   *   unknown, targets that left cannot be told from expired entries.
    */
   markStoreBack(outageAt = -Infinity): void {
     this.storeBackAt = this.readNow();
     this.lastOutageAt = outageAt;
   }
 
-  /** Applies one change that the store's watch reported. */
+  /** Applies a change from the store's watch. */
   applyChange(change: FactChange, revision: number): void {
     if (change.kind === 'config') this.applyConfig(change.config, 'store');
     if (change.kind === 'target') this.applyTarget(change.target, 'store');
@@ -185,7 +182,7 @@
     this.revision = Math.max(this.revision, revision);
   }
 
-  /** Applies a whole read of the store. */
+  /** Applies a full read of the store. */
   applySnapshot(snapshot: FactSnapshot): void {
     if (snapshot.config !== undefined)
       this.applyConfig(snapshot.config, 'store');
@@ -195,7 +192,7 @@
       this.revision = Math.max(this.revision, target.revision);
   }
 
-  /** Applies what another gate knows; older facts change nothing. */
+  /** Applies a peer's facts; older ones change nothing. */
   applyShared(shared: SharedFacts): void {
     if (shared.config !== undefined) this.applyConfig(shared.config, 'peer');
     if (shared.revision <= this.revision) return;
@@ -207,10 +204,7 @@
     this.revision = shared.revision;
   }
 
-  /**
-   * What this gate can tell another one that has some facts already. Whole
-   * answers to gates that were behind by one target were a megabyte each.
-   */
+  /** Describes the facts that are newer than those a peer has. */
   describeShared(known: FactVersions): SharedFacts {
     const now = this.readNow();
     const isConfigNews = (this.config?.version ?? 0) > known.configVersion;
@@ -223,17 +217,15 @@
     };
   }
 
-  /** Drops held targets whose entry has not come back in time. */
+  /** Drops held targets whose entry has not come back. */
   expireHeld(): void {
     const now = this.readNow();
     this.dropHeld(({until}) => until <= now, 'hold_expired');
   }
 
   /**
-   * Drops held targets whose entries were missing at `revision` for a gate to
-   * which the store answered all the while: they have left, not lapsed. Held
-   * for as long as after an outage for all, a target was used for 2.8 s after
-   * it had left.
+   * Drops held targets that were missing at `revision` for a gate without an
+   * outage: they have left.
    */
   confirmRemovals(revision: number): void {
     this.dropHeld(held => held.revision <= revision, 'peer');
@@ -296,15 +288,15 @@
     const present = new Set(targets.map(target => target.name));
     for (const target of targets) this.applyTarget(target, source);
     for (const known of [...this.targets.values()]) {
-      // An entry newer than the read is not in it and yet stands.
+      // An entry newer than the snapshot is not part of it.
       if (present.has(known.name) || known.revision > revision) continue;
       this.removeOrHold(known, source, revision, malformed.has(known.name));
     }
   }
 
   /**
-   * @param revision - At which its entry is missing.
-   * @param isMalformed - Its entry has not lapsed: it names no target.
+   * @param revision - Revision at which the entry is missing.
+   * @param isMalformed - Its entry exists, but names no target.
    */
   private removeOrHold(
     target: Target,
@@ -344,11 +336,7 @@
   }
 }
 
-/**
- * Says whether an entry tells of a life before the one that is known. A last
- * message of the old process may be taken up late; followed, it would bring
- * back the address of a process that is gone.
- */
+/** Says whether an entry is a late message of an earlier incarnation. */
 function isEarlierLife(target: Target, known: Target): boolean {
   if (target.bornAt === undefined || known.bornAt === undefined) return false;
   return target.bornAt < known.bornAt;
--- a/packages/direct/src/fleet/store-watcher.test.ts
+++ b/packages/direct/src/fleet/store-watcher.test.ts
@@ -9,10 +9,8 @@
 import {createStoreWatcher} from './store-watcher.js';
 
 describe('store watch', () => {
-  it('reads everything anew when the store has dropped its history', async () => {
-    // While the watch hears nothing a target leaves and a configuration is
-    // published; then the store forgets its history. A gate that only went
-    // on watching would never learn of either.
+  it('reads everything again when the store has dropped its history', async () => {
+    // Guards against changes that are missed when the store drops its history.
     const world = await openGateWorld();
     try {
       await world.addTarget('t1', 'orders', answerWhole);
@@ -33,9 +31,7 @@
   });
 
   it('fetches changes that come close together in one call', async () => {
-    // Servers are replaced one after the other: three changes each, within
-    // some ms. With 22 gates every change on its own was 22 calls, the
-    // largest price of the day.
+    // Guards against one call for each change while many servers are replaced.
     const store = new FakeStore();
     const output = new Writable({write: (_chunk, _encoding, done) => done()});
     const state = createFleetState(() => performance.now());
--- a/packages/direct/src/fleet/store-watcher.ts
+++ b/packages/direct/src/fleet/store-watcher.ts
@@ -1,7 +1,6 @@
 /**
- * Keeps the fleet state in step with the store: one whole read, then a watch
- * that goes on from the last revision. Lost history brings another whole
- * read; an outage brings retries with backoff while the last state stays.
+ * Follows the store: a full read, then a watch from the last revision. Lost
+ * history leads to another full read, an outage to retries with backoff.
  */
 import {setTimeout as sleep} from 'node:timers/promises';
 import {HistoryLostError, StoreUnavailableError} from '../errors.js';
@@ -10,42 +9,36 @@
 import type {FleetState} from './fleet-state.js';
 
 /**
- * How long one watch waits, in ms. A connection that has gone silent shows
- * only by this time-out, and a leaving target must be known within 2,000 ms
- * of contact regained; each call has a price, so it is no shorter.
+ * Long-poll time of one watch, in ms. A silent connection shows only by this
+ * timeout, and a target that leaves must be known within 2,000 ms of contact.
  */
 const WATCH_WAIT_MS = 2500;
 
 /**
- * Pause between changes and the next watch, in ms a gate, and its bound.
- * Every change ends the watches of all gates at once, and each call has a
- * price, so changes that come close together are fetched together: 22 gates
- * before 75 targets made 1,224 calls in place of 2,975 in one minute. With few
- * gates there is little to save and the news comes at once.
+ * Pause between changes and the next watch, in ms a gate, and its bound. A
+ * change ends the watches of all gates, so the cost of a call grows with their
+ * number.
  */
 const BATCH_MS_PER_GATE = 14;
 const BATCH_MAX_MS = 300;
 
-/** What a watch may take past its wait, in ms: a slow store's answer. */
+/** Time that a watch may take past its long poll, in ms. */
 const WATCH_SLACK_MS = 700;
 
-/**
- * Longest wait for a page of a whole read, in ms: a store slowed
- * a hundredfold.
- */
+/** Timeout of one page of a full read, in ms. */
 const SNAPSHOT_TIMEOUT_MS = 1500;
 
-/** Backoff between failed calls, in ms; each failed call has a price too. */
+/** Backoff between failed calls, in ms. */
 const BACKOFF_MIN_MS = 100;
 const BACKOFF_MAX_MS = 1000;
 
 /**
- * Time without an answer past which entries may have lapsed, in ms: below
- * three heartbeats, so that no lapse goes unrecognised.
+ * Time without an answer after which entries may have expired, in ms: below
+ * three heartbeats of a target.
  */
 const OUTAGE_MS = 1500;
 
-/** What the watcher works with. */
+/** Dependencies of the watcher. */
 export interface StoreWatcherOptions {
   readonly store: FactStore;
   readonly state: FleetState;
@@ -56,7 +49,7 @@
 }
 
 /**
- * The watch of one gate.
+ * The watcher of one gate.
  *
  * @example
  * const watcher = createStoreWatcher({store, state, log, readNow});
@@ -68,7 +61,7 @@
   private backoffMs = BACKOFF_MIN_MS;
   private isDown = false;
   private answeredAt: number;
-  /** First answer since the newest outage; absent before the first ever. */
+  /** First answer since the newest outage; absent before the first. */
   private contactAt: number | undefined;
 
   constructor(private readonly options: StoreWatcherOptions) {
@@ -80,7 +73,9 @@
     return this.options.readNow() - this.answeredAt;
   }
 
-  /** For how long the store has answered without an outage, in ms; 0 in one. */
+  /**
+   * Time for which the store has answered without an outage, in ms; 0 in one.
+   */
   get contactMs(): number {
     if (this.contactAt === undefined || this.isDown) return 0;
     if (this.ageMs > OUTAGE_MS + WATCH_WAIT_MS) return 0;
@@ -162,7 +157,7 @@
         ageMs: this.ageMs,
       });
     this.isDown = true;
-    // Jitter keeps the gates from asking a returning store all at once.
+    // Jitter spreads the calls of all gates to a store that returns.
     await sleep(this.backoffMs * (0.5 + Math.random() / 2));
     this.backoffMs = Math.min(BACKOFF_MAX_MS, this.backoffMs * 2);
   }
--- a/packages/direct/src/forward/attempt-chain.ts
+++ b/packages/direct/src/forward/attempt-chain.ts
@@ -1,13 +1,12 @@
 /**
- * One line of attempts at a stream, each begun when the one before it has
- * failed. A stream has a second one while an engine that has gone silent is
- * kept and another engine is asked to go on.
+ * A chain of attempts at a stream, each begun after the one before it has
+ * failed. A second chain runs while a stalled engine is kept.
  */
 import type {PlacedPrompt} from '../placement/prompt-placer.js';
 import type {StreamAttempt} from './stream-attempt.js';
 
 /**
- * A chain; closed, it holds no engine and seeks none.
+ * A chain; once closed, it holds no engine and looks for none.
  *
  * @example
  * const chain = new AttemptChain();
@@ -15,15 +14,15 @@
  * chain.close();
  */
 export class AttemptChain {
-  /** The attempt under way; absent while engines are sought. */
+  /** The attempt under way; absent while engines are chosen. */
   attempt: StreamAttempt | undefined;
-  /** Where the newest attempt was sent. */
+  /** Placement of the newest attempt. */
   placed: PlacedPrompt | undefined;
-  /** True from when its engine has gone silent until that goes on. */
+  /** True while its engine is stalled. */
   isSilent = false;
   private readonly closing = new AbortController();
 
-  /** Aborted once the chain is closed. */
+  /** Aborted when the chain is closed. */
   get signal(): AbortSignal {
     return this.closing.signal;
   }
@@ -32,7 +31,7 @@
     return this.closing.signal.aborted;
   }
 
-  /** Ends the attempt under way, its engine drops the request, and the seeking. */
+  /** Cancels the attempt under way and the search for engines. */
   close(): void {
     this.closing.abort();
     this.attempt?.cancel();
--- a/packages/direct/src/forward/call-forwarder.test.ts
+++ b/packages/direct/src/forward/call-forwarder.test.ts
@@ -11,7 +11,7 @@
 
 const dropAnswer: TargetScript = req => req.socket.destroy();
 
-/** Runs `check` in a world with the two targets `a` and `b`. */
+/** Runs `check` with the two targets `a` and `b`. */
 async function checkWithTargets(
   a: TargetScript,
   b: TargetScript,
@@ -36,8 +36,7 @@
 
 describe('forwarded calls', () => {
   it('never sends an order again whose answer was lost', async () => {
-    // A subscriber's order runs and the target's connection is reset before
-    // the answer. Sent to the other target it would charge the card twice.
+    // Guards against an order that runs twice because its answer was lost.
     await checkWithTargets(dropAnswer, dropAnswer, async (world, counts) => {
       const answer = await world.call('/unsafe2/order', {method: 'POST'});
       expect(answer.status).toEqual(502);
@@ -67,8 +66,7 @@
   });
 
   it('repeats a look-up whose answer was cut short', async () => {
-    // A target says 100 bytes and dies after 5. The caller must not get five
-    // bytes that look like an answer.
+    // Guards against a truncated answer that looks complete.
     const cutShort: TargetScript = (req, res) => {
       res.writeHead(200, {...buildSignedHead(req), 'content-length': '100'});
       res.write('short');
@@ -82,9 +80,8 @@
   });
 
   it('takes an answer without a length that is reset for broken', async () => {
-    // A target names no length and its connection is reset after five bytes.
-    // The HTTP parser calls that a whole answer: the caller would get five
-    // bytes framed as everything there was.
+    // Guards against a reset that the HTTP parser takes for the end of an
+    // answer.
     const resetUnframed: TargetScript = req => {
       const {socket} = req;
       socket.write(
@@ -100,8 +97,7 @@
   });
 
   it("gives nobody another request's answer", async () => {
-    // A target answers late, and its bytes stand where the answer to the
-    // next request is expected. Its id says whose it is.
+    // Guards against an answer to another request on the same connection.
     const answerForeign: TargetScript = (_, res) => {
       res.writeHead(200, {'x-test-id': 'other', 'x-test-signature': 's'});
       res.end('for somebody else');
@@ -113,7 +109,7 @@
     });
   });
 
-  it('passes no unsigned success on', async () => {
+  it('forwards no unsigned success', async () => {
     const answerUnsigned: TargetScript = (req, res) => {
       res.writeHead(200, {'x-test-id': String(req.headers['x-test-id'])});
       res.end('forged');
@@ -124,8 +120,7 @@
   });
 
   it('asks a second target when the first is slow with a look-up', async () => {
-    // One target hangs with its health good; its callers would wait for the
-    // whole timeout although the other one is idle.
+    // Guards against a hanging target that passes its health check.
     const hang: TargetScript = () => undefined;
     let isFirst = true;
     const hangOnce: TargetScript = (req, res) => {
@@ -152,8 +147,7 @@
   });
 
   it('goes to another target when the first takes no connection', async () => {
-    // A target has just died and the store does not know it yet. Nothing was
-    // sent to it, so even an order may go to the other one.
+    // Guards against failing a call that a dead target never received.
     const world = await openGateWorld();
     try {
       const dead = await world.addTarget('dead', 'orders', answerWhole);
@@ -169,7 +163,7 @@
     }
   });
 
-  it('passes on whose account it is, and never the key', async () => {
+  it('forwards the account, and never the key', async () => {
     const world = await openGateWorld();
     try {
       const target = await world.addTarget('t', 'orders', answerWhole);
@@ -184,9 +178,7 @@
   });
 
   it('survives a head that cannot be written', async () => {
-    // An account's name has a letter that no header field can hold. Writing
-    // the head raised an error that nothing caught: each request of that
-    // account ended the gate that took it. It goes nowhere, so it has not run.
+    // Guards against a header value that Node refuses, which ended the gate.
     const world = await openGateWorld({
       config: buildConfig(1, {
         accounts: [
@@ -211,8 +203,8 @@
   });
 
   it('takes a status that no answer has for a broken one', async () => {
-    // A target garbles its status line to 099, which Node reads and refuses
-    // to write: the error ended the gate in place of the one request.
+    // Guards against a status line that Node refuses to forward, which ended
+    // the gate.
     const garble: TargetScript = req =>
       void req.socket.end(
         `HTTP/1.1 099 Odd\r\nx-test-signature: s\r\nx-test-id: ${String(
--- a/packages/direct/src/forward/call-forwarder.ts
+++ b/packages/direct/src/forward/call-forwarder.ts
@@ -1,7 +1,7 @@
 /**
- * Forwards a call to a plain service. A call that may be repeated goes to a
- * second target when the first fails or is slow; one that may not is sent
- * again only where it provably did not run.
+ * Forwards a call to a plain service. A safe call is hedged to a second target
+ * when the first is slow or fails; an unsafe one is sent again only if it
+ * provably did not run.
  */
 import {ExchangeError} from '../errors.js';
 import {findFraming} from './exchange.js';
@@ -13,16 +13,13 @@
 import type {Exchange} from './exchange.js';
 import type {GateRequest} from './request.js';
 
-/**
- * Share of the objective after which a repeatable call that has no answer is
- * sent to a second target as well: half is left for that one's answer.
- */
+/** Share of the objective after which a safe call is hedged. */
 const HEDGE_SHARE = 0.5;
 
-/** How often a call whose connection could not be opened tries another target. */
+/** Attempts whose connection could not be opened, at most. */
 const MAX_UNSENT_TRIES = 4;
 
-/** A target's whole answer. */
+/** A target's complete answer. */
 interface WholeAnswer {
   readonly status: number;
   readonly headers: readonly string[];
@@ -36,7 +33,7 @@
   | {readonly kind: 'not-run'}
   | {readonly kind: 'failed'; readonly error: ExchangeError};
 
-/** One call on its way. */
+/** One call under way. */
 class CallRun {
   private readonly tried = new Set<string>();
   private readonly open = new Set<Exchange>();
@@ -61,7 +58,7 @@
     if (request.route.kind === 'safe')
       this.hedge = setTimeout(
         () => this.tryNext('slow'),
-        request.route.goalMs * HEDGE_SHARE,
+        request.route.objectiveMs * HEDGE_SHARE,
       );
     this.tryNext('first');
   }
@@ -94,7 +91,7 @@
         deadlineLeftMs: request.expiresAt - context.readNow(),
         target,
         account: request.account,
-        urgency: undefined,
+        priority: undefined,
         helpers: [],
         lastEventId: undefined,
       }),
@@ -180,14 +177,14 @@
     this.refuse(502, 'outcome_unknown');
   }
 
-  /** No byte left this host: the attempt does not count as one. */
+  /** No byte left this host, so the attempt does not count. */
   private tryUnsentAgain(): void {
     this.sends--;
     if (++this.unsentTries < MAX_UNSENT_TRIES) return this.tryNext('unsent');
     this.giveUpIfIdle('unsent');
   }
 
-  /** Answers with what there is once no attempt is under way. */
+  /** Ends the call once no attempt is under way. */
   private giveUpIfIdle(why: string): void {
     if (this.open.size > 0 || this.isSettled) return;
     if (this.spareAnswer !== undefined)
--- a/packages/direct/src/forward/caller-response.ts
+++ b/packages/direct/src/forward/caller-response.ts
@@ -1,12 +1,12 @@
 /**
- * The answer to one caller: a target's answer unchanged, or one of the
- * gate's own. Whatever breaks after the head has gone out ends with a cut
- * connection, so that an incomplete answer never looks complete.
+ * The answer to one caller: a target's, unchanged, or the gate's own. A failure
+ * after the head cuts the connection, so that an incomplete answer never looks
+ * complete.
  */
 import type {ServerResponse} from 'node:http';
 import type {RawHeaders} from '../types.js';
 
-/** Fields that concern one connection only. */
+/** Hop-by-hop header fields. */
 const HOP_BY_HOP = new Set([
   'connection',
   'keep-alive',
@@ -20,8 +20,7 @@
 ]);
 
 /**
- * Leaves out the fields that concern one connection only, those that
- * `Connection` names included.
+ * Removes hop-by-hop fields, including those that `Connection` names.
  *
  * @example
  * stripHopByHop(['Connection', 'x', 'X', '1', 'A', '2']); // ['A', '2']
@@ -43,12 +42,12 @@
 }
 
 /**
- * How the end of a target's answer shows: by its length or its chunks, or
- * only by the end of its connection.
+ * How the end of an answer is marked: by its length or chunks, or by the end of
+ * the connection.
  */
 export type AnswerFraming = 'framed' | 'by-close';
 
-/** Why the gate answers by itself. */
+/** Why the gate answers itself. */
 export type OwnAnswerReason =
   | 'no_configuration'
   | 'configuration_stale'
@@ -70,7 +69,7 @@
  * caller.refuse(503, 'overloaded', 800);
  */
 export class CallerResponse {
-  /** Status that the caller was given; absent while none has gone out. */
+  /** Status sent to the caller; absent before the head. */
   status: number | undefined;
   private isUnframed = false;
   private readonly leaveListeners: Array<() => void> = [];
@@ -80,8 +79,7 @@
     private readonly response: ServerResponse,
     private readonly isStopping: () => boolean,
   ) {
-    // Bytes for an answer that has ended meanwhile raise an error here; the
-    // answer that the caller got stands.
+    // Writes after the end raise an error here; the answer stands.
     response.on('error', () => undefined);
     response.on('close', () => {
       if (response.writableFinished) return;
@@ -90,18 +88,18 @@
     });
   }
 
-  /** True once the caller's connection is gone with the answer incomplete. */
+  /** True if the caller's connection closed before the answer was complete. */
   get isGone(): boolean {
     return this.hasLeft;
   }
 
-  /** Registers a listener for the caller's leaving. */
+  /** Registers a listener for the caller's disconnect. */
   onLeave(listener: () => void): void {
     if (this.hasLeft) listener();
     else this.leaveListeners.push(listener);
   }
 
-  /** Starts a target's answer whose bytes follow. */
+  /** Starts a target's answer; its body follows. */
   start(status: number, headers: RawHeaders, framing: AnswerFraming): void {
     this.status = status;
     const kept = stripHopByHop(headers);
@@ -111,17 +109,17 @@
     this.response.flushHeaders();
   }
 
-  /** Sends bytes of the body. */
+  /** Sends a part of the body. */
   write(bytes: Buffer): void {
     this.response.write(bytes);
   }
 
-  /** Ends a whole answer. */
+  /** Ends a complete answer. */
   finish(): void {
     this.response.end();
   }
 
-  /** Sends a target's answer that has been read to its end. */
+  /** Sends a target's complete answer. */
   sendWhole(
     status: number,
     headers: RawHeaders,
@@ -142,9 +140,9 @@
   }
 
   /**
-   * Answers in the gate's own name.
+   * Answers as the gate itself.
    *
-   * @param retryAfterMs - When to come back; absent where it would not help.
+   * @param retryAfterMs - Absent if a retry would not help.
    */
   refuse(status: number, reason: OwnAnswerReason, retryAfterMs?: number): void {
     if (this.status !== undefined) {
@@ -166,18 +164,17 @@
     this.response.end(body);
   }
 
-  /** Cuts the connection: what was sent so far is no whole answer. */
+  /** Cuts the connection: the answer is incomplete. */
   drop(): void {
-    // An ordinary close would be the proper end of an answer without frame.
+    // An ordinary close would end an unframed answer properly.
     if (this.isUnframed) this.response.socket?.resetAndDestroy();
     this.response.destroy();
   }
 
   /**
-   * Adds what ends the connection behind the answer. A target that names no
-   * length and dies closes its connection just as at the end of its answer,
-   * so nobody can tell that bytes are missing. Such an answer is passed on
-   * without length as well: the gate must not vouch for it.
+   * Adds `Connection: close` where the answer ends the connection. An answer
+   * without a length stays unframed, as the gate cannot know that it is
+   * complete.
    */
   private closeAfter(headers: string[], framing: AnswerFraming): void {
     this.isUnframed = framing === 'by-close';
--- a/packages/direct/src/forward/context.ts
+++ b/packages/direct/src/forward/context.ts
@@ -1,20 +1,16 @@
-/** What both forwarders work with. */
+/** Dependencies that both forwarders share. */
 import type {Counters, LatencyHistogram} from '@nutmeggauge/core';
-import type {WaitingLines} from '../admission/waiting-line.js';
+import type {AdmissionQueues} from '../admission/admission-queue.js';
 import type {FleetState} from '../fleet/fleet-state.js';
 import type {TargetHealth} from '../health/target-health.js';
 import type {DecisionLog} from '../observe/decision-log.js';
 import type {CallPlacer} from '../placement/place-call.js';
 import type {PromptPlacer} from '../placement/prompt-placer.js';
-import type {
-  EngineReports,
-  HeaderDialect,
-  MemoryReservations,
-} from '../ports.js';
+import type {EngineReports, HeaderDialect, KvReservations} from '../ports.js';
 import type {OpenExchanges} from './open-exchanges.js';
 import type {SharedRetryBudget} from '../retry/shared-retry-budget.js';
 
-/** Shared parts of one gate. */
+/** Shared dependencies of one gate. */
 export interface ForwardContext {
   readonly dialect: HeaderDialect;
   readonly state: FleetState;
@@ -22,16 +18,16 @@
   readonly budget: SharedRetryBudget;
   readonly calls: CallPlacer;
   readonly prompts: PromptPlacer;
-  readonly lines: WaitingLines;
+  readonly queues: AdmissionQueues;
   readonly exchanges: OpenExchanges;
-  readonly reservations: MemoryReservations;
+  readonly reservations: KvReservations;
   readonly reports: EngineReports;
   readonly log: DecisionLog;
   readonly counters: Counters;
-  readonly firstEventMs: LatencyHistogram;
+  readonly ttftMs: LatencyHistogram;
   readonly answerMs: LatencyHistogram;
   /** Monotonic clock, in ms. */
   readonly readNow: () => number;
-  /** Age of the facts that decisions rest on, in ms. */
+  /** Age of the facts that decisions are based on, in ms. */
   readonly readFactsAgeMs: () => number;
 }
--- a/packages/direct/src/forward/event-splitter.test.ts
+++ b/packages/direct/src/forward/event-splitter.test.ts
@@ -5,7 +5,7 @@
 
 describe('event splitter', () => {
   it('gives the same events however the bytes are cut', () => {
-    // Packets cut a stream anywhere, also inside a character or a boundary.
+    // Guards against packets that split a character or a boundary.
     const pieces = fc.array(
       fc.string({unit: 'grapheme'}).map(text => text.replace(/[\r\n]/g, '')),
       {minLength: 1, maxLength: 8},
--- a/packages/direct/src/forward/event-splitter.ts
+++ b/packages/direct/src/forward/event-splitter.ts
@@ -1,10 +1,9 @@
 /**
- * Cuts a stream of server-sent events into whole events. Only whole events
- * are passed on: a target that dies in the middle of one leaves nothing
- * behind, so that another target can go on after the last whole event.
+ * Splits a stream of server-sent events. Only whole events are forwarded, so
+ * that another target can continue after the last one.
  */
 
-/** One whole event with the bytes that end it. */
+/** One whole event with its terminating bytes. */
 export interface StreamEvent {
   readonly bytes: Buffer;
   /** Value of its `id` field; absent when it has none. */
@@ -14,7 +13,7 @@
 const BOUNDARY = '\n\n';
 
 /**
- * Collects bytes and gives out whole events.
+ * Buffers bytes and returns whole events.
  *
  * @example
  * splitter.push(Buffer.from('id: 1\ndata: a\n\nid')); // one event
@@ -22,12 +21,12 @@
 export class EventSplitter {
   private rest: Buffer = Buffer.alloc(0);
 
-  /** True when bytes of an event that has not ended are held. */
+  /** True if bytes of an incomplete event are buffered. */
   get hasPartialEvent(): boolean {
     return this.rest.length > 0;
   }
 
-  /** Takes bytes and returns the events that they complete. */
+  /** Adds bytes and returns the events that they complete. */
   push(bytes: Buffer): readonly StreamEvent[] {
     let buffer =
       this.rest.length === 0 ? bytes : Buffer.concat([this.rest, bytes]);
--- a/packages/direct/src/forward/exchange.ts
+++ b/packages/direct/src/forward/exchange.ts
@@ -1,7 +1,6 @@
 /**
- * One request to one target over a connection of its own. A kept connection
- * may be closed unseen, gone silent, or hold bytes of an earlier answer; a
- * new one costs a round trip within the site and can hold none of these.
+ * One request to one target over a connection of its own: a kept one may have
+ * closed unseen, gone silent, or hold bytes of an earlier answer.
  */
 import {request as sendRequest} from 'node:http';
 import {ReadTimeout} from '@nutmeggauge/core';
@@ -12,20 +11,18 @@
 import type {AnswerFraming} from './caller-response.js';
 
 /**
- * Longest wait for a connection, in ms: two orders above the round trip
- * within a site (3 ms), and below the first retransmission of a lost opening
- * packet (1 s), which a new connection beats.
+ * Connection timeout, in ms: above the round trip within a region, below the
+ * first retransmission of a lost SYN.
  */
 const CONNECT_TIMEOUT_MS = 250;
 
 /**
- * Lowest status that ends an exchange. Node reads a garbled status line such
- * as 099 and then refuses to write it; passed on, that error was nobody's and
- * ended the gate in place of the one request.
+ * Lowest final status. Node parses a garbled status such as 099, but refuses to
+ * write it.
  */
 const MIN_FINAL_STATUS = 200;
 
-/** A request as it goes to a target. */
+/** A request to a target. */
 export interface ExchangeOptions {
   readonly target: Target;
   readonly method: string;
@@ -34,7 +31,7 @@
   readonly body: Buffer;
 }
 
-/** Head of a target's answer; the body is still to be read. */
+/** Head of a target's answer; the body follows. */
 export interface AnswerHead {
   readonly status: number;
   readonly message: IncomingMessage;
@@ -50,13 +47,16 @@
 export class Exchange {
   /** Resolves with the head; rejects with an ExchangeError. */
   readonly head: Promise<AnswerHead>;
-  /** Absent where the head could not be written. */
+  /** Absent if the head could not be written. */
   private readonly request: ClientRequest | undefined;
   private isConnected = false;
   private isCancelled = false;
   private hasFailed = false;
 
+  private readonly target: Target;
+
   constructor(options: ExchangeOptions) {
+    this.target = options.target;
     const opened = openRequest(options);
     if (opened instanceof ExchangeError) {
       this.head = Promise.reject(opened);
@@ -66,30 +66,25 @@
       this.observeConnection(opened);
       opened.end(options.body.length > 0 ? options.body : undefined);
     }
-    // Whoever lost interest in the head still must not leave it unhandled.
+    // The head may be of no interest any more.
     this.head.catch(() => undefined);
   }
 
-  /** True once bytes of the request may have reached the target. */
+  /** True if bytes of the request may have reached the target. */
   get wasSent(): boolean {
     return this.isConnected;
   }
 
   /**
-   * True when the body that has ended is all that the target had to send. A
-   * body without a length ends with its connection, and Node's parser takes
-   * a reset for such an end as well: only the connection's error tells that
-   * the answer was broken off.
+   * True if the body that ended is complete. Without a length Node's parser
+   * takes a reset for the end of the body, so only the socket's error shows it.
    */
   private isWhole(message: IncomingMessage): boolean {
     if (!message.complete) return false;
     return findFraming(message) === 'framed' || !this.hasFailed;
   }
 
-  /**
-   * Reads the body as it comes; rejects with an ExchangeError when it breaks
-   * off.
-   */
+  /** Reads the body; rejects with an ExchangeError if it is cut off. */
   async *readBody({message}: AnswerHead): AsyncGenerator<Buffer> {
     try {
       yield* message as AsyncIterable<Buffer>;
@@ -99,22 +94,23 @@
     if (!this.isWhole(message)) throw new ExchangeError('truncated', true);
   }
 
-  /** Reads the whole body; rejects with an ExchangeError when it breaks off. */
+  /** Reads the whole body; rejects with an ExchangeError if it is cut off. */
   async readWholeBody(head: AnswerHead): Promise<Buffer> {
     const parts: Buffer[] = [];
     for await (const part of this.readBody(head)) parts.push(part);
     return Buffer.concat(parts);
   }
 
-  /** Closes the connection, which makes the target drop the request. */
+  /** Closes the connection, so that the target drops the request. */
   cancel(): void {
     this.isCancelled = true;
     this.request?.destroy();
   }
 
-  /** Ends the exchange as a reset by its target would. */
+  /** Fails the exchange as a reset by its target would. */
   markBroken(): void {
-    this.request?.destroy(new Error('another server has the address'));
+    const {host, port} = this.target;
+    this.request?.destroy(new Error(`${host}:${port} has another server`));
   }
 
   /** Registers a listener for the end of the connection. */
@@ -125,8 +121,7 @@
 
   private observeConnection(request: ClientRequest): void {
     request.once('socket', socket => {
-      // Behind a round of reading: else a host that stood still takes every
-      // target that it was connecting to for dead.
+      // After a suspension, sockets are read before the timeout counts.
       const timeout = new ReadTimeout(
         () => request.destroy(),
         CONNECT_TIMEOUT_MS,
@@ -149,8 +144,7 @@
         reject(new ExchangeError('malformed', true));
         request.destroy();
       });
-      // Bytes behind a complete answer raise errors too: by then the head
-      // has resolved and the body has ended, and they change nothing.
+      // Bytes after a complete answer raise errors too and change nothing.
       request.on('error', cause => {
         this.hasFailed = true;
         if (hasHead) return;
@@ -174,9 +168,8 @@
 }
 
 /**
- * Begins to send a request. A head that holds a letter which no header field
- * may hold (an account's name, a target's) is refused by Node with an error
- * thrown here; unheard, it ended the gate at each request of that account.
+ * Begins to send a request. Node throws for a header value with invalid
+ * characters.
  */
 function openRequest(options: ExchangeOptions): ClientRequest | ExchangeError {
   try {
@@ -195,7 +188,7 @@
 }
 
 /**
- * Finds how the end of an answer shows.
+ * Finds how the end of an answer is marked.
  *
  * @example
  * findFraming(message); // 'framed'
--- a/packages/direct/src/forward/judge-answer.ts
+++ b/packages/direct/src/forward/judge-answer.ts
@@ -1,23 +1,22 @@
-/** What the head of a target's answer means for the request. */
+/** Classifies the head of a target's answer. */
 import type {HeaderDialect} from '../ports.js';
 import type {AnswerFacts} from '../types.js';
 import type {AnswerHead} from './exchange.js';
 
 /** Verdict on a head. */
 export type HeadVerdict =
-  /** The target's own answer to this request. */
+  /** The target's own answer. */
   | 'answer'
-  /** The target's own answer, and it is a failure that it signed. */
+  /** The target's own answer, and a failure. */
   | 'target-failure'
   /** The request has not run there and never will. */
   | 'not-run'
-  /** Bytes that are no answer to this request; it may have run. */
+  /** Not an answer to this request, which may have run. */
   | 'foreign';
 
 /**
- * Judges a head. An answer with another request's id was late for somebody
- * else; a success without a signature or with an encoded body is not what the
- * target made.
+ * Classifies a head. An answer with another request's id belongs to that one; a
+ * success without a signature, or with an encoded body, is not the target's.
  *
  * @example
  * judgeHead(head, dialect.parseAnswer(head.message.headers), '9c41');
@@ -39,7 +38,7 @@
 }
 
 /**
- * Parses and judges a head.
+ * Parses and classifies a head.
  *
  * @example
  * const {verdict, facts} = readVerdict(head, dialect, requestId);
--- a/packages/direct/src/forward/memory-lease.test.ts
+++ b/packages/direct/src/forward/kv-lease.test.ts
@@ -1,7 +1,7 @@
 import {describe, it, mock} from 'node:test';
 import {setTimeout as sleep} from 'node:timers/promises';
 import {expect} from 'earl';
-import {MemoryReservations} from '../ports.js';
+import {KvReservations} from '../ports.js';
 import {buildTarget} from '../test/build-target.js';
 import {buildSignedHead, formatEvents} from '../test/fake-target.js';
 import {
@@ -9,13 +9,13 @@
   buildConfig,
   openGateWorld,
 } from '../test/gate-world.js';
-import {openMemoryLease} from './memory-lease.js';
+import {openKvLease} from './kv-lease.js';
 import type {ReservationOutcome} from '../ports.js';
 import type {TargetScript} from '../test/fake-target.js';
-import type {ReaderWatch} from './memory-lease.js';
+import type {LivenessCheck} from './kv-lease.js';
 
-/** Grants at once, but for renewals, which wait until the test lets them go. */
-class SlowRenewals extends MemoryReservations {
+/** Grants reservations at once, and renewals when the test says so. */
+class SlowRenewals extends KvReservations {
   readonly orders: string[] = [];
   readonly waiting: Array<() => void> = [];
 
@@ -31,14 +31,14 @@
   }
 }
 
-/** A reader that sends something all the time. */
-const HEARD: ReaderWatch = {
+/** An engine that sends bytes all the time. */
+const HEARD: LivenessCheck = {
   isHeard: () => true,
   ask: () => Promise.resolve(true),
 };
 
-/** A reader that sends nothing by itself, and answers when the test says so. */
-class SilentReader implements ReaderWatch {
+/** An engine that sends nothing, and answers polls when the test says so. */
+class SilentEngine implements LivenessCheck {
   isAnswering = true;
   asked = 0;
 
@@ -52,32 +52,30 @@
   }
 }
 
-/** Lets a renewal period go by, and what follows from it happen. */
+/** Advances by one renewal period. */
 async function advancePeriod(): Promise<void> {
   mock.timers.tick(1200);
   await new Promise(resolve => setImmediate(resolve));
 }
 
 async function openLease(
-  reservations: MemoryReservations,
-  reader: ReaderWatch = HEARD,
+  reservations: KvReservations,
+  liveness: LivenessCheck = HEARD,
 ) {
   const target = buildTarget('e1', 1);
-  const lease = await openMemoryLease(
+  const lease = await openKvLease(
     reservations,
     'r',
     [{target, tokens: 9000}],
-    reader,
+    liveness,
   );
   if (lease === undefined) throw new Error('not granted');
   return lease;
 }
 
-describe('a lease on memory', () => {
+describe('KV cache lease', () => {
   it('is given back behind a renewal that was under way', async () => {
-    // A stream ends while its lease is being renewed. The renewal overtakes
-    // nothing, it arrives behind the release and sets the memory aside again
-    // for three seconds, in which no prompt that needs it is taken.
+    // Guards against a renewal that arrives after the release.
     mock.timers.enable({apis: ['setInterval']});
     try {
       const reservations = new SlowRenewals();
@@ -101,21 +99,21 @@
     expect(reservations.orders).toEqual(['reserve', 'release']);
   });
 
-  it('is renewed while the engine that reads answers, though no event came', async () => {
-    // A long prompt is read for seconds without a sign. Its memory must stay:
-    // an engine cuts off a request whose lease has run out.
+  it('is renewed while the engine answers, although no event came', async () => {
+    // Guards against a lease that expires while a long prompt is prefilled.
     mock.timers.enable({apis: ['setInterval']});
     try {
       const reservations = new FakeReservations();
-      const reader = new SilentReader();
-      const lease = await openLease(reservations, reader);
+      const liveness = new SilentEngine();
+      const lease = await openLease(reservations, liveness);
       await advancePeriod();
-      reader.isAnswering = false;
+      liveness.isAnswering = false;
       await advancePeriod();
-      reader.isAnswering = true;
+      liveness.isAnswering = true;
       await advancePeriod();
       await advancePeriod();
-      // The first order, and a renewal for each answer: one may be missed.
+      // The first reservation, and a renewal for each answer: one poll may be
+      // missed.
       expect(reservations.reservedAt.length).toEqual(4);
       lease.close();
     } finally {
@@ -124,21 +122,19 @@
   });
 
   it('is renewed no more when the engine comes back after two silent checks', async () => {
-    // The engine that read the prompt was without power for seconds and starts
-    // again. It answers, but the prompt is gone: renewed, its memory on other
-    // engines would stay set aside for nobody.
+    // Guards against renewals for an engine that restarted and lost the prompt.
     mock.timers.enable({apis: ['setInterval']});
     try {
       const reservations = new FakeReservations();
-      const reader = new SilentReader();
-      const lease = await openLease(reservations, reader);
-      reader.isAnswering = false;
+      const liveness = new SilentEngine();
+      const lease = await openLease(reservations, liveness);
+      liveness.isAnswering = false;
       await advancePeriod();
       await advancePeriod();
-      reader.isAnswering = true;
+      liveness.isAnswering = true;
       await advancePeriod();
       expect(reservations.reservedAt.length).toEqual(1);
-      expect(reader.asked).toEqual(2);
+      expect(liveness.asked).toEqual(2);
       lease.close();
     } finally {
       mock.timers.reset();
@@ -146,12 +142,11 @@
   });
 
   it('is not renewed when it was closed while the engine was asked', async () => {
-    // The stream ends between the question and its answer. A renewal sent then
-    // would come behind the release and set the memory aside once more.
+    // Guards against a renewal for a stream that ended during the poll.
     mock.timers.enable({apis: ['setInterval']});
     try {
       const reservations = new FakeReservations();
-      const lease = await openLease(reservations, new SilentReader());
+      const lease = await openLease(reservations, new SilentEngine());
       mock.timers.tick(1200);
       lease.close();
       await new Promise(resolve => setImmediate(resolve));
@@ -162,11 +157,9 @@
     }
   });
 
-  it('runs out soon after the engine that reads the prompt went silent', async () => {
-    // The first engine loses power: no reset, no answer. Its gate takes the
-    // silence for reading, waits twice the prediction, 11 s, and renews what
-    // the prompt holds on helpers all the while. Memory that is set aside for
-    // more than 4 s after its request has ended counts as leaked.
+  it('expires soon after the engine went silent', async () => {
+    // Guards against KV cache that stays reserved after the engine has lost
+    // power.
     const goSilent: TargetScript = () => undefined;
     const base = buildConfig(1);
     const routes = base.routes.map(route => ({...route, timeoutMs: 30_000}));
@@ -197,11 +190,9 @@
     }
   });
 
-  it('is given back when another engine has the address of the one that reads', async () => {
-    // An engine without power for a second comes back empty, under its old
-    // address and a new id. It resets nothing, and its gate's checks were
-    // answered there again before two were missed: memory on other engines was
-    // renewed for 10.7 s, and the caller waited for a prompt nobody read.
+  it('is released when another engine has its address', async () => {
+    // Guards against an engine that is back at its address before its death is
+    // noticed.
     let isReadNow = false;
     const script: TargetScript = (req, res) => {
       if (!isReadNow) return;
@@ -215,7 +206,7 @@
       const engines = await Promise.all(
         ['e0', 'e1', 'e2', 'e3'].map(id => world.addTarget(id, 'chat', script)),
       );
-      for (const {id} of engines) world.reports.paces.set(id, 1);
+      for (const {id} of engines) world.reports.slowdowns.set(id, 1);
       await world.waitUntil(
         async () => (await world.readGauge('targets_known')) === 4,
       );
@@ -227,12 +218,12 @@
         engines.some(({received}) => received.length > 0),
       );
       isReadNow = true;
-      const reader = engines.find(({received}) => received.length > 0);
-      const entry = reader?.entry ?? engines[0].entry;
+      const decoder = engines.find(({received}) => received.length > 0);
+      const entry = decoder?.entry ?? engines[0].entry;
       world.store.publishTarget({...entry, id: 'reborn', name: 'reborn'});
       const answer = await call;
       expect(answer.body).toEqual(formatEvents(1, 6));
-      // Not by way of a stall, which would show seconds later.
+      // Not by a stall, which shows seconds later.
       expect(
         world.lines.some(line => line.includes('"engine_silent"')),
       ).toEqual(false);
--- a/packages/direct/src/forward/memory-lease.ts
+++ b/packages/direct/src/forward/kv-lease.ts
@@ -1,14 +1,14 @@
 /**
- * Memory set aside on helpers for one long prompt. Each reservation is a
- * short lease that is renewed while the stream lasts: when this process dies
- * or a release is lost, the lease runs out soon after.
+ * KV cache reserved on helpers for one long prompt. Reservations are short
+ * leases, renewed while the stream lasts, so they expire soon after this
+ * process dies or a release is lost.
  */
-import type {MemoryReservations} from '../ports.js';
+import type {KvReservations} from '../ports.js';
 import type {Target} from '../types.js';
 
 /**
- * Length of a lease, in ms. Memory that is idle or left over for four
- * seconds counts as leaked, and a lease lost in flight may start late.
+ * Length of a lease, in ms: idle reservations must end within four seconds, and
+ * a delayed one may start late.
  */
 const LEASE_MS = 3200;
 
@@ -16,8 +16,8 @@
 const RENEW_MS = 1200;
 
 /**
- * Checks in a row that the reader may leave unanswered: a renewal after two
- * would come when the lease has run out, and the prompt is cut off by then.
+ * Consecutive polls that the engine may leave unanswered: later, the lease has
+ * expired.
  */
 const MOST_MISSED = 2;
 
@@ -27,28 +27,24 @@
   readonly ticket: string;
 }
 
-/** Tells whether the engine that reads a prompt is alive. */
-export interface ReaderWatch {
-  /** True when it has sent something just now, to whichever request. */
+/** Says whether the engine that decodes a prompt is alive. */
+export interface LivenessCheck {
+  /** True if it has just sent bytes, for any request. */
   isHeard(): boolean;
-  /** Asks it; false when it does not answer in time. */
+  /** Polls it; false if it does not answer in time. */
   ask(): Promise<boolean>;
 }
 
 /**
- * The reservations of one prompt.
- *
- * They are renewed only while the engine that reads the prompt is alive. One
- * that loses power resets no connection, and a long prompt's first event is
- * waited for up to 11 s, so memory stayed set aside for 5.6 s after the prompt
- * was gone with its engine. A renewal follows a sign of life by at most half a
- * second, so the lease ends within 4 s of the engine.
+ * The reservations of one prompt, renewed only while its engine is alive: one
+ * that loses power resets no connection, and a long prompt's first token may
+ * take many seconds.
  *
  * @example
- * const lease = await openMemoryLease(reservations, 'gate-1/7', wishes, reader);
+ * const lease = await openKvLease(reservations, 'gate-1/7', requests, engine);
  * lease?.close();
  */
-export class MemoryLease {
+export class KvLease {
   private readonly timer: NodeJS.Timeout;
   /** Renewals under way. */
   private readonly renewals = new Set<Promise<LeasedTicket>>();
@@ -56,23 +52,22 @@
   private missed = 0;
 
   constructor(
-    private readonly reservations: MemoryReservations,
+    private readonly reservations: KvReservations,
     readonly tickets: readonly LeasedTicket[],
     private readonly tokens: ReadonlyMap<string, number>,
-    private readonly reader: ReaderWatch,
+    private readonly liveness: LivenessCheck,
   ) {
     this.timer = setInterval(() => this.handleDue(), RENEW_MS);
   }
 
-  /** Finds the ticket held on `target`. */
+  /** Finds the ticket of a reservation on `target`. */
   findTicket(target: string): string | undefined {
     return this.tickets.find(held => held.target.id === target)?.ticket;
   }
 
   /**
-   * Gives all of it back. Orders go over connections of their own, so a
-   * renewal under way may arrive behind the release and set the memory aside
-   * once more for a whole lease: it is given back again once that is answered.
+   * Releases everything. A renewal under way may arrive after the release, so
+   * it is released again once answered.
    */
   close(): void {
     this.isClosed = true;
@@ -87,12 +82,12 @@
   }
 
   private handleDue(): void {
-    if (this.reader.isHeard()) this.renew();
+    if (this.liveness.isHeard()) this.renew();
     else void this.renewIfAlive();
   }
 
   private async renewIfAlive(): Promise<void> {
-    const isAlive = await this.reader.ask();
+    const isAlive = await this.liveness.ask();
     if (this.isClosed) return;
     if (isAlive) this.renew();
     else if (++this.missed >= MOST_MISSED) clearInterval(this.timer);
@@ -114,38 +109,37 @@
   }
 }
 
-/** Memory wanted on one target. */
-export interface MemoryWish {
+/** KV cache wanted on one target. */
+export interface KvRequest {
   readonly target: Target;
   readonly tokens: number;
 }
 
 /**
- * Reserves everything or nothing. A reservation that was refused or not
- * answered makes the others pointless: they are given back at once, and so
- * is the unanswered one, which may have been granted.
+ * Reserves everything or nothing. If one reservation fails, the others are
+ * released, and so are unanswered ones, which may have been granted.
  *
- * @returns Nothing when one of them was not granted.
+ * @returns Nothing if one of them was not granted.
  * @example
- * const lease = await openMemoryLease(reservations, 'gate-1/7', wishes, reader);
+ * const lease = await openKvLease(reservations, 'gate-1/7', requests, engine);
  */
-export async function openMemoryLease(
-  reservations: MemoryReservations,
+export async function openKvLease(
+  reservations: KvReservations,
   name: string,
-  wishes: readonly MemoryWish[],
-  reader: ReaderWatch,
-): Promise<MemoryLease | undefined> {
+  wishes: readonly KvRequest[],
+  liveness: LivenessCheck,
+): Promise<KvLease | undefined> {
   const outcomes = await Promise.all(
     wishes.map(({target, tokens}) =>
       reservations.reserve(target, name, tokens, LEASE_MS),
     ),
   );
   if (outcomes.every(outcome => outcome === 'granted'))
-    return new MemoryLease(
+    return new KvLease(
       reservations,
       wishes.map(({target}) => ({target, ticket: name})),
       new Map(wishes.map(({target, tokens}) => [target.id, tokens])),
-      reader,
+      liveness,
     );
   wishes.forEach(({target}, i) => {
     if (outcomes[i] !== 'refused') void reservations.release(target, name);
--- a/packages/direct/src/forward/late-errors.test.ts
+++ b/packages/direct/src/forward/late-errors.test.ts
@@ -10,7 +10,7 @@
 import type {Socket} from 'node:net';
 import type {GateWorld} from '../test/gate-world.js';
 
-/** When the target's connection is reset, seen from the target. */
+/** When the target's connection is reset, as the target sees it. */
 const TARGET_MOMENTS = [
   'never',
   'accepted',
@@ -22,7 +22,7 @@
   'bytes behind the answer',
 ] as const;
 
-/** When the caller's connection is reset, seen from the caller. */
+/** When the caller's connection is reset, as the caller sees it. */
 const CALLER_MOMENTS = [
   'never',
   'connected',
@@ -43,7 +43,7 @@
   () => new Error('plain'),
 ];
 
-/** An error raised on a socket of the gate's own. */
+/** An error raised on a socket of the gate. */
 interface Raised {
   readonly side: 'caller' | 'target';
   readonly error: number;
@@ -55,7 +55,7 @@
   readonly path: string;
   readonly caller: (typeof CALLER_MOMENTS)[number];
   readonly target: (typeof TARGET_MOMENTS)[number];
-  /** How late the target answers, in ms. */
+  /** Delay of the target's answer, in ms. */
   readonly lateMs: number;
   readonly raised: readonly Raised[];
 }
@@ -75,7 +75,7 @@
   ),
 });
 
-/** Bytes of a whole answer, cut into head and body. */
+/** A complete answer, split into head and body. */
 function renderAnswer(req: IncomingMessage): readonly [string, string] {
   const body = formatEvents(1, 3);
   const fields = Object.entries({
@@ -87,7 +87,7 @@
   return [`HTTP/1.1 200 OK\r\n${lines.join('')}\r\n`, body];
 }
 
-/** Plays the target's part of a plan; every answer ends, whole or not. */
+/** Plays the target's part of a plan. */
 async function runTarget(plan: Plan, req: IncomingMessage): Promise<void> {
   const {socket} = req;
   const [head, body] = renderAnswer(req);
@@ -102,7 +102,7 @@
   for (const [bytes, moment] of parts) {
     if (bytes !== '') socket.write(bytes);
     if (moment !== plan.target) continue;
-    // Twice: bytes that are under way, then the reset.
+    // Twice: bytes in flight, then the reset.
     await waitMs(1);
     socket.resetAndDestroy();
     return;
@@ -116,7 +116,9 @@
   socket.end();
 }
 
-/** Plays the caller's part of a plan; resolves when its connection is gone. */
+/**
+ * Plays the caller's part of a plan; resolves when its connection is closed.
+ */
 function runCaller(world: GateWorld, id: string, plan: Plan): Promise<void> {
   return new Promise(resolve => {
     const socket = connect(world.port, world.host);
@@ -147,7 +149,7 @@
 /** A gate whose sockets are known, with targets that play plans. */
 class ErrorWorld {
   readonly uncaught: unknown[] = [];
-  /** Errors raised on sockets of the gate, by side. */
+  /** Errors raised on the gate's sockets, by side. */
   readonly raisedOn = {caller: 0, target: 0};
   readonly plans = new Map<string, Plan>();
   private readonly gateSockets = {
@@ -212,7 +214,7 @@
     this.world.close();
   }
 
-  /** Plays plans beside each other, and raises errors on the gate's sockets. */
+  /** Plays plans concurrently, and raises errors on the gate's sockets. */
   async run(plans: readonly Plan[]): Promise<void> {
     this.resetsLeft = plans.filter(plan => plan.target === 'accepted').length;
     await Promise.all(
@@ -227,7 +229,7 @@
     this.resetsLeft = 0;
   }
 
-  /** Most times that one request reached a target. */
+  /** Most times that a request reached a target. */
   countMostRuns(path: string): number {
     const runs = new Map<string, number>();
     for (const id of this.received)
@@ -238,7 +240,7 @@
 
   private async runRaised({side, error, afterMs}: Raised): Promise<void> {
     await waitMs(afterMs);
-    // Sockets that are closed already are among them: errors come late.
+    // Closed sockets are included: errors come late.
     for (const socket of this.gateSockets[side]) {
       this.raisedOn[side]++;
       socket.emit('error', ERRORS[error]());
@@ -253,7 +255,7 @@
 
   private recordSocket(sockets: Set<Socket>, socket: Socket): void {
     sockets.add(socket);
-    // Forgotten a while after its end, so that late errors still reach it.
+    // Kept for a while, so that late errors still reach it.
     socket.once('close', () =>
       setTimeout(() => sockets.delete(socket), 20).unref(),
     );
@@ -269,10 +271,7 @@
   after(() => errors.stop());
 
   it('end no gate and leave nothing counted', async () => {
-    // A target's and a caller's connection are reset within a few ms, the
-    // answer comes late, and a second error follows the first on a socket
-    // that is closed. One such second error ended gates, with every request
-    // of theirs. Whatever the moment, only the request itself may notice.
+    // Guards against errors on closed sockets that end the gate.
     const {world} = errors;
     await fc.assert(
       fc.asyncProperty(
--- a/packages/direct/src/forward/open-exchanges.test.ts
+++ b/packages/direct/src/forward/open-exchanges.test.ts
@@ -4,7 +4,7 @@
 import {OpenExchanges} from './open-exchanges.js';
 import type {Target} from '../types.js';
 
-/** Opens an exchange that its target does not answer; says how it ends. */
+/** Opens an exchange without an answer; returns how it ends. */
 async function openSilent(exchanges: OpenExchanges, revision: number) {
   let arrive = () => undefined as void;
   const arrived = new Promise<void>(resolve => (arrive = resolve));
@@ -31,8 +31,8 @@
 
 describe('exchanges under way', () => {
   it('end when another server has the address of theirs', async () => {
-    // A server loses power, and another one starts at its address. The old
-    // connection is not reset, and a caller would wait for it until it leaves.
+    // Guards against waiting for a server that lost power after another one
+    // took its address.
     const exchanges = new OpenExchanges();
     const {target, server, ended, readFault} = await openSilent(exchanges, 5);
     exchanges.endReplaced({...target, id: 'e9', name: 'e9', revision: 8});
--- a/packages/direct/src/forward/open-exchanges.ts
+++ b/packages/direct/src/forward/open-exchanges.ts
@@ -1,7 +1,6 @@
 /**
  * Exchanges under way, by the address of their target. A server that loses
- * power resets no connection; once another one is known at its address, its
- * exchanges wait for nobody.
+ * power resets no connection, but another one may appear at its address.
  */
 import {openExchange} from './exchange.js';
 import type {Target} from '../types.js';
@@ -38,14 +37,12 @@
   }
 
   /**
-   * Ends exchanges with servers that had the address of `target` before it.
-   * Waited for until their stall limit, prompts kept memory on other engines
-   * set aside for 10 s, and their callers without an answer.
+   * Fails exchanges with servers that had the address of `target` before it.
    */
   endReplaced(target: Target): void {
     const sharing = this.byAddress.get(formatAddress(target)) ?? [];
     for (const {exchange, target: earlier} of [...sharing]) {
-      // An older entry that is only heard of late says nothing of a newer one.
+      // A late message about an older entry says nothing about a newer one.
       const isReplaced =
         earlier.id !== target.id && earlier.revision < target.revision;
       if (isReplaced) exchange.markBroken();
--- a/packages/direct/src/forward/request.ts
+++ b/packages/direct/src/forward/request.ts
@@ -1,4 +1,4 @@
-/** One caller's request on its way through the gate. */
+/** A caller's request as the forwarders see it. */
 import type {CallerResponse} from './caller-response.js';
 import type {RawHeaders, RequestFacts, Route} from '../types.js';
 
@@ -13,15 +13,15 @@
   readonly route: Route;
   /** Service chosen among the route's splits. */
   readonly service: string;
-  /** Name of the caller's account; absent on public routes. */
+  /** Name of the client account; absent on public routes. */
   readonly account: string | undefined;
-  /** Arrival of the head, on the monotonic clock, in ms. */
+  /** Arrival of the head on the monotonic clock, in ms. */
   readonly arrivedAt: number;
-  /** End of the caller's own deadline and of the route's timeout. */
+  /** The earlier of the caller's deadline and the route's timeout. */
   readonly expiresAt: number;
-  /** Configuration that routed it. */
+  /** Version of the configuration that routed it. */
   readonly configVersion: number;
-  /** Event id that the caller resumes after. */
+  /** Event after which the caller resumes. */
   readonly lastEventId: string | undefined;
   readonly caller: CallerResponse;
 }
--- a/packages/direct/src/forward/retry-after.ts
+++ b/packages/direct/src/forward/retry-after.ts
@@ -1,16 +1,12 @@
-/** When a caller whose request did not run may come back. */
+/** Retry-After of requests that did not run. */
 
-/**
- * Wait after which a refused caller is asked to come back, in ms: several
- * passes of a busy engine (50 to 200 ms each), so that places have come free.
- */
+/** Shortest wait, in ms: several iterations of a busy engine. */
 const RETURN_MS = 350;
 
 /**
- * Chooses a time of return. Callers that were refused together come back
- * spread over as much again, so that they do not meet the same queue.
+ * Chooses a Retry-After. Jitter spreads callers that were refused together.
  *
- * @param queueMs - Predicted time until the queue has drained, in ms.
+ * @param queueMs - Predicted time until the queue is empty, in ms.
  * @param leftMs - Time that the caller has left, in ms.
  * @example
  * chooseReturnMs(0, 9000); // between 350 and 700
--- a/packages/direct/src/forward/stall-timer.test.ts
+++ b/packages/direct/src/forward/stall-timer.test.ts
@@ -2,31 +2,32 @@
 import {describe, it} from 'node:test';
 import {openListener} from '@nutmeggauge/core';
 import {expect} from 'earl';
-import {StallTimer, countFirstLimitMs} from './stall-timer.js';
+import {StallTimer, countTtftLimitMs} from './stall-timer.js';
 
-/** A silence that counts as a stall, in ms, and a longer stand-still. */
+/** Silence that counts as a stall, and a longer suspension, in ms. */
 const STALL_MS = 200;
 const FROZEN_MS = 500;
 
-describe('a watch for silent engines', () => {
+describe('stall timer', () => {
   it('sends a short stream elsewhere while it can still be on time', () => {
-    // Its engine has died without a word.
-    expect(countFirstLimitMs(80, 30, 300) < 1000).toEqual(true);
+    // Its engine has died without a reset.
+    expect(countTtftLimitMs(80, 30, 300) < 1000).toEqual(true);
   });
 
-  it('does not have a long prompt read twice because others delay it', () => {
-    // A burst of schedules: parts for later prompts go ahead of this one on
-    // its engines, and its first event comes seconds after the prediction.
-    // Sent again it is late all the same, and the engines read it twice.
-    const goalMs = 4000;
-    expect(countFirstLimitMs(400, 1500, goalMs) > goalMs).toEqual(true);
-    expect(countFirstLimitMs(400, 1500, goalMs) < 2 * goalMs).toEqual(true);
+  it('does not prefill a long prompt twice because others delay it', () => {
+    // Guards against a second prefill of a prompt that was merely preempted.
+    const objectiveMs = 4000;
+    expect(countTtftLimitMs(400, 1500, objectiveMs) > objectiveMs).toEqual(
+      true,
+    );
+    expect(countTtftLimitMs(400, 1500, objectiveMs) < 2 * objectiveMs).toEqual(
+      true,
+    );
   });
 
-  it('counts no engine as silent whose events wait to be read', async () => {
-    // A host stands still for some seconds. Woken, its gate ran all overdue
-    // timers before it read: engines that had sent events all the while were
-    // taken for silent, and their streams sent to others with the retry budget.
+  it('counts no engine as stalled whose events are not read yet', async () => {
+    // Guards against timers that expire before a resumed process has read its
+    // sockets.
     let judged = 0;
     const stall = new StallTimer(() => {
       judged++;
@@ -36,7 +37,7 @@
       socket.write('first');
       setImmediate(() => {
         socket.write('second');
-        // As a stopped host: nothing is read, no timer runs.
+        // Blocks like a suspended host: no reads, no timers.
         const lock = new Int32Array(new SharedArrayBuffer(4));
         Atomics.wait(lock, 0, 0, FROZEN_MS);
       });
--- a/packages/direct/src/forward/stall-timer.ts
+++ b/packages/direct/src/forward/stall-timer.ts
@@ -1,59 +1,58 @@
-/** Watches for an engine that has gone silent. */
+/** Detects stalled engines. */
 import {ReadTimeout} from '@nutmeggauge/core';
 
-/** Time in which another answer of an engine shows that it lives, in ms. */
-export const HEARD_MS = 600;
+/**
+ * Time within which another answer of an engine shows that it is alive, in ms.
+ */
+export const LIVENESS_MS = 600;
 
 /**
- * Time without the first event after which another engine is tried, in ms:
- * the prediction, twice over for its error, and a slack.
+ * Time without a first token after which another engine is tried: a multiple of
+ * the prediction and a slack in ms.
  */
-const FIRST_EVENT_FACTOR = 2;
-const FIRST_EVENT_SLACK_MS = 700;
+const TTFT_FACTOR = 2;
+const TTFT_SLACK_MS = 700;
 
 /**
- * The slack for a prompt that takes long to read: a helper's death is told by
- * the engine itself after a stall of 1,500 ms, and sent again too early such
- * a prompt is read twice by engines that were merely busy.
+ * Slack for a prompt with a long prefill, in ms: its engine reports a dead
+ * helper itself after a stall of 1,500 ms.
  */
-const LONG_READ_MS = 400;
-const LONG_READ_SLACK_MS = 2500;
+const LONG_PREFILL_MS = 400;
+const LONG_PREFILL_SLACK_MS = 2500;
 
 /**
- * Objectives that such a prompt is waited for in any case. Parts for other
- * prompts go ahead of it, so under load it comes seconds after its
- * prediction; sent again at 3.3 s it was late all the same, and its first
- * reading was in vain just when engines had too much to read (on the heaviest
- * day 32 of 116 long prompts were read twice). Callers leave after four
- * objectives, which leaves time for the second reading where it is needed.
+ * Multiple of the objective that such a prompt is given in any case: newer
+ * prompts preempt it, and a second prefill adds load when there is most of it.
  */
-const LONG_READ_GOALS = 1.75;
+const LONG_PREFILL_OBJECTIVES = 1.75;
 
 /**
- * Time without the first event after which another engine is tried, in ms.
+ * Time without a first token after which another engine is tried, in ms.
  *
- * @param readMs - Reading of the prompt on one idle engine, in ms.
- * @param goalMs - Objective of the first event, in ms.
+ * @param prefillMs - Prefill of the prompt on one idle engine, in ms.
+ * @param objectiveMs - Objective of the first token, in ms.
  * @example
- * countFirstLimitMs(400, 1500, 3000); // 5250
+ * countTtftLimitMs(400, 1500, 3000); // 5250
  */
-export function countFirstLimitMs(
-  predictedFirstMs: number,
-  readMs: number,
-  goalMs: number,
+export function countTtftLimitMs(
+  predictedTtftMs: number,
+  prefillMs: number,
+  objectiveMs: number,
 ): number {
-  const expectedMs = predictedFirstMs * FIRST_EVENT_FACTOR;
-  if (readMs <= LONG_READ_MS) return expectedMs + FIRST_EVENT_SLACK_MS;
-  return Math.max(expectedMs + LONG_READ_SLACK_MS, goalMs * LONG_READ_GOALS);
+  const expectedMs = predictedTtftMs * TTFT_FACTOR;
+  if (prefillMs <= LONG_PREFILL_MS) return expectedMs + TTFT_SLACK_MS;
+  return Math.max(
+    expectedMs + LONG_PREFILL_SLACK_MS,
+    objectiveMs * LONG_PREFILL_OBJECTIVES,
+  );
 }
 
 /** What to do about a stall. */
 export type StallVerdict = 'wait' | 'ignore';
 
 /**
- * A timer that is set anew with each sign of life. It expires behind a round of
- * reading: after its host stood still a gate took all engines for silent, whose
- * events waited unread, and spent the retry budget on sound streams.
+ * A timer that each received byte resets. After a suspension, sockets are read
+ * before it expires.
  *
  * @example
  * const stall = new StallTimer(() => 'wait');
@@ -64,18 +63,18 @@
 
   constructor(private readonly judge: () => StallVerdict) {}
 
-  /** Sets the time until the next sign of life is overdue. */
+  /** Restarts the timer. */
   restart(ms: number): void {
     this.timeout?.stop();
     this.timeout = new ReadTimeout(() => this.handleExpiry(), ms);
   }
 
-  /** Ends the watch. */
+  /** Stops the timer. */
   stop(): void {
     this.timeout?.stop();
   }
 
   private handleExpiry(): void {
-    if (this.judge() === 'wait') this.restart(HEARD_MS);
+    if (this.judge() === 'wait') this.restart(LIVENESS_MS);
   }
 }
--- a/packages/direct/src/forward/stream-attempt.ts
+++ b/packages/direct/src/forward/stream-attempt.ts
@@ -1,35 +1,35 @@
 /**
- * One attempt to have a stream written: memory on helpers where the prompt
- * needs it, one exchange with the first engine, and its events passed on.
+ * One attempt at a stream: KV reservations on helpers if needed, one exchange
+ * with the decoding engine, and its events forwarded.
  */
 import {ExchangeError} from '../errors.js';
-import {estimateReadMs} from '../placement/engine-model.js';
+import {estimatePrefillMs} from '../placement/engine-model.js';
 import {createEventSplitter} from './event-splitter.js';
 import {findFraming} from './exchange.js';
 import {readVerdict} from './judge-answer.js';
-import {openMemoryLease} from './memory-lease.js';
-import {HEARD_MS, StallTimer, countFirstLimitMs} from './stall-timer.js';
+import {openKvLease} from './kv-lease.js';
+import {LIVENESS_MS, StallTimer, countTtftLimitMs} from './stall-timer.js';
 import type {PlacedPrompt} from '../placement/prompt-placer.js';
 import type {EngineFigures} from '../types.js';
 import type {ForwardContext} from './context.js';
 import type {AnswerHead, Exchange} from './exchange.js';
-import type {MemoryLease, ReaderWatch} from './memory-lease.js';
+import type {KvLease, LivenessCheck} from './kv-lease.js';
 import type {GateRequest} from './request.js';
 import type {StallVerdict} from './stall-timer.js';
 import type {StreamProgress} from './stream-progress.js';
 
 /**
- * Time between two events after which another engine goes on: a pause of
- * several objectives, at least what one long part beside it may take, in ms.
+ * Multiple of the inter-token objective, and least time in ms, after which a
+ * stream counts as stalled.
  */
-const STALL_GAPS = 2.5;
+const STALL_ITL_OBJECTIVES = 2.5;
 const STALL_MIN_MS = 1000;
 
 /** Age up to which bytes of an engine show that it is alive, in ms. */
 const ALIVE_MS = 400;
 
-/** Urgency for the engine, by prompt size: short prompts are admitted first. */
-const URGENCY_BY_TOKENS: ReadonlyArray<readonly [number, number]> = [
+/** Priority at the engine by prompt size: short prompts first. */
+const PRIORITY_BY_TOKENS: ReadonlyArray<readonly [number, number]> = [
   [16_000, 2],
   [80_000, 4],
   [Infinity, 5],
@@ -37,31 +37,30 @@
 
 /** How an attempt ended. */
 export type AttemptEnd =
-  /** The caller has the whole answer. */
+  /** The caller has the complete answer. */
   | {readonly kind: 'done'}
   /** The caller has a failure that the target signed. */
   | {readonly kind: 'passed-on'}
-  /** Helpers had no memory; nothing was sent. */
+  /** Helpers lacked KV cache; nothing was sent. */
   | {readonly kind: 'no-memory'}
   | {readonly kind: 'not-run'; readonly faultyAddress: string | undefined}
   | {readonly kind: 'failed'; readonly error: ExchangeError};
 
-/** What one attempt is made of. */
+/** Parameters of an attempt. */
 export interface StreamAttemptOptions {
   readonly context: ForwardContext;
   readonly request: GateRequest;
   readonly engine: EngineFigures;
   readonly placed: PlacedPrompt;
   readonly progress: StreamProgress;
-  /** Name of this attempt, for its reservations. */
+  /** Name of this attempt for its reservations. */
   readonly name: string;
-  /** True when another attempt may follow this one, or is under way. */
+  /** True if another attempt may follow, or is under way. */
   readonly mayFollow: () => boolean;
-  /** Asks another engine to go on; this one is kept until that has begun. */
+  /** Starts another engine; this one is kept until that has begun. */
   readonly startFollower: () => void;
   /**
-   * Takes the caller's answer for this attempt; false when another one has
-   * it, and nothing of this one may go out.
+   * Claims the caller's answer for this attempt; false if another one has it.
    */
   readonly claimLead: () => boolean;
 }
@@ -78,7 +77,7 @@
 
   constructor(private readonly options: StreamAttemptOptions) {}
 
-  /** Runs to its end; never rejects for a failure of targets. */
+  /** Runs to the end; never rejects for a failure of targets. */
   async run(): Promise<AttemptEnd> {
     const lease = await this.openLease();
     if (lease === 'refused') return {kind: 'no-memory'};
@@ -93,13 +92,13 @@
     }
   }
 
-  /** Ends the attempt: its engine drops the request. */
+  /** Cancels the attempt, so that its engine drops the request. */
   cancel(): void {
     this.isCancelled = true;
     this.exchange?.cancel();
   }
 
-  private async openLease(): Promise<MemoryLease | undefined | 'refused'> {
+  private async openLease(): Promise<KvLease | undefined | 'refused'> {
     const {context, placed, name} = this.options;
     const {reservations} = placed.choice;
     if (reservations.length === 0) return undefined;
@@ -107,16 +106,16 @@
       const helper = placed.helpers.find(({id}) => id === target);
       return helper === undefined ? [] : [{target: helper, tokens}];
     });
-    const lease = await openMemoryLease(
+    const lease = await openKvLease(
       context.reservations,
       name,
       wishes,
-      this.createReaderWatch(),
+      this.createLivenessCheck(),
     );
     return lease ?? 'refused';
   }
 
-  private createReaderWatch(): ReaderWatch {
+  private createLivenessCheck(): LivenessCheck {
     const {health, readNow, reports} = this.options.context;
     const {target} = this.options.placed;
     return {
@@ -125,17 +124,20 @@
     };
   }
 
-  private async runExchange(lease?: MemoryLease): Promise<AttemptEnd> {
-    // The caller may have left while memory was reserved.
+  private async runExchange(lease?: KvLease): Promise<AttemptEnd> {
+    // The caller may have left during the reservation.
     if (this.isCancelled) throw new ExchangeError('cancelled', false);
-    const exchange = this.sendToFirst(lease);
+    const exchange = this.sendToDecoder(lease);
     this.exchange = exchange;
     const stall = new StallTimer(() => this.judgeStall());
     const {request, engine, placed} = this.options;
-    const readMs = estimateReadMs(request.facts.promptTokens ?? 0, engine);
-    const {predictedFirstMs} = placed.choice;
+    const prefillMs = estimatePrefillMs(
+      request.facts.promptTokens ?? 0,
+      engine,
+    );
+    const {predictedTtftMs} = placed.choice;
     stall.restart(
-      countFirstLimitMs(predictedFirstMs, readMs, request.route.goalMs),
+      countTtftLimitMs(predictedTtftMs, prefillMs, request.route.objectiveMs),
     );
     try {
       return await this.readAnswer(exchange, stall);
@@ -144,10 +146,10 @@
     }
   }
 
-  private sendToFirst(lease?: MemoryLease): Exchange {
+  private sendToDecoder(lease?: KvLease): Exchange {
     const {context, request, placed, progress} = this.options;
     const tokens = request.facts.promptTokens ?? 0;
-    const urgency = URGENCY_BY_TOKENS.find(([most]) => tokens <= most)?.[1];
+    const priority = PRIORITY_BY_TOKENS.find(([most]) => tokens <= most)?.[1];
     return context.exchanges.open({
       target: placed.target,
       method: request.method,
@@ -156,7 +158,7 @@
         deadlineLeftMs: request.expiresAt - context.readNow(),
         target: placed.target,
         account: request.account,
-        urgency,
+        priority,
         helpers: placed.helpers.map(target => ({
           target,
           ticket: lease?.findTicket(target.id),
@@ -168,21 +170,19 @@
   }
 
   /**
-   * After a stall another engine is asked to go on only where one may, and not
-   * while this one answers others: sent again, the prompt would be read twice by
-   * engines that have too much to read already. The same while newer prompts
-   * are known to stand before it, or every other engine is full. This one is
-   * kept: a sound engine that paused may go on before another one has begun.
+   * Starts another engine only if one is allowed and free, and this one is
+   * neither prefilling newer prompts nor answering others: a second prefill
+   * adds load. This one is kept, as it may resume first.
    */
   private judgeStall(): StallVerdict {
     const {context, placed, mayFollow, startFollower} = this.options;
     const {request, engine} = this.options;
     const {health, readNow, prompts} = context;
     if (!mayFollow()) return 'ignore';
-    if (placed.isUnread()) return 'wait';
+    if (placed.isPrefilling()) return 'wait';
     const others = new Set([placed.target.id]);
-    if (!prompts.isPlaceFree(request.service, engine, others)) return 'wait';
-    if (health.isHeardSince(placed.target.id, readNow() - HEARD_MS))
+    if (!prompts.isSlotFree(request.service, engine, others)) return 'wait';
+    if (health.isHeardSince(placed.target.id, readNow() - LIVENESS_MS))
       return 'wait';
     startFollower();
     return 'wait';
@@ -231,8 +231,11 @@
   ): Promise<void> {
     const {context, request, placed, progress} = this.options;
     const {route, caller} = request;
-    const gapGoalMs = route.gapGoalMs ?? route.goalMs;
-    const stallMs = Math.max(STALL_MIN_MS, STALL_GAPS * gapGoalMs);
+    const itlObjectiveMs = route.itlObjectiveMs ?? route.objectiveMs;
+    const stallMs = Math.max(
+      STALL_MIN_MS,
+      STALL_ITL_OBJECTIVES * itlObjectiveMs,
+    );
     const splitter = createEventSplitter();
     let isFirst = true;
     for await (const bytes of exchange.readBody(head)) {
@@ -246,18 +249,18 @@
       context.health.markHeard(placed.target.id, now);
       for (const event of events) {
         caller.write(event.bytes);
-        const firstMs = progress.recordEvent(event.id, now);
-        if (firstMs !== undefined) context.firstEventMs.recordMs(firstMs);
+        const ttftMs = progress.recordEvent(event.id, now);
+        if (ttftMs !== undefined) context.ttftMs.recordMs(ttftMs);
       }
     }
-    // A caller that was promised a framed end gets none from this engine.
+    // A framed answer must not end with an unframed one.
     const framing = findFraming(head.message);
     const isPromiseBroken = framing === 'by-close' && !progress.isUnframed;
     if (splitter.hasPartialEvent || isPromiseBroken)
       throw new ExchangeError('truncated', true);
   }
 
-  /** Passes on a failure that the target signed, before any event. */
+  /** Forwards a failure that the target signed, before any event. */
   private async forwardFailure(
     exchange: Exchange,
     head: AnswerHead,
--- a/packages/direct/src/forward/stream-forwarder.test.ts
+++ b/packages/direct/src/forward/stream-forwarder.test.ts
@@ -10,7 +10,7 @@
 import type {TargetScript} from '../test/fake-target.js';
 import type {GateWorld} from '../test/gate-world.js';
 
-/** Streams events up to `last`, after the one that the caller already has. */
+/** Streams events up to `last`, after the one that the caller has. */
 const streamWhole: TargetScript = (req, res) => {
   const after = Number(req.headers['x-test-after'] ?? 0);
   res.writeHead(200, {
@@ -51,14 +51,14 @@
   return world;
 }
 
-/** Pauses in the middle for longer than a stall takes to show. */
+/** Pauses in mid-stream for longer than a stall. */
 const streamWithPause: TargetScript = (req, res) => {
   res.writeHead(200, buildSignedHead(req));
   res.write(formatEvents(1, 2));
   setTimeout(() => res.end(formatEvents(3, 6)), 1800);
 };
 
-/** Finds the line that says where a request was placed. */
+/** Matches the log line of a request's placement. */
 function isPlaced(requestId: string): (line: string) => boolean {
   return line =>
     line.includes('"stream_placed"') && line.includes(`"${requestId}"`);
@@ -71,8 +71,7 @@
 
 describe('forwarded streams', () => {
   it('goes on at another engine after the last whole event', async () => {
-    // An engine dies in the middle of an event. The caller must get each
-    // event once, in order, in one answer.
+    // Guards against lost or repeated events when an engine dies in mid-event.
     let isFirst = true;
     const dieOnce: TargetScript = (req, res) => {
       if (!isFirst) return streamWhole(req, res);
@@ -92,7 +91,7 @@
   });
 
   it('never makes a broken stream look whole', async () => {
-    // Every engine breaks off; the caller must see a broken connection.
+    // Guards against a cut stream that looks complete.
     const breakOff: TargetScript = (req, res) => {
       res.writeHead(200, buildSignedHead(req));
       res.write(formatEvents(1, 1));
@@ -108,8 +107,8 @@
   });
 
   it('never makes a stream without a length whole when it is reset', async () => {
-    // The engine ends its events with the connection, and the connection is
-    // reset between two events: nothing but the reset shows that more was due.
+    // Guards against a reset that the HTTP parser takes for the end of a
+    // stream.
     const resetUnframed: TargetScript = req => {
       const {socket} = req;
       socket.write(
@@ -129,8 +128,7 @@
   });
 
   it('says "not run" of nothing that has run, also when memory is short', async () => {
-    // One engine dies under a prompt, and the only other one is full of a
-    // larger prompt. Told 503, the caller would take what ran for not run.
+    // Guards against 503 for a stream that may have run.
     const hang: TargetScript = () => undefined;
     const world = await openStreams([hang, hang], true, 30_000);
     try {
@@ -167,9 +165,8 @@
     }
   });
 
-  it('lets a stream pause that no other engine could go on with', async () => {
-    // The engine reads a long prompt beside a stream that cannot be resumed.
-    // Given up after a second, the caller would lose what comes next.
+  it('waits for a stalled stream that cannot be resumed', async () => {
+    // Guards against giving up a stalled stream that cannot be resumed.
     const pause: TargetScript = (req, res) => {
       res.writeHead(200, buildSignedHead(req));
       res.write(formatEvents(1, 2));
@@ -185,10 +182,9 @@
     }
   });
 
-  it('keeps a stream on its engine while every other one is full', async () => {
-    // An engine pauses in the middle of a stream, the other one is full.
-    // Given up, the stream was refused there, its attempts were spent, and
-    // the caller was cut off with half of an answer that was still coming.
+  it('keeps a stream on its engine while all others are full', async () => {
+    // Guards against cancelling a stalled stream that no other engine has room
+    // for.
     let arrivals = 0;
     const script: TargetScript = (req, res) => {
       arrivals++;
@@ -217,11 +213,9 @@
     }
   });
 
-  it('lets a begun stream pause while no retry may be sent', async () => {
-    // Gates restart one after the other, engines are replaced, and the retry
-    // budget is spent. Streams whose engines paused for a second were taken
-    // off them, nothing could follow, and their callers were cut off with half
-    // of an answer that was still coming.
+  it('waits for a stalled stream while no retry is allowed', async () => {
+    // Guards against cancelling stalled streams while the retry budget is
+    // spent.
     const bounds = {ratio: 0, slack: 0, windowMs: 10_000};
     const world = await openStreams(
       [streamWithPause, streamWithPause],
@@ -239,10 +233,9 @@
     }
   });
 
-  it('lets a begun stream pause that no engine could read again', async () => {
-    // A long prompt's engine pauses midway. Another one would need longer for
-    // the reading alone than its caller will wait: the stream was given up
-    // there as too late.
+  it('waits for a stalled stream that no engine could prefill in time', async () => {
+    // Guards against cancelling a stalled stream that another engine would
+    // finish too late.
     const world = await openStreams(
       [streamWithPause, streamWithPause],
       true,
@@ -260,11 +253,8 @@
     }
   });
 
-  it('keeps a paused engine until another one has begun', async () => {
-    // A caller has half of its answer when its engine pauses for longer than
-    // a stall takes to show. The engine was cancelled first; the next one
-    // refused, since a helper was full; both attempts were spent, and the
-    // caller was cut off from an answer that the first engine went on to write.
+  it('keeps a stalled engine until another one has begun', async () => {
+    // Guards against cancelling a stalled engine before another one has begun.
     let arrivals = 0;
     const script: TargetScript = (req, res) =>
       ++arrivals === 1 ? streamWithPause(req, res) : answerNotRun(req, res);
@@ -280,9 +270,8 @@
   });
 
   it('goes on with the engine that sends the next event first', async () => {
-    // A paused engine goes on while another one reads the prompt again. Were
-    // both passed on, the caller would get events twice; the one that was not
-    // first must be told to stop, or it writes for nobody.
+    // Guards against repeated events, and against an engine that decodes for
+    // nobody.
     let isSecondClosed = false;
     let arrivals = 0;
     const script: TargetScript = (req, res) => {
@@ -304,8 +293,7 @@
   });
 
   it('goes on with the second engine when the paused one breaks off', async () => {
-    // The paused engine dies while the other one still reads the prompt: what
-    // it reads is the answer's end, and no third attempt is needed.
+    // Guards against a third attempt while the second one is prefilling.
     let arrivals = 0;
     const script: TargetScript = (req, res) => {
       if (++arrivals > 1) {
@@ -328,9 +316,8 @@
   });
 
   it('waits on for a silent engine that lives when another one refuses', async () => {
-    // An engine is slow to begin, a second one is asked and refuses. The first
-    // was cancelled by then, and a caller whose answer was about to come was
-    // told that the outcome is unknown.
+    // Guards against an unknown outcome while the first engine is about to
+    // answer.
     let arrivals = 0;
     const script: TargetScript = (req, res) => {
       if (++arrivals > 1) return answerNotRun(req, res);
@@ -338,7 +325,7 @@
     };
     const world = await openStreams([script, script]);
     try {
-      for (const id of ['e0', 'e1']) world.reports.paces.set(id, 1);
+      for (const id of ['e0', 'e1']) world.reports.slowdowns.set(id, 1);
       const answer = await world.call('/stream/x', {tokens: 1000});
       expect(arrivals).toEqual(2);
       expect(answer.isWhole).toEqual(true);
@@ -349,8 +336,7 @@
   });
 
   it('waits for no dead engine when another one refuses', async () => {
-    // The first engine is without power and resets nothing, the second one
-    // refuses: the caller must hear so at once, not at its deadline.
+    // Guards against waiting until the deadline for an engine without power.
     let arrivals = 0;
     const script: TargetScript = (req, res) => {
       if (++arrivals > 1) answerNotRun(req, res);
@@ -359,7 +345,7 @@
     try {
       const answer = await world.call('/stream/x', {tokens: 1000});
       expect(arrivals).toEqual(2);
-      // At its deadline it would be told 504.
+      // At its deadline it would get 504.
       expect(answer.status).toEqual(502);
     } finally {
       world.close();
@@ -367,8 +353,7 @@
   });
 
   it('closes the engine’s connection when the caller leaves', async () => {
-    // A dealer closes the window. An engine that is not told goes on reading
-    // a long prompt for nobody.
+    // Guards against prefill for a caller that has left.
     let isClosed = false;
     const hang: TargetScript = req => {
       req.socket.once('close', () => (isClosed = true));
@@ -383,9 +368,7 @@
   });
 
   it('sends a stream to nobody once its caller has left', async () => {
-    // A busy gate learns in one turn that a caller has left and that its engine
-    // has been silent for too long. The stream had ended, and yet another engine
-    // was asked to go on, and then one after the other, up to 26 of them.
+    // Guards against further attempts for a stream that has ended.
     const hang: TargetScript = () => undefined;
     const world = await openStreams([hang, hang, hang]);
     try {
@@ -424,8 +407,7 @@
   });
 
   it('gives reserved memory back whatever happens', async () => {
-    // A prompt larger than one engine's memory is kept on helpers too; their
-    // memory must not stay reserved when the stream breaks.
+    // Guards against KV cache that stays reserved after a stream has failed.
     const breakOff: TargetScript = (req, res) => {
       res.writeHead(200, buildSignedHead(req));
       res.write(formatEvents(1, 1));
--- a/packages/direct/src/forward/stream-forwarder.ts
+++ b/packages/direct/src/forward/stream-forwarder.ts
@@ -1,11 +1,11 @@
 /**
- * Forwards a stream. When its engine dies, stalls or garbles, another one
- * goes on after the last whole event that the caller has, inside the same
- * answer, where the route allows it.
+ * Forwards a stream. If its engine dies, stalls or sends garbage, another one
+ * continues after the last whole event within the same answer, where the route
+ * allows it.
  */
 import {PlacedPrompt} from '../placement/prompt-placer.js';
 import {AttemptChain} from './attempt-chain.js';
-import {PlaceSeeker} from './place-seeker.js';
+import {SlotFinder} from './slot-finder.js';
 import {chooseReturnMs} from './retry-after.js';
 import {StreamAttempt} from './stream-attempt.js';
 import {StreamProgress} from './stream-progress.js';
@@ -17,35 +17,32 @@
 import type {AttemptFault} from './stream-record.js';
 
 /**
- * Wait of a caller that finds all places taken, in ms: about as long as a
- * place is held, so that it does not meet the same streams again.
+ * Retry-After when all slots are taken, in ms: about as long as a slot is held.
  */
 const OVERLOAD_RETURN_MS = 1200;
 
 /** Time left below which no further engine is tried, in ms. */
 const MIN_RETRY_LEFT_MS = 250;
 
-/** How often a stream whose connection could not be opened is placed again. */
+/** Attempts whose connection could not be opened, at most. */
 const MAX_UNSENT_TRIES = 4;
 
-/** An end of an attempt after which the caller still wants an answer. */
+/** An end of an attempt that leaves the caller without an answer. */
 type FailedEnd = Exclude<AttemptEnd, {kind: 'done' | 'passed-on'}>;
 
-/** Why the gate refuses a stream by itself. */
+/** Why the gate refuses a stream itself. */
 type RefusalReason = 'no_target' | 'not_run' | 'too_late' | 'overloaded';
 
-/** One stream on its way. */
+/** One stream under way. */
 class StreamRun {
   private readonly tried = new Set<string>();
   /**
-   * Attempts under way or about to be made. Two while an engine that has
-   * gone silent is kept: cancelled before another one had begun, it left a
-   * caller with half of an answer and nothing, where the other one refused.
+   * Chains under way: two while a stalled engine is kept beside another one.
    */
   private readonly chains = new Set<AttemptChain>();
   private readonly progress: StreamProgress;
   private readonly record: StreamRecord;
-  private readonly seeker: PlaceSeeker;
+  private readonly finder: SlotFinder;
   private sends = 0;
   private unsentTries = 0;
   private mayHaveRun = false;
@@ -59,7 +56,7 @@
   ) {
     this.progress = new StreamProgress(request.arrivedAt, request.lastEventId);
     this.record = new StreamRecord(context, request, this.progress);
-    this.seeker = new PlaceSeeker(context, request, engine, this.tried);
+    this.finder = new SlotFinder(context, request, engine, this.tried);
   }
 
   run(): void {
@@ -90,35 +87,35 @@
     chain.close();
   }
 
-  /** True when another engine still works on the stream, or is sought. */
+  /** True if another chain is under way. */
   private isOther(chain: AttemptChain): boolean {
     return [...this.chains].some(other => other !== chain);
   }
 
   /**
-   * Places the stream; when it cannot be, the caller is answered, unless
-   * another engine may still do so.
+   * Places the stream; if that fails, answers the caller unless another chain
+   * may.
    */
   private async place(chain: AttemptChain): Promise<PlacedPrompt | undefined> {
     if (this.sends > 0 && this.readLeftMs() < MIN_RETRY_LEFT_MS) {
       this.giveUp(chain, 'no_time_left');
       return undefined;
     }
-    // A stream that was begun or failed once has waited already.
+    // Streams that have been attempted skip the queue.
     const mayOverfill = this.sends > 0 || this.unsentTries > 0;
-    const result = await this.seeker.findPlace(mayOverfill, chain.signal);
+    const result = await this.finder.findSlot(mayOverfill, chain.signal);
     if (result instanceof PlacedPrompt) return this.checkInTime(chain, result);
     if (result === 'none') this.giveUp(chain, 'no_target');
     if (result === 'full') this.refuse(chain, 'overloaded', OVERLOAD_RETURN_MS);
     return undefined;
   }
 
-  /** Gives the place back when the answer would come after the deadline. */
+  /** Releases the slot if the answer would come after the deadline. */
   private checkInTime(
     chain: AttemptChain,
     placed: PlacedPrompt,
   ): PlacedPrompt | undefined {
-    const lateMs = placed.choice.predictedFirstMs - this.readLeftMs();
+    const lateMs = placed.choice.predictedTtftMs - this.readLeftMs();
     if (lateMs <= 0 && !chain.isClosed) return placed;
     placed.release();
     if (!chain.isClosed) this.refuse(chain, 'too_late', lateMs);
@@ -152,34 +149,32 @@
       placed.release();
     }
     if (end.kind === 'done')
-      context.lines
+      context.queues
         .find(request.service)
-        .recordHold(context.readNow() - placedAt);
+        .recordSlotTime(context.readNow() - placedAt);
     return end;
   }
 
-  /** Another engine is asked once for each silence of one. */
+  /** Each stall starts one other engine only. */
   private isFollowable(chain: AttemptChain): boolean {
     return this.isOther(chain) || (!chain.isSilent && this.isRetryLeft());
   }
 
-  /** A stream that cannot be resumed may run once only. */
+  /** A stream that cannot be resumed may run only once. */
   private isRetryLeft(): boolean {
     const {isResumable, maxAttempts} = this.request.route;
     return isResumable && this.sends < maxAttempts;
   }
 
   /**
-   * Has another engine go on for one that has gone silent, if one may and can
-   * in time. The silent one is kept: whichever sends the next event first has
-   * the stream.
+   * Starts another engine for a stalled one, if allowed and in time. Whichever
+   * sends the next event first has the stream.
    */
   private startFollower(silent: AttemptChain, placed: PlacedPrompt): void {
-    // A stall may show in the turn in which the caller leaves: the stream has
-    // ended by then, and a chain begun for it would send it on without end.
+    // The stream may have ended in the turn in which the stall shows.
     if (silent.isClosed || this.isOther(silent)) return;
-    const {predictedFirstMs} = placed.choice;
-    const neededMs = Math.max(MIN_RETRY_LEFT_MS, predictedFirstMs);
+    const {predictedTtftMs} = placed.choice;
+    const neededMs = Math.max(MIN_RETRY_LEFT_MS, predictedTtftMs);
     if (this.readLeftMs() < neededMs || !this.claimRetry()) return;
     const {health, readNow} = this.context;
     this.tried.add(placed.target.id);
@@ -190,8 +185,8 @@
   }
 
   /**
-   * Gives the stream to one chain; the other one's engine drops it. False
-   * where another chain was first: events of both would come twice.
+   * Gives the stream to one chain and closes the other; false if the other was
+   * first.
    */
   private claimLead(chain: AttemptChain): boolean {
     if (chain.isClosed) return false;
@@ -228,7 +223,7 @@
     this.claimNextAttempt(chain, end);
   }
 
-  /** Nothing left this host: the attempt does not count as one. */
+  /** Nothing left this host, so the attempt does not count. */
   private countUnsent(chain: AttemptChain): void {
     this.sends--;
     if (++this.unsentTries >= MAX_UNSENT_TRIES) this.giveUp(chain, 'unsent');
@@ -242,11 +237,11 @@
     if (!this.claimRetry()) this.giveUp(chain, 'retry_budget_spent');
   }
 
-  /** Notes who failed, so that the next attempt goes elsewhere. */
+  /** Records which target failed, so that the next attempt avoids it. */
   private markCulprit(placed: PlacedPrompt, end: FailedEnd): void {
     const {health, readNow} = this.context;
     if (end.kind === 'no-memory') {
-      // Full is not faulty: only this stream looks elsewhere.
+      // A full helper is not unhealthy: only this stream avoids it.
       for (const {target} of placed.choice.reservations) this.tried.add(target);
       return;
     }
@@ -265,21 +260,21 @@
     );
   }
 
-  /** Ends a chain that can do nothing more; the last one ends the stream. */
+  /** Ends a chain; the last one ends the stream. */
   private giveUp(chain: AttemptChain, why: string): void {
     if (this.isOther(chain)) return this.leaveToOther(chain);
     this.record.addGivenUp(why, [...this.tried]);
     this.refuse(chain, why === 'no_target' ? 'no_target' : 'not_run', 0);
   }
 
-  /** @param queueMs - Until engines may have room again. */
+  /** @param queueMs - Time until engines may have free slots, in ms. */
   private refuse(
     chain: AttemptChain,
     reason: RefusalReason,
     queueMs: number,
   ): void {
     if (this.isOther(chain)) return this.leaveToOther(chain);
-    // "Not run" is said only of what has not run, whatever stops it now.
+    // Only a request that has not run may be called "not run".
     if (this.progress.hasHead || this.mayHaveRun)
       return this.endWith(502, 'outcome_unknown');
     const returnMs = chooseReturnMs(queueMs, this.readLeftMs());
@@ -294,8 +289,8 @@
   }
 
   /**
-   * Gives up at once where the one engine left does not even report: a caller
-   * that has nothing yet would wait until its deadline for a dead one.
+   * Gives up at once if the remaining engine is dead and the caller has nothing
+   * yet.
    */
   private async checkAlive(chain: AttemptChain): Promise<void> {
     if (chain.placed === undefined) return;
--- a/packages/direct/src/forward/stream-progress.ts
+++ b/packages/direct/src/forward/stream-progress.ts
@@ -1,4 +1,4 @@
-/** What a caller has got of one stream so far, over all attempts. */
+/** Progress of a stream over all attempts, as the caller sees it. */
 import type {DecisionFields} from '../observe/decision-log.js';
 import type {PromptChoice} from '../placement/prompt-types.js';
 
@@ -9,14 +9,14 @@
  * progress.recordEvent(event.id, performance.now());
  */
 export class StreamProgress {
-  /** The head has gone out: from here on there is only this one answer. */
+  /** The head has been sent: no other answer is possible. */
   hasHead = false;
-  /** The answer that the caller gets ends with its connection. */
+  /** The answer ends with its connection. */
   isUnframed = false;
   eventsSent = 0;
-  private firstEventAt: number | undefined;
+  private firstTokenAt: number | undefined;
   private lastEventAt: number | undefined;
-  private longestGapMs = 0;
+  private maxItlMs = 0;
   private choice: PromptChoice | undefined;
 
   /** @param lastEventId - Id of the last event that the caller has. */
@@ -25,38 +25,38 @@
     public lastEventId: string | undefined,
   ) {}
 
-  /** Notes the choice of engines of the attempt that begins. */
+  /** Records the placement of a new attempt. */
   recordChoice(choice: PromptChoice): void {
     this.choice = choice;
   }
 
   /**
-   * Notes an event that has gone out.
+   * Records an event that was sent.
    *
-   * @returns Time since the arrival for the first event, in ms.
+   * @returns Time to first token, in ms, for the first event.
    */
   recordEvent(id: string | undefined, now: number): number | undefined {
     if (id !== undefined) this.lastEventId = id;
     this.eventsSent++;
     if (this.lastEventAt !== undefined)
-      this.longestGapMs = Math.max(this.longestGapMs, now - this.lastEventAt);
+      this.maxItlMs = Math.max(this.maxItlMs, now - this.lastEventAt);
     this.lastEventAt = now;
-    if (this.firstEventAt !== undefined) return undefined;
-    this.firstEventAt = now;
+    if (this.firstTokenAt !== undefined) return undefined;
+    this.firstTokenAt = now;
     return now - this.arrivedAt;
   }
 
-  /** Fields of the line that tells how the stream ended. */
+  /** Log fields of the end of the stream. */
   describe(): DecisionFields {
-    const firstMs =
-      this.firstEventAt === undefined
+    const ttftMs =
+      this.firstTokenAt === undefined
         ? undefined
-        : Math.round(this.firstEventAt - this.arrivedAt);
+        : Math.round(this.firstTokenAt - this.arrivedAt);
     return {
-      readers: this.choice?.parts.length ?? 0,
-      predictedFirstMs: Math.round(this.choice?.predictedFirstMs ?? 0),
-      firstMs,
-      gapMs: Math.round(this.longestGapMs),
+      prefillEngines: this.choice?.shards.length ?? 0,
+      predictedTtftMs: Math.round(this.choice?.predictedTtftMs ?? 0),
+      ttftMs,
+      gapMs: Math.round(this.maxItlMs),
       events: this.eventsSent,
     };
   }
--- a/packages/direct/src/forward/stream-record.ts
+++ b/packages/direct/src/forward/stream-record.ts
@@ -1,4 +1,4 @@
-/** Lines and counters that tell what became of one stream. */
+/** Log lines and counters of one stream. */
 import type {ExchangeFault} from '../errors.js';
 import type {PlacedPrompt} from '../placement/prompt-placer.js';
 import type {Target} from '../types.js';
@@ -6,12 +6,12 @@
 import type {GateRequest} from './request.js';
 import type {StreamProgress} from './stream-progress.js';
 
-/** How an attempt failed, in the words of the log. */
+/** How an attempt failed, as logged. */
 export type AttemptFault =
   | ExchangeFault
   | 'no-memory'
   | 'not-run'
-  /** An engine that had gone silent went on first. */
+  /** A stalled engine resumed first. */
   | 'overtaken';
 
 /** One attempt that failed. */
@@ -49,24 +49,24 @@
     const {context, request} = this;
     this.progress.recordChoice(choice);
     context.counters.add('stream.placed');
-    context.counters.add('stream.readers', choice.parts.length);
+    context.counters.add('stream.prefill_engines', choice.shards.length);
     context.log.info('stream_placed', {
       requestId: request.facts.requestId,
       attempt,
       tokens: request.facts.promptTokens,
-      first: choice.first,
-      helpers: choice.parts.slice(1).map(part => part.target),
-      partMs: Math.round(choice.parts[0].workMs),
+      decoder: choice.decoder,
+      helpers: choice.shards.slice(1).map(shard => shard.target),
+      shardMs: Math.round(choice.shards[0].prefillMs),
       backlogMs: Math.round(choice.backlogMs),
-      predictedFirstMs: Math.round(choice.predictedFirstMs),
-      memoryTokens: choice.memoryTokens,
+      predictedTtftMs: Math.round(choice.predictedTtftMs),
+      kvTokens: choice.kvTokens,
       reservations: choice.reservations.length,
       cost: Number(choice.cost.toFixed(3)),
       factsAgeMs: Math.round(context.readFactsAgeMs()),
     });
   }
 
-  /** An engine has gone silent; it is kept while another one is sought. */
+  /** An engine has stalled; it is kept while another one is started. */
   addSilence({target}: PlacedPrompt): void {
     const {context, request} = this;
     context.counters.add('stream.engine_silent');
@@ -104,7 +104,7 @@
     });
   }
 
-  /** The caller has its answer, or is gone. */
+  /** The caller has its answer, or has left. */
   addEnd({outcome, target, tried, sends}: StreamEnd): void {
     const {context, request} = this;
     context.counters.add(`stream.${outcome}`);
--- a/packages/direct/src/gate.test.ts
+++ b/packages/direct/src/gate.test.ts
@@ -8,7 +8,7 @@
 
 describe('direct gate', () => {
   it('serves what it has when told to stop, and takes itself out at once', async () => {
-    // A roll restarts the gates one by one; no caller may notice.
+    // Guards against requests that fail while gates restart one by one.
     const world = await openGateWorld();
     try {
       const answerSlowly: TargetScript = (req, res) =>
@@ -29,9 +29,7 @@
   });
 
   it('takes no request that it could not finish before it is killed', async () => {
-    // A caller's kept connection brings a request four seconds after the
-    // order to stop. Taken, it would be cut off by the kill; refused, it has
-    // not run and its caller goes to another gate at once.
+    // Guards against accepting requests that the stop would cut off.
     const world = await openGateWorld();
     try {
       const answerSlowly: TargetScript = (req, res) =>
@@ -56,8 +54,8 @@
   });
 
   it('learns from another gate what the store does not tell it', async () => {
-    // The store turns this gate away while a key is revoked; only the other
-    // gate hears of it. The key must stop working here as well.
+    // Guards against a revoked key that still works at a gate without the
+    // store.
     const port = 22_000;
     const hosts = [buildLoopbackHost(0), buildLoopbackHost(1)];
     const one = await openGateWorld({host: hosts[0], port});
@@ -86,11 +84,8 @@
   });
 
   it('drops at once a target that left while the store turned it away', async () => {
-    // The store turns one gate away for seconds while another one sees all of
-    // it. A target leaves just as the store takes the first gate back. That
-    // gate took the missing entry for one that had lapsed, as all do while the
-    // store is down, and sent requests there for 2.3 s more: the target was
-    // used 2,794 ms after it had left, where 2,000 are allowed.
+    // Guards against using a target that left while only this gate was cut off
+    // from the store.
     const port = 22_200;
     const hosts = [buildLoopbackHost(4), buildLoopbackHost(5)];
     const [one, two] = await Promise.all([
@@ -100,10 +95,10 @@
     const isTold = (event: string) =>
       two.lines.some(line => line.includes(event) && line.includes('"t"'));
     try {
-      // Both stores say the same, change by change.
+      // Both stores publish the same changes.
       const leaving = await one.addTarget('t', 'orders', answerWhole);
       two.store.publishTarget(leaving.entry);
-      // What lapsed in an outage before this one would be held by now.
+      // Waits until no target could be held from an earlier outage.
       await new Promise(resolve => setTimeout(resolve, LAPSE_HOLD_MS + 100));
       const staying = await two.addTarget('t2', 'orders', answerWhole);
       one.store.publishTarget(staying.entry);
@@ -130,8 +125,7 @@
   });
 
   it('starts without a store from what another gate knows', async () => {
-    // All gates restart while the store is down for some of them: a gate
-    // that waited for the store would refuse everything for its whole outage.
+    // Guards against a restarted gate that waits for a store which is down.
     const port = 22_100;
     const hosts = [buildLoopbackHost(2), buildLoopbackHost(3)];
     const one = await openGateWorld({host: hosts[0], port});
--- a/packages/direct/src/gate.ts
+++ b/packages/direct/src/gate.ts
@@ -1,6 +1,6 @@
 /**
- * The direct gate: one process on an entry host that takes callers' requests
- * and sends each straight to a target, with no process beside the target.
+ * The direct gate: one process on an entry host that forwards callers' requests
+ * straight to targets.
  */
 import {createServer} from 'node:http';
 import {setTimeout as sleep} from 'node:timers/promises';
@@ -10,16 +10,19 @@
   openListener,
   findHome,
 } from '@nutmeggauge/core';
-import {WaitingLines, createWaitingLine} from './admission/waiting-line.js';
+import {
+  AdmissionQueues,
+  createAdmissionQueue,
+} from './admission/admission-queue.js';
 import {OpenExchanges} from './forward/open-exchanges.js';
 import {createFleetState} from './fleet/fleet-state.js';
 import {createStoreWatcher} from './fleet/store-watcher.js';
-import {EnginePaces} from './health/engine-paces.js';
+import {EngineSlowdowns} from './health/engine-slowdowns.js';
 import {createTargetHealth} from './health/target-health.js';
 import {createIngress} from './ingress/ingress.js';
 import {renderMetrics} from './observe/metrics-text.js';
 import {PeerGroup} from './peers/peer-group.js';
-import {createLoadBook} from './placement/load-book.js';
+import {createLoadTracker} from './placement/load-tracker.js';
 import {createCallPlacer} from './placement/place-call.js';
 import {PromptPlacer} from './placement/prompt-placer.js';
 import {createSharedRetryBudget} from './retry/shared-retry-budget.js';
@@ -32,34 +35,36 @@
   EngineReports,
   FactStore,
   HeaderDialect,
-  MemoryReservations,
+  KvReservations,
 } from './ports.js';
 import type {RetryBounds} from './retry/shared-retry-budget.js';
 
-/** How long the balancer takes to send nothing more to a stopping gate, in ms:
- * it asks each second and believes the second refusal. */
+/**
+ * Time until the balancer sends nothing more to a stopping gate, in ms: two
+ * failed readiness checks.
+ */
 const DRAIN_NOTICE_MS = 2900;
 
-/** Part of the grace that is left at the end for the exit itself, in ms. */
+/** Part of the grace period reserved for the exit, in ms. */
 const DRAIN_RESERVE_MS = 500;
 
-/** How often a drain looks whether the last request has ended, in ms. */
+/** How often a drain checks for open requests, in ms. */
 const DRAIN_POLL_MS = 50;
 
-/** How often held targets and silent state are looked over, in ms. */
+/** How often held targets are checked, in ms. */
 const SWEEP_MS = 100;
 
-/** Where and within which bounds a gate runs. */
+/** Addresses and bounds of a gate. */
 export interface DirectGateSettings {
   readonly node: string;
   readonly zone: string;
   /** Where callers connect. */
   readonly ingress: ListenAddress;
-  /** Where the balancer asks whether this gate takes requests. */
+  /** Where the balancer checks readiness. */
   readonly ready: ListenAddress;
-  /** Where the other gates reach this one, over TCP and UDP. */
+  /** Where peers connect, over TCP and UDP. */
   readonly peers: ListenAddress;
-  /** Where metrics are read; absent means nowhere. */
+  /** Where metrics are served; absent for nowhere. */
   readonly metrics: ListenAddress | undefined;
   readonly seedHosts: readonly string[];
   readonly retryBounds: RetryBounds;
@@ -67,11 +72,11 @@
   readonly stopGraceMs: number;
 }
 
-/** What an adapter gives the gate to work with. */
+/** What an adapter provides. */
 export interface DirectGateParts {
   readonly dialect: HeaderDialect;
   readonly store: FactStore;
-  readonly reservations: MemoryReservations;
+  readonly reservations: KvReservations;
   readonly reports: EngineReports;
   readonly log: DecisionLog;
 }
@@ -87,9 +92,9 @@
   readonly counters = createCounters();
   private readonly readNow = () => performance.now();
   private readonly state = createFleetState(this.readNow);
-  private readonly book = createLoadBook(id => this.state.findEngine(id));
+  private readonly tracker = createLoadTracker(id => this.state.findEngine(id));
   private readonly health = createTargetHealth();
-  private readonly paces: EnginePaces;
+  private readonly slowdowns: EngineSlowdowns;
   private readonly watcher;
   private readonly peers: PeerGroup;
   private readonly ingress: Ingress;
@@ -102,7 +107,7 @@
     private readonly settings: DirectGateSettings,
     private readonly parts: DirectGateParts,
   ) {
-    const {state, readNow, health, book} = this;
+    const {state, readNow, health, tracker} = this;
     const {log} = parts;
     this.watcher = createStoreWatcher({
       store: parts.store,
@@ -111,13 +116,14 @@
       readNow,
       countGates: () => this.peers.countGates(),
     });
-    this.paces = new EnginePaces({
+    this.slowdowns = new EngineSlowdowns({
       reports: parts.reports,
-      // Reports have a price: nobody is asked while no stream is under way.
-      listEngines: () => (book.isEmpty ? [] : state.listEngines()),
+      // Reports have a cost: without open streams no engine is polled.
+      listEngines: () => (tracker.isEmpty ? [] : state.listEngines()),
       isMine: ({id}) =>
         findHome(this.peers.listGates(), id) === settings.peers.host,
-      onPace: ({target, pace}) => book.setPace(target, pace, readNow()),
+      onSlowdown: ({target, slowdown}) =>
+        tracker.setSlowdown(target, slowdown, readNow()),
       log,
       readNow,
     });
@@ -127,8 +133,8 @@
       incarnation: `${process.pid}.${Math.floor(Math.random() * 1e9)}`,
       seedHosts: settings.seedHosts,
       state,
-      book,
-      paces: this.paces,
+      tracker,
+      slowdowns: this.slowdowns,
       log,
       readNow,
       readStoreAgeMs: () => this.watcher.ageMs,
@@ -147,14 +153,14 @@
         zone: settings.zone,
         state,
         health,
-        paces: this.paces,
-        book,
+        slowdowns: this.slowdowns,
+        tracker,
         announcer: this.peers,
         readNow,
       }),
-      lines: new WaitingLines(service =>
-        createWaitingLine({
-          countPlaces: () => this.countPlaces(service),
+      queues: new AdmissionQueues(service =>
+        createAdmissionQueue({
+          countSlots: () => this.countSlots(service),
           countGates: () => this.peers.countGates(),
           readNow,
         }),
@@ -164,22 +170,22 @@
       reports: parts.reports,
       log,
       counters: this.counters,
-      firstEventMs: createLatencyHistogram(),
+      ttftMs: createLatencyHistogram(),
       answerMs: createLatencyHistogram(),
       readNow,
       readFactsAgeMs: () => this.peers.readFactsAgeMs(),
     };
     this.ingress = createIngress(this.context, () => this.isStopping);
-    book.onRemove(() => this.context.lines.advance());
+    tracker.onRemove(() => this.context.queues.advance());
     this.observeChanges();
   }
 
-  /** Opens every listener and starts following the store. */
+  /** Opens all listeners and starts following the store. */
   async start(): Promise<void> {
     const {settings, parts} = this;
     void this.watcher.run();
     await this.peers.start();
-    this.paces.start();
+    this.slowdowns.start();
     await this.openServer(settings.ready, (req, res) =>
       this.answerReady(req, res),
     );
@@ -195,16 +201,15 @@
     });
   }
 
-  /** Takes up settings that changed while the process runs. */
+  /** Applies settings that changed at run time. */
   reload(settings: Pick<DirectGateSettings, 'seedHosts'>): void {
     this.peers.setSeeds(settings.seedHosts);
     this.parts.log.info('settings_reloaded', {seeds: settings.seedHosts});
   }
 
   /**
-   * Graceful stop: the balancer hears at once that this gate takes no more,
-   * requests that still arrive until it has noticed are served, later ones
-   * are sent to other gates, and the process exits after the last answer.
+   * Graceful shutdown: readiness fails at once, requests are served until the
+   * balancer has noticed, later ones are sent to other gates.
    */
   drain(): Promise<void> {
     this.draining ??= this.runDrain();
@@ -229,11 +234,11 @@
     await this.peers.stop();
   }
 
-  /** Stops every task at once. */
+  /** Stops everything at once. */
   close(): void {
     clearInterval(this.sweep);
     this.watcher.stop();
-    this.paces.stop();
+    this.slowdowns.stop();
     void this.peers.stop();
     this.ingress.close();
     for (const server of this.servers) server.close();
@@ -261,13 +266,13 @@
     const text = renderMetrics({
       counters: this.counters.read(),
       latencies: {
-        first_event: this.context.firstEventMs.summarize(),
+        ttft: this.context.ttftMs.summarize(),
         answer: this.context.answerMs.summarize(),
       },
       gauges: {
         requests_in_flight: this.ingress.inFlight,
         calls_in_flight: this.context.calls.countInFlight(),
-        streams_in_flight: this.book.listOwnedBy(this.peers.owner).length,
+        streams_in_flight: this.tracker.listOwnedBy(this.peers.owner).length,
         targets_known: this.state.targetCount,
         config_version: this.state.config?.version ?? 0,
         facts_age_ms: Math.round(this.peers.readFactsAgeMs()),
@@ -278,8 +283,8 @@
     res.end(text);
   }
 
-  /** Places of all engines of a service together. */
-  private countPlaces(service: string): number {
+  /** Slots of all engines of a service. */
+  private countSlots(service: string): number {
     const slots = this.state.findService(service)?.engine?.slots ?? 0;
     return this.state.listUsable(service).length * slots;
   }
--- /dev/null
+++ b/packages/direct/src/health/engine-slowdowns.test.ts
@@ -0,0 +1,65 @@
+import {Writable} from 'node:stream';
+import {describe, it} from 'node:test';
+import {expect} from 'earl';
+import {createDecisionLog} from '../observe/decision-log.js';
+import {buildTarget} from '../test/build-target.js';
+import {FakeReports} from '../test/fake-reports.js';
+import {EngineSlowdowns} from './engine-slowdowns.js';
+import type {EngineSlowdown} from './engine-slowdowns.js';
+
+function openSlowdowns(mine: readonly string[] = ['e1', 'e2']) {
+  const reports = new FakeReports();
+  const told: EngineSlowdown[] = [];
+  let now = 0;
+  const output = new Writable({write: (_chunk, _encoding, done) => done()});
+  const slowdowns = new EngineSlowdowns({
+    reports,
+    listEngines: () => ['e1', 'e2', 'e3'].map(id => buildTarget(id, 1)),
+    isMine: ({id}) => mine.includes(id),
+    onSlowdown: slowdown => told.push(slowdown),
+    log: createDecisionLog({proc: 'g', output, readWallMs: () => now}),
+    readNow: () => now,
+  });
+  const runFor = async (ms: number) => {
+    now += ms;
+    slowdowns.askAll();
+    await new Promise(resolve => setImmediate(resolve));
+  };
+  return {reports, told, slowdowns, runFor};
+}
+
+describe('engine slowdowns', () => {
+  it('tell of an engine that is slow, and of its return', async () => {
+    // Guards against slow engines that delay every long prompt of which they
+    // prefill a shard.
+    const {reports, told, slowdowns, runFor} = openSlowdowns();
+    reports.slowdowns.set('e1', 3.4);
+    reports.slowdowns.set('e2', 1);
+    await runFor(1000);
+    await runFor(1000);
+    expect(slowdowns.read('e1')).toEqual(3.4);
+    expect(slowdowns.listMine()).toEqual([{target: 'e1', slowdown: 3.4}]);
+    reports.slowdowns.set('e1', 1.02);
+    await runFor(1000);
+    expect(told).toEqual([
+      {target: 'e1', slowdown: 3.4},
+      {target: 'e1', slowdown: 1},
+    ]);
+  });
+
+  it('ask only those engines that no other gate asks', async () => {
+    const {reports, runFor} = openSlowdowns(['e2']);
+    await runFor(1000);
+    expect(reports.asked).toEqual(['e2']);
+  });
+
+  it('forget what nobody confirms', async () => {
+    // Guards against a report of a lost gate that excludes an engine for good.
+    const {slowdowns, runFor} = openSlowdowns();
+    slowdowns.apply({target: 'e3', slowdown: 5});
+    await runFor(3000);
+    expect(slowdowns.read('e3')).toEqual(5);
+    await runFor(1000);
+    expect(slowdowns.read('e3')).toEqual(1);
+  });
+});
--- a/packages/direct/src/health/target-health.test.ts
+++ b/packages/direct/src/health/target-health.test.ts
@@ -18,8 +18,8 @@
   });
 
   it('notices a target that fails half of its requests', () => {
-    // Its health check is good and no two failures come in a row, so only
-    // the share shows that half of its callers get errors.
+    // Guards against a target that fails half of its requests, but never twice
+    // in a row.
     const health = createTargetHealth();
     for (let i = 0; i < 20; i++) {
       health.recordFailure('t', i, false);
--- a/packages/direct/src/health/target-health.ts
+++ b/packages/direct/src/health/target-health.ts
@@ -1,20 +1,19 @@
 /**
- * What requests have shown of each target: failures in a row take it out for
- * a while, and one request at a time then tries whether it is back. Health
- * probes have a price and may lie, so requests themselves are the evidence.
+ * Passive health checks: consecutive failures suspend a target for a while, and
+ * single requests then probe it. Active probes have a cost and may be wrong.
  */
 
-/** Failures in a row that take a target out. */
+/** Consecutive failures that suspend a target. */
 const FAILURES_TO_SUSPEND = 2;
 
-/** First and longest time out, in ms: doubled at each failed trial. */
+/** First and longest suspension, in ms: doubled at each failed probe. */
 const SUSPEND_MIN_MS = 800;
 const SUSPEND_MAX_MS = 4000;
 
-/** Weight of the newest outcome in a target's share of failures. */
+/** Weight of the newest outcome in a target's failure share. */
 const FAILURE_WEIGHT = 0.15;
 
-/** Share of failures from which on a target is passed over where others are. */
+/** Failure share from which other targets are preferred. */
 export const GREY_SHARE = 0.35;
 
 interface Record {
@@ -25,7 +24,7 @@
 }
 
 /**
- * Evidence about every target, at this gate.
+ * Health of every target, as seen by this gate.
  *
  * @example
  * health.recordFailure('i-1', now, true);
@@ -35,7 +34,7 @@
   private readonly records = new Map<string, Record>();
   private readonly heardAt = new Map<string, number>();
 
-  /** Notes a whole answer that is no failure of the target. */
+  /** Records a whole answer that is no failure of the target. */
   recordSuccess(id: string): void {
     const record = this.records.get(id);
     if (record === undefined) return;
@@ -46,9 +45,9 @@
   }
 
   /**
-   * Notes a failure.
+   * Records a failure.
    *
-   * @param isDead - True when nothing answers at all: one such failure is
+   * @param isDead - True if nothing answers at all: one such failure is
    *   enough.
    */
   recordFailure(id: string, now: number, isDead: boolean): void {
@@ -60,20 +59,20 @@
     record.suspendMs = Math.min(SUSPEND_MAX_MS, record.suspendMs * 2);
   }
 
-  /** Notes that bytes of an answer came from a target. */
+  /** Records that bytes of an answer came from a target. */
   markHeard(id: string, now: number): void {
     this.heardAt.set(id, now);
   }
 
   /**
-   * True when a target sent bytes after `since`, to whichever request: it is
-   * then busy, not dead, and sending a request again only adds to its load.
+   * True when a target sent bytes after `since`, to any request: it is busy,
+   * not dead, and another attempt would only add load.
    */
   isHeardSince(id: string, since: number): boolean {
     return (this.heardAt.get(id) ?? -Infinity) > since;
   }
 
-  /** True while a target is taken out. */
+  /** True while a target is suspended. */
   isSuspended(id: string, now: number): boolean {
     return (this.records.get(id)?.suspendedUntil ?? 0) > now;
   }
@@ -83,7 +82,7 @@
     return this.records.get(id)?.failureShare ?? 0;
   }
 
-  /** Forgets a target that is gone. */
+  /** Forgets a target that has left. */
   drop(id: string): void {
     this.records.delete(id);
     this.heardAt.delete(id);
--- a/packages/direct/src/ingress/ingress.test.ts
+++ b/packages/direct/src/ingress/ingress.test.ts
@@ -19,7 +19,7 @@
   }
 }
 
-/** Sends raw bytes and collects what comes back until the connection ends. */
+/** Sends raw bytes and collects the answer until the connection ends. */
 function sendRaw(world: GateWorld, bytes: string): Promise<string> {
   return new Promise(resolve => {
     let text = '';
@@ -74,8 +74,7 @@
   });
 
   it('vouches for no answer whose end it cannot see', async () => {
-    // A target names no length and dies after five bytes with an ordinary
-    // close. Sent on with a length, five bytes would pass for everything.
+    // Guards against a truncated answer that is forwarded with a length.
     await checkWithGate(async world => {
       await world.addTarget('u', 'orders', answerWhole);
       const endEarly: TargetScript = req => {
@@ -96,8 +95,7 @@
   });
 
   it('smuggles no second request in a body', async () => {
-    // Length and chunks contradict each other: whatever stands in the body
-    // must never reach a target as a request.
+    // Guards against request smuggling by a body that looks like a request.
     await checkWithGate(async world => {
       const text = await sendRaw(
         world,
@@ -110,9 +108,7 @@
   });
 
   it('refuses what a route without a service sends nowhere', async () => {
-    // A configuration names a route and leaves its service out. The first
-    // request on it found no service to choose, the error was one that
-    // nothing caught, and each gate that a caller tried drained and ended.
+    // Guards against a route without a service, which ended the gate.
     const {routes} = buildConfig(1);
     const world = await openGateWorld({
       config: buildConfig(1, {
--- a/packages/direct/src/ingress/ingress.ts
+++ b/packages/direct/src/ingress/ingress.ts
@@ -1,6 +1,6 @@
 /**
- * The callers' side: reads a request whole, checks route and key, and hands
- * it to the forwarders.
+ * The callers' side: reads requests, checks route and key, and hands them to
+ * the forwarders.
  */
 import {createServer} from 'node:http';
 import {closeIdleWhenRead, openListener} from '@nutmeggauge/core';
@@ -15,22 +15,22 @@
 import type {GateRequest} from '../forward/request.js';
 import type {RequestFacts, Route} from '../types.js';
 
-/** Deadline of a caller that names none, in ms; the route's timeout is less. */
+/** Deadline of a caller that sends none, in ms. */
 const DEFAULT_DEADLINE_MS = 60_000;
 
-/** Largest request head that is read, in bytes; above it Node answers 431. */
+/** Largest request head, in bytes; above it Node answers 431. */
 const MAX_HEAD_BYTES = 64 * 1024;
 
-/** Idle time of callers' connections until a configuration is known, in ms. */
+/** Idle timeout before the first configuration, in ms. */
 const DEFAULT_IDLE_MS = 15_000;
 
 /**
- * Age of the facts past which an unknown key or route may be one that was
- * added meanwhile, in ms: the watch waits 2.5 s, other gates beat each second.
+ * Age of the facts above which an unknown key or route may be new, in ms: above
+ * one long poll of the store and one heartbeat.
  */
 const STALE_FACTS_MS = 4000;
 
-/** Wait of a caller that another gate can serve at once, in ms. */
+/** Retry-After if another gate can serve at once, in ms. */
 const ELSEWHERE_MS = 20;
 
 /**
@@ -63,7 +63,7 @@
     });
   }
 
-  /** Requests that are not yet answered. */
+  /** Requests without a complete answer. */
   get inFlight(): number {
     return this.open;
   }
@@ -73,16 +73,13 @@
     return openListener(this.server, address);
   }
 
-  /**
-   * Takes no new requests: what still arrives over kept connections is told
-   * that it has not run, and its caller goes to another gate.
-   */
+  /** Refuses new requests on kept connections as not run. */
   stopTaking(): void {
     this.isClosing = true;
     this.server.closeIdleConnections();
   }
 
-  /** Closes connections that carry no request. */
+  /** Closes connections without a request. */
   closeIdle(): void {
     this.server.close();
     this.server.closeIdleConnections();
@@ -176,7 +173,9 @@
     return this.context.state.config?.limits.maxBodyBytes ?? 4 * 1024 * 1024;
   }
 
-  /** A gate out of touch cannot say that a key or a route does not exist. */
+  /**
+   * A gate with stale facts cannot say that a key or a route does not exist.
+   */
   private refuseUnknown(
     caller: CallerResponse,
     status: 401 | 404,
@@ -210,7 +209,7 @@
   }
 }
 
-/** Reads a body; nothing when it is larger than `limit`. */
+/** Reads a body; nothing if it is larger than `limit`. */
 async function readBody(
   req: IncomingMessage,
   limit: number,
@@ -224,7 +223,7 @@
       parts.push(part);
     }
   } catch {
-    // The caller has left; its response's close event says so.
+    // The caller has left; its response's close event handles it.
     return Buffer.alloc(0);
   }
   return Buffer.concat(parts);
@@ -234,10 +233,7 @@
   return Array.isArray(value) ? value[0] : value;
 }
 
-/**
- * Chooses among a route's services by weight; nothing where the configuration
- * names none, which ended the gate at the first request on such a route.
- */
+/** Chooses among a route's services by weight; nothing if it has none. */
 function chooseService(route: Route): string | undefined {
   const total = route.splits.reduce((sum, split) => sum + split.weight, 0);
   let left = Math.random() * total;
--- a/packages/direct/src/observe/decision-log.test.ts
+++ b/packages/direct/src/observe/decision-log.test.ts
@@ -5,8 +5,8 @@
 
 describe('decision log', () => {
   it('drops lines and says how many when nobody reads them', () => {
-    // The reader of stdout stands still. Lines that pile up would grow the
-    // process until it is killed; a write that blocks would stop it.
+    // Guards against a stalled reader of stdout that blocks the process or
+    // fills its memory.
     const stuck = new Writable({write: () => undefined, highWaterMark: 1});
     const log = createDecisionLog({
       proc: 'g',
--- a/packages/direct/src/observe/decision-log.ts
+++ b/packages/direct/src/observe/decision-log.ts
@@ -1,21 +1,23 @@
 /**
- * Structured log on stdout: one JSON line for each decision. A reader that
- * stands still must not stall or grow the process, so lines are dropped and
- * counted once the unwritten part passes a bound, and lines of level `info`
- * also once the second's budget is spent.
+ * Structured log on stdout: one JSON line for each decision. Lines are dropped
+ * and counted when the reader stalls, and lines of level `info` also above a
+ * rate, so that logging never stalls or grows the process.
  */
 import type {Writable} from 'node:stream';
 
 /** Fields of one line; values must be JSON-serialisable. */
 export type DecisionFields = Readonly<Record<string, unknown>>;
 
-/** Lines of level `info` a second; failures have their own, equal budget. */
+/**
+ * Lines of level `info` a second; other levels have an equal budget of their
+ * own.
+ */
 const LINES_PER_SECOND = 120;
 
-/** Unwritten bytes past which every line is dropped. */
+/** Unwritten bytes above which every line is dropped. */
 const MAX_UNWRITTEN_BYTES = 256 * 1024;
 
-/** What a log is made of. */
+/** Dependencies of a log. */
 export interface DecisionLogOptions {
   /** Name of the process, in every line. */
   readonly proc: string;
@@ -27,7 +29,7 @@
 type Level = 'info' | 'warn' | 'error';
 
 /**
- * The decision log of one process.
+ * The log of one process.
  *
  * @example
  * log.info('request_answered', {requestId, status: 200, ms: 31});
@@ -67,7 +69,7 @@
 
   private admit(level: Level): boolean {
     if (this.options.output.writableLength > MAX_UNWRITTEN_BYTES) return false;
-    // Failures never wait behind successes: each has a budget of its own.
+    // Failures are not crowded out by successes.
     if (level === 'info') return ++this.infoLines <= LINES_PER_SECOND;
     return ++this.failureLines <= LINES_PER_SECOND;
   }
--- a/packages/direct/src/peers/facts-exchange.test.ts
+++ b/packages/direct/src/peers/facts-exchange.test.ts
@@ -10,16 +10,16 @@
 import type {AddressInfo, Server, Socket} from 'node:net';
 import type {SharedFacts} from '../fleet/fleet-state.js';
 
-/** Routes of the large configuration: 8 MB, more than sockets hold back. */
+/** Routes of a configuration larger than socket buffers. */
 const ROUTE_COUNT = 30_000;
 
-/** Gates that ask at once. */
-const ASKERS = 6;
+/** Peers that ask at once. */
+const CLIENTS = 6;
 
-/** Gates that may be sent facts at the same time. */
+/** Peers that are sent a configuration at the same time. */
 const MOST_AT_ONCE = 2;
 
-/** Longer than any test, in ms: askers pause on purpose. */
+/** Longer than any test, in ms: clients pause on purpose. */
 const TEST_IDLE_MS = 60_000;
 
 describe('handing facts to other gates', () => {
@@ -49,7 +49,7 @@
     server.close();
   });
 
-  async function openAsker(): Promise<Socket> {
+  async function openClient(): Promise<Socket> {
     const {port} = server.address() as AddressInfo;
     const socket = connect(port, '127.0.0.1');
     socket.setEncoding('utf8');
@@ -59,9 +59,9 @@
     return socket;
   }
 
-  /** Asks, and takes the first bytes of the answer only. */
+  /** Asks, and takes only the first bytes of the answer. */
   async function askAndPause(known: object): Promise<string> {
-    const socket = await openAsker();
+    const socket = await openClient();
     const params = JSON.stringify(known);
     socket.write(
       `{"jsonrpc":"2.0","id":1,"method":"read-facts","params":${params}}\n`,
@@ -80,7 +80,7 @@
     return (JSON.parse(text) as {result: SharedFacts}).result;
   }
 
-  /** Waits until the gate has seen that many askers hang up. */
+  /** Waits until the gate has seen `count` connections close. */
   async function waitForCuts(count: number): Promise<void> {
     let log = '';
     for (;;) {
@@ -91,48 +91,43 @@
   }
 
   it('goes on when those that asked hang up in the middle', async () => {
-    // The configuration grows by many routes and the store is slow: all other
-    // gates ask the one that is ahead, its link cannot carry so much, and all
-    // give up at the same moment, closing with bytes unread. The resets were
-    // raised on the reader of lines, where nobody listened: the gate ended
-    // with status 1, and the streams that it was forwarding were cut.
-    const unheard: string[] = [];
-    const record = ({message}: Error) => unheard.push(message);
+    // Guards against a gate that ends when peers reset connections it is
+    // writing to.
+    const unhandled: string[] = [];
+    const record = ({message}: Error) => unhandled.push(message);
     process.on('uncaughtException', record);
     for (let i = 0; i < MOST_AT_ONCE; i++) await askAndPause({});
     for (const socket of sockets) socket.resetAndDestroy();
     await waitForCuts(MOST_AT_ONCE);
     process.off('uncaughtException', record);
-    expect(unheard).toEqual([]);
+    expect(unhandled).toEqual([]);
     expect((await askWhole({})).config?.version).toEqual(7);
   });
 
   it('serves two at a time and sends the others elsewhere', async () => {
-    // 22 gates ask the first one that has the new configuration. It sent
-    // 22 copies of a megabyte at once: callers' streams through it were late
-    // by 200 ms, none of the copies was whole in time, and all were in vain.
+    // Guards against a gate whose link is filled by copies for all peers at
+    // once.
     const answers: string[] = [];
-    for (let i = 0; i < ASKERS; i++) answers.push(await askAndPause({}));
+    for (let i = 0; i < CLIENTS; i++) answers.push(await askAndPause({}));
     const served = answers.filter(answer => answer.includes('"result"'));
     const refused = answers.filter(answer => answer.includes('"error"'));
     expect(served.length).toEqual(MOST_AT_ONCE);
-    expect(refused.length).toEqual(ASKERS - MOST_AT_ONCE);
+    expect(refused.length).toEqual(CLIENTS - MOST_AT_ONCE);
   });
 
   it('serves the next one when one has what it asked for', async () => {
-    // A gate that counted only up would refuse all others for good.
-    for (let i = 0; i < ASKERS; i++) {
+    // Guards against connections that are counted after they have closed.
+    for (let i = 0; i < CLIENTS; i++) {
       expect((await askWhole({})).config?.version).toEqual(7);
       sockets[i].destroy();
       await once(sockets[i], 'close');
     }
   });
 
-  it('keeps no place for an asker that was gone before its answer', async () => {
-    // The bytes behind the question are no message, so the link closes while
-    // the answer is being made. Two such askers, and nobody was served again.
+  it('releases the slot of a client that closed before its answer', async () => {
+    // Guards against a link that closes while its answer is being made.
     for (let i = 0; i < MOST_AT_ONCE; i++) {
-      const socket = await openAsker();
+      const socket = await openClient();
       socket.write('{"jsonrpc":"2.0","id":1,"method":"read-facts"}\n{{\n');
       socket.resume();
       await once(socket, 'close');
@@ -140,9 +135,8 @@
     expect((await askWhole({})).config?.version).toEqual(7);
   });
 
-  it('leaves out the configuration that the asker has', async () => {
-    // Servers are replaced, and a gate that is behind by one of them asks
-    // another: for a list of 60 targets it got a megabyte of routes again.
+  it('leaves out the configuration that the peer has', async () => {
+    // Guards against a whole configuration for a peer that lacks one target.
     const facts = await askWhole({configVersion: 7, revision: 0});
     expect(facts.config === undefined).toEqual(true);
   });
--- a/packages/direct/src/peers/facts-exchange.ts
+++ b/packages/direct/src/peers/facts-exchange.ts
@@ -1,6 +1,6 @@
 /**
- * Configuration and targets handed from gate to gate, over json-rpc. Each
- * exchange has a connection of its own, which the asker closes.
+ * Hands configuration and targets from gate to gate over JSON-RPC. Each
+ * exchange has a connection of its own, which the client closes.
  */
 import {createServer} from 'node:net';
 import {
@@ -21,46 +21,38 @@
 } from '../fleet/fleet-state.js';
 import type {DecisionLog} from '../observe/decision-log.js';
 
-/** Longest time for a connection, in ms: hosts of one region are 3 ms apart. */
+/** Connection timeout, in ms: well above the round trip within a region. */
 const CONNECT_TIMEOUT_MS = 400;
 
 /**
- * Silence after which an exchange is given up, in ms: a lost packet is sent
- * again within it. The time of the whole exchange grows with the
- * configuration and the link, and is no sign that the other gate is gone.
+ * Idle timeout of an exchange, in ms: above one retransmission. Its total time
+ * depends on the size of the configuration and on the link.
  */
 const IDLE_MS = 1000;
 
-/**
- * Longest exchange, in ms, after which another gate may be asked: eight
- * megabytes over a link of 14 Mbit/s.
- */
+/** Longest exchange before another gate is asked, in ms. */
 const FETCH_MAX_MS = 5000;
 
-/** Method that hands out facts. */
+/** Method that returns facts. */
 const READ_FACTS = 'read-facts';
 
-/** Code of the answer to a gate that had better ask another one. */
+/** Error code of a gate that serves as many peers as it can. */
 const BUSY = 1;
 
 /**
- * Gates that may be sent a configuration at the same time. When it grows to a
- * megabyte and the store is slow, every other gate asks the first that has
- * it: 22 copies filled its link for 1.2 s, callers' streams were late by
- * 0.2 s, and no copy was whole before its asker gave up. Two pass over a link
- * of 14 Mbit/s in 1.2 s, and those who have it hand it on.
+ * Peers that are sent a configuration at the same time: more copies would fill
+ * a slow link, and each peer that has one hands it on.
  */
 const MOST_AT_ONCE = 2;
 
-/** What a gate works with that hands its facts to others. */
+/** Dependencies of the server. */
 export interface FactsServerOptions {
   readonly address: ListenAddress;
   readonly state: FleetState;
   readonly log: DecisionLog;
   readonly readNow: () => number;
   /**
-   * Silence after which an asker is taken for gone, in ms; it would keep a
-   * place for good.
+   * Idle timeout of a peer's connection, in ms.
    *
    * @default 1000
    */
@@ -68,7 +60,7 @@
 }
 
 /**
- * Listens for gates that ask for facts.
+ * Listens for peers that ask for facts.
  *
  * @example
  * const server = await openFactsServer({address, state, log, readNow});
@@ -86,7 +78,7 @@
     link.handle(READ_FACTS, params => {
       const known = toKnownFacts(params);
       const facts = state.describeShared(known);
-      // The list of targets alone is a few kilobytes: no reason to wait.
+      // The list of targets is small, so it needs no slot.
       if (facts.config === undefined) return facts;
       if (served.size < MOST_AT_ONCE) {
         served.add(connection);
@@ -100,7 +92,7 @@
   return server;
 }
 
-/** Logs who asked, how much was queued for it, and whether it hung up. */
+/** Logs the peer, the bytes queued for it, and whether it closed early. */
 function observeHandOver(
   connection: Socket,
   {log, readNow}: FactsServerOptions,
@@ -118,11 +110,11 @@
 }
 
 /**
- * Asks a gate for the facts that are newer than the known ones.
+ * Fetches the facts that are newer than the known ones.
  *
  * @param address - Where it listens, `host:port`.
- * @throws FactsBusyError when it serves others; RpcClosedError or
- *   RpcFailedError when no answer comes; DecodeError for a malformed one.
+ * @throws FactsBusyError if it serves others; RpcClosedError or
+ *   RpcFailedError without an answer; DecodeError for a malformed one.
  * @example
  * state.applyShared(await fetchSharedFacts('10.1.0.4:7340', known));
  */
@@ -133,7 +125,7 @@
   const link = await openRpcLink(address, undefined, CONNECT_TIMEOUT_MS);
   link.closeWhenIdle(IDLE_MS);
   try {
-    return decodeSharedFacts(await callForFacts(link, known));
+    return decodeSharedFacts(await callForFacts(link, address, known));
   } finally {
     link.close();
   }
@@ -141,13 +133,17 @@
 
 async function callForFacts(
   link: RpcLink,
+  address: string,
   known: FactVersions,
 ): Promise<unknown> {
   try {
     return await link.call(READ_FACTS, known, FETCH_MAX_MS);
   } catch (error) {
     if (findRefusalCode(error) === BUSY)
-      throw new FactsBusyError('it serves other gates', error as Error);
+      throw new FactsBusyError(
+        `gate ${address} serves as many gates as it can`,
+        error as Error,
+      );
     throw error;
   }
 }
--- a/packages/direct/src/peers/facts-fetcher.test.ts
+++ b/packages/direct/src/peers/facts-fetcher.test.ts
@@ -9,22 +9,22 @@
 import {createFactsFetcher} from './facts-fetcher.js';
 import type {SharedFacts} from '../fleet/fleet-state.js';
 
-/** Time in which a configuration has to be in force at all gates, in ms. */
+/** Time in which a configuration must be in force at all gates, in ms. */
 const APPLY_MS = 2000;
 
-/** Time until another gate's news is heard of, in ms: its beat waits so long. */
+/** Delay of the heartbeat that announces news, in ms. */
 const NEWS_MS = 100;
 
-/** Gates that one gate serves at a time. */
+/** Peers that one gate serves at a time. */
 const MOST_AT_ONCE = 2;
 
 /** Gates of a large deployment. */
 const MOST_GATES = 30;
 
-/** A megabyte over a link of 140 Mbit/s, in ms. */
+/** Time of one copy over a fast link, in ms. */
 const MOST_COPY_MS = 60;
 
-/** Uniform figures in [0, 1) that a seed determines. */
+/** Seeded uniform numbers in [0, 1). */
 function createRandom(seed: number): () => number {
   let state = seed;
   return () => {
@@ -33,7 +33,7 @@
   };
 }
 
-/** Virtual time: whoever waits is resumed in order of time. */
+/** Virtual clock: waiters resume in order of time. */
 class VirtualClock {
   now = 0;
   private readonly queue: Array<{
@@ -46,7 +46,7 @@
 
   async run(isOver: () => boolean): Promise<void> {
     for (;;) {
-      // Whatever follows from the last step happens before the next one.
+      // Lets everything that follows from the last step happen.
       await new Promise(resolve => setImmediate(resolve));
       if (isOver() || this.queue.length === 0) return;
       this.queue.sort((a, b) => a.at - b.at);
@@ -70,7 +70,7 @@
   });
 }
 
-/** A fetcher whose asks are scripted by host. */
+/** A fetcher whose answers are scripted by host. */
 function createWorld(
   answers: Readonly<Record<string, () => Promise<SharedFacts>>>,
   random: () => number = () => 0,
@@ -109,8 +109,7 @@
 
 describe('fetching facts from other gates', () => {
   it('leaves it to the store while that is only slow', async () => {
-    // A slow store has answered one gate. The answers to the others are under
-    // way; a copy from that gate would bring nothing but load on its link.
+    // Guards against copies that the store's own answer makes useless.
     const {clock, state, asked, fetcher} = createWorld({a: giveFacts});
     fetcher.schedule();
     state.applyChange({kind: 'config', config: buildConfig(7)}, 0);
@@ -119,9 +118,8 @@
   });
 
   it('asks at once while the store does not answer it', async () => {
-    // The store turns one gate away for ten seconds, and a server leaves just
-    // as it comes back. Waiting for the store, the gate heard of it there, took
-    // the entry for one that had lapsed, and used the server for 2.6 s.
+    // Guards against a gate that hears of a removal too late because it waits
+    // for a silent store.
     const world = createWorld({a: giveFacts}, () => 0.99, true);
     world.fetcher.schedule();
     await world.clock.run(() => false);
@@ -130,7 +128,7 @@
   });
 
   it('asks any of the gates that are ahead', async () => {
-    // All gates heard the same gate first, and all asked that one.
+    // Guards against gates that all ask the same peer.
     const asked = new Set<string>();
     for (const part of [0, 0.4, 0.9]) {
       const world = createWorld(
@@ -156,7 +154,7 @@
   });
 
   it('goes on to another gate when one is gone', async () => {
-    // The gate that was ahead lost its power just after its last beat.
+    // Guards against a peer that loses power after its last heartbeat.
     const {clock, state, asked, lines, fetcher} = createWorld({
       a: dropAsk,
       b: giveFacts,
@@ -182,10 +180,10 @@
   });
 });
 
-/** A fleet of which one gate knows news; times are virtual. */
+/** A fleet in which one gate has news, in virtual time. */
 class NewsFleet {
   readonly clock = new VirtualClock();
-  /** Copies that each gate has handed out. */
+  /** Copies that each gate has sent. */
   readonly copies = new Map<string, number>();
   private readonly knownSince = new Map<string, number>([['0', 0]]);
   private readonly serving = new Map<string, number>();
@@ -197,7 +195,7 @@
     private readonly random: () => number,
   ) {}
 
-  /** Runs until every gate has the news; returns the time that it took. */
+  /** Runs until every gate has the news; returns the time taken, in ms. */
   async run(): Promise<number> {
     for (let i = 1; i < this.count; i++) void this.runGate(String(i));
     await this.clock.run(() => this.knownSince.size === this.count);
@@ -235,7 +233,7 @@
     if (busy >= MOST_AT_ONCE) throw new FactsBusyError('busy');
     this.serving.set(host, busy + 1);
     this.copies.set(host, (this.copies.get(host) ?? 0) + 1);
-    // The copies under way share the link.
+    // Concurrent copies share the link.
     await this.clock.wait(this.copyMs * (busy + 1));
     this.serving.set(host, (this.serving.get(host) ?? 0) - 1);
     return FACTS;
@@ -244,9 +242,8 @@
 
 describe('a configuration that one gate alone has', () => {
   it('reaches every gate in time, with one copy for each', async () => {
-    // The store turns all gates away but one. All asked that one for its
-    // megabyte at once, gave up after 1.2 s, asked again, and served on the
-    // old routes for as long as the store stayed away.
+    // Guards against gates without the store that never get a large
+    // configuration.
     await fc.assert(
       fc.asyncProperty(
         fc.integer({min: 2, max: MOST_GATES}),
--- a/packages/direct/src/peers/facts-fetcher.ts
+++ b/packages/direct/src/peers/facts-fetcher.ts
@@ -1,6 +1,6 @@
 /**
- * Brings this gate up to what other gates know when the store does not: it is
- * slow or away, or turns this gate away.
+ * Fetches newer facts from a peer when the store is slow, down, or refuses this
+ * gate.
  */
 import {setTimeout as sleep} from 'node:timers/promises';
 import {DecodeError, FactsBusyError} from '../errors.js';
@@ -12,50 +12,37 @@
 import type {DecisionLog} from '../observe/decision-log.js';
 
 /**
- * How long another gate may be ahead before its facts are asked for, in ms:
- * the store's own watch usually brings them first, at the latest after the
- * pause in which it lets changes gather (300 ms).
+ * How long a peer may be ahead before it is asked, in ms: the watch of this
+ * gate usually delivers first.
  */
 const AHEAD_MS = 400;
 
-/**
- * Part of that time by which gates differ, in ms. Without it all gates ask
- * in the same moment. With a slow store 22 watches were 570 ms behind the
- * first: half of the gates have the news by themselves when it ends.
- */
+/** Jitter added to it, in ms, so that gates do not ask at the same moment. */
 const AHEAD_SPREAD_MS = 400;
 
-/**
- * The same, in ms, while the store does not answer this gate: nothing is to be
- * waited for. A server that leaves just as the store comes back is known from
- * another gate before this one's own watch, which at that moment takes a
- * missing entry for one that lapsed and keeps its target for 2.3 s.
- */
+/** Jitter while the store does not answer this gate, in ms. */
 const UNHEARD_SPREAD_MS = 150;
 
-/**
- * Pause after an answer of a gate that serves others, in ms, and its spread:
- * a megabyte takes 60 ms over a link of 140 Mbit/s.
- */
+/** Pause after a busy answer, in ms, and its jitter. */
 const RETRY_MS = 100;
 const RETRY_SPREAD_MS = 150;
 
-/** Most gates asked in a row; each later beat of another gate starts anew. */
+/** Most requests in a row; a later heartbeat starts again. */
 const MOST_ASKS = 10;
 
-/** What the fetcher works with. */
+/** Dependencies of the fetcher. */
 export interface FactsFetcherOptions {
   readonly state: FleetState;
   /** True while the store has not answered this gate for too long. */
   readonly isStoreSilent: () => boolean;
-  /** Hosts of the gates that are alive and know newer facts than this one. */
+  /** Hosts of live peers with newer facts. */
   readonly listAhead: () => readonly string[];
   readonly fetch: (host: string, known: FactVersions) => Promise<SharedFacts>;
   readonly log: DecisionLog;
   readonly readNow: () => number;
   /** Uniform in [0, 1). */
   readonly random: () => number;
-  /** Waits; passed in so that tests take no time. */
+  /** Waits; injected by tests. */
   readonly wait?: (ms: number) => Promise<void>;
 }
 
@@ -71,7 +58,7 @@
 
   constructor(private readonly options: FactsFetcherOptions) {}
 
-  /** Notes that another gate is ahead; asks unless the store is faster. */
+  /** Schedules a fetch, unless the store is faster. */
   schedule(): void {
     if (this.isUnderWay) return;
     this.isUnderWay = true;
@@ -83,8 +70,7 @@
     if (isStoreSilent()) await this.wait(0, UNHEARD_SPREAD_MS);
     else await this.wait(AHEAD_MS, AHEAD_SPREAD_MS);
     const failed = new Set<string>();
-    // One answer need not be all: a gate that is ahead by a target alone does
-    // not bring the configuration that another one has.
+    // One answer may bring only a part: no peer needs to have all the news.
     for (let asks = 0; asks < MOST_ASKS; asks++) {
       const host = this.pickAhead(failed);
       if (host === undefined) return;
@@ -94,17 +80,14 @@
     }
   }
 
-  /**
-   * Any of the gates that are ahead, not the first that was heard of: that
-   * one is the same for all.
-   */
+  /** A random peer, so that gates spread over all that are ahead. */
   private pickAhead(failed: ReadonlySet<string>): string | undefined {
     const {listAhead, random} = this.options;
     const hosts = listAhead().filter(host => !failed.has(host));
     return hosts[Math.floor(random() * hosts.length)];
   }
 
-  /** Says whether another gate may be asked after this one. */
+  /** Returns whether another peer may be asked after this one. */
   private async tryFetch(host: string, failed: Set<string>): Promise<boolean> {
     const {state, fetch, log, readNow} = this.options;
     const startedAt = readNow();
@@ -121,8 +104,7 @@
       failed.add(host);
       const reason = (error as Error).message;
       log.warn('facts_from_peer_failed', {peer: host, ms: countMs(), reason});
-      // What one gate of another version says, the next one says as well: a
-      // megabyte each that cannot be used.
+      // Peers of another version would all send the same facts.
       return !(error instanceof DecodeError);
     }
     log.info('facts_from_peer', {
@@ -140,7 +122,7 @@
   }
 }
 
-/** Keeps no process alive that has nothing else to do. */
+/** Does not keep the process alive. */
 function waitIdly(ms: number): Promise<void> {
   return sleep(ms, undefined, {ref: false});
 }
