--- a/packages/nutmeggauge/src/losses/losses.test.ts
+++ b/packages/nutmeggauge/src/losses/losses.test.ts
@@ -22,22 +22,22 @@
 import {judgeRequests} from './summarize-losses.js';
 import type {LossAnalysis} from './summarize-losses.js';
 
-const OBJECTIVES = 'routes: {chat: {firstMs: 300, pauseMs: 250}}\n';
+const OBJECTIVES = 'routes: {chat: {ttftMs: 300, itlMs: 250}}\n';
 
-/** A long late prompt beside a longer one in time and a short late one. */
+/** A long late prompt, beside a longer one in time and a short late one. */
 const DAY = [
   buildLine(0, 'gate_started'),
-  buildPlaced(1000, 'short', {first: 'e3'}),
-  buildPlaced(1010, 'good', {tokens: 300_000, first: 'e4'}),
+  buildPlaced(1000, 'short', {decoder: 'e3'}),
+  buildPlaced(1010, 'good', {tokens: 300_000, decoder: 'e4'}),
   buildPlaced(1050, 'long', {tokens: 90_000, helpers: ['e2', 'e<3>']}),
-  buildEnded(1800, 'short', {target: 'e3', ms: 800, firstMs: 500}),
+  buildEnded(1800, 'short', {target: 'e3', ms: 800, ttftMs: 500}),
   buildEnded(2000, 'good', {
     tokens: 300_000,
     target: 'e4',
     ms: 990,
-    firstMs: 200,
+    ttftMs: 200,
   }),
-  buildEnded(2900, 'long', {tokens: 90_000, ms: 1900, firstMs: 700}),
+  buildEnded(2900, 'long', {tokens: 90_000, ms: 1900, ttftMs: 700}),
 ];
 
 function findOutputs() {
@@ -64,9 +64,9 @@
   });
 
   it('draws the largest late prompt, its parts marked', () => {
-    // The one in time is larger; what is looked for is why one was late.
+    // The largest late prompt is shown, not the largest one.
     const logs = readGateLogs([writeLog(DAY)]);
-    const routes = {chat: {firstMs: 300}};
+    const routes = {chat: {ttftMs: 300}};
     const requests = judgeRequests(logs, {routes});
     const prompt = pickPrompt(requests);
     expect(prompt?.requestId).toEqual('long');
@@ -76,12 +76,12 @@
     const marked = spans
       .filter(({isMarked}) => isMarked)
       .map(span => [span.engine, span.work, span.from - from, span.to - from]);
-    // From its arrival, one second into the plot.
+    // Its arrival is one second into the plot.
     expect(marked).toEqual([
-      ['e1', 'reading', 1050, 1700],
-      ['e2', 'reading', 1050, 1700],
-      ['e<3>', 'reading', 1050, 1700],
-      ['e1', 'writing', 1700, 2900],
+      ['e1', 'prefill', 1050, 1700],
+      ['e2', 'prefill', 1050, 1700],
+      ['e<3>', 'prefill', 1050, 1700],
+      ['e1', 'decode', 1700, 2900],
     ]);
   });
 
@@ -90,8 +90,8 @@
       buildLine(0, 'gate_started'),
       buildPlaced(1000, 'q'),
       buildLine(1100, 'attempt_failed', {requestId: 'q', target: 'e1'}),
-      buildPlaced(1110, 'q', {first: 'e2'}),
-      buildEnded(2000, 'q', {target: 'e2', ms: 1000, firstMs: 500}),
+      buildPlaced(1110, 'q', {decoder: 'e2'}),
+      buildEnded(2000, 'q', {target: 'e2', ms: 1000, ttftMs: 500}),
     ];
     const requests = judgeRequests(readGateLogs([writeLog(lines)]), {
       routes: {},
@@ -99,20 +99,20 @@
     const {spans, from} = listActivity(requests, requests[0]);
     expect(spans.map(span => [span.engine, span.work, span.to - from])).toEqual(
       [
-        ['e1', 'reading', 1100],
-        ['e2', 'reading', 1500],
-        ['e2', 'writing', 2000],
+        ['e1', 'prefill', 1100],
+        ['e2', 'prefill', 1500],
+        ['e2', 'decode', 2000],
       ],
     );
   });
 
   it('keeps names of callers and engines from the page’s markup', () => {
-    // Callers choose the ids of requests: one of them held a script.
+    // Guards against script injection by a request id.
     const id = '<script>alert(1)</script>';
     const outputs = findOutputs();
     const lines = [
       buildLine(0, 'gate_started'),
-      buildPlaced(10, id, {first: '<b>'}),
+      buildPlaced(10, id, {decoder: '<b>'}),
       buildEnded(900, id, {route: '<i>', target: '<b>'}),
     ];
     runLosses({paths: [writeLog(lines)], ...outputs});
@@ -148,8 +148,7 @@
   });
 
   it('goes through a log that is cut anywhere', () => {
-    // Hosts lose power while they write: a log may end at any byte, and one
-    // that was rotated begins at any.
+    // Guards against logs that begin or end in the middle of a line.
     const text = DAY.map(line => JSON.stringify(line)).join('\n');
     const {html} = findOutputs();
     for (let at = 0; at <= text.length; at += 7) {
@@ -161,16 +160,14 @@
   });
 
   it('believes no duration of 270,000 years', () => {
-    // Found by the property below (seed 1330072621): the arrival lay before
-    // every date, and its window could not be printed.
+    // Guards against an arrival that cannot be printed as a date.
     const lines = [buildEnded(0, 'q', {outcome: 1, ms: -8640000000002000})];
     const text = runLosses({paths: [writeLog(lines)]});
     expect(text).toInclude('1 requests');
   });
 
   it('goes through lines whose fields are anything', () => {
-    // Another version of a gate wrote other types: a typed failure or a
-    // table, never a fault of the command.
+    // Guards against an untyped error for a log of another version.
     const events = ['gate_started', 'stream_placed', 'request_ended'];
     const line = fc.record({
       t: fc.oneof(fc.integer(), fc.double(), fc.constant('x')),
@@ -180,15 +177,15 @@
       outcome: fc.oneof(fc.constantFrom('answered', 'timeout'), fc.jsonValue()),
       route: fc.jsonValue(),
       tokens: fc.oneof(fc.double(), fc.jsonValue()),
-      first: fc.oneof(fc.string(), fc.jsonValue()),
+      decoder: fc.oneof(fc.string(), fc.jsonValue()),
       helpers: fc.jsonValue(),
-      predictedFirstMs: fc.oneof(fc.double(), fc.jsonValue()),
-      firstMs: fc.oneof(fc.double(), fc.jsonValue()),
-      gapMs: fc.jsonValue(),
+      predictedTtftMs: fc.oneof(fc.double(), fc.jsonValue()),
+      ttftMs: fc.oneof(fc.double(), fc.jsonValue()),
+      maxItlMs: fc.jsonValue(),
       ms: fc.oneof(fc.double(), fc.jsonValue()),
     });
     const {html} = findOutputs();
-    const objectives = writeTestFile('o.yaml', 'others: {firstMs: 1}');
+    const objectives = writeTestFile('o.yaml', 'others: {ttftMs: 1}');
     fc.assert(
       fc.property(fc.array(line, {maxLength: 12}), lines => {
         const paths = [writeLog(lines)];
@@ -199,7 +196,7 @@
   });
 });
 
-/** Lets failures through that the command line tells in one line. */
+/** Accepts errors that the command line reports in one line. */
 function checkTyped(run: () => void): void {
   try {
     run();
--- a/packages/nutmeggauge/src/losses/objectives.ts
+++ b/packages/nutmeggauge/src/losses/objectives.ts
@@ -1,14 +1,12 @@
-/**
- * The objectives of routes, as the user gives them: gates don't write them.
- */
+/** Latency objectives of routes, given by the user: gates do not log them. */
 import {loadSettings} from '@nutmeggauge/core';
 import {z} from 'zod';
 
 const ObjectiveSchema = z.strictObject({
-  /** First event of a stream, whole answer of a call, in ms. */
-  firstMs: z.number().positive(),
-  /** Longest pause between two events of a stream, in ms. */
-  pauseMs: z.number().positive().optional(),
+  /** Time to first token of a stream, complete answer of a call, in ms. */
+  ttftMs: z.number().positive(),
+  /** Largest inter-token latency of a stream, in ms. */
+  itlMs: z.number().positive().optional(),
 });
 
 const ObjectivesSchema = z.strictObject({
@@ -21,7 +19,7 @@
 export type Objective = z.output<typeof ObjectiveSchema>;
 export type Objectives = z.output<typeof ObjectivesSchema>;
 
-/** No objective for any route: nothing can be called late. */
+/** Without objectives nothing is late. */
 export const NO_OBJECTIVES: Objectives = {routes: {}};
 
 /**
@@ -29,7 +27,7 @@
  *
  * @throws SettingsError when it cannot be read or a key is bad.
  * @example
- * loadObjectives('objectives.yaml').routes.chat.firstMs; // 300
+ * loadObjectives('objectives.yaml').routes.chat.ttftMs; // 300
  */
 export function loadObjectives(path: string): Objectives {
   return loadSettings(ObjectivesSchema, path);
--- a/packages/nutmeggauge/src/losses/soak-logs.test.ts
+++ b/packages/nutmeggauge/src/losses/soak-logs.test.ts
@@ -14,14 +14,14 @@
 
 const CLI_BIN = fileURLToPath(new URL('../bin.js', import.meta.url));
 
-/** A request as its caller saw it, in the soak's `history.json`. */
+/** A request as its caller saw it, from the soak's `history.json`. */
 interface CallerRecord {
   readonly requestId: string;
   readonly status: number;
   readonly isWhole: boolean;
 }
 
-/** Causes of requests that no caller can have seen answered whole. */
+/** Causes of requests without a complete answer. */
 const UNANSWERED: ReadonlySet<Cause | undefined> = new Set<Cause>([
   'refused',
   'cut',
@@ -30,8 +30,8 @@
 
 describe('losses in the logs of real gates', () => {
   it('says of no answered request that it was not', async () => {
-    // Lines of this page's tests are written by hand; the gates' own may have
-    // other names. Real gates, killed and restarted, against their callers.
+    // Guards against log fields that the gates rename: real gates, killed and
+    // restarted, compared with their callers.
     const runDir = mkdtempSync(join(tmpdir(), 'losses-soak-'));
     try {
       const words = ['soak', '--seed', '1', '--no-timing'];
@@ -43,7 +43,7 @@
       const logs = readGateLogs([runDir]);
       const requests = judgeRequests(logs, {
         routes: {},
-        others: {firstMs: 300, pauseMs: 250},
+        others: {ttftMs: 300, itlMs: 250},
       });
       const history = JSON.parse(
         readFileSync(join(runDir, 'history.json'), 'utf8'),
@@ -60,7 +60,7 @@
           served.has(requestId ?? '') && UNANSWERED.has(cause),
       );
       // A gate that is killed after its answer and before its line is read
-      // leaves that request open; nothing else may differ.
+      // leaves that request open.
       expect(wrong.filter(({cause}) => cause !== 'gate-ended')).toEqual([]);
       const {kinds, forecasts, worth} = summarizeLosses(logs, requests);
       expect(kinds.length > 0 && forecasts.length > 0).toEqual(true);
--- a/packages/nutmeggauge/src/losses/sourced-lines.ts
+++ b/packages/nutmeggauge/src/losses/sourced-lines.ts
@@ -1,16 +1,16 @@
 /**
- * Reads the lines of log files with who wrote them, and counts what is passed
- * over. Within a file their order stays: a host's clock may step.
+ * Reads log lines with their source, and counts the ignored ones. Lines keep
+ * the order of their file, as a host's clock may be set back.
  */
 import {listLogFiles, readRawLines} from '../timeline/log-files.js';
 import {isTimelineEvent} from '../timeline/merge.js';
 import type {RawLine} from '../timeline/log-files.js';
 import type {TimelineEvent} from '../timeline/merge.js';
 
-/** First line of a process, before it knows its own name. */
+/** First event of a process, before it knows its name. */
 export const FIRST_EVENT = 'program_starting';
 
-/** One line with the process or file that it came from. */
+/** A line with the process or file that it came from. */
 export interface SourcedLine {
   readonly source: string;
   readonly event: TimelineEvent | typeof FIRST_EVENT;
@@ -18,19 +18,21 @@
   readonly text: string;
 }
 
-/** Lines of all files, and what was passed over. */
+/** Lines of all files, and counts of the ignored ones. */
 export interface SourcedLines {
   readonly files: readonly string[];
   readonly lines: readonly SourcedLine[];
-  /** Lines that hold a `{` and no whole JSON object. */
+  /** Lines with a `{` but no complete JSON object. */
   readonly malformedLines: number;
-  /** Lines of JSON that are of no process of ours. */
+  /** JSON lines of other programs. */
   readonly foreignLines: number;
-  /** Lines that stood in an earlier file already. */
+  /** Lines that occur in an earlier file. */
   readonly repeatedLines: number;
 }
 
-/** Name of who wrote a line: the collector's last word, else the file. */
+/**
+ * Source of a line: the last word of the collector's prefix, or else the file.
+ */
 function resolveSource(file: string, prefix: string): string {
   return prefix === '' ? file : `${file} ${prefix.split(/\s+/).at(-1)}`;
 }
@@ -50,7 +52,7 @@
   readonly lines: readonly SourcedLine[];
   readonly malformed: number;
   readonly foreign: number;
-  /** First stamp in it; infinite where there is none. */
+  /** First timestamp; infinite if there is none. */
   readonly beginsAt: number;
 }
 
@@ -68,9 +70,8 @@
 }
 
 /**
- * Leaves out lines that stand in an earlier file: a day's logs are often given
- * by host and, once more, merged, and every request would count twice. Within
- * one file equal lines are as many events.
+ * Removes lines that occur in an earlier file, as logs are often given by host
+ * and merged as well. Equal lines within a file are different events.
  */
 function mergeFiles(files: readonly FileLines[]): readonly SourcedLine[] {
   const seen = new Set<string>();
@@ -88,8 +89,8 @@
 }
 
 /**
- * Reads log files, or every `.log` file of a folder. Files come in the order
- * of their first stamps, so those of one gate may be given in any.
+ * Reads log files, or every `.log` file of a folder, ordered by their first
+ * timestamps.
  *
  * @throws InputFileError when a file is missing or cannot be read.
  * @example
--- a/packages/nutmeggauge/src/losses/summaries.test.ts
+++ b/packages/nutmeggauge/src/losses/summaries.test.ts
@@ -11,7 +11,7 @@
 import {judgeRequests, summarizeLosses} from './summarize-losses.js';
 import type {LineFields} from '../test/gate-lines.js';
 
-const OBJECTIVES = {routes: {chat: {firstMs: 300, pauseMs: 250}}};
+const OBJECTIVES = {routes: {chat: {ttftMs: 300, itlMs: 250}}};
 
 function summarizeLog(lines: readonly LineFields[]) {
   const file = writeLog([buildLine(0, 'gate_started'), ...lines]);
@@ -19,17 +19,17 @@
   return summarizeLosses(logs, judgeRequests(logs, OBJECTIVES));
 }
 
-/** A stream that arrived at `ms`, with its first event after `firstMs`. */
+/** A stream that arrived at `ms`, with its first token after `ttftMs`. */
 function buildStream(
   ms: number,
   id: string,
-  firstMs: number,
+  ttftMs: number,
   placed: LineFields = {},
   ended: LineFields = {},
 ): readonly LineFields[] {
   return [
     buildPlaced(ms, id, placed),
-    buildEnded(ms + 2000, id, {ms: 2000, firstMs, ...ended}),
+    buildEnded(ms + 2000, id, {ms: 2000, ttftMs, ...ended}),
   ];
 }
 
@@ -42,7 +42,7 @@
         20,
         'c',
         900,
-        {tokens: 90_000, predictedFirstMs: 800},
+        {tokens: 90_000, predictedTtftMs: 800},
         {tokens: 90_000},
       ),
       buildEnded(500, 'd', {outcome: 'too_late', tokens: 90_000}),
@@ -56,7 +56,7 @@
       worth: 7.5,
     });
     expect(kinds[0].byCause.refused).toEqual({requests: 1, worth: 10});
-    expect(kinds[1].byCause['late-surprise']).toEqual({
+    expect(kinds[1].byCause['late-mispredicted']).toEqual({
       requests: 1,
       worth: 1.125,
     });
@@ -64,8 +64,7 @@
   });
 
   it('gives the errors of forecasts by size and by age', () => {
-    // Old facts, bad forecasts: up to 30 ms late with fresh ones, 500 with old
-    // ones. Quantiles lie between the neighbours.
+    // Forecasts made with old facts have larger errors.
     const {forecasts} = summarizeLog([
       ...buildStream(0, 'a', 130),
       ...buildStream(10, 'b', 90),
@@ -86,17 +85,17 @@
   });
 
   it('orders windows by what was lost in them', () => {
-    const {moments} = summarizeLog([
+    const {windows} = summarizeLog([
       ...buildStream(100, 'a', 600),
       ...buildStream(4100, 'b', 600),
       ...buildStream(4200, 'c', 600),
       ...buildStream(8100, 'd', 100),
     ]);
-    expect(moments.map(({from, lost}) => [from - T0, lost])).toEqual([
+    expect(windows.map(({from, lost}) => [from - T0, lost])).toEqual([
       [4000, 2.25],
       [0, 1.125],
     ]);
-    expect(moments[0].mainCause).toEqual('late-surprise');
+    expect(windows[0].mainCause).toEqual('late-mispredicted');
   });
 
   it('orders engines by late answers, and counts those who helped', () => {
@@ -106,17 +105,15 @@
         10,
         'b',
         600,
-        {first: 'e2', helpers: ['e3']},
+        {decoder: 'e2', helpers: ['e3']},
         {target: 'e2'},
       ),
-      ...buildStream(20, 'c', 100, {}, {target: 'e2', gapMs: 900}),
+      ...buildStream(20, 'c', 100, {}, {target: 'e2', maxItlMs: 900}),
       buildLine(30, 'attempt_failed', {requestId: 'd', target: 'e1'}),
       ...buildStream(40, 'd', 100),
       buildEnded(900, 'e', {kind: 'safe', target: 'plain-1'}),
     ]);
-    expect(
-      engines.map(e => [e.target, e.answers, e.late, e.latePauses]),
-    ).toEqual([
+    expect(engines.map(e => [e.target, e.answers, e.late, e.lateItl])).toEqual([
       ['e2', 2, 2, 1],
       ['e1', 2, 0, 0],
       ['e3', 0, 0, 0],
@@ -126,8 +123,8 @@
   });
 
   it('prices the time without a gate by what it was sent before', () => {
-    // Killed after a second with 3 in worth, back 500 ms later; then drained,
-    // a start that failed, and back after another 1000.
+    // Killed after a second with a worth of 3 and back 500 ms later; then
+    // drained, a failed start, and back after another 1,000 ms.
     const {gaps, estimatedNoGate} = summarizeLog([
       buildEnded(400, 'a', {ms: 100}),
       buildEnded(1000, 'b', {ms: 100}),
@@ -142,7 +139,7 @@
       [1000, 500, false],
       [2500, 1000, true],
     ]);
-    // 3 in the 2000 ms that it served.
+    // A worth of 3 in the 2,000 ms that it served.
     expect(gaps[0].estimatedWorth).toEqual(0.75);
     expect(estimatedNoGate).toEqual(2.25);
   });
@@ -163,7 +160,7 @@
       buildPlaced(950, 'b'),
     ]);
     expect(coverage.droppedLines).toEqual(7);
-    expect(coverage.firstEventsWithoutForecast).toEqual(1);
+    expect(coverage.withoutForecast).toEqual(1);
     expect(coverage.openRequests).toEqual(1);
     expect(coverage.routesWithoutObjective).toEqual(['other']);
   });
--- a/packages/nutmeggauge/src/losses/summarize-engines.ts
+++ b/packages/nutmeggauge/src/losses/summarize-engines.ts
@@ -1,18 +1,18 @@
-/** The engines whose answers came late most often. */
+/** Losses by engine. */
 import {isLate} from './worth.js';
 import type {JudgedRequest} from './judge-request.js';
 
-/** What one engine did. */
+/** Losses of one engine. */
 export interface EngineLosses {
   readonly target: string;
-  /** Streams that it answered whole. */
+  /** Streams that it answered completely. */
   readonly answers: number;
   readonly late: number;
-  /** Of these, by a pause alone. */
-  readonly latePauses: number;
+  /** Of these, by inter-token latency alone. */
+  readonly lateItl: number;
   /** Worth lost by its late answers. */
   readonly lost: number;
-  /** Late answers of other engines whose prompts it helped to read. */
+  /** Late answers of other engines that it helped. */
   readonly helpedLate: number;
   /** Attempts that failed at it. */
   readonly failedAttempts: number;
@@ -30,7 +30,7 @@
       target,
       answers: 0,
       late: 0,
-      latePauses: 0,
+      lateItl: 0,
       lost: 0,
       helpedLate: 0,
       failedAttempts: 0,
@@ -45,8 +45,8 @@
 }
 
 function countRequest(tallies: EngineTallies, request: JudgedRequest): void {
-  const {visit, cause, lost} = request;
-  const {end, placements, failures} = visit;
+  const {attempt, cause, lost} = request;
+  const {end, placements, failures} = attempt;
   for (const {target} of failures) tallies.find(target).failedAttempts++;
   if (end?.outcome !== 'answered' || end.target === undefined) return;
   const tally = tallies.find(end.target);
@@ -54,13 +54,13 @@
   if (!isLate(cause)) return;
   tally.late++;
   tally.lost += lost;
-  if (cause === 'late-pause') tally.latePauses++;
+  if (cause === 'late-itl') tally.lateItl++;
   for (const helper of placements.at(-1)?.helpers ?? [])
     tallies.find(helper).helpedLate++;
 }
 
 /**
- * Sums up each engine, the one with most late answers first.
+ * Summarizes each engine, most late answers first.
  *
  * @example
  * summarizeEngines(requests)[0].target;
--- a/packages/nutmeggauge/src/losses/summarize-forecasts.ts
+++ b/packages/nutmeggauge/src/losses/summarize-forecasts.ts
@@ -1,18 +1,21 @@
 /**
- * How well first events were forecast: what came later than forecast, by the
- * size of the prompt and by the age of what the gate knew.
+ * Errors of predicted times to first token, by prompt size and age of the
+ * facts.
  */
 import {quantileSorted} from 'simple-statistics';
 import {LENGTH_BUCKETS} from '../load/workload.js';
 import type {JudgedRequest} from './judge-request.js';
 
-/** Upper bounds of the classes of age, in ms: a beat between gates is 1 s. */
+/**
+ * Upper bounds of the age classes, in ms; gates exchange heartbeats each
+ * second.
+ */
 const AGE_BOUNDS_MS = [50, 200, 1000, 4000] as const;
 
-/** Row of all classes of age together. */
+/** All age classes together. */
 export const ALL_AGES = 'all';
 
-/** Error of forecasts of one class, in ms; positive: it came later. */
+/** Forecast errors of one class, in ms; positive is later than predicted. */
 export interface ForecastErrors {
   readonly size: string;
   readonly age: string;
@@ -31,7 +34,7 @@
 
 const AGES = [ALL_AGES, ...AGE_BOUNDS_MS.map(resolveAge), resolveAge(Infinity)];
 
-/** One forecast with the classes that it counts in. */
+/** A forecast with its classes. */
 interface ForecastSample {
   readonly size: string;
   readonly age: string;
@@ -40,13 +43,13 @@
 
 function toSamples({size, forecast}: JudgedRequest): readonly ForecastSample[] {
   if (forecast === undefined) return [];
-  const {firstMs, predictedMs, factsAgeMs} = forecast;
-  const errorMs = firstMs - predictedMs;
+  const {ttftMs, predictedMs, factsAgeMs} = forecast;
+  const errorMs = ttftMs - predictedMs;
   return [ALL_AGES, resolveAge(factsAgeMs)].map(age => ({size, age, errorMs}));
 }
 
 /**
- * Sums up the errors of forecasts, by size and age.
+ * Summarizes forecast errors by size and age.
  *
  * @example
  * summarizeForecasts(requests)[0].p90;
--- a/packages/nutmeggauge/src/losses/summarize-kinds.ts
+++ b/packages/nutmeggauge/src/losses/summarize-kinds.ts
@@ -1,7 +1,4 @@
-/**
- * The worth lost by cause, for each kind of request: route, kind and size
- * class of its prompt.
- */
+/** Worth lost by cause, for each route, kind and prompt size. */
 import {CAUSES} from './causes.js';
 import type {Cause} from './causes.js';
 import type {JudgedRequest} from './judge-request.js';
@@ -12,7 +9,7 @@
   readonly worth: number;
 }
 
-/** What one kind of request lost. */
+/** Losses of one kind of request. */
 export interface KindLosses {
   readonly route: string;
   readonly kind: string;
@@ -22,9 +19,11 @@
   readonly worth: number;
   readonly lost: number;
   readonly byCause: Readonly<Record<Cause, LossSum>>;
-  /** Estimate of what would have arrived while gates were not there. */
+  /**
+   * Estimated worth of requests that would have arrived during gaps of gates.
+   */
   readonly estimatedNoGate: number;
-  /** Its route has an objective, so late answers are told apart. */
+  /** Its route has an objective, so late answers are known. */
   readonly hasObjective: boolean;
 }
 
@@ -65,7 +64,7 @@
 }
 
 /**
- * Puts requests that agree in `read` together.
+ * Groups requests by a key.
  *
  * @example
  * listByKey(requests, ({route}) => route).get('chat');
@@ -84,7 +83,7 @@
 }
 
 /**
- * Sums up each kind of request, the one that lost most first.
+ * Summarizes each kind of request, largest loss first.
  *
  * @param noGateWorth - Estimate of what gates were not there for, of all kinds.
  * @example
@@ -110,7 +109,7 @@
         worth,
         lost: sumLost(own),
         byCause: sumByCause(own),
-        // As if it had the mix of what did arrive.
+        // Assumes the mix of the requests that did arrive.
         estimatedNoGate: all > 0 ? (noGateWorth * worth) / all : 0,
         hasObjective,
       };
--- a/packages/nutmeggauge/src/losses/summarize-losses.ts
+++ b/packages/nutmeggauge/src/losses/summarize-losses.ts
@@ -1,11 +1,11 @@
-/** All that `nutmeggauge losses` finds in the logs of gates. */
+/** The whole analysis of `nutmeggauge losses`. */
 import {estimateRates, listGaps} from './gate-gaps.js';
 import {UNKNOWN, judgeRequest} from './judge-request.js';
 import {summarizeEngines} from './summarize-engines.js';
 import {summarizeForecasts} from './summarize-forecasts.js';
 import {sumLost, sumWorth, summarizeKinds} from './summarize-kinds.js';
-import {summarizeMoments} from './summarize-moments.js';
-import {listVisits, mergeVisits} from './visits.js';
+import {summarizeWindows} from './summarize-windows.js';
+import {listClientAttempts, mergeClientAttempts} from './client-attempts.js';
 import type {GateGap} from './gate-gaps.js';
 import type {GateLogs} from './gate-lives.js';
 import type {JudgedRequest} from './judge-request.js';
@@ -13,23 +13,23 @@
 import type {EngineLosses} from './summarize-engines.js';
 import type {ForecastErrors} from './summarize-forecasts.js';
 import type {KindLosses} from './summarize-kinds.js';
-import type {Moment} from './summarize-moments.js';
+import type {LossWindow} from './summarize-windows.js';
 
-/** What was read, and how far it can be trusted. */
+/** Coverage of the logs. */
 export interface LogCoverage {
   readonly files: readonly string[];
   readonly gates: number;
   readonly requests: number;
-  /** Requests whose end is not in the log: it breaks off, or left it out. */
+  /** Requests whose end is not in the log. */
   readonly openRequests: number;
-  /** First events without a stamped forecast: lines dropped, or clocks set. */
-  readonly firstEventsWithoutForecast: number;
+  /** First tokens without a forecast: dropped lines, or clock steps. */
+  readonly withoutForecast: number;
   readonly malformedLines: number;
   readonly foreignLines: number;
   readonly repeatedLines: number;
   readonly droppedLines: number;
   readonly clockSteps: Readonly<Record<string, number>>;
-  /** Routes without an objective: their late answers are not told apart. */
+  /** Routes without an objective, whose late answers are unknown. */
   readonly routesWithoutObjective: readonly string[];
 }
 
@@ -38,12 +38,14 @@
   readonly coverage: LogCoverage;
   readonly worth: number;
   readonly lost: number;
-  /** Estimate of what would have arrived while gates were not there. */
+  /**
+   * Estimated worth of requests that would have arrived during gaps of gates.
+   */
   readonly estimatedNoGate: number;
   readonly kinds: readonly KindLosses[];
   readonly forecasts: readonly ForecastErrors[];
   readonly gaps: readonly GateGap[];
-  readonly moments: readonly Moment[];
+  readonly windows: readonly LossWindow[];
   readonly engines: readonly EngineLosses[];
 }
 
@@ -57,7 +59,7 @@
   logs: GateLogs,
   objectives: Objectives,
 ): readonly JudgedRequest[] {
-  return mergeVisits(listVisits(logs.lives)).map(record =>
+  return mergeClientAttempts(listClientAttempts(logs.lives)).map(record =>
     judgeRequest(record, objectives),
   );
 }
@@ -68,8 +70,8 @@
 ): LogCoverage {
   const {lives, files, malformedLines, foreignLines} = logs;
   const blind = requests.filter(
-    ({visit, forecast}) =>
-      visit.end?.firstMs !== undefined && forecast === undefined,
+    ({attempt, forecast}) =>
+      attempt.end?.ttftMs !== undefined && forecast === undefined,
   );
   const unjudged = requests.filter(
     ({hasObjective, route}) => !hasObjective && route !== UNKNOWN,
@@ -79,7 +81,7 @@
     gates: new Set(lives.map(({proc}) => proc)).size,
     requests: requests.length,
     openRequests: requests.filter(({isOpen}) => isOpen).length,
-    firstEventsWithoutForecast: blind.length,
+    withoutForecast: blind.length,
     malformedLines,
     foreignLines,
     repeatedLines: logs.repeatedLines,
@@ -92,7 +94,7 @@
 }
 
 /**
- * Sums up the judged requests of the logs.
+ * Summarizes the judged requests.
  *
  * @example
  * summarizeLosses(logs, judgeRequests(logs, objectives)).lost;
@@ -115,7 +117,7 @@
     kinds: summarizeKinds(requests, estimatedNoGate),
     forecasts: summarizeForecasts(requests),
     gaps,
-    moments: summarizeMoments(requests),
+    windows: summarizeWindows(requests),
     engines: summarizeEngines(requests),
   };
 }
--- a/packages/nutmeggauge/src/losses/summarize-moments.ts
+++ b/packages/nutmeggauge/src/losses/summarize-windows.ts
@@ -1,4 +1,4 @@
-/** The moments at which most was lost: windows of arrivals, worst first. */
+/** Time windows of arrivals with the largest losses. */
 import {CAUSES} from './causes.js';
 import {listByKey, sumByCause, sumLost, sumWorth} from './summarize-kinds.js';
 import type {Cause} from './causes.js';
@@ -9,18 +9,18 @@
 export const WINDOW_MS = 2000;
 
 /** One window. */
-export interface Moment {
-  /** Its begin: wall clock of the gates, in ms. */
+export interface LossWindow {
+  /** Begin on the gates' wall clock, in ms. */
   readonly from: number;
   readonly requests: number;
   readonly worth: number;
   readonly lost: number;
   readonly byCause: Readonly<Record<Cause, LossSum>>;
-  /** The cause by which most was lost. */
+  /** The cause of the largest loss. */
   readonly mainCause: Cause;
 }
 
-function buildMoment(from: number, own: readonly JudgedRequest[]): Moment {
+function buildWindow(from: number, own: readonly JudgedRequest[]): LossWindow {
   const byCause = sumByCause(own);
   const mainCause = CAUSES.reduce((most, cause) =>
     byCause[cause].worth > byCause[most].worth ? cause : most,
@@ -36,19 +36,19 @@
 }
 
 /**
- * Lists the windows in which something was lost, the worst first.
+ * Lists the windows with a loss, largest first.
  *
  * @example
- * summarizeMoments(requests)[0].mainCause;
+ * summarizeWindows(requests)[0].mainCause;
  */
-export function summarizeMoments(
+export function summarizeWindows(
   requests: readonly JudgedRequest[],
-): readonly Moment[] {
+): readonly LossWindow[] {
   const byWindow = listByKey(requests, ({arrivedAt}) =>
     String(Math.floor(arrivedAt / WINDOW_MS) * WINDOW_MS),
   );
   return [...byWindow]
-    .map(([from, own]) => buildMoment(Number(from), own))
+    .map(([from, own]) => buildWindow(Number(from), own))
     .filter(({lost}) => lost > 0)
     .sort((a, b) => b.lost - a.lost || a.from - b.from);
 }
--- a/packages/nutmeggauge/src/losses/tables.ts
+++ b/packages/nutmeggauge/src/losses/tables.ts
@@ -1,20 +1,20 @@
-/** The analysis as tables of text, for the terminal and the page. */
+/** Text tables of the analysis, for the terminal and the page. */
 import {CAUSES, CAUSE_NAMES} from './causes.js';
-import {WINDOW_MS} from './summarize-moments.js';
+import {WINDOW_MS} from './summarize-windows.js';
 import type {TextTable} from '../bench/page.js';
 import type {GateGap} from './gate-gaps.js';
 import type {EngineLosses} from './summarize-engines.js';
 import type {ForecastErrors} from './summarize-forecasts.js';
 import type {KindLosses} from './summarize-kinds.js';
 import type {LogCoverage, LossAnalysis} from './summarize-losses.js';
-import type {Moment} from './summarize-moments.js';
+import type {LossWindow} from './summarize-windows.js';
 
 /** A table with its title. */
 export interface TitledTable extends TextTable {
   readonly title: string;
 }
 
-/** Rows of a table that a reader is shown; `--json` has them all. */
+/** Rows of a table that are shown; `--json` has all. */
 const MAX_ROWS = 15;
 
 type Column<T> = readonly [title: string, read: (row: T) => string];
@@ -74,7 +74,7 @@
   ['worth (estimate)', g => formatWorth(g.estimatedWorth)],
 ];
 
-const MOMENT_COLUMNS: ReadonlyArray<Column<Moment>> = [
+const MOMENT_COLUMNS: ReadonlyArray<Column<LossWindow>> = [
   ['from', m => formatTime(m.from)],
   ['requests', m => String(m.requests)],
   ['worth', m => formatWorth(m.worth)],
@@ -87,7 +87,7 @@
   ['engine', e => e.target],
   ['answers', e => String(e.answers)],
   ['late', e => String(e.late)],
-  ['of these by a pause', e => String(e.latePauses)],
+  ['of these by inter-token latency', e => String(e.lateItl)],
   ['worth lost', e => formatWorth(e.lost)],
   ['helped with late ones', e => String(e.helpedLate)],
   ['failed attempts', e => String(e.failedAttempts)],
@@ -100,9 +100,9 @@
  * buildTables(analysis).map(({title}) => title);
  */
 export function buildTables(analysis: LossAnalysis): readonly TitledTable[] {
-  const {kinds, forecasts, gaps, moments, engines} = analysis;
+  const {kinds, forecasts, gaps, windows, engines} = analysis;
   return [
-    // Every kind and class of forecast is shown: there are few.
+    // All forecast classes are shown, as there are few.
     buildTable('Worth lost by cause (requests)', KIND_COLUMNS, kinds, Infinity),
     buildTable(
       'First event later than forecast, ms',
@@ -111,9 +111,9 @@
       Infinity,
     ),
     buildTable(
-      `Moments of ${WINDOW_MS / 1000} s, worst first`,
+      `LossWindows of ${WINDOW_MS / 1000} s, worst first`,
       MOMENT_COLUMNS,
-      moments,
+      windows,
     ),
     buildTable('Engines, most late answers first', ENGINE_COLUMNS, engines),
     buildTable('No gate there', GAP_COLUMNS, gaps),
@@ -127,10 +127,7 @@
     [coverage.repeatedLines, 'lines that stand there twice counted once'],
     [coverage.droppedLines, 'lines that gates did not write'],
     [coverage.openRequests, 'requests whose end is not in the log, left out'],
-    [
-      coverage.firstEventsWithoutForecast,
-      'first events whose forecast is not known',
-    ],
+    [coverage.withoutForecast, 'first events whose forecast is not known'],
   ];
   return counts
     .filter(([count]) => count > 0)
@@ -138,7 +135,7 @@
 }
 
 /**
- * Describes what was read and how far it can be trusted, one line each.
+ * Describes the coverage of the logs, one line each.
  *
  * @example
  * describeAnalysis(analysis)[0]; // '3 gates, 719 requests in 3 files'
--- a/packages/nutmeggauge/src/losses/worth.ts
+++ b/packages/nutmeggauge/src/losses/worth.ts
@@ -1,20 +1,17 @@
-/**
- * What a request is worth, and what is lost of it by how it ended.
- */
+/** Worth of a request, and the part that is lost by how it ended. */
 import type {Cause} from './causes.js';
 
 /**
- * Prompt tokens that add the worth of one more short request: the figure by
- * which gates weigh streams against each other.
+ * Prompt tokens worth as much as one short request, as in the gates' placement.
  */
 const TOKENS_PER_WORTH = 10_000;
 
-/** Part of its worth that a late answer loses, as gates reckon it. */
+/** Share of its worth that a late answer loses, as in the gates' placement. */
 export const LATE_LOSS = 0.75;
 
 /**
- * Estimates a request's worth: 1 for a call or a short prompt, more with the
- * prompt's length.
+ * Estimates a request's worth: 1 for a call or a short prompt, more for a
+ * longer one.
  *
  * @example
  * estimateWorth(154_000); // 16.4
@@ -24,27 +21,27 @@
 }
 
 const LATE_CAUSES: ReadonlySet<Cause> = new Set([
-  'late-surprise',
+  'late-mispredicted',
   'late-predicted',
   'late-unpredicted',
-  'late-pause',
+  'late-itl',
 ]);
 
 /**
- * True when the request was answered, but late.
+ * True if the request was answered late.
  *
  * @example
- * isLate('late-pause'); // true
+ * isLate('late-itl'); // true
  */
 export function isLate(cause: Cause | undefined): boolean {
   return cause !== undefined && LATE_CAUSES.has(cause);
 }
 
 /**
- * Estimates what is lost of `worth` by `cause`.
+ * Estimates the worth that is lost by `cause`.
  *
  * @example
- * estimateLost(2, 'late-pause'); // 1.5
+ * estimateLost(2, 'late-itl'); // 1.5
  */
 export function estimateLost(worth: number, cause: Cause | undefined): number {
   if (cause === undefined) return 0;
--- a/packages/nutmeggauge/src/measure/capacity.test.ts
+++ b/packages/nutmeggauge/src/measure/capacity.test.ts
@@ -8,8 +8,7 @@
 
 describe('capacity figures', () => {
   it('are written when a figure does not vary', () => {
-    // Control bytes of idle links were the same at every rate. The fit gave
-    // no R² (0 of 0), JSON made it null, and the page was not written.
+    // Guards against a constant figure, whose fit has no R².
     const constant = fitSlope('agent.x', 'calls', 'bytes/s', [
       [1, 155],
       [2, 155],
--- a/packages/nutmeggauge/src/properties/protocol.test.ts
+++ b/packages/nutmeggauge/src/properties/protocol.test.ts
@@ -168,9 +168,8 @@
   });
 
   it('loses nothing, doubles nothing, and says "not run" only of what did not run', async () => {
-    // Callers send and retry requests through two gates to three hosts while
-    // agents are killed, frozen and cut off, gates are replaced, targets fail
-    // after running, and the operator changes the pool, in any order.
+    // Callers send and retry requests while agents, gates and targets fail and
+    // the pool changes, in any order.
     await fc.assert(
       fc.asyncProperty(fc.array(step, {maxLength: 40}), async steps => {
         const world = new World(HOSTS, GATES);
--- a/packages/nutmeggauge/src/soak/callers.ts
+++ b/packages/nutmeggauge/src/soak/callers.ts
@@ -1,6 +1,6 @@
 /**
- * Callers of the soak: each keeps its connections open and uses them again
- * until the process behind them is gone.
+ * Callers of the soak; they keep connections open and reuse them until the
+ * process behind them is gone.
  */
 import {Agent, request} from 'node:http';
 import {buildCallHeaders, isSigned} from '@nutmeggauge/platform';
@@ -8,19 +8,22 @@
 import type {StandinKind} from '@nutmeggauge/platform';
 import type {CallerRecord} from './history.js';
 
-/** How long a caller waits, in ms: a little more than every route's timeout. */
+/** Deadline of a caller, in ms: above every route's timeout. */
 export const DEADLINE_MS = 5000;
 
-/** After its deadline a caller leaves, in ms. */
+/** A caller disconnects this long after its start, in ms. */
 const LEAVE_AFTER_MS = DEADLINE_MS + 500;
 
-/** Prompts of the soak's streams, in tokens: short, and read by several. */
+/**
+ * Prompt sizes of the soak's streams, in tokens: short ones, and one that
+ * several engines prefill.
+ */
 const PROMPT_TOKENS = [3000, 3000, 60_000] as const;
 
-/** Prompt that no engine holds alone: helpers reserve memory for it. */
+/** A prompt that needs KV cache on helpers, in tokens. */
 const HUGE_PROMPT_TOKENS = 400_000;
 
-/** One in so many streams has it. */
+/** One stream in this many has it. */
 const HUGE_EVERY = 12;
 
 /** Where a gate takes requests. */
@@ -41,7 +44,7 @@
 
   constructor(private readonly name: string) {}
 
-  /** Sends one request and waits for its end, whatever it is. */
+  /** Sends one request and waits for its end. */
   call(
     entry: GateEntry,
     kind: StandinKind,
@@ -82,7 +85,7 @@
   'requestId' | 'kind' | 'gate' | 'key' | 'sentAt'
 >;
 
-/** One request on its way. */
+/** One request under way. */
 class CallerExchange {
   private status: number | undefined;
   private hasSignature = false;
--- a/packages/nutmeggauge/src/soak/check.ts
+++ b/packages/nutmeggauge/src/soak/check.ts
@@ -1,7 +1,7 @@
 /**
- * Checks the promises against the history of a run, from what callers and
- * targets saw. Promises with a bound on time are checked only where asked
- * for: on a busy machine the bound says nothing of the gates.
+ * Checks the invariants against the history of a run, as callers and targets
+ * saw it. Invariants with a time bound are optional, as a busy machine may
+ * break them.
  */
 import {
   STANDIN_TIMEOUT_MS,
@@ -14,7 +14,7 @@
 import type {CallerRecord, PlayedFault, SoakHistory} from './history.js';
 import type {FaultAction} from './schedule.js';
 
-/** A promise that was not kept. */
+/** A broken invariant. */
 export interface Violation {
   readonly promise:
     | 'at-most-once'
@@ -38,29 +38,29 @@
 /** Statuses that promise that a request has not run and never will. */
 const NOT_RUN_STATUSES: ReadonlySet<number> = new Set([408, 421, 429, 503]);
 
-/** Most targets that one request may be sent to; the routes' own figure. */
+/** Most targets of one request, as configured for its route. */
 const MAX_ATTEMPTS = 2;
 
-/** Memory of one gate, in bytes: what its host allows. */
+/** Memory limit of one gate, in bytes. */
 const MAX_BYTES = 350 * 1024 * 1024;
 
-/** Time for a gate that was harmed to be in touch again, in ms. */
+/** Time after which a gate counts as in contact again, in ms. */
 const CONTACT_MS = 3000;
 
-/** Time until a leaving target or a revoked key must be known, in ms. */
+/** Time until a drain or a revoked key must be known, in ms. */
 const KNOWN_MS = 2000;
 
-/** Slack on every bound of time, in ms: half a second of a busy machine. */
+/** Slack on every time bound, in ms. */
 const SLACK_MS = 500;
 
-/** Share of the requests of the last calm seconds that must be served. */
+/** Share of the requests at the end that must be served. */
 const RECOVERED_SHARE = 0.9;
 
-/** How long before the end requests count for recovery, in ms. */
+/** Time before the end in which requests count for recovery, in ms. */
 const RECOVERY_WINDOW_MS = 1500;
 
 /**
- * Finds every promise that was not kept.
+ * Finds every broken invariant.
  *
  * @param hasTiming - Checks promises with a bound on time as well.
  * @example
@@ -107,7 +107,7 @@
   return found;
 }
 
-/** A success is signed and holds what targets make for this very request. */
+/** A success is signed and contains what a target made for this request. */
 function checkAnswer(record: CallerRecord): readonly Violation[] {
   const {requestId, kind, status, body, isWhole, hasGivenUp} = record;
   if (status !== 200) return [];
@@ -116,7 +116,7 @@
       ? buildCallBody(requestId)
       : buildStreamBody(requestId);
   const isRight = isWhole ? body === whole : whole.startsWith(body);
-  // A caller that left in the middle has part of an answer.
+  // A caller that disconnected has a part of the answer.
   if ((isRight || hasGivenUp) && record.isSigned) return [];
   return [
     {
@@ -165,14 +165,14 @@
 }
 
 /**
- * A SIGHUP in the moment in which Node itself starts ends it before any line
- * of the program has run: no program in this language can keep that off.
+ * A SIGHUP during Node's own start ends the process before the program can
+ * handle it.
  */
 function isBeforeProgram(exit: UnexpectedExit): boolean {
   return exit.signal === 'SIGHUP' && !exit.hadBegun;
 }
 
-/** Checks of promises that hold within a time, for gates that are in touch. */
+/** Invariants with a time bound, for gates in contact. */
 class TimedChecks {
   constructor(
     private readonly history: SoakHistory,
@@ -226,7 +226,7 @@
     return [];
   }
 
-  /** A stop that was asked for cuts off nothing that a sound target runs. */
+  /** A graceful stop cuts off nothing that a healthy target runs. */
   private checkGraceful(record: CallerRecord): readonly Violation[] {
     const {requestId, gate, sentAt, endedAt, status, isWhole} = record;
     const runs = this.runs.get(requestId) ?? [];
@@ -262,7 +262,7 @@
     return [{promise: 'recovery', requestId: undefined, detail}];
   }
 
-  /** True when the gate, its store and the store's links were calm. */
+  /** True if the gate, its store and its links had no fault. */
   private isInTouch(gate: number, at: number): boolean {
     return !this.isHarmed(
       at,
@@ -287,7 +287,7 @@
   }
 }
 
-/** Faults that harm one gate itself or a link of its own. */
+/** Faults of one gate or of its own link. */
 function isAtGate(action: FaultAction, gate: number): boolean {
   if (action.kind === 'all-gates-kill') return true;
   if (action.kind === 'gate-reload') return false;
--- a/packages/nutmeggauge/src/soak/faulty-link.test.ts
+++ b/packages/nutmeggauge/src/soak/faulty-link.test.ts
@@ -45,9 +45,7 @@
   });
 
   it('tells nobody while it is silent, and leaves no socket behind', async () => {
-    // A gate is killed behind a silent link. The other side hears nothing, as
-    // it should; but once the link is stopped it must end too: a socket that
-    // was left open kept the process of the soak, and CI with it, for good.
+    // Guards against sockets behind a silent link that keep the process alive.
     const caller = connect(port, '127.0.0.1');
     const served = await accepted;
     served.on('error', () => undefined);
--- a/packages/nutmeggauge/src/soak/faulty-link.ts
+++ b/packages/nutmeggauge/src/soak/faulty-link.ts
@@ -1,6 +1,6 @@
 /**
- * A loopback proxy for TCP that harms connections from outside: late bytes,
- * resets, one direction cut, silence.
+ * A loopback TCP proxy that injects faults: delay, resets, one-way loss,
+ * silence.
  */
 import {connect, createServer} from 'node:net';
 import {openListener} from '@nutmeggauge/core';
@@ -13,13 +13,13 @@
   | 'delay'
   /** New connections are reset. */
   | 'refuse'
-  /** Nothing arrives, neither way, and nobody is told. */
+  /** Nothing arrives in either direction, without a reset. */
   | 'silent'
-  /** Only the callers' bytes are lost, or only the answers. */
+  /** One direction is lost. */
   | 'cut-to-target'
   | 'cut-to-caller';
 
-/** Delay of late bytes, in ms: a hundred round trips within a site. */
+/** Delay, in ms. */
 const DELAY_MS = 150;
 
 /**
@@ -33,9 +33,8 @@
 export class FaultyLink {
   mode: LinkMode = 'pass';
   /**
-   * Sockets of both sides that are open. Each stands by itself: a silent link
-   * tells neither side of the other's end, and one that nobody closed would
-   * keep the process running.
+   * Open sockets of both sides. A silent link does not propagate an end, so
+   * each is closed by itself.
    */
   private readonly sockets = new Set<Socket>();
   private readonly server: Server = createServer(
@@ -54,8 +53,8 @@
   }
 
   /**
-   * Resets every connection that is open. One of which a side has ended
-   * already is closed: reset, it kept Node 20 spinning with all of a core.
+   * Resets every open connection. Half-closed ones are closed: resetting them
+   * makes Node 20 spin.
    */
   dropAll(): void {
     for (const socket of this.sockets) {
@@ -64,7 +63,7 @@
     }
   }
 
-  /** Ends every connection and stops listening. */
+  /** Closes every connection and stops listening. */
   stop(): void {
     this.server.close();
     this.dropAll();
@@ -88,7 +87,7 @@
     this.sockets.add(from);
     from.on('data', bytes => this.sendUnlessCut(cut, () => to.write(bytes)));
     from.on('end', () => this.sendUnlessCut(cut, () => to.end()));
-    // A reset on one side is one on the other; a silent link tells nobody.
+    // A reset is propagated, unless the link is silent.
     from.on('error', () => this.sendUnlessCut(cut, () => to.resetAndDestroy()));
     from.on('close', () => {
       this.sockets.delete(from);
--- a/packages/nutmeggauge/src/soak/gate-process.ts
+++ b/packages/nutmeggauge/src/soak/gate-process.ts
@@ -1,4 +1,4 @@
-/** One real gate as a process of its own, harmed from outside by signals. */
+/** A gate as a process of its own, with faults injected by signals. */
 import {spawn} from 'node:child_process';
 import {createWriteStream, writeFileSync} from 'node:fs';
 import {join} from 'node:path';
@@ -7,21 +7,21 @@
 import type {ChildProcess} from 'node:child_process';
 import type {GateAddresses} from '@nutmeggauge/platform';
 
-/** Says how hosts start the bundled program; named from the repository's root. */
+/** Contains the command that starts the bundled program. */
 const DEPLOY_FILE = 'deploy/system.toml';
 
-/** Pause between an end and the next start, in ms: as a supervisor makes it. */
+/** Pause before a restart, in ms. */
 const RESTART_MS = 300;
 
-/** Longest graceful stop, in ms: the grace in the settings and the exit. */
+/** Longest graceful stop, in ms: the grace period and the exit. */
 const STOP_LIMIT_MS = 8500;
 
-/** An end of the process that nobody asked for. */
+/** An exit that was not requested. */
 export interface UnexpectedExit {
   readonly node: string;
   readonly code: number | null;
   readonly signal: string | null;
-  /** The program had begun to run; before that, Node itself was starting. */
+  /** The program had started; before that, Node itself was starting. */
   readonly hadBegun: boolean;
 }
 
@@ -33,7 +33,7 @@
  * gate.start();
  */
 export class GateProcess {
-  /** Largest resident memory that was seen, in bytes. */
+  /** Largest resident memory, in bytes. */
   peakBytes = 0;
   private child: ChildProcess | undefined;
   private isEndExpected = false;
@@ -48,7 +48,7 @@
     this.settingsPath = join(folder, `${addresses.node}.toml`);
   }
 
-  /** Starts the process; it is started again whenever it ends. */
+  /** Starts the process, and restarts it whenever it ends. */
   start(): void {
     if (this.isClosed) return;
     const {node} = this.addresses;
@@ -79,7 +79,7 @@
     this.child?.kill('SIGKILL');
   }
 
-  /** Asks it to end gracefully; kills it when it takes longer than allowed. */
+  /** Asks it to stop; kills it after the longest graceful stop. */
   drain(): void {
     this.isEndExpected = true;
     const {child} = this;
@@ -88,28 +88,28 @@
     child?.once('exit', () => clearTimeout(timer));
   }
 
-  /** Freezes it. */
+  /** Suspends it. */
   freeze(): void {
     this.child?.kill('SIGSTOP');
   }
 
-  /** Thaws it. */
+  /** Resumes it. */
   resume(): void {
     this.child?.kill('SIGCONT');
   }
 
-  /** Changes its seeds and tells it. */
+  /** Changes its seeds and sends SIGHUP. */
   reload(seedHosts: readonly string[]): void {
     this.addresses = {...this.addresses, seedHosts};
     writeFileSync(this.settingsPath, renderSettings(this.addresses));
     this.child?.kill('SIGHUP');
   }
 
-  /** Notes the memory that it takes now. */
+  /** Samples its memory. */
   async sampleMemory(): Promise<void> {
     const pid = this.child?.pid;
     if (pid === undefined) return;
-    // The process may end between the two calls: no sample then.
+    // The process may end between the two calls.
     const usage = await pidusage(pid).catch(() => undefined);
     this.peakBytes = Math.max(this.peakBytes, usage?.memory ?? 0);
   }
--- a/packages/nutmeggauge/src/soak/history.ts
+++ b/packages/nutmeggauge/src/soak/history.ts
@@ -1,4 +1,4 @@
-/** What happened in one soak run, as callers, targets and the driver saw it. */
+/** History of a soak run, as callers, targets and the driver saw it. */
 import type {StandinKind, TargetRun} from '@nutmeggauge/platform';
 import type {UnexpectedExit} from './gate-process.js';
 import type {FaultAction} from './schedule.js';
@@ -12,24 +12,24 @@
   /** On the driver's monotonic clock, in ms. */
   readonly sentAt: number;
   readonly endedAt: number;
-  /** Absent when no head of an answer came. */
+  /** Absent without a head. */
   readonly status: number | undefined;
   readonly isSigned: boolean;
-  /** The answer came to its proper end. */
+  /** The answer is complete. */
   readonly isWhole: boolean;
   readonly body: string;
-  /** The caller left when its deadline had passed. */
+  /** The caller disconnected after its deadline. */
   readonly hasGivenUp: boolean;
 }
 
-/** One fault as it was played. */
+/** An injected fault. */
 export interface PlayedFault {
   readonly action: FaultAction;
   readonly beganAt: number;
   readonly endedAt: number;
 }
 
-/** A fact that the store was told, which the gates must then follow. */
+/** A fact that was published to the store. */
 export interface PublishedFact {
   readonly kind: 'target-draining' | 'key-revoked';
   /** Target's incarnation, or the key. */
@@ -37,7 +37,7 @@
   readonly at: number;
 }
 
-/** Everything that the checks look at. */
+/** Input of the checks. */
 export interface SoakHistory {
   readonly startedAt: number;
   readonly endedAt: number;
--- a/packages/nutmeggauge/src/soak/regression-seeds.ts
+++ b/packages/nutmeggauge/src/soak/regression-seeds.ts
@@ -1,6 +1,6 @@
-/** Seeds that ever showed a fault, each with its cause; the tests play them. */
+/** Seeds that have shown a fault, with its cause. */
 
-/** One seed and what it showed. */
+/** A seed and the fault that it showed. */
 export interface RegressionSeed {
   readonly seed: number;
   readonly cause: string;
--- a/packages/nutmeggauge/src/soak/run-soaks.ts
+++ b/packages/nutmeggauge/src/soak/run-soaks.ts
@@ -1,20 +1,20 @@
-/** Plays many seeds of the soak, each in a process of its own. */
+/** Runs many seeds of the soak, each in a process of its own. */
 import {spawn} from 'node:child_process';
 import {join} from 'node:path';
 import {runSoak} from './soak.js';
 import type {SoakOptions, SoakResult} from './soak.js';
 
-/** Seeds to play. */
+/** Seeds to run. */
 export interface SoakSeries extends SoakOptions {
-  /** How many seeds, from `seed` on. */
+  /** Number of seeds, starting with `seed`. */
   readonly seeds: number;
-  /** How many at once. */
+  /** Number of concurrent runs. */
   readonly jobs: number;
 }
 
 /**
- * Plays one seed here, or several in child processes: the loopback hosts of a
- * run belong to its process.
+ * Runs one seed here, or several in child processes: loopback hosts belong to a
+ * process.
  *
  * @returns True when every promise was kept.
  * @example
--- a/packages/nutmeggauge/src/soak/schedule.ts
+++ b/packages/nutmeggauge/src/soak/schedule.ts
@@ -1,6 +1,6 @@
 /**
- * A random schedule of faults, the same for the same seed. Faults come in
- * series and overlap; the last seconds are calm, so that recovery shows.
+ * Random schedule of faults, determined by a seed. Faults overlap; the last
+ * seconds are calm, for recovery.
  */
 import {uniformInt} from 'pure-rand/distribution/uniformInt';
 import {xoroshiro128plus} from 'pure-rand/generator/xoroshiro128plus';
@@ -44,13 +44,13 @@
 
 /** One fault. */
 export interface ScheduledFault {
-  /** Begin, in ms from the start of the load. */
+  /** Start, in ms from the start of the load. */
   readonly atMs: number;
   readonly forMs: number;
   readonly action: FaultAction;
 }
 
-/** Sizes of the system under the soak. */
+/** Sizes of the system. */
 export interface SoakSizes {
   readonly gates: number;
   readonly targets: number;
@@ -58,13 +58,13 @@
   readonly lengthMs: number;
 }
 
-/** Calm at the end, in ms: past every time-out of the gates. */
+/** Calm time at the end, in ms: above every timeout of the gates. */
 export const CALM_MS = 5000;
 
-/** Mean pause between two begins, in ms: two or three faults at a time. */
+/** Mean time between the starts of two faults, in ms. */
 const PAUSE_MS = 450;
 
-/** Shortest and longest fault, in ms: below and past each time-out. */
+/** Shortest and longest fault, in ms: below and above every timeout. */
 const SHORTEST_MS = 100;
 const LONGEST_MS = 3500;
 
--- a/packages/nutmeggauge/src/soak/soak-world.ts
+++ b/packages/nutmeggauge/src/soak/soak-world.ts
@@ -1,6 +1,6 @@
 /**
- * The system under the soak: real gates as processes, stand-ins of store and
- * targets, and a faulty link on each way between them.
+ * The system under test: gates as processes, stand-ins of store and targets,
+ * and a faulty link between each pair.
  */
 import {mkdirSync} from 'node:fs';
 import {buildLoopbackHost} from '@nutmeggauge/core';
@@ -21,13 +21,13 @@
 const READY_PORT = 24_101;
 const PEER_PORT = 24_110;
 
-/** Targets from this one on are plain services, those before engines. */
+/** Targets from this index on are plain services, those before engines. */
 const FIRST_PLAIN = 4;
 
-/** Time until the entry of a target that went silent is removed, in ms. */
+/** Time until the entry of a silent target expires, in ms. */
 const LAPSE_MS = 1500;
 
-/** How long a leaving target goes on serving, in ms. */
+/** How long a draining target goes on serving, in ms. */
 const LEAVE_MS = 3500;
 
 interface Slot {
@@ -54,7 +54,7 @@
   readonly runs: TargetRun[] = [];
   readonly published: PublishedFact[] = [];
   readonly exits: UnexpectedExit[] = [];
-  /** Key that is in force; older ones were taken away. */
+  /** The key in force; earlier ones are revoked. */
   key = 'key-1';
   private readonly slots: Slot[] = [];
   private readonly retired: TargetStandin[] = [];
@@ -73,12 +73,12 @@
     return this.gates.map(gate => gate.entry);
   }
 
-  /** Largest memory that any gate took, in bytes. */
+  /** Largest memory of any gate, in bytes. */
   get peakBytes(): number {
     return Math.max(...this.gates.map(gate => gate.process.peakBytes));
   }
 
-  /** Starts everything; the gates may take a moment more. */
+  /** Starts everything; the gates may take longer. */
   async start(): Promise<void> {
     mkdirSync(this.folder, {recursive: true});
     const storePort = await this.store.start();
@@ -104,19 +104,19 @@
     await this.store.stop();
   }
 
-  /** Notes the memory of every gate. */
+  /** Samples the memory of every gate. */
   async sampleMemory(): Promise<void> {
     await Promise.all(this.gates.map(gate => gate.process.sampleMemory()));
   }
 
-  /** Lists reservations that are held at any target, gone ones included. */
+  /** Lists reservations held at any target, former ones included. */
   listHeldTickets(): readonly string[] {
     return [...this.slots.map(({standin}) => standin), ...this.retired].flatMap(
       standin => standin.listHeld().map(ticket => `${standin.id}/${ticket}`),
     );
   }
 
-  /** Begins a fault and returns what ends it. */
+  /** Starts a fault; the result ends it. */
   begin(action: FaultAction): () => void {
     switch (action.kind) {
       case 'gate-kill':
@@ -163,7 +163,7 @@
     }
   }
 
-  /** Does something that has no end of its own. */
+  /** Runs a fault without an end. */
   private runOnce(act: () => void): () => void {
     act();
     return () => undefined;
@@ -173,7 +173,7 @@
     link.mode = mode;
     return () => {
       link.mode = 'pass';
-      // Connections that lost bytes are good for nothing more.
+      // Connections that lost bytes cannot be used again.
       link.dropAll();
     };
   }
@@ -218,7 +218,7 @@
     return {standin, link};
   }
 
-  /** Ends a target without notice; another takes its place. */
+  /** Kills a target without notice and replaces it. */
   private killTarget(index: number): void {
     const {standin, link} = this.slots[index];
     this.retired.push(standin);
@@ -228,7 +228,7 @@
     void this.replaceTarget(index);
   }
 
-  /** Lets a target leave as planned; another takes its place. */
+  /** Drains a target and replaces it. */
   private drainTarget(index: number): void {
     const {standin, link} = this.slots[index];
     this.retired.push(standin);
--- a/packages/nutmeggauge/src/soak/soak.test.ts
+++ b/packages/nutmeggauge/src/soak/soak.test.ts
@@ -12,7 +12,7 @@
 
 const SIZES = {gates: 3, targets: 6, lengthMs: 14_000};
 
-/** A seed of its own for CI, with no fault known. */
+/** A seed for CI without a known fault. */
 const USUAL_SEED = 1;
 
 describe('soak schedule', () => {
@@ -29,8 +29,8 @@
   for (const seed of seeds)
     it(`keeps every promise under the faults of seed ${seed}`, async () => {
       const runDir = mkdtempSync(join(tmpdir(), 'nutmeggauge-soak-'));
-      // Bounds on time are left out: CI's machine may be busy. A process of
-      // its own, as `--seeds` does it: what a run leaves open ends with it.
+      // Without time bounds, as CI may be busy; in a process of its own, so
+      // that everything ends with it.
       const words = ['soak', '--seed', String(seed), '--no-timing'];
       try {
         const {stdout} = await execFileAsync(process.execPath, [
--- a/packages/nutmeggauge/src/soak/soak.ts
+++ b/packages/nutmeggauge/src/soak/soak.ts
@@ -1,6 +1,6 @@
 /**
- * The fault soak: real gates as processes, random faults from outside, and
- * the promises checked from what callers and targets saw.
+ * Fault soak: gates as processes, random faults, and invariants checked from
+ * what callers and targets saw.
  */
 import {writeFileSync} from 'node:fs';
 import {join} from 'node:path';
@@ -14,33 +14,33 @@
 import type {CallerRecord, PlayedFault, SoakHistory} from './history.js';
 import type {ScheduledFault} from './schedule.js';
 
-/** Callers, and the pause between two requests of each, in ms: 60 a second. */
+/** Number of callers, and the time between two requests of each, in ms. */
 const CALLERS = 12;
 const REQUEST_EVERY_MS = 200;
 
 /** Time for the gates to start before the load, in ms. */
 const START_MS = 1500;
 
-/** After the last request, past every lease of engine memory, in ms. */
+/** Time after the last request, in ms: above every KV lease. */
 const SETTLE_MS = 4500;
 
-/** How often the gates' memory is read, in ms. */
+/** How often memory is sampled, in ms. */
 const MEMORY_EVERY_MS = 1000;
 
-/** How one run is played. */
+/** Options of a run. */
 export interface SoakOptions {
   readonly seed: number;
   readonly gates: number;
   readonly targets: number;
   /** Length of the load, in ms. */
   readonly lengthMs: number;
-  /** Checks promises with a bound on time too. */
+  /** Also checks invariants with a time bound. */
   readonly hasTiming: boolean;
-  /** Folder of the gates' settings and logs. */
+  /** Folder for settings and logs of the gates. */
   readonly runDir: string;
 }
 
-/** What one run showed. */
+/** Result of a run. */
 export interface SoakResult {
   readonly seed: number;
   readonly requests: number;
@@ -50,7 +50,7 @@
 }
 
 /**
- * Plays one seed.
+ * Runs one seed.
  *
  * @example
  * const {violations} = await runSoak({seed: 7, gates: 3, targets: 6, lengthMs: 12_000, hasTiming: true, runDir: 'runs/soak-7'});
@@ -119,7 +119,7 @@
   return {action: fault.action, beganAt, endedAt: performance.now()};
 }
 
-/** Sends at a steady pace, waiting for no answer, until the load ends. */
+/** Sends at a constant rate, without waiting for answers. */
 async function runCaller(
   world: SoakWorld,
   index: number,
@@ -144,7 +144,7 @@
   return records;
 }
 
-/** Keeps what the checks saw beside the gates' logs. */
+/** Writes the history beside the gates' logs. */
 function writeHistory(
   runDir: string,
   history: SoakHistory,
--- a/packages/nutmeggauge/src/spec/import-circles.test.ts
+++ b/packages/nutmeggauge/src/spec/import-circles.test.ts
@@ -45,8 +45,7 @@
 }
 
 describe('import circles', () => {
-  // Two modules that import each other can only be understood, tested and
-  // moved together, and which of them is evaluated first depends on who asks.
+  // Modules that import each other cannot be understood or tested apart.
   const packages = readdirSync('packages').map(name => join('packages', name));
   for (const folder of [...packages, 'platform'])
     it(`${folder} has none`, () => {
--- a/packages/nutmeggauge/src/spec/model-check.test.ts
+++ b/packages/nutmeggauge/src/spec/model-check.test.ts
@@ -16,7 +16,7 @@
   readonly isFair?: boolean;
 }
 
-/** Runs spin's exhaustive check and returns the number of errors found. */
+/** Runs spin's exhaustive check; returns the number of errors. */
 function checkSpec({spec, defines = [], ltl, isFair}: SpecRun): number {
   const dir = mkdtempSync(join(tmpdir(), 'ng-spin-'));
   const source = new URL(`../../../../spec/${spec}.pml`, import.meta.url);
@@ -45,14 +45,14 @@
   });
 
   it('finds the double run when a keyed request may move to another agent after not-run', () => {
-    // The mutation is the rule the gate had before: the caller's first call
-    // is moved off its home agent and runs elsewhere; the retry runs at home.
+    // Mutation: the first call runs away from its home agent, the retry at
+    // home.
     const defines = ['-DKEYED_RETRY'];
     expect(checkSpec({spec: 'at-most-once', defines})).toEqual(1);
   });
 
   it('finds the double run when the home is chosen among usable targets', () => {
-    // The home books the order and dies; the retry finds another home.
+    // Mutation: the home runs the order and dies; the retry finds another home.
     const defines = ['-DHOME_AMONG_USABLE'];
     expect(checkSpec({spec: 'at-most-once', defines})).toEqual(1);
   });
@@ -75,7 +75,8 @@
   });
 
   it('finds the late order that stands for good when agents compare only once', () => {
-    // The old agent confirms, pauses, and orders after its replacement did.
+    // Mutation: the old agent confirms, is suspended, and orders after its
+    // replacement.
     const defines = ['-DNO_ROUNDS'];
     expect(checkSpec({spec: 'fencing', defines, ltl: 'settles'})).toEqual(1);
   });
--- a/packages/nutmeggauge/src/test/gate-lines.ts
+++ b/packages/nutmeggauge/src/test/gate-lines.ts
@@ -6,11 +6,11 @@
 /** Fields of a line. */
 export type LineFields = Readonly<Record<string, unknown>>;
 
-/** Wall clock at which the tests' stories begin, in ms. */
+/** Wall clock at the start of the tests' logs, in ms. */
 export const T0 = 1_800_000_000_000;
 
 /**
- * Builds a line of `g1`, `ms` after the story's begin.
+ * Builds a line of `g1`, `ms` after the start.
  *
  * @example
  * buildLine(0, 'gate_started', {zone: 'a'});
@@ -38,10 +38,10 @@
     requestId,
     attempt: 1,
     tokens: 5000,
-    first: 'e1',
+    decoder: 'e1',
     helpers: [],
-    partMs: 40,
-    predictedFirstMs: 100,
+    shardMs: 40,
+    predictedTtftMs: 100,
     factsAgeMs: 20,
     ...fields,
   });
@@ -51,7 +51,7 @@
  * Builds the line of a stream that ended.
  *
  * @example
- * buildEnded(900, 'q', {ms: 900, firstMs: 400});
+ * buildEnded(900, 'q', {ms: 900, ttftMs: 400});
  */
 export function buildEnded(
   ms: number,
@@ -66,8 +66,8 @@
     status: 200,
     target: 'e1',
     tokens: 5000,
-    firstMs: 100,
-    gapMs: 40,
+    ttftMs: 100,
+    maxItlMs: 40,
     ms: 500,
     ...fields,
   });
@@ -102,7 +102,7 @@
 }
 
 /**
- * Writes a log; text stands in it as it is.
+ * Writes a log; strings are written as they are.
  *
  * @returns Its path.
  * @example
--- a/packages/nutmeggauge/src/timeline/explain.test.ts
+++ b/packages/nutmeggauge/src/timeline/explain.test.ts
@@ -6,7 +6,7 @@
 import {explainRequest} from './explain.js';
 import {mergeTimeline} from './merge.js';
 
-/** Writes lines as a collector prints them and reads them back. */
+/** Writes lines as a collector does and reads them back. */
 function mergeLines(lines: readonly object[]) {
   const file = join(mkdtempSync(join(tmpdir(), 'timeline-')), 'all.log');
   const text = lines.map(line => `  12.0 front-1 ${JSON.stringify(line)}`);
@@ -16,8 +16,7 @@
 
 describe('explain', () => {
   it('shows why a request failed, and nothing of others', () => {
-    // A caller complains of a failed request. Its target had begun to leave
-    // two seconds before; another gate's troubles are not the cause.
+    // Guards against explaining a failure by events of another gate.
     const events = mergeLines([
       {t: 1000, proc: 'g1', event: 'target_changed', id: 'i-1'},
       {t: 2000, proc: 'g2', event: 'store_lost'},
@@ -27,14 +26,14 @@
         proc: 'g1',
         event: 'stream_placed',
         requestId: 'q',
-        first: 'i-1',
+        decoder: 'i-1',
       },
       {
         t: 3001,
         proc: 'g1',
         event: 'stream_placed',
         requestId: 'r',
-        first: 'i-1',
+        decoder: 'i-1',
       },
       {
         t: 3500,
--- a/packages/nutmeggauge/src/timeline/explain.ts
+++ b/packages/nutmeggauge/src/timeline/explain.ts
@@ -1,20 +1,20 @@
 /**
- * `nutmeggauge explain`: one request's way through all processes, with what
- * was known of its targets and of the configuration meanwhile.
+ * `nutmeggauge explain`: the log lines of one request, with the state of its
+ * targets and the configuration meanwhile.
  */
 import type {TimelineEvent} from './merge.js';
 
 /**
- * How long before a request its context begins, in ms: a target's leaving or
- * a lost dependency shows in requests up to some seconds later.
+ * Time before a request that is shown, in ms: causes such as a target's drain
+ * precede it by seconds.
  */
 const CONTEXT_BEFORE_MS = 5000;
 
-/** How long after a request its context ends, in ms. */
+/** Time after a request that is shown, in ms. */
 const CONTEXT_AFTER_MS = 500;
 
 /** Fields of a line that name targets. */
-const TARGET_FIELDS = ['target', 'first', 'tried', 'helpers', 'id'] as const;
+const TARGET_FIELDS = ['target', 'decoder', 'tried', 'helpers', 'id'] as const;
 
 /** Changes of state that concern every request of a process. */
 const PROCESS_EVENTS: ReadonlySet<string> = new Set([
@@ -43,8 +43,8 @@
 }
 
 /**
- * Picks the lines that explain one request: its own, those of its targets,
- * and changes of state at the processes that it passed.
+ * Picks the lines that explain a request: its own, those of its targets, and
+ * changes of state at its processes.
  *
  * @param events - A merged time line.
  * @example
--- a/packages/nutmeggauge/src/timeline/log-files.ts
+++ b/packages/nutmeggauge/src/timeline/log-files.ts
@@ -1,24 +1,20 @@
-/**
- * Reading of log files: which files a command was given, and the JSON line
- * behind whatever a collector put before it.
- */
+/** Reads log files: JSON lines, after any prefix that a collector adds. */
 import {readFileSync, readdirSync, statSync} from 'node:fs';
 import {join} from 'node:path';
 import {InputFileError} from '../cli/errors.js';
 
-/** One line of a log, before anything is known of its fields. */
+/** A log line before its fields are checked. */
 export interface RawLine {
-  /** What stood before the JSON, without spaces at its ends. */
+  /** The text before the JSON, trimmed. */
   readonly prefix: string;
   /** The JSON text. */
   readonly text: string;
-  /** The parsed object; absent when the text is not a JSON object. */
+  /** The parsed object; absent if the text is not a JSON object. */
   readonly fields: Readonly<Record<string, unknown>> | undefined;
 }
 
 /**
- * Lists the files that paths stand for: each file itself, and every `.log`
- * file of a folder.
+ * Lists the files of paths: each file, and every `.log` file of a folder.
  *
  * @throws InputFileError when a path does not exist or no file is named.
  * @example
@@ -51,7 +47,7 @@
 }
 
 /**
- * Reads the lines of one file that hold a JSON object or the beginning of one.
+ * Reads the lines of a file that contain a JSON object or the beginning of one.
  *
  * @throws InputFileError when the file cannot be read.
  * @example
@@ -68,7 +64,7 @@
 }
 
 function parseRawLine(line: string): RawLine | undefined {
-  // Whoever collected the lines may have put a prefix before them.
+  // Collectors may add a prefix.
   const start = line.indexOf('{');
   if (start < 0) return undefined;
   const prefix = line.slice(0, start).trim();
@@ -83,7 +79,7 @@
       ? (value as Record<string, unknown>)
       : undefined;
   } catch {
-    // Cut while it was written, or not a line of ours.
+    // Truncated, or not JSON.
     return undefined;
   }
 }
--- a/packages/nutmeggauge/src/timeline/merge.ts
+++ b/packages/nutmeggauge/src/timeline/merge.ts
@@ -1,6 +1,6 @@
 /**
- * `nutmeggauge timeline`: merges the JSON log lines of every process of a
- * run into one time line ordered by stamp.
+ * `nutmeggauge timeline`: merges the JSON log lines of all processes, ordered
+ * by timestamp.
  */
 import {listLogFiles, readRawLines} from './log-files.js';
 
@@ -14,8 +14,8 @@
 }
 
 /**
- * Reads `.log` files (or every `.log` file of a folder) and merges them.
- * Lines that are not JSON are passed over.
+ * Reads `.log` files (or every `.log` file of a folder) and merges them,
+ * ignoring lines that are not JSON.
  *
  * @throws InputFileError when there is no file, or one cannot be read.
  * @example
@@ -31,11 +31,11 @@
   return events.sort((a, b) => a.t - b.t || a.proc.localeCompare(b.proc));
 }
 
-/** Largest stamp that a date can show, in ms (ECMA-262, time values). */
+/** Largest timestamp of a date, in ms (ECMA-262, time values). */
 const MAX_DATE_MS = 8.64e15;
 
 /**
- * True for a line of ours; one of another program has other fields.
+ * True for a log line of nutmeggauge.
  *
  * @example
  * isTimelineEvent({t: 0, proc: 'gate-1', event: 'gate_started'}); // true
@@ -52,7 +52,7 @@
   );
 }
 
-/** Fields printed in the fixed columns of a time line row, or left out. */
+/** Fields printed in the fixed columns of a row, or omitted. */
 const TIMELINE_HEAD: ReadonlySet<string> = new Set([
   't',
   'proc',
--- a/packages/standins/src/engine/options.ts
+++ b/packages/standins/src/engine/options.ts
@@ -62,9 +62,9 @@
    */
   readonly fencing?: FencingMode;
   /**
-   * Letter that this engine's tokens begin with (` t0 t1 …`). Engines of
-   * different letters stand for sampling: two runs of a prompt differ, so a
-   * caller who is given pieces of both can be told from one who is not.
+   * Letter that this engine's tokens begin with (` t0 t1 …`): different letters
+   * stand for sampling, so pieces of two runs can be told apart.
+   *
    * @default 't'
    */
   readonly tokenLetter?: string;
--- a/packages/standins/src/engine/scheduler.test.ts
+++ b/packages/standins/src/engine/scheduler.test.ts
@@ -14,9 +14,7 @@
   });
 
   it('comes back when its lease expires, though nobody cancels', () => {
-    // The agent beside the engine freezes while a schedule review runs: its
-    // socket stays open, so no cancel and no close ever comes. Without a
-    // lease the review's memory would be lost until the engine restarts.
+    // Guards against KV cache that a vanished caller holds for good.
     const scheduler = new EngineScheduler(resolveEngineOptions({id: 'e'}));
     scheduler.submit(
       {
--- a/packages/standins/src/engine/scheduler.ts
+++ b/packages/standins/src/engine/scheduler.ts
@@ -48,7 +48,7 @@
   reserved: boolean;
 }
 
-/** Part of a prompt that one step reads. */
+/** Prefill work of one step. */
 interface PrefillRead {
   readonly sequence: Sequence;
   readonly tokens: number;
@@ -57,7 +57,7 @@
 /** Shortest step, in ms. */
 const MIN_STEP_MS = 1;
 
-/** How soon an engine whose memory is all reserved looks again, in ms. */
+/** How soon an engine whose KV cache is full checks again, in ms. */
 const IDLE_RECHECK_MS = 20;
 
 /** Load figures of one engine. */
@@ -196,9 +196,8 @@
   }
 
   /**
-   * Guards against memory lost for good: a caller that vanished without a
-   * cancel would hold its KV reservation forever. Every reservation is a
-   * lease; once it runs out the sequence is ended and its memory freed.
+   * Ends sequences whose lease has expired, so that a vanished caller does not
+   * hold KV cache for good.
    */
   private expireLeases(now: number): void {
     for (const sequence of [...this.waiting, ...this.running]) {
@@ -226,7 +225,7 @@
         sequence.promptTokens,
         hits * this.options.blockTokens,
       );
-      // The last token is always read: it produces the first new one.
+      // The last token is always prefilled: it produces the first new one.
       sequence.prefillLeft = Math.max(
         1,
         sequence.promptTokens - sequence.cachedTokens,
@@ -235,7 +234,7 @@
     }
   }
 
-  /** Shares the step's chunk over the prompts still to be read, in priority order. */
+  /** Shares the step's chunk over the queued prompts, in priority order. */
   private planPrefill(): PrefillRead[] {
     let budget = this.options.prefillChunkTokens;
     const reads: PrefillRead[] = [];
@@ -273,7 +272,7 @@
   }
 }
 
-/** An answer that is resumed goes on in the letter it was begun in. */
+/** A resumed answer keeps its letter. */
 function readTokenLetter(request: SequenceRequest): string | undefined {
   return / (\D)\d+$/.exec(request.resume?.text ?? '')?.[1];
 }
--- a/packages/standins/src/engine/server.ts
+++ b/packages/standins/src/engine/server.ts
@@ -56,7 +56,7 @@
     this.scheduler = new EngineScheduler(options);
     this.orders = new OrderBook(options.fencing);
     this.reported = this.scheduler.readLoad();
-    // Load is published with a lag, as real engines do: routers see the past.
+    // Load is published with a lag, as by real engines.
     this.lagTimer = setInterval(
       () => (this.reported = this.scheduler.readLoad()),
       options.loadLagMs,
@@ -136,10 +136,10 @@
       sendJson(res, 503, {error: 'overloaded'});
       return;
     }
-    // The log outlives the process: a run with kills is judged from it.
+    // The log outlives the process.
     this.log.info('sequence_submitted', {requestId});
     startSse(res);
-    // A caller that goes away must not keep KV memory: cancel at once.
+    // A caller that disconnects must not hold KV cache.
     res.on('close', () => {
       if (!ended) this.scheduler.cancel(requestId);
     });
--- a/packages/standins/src/plain-service/server.ts
+++ b/packages/standins/src/plain-service/server.ts
@@ -84,7 +84,7 @@
         op: call.op,
         at: Date.now(),
       });
-      // The log outlives the process: a run with kills is judged from it.
+      // The log outlives the process.
       log.info('call_executed', {
         requestId: call.requestId,
         ledgerKey: call.ledgerKey,
