--- a/packages/direct/src/errors.ts
+++ b/packages/direct/src/errors.ts
@@ -13,7 +13,7 @@
   override name = 'StoreUnavailableError';
 }
 
-/** The store has dropped the history after a watch's revision. */
+/** The store does not have the history after a watch's position. */
 export class HistoryLostError extends DirectGateError {
   override name = 'HistoryLostError';
 }
--- a/packages/direct/src/fleet/fleet-state.test.ts
+++ b/packages/direct/src/fleet/fleet-state.test.ts
@@ -1,8 +1,9 @@
 import {describe, it} from 'node:test';
 import {expect} from 'earl';
-import {buildTarget} from '../test/build-target.js';
+import {buildPosition, buildTarget} from '../test/build-target.js';
 import {buildConfig} from '../test/gate-world.js';
-import {LAPSE_HOLD_MS, createFleetState} from './fleet-state.js';
+import {createFleetState} from './fleet-state.js';
+import {LAPSE_HOLD_MS} from './target-table.js';
 import type {Target} from '../types.js';
 
 function listIds(state: ReturnType<typeof createFleetState>): string[] {
@@ -16,12 +17,13 @@
   it('never goes back to an older configuration', () => {
     // Guards against a cut-off peer that brings back a revoked key.
     const state = createFleetState(() => 0);
-    state.applyChange({kind: 'config', config: buildConfig(7)}, 10);
+    state.applyChange({kind: 'config', config: buildConfig(7)});
     state.applyShared({
-      revision: 20,
+      position: buildPosition(20),
       config: buildConfig(5, {accounts: [{name: 'old', keys: ['old-key']}]}),
       targets: [],
       held: [],
+      doubts: [],
     });
     expect(state.config?.version).toEqual(7);
     expect(state.findAccount('old-key')).toEqual(undefined);
@@ -33,7 +35,7 @@
     let now = 0;
     const state = createFleetState(() => now);
     state.applySnapshot({
-      revision: 5,
+      position: buildPosition(5),
       config: buildConfig(1),
       targets: [buildTarget('a', 3), buildTarget('b', 4)],
       malformed: [],
@@ -41,13 +43,13 @@
     now = 10_000;
     state.markStoreBack();
     state.applySnapshot({
-      revision: 9,
+      position: buildPosition(9),
       config: undefined,
       targets: [],
       malformed: [],
     });
     expect(listIds(state)).toEqual(['a', 'b']);
-    state.applyChange({kind: 'target', target: buildTarget('a', 12)}, 12);
+    state.applyChange({kind: 'target', target: buildTarget('a', 12)});
     now += LAPSE_HOLD_MS + 1;
     state.expireHeld();
     expect(listIds(state)).toEqual(['a']);
@@ -61,23 +63,22 @@
       ['a', 3],
       ['b', 4],
     ] as const)
-      state.applyChange(
-        {kind: 'target', target: buildTarget(id, revision)},
-        revision,
-      );
+      state.applyChange({kind: 'target', target: buildTarget(id, revision)});
     state.markStoreBack(5000);
     for (const [name, revision] of [
       ['a', 8],
       ['b', 9],
     ] as const)
-      state.applyChange(
-        {kind: 'target-gone', name, revision, isMalformed: false},
-        revision,
-      );
+      state.applyChange({
+        kind: 'target-gone',
+        name,
+        position: buildPosition(revision),
+        isMalformed: false,
+      });
     expect(listIds(state)).toEqual(['a', 'b']);
-    state.confirmRemovals(7);
+    state.confirmRemovals(buildPosition(7));
     expect(listIds(state)).toEqual(['a', 'b']);
-    state.confirmRemovals(8);
+    state.confirmRemovals(buildPosition(8));
     expect(listIds(state)).toEqual(['b']);
   });
 
@@ -85,53 +86,64 @@
     // Guards against holding a target that was draining before the outage.
     const state = createFleetState(() => 0);
     state.applySnapshot({
-      revision: 5,
+      position: buildPosition(5),
       config: undefined,
       targets: [buildTarget('a', 3, true), buildTarget('b', 4)],
       malformed: [],
     });
     state.markStoreBack();
-    state.applyChange(
-      {kind: 'target-gone', name: 'a', revision: 8, isMalformed: false},
-      8,
-    );
+    state.applyChange({
+      kind: 'target-gone',
+      name: 'a',
+      position: buildPosition(8),
+      isMalformed: false,
+    });
     expect(state.findTarget('a')).toEqual(undefined);
   });
 
   it('removes a target at once while the store is sound', () => {
     const state = createFleetState(() => 100_000);
-    state.applyChange({kind: 'target', target: buildTarget('a', 3)}, 3);
-    state.applyChange(
-      {kind: 'target-gone', name: 'a', revision: 4, isMalformed: false},
-      4,
-    );
+    state.applyChange({kind: 'target', target: buildTarget('a', 3)});
+    state.applyChange({
+      kind: 'target-gone',
+      name: 'a',
+      position: buildPosition(4),
+      isMalformed: false,
+    });
     expect(listIds(state)).toEqual([]);
   });
 
   it('takes newer facts from another gate and leaves older ones', () => {
     // Guards against a drain that a cut-off gate does not learn from its peers.
     const state = createFleetState(() => 0);
-    state.applyChange({kind: 'target', target: buildTarget('a', 3)}, 3);
+    state.applyChange({kind: 'target', target: buildTarget('a', 3)});
     const shared = {
-      revision: 8,
+      position: buildPosition(8),
       config: undefined,
       targets: [buildTarget('a', 8, true)],
       held: [],
+      doubts: [],
     };
     state.applyShared(shared);
     expect(listIds(state)).toEqual([]);
-    state.applyShared({...shared, revision: 2, targets: [buildTarget('a', 2)]});
+    state.applyShared({
+      ...shared,
+      position: buildPosition(2),
+      targets: [buildTarget('a', 2)],
+    });
     expect(listIds(state)).toEqual([]);
   });
 
   it('tells a restarted target at the same address apart', () => {
     const state = createFleetState(() => 0);
-    state.applyChange({kind: 'target', target: buildTarget('a', 3)}, 3);
-    state.applyChange({kind: 'target', target: buildTarget('a2', 4)}, 4);
-    state.applyChange(
-      {kind: 'target-gone', name: 'a', revision: 5, isMalformed: false},
-      5,
-    );
+    state.applyChange({kind: 'target', target: buildTarget('a', 3)});
+    state.applyChange({kind: 'target', target: buildTarget('a2', 4)});
+    state.applyChange({
+      kind: 'target-gone',
+      name: 'a',
+      position: buildPosition(5),
+      isMalformed: false,
+    });
     expect(listIds(state)).toEqual(['a2']);
   });
 
@@ -147,7 +159,7 @@
       port: bornAt,
     });
     const apply = (target: Target) =>
-      state.applyChange({kind: 'target', target}, target.revision);
+      state.applyChange({kind: 'target', target});
     apply(buildLife(1000, 3));
     apply(buildLife(2000, 5));
     apply(buildLife(1000, 6));
@@ -159,10 +171,11 @@
       'target_added a@2000',
     ]);
     state.applyShared({
-      revision: 9,
+      position: buildPosition(9),
       config: undefined,
       targets: [buildLife(1000, 8)],
       held: [],
+      doubts: [],
     });
     expect(listIds(state)).toEqual(['a@2000']);
   });
@@ -170,11 +183,11 @@
   it('uses no target whose entry somebody else has overwritten', () => {
     // Guards against holding a target whose entry exists but cannot be decoded.
     const state = createFleetState(() => 100);
-    state.applyChange({kind: 'target', target: buildTarget('a', 3)}, 3);
-    state.applyChange({kind: 'target', target: buildTarget('b', 4)}, 4);
+    state.applyChange({kind: 'target', target: buildTarget('a', 3)});
+    state.applyChange({kind: 'target', target: buildTarget('b', 4)});
     state.markStoreBack();
     state.applySnapshot({
-      revision: 9,
+      position: buildPosition(9),
       config: undefined,
       targets: [],
       malformed: ['a'],
--- a/packages/direct/src/fleet/fleet-state.ts
+++ b/packages/direct/src/fleet/fleet-state.ts
@@ -1,8 +1,10 @@
 /**
- * Configuration and targets as known to this gate. Versions never go back,
- * whether facts come from the store or from a peer.
+ * Configuration and targets as known to this gate. Neither goes back, whether
+ * facts come from the store or from a peer.
  */
+import {NO_POSITION, isNewer, pickNewest} from './fact-position.js';
 import {createRouteTable} from './route-table.js';
+import {TargetTable} from './target-table.js';
 import type {FactChange, FactSnapshot} from '../ports.js';
 import type {
   ClientAccount,
@@ -11,40 +13,36 @@
   ServiceConfig,
   Target,
 } from '../types.js';
+import type {FactPosition} from './fact-position.js';
 import type {RouteTable} from './route-table.js';
-
-/**
- * How long after an outage of the store a target is kept although its entry is
- * missing, in ms. Live targets register again within two seconds; the rest
- * covers the delay of the watch.
- */
-export const LAPSE_HOLD_MS = 2300;
+import type {
+  FactSource,
+  RestoreCounts,
+  SharedDoubt,
+  TargetEvent,
+  TargetRead,
+  TimedName,
+} from './target-table.js';
 
 /** Versions of a gate's facts. */
 export interface FactVersions {
   /** Version of the configuration, 0 for none. */
   readonly configVersion: number;
-  /** Revision of the targets, 0 for none. */
-  readonly revision: number;
+  /** Position of the targets. */
+  readonly position: FactPosition;
 }
 
 /** Facts that a gate hands to a peer. */
 export interface SharedFacts {
-  readonly revision: number;
+  readonly position: FactPosition;
   /** Absent if the peer's is as new. */
   readonly config: FleetConfig | undefined;
-  /** Empty if the peer's revision is as new. */
+  /** Empty if the peer's position is as new. */
   readonly targets: readonly Target[];
-  /** Targets kept without an entry: name and time left in ms. */
-  readonly held: readonly (readonly [string, number])[];
-}
-
-/** A target that is kept without an entry. */
-interface HeldTarget {
-  /** When it is dropped, unless its entry is back. */
-  readonly until: number;
-  /** Revision at which the entry was missing. */
-  readonly revision: number;
+  /** Targets kept without an entry. */
+  readonly held: readonly TimedName[];
+  /** Names whose entries are left out until written again. */
+  readonly doubts: readonly SharedDoubt[];
 }
 
 /** Called with each change that took effect. */
@@ -52,17 +50,19 @@
 
 /** A change of the known facts. */
 export interface FleetEvent {
-  readonly event:
-    | 'config_applied'
-    | 'target_added'
-    | 'target_changed'
-    | 'target_removed'
-    | 'target_held';
-  readonly source: 'store' | 'peer' | 'hold_expired';
+  readonly event: 'config_applied' | TargetEvent;
+  readonly source: FactSource;
   readonly id: string;
   readonly revision: number;
 }
 
+/** A return of the store from an older copy. */
+export interface RestoreEvent extends RestoreCounts {
+  readonly source: 'store' | 'peer';
+  readonly before: FactPosition;
+  readonly after: FactPosition;
+}
+
 /**
  * Configuration and targets of this gate.
  *
@@ -73,27 +73,34 @@
 export class FleetState {
   /** Newest configuration; absent until the first is known. */
   config: FleetConfig | undefined;
-  /** Revision of the newest fact applied; compared between gates. */
-  revision = 0;
+  /** Position of the newest fact applied; compared between gates. */
+  position = NO_POSITION;
   private routes: RouteTable | undefined;
   private accounts = new Map<string, ClientAccount>();
   private services = new Map<string, ServiceConfig>();
-  /** By name. */
-  private readonly targets = new Map<string, Target>();
-  private readonly serviceById = new Map<string, string>();
-  /** Held targets by name. */
-  private readonly held = new Map<string, HeldTarget>();
-  private storeBackAt = -Infinity;
+  private readonly table: TargetTable;
   private lastOutageAt = -Infinity;
   private readonly listeners: FleetListener[] = [];
-
-  constructor(private readonly readNow: () => number) {}
+  private readonly restoreListeners: Array<(event: RestoreEvent) => void> = [];
+
+  constructor(readNow: () => number) {
+    this.table = new TargetTable({
+      readNow,
+      onChange: (event, {id, position}, source) =>
+        this.notify(event, source, id, position.revision),
+    });
+  }
 
   /** Registers a listener of changes. */
   onChange(listener: FleetListener): void {
     this.listeners.push(listener);
   }
 
+  /** Registers a listener of returns from an older copy. */
+  onRestore(listener: (event: RestoreEvent) => void): void {
+    this.restoreListeners.push(listener);
+  }
+
   /** Routes in force; absent until a configuration is known. */
   get routeTable(): RouteTable | undefined {
     return this.routes;
@@ -101,7 +108,7 @@
 
   /** True once a configuration and at least one target are known. */
   get isServing(): boolean {
-    return this.config !== undefined && this.targets.size > 0;
+    return this.config !== undefined && this.table.size > 0;
   }
 
   /** Finds the client account that holds `key`. */
@@ -116,17 +123,17 @@
 
   /** Finds a target by its name. */
   findTarget(name: string): Target | undefined {
-    return this.targets.get(name);
+    return this.table.find(name);
   }
 
   /** Finds a target by its incarnation. */
   findIncarnation(id: string): Target | undefined {
-    return [...this.targets.values()].find(target => target.id === id);
+    return this.table.list().find(target => target.id === id);
   }
 
   /** Finds the figures of an engine by its incarnation. */
   findEngine(id: string): EngineFigures | undefined {
-    const service = this.serviceById.get(id);
+    const service = this.table.findService(id);
     return service === undefined
       ? undefined
       : this.services.get(service)?.engine;
@@ -134,24 +141,21 @@
 
   /** Lists targets of a service that take new work. */
   listUsable(service: string): readonly Target[] {
-    const usable: Target[] = [];
-    for (const target of this.targets.values()) {
-      if (target.service !== service || target.isDraining) continue;
-      usable.push(target);
-    }
-    return usable;
+    return this.table
+      .list()
+      .filter(target => target.service === service && !target.isDraining);
   }
 
   /** Lists every target that is an engine. */
   listEngines(): readonly Target[] {
-    return [...this.targets.values()].filter(
-      ({service}) => this.services.get(service)?.engine !== undefined,
-    );
+    return this.table
+      .list()
+      .filter(({service}) => this.services.get(service)?.engine !== undefined);
   }
 
   /** Number of known targets. */
   get targetCount(): number {
-    return this.targets.size;
+    return this.table.size;
   }
 
   /** Start of the newest outage of the store; -Infinity before the first. */
@@ -159,6 +163,12 @@
     return this.lastOutageAt;
   }
 
+  /** Versions of the known facts. */
+  get versions(): FactVersions {
+    const {position} = this;
+    return {configVersion: this.config?.version ?? 0, position};
+  }
+
   /**
    * Records that the store answers again after an outage.
    *
@@ -166,81 +176,110 @@
    *   unknown, targets that left cannot be told from expired entries.
    */
   markStoreBack(outageAt = -Infinity): void {
-    this.storeBackAt = this.readNow();
+    this.table.markStoreBack();
     this.lastOutageAt = outageAt;
   }
 
   /** Applies a change from the store's watch. */
-  applyChange(change: FactChange, revision: number): void {
-    if (change.kind === 'config') this.applyConfig(change.config, 'store');
-    if (change.kind === 'target') this.applyTarget(change.target, 'store');
-    if (change.kind === 'target-gone') {
-      const known = this.targets.get(change.name);
-      if (known !== undefined && known.revision <= change.revision)
-        this.removeOrHold(known, 'store', change.revision, change.isMalformed);
+  applyChange(change: FactChange): void {
+    if (change.kind === 'config') {
+      this.applyConfig(change.config, 'store');
+      return;
     }
-    this.revision = Math.max(this.revision, revision);
+    const position =
+      change.kind === 'target' ? change.target.position : change.position;
+    if (position.era < this.position.era) return;
+    if (change.kind === 'target') this.table.apply(change.target, 'store');
+    else this.table.applyGone(change.name, position, change.isMalformed);
+    this.position = pickNewest([this.position, position]);
   }
 
   /** Applies a full read of the store. */
   applySnapshot(snapshot: FactSnapshot): void {
     if (snapshot.config !== undefined)
       this.applyConfig(snapshot.config, 'store');
-    const {targets, revision, malformed} = snapshot;
-    this.replaceTargets(targets, revision, 'store', new Set(malformed));
-    for (const target of snapshot.targets)
-      this.revision = Math.max(this.revision, target.revision);
+    const {targets, position} = snapshot;
+    const malformed = new Set(snapshot.malformed);
+    const known = targets.map(target => target.position);
+    const newest = pickNewest([{...position, revision: 0}, ...known]);
+    this.applyRead({targets, position, malformed}, newest, 'store');
   }
 
   /** Applies a peer's facts; older ones change nothing. */
   applyShared(shared: SharedFacts): void {
     if (shared.config !== undefined) this.applyConfig(shared.config, 'peer');
-    if (shared.revision <= this.revision) return;
-    this.replaceTargets(shared.targets, shared.revision, 'peer');
-    const now = this.readNow();
-    for (const [name, leftMs] of shared.held)
-      if (this.targets.has(name))
-        this.held.set(name, {until: now + leftMs, revision: shared.revision});
-    this.revision = shared.revision;
+    const {targets, position, held, doubts} = shared;
+    if (!isNewer(position, this.position)) return;
+    this.applyRead({targets, position, malformed: new Set()}, position, 'peer');
+    this.table.addHeld(held, position);
+    this.addDoubts(doubts, targets);
+  }
+
+  /**
+   * Merges a peer's facts into those of a gate that has just started: the peer
+   * knows what an older copy of the store revives.
+   */
+  mergeShared(shared: SharedFacts): void {
+    this.applyShared(shared);
+    const {targets, position, held, doubts} = shared;
+    if (position.era !== this.position.era) return;
+    for (const target of targets) this.table.apply(target, 'peer');
+    this.table.addHeld(held, position);
+    this.addDoubts(doubts, targets);
   }
 
   /** Describes the facts that are newer than those a peer has. */
   describeShared(known: FactVersions): SharedFacts {
-    const now = this.readNow();
     const isConfigNews = (this.config?.version ?? 0) > known.configVersion;
-    const isTargetNews = this.revision > known.revision;
+    const isTargetNews = isNewer(this.position, known.position);
     return {
-      revision: this.revision,
+      position: this.position,
       config: isConfigNews ? this.config : undefined,
-      targets: isTargetNews ? [...this.targets.values()] : [],
-      held: [...this.held].map(([name, {until}]) => [name, until - now]),
+      targets: isTargetNews ? this.table.list() : [],
+      held: this.table.listHeld(),
+      doubts: this.table.listDoubts(),
     };
   }
 
   /** Drops held targets whose entry has not come back. */
   expireHeld(): void {
-    const now = this.readNow();
-    this.dropHeld(({until}) => until <= now, 'hold_expired');
+    this.table.expire();
   }
 
   /**
-   * Drops held targets that were missing at `revision` for a gate without an
+   * Drops held targets that were missing at `position` for a gate without an
    * outage: they have left.
    */
-  confirmRemovals(revision: number): void {
-    this.dropHeld(held => held.revision <= revision, 'peer');
+  confirmRemovals(position: FactPosition): void {
+    this.table.confirmRemovals(position);
   }
 
-  private dropHeld(
-    isDue: (held: HeldTarget) => boolean,
-    source: FleetEvent['source'],
+  private applyRead(
+    read: TargetRead,
+    newest: FactPosition,
+    source: 'store' | 'peer',
   ): void {
-    for (const [name, held] of [...this.held]) {
-      if (!isDue(held)) continue;
-      this.held.delete(name);
-      const target = this.targets.get(name);
-      if (target !== undefined) this.remove(target, source);
+    const before = this.position;
+    if (read.position.era < before.era) return;
+    if (read.position.era === before.era || this.table.size === 0) {
+      this.position = pickNewest([before, newest]);
+      this.table.replace(read, source);
+      return;
     }
+    this.position = newest;
+    const counts = this.table.restore(read, source);
+    // Every gate has lost the store: none can confirm what has left.
+    this.lastOutageAt = -Infinity;
+    const event = {source, before, after: newest, ...counts};
+    for (const listener of this.restoreListeners) listener(event);
+  }
+
+  private addDoubts(
+    doubts: readonly SharedDoubt[],
+    targets: readonly Target[],
+  ): void {
+    const names = new Set(targets.map(({name}) => name));
+    this.table.addDoubts(doubts, this.position.era, names);
   }
 
   private applyConfig(config: FleetConfig, source: 'store' | 'peer'): void {
@@ -264,70 +303,9 @@
     );
   }
 
-  private applyTarget(target: Target, source: 'store' | 'peer'): void {
-    const known = this.targets.get(target.name);
-    if (known !== undefined && known.revision > target.revision) return;
-    if (known !== undefined && isEarlierLife(target, known)) return;
-    this.held.delete(target.name);
-    const isRestarted = known !== undefined && known.id !== target.id;
-    if (isRestarted) this.remove(known, source);
-    this.targets.set(target.name, target);
-    this.serviceById.set(target.id, target.service);
-    if (known === undefined || isRestarted)
-      this.notify('target_added', source, target.id, target.revision);
-    else if (known.isDraining !== target.isDraining)
-      this.notify('target_changed', source, target.id, target.revision);
-  }
-
-  private replaceTargets(
-    targets: readonly Target[],
-    revision: number,
-    source: 'store' | 'peer',
-    malformed: ReadonlySet<string> = new Set(),
-  ): void {
-    const present = new Set(targets.map(target => target.name));
-    for (const target of targets) this.applyTarget(target, source);
-    for (const known of [...this.targets.values()]) {
-      // An entry newer than the snapshot is not part of it.
-      if (present.has(known.name) || known.revision > revision) continue;
-      this.removeOrHold(known, source, revision, malformed.has(known.name));
-    }
-  }
-
-  /**
-   * @param revision - Revision at which the entry is missing.
-   * @param isMalformed - Its entry exists, but names no target.
-   */
-  private removeOrHold(
-    target: Target,
-    source: 'store' | 'peer',
-    revision: number,
-    isMalformed: boolean,
-  ): void {
-    const holdEnd = this.storeBackAt + LAPSE_HOLD_MS;
-    const isLapse =
-      source === 'store' &&
-      !isMalformed &&
-      !target.isDraining &&
-      holdEnd > this.readNow();
-    if (!isLapse) {
-      this.remove(target, source);
-      return;
-    }
-    this.held.set(target.name, {until: holdEnd, revision});
-    this.notify('target_held', source, target.id, target.revision);
-  }
-
-  private remove(target: Target, source: FleetEvent['source']): void {
-    this.targets.delete(target.name);
-    this.serviceById.delete(target.id);
-    this.held.delete(target.name);
-    this.notify('target_removed', source, target.id, target.revision);
-  }
-
   private notify(
     event: FleetEvent['event'],
-    source: FleetEvent['source'],
+    source: FactSource,
     id: string,
     revision: number,
   ): void {
@@ -336,12 +314,6 @@
   }
 }
 
-/** Says whether an entry is a late message of an earlier incarnation. */
-function isEarlierLife(target: Target, known: Target): boolean {
-  if (target.bornAt === undefined || known.bornAt === undefined) return false;
-  return target.bornAt < known.bornAt;
-}
-
 /**
  * Creates an empty state.
  *
--- a/packages/direct/src/fleet/store-watcher.test.ts
+++ b/packages/direct/src/fleet/store-watcher.test.ts
@@ -5,6 +5,7 @@
 import {FakeStore} from '../test/fake-store.js';
 import {answerWhole} from '../test/fake-target.js';
 import {buildConfig, openGateWorld} from '../test/gate-world.js';
+import {NO_POSITION} from './fact-position.js';
 import {createFleetState} from './fleet-state.js';
 import {createStoreWatcher} from './store-watcher.js';
 
@@ -54,7 +55,7 @@
         port: 80,
         zone: 'z',
         isDraining: false,
-        revision: 0,
+        position: NO_POSITION,
       });
       await new Promise(resolve => setTimeout(resolve, 3));
     }
--- a/packages/direct/src/fleet/store-watcher.ts
+++ b/packages/direct/src/fleet/store-watcher.ts
@@ -1,11 +1,13 @@
 /**
- * Follows the store: a full read, then a watch from the last revision. Lost
+ * Follows the store: a full read, then a watch from the last position. Lost
  * history leads to another full read, an outage to retries with backoff.
  */
 import {setTimeout as sleep} from 'node:timers/promises';
 import {HistoryLostError, StoreUnavailableError} from '../errors.js';
+import {pickNewest} from './fact-position.js';
 import type {DecisionLog} from '../observe/decision-log.js';
 import type {FactStore} from '../ports.js';
+import type {FactPosition} from './fact-position.js';
 import type {FleetState} from './fleet-state.js';
 
 /**
@@ -57,12 +59,13 @@
  */
 export class StoreWatcher {
   private isStopped = false;
-  private position: number | undefined;
+  private position: FactPosition | undefined;
   private backoffMs = BACKOFF_MIN_MS;
   private isDown = false;
   private answeredAt: number;
   /** First answer since the newest outage; absent before the first. */
   private contactAt: number | undefined;
+  private contactEra: number | undefined;
 
   constructor(private readonly options: StoreWatcherOptions) {
     this.answeredAt = options.readNow();
@@ -102,9 +105,9 @@
     const {store, state} = this.options;
     if (this.position === undefined) {
       const snapshot = await store.readSnapshot(SNAPSHOT_TIMEOUT_MS);
-      this.markAnswered();
+      this.markAnswered(snapshot.position.era);
       state.applySnapshot(snapshot);
-      this.position = snapshot.revision;
+      this.position = snapshot.position;
       return;
     }
     const changes = await store.waitForChanges(
@@ -112,15 +115,9 @@
       WATCH_WAIT_MS,
       WATCH_WAIT_MS + WATCH_SLACK_MS,
     );
-    this.markAnswered();
-    for (const change of changes.changes) {
-      const revision = change.kind === 'target' ? change.target.revision : 0;
-      state.applyChange(
-        change,
-        change.kind === 'target-gone' ? change.revision : revision,
-      );
-    }
-    this.position = Math.max(this.position, changes.revision);
+    this.markAnswered(changes.position.era);
+    for (const change of changes.changes) state.applyChange(change);
+    this.position = pickNewest([this.position, changes.position]);
     if (changes.changes.length > 0) await sleep(this.countBatchMs());
   }
 
@@ -129,12 +126,14 @@
     return Math.min(BATCH_MAX_MS, BATCH_MS_PER_GATE * countGates());
   }
 
-  private markAnswered(): void {
+  private markAnswered(era: number): void {
     const {state, log, readNow} = this.options;
     const silentMs = readNow() - this.answeredAt;
     const isBack = silentMs > OUTAGE_MS + WATCH_WAIT_MS || this.isDown;
     if (isBack) state.markStoreBack(this.answeredAt);
-    if (isBack || this.contactAt === undefined) this.contactAt = readNow();
+    // A copy of the store confirms nothing of the time before it.
+    if (isBack || era !== this.contactEra) this.contactAt = readNow();
+    this.contactEra = era;
     if (this.isDown) log.info('store_regained', {silentMs});
     this.isDown = false;
     this.answeredAt = readNow();
@@ -144,7 +143,10 @@
   private async handleFailure(error: Error): Promise<void> {
     const {log, state} = this.options;
     if (error instanceof HistoryLostError) {
-      log.info('store_history_lost', {position: this.position});
+      log.info('store_history_lost', {
+        ...this.position,
+        reason: error.message,
+      });
       this.position = undefined;
       return;
     }
@@ -153,7 +155,7 @@
       log.warn('store_lost', {
         reason: error.message,
         configVersion: state.config?.version,
-        revision: state.revision,
+        ...state.position,
         ageMs: this.ageMs,
       });
     this.isDown = true;
--- a/packages/direct/src/forward/open-exchanges.test.ts
+++ b/packages/direct/src/forward/open-exchanges.test.ts
@@ -1,5 +1,6 @@
 import {describe, it} from 'node:test';
 import {expect} from 'earl';
+import {buildPosition} from '../test/build-target.js';
 import {openFakeTarget} from '../test/fake-target.js';
 import {OpenExchanges} from './open-exchanges.js';
 import type {Target} from '../types.js';
@@ -9,7 +10,7 @@
   let arrive = () => undefined as void;
   const arrived = new Promise<void>(resolve => (arrive = resolve));
   const server = await openFakeTarget('e1', 'chat', () => arrive());
-  const target: Target = {...server.entry, revision};
+  const target: Target = {...server.entry, position: buildPosition(revision)};
   const exchange = exchanges.open({
     target,
     method: 'GET',
@@ -35,7 +36,12 @@
     // took its address.
     const exchanges = new OpenExchanges();
     const {target, server, ended, readFault} = await openSilent(exchanges, 5);
-    exchanges.endReplaced({...target, id: 'e9', name: 'e9', revision: 8});
+    exchanges.endReplaced({
+      ...target,
+      id: 'e9',
+      name: 'e9',
+      position: buildPosition(8),
+    });
     await ended;
     expect(await readFault()).toEqual('reset');
     server.close();
@@ -47,14 +53,19 @@
       exchanges,
       5,
     );
-    exchanges.endReplaced({...target, id: 'e0', name: 'e0', revision: 4});
+    exchanges.endReplaced({
+      ...target,
+      id: 'e0',
+      name: 'e0',
+      position: buildPosition(4),
+    });
     exchanges.endReplaced({
       ...target,
       id: 'e9',
       host: '127.0.0.9',
-      revision: 8,
+      position: buildPosition(8),
     });
-    exchanges.endReplaced({...target, revision: 8});
+    exchanges.endReplaced({...target, position: buildPosition(8)});
     expect(await readFault()).toEqual(undefined);
     exchange.cancel();
     server.close();
--- a/packages/direct/src/forward/open-exchanges.ts
+++ b/packages/direct/src/forward/open-exchanges.ts
@@ -2,6 +2,7 @@
  * Exchanges under way, by the address of their target. A server that loses
  * power resets no connection, but another one may appear at its address.
  */
+import {isNewer} from '../fleet/fact-position.js';
 import {openExchange} from './exchange.js';
 import type {Target} from '../types.js';
 import type {Exchange, ExchangeOptions} from './exchange.js';
@@ -44,7 +45,7 @@
     for (const {exchange, target: earlier} of [...sharing]) {
       // A late message about an older entry says nothing about a newer one.
       const isReplaced =
-        earlier.id !== target.id && earlier.revision < target.revision;
+        earlier.id !== target.id && isNewer(target.position, earlier.position);
       if (isReplaced) exchange.markBroken();
     }
   }
--- a/packages/direct/src/gate.test.ts
+++ b/packages/direct/src/gate.test.ts
@@ -1,7 +1,7 @@
 import {describe, it} from 'node:test';
 import {expect} from 'earl';
 import {buildLoopbackHost} from '@nutmeggauge/core';
-import {LAPSE_HOLD_MS} from './fleet/fleet-state.js';
+import {LAPSE_HOLD_MS} from './fleet/target-table.js';
 import {answerWhole} from './test/fake-target.js';
 import {buildConfig, openGateWorld} from './test/gate-world.js';
 import type {TargetScript} from './test/fake-target.js';
--- a/packages/direct/src/gate.ts
+++ b/packages/direct/src/gate.ts
@@ -2,12 +2,10 @@
  * The direct gate: one process on an entry host that forwards callers' requests
  * straight to targets.
  */
-import {createServer} from 'node:http';
 import {setTimeout as sleep} from 'node:timers/promises';
 import {
   createCounters,
   createLatencyHistogram,
-  openListener,
   findHome,
 } from '@nutmeggauge/core';
 import {
@@ -20,17 +18,17 @@
 import {EngineSlowdowns} from './health/engine-slowdowns.js';
 import {createTargetHealth} from './health/target-health.js';
 import {createIngress} from './ingress/ingress.js';
-import {renderMetrics} from './observe/metrics-text.js';
+import {StatusServer} from './observe/status-server.js';
 import {PeerGroup} from './peers/peer-group.js';
 import {createLoadTracker} from './placement/load-tracker.js';
 import {createCallPlacer} from './placement/place-call.js';
 import {PromptPlacer} from './placement/prompt-placer.js';
 import {createSharedRetryBudget} from './retry/shared-retry-budget.js';
-import type {IncomingMessage, Server, ServerResponse} from 'node:http';
 import type {ListenAddress} from '@nutmeggauge/core';
 import type {ForwardContext} from './forward/context.js';
 import type {Ingress} from './ingress/ingress.js';
 import type {DecisionLog} from './observe/decision-log.js';
+import type {MetricFigures} from './observe/metrics-text.js';
 import type {
   EngineReports,
   FactStore,
@@ -99,7 +97,7 @@
   private readonly peers: PeerGroup;
   private readonly ingress: Ingress;
   private readonly context: ForwardContext;
-  private readonly servers: Server[] = [];
+  private readonly status = new StatusServer();
   private sweep: NodeJS.Timeout | undefined;
   private draining: Promise<void> | undefined;
 
@@ -186,13 +184,13 @@
     void this.watcher.run();
     await this.peers.start();
     this.slowdowns.start();
-    await this.openServer(settings.ready, (req, res) =>
-      this.answerReady(req, res),
+    await this.status.openReady(
+      settings.ready,
+      parts.dialect.readyPath,
+      () => this.isReady,
     );
     if (settings.metrics !== undefined)
-      await this.openServer(settings.metrics, (_, res) =>
-        this.answerMetrics(res),
-      );
+      await this.status.openMetrics(settings.metrics, () => this.readFigures());
     await this.ingress.start(settings.ingress);
     this.sweep = setInterval(() => this.state.expireHeld(), SWEEP_MS);
     parts.log.info('gate_started', {
@@ -241,29 +239,16 @@
     this.slowdowns.stop();
     void this.peers.stop();
     this.ingress.close();
-    for (const server of this.servers) server.close();
+    this.status.close();
   }
 
-  private async openServer(
-    address: ListenAddress,
-    listener: (req: IncomingMessage, res: ServerResponse) => void,
-  ): Promise<void> {
-    const server = createServer(listener);
-    this.servers.push(server);
-    await openListener(server, address);
+  private get isReady(): boolean {
+    if (this.isStopping || !this.state.isServing) return false;
+    return this.peers.isSynchronized;
   }
 
-  private answerReady(req: IncomingMessage, res: ServerResponse): void {
-    const isReady = this.state.isServing && !this.isStopping;
-    const isAsked = req.url === this.parts.dialect.readyPath;
-    res.writeHead(isAsked ? (isReady ? 200 : 503) : 404, {
-      'Content-Length': 0,
-    });
-    res.end();
-  }
-
-  private answerMetrics(res: ServerResponse): void {
-    const text = renderMetrics({
+  private readFigures(): MetricFigures {
+    return {
       counters: this.counters.read(),
       latencies: {
         ttft: this.context.ttftMs.summarize(),
@@ -278,9 +263,7 @@
         facts_age_ms: Math.round(this.peers.readFactsAgeMs()),
         gates_known: this.peers.countGates(),
       },
-    });
-    res.writeHead(200, {'Content-Type': 'text/plain; version=0.0.4'});
-    res.end(text);
+    };
   }
 
   /** Slots of all engines of a service. */
@@ -295,6 +278,18 @@
   }
 
   private observeChanges(): void {
+    this.state.onRestore(({source, before, after, held, doubted}) =>
+      this.parts.log.warn('store_restored', {
+        source,
+        era: after.era,
+        revision: after.revision,
+        earlierEra: before.era,
+        earlierRevision: before.revision,
+        held,
+        doubted,
+        configVersion: this.state.config?.version,
+      }),
+    );
     this.state.onChange(event => {
       if (event.event === 'target_removed') this.health.drop(event.id);
       if (event.event === 'target_added') this.handleNewTarget(event.id);
--- a/packages/direct/src/index.ts
+++ b/packages/direct/src/index.ts
@@ -2,6 +2,7 @@
 export * from './types.js';
 export * from './ports.js';
 export * from './errors.js';
+export * from './fleet/fact-position.js';
 export * from './gate.js';
 export {createDecisionLog} from './observe/decision-log.js';
 export type {DecisionLog} from './observe/decision-log.js';
--- /dev/null
+++ b/packages/direct/src/observe/status-server.ts
@@ -0,0 +1,51 @@
+/** Readiness for the balancer, and metrics, over HTTP. */
+import {createServer} from 'node:http';
+import {openListener} from '@nutmeggauge/core';
+import {renderMetrics} from './metrics-text.js';
+import type {Server} from 'node:http';
+import type {ListenAddress} from '@nutmeggauge/core';
+import type {MetricFigures} from './metrics-text.js';
+
+/**
+ * The listeners that tell of one gate's state.
+ *
+ * @example
+ * const status = new StatusServer();
+ * await status.openReady(address, '/ready', () => true);
+ */
+export class StatusServer {
+  private readonly servers: Server[] = [];
+
+  /** Answers 200 on `path` while the gate is ready, else 503. */
+  async openReady(
+    address: ListenAddress,
+    path: string,
+    isReady: () => boolean,
+  ): Promise<void> {
+    const server = createServer((req, res) => {
+      const status = req.url === path ? (isReady() ? 200 : 503) : 404;
+      res.writeHead(status, {'Content-Length': 0});
+      res.end();
+    });
+    this.servers.push(server);
+    await openListener(server, address);
+  }
+
+  /** Answers every path with the metrics. */
+  async openMetrics(
+    address: ListenAddress,
+    readFigures: () => MetricFigures,
+  ): Promise<void> {
+    const server = createServer((_, res) => {
+      res.writeHead(200, {'Content-Type': 'text/plain; version=0.0.4'});
+      res.end(renderMetrics(readFigures()));
+    });
+    this.servers.push(server);
+    await openListener(server, address);
+  }
+
+  /** Stops listening. */
+  close(): void {
+    for (const server of this.servers) server.close();
+  }
+}
--- a/packages/direct/src/peers/facts-exchange.test.ts
+++ b/packages/direct/src/peers/facts-exchange.test.ts
@@ -3,6 +3,7 @@
 import {PassThrough} from 'node:stream';
 import {afterEach, beforeEach, describe, it} from 'node:test';
 import {expect} from 'earl';
+import {NO_POSITION} from '../fleet/fact-position.js';
 import {createFleetState} from '../fleet/fleet-state.js';
 import {createDecisionLog} from '../observe/decision-log.js';
 import {buildLargeConfig} from '../test/gate-world.js';
@@ -38,10 +39,10 @@
       readNow,
       idleMs: TEST_IDLE_MS,
     });
-    state.applyChange(
-      {kind: 'config', config: buildLargeConfig(7, ROUTE_COUNT)},
-      0,
-    );
+    state.applyChange({
+      kind: 'config',
+      config: buildLargeConfig(7, ROUTE_COUNT),
+    });
   });
 
   afterEach(() => {
@@ -137,7 +138,7 @@
 
   it('leaves out the configuration that the peer has', async () => {
     // Guards against a whole configuration for a peer that lacks one target.
-    const facts = await askWhole({configVersion: 7, revision: 0});
+    const facts = await askWhole({configVersion: 7, position: NO_POSITION});
     expect(facts.config === undefined).toEqual(true);
   });
 });
--- a/packages/direct/src/peers/facts-exchange.ts
+++ b/packages/direct/src/peers/facts-exchange.ts
@@ -11,6 +11,7 @@
   openRpcLink,
 } from '@nutmeggauge/core';
 import {FactsBusyError} from '../errors.js';
+import {isNewer} from '../fleet/fact-position.js';
 import {decodeSharedFacts, toKnownFacts} from './shared-facts.js';
 import type {Server, Socket} from 'node:net';
 import type {ListenAddress, RpcLink} from '@nutmeggauge/core';
@@ -84,7 +85,8 @@
         served.add(connection);
         return facts;
       }
-      if (facts.revision > known.revision) return {...facts, config: undefined};
+      if (isNewer(facts.position, known.position))
+        return {...facts, config: undefined};
       throw createRpcRefusal(BUSY, 'busy');
     });
   });
--- a/packages/direct/src/peers/facts-fetcher.test.ts
+++ b/packages/direct/src/peers/facts-fetcher.test.ts
@@ -1,6 +1,7 @@
 import {Writable} from 'node:stream';
 import {describe, it} from 'node:test';
 import {expect} from 'earl';
+import {buildPosition} from '../test/build-target.js';
 import fc from 'fast-check';
 import {FactsBusyError, StoreUnavailableError} from '../errors.js';
 import {createFleetState} from '../fleet/fleet-state.js';
@@ -98,7 +99,8 @@
 }
 
 const FACTS: SharedFacts = {
-  revision: 3,
+  position: buildPosition(3),
+  doubts: [],
   config: buildConfig(7),
   targets: [],
   held: [],
@@ -112,7 +114,7 @@
     // Guards against copies that the store's own answer makes useless.
     const {clock, state, asked, fetcher} = createWorld({a: giveFacts});
     fetcher.schedule();
-    state.applyChange({kind: 'config', config: buildConfig(7)}, 0);
+    state.applyChange({kind: 'config', config: buildConfig(7)});
     await clock.run(() => false);
     expect(asked).toEqual([]);
   });
--- a/packages/direct/src/peers/facts-fetcher.ts
+++ b/packages/direct/src/peers/facts-fetcher.ts
@@ -93,9 +93,7 @@
     const startedAt = readNow();
     const countMs = () => Math.round(readNow() - startedAt);
     try {
-      const configVersion = state.config?.version ?? 0;
-      const {revision} = state;
-      state.applyShared(await fetch(host, {configVersion, revision}));
+      state.applyShared(await fetch(host, state.versions));
     } catch (error) {
       if (error instanceof FactsBusyError) {
         log.info('facts_from_peer_busy', {peer: host, ms: countMs()});
@@ -110,7 +108,7 @@
     log.info('facts_from_peer', {
       peer: host,
       configVersion: state.config?.version,
-      revision: state.revision,
+      ...state.position,
       ms: countMs(),
     });
     return true;
--- a/packages/direct/src/peers/facts-guards.test.ts
+++ b/packages/direct/src/peers/facts-guards.test.ts
@@ -5,9 +5,10 @@
 import {RpcClosedError} from '@nutmeggauge/core';
 import {expect} from 'earl';
 import {DecodeError, FactsBusyError} from '../errors.js';
+import {NO_POSITION} from '../fleet/fact-position.js';
 import {createFleetState} from '../fleet/fleet-state.js';
 import {createDecisionLog} from '../observe/decision-log.js';
-import {buildTarget} from '../test/build-target.js';
+import {buildPosition, buildTarget} from '../test/build-target.js';
 import {buildConfig} from '../test/gate-world.js';
 import {fetchSharedFacts, openFactsServer} from './facts-exchange.js';
 import {createFactsFetcher} from './facts-fetcher.js';
@@ -19,7 +20,7 @@
 /** Idle timeout of the tested gate, in ms. */
 const IDLE_MS = 300;
 
-const NOTHING = {configVersion: 0, revision: 0};
+const NOTHING = {configVersion: 0, position: NO_POSITION};
 
 function createLog() {
   const output = new Writable({write: (_chunk, _encoding, done) => done()});
@@ -82,8 +83,8 @@
 
   async function openGate(): Promise<string> {
     const state = createFleetState(() => 0);
-    state.applyChange({kind: 'config', config: buildConfig(7)}, 0);
-    state.applyChange({kind: 'target', target: buildTarget('t', 3)}, 3);
+    state.applyChange({kind: 'config', config: buildConfig(7)});
+    state.applyChange({kind: 'target', target: buildTarget('t', 3)});
     const server = await openFactsServer({
       address: {host: '127.0.0.1', port: 0},
       state,
@@ -129,7 +130,7 @@
 
   it('are told apart from a gate that serves others', async () => {
     // Guards against treating a busy peer as a failed one.
-    const known = {configVersion: 0, revision: 1000};
+    const known = {configVersion: 0, position: buildPosition(1000)};
     const waiting = fetchSharedFacts(await openTakenGate(), known);
     await expect(waiting).toBeRejectedWith(FactsBusyError);
   });
@@ -137,7 +138,7 @@
   it('keep no gate from its list of targets', async () => {
     // Guards against withholding the small list of targets from a busy gate's
     // peers.
-    const known = {configVersion: 7, revision: 0};
+    const known = {configVersion: 7, position: NO_POSITION};
     const facts = await fetchSharedFacts(await openTakenGate(), known);
     expect(facts.config === undefined).toEqual(true);
     expect(facts.targets.map(({id}) => id)).toEqual(['t']);
@@ -161,7 +162,12 @@
   it('are refused as they arrive when a figure was lost', async () => {
     // Guards against non-finite figures, which JSON turns into null.
     const server = createServer(socket => {
-      const facts = {revision: 3, targets: [], held: [['t', null]]};
+      const facts = {
+        position: buildPosition(3),
+        targets: [],
+        doubts: [],
+        held: [['t', null]],
+      };
       const answer = {jsonrpc: '2.0', id: 1, result: facts};
       socket.on('error', () => undefined);
       socket.end(JSON.stringify(answer) + '\n');
@@ -179,15 +185,15 @@
   it('take away no target, however old its entry', () => {
     // Guards against an answer without targets that removes all of them.
     const ahead = createFleetState(() => 0);
-    ahead.applyChange({kind: 'config', config: buildConfig(7)}, 0);
-    ahead.applyChange({kind: 'target', target: buildTarget('b', 9)}, 9);
+    ahead.applyChange({kind: 'config', config: buildConfig(7)});
+    ahead.applyChange({kind: 'target', target: buildTarget('b', 9)});
     const behind = createFleetState(() => 0);
-    behind.applyChange({kind: 'target', target: buildTarget('old', 2)}, 2);
-    behind.applyChange({kind: 'target', target: buildTarget('new', 12)}, 12);
-    const known = {configVersion: 0, revision: behind.revision};
+    behind.applyChange({kind: 'target', target: buildTarget('old', 2)});
+    behind.applyChange({kind: 'target', target: buildTarget('new', 12)});
+    const known = {configVersion: 0, position: behind.position};
     behind.applyShared(ahead.describeShared(known));
     expect(behind.config?.version).toEqual(7);
     expect(behind.targetCount).toEqual(2);
-    expect(behind.revision).toEqual(12);
+    expect(behind.position.revision).toEqual(12);
   });
 });
--- a/packages/direct/src/peers/facts-hand-over.test.ts
+++ b/packages/direct/src/peers/facts-hand-over.test.ts
@@ -3,9 +3,10 @@
 import {PassThrough} from 'node:stream';
 import {afterEach, beforeEach, describe, it} from 'node:test';
 import {expect} from 'earl';
+import {isNewer} from '../fleet/fact-position.js';
 import {createFleetState} from '../fleet/fleet-state.js';
 import {createDecisionLog} from '../observe/decision-log.js';
-import {buildTarget} from '../test/build-target.js';
+import {buildPosition, buildTarget} from '../test/build-target.js';
 import {buildConfig, buildLargeConfig} from '../test/gate-world.js';
 import {fetchSharedFacts, openFactsServer} from './facts-exchange.js';
 import {createFactsFetcher} from './facts-fetcher.js';
@@ -56,16 +57,21 @@
     // Guards against a gate that stops after one answer although another peer
     // knows more.
     const state = createFleetState(() => 0);
-    state.applyChange({kind: 'config', config: buildConfig(6)}, 0);
-    const target = buildTarget('t', 3);
+    state.applyChange({kind: 'config', config: buildConfig(6)});
+    const news = {
+      position: buildPosition(3),
+      targets: [buildTarget('t', 3)],
+      held: [],
+      doubts: [],
+    };
     const ahead: Readonly<Record<string, SharedFacts>> = {
-      a: {revision: 3, config: undefined, targets: [target], held: []},
-      b: {revision: 3, config: buildConfig(7), targets: [target], held: []},
+      a: {...news, config: undefined},
+      b: {...news, config: buildConfig(7)},
     };
     const listAhead = () =>
       Object.keys(ahead).filter(
         host =>
-          ahead[host].revision > state.revision ||
+          isNewer(ahead[host].position, state.position) ||
           (ahead[host].config?.version ?? 6) > (state.config?.version ?? 0),
       );
     await runFetcher(state, listAhead, host => Promise.resolve(ahead[host]));
@@ -91,11 +97,11 @@
       idleMs: TEST_IDLE_MS,
     });
     address = `127.0.0.1:${(server.address() as AddressInfo).port}`;
-    state.applyChange(
-      {kind: 'config', config: buildLargeConfig(7, ROUTE_COUNT)},
-      0,
-    );
-    state.applyChange({kind: 'target', target: buildTarget('t', 3)}, 3);
+    state.applyChange({
+      kind: 'config',
+      config: buildLargeConfig(7, ROUTE_COUNT),
+    });
+    state.applyChange({kind: 'target', target: buildTarget('t', 3)});
   });
 
   afterEach(() => {
@@ -121,7 +127,7 @@
     // well.
     for (let i = 0; i < MOST_AT_ONCE; i++) await askAndPause();
     const behind = createFleetState(() => 0);
-    const listAhead = () => (behind.revision < 3 ? ['a'] : []);
+    const listAhead = () => (behind.position.revision < 3 ? ['a'] : []);
     await runFetcher(behind, listAhead, (_host, known) =>
       fetchSharedFacts(address, known),
     );
--- a/packages/direct/src/peers/messages.ts
+++ b/packages/direct/src/peers/messages.ts
@@ -29,6 +29,8 @@
   from: z.string(),
   incarnation: z.string(),
   configVersion: z.number(),
+  /** Position of its facts. */
+  era: z.number(),
   revision: z.number(),
   /** Age of the sender's last answer from the store, in ms. */
   factsAgeMs: z.number(),
--- a/packages/direct/src/peers/peer-group.test.ts
+++ b/packages/direct/src/peers/peer-group.test.ts
@@ -4,6 +4,7 @@
 import {Writable} from 'node:stream';
 import {buildLoopbackHost} from '@nutmeggauge/core';
 import {expect} from 'earl';
+import {NO_POSITION} from '../fleet/fact-position.js';
 import {createFleetState} from '../fleet/fleet-state.js';
 import {createDecisionLog} from '../observe/decision-log.js';
 import {createIdleSlowdowns} from '../test/fake-reports.js';
@@ -143,7 +144,7 @@
     await three.group.start();
     try {
       const config = buildConfig(7);
-      one.state.applyChange({kind: 'config', config}, 0);
+      one.state.applyChange({kind: 'config', config});
       const hasNews = (member: Member) => member.state.config?.version === 7;
       await waitUntil(() => hasNews(two) && hasNews(three));
     } finally {
@@ -167,7 +168,13 @@
     try {
       const before = await waitForHeartbeat(0);
       const config = buildConfig(7);
-      two.state.applyShared({revision: 0, config, targets: [], held: []});
+      two.state.applyShared({
+        position: NO_POSITION,
+        config,
+        targets: [],
+        held: [],
+        doubts: [],
+      });
       // Its own next heartbeat is due after 1,000 ms.
       expect((await waitForHeartbeat(7)) - before).toBeLessThan(700);
     } finally {
--- a/packages/direct/src/peers/peer-group.ts
+++ b/packages/direct/src/peers/peer-group.ts
@@ -7,15 +7,17 @@
 import {createSocket} from 'node:dgram';
 import {setTimeout as sleep} from 'node:timers/promises';
 import {PlacementAnnouncer} from '../placement/prompt-placer.js';
-import {LAPSE_HOLD_MS} from '../fleet/fleet-state.js';
+import {isNewer} from '../fleet/fact-position.js';
+import {LAPSE_HOLD_MS} from '../fleet/target-table.js';
 import {fetchSharedFacts, openFactsServer} from './facts-exchange.js';
 import {createFactsFetcher} from './facts-fetcher.js';
 import {DatagramSchema, toPlacement, toWirePlacement} from './messages.js';
 import {PeerTable} from './peer-table.js';
+import {StartupSync} from './startup-sync.js';
 import type {Socket as DatagramSocket} from 'node:dgram';
 import type {Server} from 'node:net';
 import type {EngineSlowdowns} from '../health/engine-slowdowns.js';
-import type {FleetState} from '../fleet/fleet-state.js';
+import type {FactVersions, FleetState} from '../fleet/fleet-state.js';
 import type {DecisionLog} from '../observe/decision-log.js';
 import type {LoadTracker, Placement} from '../placement/load-tracker.js';
 import type {FactsFetcher} from './facts-fetcher.js';
@@ -73,18 +75,28 @@
   private timer: NodeJS.Timeout | undefined;
   private newsTimer: NodeJS.Timeout | undefined;
   private readonly fetcher: FactsFetcher;
+  private readonly sync: StartupSync;
   private isLeaving = false;
 
   constructor(private readonly options: PeerGroupOptions) {
     super();
     this.seedHosts = options.seedHosts;
     const {host: ownHost, state, log, readNow, port, readStoreAgeMs} = options;
+    const fetch = (host: string, known: FactVersions) =>
+      fetchSharedFacts(`${host}:${port}`, known);
     this.table = new PeerTable(ownHost, readNow);
+    this.sync = new StartupSync({
+      state,
+      listPeers: () => this.listGates().filter(host => host !== ownHost),
+      fetch,
+      log,
+      readNow,
+    });
     this.fetcher = createFactsFetcher({
       state,
       isStoreSilent: () => readStoreAgeMs() > STORE_SILENT_MS,
       listAhead: () => this.listAhead(),
-      fetch: (host, known) => fetchSharedFacts(`${host}:${port}`, known),
+      fetch,
       log,
       readNow,
       random: Math.random,
@@ -102,6 +114,11 @@
     return formatOwner(this.options.host, this.options.incarnation);
   }
 
+  /** True once this gate knows what its peers know of an older copy. */
+  get isSynchronized(): boolean {
+    return this.sync.isDone;
+  }
+
   /** Gates that share budgets, this one included. */
   countGates(): number {
     return this.table.countSharing();
@@ -118,7 +135,7 @@
    */
   readFactsAgeMs(): number {
     const {readStoreAgeMs, state} = this.options;
-    const confirmedMs = this.table.readConfirmedAgeMs(state.revision);
+    const confirmedMs = this.table.readConfirmedAgeMs(state.position);
     return Math.min(readStoreAgeMs(), confirmedMs);
   }
 
@@ -215,7 +232,7 @@
       from: this.options.host,
       incarnation,
       configVersion: state.config?.version ?? 0,
-      revision: state.revision,
+      ...state.position,
       factsAgeMs: Math.round(readStoreAgeMs()),
       contactMs: Math.round(readContactMs()),
       peers: [...this.table.listHosts()],
@@ -286,7 +303,7 @@
   private confirmRemovals(): void {
     const {state} = this.options;
     const since = state.outageAt - LAPSE_HOLD_MS;
-    state.confirmRemovals(this.table.findRevisionInContact(since));
+    state.confirmRemovals(this.table.findPositionInContact(since));
   }
 
   private applyRestart(peer: Peer, heartbeat: Heartbeat): void {
@@ -329,7 +346,7 @@
   private isAhead(peer: Peer): boolean {
     const {state} = this.options;
     return (
-      peer.revision > state.revision ||
+      isNewer(peer.position, state.position) ||
       peer.configVersion > (state.config?.version ?? 0)
     );
   }
--- a/packages/direct/src/peers/peer-table.test.ts
+++ b/packages/direct/src/peers/peer-table.test.ts
@@ -1,5 +1,6 @@
 import {describe, it} from 'node:test';
 import {expect} from 'earl';
+import {buildPosition} from '../test/build-target.js';
 import {PeerTable} from './peer-table.js';
 import type {Heartbeat} from './messages.js';
 
@@ -14,6 +15,7 @@
     from,
     incarnation: '1',
     configVersion: 1,
+    era: 0,
     revision,
     factsAgeMs: 40,
     contactMs,
@@ -82,9 +84,9 @@
     heartbeat('a', 5);
     advance(100);
     heartbeat('b', 9);
-    expect(table.readConfirmedAgeMs(5)).toEqual(140);
-    expect(table.readConfirmedAgeMs(9)).toEqual(40);
-    expect(table.readConfirmedAgeMs(4)).toEqual(Infinity);
+    expect(table.readConfirmedAgeMs(buildPosition(5))).toEqual(140);
+    expect(table.readConfirmedAgeMs(buildPosition(9))).toEqual(40);
+    expect(table.readConfirmedAgeMs(buildPosition(4))).toEqual(Infinity);
   });
 
   it('finds who had the store all the while, and only those', () => {
@@ -97,13 +99,13 @@
       buildHeartbeat('b', 9, 5 * SECOND_MS),
     );
     table.recordHeartbeat(table.readPeer('c'), buildHeartbeat('c', 8));
-    expect(table.findRevisionInContact(outageAt)).toEqual(0);
+    expect(table.findPositionInContact(outageAt)).toEqual(buildPosition(0));
     table.recordHeartbeat(
       table.readPeer('d'),
       buildHeartbeat('d', 7, 15 * SECOND_MS),
     );
-    expect(table.findRevisionInContact(outageAt)).toEqual(7);
+    expect(table.findPositionInContact(outageAt)).toEqual(buildPosition(7));
     advance(5 * SECOND_MS);
-    expect(table.findRevisionInContact(outageAt)).toEqual(0);
+    expect(table.findPositionInContact(outageAt)).toEqual(buildPosition(0));
   });
 });
--- a/packages/direct/src/peers/peer-table.ts
+++ b/packages/direct/src/peers/peer-table.ts
@@ -1,4 +1,6 @@
 /** The peers of a gate, by host. */
+import {NO_POSITION, isNewer, pickNewest} from '../fleet/fact-position.js';
+import type {FactPosition} from '../fleet/fact-position.js';
 import type {Heartbeat} from './messages.js';
 
 /**
@@ -22,7 +24,7 @@
   /** When it became known. */
   readonly knownAt: number;
   configVersion: number;
-  revision: number;
+  position: FactPosition;
   factsAgeMs: number;
   /**
    * Since when the store has answered it without an outage; Infinity in one.
@@ -74,7 +76,7 @@
       heardAt: -Infinity,
       knownAt: this.readNow(),
       configVersion: 0,
-      revision: 0,
+      position: NO_POSITION,
       factsAgeMs: Infinity,
       contactAt: Infinity,
     };
@@ -87,7 +89,8 @@
     const isFirst = peer.heardAt === -Infinity;
     peer.heardAt = this.readNow();
     peer.configVersion = heartbeat.configVersion;
-    peer.revision = heartbeat.revision;
+    const {era, revision} = heartbeat;
+    peer.position = {era, revision};
     peer.factsAgeMs = heartbeat.factsAgeMs;
     peer.contactAt =
       heartbeat.contactMs > 0 ? peer.heardAt - heartbeat.contactMs : Infinity;
@@ -112,26 +115,30 @@
   }
 
   /**
-   * Age of the freshest confirmation that facts of `revision` are current, in
-   * ms, by a peer that knows nothing newer.
+   * Age of the freshest confirmation that facts at `position` are current, in
+   * ms, by a peer of the same era that knows nothing newer.
    */
-  readConfirmedAgeMs(revision: number): number {
+  readConfirmedAgeMs(position: FactPosition): number {
     let age = Infinity;
     for (const peer of this.peers.values())
-      if (peer.revision <= revision)
+      if (
+        peer.position.era === position.era &&
+        !isNewer(peer.position, position)
+      )
         age = Math.min(age, this.readNow() - peer.heardAt + peer.factsAgeMs);
     return age;
   }
 
   /**
-   * Newest revision of a live peer that the store has answered since before
-   * `since`; 0 if there is none.
+   * Newest position of a live peer that the store has answered since before
+   * `since`.
    */
-  findRevisionInContact(since: number): number {
-    const revisions = this.listAlive()
-      .filter(({contactAt}) => contactAt <= since)
-      .map(({revision}) => revision);
-    return Math.max(0, ...revisions);
+  findPositionInContact(since: number): FactPosition {
+    return pickNewest(
+      this.listAlive()
+        .filter(({contactAt}) => contactAt <= since)
+        .map(({position}) => position),
+    );
   }
 
   private listHeardWithin(ms: number): readonly Peer[] {
--- a/packages/direct/src/peers/shared-facts.test.ts
+++ b/packages/direct/src/peers/shared-facts.test.ts
@@ -1,19 +1,20 @@
 import {describe, it} from 'node:test';
 import {expect} from 'earl';
+import {NO_POSITION} from '../fleet/fact-position.js';
 import fc from 'fast-check';
 import {DecodeError} from '../errors.js';
 import {createFleetState} from '../fleet/fleet-state.js';
-import {buildTarget} from '../test/build-target.js';
+import {buildPosition, buildTarget} from '../test/build-target.js';
 import {buildConfig} from '../test/gate-world.js';
 import {decodeSharedFacts, toKnownFacts} from './shared-facts.js';
 
-const NOTHING = {configVersion: 0, revision: 0};
+const NOTHING = {configVersion: 0, position: NO_POSITION};
 
 /** Facts as a peer receives them. */
 function describeOnWire(): unknown {
   const state = createFleetState(() => 0);
   state.applySnapshot({
-    revision: 9,
+    position: buildPosition(9),
     config: buildConfig(7),
     targets: [buildTarget('a', 3), buildTarget('b', 9)],
     malformed: [],
@@ -73,9 +74,15 @@
   it('leave out what the peer has', () => {
     const state = createFleetState(() => 0);
     state.applyShared(decodeSharedFacts(describeOnWire()));
-    const news = state.describeShared({configVersion: 7, revision: 9});
+    const news = state.describeShared({
+      configVersion: 7,
+      position: buildPosition(9),
+    });
     expect([news.config, news.targets.length]).toEqual([undefined, 0]);
-    const targets = state.describeShared({configVersion: 7, revision: 3});
+    const targets = state.describeShared({
+      configVersion: 7,
+      position: buildPosition(3),
+    });
     expect([targets.config, targets.targets.length]).toEqual([undefined, 2]);
   });
 
@@ -85,12 +92,12 @@
     ahead.applyShared(decodeSharedFacts(describeOnWire()));
     const behind = createFleetState(() => 0);
     behind.applySnapshot({
-      revision: 12,
+      position: buildPosition(12),
       config: buildConfig(5),
       targets: [buildTarget('c', 12)],
       malformed: [],
     });
-    const known = {configVersion: 5, revision: behind.revision};
+    const known = {configVersion: 5, position: behind.position};
     behind.applyShared(ahead.describeShared(known));
     expect(behind.config?.version).toEqual(7);
     expect(behind.targetCount).toEqual(1);
--- a/packages/direct/src/peers/shared-facts.ts
+++ b/packages/direct/src/peers/shared-facts.ts
@@ -4,12 +4,15 @@
  */
 import {z} from 'zod';
 import {DecodeError} from '../errors.js';
+import {NO_POSITION} from '../fleet/fact-position.js';
 import type {SharedFacts, FactVersions} from '../fleet/fleet-state.js';
 
+const PositionSchema = z.object({era: z.number(), revision: z.number()});
+
 /** Gates of an earlier version send no versions. */
 const KnownFactsSchema = z.object({
   configVersion: z.number().catch(0),
-  revision: z.number().catch(0),
+  position: PositionSchema.catch(NO_POSITION),
 });
 
 const EngineSchema = z.object({
@@ -61,21 +64,22 @@
   port: z.number(),
   zone: z.string(),
   isDraining: z.boolean(),
-  revision: z.number(),
+  position: PositionSchema,
 });
 
 const SharedFactsSchema = z.object({
-  revision: z.number(),
+  position: PositionSchema,
   config: ConfigSchema.optional(),
   targets: z.array(TargetSchema),
   held: z.array(z.tuple([z.string(), z.number()])),
+  doubts: z.array(z.tuple([z.string(), z.number(), z.number()])),
 });
 
 /**
  * Decodes the versions that a peer has.
  *
  * @example
- * toKnownFacts({configVersion: 7, revision: 120});
+ * toKnownFacts({configVersion: 7, position: {era: 0, revision: 120}});
  */
 export function toKnownFacts(params: unknown): FactVersions {
   return KnownFactsSchema.parse(params ?? {});
--- /dev/null
+++ b/packages/direct/src/peers/startup-sync.ts
@@ -0,0 +1,99 @@
+/**
+ * Keeps a gate that has just started from being ready with the facts of an
+ * older copy of the store: its peers know what the copy lacks or revives.
+ */
+import {setTimeout as sleep} from 'node:timers/promises';
+import {NO_POSITION} from '../fleet/fact-position.js';
+import type {
+  FactVersions,
+  FleetState,
+  SharedFacts,
+} from '../fleet/fleet-state.js';
+import type {DecisionLog} from '../observe/decision-log.js';
+
+/**
+ * Longest wait for a peer, in ms: above one heartbeat, by which peers find a
+ * gate whose seeds are down.
+ */
+const SYNC_MAX_MS = 1500;
+
+/** Pause between two requests, in ms. */
+const RETRY_MS = 50;
+
+/** Dependencies of the synchronization. */
+export interface StartupSyncOptions {
+  readonly state: FleetState;
+  /** Hosts of live peers. */
+  readonly listPeers: () => readonly string[];
+  readonly fetch: (host: string, known: FactVersions) => Promise<SharedFacts>;
+  readonly log: DecisionLog;
+  readonly readNow: () => number;
+  /** Waits; injected by tests. */
+  readonly wait?: (ms: number) => Promise<void>;
+}
+
+/**
+ * The synchronization of one gate, at its start only.
+ *
+ * @example
+ * const sync = new StartupSync(options);
+ * sync.isDone; // true while the store is in its first era
+ */
+export class StartupSync {
+  private isOver = false;
+  private isUnderWay = false;
+
+  constructor(private readonly options: StartupSyncOptions) {
+    options.state.onChange(() => this.handleChange());
+  }
+
+  /** True once the gate may be ready. */
+  get isDone(): boolean {
+    const {state} = this.options;
+    return this.isOver || (state.isServing && state.position.era === 0);
+  }
+
+  private handleChange(): void {
+    const {state} = this.options;
+    if (this.isOver || this.isUnderWay || !state.isServing) return;
+    if (state.position.era === 0) return;
+    this.isUnderWay = true;
+    void this.run();
+  }
+
+  private async run(): Promise<void> {
+    const {listPeers, log, readNow, wait = waitIdly} = this.options;
+    const giveUpAt = readNow() + SYNC_MAX_MS;
+    const failed = new Set<string>();
+    while (!this.isOver && readNow() < giveUpAt) {
+      const host = listPeers().find(peer => !failed.has(peer));
+      if (host !== undefined && (await this.trySync(host))) return;
+      if (host !== undefined) failed.add(host);
+      else await wait(RETRY_MS);
+    }
+    this.isOver = true;
+    log.warn('start_unconfirmed', {peers: failed.size});
+  }
+
+  private async trySync(host: string): Promise<boolean> {
+    const {state, fetch, log} = this.options;
+    const {configVersion} = state.versions;
+    try {
+      state.mergeShared(
+        await fetch(host, {configVersion, position: NO_POSITION}),
+      );
+    } catch (error) {
+      const reason = (error as Error).message;
+      log.warn('facts_from_peer_failed', {peer: host, reason});
+      return false;
+    }
+    this.isOver = true;
+    log.info('start_confirmed', {peer: host, ...state.position});
+    return true;
+  }
+}
+
+/** Does not keep the process alive. */
+function waitIdly(ms: number): Promise<void> {
+  return sleep(ms, undefined, {ref: false});
+}
--- a/packages/direct/src/ports.ts
+++ b/packages/direct/src/ports.ts
@@ -2,6 +2,7 @@
  * What the gate needs from an adapter: header names, a read-only store of
  * facts, and reservations of KV cache.
  */
+import type {FactPosition} from './fleet/fact-position.js';
 import type {
   AnswerFacts,
   FleetConfig,
@@ -38,24 +39,24 @@
       readonly kind: 'target-gone';
       /** Name of the target. */
       readonly name: string;
-      readonly revision: number;
+      readonly position: FactPosition;
       /** Its entry exists but cannot be decoded. */
       readonly isMalformed: boolean;
     };
 
 /** A full read of the store. */
 export interface FactSnapshot {
-  /** Store revision at the start of the read. */
-  readonly revision: number;
+  /** Position of the store at the start of the read. */
+  readonly position: FactPosition;
   readonly config: FleetConfig | undefined;
   readonly targets: readonly Target[];
   /** Names whose entry exists but cannot be decoded. */
   readonly malformed: readonly string[];
 }
 
-/** Changes since a revision. */
+/** Changes since a position. */
 export interface FactChanges {
-  readonly revision: number;
+  readonly position: FactPosition;
   readonly changes: readonly FactChange[];
 }
 
@@ -70,13 +71,13 @@
   abstract readSnapshot(timeoutMs: number): Promise<FactSnapshot>;
 
   /**
-   * Waits for changes after `revision`.
+   * Waits for changes after `position`.
    *
-   * @throws HistoryLostError when the store no longer knows that revision;
+   * @throws HistoryLostError when the store does not know that position;
    *   StoreUnavailableError when it gives no whole answer in time.
    */
   abstract waitForChanges(
-    revision: number,
+    position: FactPosition,
     waitMs: number,
     timeoutMs: number,
   ): Promise<FactChanges>;
--- a/packages/direct/src/test/build-target.ts
+++ b/packages/direct/src/test/build-target.ts
@@ -1,6 +1,17 @@
 /** Targets as tests of the fleet need them. */
+import type {FactPosition} from '../fleet/fact-position.js';
 import type {Target} from '../types.js';
 
+/**
+ * A position in the first era.
+ *
+ * @example
+ * buildPosition(8);
+ */
+export function buildPosition(revision: number, era = 0): FactPosition {
+  return {era, revision};
+}
+
 /** A target of the service `chat` whose name is its incarnation. */
 export function buildTarget(
   id: string,
@@ -16,6 +27,6 @@
     port: 80,
     zone: 'az-1',
     isDraining,
-    revision,
+    position: buildPosition(revision),
   };
 }
--- a/packages/direct/src/test/fake-store.ts
+++ b/packages/direct/src/test/fake-store.ts
@@ -1,6 +1,8 @@
 /** In-memory store of facts with the outages that tests need. */
 import {HistoryLostError, StoreUnavailableError} from '../errors.js';
 import {FactStore} from '../ports.js';
+import {buildPosition} from './build-target.js';
+import type {FactPosition} from '../fleet/fact-position.js';
 import type {FactChange, FactChanges, FactSnapshot} from '../ports.js';
 import type {FleetConfig, Target} from '../types.js';
 
@@ -34,7 +36,8 @@
 
   /** Publishes a target; its revision is set here. */
   publishTarget(target: Target): void {
-    const stored = {...target, revision: this.revision + 1};
+    const position = buildPosition(this.revision + 1);
+    const stored = {...target, position};
     this.targets.set(target.id, stored);
     this.record({kind: 'target', target: stored});
   }
@@ -45,7 +48,7 @@
     this.record({
       kind: 'target-gone',
       name: id,
-      revision: this.revision + 1,
+      position: buildPosition(this.revision + 1),
       isMalformed: false,
     });
   }
@@ -60,7 +63,7 @@
     this.calls++;
     if (this.isDown) throw new StoreUnavailableError('down');
     return {
-      revision: this.revision,
+      position: buildPosition(this.revision),
       config: this.config,
       targets: [...this.targets.values()],
       malformed: [],
@@ -68,7 +71,7 @@
   }
 
   override async waitForChanges(
-    after: number,
+    {revision: after}: FactPosition,
     waitMs: number,
   ): Promise<FactChanges> {
     this.calls++;
@@ -79,7 +82,7 @@
     if (this.revision > after && oldest > after + 1)
       throw new HistoryLostError('history dropped');
     return {
-      revision: this.revision,
+      position: buildPosition(this.revision),
       changes: this.history
         .filter(logged => logged.revision > after)
         .map(logged => logged.change),
--- a/packages/direct/src/test/fake-target.ts
+++ b/packages/direct/src/test/fake-target.ts
@@ -1,5 +1,6 @@
 /** A target over HTTP whose answers a test scripts. */
 import {createServer} from 'node:http';
+import {NO_POSITION} from '../fleet/fact-position.js';
 import {openListener, readPort} from '@nutmeggauge/core';
 import type {IncomingMessage, Server, ServerResponse} from 'node:http';
 import type {Target} from '../types.js';
@@ -76,7 +77,7 @@
       port: readPort(this.server),
       zone: 'az-1',
       isDraining: false,
-      revision: 0,
+      position: NO_POSITION,
     };
   }
 
--- a/packages/direct/src/types.ts
+++ b/packages/direct/src/types.ts
@@ -1,5 +1,7 @@
 /** Data types of the direct gate. Adapters decode their wire into these. */
 
+import type {FactPosition} from './fleet/fact-position.js';
+
 /** What may be repeated when an attempt fails. */
 export type RouteKind = 'safe' | 'unsafe' | 'stream';
 
@@ -104,8 +106,8 @@
   readonly port: number;
   readonly zone: string;
   readonly isDraining: boolean;
-  /** Store revision of the entry. */
-  readonly revision: number;
+  /** Position of the entry in the store. */
+  readonly position: FactPosition;
 }
 
 /** What a caller's request says of itself. */
