--- a/packages/direct/src/fleet/fleet-state.ts
+++ b/packages/direct/src/fleet/fleet-state.ts
@@ -2,7 +2,12 @@
  * Configuration and targets as known to this gate. Neither goes back, whether
  * facts come from the store or from a peer.
  */
-import {NO_POSITION, isNewer, pickNewest} from './fact-position.js';
+import {
+  NO_POSITION,
+  comparePositions,
+  isNewer,
+  pickNewest,
+} from './fact-position.js';
 import {createRouteTable} from './route-table.js';
 import {TargetTable} from './target-table.js';
 import type {FactChange, FactSnapshot} from '../ports.js';
@@ -75,6 +80,8 @@
   config: FleetConfig | undefined;
   /** Position of the newest fact applied; compared between gates. */
   position = NO_POSITION;
+  /** How far this gate itself has read the store. */
+  private readPosition = NO_POSITION;
   private routes: RouteTable | undefined;
   private accounts = new Map<string, ClientAccount>();
   private services = new Map<string, ServiceConfig>();
@@ -203,13 +210,30 @@
     const known = targets.map(target => target.position);
     const newest = pickNewest([{...position, revision: 0}, ...known]);
     this.applyRead({targets, position, malformed}, newest, 'store');
+    this.markRead(position);
+  }
+
+  /** Records that every change up to `position` has been applied. */
+  markRead(position: FactPosition): void {
+    this.readPosition = pickNewest([this.readPosition, position]);
+    this.table.markRead();
+  }
+
+  /**
+   * Says whether facts at `position` are newer than all that is known here, by
+   * a fact or by reading the store past it.
+   */
+  isBehind(position: FactPosition): boolean {
+    return (
+      isNewer(position, this.position) && isNewer(position, this.readPosition)
+    );
   }
 
   /** Applies a peer's facts; older ones change nothing. */
   applyShared(shared: SharedFacts): void {
     if (shared.config !== undefined) this.applyConfig(shared.config, 'peer');
     const {targets, position, held, doubts} = shared;
-    if (!isNewer(position, this.position)) return;
+    if (!this.isBehind(position)) return;
     this.applyRead({targets, position, malformed: new Set()}, position, 'peer');
     this.table.addHeld(held, position);
     this.addDoubts(doubts, targets);
@@ -223,7 +247,11 @@
     this.applyShared(shared);
     const {targets, position, held, doubts} = shared;
     if (position.era !== this.position.era) return;
-    for (const target of targets) this.table.apply(target, 'peer');
+    const heldNames = new Set(held.map(([name]) => name));
+    // The peer may not know yet of targets that have left since.
+    for (const target of targets)
+      if (heldNames.has(target.name) || this.table.find(target.name))
+        this.table.apply(target, 'peer');
     this.table.addHeld(held, position);
     this.addDoubts(doubts, targets);
   }
@@ -261,7 +289,8 @@
   ): void {
     const before = this.position;
     if (read.position.era < before.era) return;
-    if (read.position.era === before.era || this.table.size === 0) {
+    const isFirst = comparePositions(before, NO_POSITION) === 0;
+    if (read.position.era === before.era || isFirst) {
       this.position = pickNewest([before, newest]);
       this.table.replace(read, source);
       return;
--- a/packages/direct/src/fleet/store-watcher.ts
+++ b/packages/direct/src/fleet/store-watcher.ts
@@ -118,6 +118,7 @@
     this.markAnswered(changes.position.era);
     for (const change of changes.changes) state.applyChange(change);
     this.position = pickNewest([this.position, changes.position]);
+    state.markRead(this.position);
     if (changes.changes.length > 0) await sleep(this.countBatchMs());
   }
 
--- a/packages/direct/src/fleet/target-table.ts
+++ b/packages/direct/src/fleet/target-table.ts
@@ -31,6 +31,13 @@
   readonly position: FactPosition;
 }
 
+/** An incarnation that has left. */
+interface LeftTarget {
+  readonly at: number;
+  /** Position at which its entry was missing or replaced. */
+  readonly position: FactPosition;
+}
+
 /** Entries of one name that are left out until written again. */
 interface Doubt {
   readonly until: number;
@@ -89,9 +96,10 @@
   private readonly serviceById = new Map<string, string>();
   private readonly held = new Map<string, HeldTarget>();
   private readonly doubts = new Map<string, Doubt>();
-  /** When each incarnation left. */
-  private readonly left = new Map<string, number>();
+  private readonly left = new Map<string, LeftTarget>();
   private storeBackAt = -Infinity;
+  /** When this gate last read the store. */
+  private readAt = -Infinity;
 
   constructor(private readonly options: TargetTableOptions) {}
 
@@ -135,11 +143,18 @@
     this.storeBackAt = this.options.readNow();
   }
 
+  /** Records that the store has been read up to now. */
+  markRead(): void {
+    this.readAt = this.options.readNow();
+  }
+
   /** Applies an entry, unless a newer one is known. */
   apply(target: Target, source: FactSource): void {
     const known = this.targets.get(target.name);
     if (known !== undefined && isNewer(known.position, target.position)) return;
     if (known !== undefined && isEarlierLife(target, known)) return;
+    const left = this.left.get(target.id);
+    if (left !== undefined && !isNewer(target.position, left.position)) return;
     const doubt = this.doubts.get(target.name);
     if (doubt !== undefined && !isNewer(target.position, doubt.position)) {
       doubt.entry = target;
@@ -200,9 +215,11 @@
   /** Keeps targets for as long as a peer does. */
   addHeld(names: readonly TimedName[], position: FactPosition): void {
     const now = this.options.readNow();
-    for (const [name, leftMs] of names)
-      if (this.targets.has(name))
-        this.held.set(name, {until: now + leftMs, position});
+    for (const [name, leftMs] of names) {
+      const known = this.targets.get(name);
+      if (known === undefined || isNewer(known.position, position)) continue;
+      this.held.set(name, {until: now + leftMs, position});
+    }
   }
 
   /** Leaves out what a peer leaves out, and has no other entry for. */
@@ -224,7 +241,7 @@
         position,
         entry: isKept ? undefined : known,
       });
-      if (known !== undefined && !isKept) this.remove(known, 'peer');
+      if (known !== undefined && !isKept) this.remove(known, 'peer', position);
     }
   }
 
@@ -233,11 +250,12 @@
     const now = this.options.readNow();
     this.dropHeld(({until}) => until <= now, 'hold_expired');
     for (const [name, {until, entry}] of [...this.doubts]) {
-      if (until > now) continue;
+      // Only the store's silence about an entry confirms it.
+      if (until > this.readAt) continue;
       this.doubts.delete(name);
       if (entry !== undefined) this.set(entry, 'hold_expired');
     }
-    for (const [id, at] of this.left)
+    for (const [id, {at}] of this.left)
       if (now - at > REMEMBER_LEFT_MS) this.left.delete(id);
   }
 
@@ -257,7 +275,7 @@
       if (!isDue(held)) continue;
       this.held.delete(name);
       const target = this.targets.get(name);
-      if (target !== undefined) this.remove(target, source);
+      if (target !== undefined) this.remove(target, source, held.position);
     }
   }
 
@@ -286,7 +304,7 @@
     this.held.delete(target.name);
     this.doubts.delete(target.name);
     const isRestarted = known !== undefined && known.id !== target.id;
-    if (isRestarted) this.remove(known, source);
+    if (isRestarted) this.remove(known, source, target.position);
     this.targets.set(target.name, target);
     this.serviceById.set(target.id, target.service);
     this.left.delete(target.id);
@@ -313,18 +331,22 @@
       !target.isDraining &&
       holdEnd > this.options.readNow();
     if (!isLapse) {
-      this.remove(target, source);
+      this.remove(target, source, position);
       return;
     }
     this.held.set(target.name, {until: holdEnd, position});
     this.options.onChange('target_held', target, source);
   }
 
-  private remove(target: Target, source: FactSource): void {
+  private remove(
+    target: Target,
+    source: FactSource,
+    position: FactPosition,
+  ): void {
     this.targets.delete(target.name);
     this.serviceById.delete(target.id);
     this.held.delete(target.name);
-    this.left.set(target.id, this.options.readNow());
+    this.left.set(target.id, {at: this.options.readNow(), position});
     this.options.onChange('target_removed', target, source);
   }
 }
--- a/packages/direct/src/peers/peer-group.ts
+++ b/packages/direct/src/peers/peer-group.ts
@@ -7,7 +7,6 @@
 import {createSocket} from 'node:dgram';
 import {setTimeout as sleep} from 'node:timers/promises';
 import {PlacementAnnouncer} from '../placement/prompt-placer.js';
-import {isNewer} from '../fleet/fact-position.js';
 import {LAPSE_HOLD_MS} from '../fleet/target-table.js';
 import {fetchSharedFacts, openFactsServer} from './facts-exchange.js';
 import {createFactsFetcher} from './facts-fetcher.js';
@@ -346,7 +345,7 @@
   private isAhead(peer: Peer): boolean {
     const {state} = this.options;
     return (
-      isNewer(peer.position, state.position) ||
+      state.isBehind(peer.position) ||
       peer.configVersion > (state.config?.version ?? 0)
     );
   }
