--- a/packages/direct/src/forward/stream-forwarder.test.ts
+++ b/packages/direct/src/forward/stream-forwarder.test.ts
@@ -292,7 +292,7 @@
     }
   });
 
-  it('goes on with the second engine when the paused one breaks off', async () => {
+  it('goes on with the second engine when the stalled one breaks off', async () => {
     // Guards against a third attempt while the second one is prefilling.
     let arrivals = 0;
     const script: TargetScript = (req, res) => {
@@ -315,7 +315,7 @@
     }
   });
 
-  it('waits on for a silent engine that lives when another one refuses', async () => {
+  it('waits for a stalled engine that is alive when another one refuses', async () => {
     // Guards against an unknown outcome while the first engine is about to
     // answer.
     let arrivals = 0;
@@ -406,7 +406,7 @@
     }
   });
 
-  it('gives reserved memory back whatever happens', async () => {
+  it('releases KV reservations whatever happens', async () => {
     // Guards against KV cache that stays reserved after a stream has failed.
     const breakOff: TargetScript = (req, res) => {
       res.writeHead(200, buildSignedHead(req));
--- a/packages/nutmeggauge/src/cli/flags.ts
+++ b/packages/nutmeggauge/src/cli/flags.ts
@@ -61,6 +61,7 @@
     --jobs        Seeds that a soak plays at once (default 1)
     --gates, --targets, --length-ms
                   Size and length of a soak (default 3, 6 and 14000)
+    --restores    Soak: returns of the store from an older copy (default 2)
     --no-timing   Soak: leaves out promises with a bound on time, for busy
                   machines
     --routing     round-robin | least-outstanding | power-of-two | token-load |
--- a/packages/nutmeggauge/src/losses/engine-activity.ts
+++ b/packages/nutmeggauge/src/losses/engine-activity.ts
@@ -63,17 +63,17 @@
     const failedAt = failures.find(failure => failure.t >= t)?.t ?? next;
     const to = Math.min(next, failedAt);
     const readTo = firstAt === undefined ? to : Math.min(to, firstAt);
-    const reading = [decoder, ...helpers].map(engine => ({
+    const prefill = [decoder, ...helpers].map(engine => ({
       engine,
       work: 'prefill' as const,
       from: t,
       to: Math.max(t, readTo),
       isMarked,
     }));
-    if (firstAt === undefined || to <= firstAt) return reading;
+    if (firstAt === undefined || to <= firstAt) return prefill;
     const from = Math.max(t, firstAt);
     return [
-      ...reading,
+      ...prefill,
       {engine: decoder, work: 'decode' as const, from, to, isMarked},
     ];
   });
--- a/packages/nutmeggauge/src/losses/gate-lives.test.ts
+++ b/packages/nutmeggauge/src/losses/gate-lives.test.ts
@@ -22,7 +22,7 @@
 }
 
 describe('reading of gates’ logs', () => {
-  it('passes over what is no whole line and says how much', () => {
+  it('ignores incomplete lines and counts them', () => {
     // Guards against foreign and truncated lines in collected logs.
     const logs = readLives([
       STARTED,
@@ -42,7 +42,7 @@
     expect(logs.foreignLines).toEqual(2);
   });
 
-  it('passes over a stamp that no clock shows', () => {
+  it('ignores a timestamp that no clock shows', () => {
     // Guards against a corrupt timestamp that cannot be printed as a date.
     const logs = readLives([STARTED, {...STARTED, t: 9e15}]);
     expect(logs.foreignLines).toEqual(1);
--- a/packages/nutmeggauge/src/losses/judge-request.test.ts
+++ b/packages/nutmeggauge/src/losses/judge-request.test.ts
@@ -30,15 +30,15 @@
 }
 
 describe('judging of requests', () => {
-  it('tells a surprise from a late answer that was forecast', () => {
+  it('tells a misprediction from a late answer that was forecast', () => {
     // Guards against blaming the prediction for the time that a prompt was
     // deferred.
-    const surprise = judgeOne([
+    const mispredicted = judgeOne([
       buildPlaced(10, 'q'),
       buildEnded(900, 'q', {ms: 900, ttftMs: 600}),
     ]);
-    expect(surprise.cause).toEqual('late-mispredicted');
-    expect(surprise.forecast).toEqual({
+    expect(mispredicted.cause).toEqual('late-mispredicted');
+    expect(mispredicted.forecast).toEqual({
       predictedMs: 110,
       ttftMs: 600,
       factsAgeMs: 20,
@@ -51,7 +51,7 @@
     expect(forecast.cause).toEqual('late-predicted');
   });
 
-  it('judges by the placement that brought the first event', () => {
+  it('judges by the placement that produced the first token', () => {
     // Guards against comparing with the prediction of a failed attempt.
     const {cause, forecast} = judgeOne([
       buildPlaced(10, 'q'),
@@ -63,7 +63,7 @@
     expect(forecast?.predictedMs).toEqual(560);
   });
 
-  it('finds a pause where the first event was in time', () => {
+  it('finds inter-token latency where the first token was in time', () => {
     const {cause, lost, worth} = judgeOne([
       buildPlaced(10, 'q'),
       buildEnded(900, 'q', {ms: 900, ttftMs: 300, maxItlMs: 251}),
--- a/packages/nutmeggauge/src/losses/loss-page.ts
+++ b/packages/nutmeggauge/src/losses/loss-page.ts
@@ -12,8 +12,8 @@
 const BARS = [
   {name: 'prefill', color: '#3b78c4', opacity: 0.35},
   {name: 'decode', color: '#4a9d5b', opacity: 0.35},
-  {name: 'the prompt, reading', color: '#d62828', opacity: 0.9},
-  {name: 'the prompt, writing', color: '#f4a03a', opacity: 0.9},
+  {name: 'the prompt, prefill', color: '#d62828', opacity: 0.9},
+  {name: 'the prompt, decode', color: '#f4a03a', opacity: 0.9},
 ] as const;
 
 function findBar({work, isMarked}: ActivitySpan): number {
@@ -29,7 +29,7 @@
   const {end, proc} = attempt;
   const outcome = cause === undefined ? 'in time' : CAUSE_NAMES[cause];
   const first = end?.ttftMs === undefined ? 'none' : `${end.ttftMs} ms`;
-  return `Request ${requestId ?? '?'} at ${proc}: ${tokens ?? '?'} tokens, ${outcome}, first event ${first}`;
+  return `Request ${requestId ?? '?'} at ${proc}: ${tokens ?? '?'} tokens, ${outcome}, first token ${first}`;
 }
 
 function listSeries(activity: EngineActivity): readonly SpanSeries[] {
@@ -59,7 +59,7 @@
   return renderLanes(
     describePrompt(request),
     's since its arrival',
-    engines.flatMap(engine => [`${engine} reads`, `${engine} writes`]),
+    engines.flatMap(engine => [`${engine} prefill`, `${engine} decode`]),
     [(from - zero) / 1000, (to - zero) / 1000],
     listSeries(activity),
   );
@@ -67,7 +67,7 @@
 
 /** Limits of the plot. */
 const PLOT_NOTE =
-  'A bar of reading lasts from the placement to the first event: the log does not tell when in between an engine read its part. A darker bar is several streams at once.';
+  'A prefill bar lasts from the placement to the first token: the log does not tell when an engine prefilled its shard. A darker bar is several streams at once.';
 
 /**
  * Renders the whole page.
--- a/packages/nutmeggauge/src/losses/losses.test.ts
+++ b/packages/nutmeggauge/src/losses/losses.test.ts
@@ -63,7 +63,7 @@
     expect(page).toInclude('<td>7.5</td>');
   });
 
-  it('draws the largest late prompt, its parts marked', () => {
+  it('draws the largest late prompt, its shards marked', () => {
     // The largest late prompt is shown, not the largest one.
     const logs = readGateLogs([writeLog(DAY)]);
     const routes = {chat: {ttftMs: 300}};
@@ -85,7 +85,7 @@
     ]);
   });
 
-  it('ends the reading of an engine that broke off', () => {
+  it('ends the prefill of an engine that broke off', () => {
     const lines = [
       buildLine(0, 'gate_started'),
       buildPlaced(1000, 'q'),
--- a/packages/nutmeggauge/src/losses/tables.ts
+++ b/packages/nutmeggauge/src/losses/tables.ts
@@ -60,7 +60,7 @@
 const FORECAST_COLUMNS: ReadonlyArray<Column<ForecastErrors>> = [
   ['prompt', f => f.size],
   ['age of facts', f => f.age],
-  ['first events', f => String(f.count)],
+  ['first tokens', f => String(f.count)],
   ['p50', f => String(f.p50)],
   ['p90', f => String(f.p90)],
   ['most', f => String(f.most)],
@@ -74,7 +74,7 @@
   ['worth (estimate)', g => formatWorth(g.estimatedWorth)],
 ];
 
-const MOMENT_COLUMNS: ReadonlyArray<Column<LossWindow>> = [
+const WINDOW_COLUMNS: ReadonlyArray<Column<LossWindow>> = [
   ['from', m => formatTime(m.from)],
   ['requests', m => String(m.requests)],
   ['worth', m => formatWorth(m.worth)],
@@ -105,14 +105,14 @@
     // All forecast classes are shown, as there are few.
     buildTable('Worth lost by cause (requests)', KIND_COLUMNS, kinds, Infinity),
     buildTable(
-      'First event later than forecast, ms',
+      'Time to first token beyond its forecast, ms',
       FORECAST_COLUMNS,
       forecasts,
       Infinity,
     ),
     buildTable(
-      `LossWindows of ${WINDOW_MS / 1000} s, worst first`,
-      MOMENT_COLUMNS,
+      `Windows of ${WINDOW_MS / 1000} s, worst first`,
+      WINDOW_COLUMNS,
       windows,
     ),
     buildTable('Engines, most late answers first', ENGINE_COLUMNS, engines),
@@ -122,12 +122,12 @@
 
 function listCounts(coverage: LogCoverage): readonly string[] {
   const counts: ReadonlyArray<readonly [number, string]> = [
-    [coverage.malformedLines, 'malformed or cut lines passed over'],
-    [coverage.foreignLines, 'lines of other programs passed over'],
-    [coverage.repeatedLines, 'lines that stand there twice counted once'],
-    [coverage.droppedLines, 'lines that gates did not write'],
+    [coverage.malformedLines, 'malformed or truncated lines ignored'],
+    [coverage.foreignLines, 'lines of other programs ignored'],
+    [coverage.repeatedLines, 'repeated lines counted once'],
+    [coverage.droppedLines, 'lines that gates dropped'],
     [coverage.openRequests, 'requests whose end is not in the log, left out'],
-    [coverage.withoutForecast, 'first events whose forecast is not known'],
+    [coverage.withoutForecast, 'first tokens whose forecast is not known'],
   ];
   return counts
     .filter(([count]) => count > 0)
