--- a/packages/direct/src/placement/place-prompt.ts
+++ b/packages/direct/src/placement/place-prompt.ts
@@ -75,9 +75,9 @@
   const costs = new Map(
     priced.map(one => [one, priceAsDecoder(one, demand, engine)]),
   );
-  const readCost = (one: PricedEngine) => costs.get(one) ?? Infinity;
+  const findCost = (one: PricedEngine) => costs.get(one) ?? Infinity;
   return [...priced]
-    .sort((a, b) => readCost(a) - readCost(b))
+    .sort((a, b) => findCost(a) - findCost(b))
     .slice(0, MAX_DECODERS);
 }
 
@@ -94,10 +94,10 @@
   for (const {helperDecodeInterference} of helpers)
     sum += helperDecodeInterference;
   for (const {queueInterference} of [decoder, ...helpers]) {
-    for (const [key, harm] of queueInterference)
-      worst.set(key, Math.max(harm, worst.get(key) ?? 0));
+    for (const [key, loss] of queueInterference)
+      worst.set(key, Math.max(loss, worst.get(key) ?? 0));
   }
-  for (const harm of worst.values()) sum += harm;
+  for (const loss of worst.values()) sum += loss;
   return sum;
 }
 
--- a/packages/direct/src/placement/price-decoder.ts
+++ b/packages/direct/src/placement/price-decoder.ts
@@ -134,8 +134,8 @@
   );
 }
 
-function sumInterference(harms: Iterable<number>): number {
+function sumInterference(losses: Iterable<number>): number {
   let sum = 0;
-  for (const harm of harms) sum += harm;
+  for (const loss of losses) sum += loss;
   return sum;
 }
--- a/packages/direct/src/placement/price-prefill.ts
+++ b/packages/direct/src/placement/price-prefill.ts
@@ -53,9 +53,9 @@
   const longestMs = Math.max(0, ...load.iterationPrefillsMs);
   const addedMs = iterationPrefillMs - longestMs;
   if (addedMs <= 0) return 0;
-  let harm = 0;
+  let sum = 0;
   for (const stream of load.decoding)
-    harm +=
+    sum +=
       stream.value *
       estimateAddedLoss(decodeMs + longestMs, addedMs, {
         leftMs: stream.itlObjectiveMs,
@@ -63,7 +63,7 @@
         abandonAfter: ABANDON_ITL_OBJECTIVES,
         error: ITL_ERROR,
       });
-  return harm;
+  return sum;
 }
 
 /**
@@ -76,11 +76,11 @@
   prefillMs: number,
 ): number {
   const longestMs = Math.max(0, ...load.iterationPrefillsMs);
-  let harm = 0;
+  let sum = 0;
   for (const {placement, prefillDoneMs} of load.pending) {
     const leftMs = Math.min(prefillMs, shardEndMs - prefillDoneMs);
     if (leftMs <= longestMs) continue;
-    harm +=
+    sum +=
       placement.value *
       estimateAddedLoss(longestMs, leftMs - longestMs, {
         leftMs: placement.itlObjectiveMs,
@@ -89,7 +89,7 @@
         error: ITL_ERROR,
       });
   }
-  return harm;
+  return sum;
 }
 
 /**
@@ -101,19 +101,19 @@
   addedMs: number,
   now: number,
 ): ReadonlyMap<string, number> {
-  const harms = new Map<string, number>();
+  const byKey = new Map<string, number>();
   for (const {placement, doneMs, prefillDoneMs} of load.queued) {
     const delayMs = Math.max(0, addedMs - (prefillDoneMs - doneMs));
     if (delayMs === 0) continue;
-    const harm = estimateAddedLoss(prefillDoneMs, delayMs, {
+    const loss = estimateAddedLoss(prefillDoneMs, delayMs, {
       leftMs: placement.objectiveMs - (now - placement.placedAt),
       wholeMs: placement.objectiveMs,
       abandonAfter: ABANDON_TTFT_OBJECTIVES,
       error: TTFT_ERROR,
     });
-    harms.set(placement.key, placement.value * harm);
+    byKey.set(placement.key, placement.value * loss);
   }
-  return harms;
+  return byKey;
 }
 
 /**
@@ -150,7 +150,7 @@
   const helperDecodeInterference =
     estimateDecodeInterference(load, decodeMs, prefillMs) + pendingInterference;
   let helperInterference = helperDecodeInterference;
-  for (const harm of queueInterference.values()) helperInterference += harm;
+  for (const one of queueInterference.values()) helperInterference += one;
   return {
     candidate,
     shardMs,
