--- /dev/null
+++ b/packages/direct/src/peers/startup-sync.test.ts
@@ -0,0 +1,89 @@
+import {PassThrough} from 'node:stream';
+import {describe, it} from 'node:test';
+import {expect} from 'earl';
+import {createFleetState} from '../fleet/fleet-state.js';
+import {createDecisionLog} from '../observe/decision-log.js';
+import {buildPosition, buildTarget} from '../test/build-target.js';
+import {buildConfig} from '../test/gate-world.js';
+import {StartupSync} from './startup-sync.js';
+import type {SharedFacts} from '../fleet/fleet-state.js';
+
+const PEER_FACTS: SharedFacts = {
+  position: buildPosition(9, 2),
+  config: buildConfig(7),
+  targets: [{...buildTarget('a', 0), position: buildPosition(4, 2)}],
+  held: [],
+  doubts: [],
+};
+
+/** A gate that starts in era `era`, with answers of peers by host. */
+function createWorld(
+  era: number,
+  answers: Readonly<Record<string, SharedFacts | undefined>>,
+) {
+  let now = 0;
+  const asked: string[] = [];
+  const state = createFleetState(() => now);
+  const sync = new StartupSync({
+    state,
+    listPeers: () => Object.keys(answers),
+    fetch: host => {
+      asked.push(host);
+      const facts = answers[host];
+      return facts === undefined
+        ? Promise.reject(new Error('gone'))
+        : Promise.resolve(facts);
+    },
+    log: createDecisionLog({
+      proc: 'g',
+      output: new PassThrough(),
+      readWallMs: Date.now,
+    }),
+    readNow: () => now,
+    wait: ms => {
+      now += ms;
+      return Promise.resolve();
+    },
+  });
+  const readStore = async () => {
+    state.applySnapshot({
+      position: buildPosition(5, era),
+      config: buildConfig(1),
+      targets: [{...buildTarget('a', 0), position: buildPosition(4, era)}],
+      malformed: [],
+    });
+    for (let i = 0; i < 50; i++)
+      await new Promise(resolve => setImmediate(resolve));
+  };
+  return {state, sync, asked, readStore, readWaitedMs: () => now};
+}
+
+describe('synchronization of a gate that starts', () => {
+  it('is not needed while the store is in its first era', async () => {
+    const {sync, asked, readStore} = createWorld(0, {a: PEER_FACTS});
+    expect(sync.isDone).toEqual(false);
+    await readStore();
+    expect(sync.isDone).toEqual(true);
+    expect(asked).toEqual([]);
+  });
+
+  it('merges the facts of the first peer that answers', async () => {
+    // Guards against a gate that is ready with an older copy's configuration.
+    const {state, sync, asked, readStore} = createWorld(2, {
+      gone: undefined,
+      a: PEER_FACTS,
+    });
+    await readStore();
+    expect(asked).toEqual(['gone', 'a']);
+    expect(sync.isDone).toEqual(true);
+    expect(state.config?.version).toEqual(7);
+  });
+
+  it('ends without a peer', async () => {
+    // Guards against a single gate that is never ready.
+    const {sync, readStore, readWaitedMs} = createWorld(2, {});
+    await readStore();
+    expect(sync.isDone).toEqual(true);
+    expect(readWaitedMs()).toEqual(1500);
+  });
+});
