Test: a gate that starts takes a busy peer's targets for all it knows (fails)

Found in reading the change. After a return of the store from an older copy, a peer sends its configuration to two gates at a time and gives others its targets alone, or says that it is busy. The gate that starts was then ready with the copy's configuration, or asked nobody else.

--- a/packages/direct/src/peers/peer-group.ts
+++ b/packages/direct/src/peers/peer-group.ts
@@ -87,6 +87,7 @@
     this.sync = new StartupSync({
       state,
       listPeers: () => this.listGates().filter(host => host !== ownHost),
+      listAhead: () => this.listAhead(),
       fetch,
       log,
       readNow,
--- a/packages/direct/src/peers/startup-sync.test.ts
+++ b/packages/direct/src/peers/startup-sync.test.ts
@@ -1,6 +1,7 @@
 import {PassThrough} from 'node:stream';
 import {describe, it} from 'node:test';
 import {expect} from 'earl';
+import {FactsBusyError} from '../errors.js';
 import {createFleetState} from '../fleet/fleet-state.js';
 import {createDecisionLog} from '../observe/decision-log.js';
 import {buildPosition, buildTarget} from '../test/build-target.js';
@@ -19,7 +20,8 @@
 /** A gate that starts in era `era`, with answers of peers by host. */
 function createWorld(
   era: number,
-  answers: Readonly<Record<string, SharedFacts | undefined>>,
+  answers: Readonly<Record<string, SharedFacts | Error | undefined>>,
+  later: Readonly<Record<string, SharedFacts>> = {},
 ) {
   let now = 0;
   const asked: string[] = [];
@@ -27,11 +29,15 @@
   const sync = new StartupSync({
     state,
     listPeers: () => Object.keys(answers),
+    listAhead: () =>
+      (state.config?.version ?? 0) < 7 ? Object.keys(answers) : [],
     fetch: host => {
+      const isFirst = !asked.includes(host);
       asked.push(host);
-      const facts = answers[host];
-      return facts === undefined
-        ? Promise.reject(new Error('gone'))
+      const facts = isFirst ? answers[host] : (later[host] ?? answers[host]);
+      if (facts === undefined) return Promise.reject(new Error('gone'));
+      return facts instanceof Error
+        ? Promise.reject(facts)
         : Promise.resolve(facts);
     },
     log: createDecisionLog({
@@ -79,6 +85,31 @@
     expect(state.config?.version).toEqual(7);
   });
 
+  it('goes on while a peer has a configuration that it did not send', async () => {
+    // Guards against being ready with the copy's configuration because the peer
+    // was sending its own to others.
+    const {state, sync, readStore} = createWorld(
+      2,
+      {a: {...PEER_FACTS, config: undefined}},
+      {a: PEER_FACTS},
+    );
+    await readStore();
+    expect(sync.isDone).toEqual(true);
+    expect(state.config?.version).toEqual(7);
+  });
+
+  it('asks a busy peer again', async () => {
+    // Guards against a start without facts because the only peer was busy.
+    const {state, asked, readStore} = createWorld(
+      2,
+      {a: new FactsBusyError('busy')},
+      {a: PEER_FACTS},
+    );
+    await readStore();
+    expect(asked).toEqual(['a', 'a']);
+    expect(state.config?.version).toEqual(7);
+  });
+
   it('ends without a peer', async () => {
     // Guards against a single gate that is never ready.
     const {sync, readStore, readWaitedMs} = createWorld(2, {});
--- a/packages/direct/src/peers/startup-sync.ts
+++ b/packages/direct/src/peers/startup-sync.ts
@@ -25,6 +25,8 @@
   readonly state: FleetState;
   /** Hosts of live peers. */
   readonly listPeers: () => readonly string[];
+  /** Hosts of live peers with newer facts. */
+  readonly listAhead: () => readonly string[];
   readonly fetch: (host: string, known: FactVersions) => Promise<SharedFacts>;
   readonly log: DecisionLog;
   readonly readNow: () => number;
