--- a/packages/direct/src/peers/messages.ts
+++ b/packages/direct/src/peers/messages.ts
@@ -1,21 +1,21 @@
 /**
- * Messages between gates: json-rpc notifications in datagrams. A lost one is
- * made good by the next beat, which lists all of a gate's streams.
+ * Messages between gates: JSON-RPC notifications in datagrams. The next
+ * heartbeat makes up for a lost one.
  */
 import {z} from 'zod';
-import type {Placement} from '../placement/load-book.js';
+import type {Placement} from '../placement/load-tracker.js';
 
-/** A placement as it travels: ages in place of clock readings. */
+/** A placement on the wire; ages replace clock readings. */
 export const WirePlacementSchema = z.object({
   key: z.string(),
-  first: z.string(),
+  decoder: z.string(),
   targets: z.array(z.string()),
-  /** One for each target, or a single one that holds for all. */
-  workMs: z.array(z.number()),
+  /** One for each target, or a single one for all. */
+  prefillMs: z.array(z.number()),
   promptTokens: z.number(),
-  memoryTokens: z.number(),
-  held: z.array(z.object({target: z.string(), tokens: z.number()})),
-  goalMs: z.number(),
+  kvTokens: z.number(),
+  reserved: z.array(z.object({target: z.string(), tokens: z.number()})),
+  objectiveMs: z.number(),
   gapMs: z.number(),
   value: z.number(),
   predictedMs: z.number(),
@@ -24,8 +24,8 @@
 });
 export type WirePlacement = z.output<typeof WirePlacementSchema>;
 
-/** Sign of life of a gate. */
-export const BeatSchema = z.object({
+/** Heartbeat of a gate. */
+export const HeartbeatSchema = z.object({
   from: z.string(),
   incarnation: z.string(),
   configVersion: z.number(),
@@ -33,35 +33,40 @@
   /** Age of the sender's last answer from the store, in ms. */
   factsAgeMs: z.number(),
   /**
-   * For how long the store has answered the sender without an outage, in ms;
-   * 0 in one, and from a sender that does not say.
+   * Time for which the store has answered the sender without an outage, in ms;
+   * 0 in one.
    */
   contactMs: z.number().default(0),
   /** Hosts of the gates that the sender knows. */
   peers: z.array(z.string()),
   /**
-   * Numbers of the sender's streams under way, and of those begun. Whole
-   * placements go only to a gate that asks: in every beat they were most of
-   * the bytes between zones on a deployment of 28 gates.
+   * Numbers of the sender's open streams, and of those past prefill. Whole
+   * placements are sent on request only, which keeps heartbeats small.
    */
   open: z.array(z.number()),
   begun: z.array(z.number()),
   placements: z.array(WirePlacementSchema),
-  /** Slow engines among those that the sender asks for reports. */
-  paces: z.array(z.object({target: z.string(), pace: z.number().positive()})),
-  /** True when the sender asks for a beat in return. */
-  asks: z.boolean(),
+  /** Slow engines among those that the sender polls. */
+  slowdowns: z.array(
+    z.object({target: z.string(), slowdown: z.number().positive()}),
+  ),
+  /** True when the sender asks for a heartbeat in return. */
+  wantsReply: z.boolean(),
   leaves: z.boolean(),
 });
-export type Beat = z.output<typeof BeatSchema>;
+export type Heartbeat = z.output<typeof HeartbeatSchema>;
 
 export const KeySchema = z.object({key: z.string()});
 
 const JSON_RPC = z.literal('2.0');
 
-/** Every datagram that a gate takes. */
+/** Every datagram that a gate accepts. */
 export const DatagramSchema = z.discriminatedUnion('method', [
-  z.object({jsonrpc: JSON_RPC, method: z.literal('beat'), params: BeatSchema}),
+  z.object({
+    jsonrpc: JSON_RPC,
+    method: z.literal('heartbeat'),
+    params: HeartbeatSchema,
+  }),
   z.object({
     jsonrpc: JSON_RPC,
     method: z.literal('placed'),
@@ -78,7 +83,7 @@
 }
 
 /**
- * Turns a placement into its travelling form.
+ * Converts a placement to its wire form.
  *
  * @example
  * toWirePlacement(placement, false, performance.now());
@@ -90,42 +95,44 @@
 ): WirePlacement {
   return {
     key: placement.key,
-    first: placement.first,
-    targets: placement.parts.map(part => part.target),
-    workMs: mergeEqual(placement.parts.map(part => Math.round(part.workMs))),
+    decoder: placement.decoder,
+    targets: placement.shards.map(shard => shard.target),
+    prefillMs: mergeEqual(
+      placement.shards.map(shard => Math.round(shard.prefillMs)),
+    ),
     promptTokens: placement.promptTokens,
-    memoryTokens: Math.round(placement.memoryTokens),
-    held: [...placement.held],
-    goalMs: Math.round(placement.goalMs),
-    gapMs: placement.gapGoalMs,
+    kvTokens: Math.round(placement.kvTokens),
+    reserved: [...placement.reserved],
+    objectiveMs: Math.round(placement.objectiveMs),
+    gapMs: placement.itlObjectiveMs,
     value: placement.value,
-    predictedMs: Math.round(placement.predictedFirstMs),
+    predictedMs: Math.round(placement.predictedTtftMs),
     ageMs: Math.round(now - placement.placedAt),
     begun,
   };
 }
 
 /**
- * Turns the travelling form back into a placement.
+ * Converts the wire form to a placement.
  *
  * @example
- * book.add(toPlacement(wire, performance.now()), wire.begun);
+ * tracker.add(toPlacement(wire, performance.now()), wire.begun);
  */
 export function toPlacement(wire: WirePlacement, now: number): Placement {
   return {
     key: wire.key,
-    first: wire.first,
-    parts: wire.targets.map((target, i) => ({
+    decoder: wire.decoder,
+    shards: wire.targets.map((target, i) => ({
       target,
-      workMs: wire.workMs[i] ?? wire.workMs[0] ?? 0,
+      prefillMs: wire.prefillMs[i] ?? wire.prefillMs[0] ?? 0,
     })),
     promptTokens: wire.promptTokens,
-    memoryTokens: wire.memoryTokens,
-    held: wire.held,
-    goalMs: wire.goalMs,
-    gapGoalMs: wire.gapMs,
+    kvTokens: wire.kvTokens,
+    reserved: wire.reserved,
+    objectiveMs: wire.objectiveMs,
+    itlObjectiveMs: wire.gapMs,
     value: wire.value,
-    predictedFirstMs: wire.predictedMs,
+    predictedTtftMs: wire.predictedMs,
     placedAt: now - wire.ageMs,
   };
 }
--- a/packages/direct/src/peers/peer-group.ts
+++ b/packages/direct/src/peers/peer-group.ts
@@ -1,8 +1,8 @@
 /**
- * The other gates: who they are, what they have placed, and whether they know
- * newer facts. Found through seeds that may be stale or down; every gate that
- * was ever heard of is beaten for a while, so a restarted one is found again
- * even when all seeds are gone.
+ * Membership and gossip among the gates: heartbeats, placements, and who has
+ * newer facts. Gates are found through seeds, which may be stale or down; known
+ * hosts are contacted for a while after they fall silent, so a restarted gate
+ * is found without seeds.
  */
 import {createSocket} from 'node:dgram';
 import {setTimeout as sleep} from 'node:timers/promises';
@@ -14,50 +14,52 @@
 import {PeerTable} from './peer-table.js';
 import type {Socket as DatagramSocket} from 'node:dgram';
 import type {Server} from 'node:net';
-import type {EnginePaces} from '../health/engine-paces.js';
+import type {EngineSlowdowns} from '../health/engine-slowdowns.js';
 import type {FleetState} from '../fleet/fleet-state.js';
 import type {DecisionLog} from '../observe/decision-log.js';
-import type {LoadBook, Placement} from '../placement/load-book.js';
+import type {LoadTracker, Placement} from '../placement/load-tracker.js';
 import type {FactsFetcher} from './facts-fetcher.js';
-import type {Beat, Datagram} from './messages.js';
+import type {Heartbeat, Datagram} from './messages.js';
 import type {Peer} from './peer-table.js';
 
-/** Period of the beats, in ms: the age up to which another gate's facts may be behind. */
-const BEAT_MS = 1000;
+/** Period of the heartbeats, in ms. */
+const HEARTBEAT_MS = 1000;
 
-/** Shortest time between two beats that new facts cause, in ms. */
+/** Shortest time between heartbeats that news triggers, in ms. */
 const NEWS_MIN_MS = 100;
 
 /**
- * Age of the store's last answer from which on it is not waited for, in ms: a
- * watch without news is answered each 2.5 s.
+ * Age of the store's last answer from which it counts as silent, in ms: above
+ * one long poll.
  */
 const STORE_SILENT_MS = 3000;
 
 /** Time for the last messages to leave, in ms. */
 const LEAVE_MS = 30;
 
-/** What a peer group works with. */
+/** Dependencies of a peer group. */
 export interface PeerGroupOptions {
-  /** Own address; peers are told apart by it. */
+  /** Own address; it identifies a gate. */
   readonly host: string;
   readonly port: number;
   /** New at each start of the process. */
   readonly incarnation: string;
   readonly seedHosts: readonly string[];
   readonly state: FleetState;
-  readonly book: LoadBook;
-  readonly paces: EnginePaces;
+  readonly tracker: LoadTracker;
+  readonly slowdowns: EngineSlowdowns;
   readonly log: DecisionLog;
   readonly readNow: () => number;
-  /** Age of this gate's own last answer from the store, in ms. */
+  /** Age of this gate's last answer from the store, in ms. */
   readonly readStoreAgeMs: () => number;
-  /** For how long the store has answered this gate without an outage, in ms. */
+  /**
+   * Time for which the store has answered this gate without an outage, in ms.
+   */
   readonly readContactMs: () => number;
 }
 
 /**
- * The peer group of one gate.
+ * The peers of one gate.
  *
  * @example
  * const peers = new PeerGroup(options);
@@ -88,8 +90,8 @@
       random: Math.random,
     });
     state.onChange(({source, event}) => {
-      // Who has a configuration from another gate hands it on: were only the
-      // first gate known to have it, all others would wait for that one.
+      // A configuration that came from a peer is announced too, so that others
+      // can fetch it here.
       if (source === 'store' || event === 'config_applied') this.scheduleNews();
       if (event === 'target_held') this.confirmRemovals();
     });
@@ -100,19 +102,19 @@
     return formatOwner(this.options.host, this.options.incarnation);
   }
 
-  /** Gates that share budgets with this one, itself included. */
+  /** Gates that share budgets, this one included. */
   countGates(): number {
     return this.table.countSharing();
   }
 
-  /** Hosts of the gates that are alive, this one included. */
+  /** Hosts of live gates, this one included. */
   listGates(): readonly string[] {
     return [this.options.host, ...this.table.listAlive().map(({host}) => host)];
   }
 
   /**
-   * Age of the freshest confirmation that this gate's facts are current, in
-   * ms: its own, or that of a gate that knows nothing newer.
+   * Age of the freshest confirmation that this gate's facts are current, in ms:
+   * by the store, or by a peer that knows nothing newer.
    */
   readFactsAgeMs(): number {
     const {readStoreAgeMs, state} = this.options;
@@ -120,7 +122,7 @@
     return Math.min(readStoreAgeMs(), confirmedMs);
   }
 
-  /** Opens the sockets and starts beating. */
+  /** Opens the sockets and starts the heartbeats. */
   async start(): Promise<void> {
     const {host, port, state, log, readNow} = this.options;
     const socket = createSocket('udp4');
@@ -135,27 +137,27 @@
     });
     const address = {host, port};
     this.server = await openFactsServer({address, state, log, readNow});
-    this.timer = setInterval(() => this.broadcastBeats(), BEAT_MS);
-    this.broadcastBeats(true);
+    this.timer = setInterval(() => this.broadcastHeartbeats(), HEARTBEAT_MS);
+    this.broadcastHeartbeats(true);
   }
 
-  /** Replaces the seeds after a change of the settings. */
+  /** Replaces the seeds. */
   setSeeds(seedHosts: readonly string[]): void {
     this.seedHosts = seedHosts;
-    this.broadcastBeats(true);
+    this.broadcastHeartbeats(true);
   }
 
-  /** Tells the others that this gate goes away, and stops. */
+  /** Announces that this gate leaves, and stops. */
   async stop(): Promise<void> {
     if (this.isLeaving) return;
     this.isLeaving = true;
-    this.broadcastBeats();
+    this.broadcastHeartbeats();
     clearInterval(this.timer);
     clearTimeout(this.newsTimer);
     this.server?.close();
     const {socket} = this;
     this.socket = undefined;
-    // What was sent just now leaves before the socket closes.
+    // Lets the last datagrams leave before the socket closes.
     await sleep(LEAVE_MS);
     socket?.close();
   }
@@ -191,21 +193,25 @@
     });
   }
 
-  private broadcastBeats(asks = false): void {
+  private broadcastHeartbeats(wantsReply = false): void {
     for (const peer of this.table.expireSilent()) this.dropPeer(peer, 'silent');
     const hosts = new Set([...this.seedHosts, ...this.table.listHosts()]);
     hosts.delete(this.options.host);
     for (const host of hosts)
-      this.sendBeat(host, asks || !this.table.isHeard(host));
+      this.sendHeartbeat(host, wantsReply || !this.table.isHeard(host));
   }
 
-  /** @param isFull - With whole placements, for a gate that knows none. */
-  private sendBeat(host: string, asks: boolean, isFull = false): void {
-    const {state, book, paces, readNow, incarnation} = this.options;
+  /** @param isFull - Includes whole placements. */
+  private sendHeartbeat(
+    host: string,
+    wantsReply: boolean,
+    isFull = false,
+  ): void {
+    const {state, tracker, slowdowns, readNow, incarnation} = this.options;
     const {readStoreAgeMs, readContactMs} = this.options;
     const now = readNow();
-    const own = book.listOwnedBy(this.owner);
-    const params: Beat = {
+    const own = tracker.listOwnedBy(this.owner);
+    const params: Heartbeat = {
       from: this.options.host,
       incarnation,
       configVersion: state.config?.version ?? 0,
@@ -222,24 +228,25 @@
             toWirePlacement(placement, hasBegun, now),
           )
         : [],
-      paces: [...paces.listMine()],
-      asks,
+      slowdowns: [...slowdowns.listMine()],
+      wantsReply,
       leaves: this.isLeaving,
     };
-    const message: Datagram = {jsonrpc: '2.0', method: 'beat', params};
+    const message: Datagram = {jsonrpc: '2.0', method: 'heartbeat', params};
     this.sendBytes(host, Buffer.from(JSON.stringify(message)));
   }
 
   private receive(bytes: Buffer): void {
     const message = this.parse(bytes);
     if (message === undefined) return;
-    const {book, readNow} = this.options;
-    if (message.method === 'beat') this.applyBeat(message.params);
+    const {tracker, readNow} = this.options;
+    if (message.method === 'heartbeat') this.applyHeartbeat(message.params);
     if (message.method === 'placed')
-      book.add(toPlacement(message.params, readNow()), message.params.begun);
+      tracker.add(toPlacement(message.params, readNow()), message.params.begun);
     if (message.method === 'begun')
-      book.markBegun(message.params.key, readNow());
-    if (message.method === 'ended') book.remove(message.params.key, readNow());
+      tracker.markBegun(message.params.key, readNow());
+    if (message.method === 'ended')
+      tracker.remove(message.params.key, readNow());
   }
 
   private parse(bytes: Buffer): Datagram | undefined {
@@ -254,25 +261,27 @@
     }
   }
 
-  private applyBeat(beat: Beat): void {
-    if (beat.from === this.options.host) return;
+  private applyHeartbeat(heartbeat: Heartbeat): void {
+    if (heartbeat.from === this.options.host) return;
     const now = this.options.readNow();
-    const peer = this.table.readPeer(beat.from);
-    if (peer.incarnation !== beat.incarnation) this.applyRestart(peer, beat);
-    const isNew = this.table.recordBeat(peer, beat);
-    if (beat.leaves) return this.dropPeer(peer, 'left');
-    this.applyPlacements(beat, now);
-    for (const pace of beat.paces) this.options.paces.apply(pace);
+    const peer = this.table.readPeer(heartbeat.from);
+    if (peer.incarnation !== heartbeat.incarnation)
+      this.applyRestart(peer, heartbeat);
+    const isNew = this.table.recordHeartbeat(peer, heartbeat);
+    if (heartbeat.leaves) return this.dropPeer(peer, 'left');
+    this.applyPlacements(heartbeat, now);
+    for (const slowdown of heartbeat.slowdowns)
+      this.options.slowdowns.apply(slowdown);
     if (isNew) this.options.log.info('peer_joined', {peer: peer.host});
-    if (beat.asks || isNew) this.sendBeat(peer.host, false, true);
+    if (heartbeat.wantsReply || isNew)
+      this.sendHeartbeat(peer.host, false, true);
     if (this.isAhead(peer)) this.fetcher.schedule();
     this.confirmRemovals();
   }
 
   /**
-   * Tells the state what has left while the store turned only this gate away.
-   * A gate that may still hold targets itself, from an outage shortly before
-   * this one, confirms nothing.
+   * Confirms removals that a peer without an outage has seen. Peers that may
+   * hold targets themselves confirm nothing.
    */
   private confirmRemovals(): void {
     const {state} = this.options;
@@ -280,31 +289,35 @@
     state.confirmRemovals(this.table.findRevisionInContact(since));
   }
 
-  private applyRestart(peer: Peer, beat: Beat): void {
+  private applyRestart(peer: Peer, heartbeat: Heartbeat): void {
     const {log} = this.options;
     if (peer.incarnation !== undefined) {
       this.dropPlacements(peer.host, peer.incarnation);
       log.info('peer_restarted', {peer: peer.host});
     }
-    peer.incarnation = beat.incarnation;
+    peer.incarnation = heartbeat.incarnation;
   }
 
   private dropPlacements(host: string, incarnation: string): void {
-    const {book, readNow} = this.options;
-    book.dropUnlessKept(formatOwner(host, incarnation), new Set(), readNow());
+    const {tracker, readNow} = this.options;
+    tracker.dropUnlessKept(
+      formatOwner(host, incarnation),
+      new Set(),
+      readNow(),
+    );
   }
 
-  private applyPlacements(beat: Beat, now: number): void {
-    const {book} = this.options;
-    const owner = formatOwner(beat.from, beat.incarnation);
+  private applyPlacements(heartbeat: Heartbeat, now: number): void {
+    const {tracker} = this.options;
+    const owner = formatOwner(heartbeat.from, heartbeat.incarnation);
     const toKey = (number: number) => `${owner}#${number}`;
-    book.dropUnlessKept(owner, new Set(beat.open.map(toKey)), now);
-    for (const wire of beat.placements)
-      book.add(toPlacement(wire, now), wire.begun);
-    for (const number of beat.begun) book.markBegun(toKey(number), now);
+    tracker.dropUnlessKept(owner, new Set(heartbeat.open.map(toKey)), now);
+    for (const wire of heartbeat.placements)
+      tracker.add(toPlacement(wire, now), wire.begun);
+    for (const number of heartbeat.begun) tracker.markBegun(toKey(number), now);
   }
 
-  /** Forgets what a gate has placed; a later beat brings it back. */
+  /** Forgets a gate's placements; a later heartbeat restores them. */
   private dropPeer(peer: Peer, reason: 'left' | 'silent'): void {
     const {log} = this.options;
     if (peer.incarnation === undefined) return;
@@ -333,7 +346,7 @@
     if (this.newsTimer !== undefined) return;
     this.newsTimer = setTimeout(() => {
       this.newsTimer = undefined;
-      this.broadcastBeats();
+      this.broadcastHeartbeats();
     }, NEWS_MIN_MS);
   }
 }
--- a/packages/direct/src/peers/peer-table.ts
+++ b/packages/direct/src/peers/peer-table.ts
@@ -1,33 +1,37 @@
-/** What a gate knows of the other gates, by host. */
-import type {Beat} from './messages.js';
+/** The peers of a gate, by host. */
+import type {Heartbeat} from './messages.js';
 
-/** Silence after which a gate's placements are dropped, in ms: three beats. */
+/**
+ * Silence after which a peer's placements are dropped, in ms: three heartbeats.
+ */
 const SILENT_MS = 3200;
 
-/** Silence after which a gate no longer counts for shared budgets, in ms. */
+/** Silence after which a peer no longer counts for shared budgets, in ms. */
 const FORGET_BUDGET_MS = 30_000;
 
-/** Silence after which a gate is beaten no more, in ms. */
+/** Silence after which a peer is no longer contacted, in ms. */
 const FORGET_MS = 120_000;
 
-/** Another gate, as its beats show it. */
+/** A peer as its heartbeats describe it. */
 export interface Peer {
   readonly host: string;
-  /** Absent until its first beat, and again once it is lost. */
+  /** Absent before its first heartbeat, and after it is lost. */
   incarnation: string | undefined;
-  /** Last beat, on the monotonic clock; -Infinity before the first. */
+  /** Last heartbeat on the monotonic clock; -Infinity before the first. */
   heardAt: number;
-  /** When it was first heard of. */
+  /** When it became known. */
   readonly knownAt: number;
   configVersion: number;
   revision: number;
   factsAgeMs: number;
-  /** Since when the store has answered it without an outage; Infinity in one. */
+  /**
+   * Since when the store has answered it without an outage; Infinity in one.
+   */
   contactAt: number;
 }
 
 /**
- * The other gates of one gate.
+ * The peers of one gate.
  *
  * @example
  * const table = new PeerTable('10.1.0.4', () => performance.now());
@@ -40,27 +44,27 @@
     private readonly readNow: () => number,
   ) {}
 
-  /** Hosts of all gates that were ever heard of and not forgotten. */
+  /** Hosts of all peers that are not forgotten. */
   listHosts(): readonly string[] {
     return [...this.peers.keys()];
   }
 
-  /** Gates whose last beat is recent. */
+  /** Peers with a recent heartbeat. */
   listAlive(): readonly Peer[] {
     return this.listHeardWithin(SILENT_MS);
   }
 
-  /** Counts gates that share budgets with this one, itself included. */
+  /** Number of gates that share budgets, this one included. */
   countSharing(): number {
     return 1 + this.listHeardWithin(FORGET_BUDGET_MS).length;
   }
 
-  /** True once a gate has beaten. */
+  /** True after the first heartbeat of a peer. */
   isHeard(host: string): boolean {
     return (this.peers.get(host)?.heardAt ?? -Infinity) >= 0;
   }
 
-  /** Finds a gate, or adds it as one that was just heard of. */
+  /** Finds a peer, or adds it. */
   readPeer(host: string): Peer {
     const known = this.peers.get(host);
     if (known !== undefined) return known;
@@ -78,22 +82,22 @@
     return peer;
   }
 
-  /** Takes up what a beat says; returns whether it was the gate's first. */
-  recordBeat(peer: Peer, beat: Beat): boolean {
+  /** Records a heartbeat; returns whether it is the peer's first. */
+  recordHeartbeat(peer: Peer, heartbeat: Heartbeat): boolean {
     const isFirst = peer.heardAt === -Infinity;
     peer.heardAt = this.readNow();
-    peer.configVersion = beat.configVersion;
-    peer.revision = beat.revision;
-    peer.factsAgeMs = beat.factsAgeMs;
+    peer.configVersion = heartbeat.configVersion;
+    peer.revision = heartbeat.revision;
+    peer.factsAgeMs = heartbeat.factsAgeMs;
     peer.contactAt =
-      beat.contactMs > 0 ? peer.heardAt - beat.contactMs : Infinity;
-    for (const host of beat.peers) this.readPeer(host);
+      heartbeat.contactMs > 0 ? peer.heardAt - heartbeat.contactMs : Infinity;
+    for (const host of heartbeat.peers) this.readPeer(host);
     return isFirst;
   }
 
   /**
-   * Lists gates that have gone silent and have not been dropped yet; those
-   * silent for long are forgotten.
+   * Lists silent peers that have not been dropped yet, and forgets those that
+   * have been silent for long.
    */
   expireSilent(): readonly Peer[] {
     const now = this.readNow();
@@ -108,8 +112,8 @@
   }
 
   /**
-   * Age of the freshest confirmation, by a gate that knows nothing newer than
-   * `revision`, that facts of that revision are current, in ms.
+   * Age of the freshest confirmation that facts of `revision` are current, in
+   * ms, by a peer that knows nothing newer.
    */
   readConfirmedAgeMs(revision: number): number {
     let age = Infinity;
@@ -120,8 +124,8 @@
   }
 
   /**
-   * Newest revision of a living gate that the store has answered since before
-   * `since`; 0 when there is none.
+   * Newest revision of a live peer that the store has answered since before
+   * `since`; 0 if there is none.
    */
   findRevisionInContact(since: number): number {
     const revisions = this.listAlive()
--- a/packages/direct/src/peers/shared-facts.ts
+++ b/packages/direct/src/peers/shared-facts.ts
@@ -1,13 +1,12 @@
 /**
- * What gates hand each other of configuration and targets, checked at its
- * arrival: the other gate may be of another version, and JSON turns a figure
- * that is not finite into null, which is a zero in the next sum.
+ * Validates facts from a peer, which may be of another version; JSON also turns
+ * figures that are not finite into null.
  */
 import {z} from 'zod';
 import {DecodeError} from '../errors.js';
 import type {SharedFacts, FactVersions} from '../fleet/fleet-state.js';
 
-/** A gate of an earlier version says nothing of what it has. */
+/** Gates of an earlier version send no versions. */
 const KnownFactsSchema = z.object({
   configVersion: z.number().catch(0),
   revision: z.number().catch(0),
@@ -15,13 +14,13 @@
 
 const EngineSchema = z.object({
   slots: z.number(),
-  memoryTokens: z.number(),
+  kvCapacityTokens: z.number(),
   stepMs: z.number(),
-  stepMsPerWriter: z.number(),
+  stepMsPerSequence: z.number(),
   stepMsPerContextK: z.number(),
-  readTokensPerMs: z.number(),
-  pairsMsPerMillion: z.number(),
-  stepsPerPass: z.number(),
+  prefillTokensPerMs: z.number(),
+  attentionMsPerMillionPairs: z.number(),
+  stepsPerIteration: z.number(),
   chunkTokens: z.number(),
 });
 
@@ -31,8 +30,8 @@
   prefix: z.string(),
   kind: z.enum(['safe', 'unsafe', 'stream']),
   timeoutMs: z.number(),
-  goalMs: z.number(),
-  gapGoalMs: z.number().optional(),
+  objectiveMs: z.number(),
+  itlObjectiveMs: z.number().optional(),
   splits: z.array(z.object({service: z.string(), weight: z.number()})),
   maxAttempts: z.number(),
   isPublic: z.boolean(),
@@ -73,7 +72,7 @@
 });
 
 /**
- * Reads what an asker says that it has.
+ * Decodes the versions that a peer has.
  *
  * @example
  * toKnownFacts({configVersion: 7, revision: 120});
@@ -83,7 +82,7 @@
 }
 
 /**
- * Checks facts that another gate has handed over.
+ * Validates facts from a peer.
  *
  * @throws DecodeError that names the first bad field; nothing of the facts is
  *   used then.
--- /dev/null
+++ b/packages/direct/src/placement/choose-send-time.test.ts
@@ -0,0 +1,157 @@
+import {describe, it} from 'node:test';
+import {expect} from 'earl';
+import fc from 'fast-check';
+import {ENGINE} from '../test/gate-world.js';
+import {chooseSendTime} from './choose-send-time.js';
+import {createLoadTracker} from './load-tracker.js';
+import {
+  buildPlacement,
+  choosePromptEngines,
+  estimateValue,
+} from './place-prompt.js';
+import type {LoadTracker} from './load-tracker.js';
+import type {PromptDemand} from './prompt-types.js';
+import type {TimedChoice} from './choose-send-time.js';
+
+const ENGINES = 6;
+
+function buildDemand(promptTokens: number, waitedMs: number): PromptDemand {
+  return {
+    promptTokens,
+    maxOutputTokens: 800,
+    objectiveMs: 3000,
+    objectiveLeftMs: 3000 - waitedMs,
+    itlObjectiveMs: 1000,
+    value: estimateValue(promptTokens),
+  };
+}
+
+function choose(
+  tracker: LoadTracker,
+  demand: PromptDemand,
+  now: number,
+): TimedChoice | undefined {
+  const candidates = Array.from({length: ENGINES}, (_, i) => ({
+    id: `e${i}`,
+    isRemote: false,
+    slowdown: 1,
+    load: tracker.describe(`e${i}`, now),
+  }));
+  return chooseSendTime(candidates, demand, ENGINE, now);
+}
+
+interface Play {
+  /** Time to first token of each prompt, as a share of its objective. */
+  readonly shares: readonly number[];
+  readonly deferredMs: number;
+}
+
+/**
+ * Simulates prompts that arrive `everyMs` apart, each sent at the time chosen
+ * for it, or at once.
+ */
+function runBurst(
+  sizes: readonly number[],
+  everyMs: number,
+  mayWait: boolean,
+): Play {
+  const tracker = createLoadTracker(() => ENGINE);
+  const pending = sizes.map((tokens, i) => ({tokens, at: i * everyMs, i}));
+  const open = new Map<string, number>();
+  const shares: number[] = [];
+  let deferredMs = 0;
+  for (let now = 0; now < 60_000 && shares.length < sizes.length; now += 20) {
+    for (const [key, arrivedAt] of open) {
+      const isPrefilled = Array.from(
+        {length: ENGINES},
+        (_, i) => `e${i}`,
+      ).every(
+        id =>
+          !tracker
+            .describe(id, now)
+            .queued.some(({placement}) => placement.key === key),
+      );
+      if (!isPrefilled) continue;
+      shares.push((now - arrivedAt) / 3000);
+      open.delete(key);
+      tracker.remove(key, now);
+    }
+    for (const prompt of [...pending]) {
+      if (prompt.at > now) break;
+      const demand = buildDemand(prompt.tokens, now - prompt.at);
+      const timed = choose(tracker, demand, now);
+      if (timed === undefined) continue;
+      if (mayWait && timed.waitMs > 0) {
+        deferredMs += 20;
+        continue;
+      }
+      pending.splice(pending.indexOf(prompt), 1);
+      const key = `g#${prompt.i}`;
+      tracker.add(buildPlacement(key, timed.choice, demand, now));
+      open.set(key, prompt.at);
+    }
+  }
+  return {shares, deferredMs};
+}
+
+describe('send time of a long prompt', () => {
+  it('is now where engines are idle', () => {
+    const tracker = createLoadTracker(() => ENGINE);
+    const timed = choose(tracker, buildDemand(150_000, 0), 0);
+    expect(timed?.waitMs).toEqual(0);
+    expect((timed?.choice.shards.length ?? 0) > 3).toEqual(true);
+  });
+
+  it('is later where it would delay a prompt that is about to finish prefill', () => {
+    // Guards against a huge prompt that delays one which is about to finish
+    // prefill.
+    const tracker = createLoadTracker(() => ENGINE);
+    const older = buildDemand(230_000, 1700);
+    const candidates = Array.from({length: ENGINES}, (_, i) => ({
+      id: `e${i}`,
+      isRemote: false,
+      slowdown: 1,
+      load: tracker.describe(`e${i}`, 0),
+    }));
+    const choice = choosePromptEngines(candidates, older, ENGINE, 0);
+    if (choice !== undefined)
+      tracker.add(buildPlacement('g#1', choice, older, 0));
+    const timed = choose(tracker, buildDemand(400_000, 0), 100);
+    expect((timed?.waitMs ?? 0) > 0).toEqual(true);
+  });
+
+  it('makes fewer prompts of a burst late than sending them at once', () => {
+    // Guards against a burst in which each prompt preempts those before it.
+    const sizes = Array.from(
+      {length: 24},
+      (_, i) => 60_000 + ((i * 7) % 11) * 30_000,
+    );
+    const countLate = ({shares}: Play) =>
+      shares.filter(share => share > 1).length;
+    const sum = ({shares}: Play) => shares.reduce((a, b) => a + b, 0);
+    const deferred = runBurst(sizes, 400, true);
+    const atOnce = runBurst(sizes, 400, false);
+    expect(deferred.shares.length).toEqual(sizes.length);
+    expect(countLate(deferred) <= 9).toEqual(true);
+    expect(countLate(atOnce) >= 11).toEqual(true);
+    expect(sum(deferred) < sum(atOnce) * 0.85).toEqual(true);
+  });
+
+  it('comes for every prompt, whatever the burst', () => {
+    // Guards against a prompt that is deferred until its caller leaves.
+    fc.assert(
+      fc.property(
+        fc.array(fc.integer({min: 1000, max: 400_000}), {
+          minLength: 1,
+          maxLength: 8,
+        }),
+        fc.integer({min: 0, max: 600}),
+        (sizes, everyMs) => {
+          const {shares} = runBurst(sizes, everyMs, true);
+          expect(shares.length).toEqual(sizes.length);
+        },
+      ),
+      {numRuns: 40},
+    );
+  });
+});
--- a/packages/direct/src/placement/loss.ts
+++ b/packages/direct/src/placement/loss.ts
@@ -1,37 +1,34 @@
-/**
- * What a stream is expected to lose by waiting, in shares of its worth.
- */
+/** Expected loss of a stream by waiting, as a share of its worth. */
 
-/** Part of its worth that a late answer loses: late is worth a quarter. */
+/** Share of its worth that a late answer loses. */
 export const LATE_LOSS = 0.75;
 
 /**
- * Share of an objective from which on the estimate's error makes a miss
- * possible; at the whole objective it is taken as certain.
+ * Share of an objective from which a miss is possible; at the objective it is
+ * certain.
  */
 const RISK_FROM = 0.65;
 
 /**
- * Part of its worth that a stream is taken to lose on the way from its
- * objective to the time at which callers leave. Without it, a prompt that is
- * late anyway is left to one engine for many seconds, since nothing more can
- * be lost by it: it then blocks that engine, and its caller leaves.
+ * Share of its worth that a stream loses between its objective and the time at
+ * which callers leave. It keeps prompts that are late already from being left
+ * to one engine.
  */
-const OVERDUE_LOSS = 0.5;
+const ABANDON_LOSS = 0.5;
 
-/** How well a wait is predicted. */
+/** Error of a prediction. */
 export interface PredictionError {
-  /** Share of the objective from which on it may be missed. */
+  /** Share of the objective from which a miss is possible. */
   readonly riskFrom: number;
-  /** Error that does not grow with the wait, in ms. */
+  /** Constant part of the error, in ms. */
   readonly errorMs: number;
 }
 
 /**
- * Chance that a wait predicted as `ms` misses an objective of `limitMs`.
+ * Probability that a wait predicted as `ms` misses an objective of `limitMs`.
  *
  * @example
- * estimateRisk(150, 300, FIRST_EVENT_ERROR); // 0
+ * estimateRisk(150, 300, TTFT_ERROR); // 0
  */
 export function estimateRisk(
   ms: number,
@@ -44,50 +41,46 @@
 }
 
 /**
- * Error of a predicted first event: up to two passes of a full engine, the one
- * under way and the one that the prompt joins. With none counted, short
- * streams predicted at 120 to 195 ms of 300 came at 310 to 520.
+ * Up to two iterations of a full engine: the one under way and the one that the
+ * prompt joins.
  */
-export const FIRST_EVENT_ERROR: PredictionError = {
+export const TTFT_ERROR: PredictionError = {
   riskFrom: RISK_FROM,
   errorMs: 150,
 };
 
 /**
- * Error of a predicted pause: what three more short prompts add to a pass, 30
- * ms each. It does not grow with the pause; taken as a share of it, streams of
- * long prompts were kept from engines that suited them.
+ * What three more short prompts add to an iteration; it does not grow with the
+ * latency itself.
  */
-export const PAUSE_ERROR: PredictionError = {riskFrom: 0.9, errorMs: 90};
+export const ITL_ERROR: PredictionError = {riskFrom: 0.9, errorMs: 90};
 
-/** An objective and when the caller leaves if it is missed by far. */
+/** A latency objective, and when the caller leaves if it is missed. */
 export interface Objective {
-  /** Error of the predictions that are held against it. */
+  /** Error of the predictions that are compared with it. */
   readonly error: PredictionError;
-  /** Time until it is missed, in ms; below zero once it is. */
+  /** Time until it is missed, in ms; negative once it is. */
   readonly leftMs: number;
   /** The whole objective, in ms. */
   readonly wholeMs: number;
-  /** Objectives after which the caller leaves. */
-  readonly leaveAfter: number;
+  /** Multiple of the objective at which the caller leaves. */
+  readonly abandonAfter: number;
 }
 
 /**
- * Share of its worth that a stream is expected to lose by `ms` more waiting:
- * the chance of missing the objective, and past it the way to the time at
- * which its caller leaves.
+ * Expected loss of a stream by `ms` more waiting, as a share of its worth.
  *
  * @example
- * estimateLoss(400, {leftMs: 300, wholeMs: 300, leaveAfter: 4, error: FIRST_EVENT_ERROR});
+ * estimateLoss(400, {leftMs: 300, wholeMs: 300, abandonAfter: 4, error: TTFT_ERROR});
  */
 export function estimateLoss(ms: number, objective: Objective): number {
-  const {leftMs, wholeMs, leaveAfter, error} = objective;
-  const overdue = Math.max(0, ms - leftMs) / (wholeMs * (leaveAfter - 1));
-  return LATE_LOSS * estimateRisk(ms, leftMs, error) + OVERDUE_LOSS * overdue;
+  const {leftMs, wholeMs, abandonAfter, error} = objective;
+  const overdue = Math.max(0, ms - leftMs) / (wholeMs * (abandonAfter - 1));
+  return LATE_LOSS * estimateRisk(ms, leftMs, error) + ABANDON_LOSS * overdue;
 }
 
 /**
- * Loss of one stream when its next event comes `addedMs` later.
+ * Loss of a stream whose next event comes `addedMs` later.
  *
  * @example
  * estimateAddedLoss(100, 300, objective);
--- a/packages/direct/src/placement/place-prompt.ts
+++ b/packages/direct/src/placement/place-prompt.ts
@@ -1,47 +1,42 @@
 /**
- * Chooses the engines for a prompt. Every choice is priced by what it costs
- * all callers together: the chance that this stream misses its objectives,
- * and the chance that streams already written on the chosen engines pause
- * longer than theirs, because one pass reads a long part beside them.
+ * Chooses the engines for a prompt. The cost of a choice is the expected loss
+ * of all callers: this stream may miss its objectives, and its prefill
+ * interferes with streams that the chosen engines decode or have queued.
  */
-import {planReservations} from './engine-memory.js';
-import {estimateReadMs} from './engine-model.js';
+import {planReservations} from './kv-cache.js';
+import {estimatePrefillMs} from './engine-model.js';
 import {
-  estimateFirstPassMs,
+  estimateIterationMs,
   estimateOwnLoss,
-  priceAsFirst,
-  priceFirst,
-} from './price-first.js';
-import {priceReader} from './price-reader.js';
+  priceAsDecoder,
+  priceDecoder,
+} from './price-decoder.js';
+import {pricePrefill} from './price-prefill.js';
 import type {EngineFigures} from '../types.js';
-import type {Placement} from './load-book.js';
-import type {Candidate, PricedReader} from './price-reader.js';
+import type {Placement} from './load-tracker.js';
+import type {Candidate, PricedEngine} from './price-prefill.js';
 import type {PromptChoice, PromptDemand} from './prompt-types.js';
 
-/** Price of each further reader: one more engine whose loss breaks the read. */
-const READER_PRICE = 0.01;
+/** Price of each helper: one more engine whose failure fails the prefill. */
+const HELPER_PRICE = 0.01;
 
-/** Engines that may read one prompt: the first and 15 helpers. */
-export const MAX_READERS = 16;
+/** Most engines that prefill one prompt, the decoding engine included. */
+export const MAX_PREFILL_ENGINES = 16;
 
 /**
- * Smallest part that is worth a reader of its own, in ms: about half a pass.
- * Smaller parts wait longer for the pass they join than they take, and the
- * first event waits for the slowest of them.
+ * Smallest shard worth an engine of its own, in ms: smaller ones wait longer
+ * for an iteration than they take.
  */
-const MIN_PART_MS = 25;
+const MIN_SHARD_MS = 25;
 
 /**
- * Engines that are tried as the one that writes the answer, for each number
- * of readers: the cheapest by themselves. With all of 69 engines a long prompt
- * was placed 24 ms (median; 90th percentile 66) after its arrival at a host
- * with a quarter to the whole of a core, with twelve 18 ms (39).
+ * Engines that are tried as the decoding engine for each number of shards.
+ * Keeps the cost of a choice within the processor share of a small host.
  */
-const MAX_FIRSTS = 12;
+const MAX_DECODERS = 12;
 
 /**
- * Weighs one stream against others by its size: a generation's worth grows
- * with its prompt, from about 1 for a short one.
+ * Estimates the worth of a stream relative to others, by prompt size.
  *
  * @example
  * estimateValue(154_000); // 16.4
@@ -51,110 +46,111 @@
 }
 
 /**
- * Picks the engines that a part harms least, one more than are needed: the
- * first engine may be among them. One that helps as many prompts as it has
- * slots refuses the next.
+ * Picks the engines with the least interference, one more than needed, as the
+ * decoding engine may be among them. Engines with as many shards as slots would
+ * refuse another one.
  */
 function pickHelpers(
-  priced: readonly PricedReader[],
+  priced: readonly PricedEngine[],
   count: number,
   engine: EngineFigures,
-): readonly PricedReader[] {
+): readonly PricedEngine[] {
   return priced
     .filter(({candidate}) => candidate.load.helping < engine.slots)
     .sort(
-      (a, b) => a.helperHarm - b.helperHarm || a.helperDoneMs - b.helperDoneMs,
+      (a, b) =>
+        a.helperInterference - b.helperInterference ||
+        a.helperDoneMs - b.helperDoneMs,
     )
     .slice(0, count);
 }
 
-/** Picks the engines that are cheapest to write the answer, by themselves. */
-function pickFirsts(
-  priced: readonly PricedReader[],
+/** Picks the engines that are cheapest for decoding. */
+function pickDecoders(
+  priced: readonly PricedEngine[],
   demand: PromptDemand,
   engine: EngineFigures,
-): readonly PricedReader[] {
-  if (priced.length <= MAX_FIRSTS) return priced;
+): readonly PricedEngine[] {
+  if (priced.length <= MAX_DECODERS) return priced;
   const costs = new Map(
-    priced.map(reader => [reader, priceAsFirst(reader, demand, engine)]),
+    priced.map(one => [one, priceAsDecoder(one, demand, engine)]),
   );
-  const readCost = (reader: PricedReader) => costs.get(reader) ?? Infinity;
+  const readCost = (one: PricedEngine) => costs.get(one) ?? Infinity;
   return [...priced]
     .sort((a, b) => readCost(a) - readCost(b))
-    .slice(0, MAX_FIRSTS);
+    .slice(0, MAX_DECODERS);
 }
 
 /**
- * Harm of all readers together. A prompt that several of them delay is late
- * once: weighed for each of them, the engines that read it would all look
- * forbidden, and the new prompt would be left to few.
+ * Sums interference. A queued prompt that several engines delay is late once,
+ * so only the largest delay counts.
  */
-function sumHarm(
-  first: PricedReader,
-  helpers: readonly PricedReader[],
+function sumAllInterference(
+  decoder: PricedEngine,
+  helpers: readonly PricedEngine[],
 ): number {
   const worst = new Map<string, number>();
-  let sum = first.ownWriterHarm;
-  for (const {helperWriterHarm} of helpers) sum += helperWriterHarm;
-  for (const {waiterHarms} of [first, ...helpers]) {
-    for (const [key, harm] of waiterHarms)
+  let sum = decoder.ownDecodeInterference;
+  for (const {helperDecodeInterference} of helpers)
+    sum += helperDecodeInterference;
+  for (const {queueInterference} of [decoder, ...helpers]) {
+    for (const [key, harm] of queueInterference)
       worst.set(key, Math.max(harm, worst.get(key) ?? 0));
   }
   for (const harm of worst.values()) sum += harm;
   return sum;
 }
 
-/** Describes the choice of `first` with `helpers`; nothing without memory. */
+/** Builds a choice; nothing if the engines lack KV cache. */
 function buildChoice(
-  first: PricedReader,
-  helpers: readonly PricedReader[],
+  decoder: PricedEngine,
+  helpers: readonly PricedEngine[],
   demand: PromptDemand,
   engine: EngineFigures,
 ): PromptChoice | undefined {
   const reservations = planReservations(
-    first.candidate,
+    decoder.candidate,
     helpers.map(helper => helper.candidate),
     demand,
     engine,
   );
   if (reservations === undefined) return undefined;
-  const {load} = first.candidate;
-  const passMs = estimateFirstPassMs(
-    first.candidate,
+  const {load} = decoder.candidate;
+  const iterationMs = estimateIterationMs(
+    decoder.candidate,
     demand.promptTokens / (helpers.length + 1),
     engine,
   );
-  let readDoneMs = first.ownDoneMs;
+  let prefillDoneMs = decoder.ownDoneMs;
   for (const helper of helpers)
-    readDoneMs = Math.max(readDoneMs, helper.helperDoneMs);
-  const predictedFirstMs = readDoneMs;
+    prefillDoneMs = Math.max(prefillDoneMs, helper.helperDoneMs);
+  const predictedTtftMs = prefillDoneMs;
   const reserved = reservations.reduce((sum, item) => sum + item.tokens, 0);
   return {
-    first: first.candidate.id,
-    parts: [first, ...helpers].map(reader => ({
-      target: reader.candidate.id,
-      workMs: reader.partMs,
+    decoder: decoder.candidate.id,
+    shards: [decoder, ...helpers].map(({candidate, shardMs}) => ({
+      target: candidate.id,
+      prefillMs: shardMs,
     })),
     reservations,
-    memoryTokens: demand.promptTokens + demand.maxOutputTokens - reserved,
+    kvTokens: demand.promptTokens + demand.maxOutputTokens - reserved,
     backlogMs: load.backlogMs,
-    predictedFirstMs,
+    predictedTtftMs,
     cost:
-      estimateOwnLoss(predictedFirstMs, passMs, demand) * demand.value +
-      sumHarm(first, helpers) +
-      priceFirst(first.candidate, demand, engine) +
-      READER_PRICE * helpers.length,
+      estimateOwnLoss(predictedTtftMs, iterationMs, demand) * demand.value +
+      sumAllInterference(decoder, helpers) +
+      priceDecoder(decoder.candidate, demand, engine) +
+      HELPER_PRICE * helpers.length,
   };
 }
 
 /**
- * Chooses one or more engines for a prompt: for every number of readers, each
- * engine is tried as the first with the helpers that are harmed least, and
- * the cheapest choice of all is taken.
+ * Chooses one or more engines for a prompt: the cheapest combination of a
+ * decoding engine and helpers, for every number of shards.
  *
- * @returns Nothing when no engines together can hold the prompt.
+ * @returns Nothing if the engines cannot hold the prompt.
  * @example
- * choosePromptEngines(candidates, demand, figures, performance.now())?.first;
+ * choosePromptEngines(candidates, demand, figures, performance.now())?.decoder;
  */
 export function choosePromptEngines(
   candidates: readonly Candidate[],
@@ -162,24 +158,24 @@
   engine: EngineFigures,
   now: number,
 ): PromptChoice | undefined {
-  const readMs = estimateReadMs(demand.promptTokens, engine);
+  const prefillMs = estimatePrefillMs(demand.promptTokens, engine);
   const most = Math.min(
-    MAX_READERS,
+    MAX_PREFILL_ENGINES,
     candidates.length,
-    Math.ceil(readMs / MIN_PART_MS),
+    Math.ceil(prefillMs / MIN_SHARD_MS),
   );
   let best: PromptChoice | undefined;
-  for (let readers = 1; readers <= most; readers++) {
+  for (let shardCount = 1; shardCount <= most; shardCount++) {
     const priced = candidates.map(candidate =>
-      priceReader(candidate, readMs / readers, engine, now),
+      pricePrefill(candidate, prefillMs / shardCount, engine, now),
     );
-    const helpers = pickHelpers(priced, readers, engine);
-    for (const first of pickFirsts(priced, demand, engine)) {
+    const helpers = pickHelpers(priced, shardCount, engine);
+    for (const decoder of pickDecoders(priced, demand, engine)) {
       const others = helpers
-        .filter(reader => reader !== first)
-        .slice(0, readers - 1);
-      if (others.length < readers - 1) continue;
-      const choice = buildChoice(first, others, demand, engine);
+        .filter(helper => helper !== decoder)
+        .slice(0, shardCount - 1);
+      if (others.length < shardCount - 1) continue;
+      const choice = buildChoice(decoder, others, demand, engine);
       if (choice === undefined) continue;
       if (best === undefined || choice.cost < best.cost) best = choice;
     }
@@ -188,10 +184,10 @@
 }
 
 /**
- * Turns a choice into the placement that the load book keeps.
+ * Turns a choice into the placement that the load tracker keeps.
  *
  * @example
- * book.add(buildPlacement('10.1.0.4#7', choice, demand, now));
+ * tracker.add(buildPlacement('10.1.0.4#7', choice, demand, now));
  */
 export function buildPlacement(
   key: string,
@@ -201,15 +197,15 @@
 ): Placement {
   return {
     key,
-    first: choice.first,
-    parts: choice.parts,
+    decoder: choice.decoder,
+    shards: choice.shards,
     promptTokens: demand.promptTokens,
-    memoryTokens: choice.memoryTokens,
-    held: choice.reservations,
-    goalMs: Math.max(1, demand.goalLeftMs),
-    gapGoalMs: demand.gapGoalMs,
+    kvTokens: choice.kvTokens,
+    reserved: choice.reservations,
+    objectiveMs: Math.max(1, demand.objectiveLeftMs),
+    itlObjectiveMs: demand.itlObjectiveMs,
     value: demand.value,
-    predictedFirstMs: choice.predictedFirstMs,
+    predictedTtftMs: choice.predictedTtftMs,
     placedAt: now,
   };
 }
--- a/packages/direct/src/placement/prompt-placer.ts
+++ b/packages/direct/src/placement/prompt-placer.ts
@@ -1,29 +1,33 @@
 /**
- * Places streams on engines: gathers the candidates, chooses among them, and
- * keeps the load book and the other gates informed.
+ * Places streams on engines: collects candidates, chooses among them, and
+ * updates the load tracker and the peers.
  */
-import {isEverFitting} from './engine-memory.js';
-import {chooseMoment} from './choose-moment.js';
-import {MAX_READERS, buildPlacement, estimateValue} from './place-prompt.js';
+import {isEverFitting} from './kv-cache.js';
+import {chooseSendTime} from './choose-send-time.js';
+import {
+  MAX_PREFILL_ENGINES,
+  buildPlacement,
+  estimateValue,
+} from './place-prompt.js';
 import type {FleetState} from '../fleet/fleet-state.js';
-import type {EnginePaces} from '../health/engine-paces.js';
+import type {EngineSlowdowns} from '../health/engine-slowdowns.js';
 import type {TargetHealth} from '../health/target-health.js';
 import type {EngineFigures, Target} from '../types.js';
-import type {LoadBook, Placement} from './load-book.js';
+import type {LoadTracker, Placement} from './load-tracker.js';
 import type {PromptChoice, PromptDemand} from './prompt-types.js';
-import type {Candidate} from './price-reader.js';
+import type {Candidate} from './price-prefill.js';
 
-/** Told of placements so that other gates learn of them. */
+/** Announces placements to other gates. */
 export abstract class PlacementAnnouncer {
   /** A stream was placed. */
   abstract announcePlaced(placement: Placement): void;
-  /** Its first event has come. */
+  /** Its first token has come. */
   abstract announceBegun(key: string): void;
   /** It has ended. */
   abstract announceEnded(key: string): void;
 }
 
-/** A stream that holds a place until it is released. */
+/** A placed stream; it holds its slot until released. */
 export class PlacedPrompt {
   private isReleased = false;
 
@@ -32,51 +36,51 @@
     readonly helpers: readonly Target[],
     readonly choice: PromptChoice,
     private readonly key: string,
-    private readonly book: LoadBook,
+    private readonly tracker: LoadTracker,
     private readonly announcer: PlacementAnnouncer,
     private readonly readNow: () => number,
   ) {}
 
-  /** Notes the first event: the prompt is read. */
+  /** Records the first token: prefill has ended. */
   markBegun(): void {
-    this.book.markBegun(this.key, this.readNow());
+    this.tracker.markBegun(this.key, this.readNow());
     this.announcer.announceBegun(this.key);
   }
 
-  /** True while its engines are expected to have other prompts to read first. */
-  isUnread(): boolean {
-    return this.book.countReadLeftMs(this.key, this.readNow()) > 0;
+  /** True while its prefill is expected to be under way or queued. */
+  isPrefilling(): boolean {
+    return this.tracker.countPrefillLeftMs(this.key, this.readNow()) > 0;
   }
 
-  /** Gives the place back; further calls change nothing. */
+  /** Releases the slot; further calls change nothing. */
   release(): void {
     if (this.isReleased) return;
     this.isReleased = true;
-    this.book.remove(this.key, this.readNow());
+    this.tracker.remove(this.key, this.readNow());
     this.announcer.announceEnded(this.key);
   }
 }
 
 /** A prompt that is better sent later. */
-export interface LaterPlace {
-  /** When to look again, in ms. */
+export interface Deferral {
+  /** When to choose again, in ms. */
   readonly waitMs: number;
-  /** When its first event is expected, in ms from now. */
-  readonly predictedFirstMs: number;
+  /** Predicted time to first token, in ms from now. */
+  readonly predictedTtftMs: number;
 }
 
-/** How a placing ended. */
-export type PlaceOutcome = PlacedPrompt | LaterPlace | 'full' | 'none';
+/** Result of a placement. */
+export type PlacementOutcome = PlacedPrompt | Deferral | 'full' | 'none';
 
-/** What a request asks of the engines. */
+/** What a request needs of the engines. */
 export interface PromptRequest {
   readonly service: string;
   readonly promptTokens: number;
   readonly maxOutputTokens: number;
-  /** Latency objective of the first event, and what is left of it, in ms. */
-  readonly goalMs: number;
-  readonly goalLeftMs: number;
-  readonly gapGoalMs: number;
+  /** Objective of the first token, and what is left of it, in ms. */
+  readonly objectiveMs: number;
+  readonly objectiveLeftMs: number;
+  readonly itlObjectiveMs: number;
 }
 
 /** Dependencies of a placer. */
@@ -85,8 +89,8 @@
   readonly zone: string;
   readonly state: FleetState;
   readonly health: TargetHealth;
-  readonly paces: EnginePaces;
-  readonly book: LoadBook;
+  readonly slowdowns: EngineSlowdowns;
+  readonly tracker: LoadTracker;
   readonly announcer: PlacementAnnouncer;
   readonly readNow: () => number;
 }
@@ -105,67 +109,67 @@
   /**
    * Places a stream.
    *
-   * @param mayOverfill - Places it also where all places are taken: it then
-   *   waits in the engine's own queue.
-   * @returns `full` when all places or all memory are taken, `none` when the
-   *   engines could not take it even if they were idle.
+   * @param mayOverfill - Places it even if all slots are taken: it then waits
+   *   in the engine's own queue.
+   * @returns `full` if all slots or all KV cache are taken, `none` if even
+   *   idle engines could not take it.
    */
   place(
     request: PromptRequest,
     engine: EngineFigures,
     tried: ReadonlySet<string>,
     mayOverfill: boolean,
-  ): PlaceOutcome {
-    const {book, announcer, owner, readNow} = this.options;
+  ): PlacementOutcome {
+    const {tracker, announcer, owner, readNow} = this.options;
     const now = readNow();
     const targets = this.listTargets(request.service, tried);
     const demand: PromptDemand = {
       ...request,
       value: estimateValue(request.promptTokens),
     };
-    const moment = chooseMoment(
+    const timed = chooseSendTime(
       targets.map(target => this.describeCandidate(target, now)),
       demand,
       engine,
       now,
     );
-    if (moment === undefined)
-      return isEverFitting(demand, engine, targets.length, MAX_READERS)
+    if (timed === undefined)
+      return isEverFitting(demand, engine, targets.length, MAX_PREFILL_ENGINES)
         ? 'full'
         : 'none';
-    const {choice, waitMs} = moment;
-    if (waitMs > 0) return {waitMs, predictedFirstMs: choice.predictedFirstMs};
-    const {active} = book.describe(choice.first, now);
+    const {choice, waitMs} = timed;
+    if (waitMs > 0) return {waitMs, predictedTtftMs: choice.predictedTtftMs};
+    const {active} = tracker.describe(choice.decoder, now);
     if (!mayOverfill && active >= engine.slots) return 'full';
     const key = `${owner}#${++this.lastNumber}`;
     const placement = buildPlacement(key, choice, demand, now);
-    book.add(placement);
+    tracker.add(placement);
     announcer.announcePlaced(placement);
     const byId = new Map(targets.map(target => [target.id, target]));
-    const [first, ...helpers] = choice.parts.flatMap(
-      part => byId.get(part.target) ?? [],
+    const [decoder, ...helpers] = choice.shards.flatMap(
+      shard => byId.get(shard.target) ?? [],
     );
     return new PlacedPrompt(
-      first,
+      decoder,
       helpers,
       choice,
       key,
-      book,
+      tracker,
       announcer,
       readNow,
     );
   }
 
-  /** Says whether an engine that is not in `tried` has a place left. */
-  isPlaceFree(
+  /** Says whether an engine that is not in `tried` has a free slot. */
+  isSlotFree(
     service: string,
     engine: EngineFigures,
     tried: ReadonlySet<string>,
   ): boolean {
-    const {book, readNow} = this.options;
+    const {tracker, readNow} = this.options;
     const now = readNow();
     return this.listTargets(service, tried).some(
-      ({id}) => book.describe(id, now).active < engine.slots,
+      ({id}) => tracker.describe(id, now).active < engine.slots,
     );
   }
 
@@ -186,8 +190,8 @@
     return {
       id: target.id,
       isRemote: target.zone !== this.options.zone,
-      pace: this.options.paces.read(target.id),
-      load: this.options.book.describe(target.id, now),
+      slowdown: this.options.slowdowns.read(target.id),
+      load: this.options.tracker.describe(target.id, now),
     };
   }
 }
--- a/packages/direct/src/placement/prompt-types.ts
+++ b/packages/direct/src/placement/prompt-types.ts
@@ -1,28 +1,28 @@
-/** What is to be placed, and the engines that were chosen for it. */
-import type {HeldMemory, ReadPart} from './load-book.js';
+/** The prompt to place, and the engines chosen for it. */
+import type {KvReservation, PrefillShard} from './load-tracker.js';
 
-/** The stream to place. */
+/** The prompt to place. */
 export interface PromptDemand {
   readonly promptTokens: number;
   readonly maxOutputTokens: number;
-  /** Latency objective of the first event, in ms. */
-  readonly goalMs: number;
-  /** What is left of it, in ms; below zero once it is missed. */
-  readonly goalLeftMs: number;
-  readonly gapGoalMs: number;
+  /** Objective of the first token, in ms. */
+  readonly objectiveMs: number;
+  /** What is left of it, in ms; negative once it is missed. */
+  readonly objectiveLeftMs: number;
+  readonly itlObjectiveMs: number;
   readonly value: number;
 }
 
 /** The chosen engines. */
 export interface PromptChoice {
-  readonly first: string;
-  readonly parts: readonly ReadPart[];
-  /** Memory to reserve on helpers, for a prompt that one engine cannot hold. */
-  readonly reservations: readonly HeldMemory[];
-  /** Tokens that stay at the first engine. */
-  readonly memoryTokens: number;
-  /** Reading that stood before this one at the first engine, in ms. */
+  readonly decoder: string;
+  readonly shards: readonly PrefillShard[];
+  /** KV cache to reserve on helpers. */
+  readonly reservations: readonly KvReservation[];
+  /** KV cache on the decoding engine, in tokens. */
+  readonly kvTokens: number;
+  /** Prefill queue of the decoding engine before this prompt, in ms. */
   readonly backlogMs: number;
-  readonly predictedFirstMs: number;
+  readonly predictedTtftMs: number;
   readonly cost: number;
 }
--- a/packages/direct/src/ports.ts
+++ b/packages/direct/src/ports.ts
@@ -1,6 +1,6 @@
 /**
- * What the direct gate needs from an adapter: the words of the wire, a store
- * of facts that can only be read, and reservations of engine memory.
+ * What the gate needs from an adapter: header names, a read-only store of
+ * facts, and reservations of KV cache.
  */
 import type {
   AnswerFacts,
@@ -11,14 +11,14 @@
   Target,
 } from './types.js';
 
-/** Translates header fields between the wire and the gate's own facts. */
+/** Translates header fields between the wire and the gate. */
 export abstract class HeaderDialect {
   /** Decodes the head of a caller's request. */
   abstract parseRequest(
     headers: Readonly<Record<string, string | string[] | undefined>>,
   ): RequestFacts;
 
-  /** Builds the head for a target out of the caller's own head. */
+  /** Builds the head for a target from the caller's head. */
   abstract buildForTarget(caller: RawHeaders, facts: ForwardFacts): string[];
 
   /** Decodes the head of a target's answer. */
@@ -26,7 +26,7 @@
     headers: Readonly<Record<string, string | string[] | undefined>>,
   ): AnswerFacts;
 
-  /** Path on which the balancer asks whether this gate takes requests. */
+  /** Path of the readiness check. */
   abstract readonly readyPath: string;
 }
 
@@ -39,17 +39,17 @@
       /** Name of the target. */
       readonly name: string;
       readonly revision: number;
-      /** Its entry stands but cannot be used: somebody else wrote it. */
+      /** Its entry exists but cannot be decoded. */
       readonly isMalformed: boolean;
     };
 
-/** Everything the store holds, read at one time. */
+/** A full read of the store. */
 export interface FactSnapshot {
-  /** Store revision at which the read began. */
+  /** Store revision at the start of the read. */
   readonly revision: number;
   readonly config: FleetConfig | undefined;
   readonly targets: readonly Target[];
-  /** Names whose entry stands but cannot be used. */
+  /** Names whose entry exists but cannot be decoded. */
   readonly malformed: readonly string[];
 }
 
@@ -64,8 +64,8 @@
   /**
    * Reads everything.
    *
-   * @param timeoutMs - Longest wait for the first of an answer.
-   * @throws StoreUnavailableError when the store gives no whole answer in time.
+   * @param timeoutMs - Longest wait for the first byte of an answer.
+   * @throws StoreUnavailableError if the store gives no complete answer in time.
    */
   abstract readSnapshot(timeoutMs: number): Promise<FactSnapshot>;
 
@@ -84,22 +84,24 @@
 
 /** What an engine reports of itself. */
 export interface EngineReport {
-  /** Slowness: 1 is as configured, 3 takes three times as long. */
-  readonly pace: number;
+  /** 1 is as configured, 3 takes three times as long. */
+  readonly slowdown: number;
 }
 
-/** Asks engines how they are. */
+/** Polls engines for reports. */
 export abstract class EngineReports {
-  /** Reads a report; nothing where there is none in time. */
+  /** Reads a report; nothing if there is none in time. */
   abstract read(target: Target): Promise<EngineReport | undefined>;
 }
 
-/** How an engine answered a reservation. */
+/** Result of a reservation. */
 export type ReservationOutcome = 'granted' | 'refused' | 'unknown';
 
-/** Sets aside memory of engines for a part of a prompt. */
-export abstract class MemoryReservations {
-  /** Sets `tokens` aside under `ticket` for `holdMs`, or renews it. */
+/** Reserves KV cache of engines. */
+export abstract class KvReservations {
+  /**
+   * Reserves `tokens` under `ticket` for `holdMs`, or renews the reservation.
+   */
   abstract reserve(
     target: Target,
     ticket: string,
@@ -107,6 +109,6 @@
     holdMs: number,
   ): Promise<ReservationOutcome>;
 
-  /** Gives the memory back; an unanswered release is left to the lease. */
+  /** Releases a reservation; a lost release is left to the lease. */
   abstract release(target: Target, ticket: string): Promise<void>;
 }
--- a/packages/direct/src/retry/shared-retry-budget.test.ts
+++ b/packages/direct/src/retry/shared-retry-budget.test.ts
@@ -7,8 +7,7 @@
 
 describe('shared retry budget', () => {
   it('keeps all gates together within the bound of any window', () => {
-    // All targets fail, and every gate wants to send every request again.
-    // Together they must not double the load on what is left.
+    // Guards against gates that together double the load of a failing service.
     const load = fc.record({
       gates: fc.integer({min: 1, max: 12}),
       steps: fc.array(fc.record({gate: fc.nat(11), waitMs: fc.nat(300)}), {
--- a/packages/direct/src/retry/shared-retry-budget.ts
+++ b/packages/direct/src/retry/shared-retry-budget.ts
@@ -1,12 +1,13 @@
 /**
- * This gate's part of the retry budget that all gates share. For each service
- * the fleet may send, in any window, a ratio of the requests again and a
- * fixed number more. The ratio applies to this gate's own requests; the fixed
- * number is divided by the gates that were heard of lately, so that the sum
- * stays within the bound also while gates do not hear each other.
+ * This gate's share of the retry budget of all gates. The ratio applies to its
+ * own requests; the fixed number is divided by the gates heard of lately, so
+ * that the sum stays within the bound while gates are cut off from each other.
  */
 
-/** Part of the fixed number that is ever spent: room for a gate just joined. */
+/**
+ * Share of the fixed number that is ever spent: leaves room for a gate that
+ * joins.
+ */
 const SLACK_SHARE = 0.75;
 
 /** Bounds of the budget. */
@@ -38,12 +39,12 @@
     private readonly countGates: () => number,
   ) {}
 
-  /** Notes a request for `service`. */
+  /** Records a request for `service`. */
   recordRequest(service: string, now: number): void {
     this.readWindow(service, now).requests.push(now);
   }
 
-  /** Spends one retry; false when the window has none left. */
+  /** Spends one retry; false if the window has none left. */
   claimRetry(service: string, now: number): boolean {
     const window = this.readWindow(service, now);
     const slack =
--- a/packages/direct/src/types.ts
+++ b/packages/direct/src/types.ts
@@ -1,7 +1,4 @@
-/**
- * The facts that the direct gate works with: configuration, targets and what
- * a request says of itself. Adapters decode their wire into these types.
- */
+/** Data types of the direct gate. Adapters decode their wire into these. */
 
 /** What may be repeated when an attempt fails. */
 export type RouteKind = 'safe' | 'unsafe' | 'stream';
@@ -22,38 +19,41 @@
   readonly kind: RouteKind;
   /** Longest time a request may wait for its answer, in ms. */
   readonly timeoutMs: number;
-  /** Latency objective: whole answer, or first event of a stream, in ms. */
-  readonly goalMs: number;
-  /** Latency objective between two events of a stream, in ms. */
-  readonly gapGoalMs: number | undefined;
+  /**
+   * Latency objective in ms: time to first token of a stream, whole answer of a
+   * call.
+   */
+  readonly objectiveMs: number;
+  /** Objective for the inter-token latency, in ms. */
+  readonly itlObjectiveMs: number | undefined;
   readonly splits: readonly RouteSplit[];
-  /** Most targets that one request may be sent to. */
+  /** Most targets that a request may be sent to. */
   readonly maxAttempts: number;
   /** True when callers need no key. */
   readonly isPublic: boolean;
-  /** True when another target can go on with an interrupted stream. */
+  /** True if another target can continue an interrupted stream. */
   readonly isResumable: boolean;
 }
 
-/** Cost figures of a model engine. */
+/** Cost model of a model engine. */
 export interface EngineFigures {
-  /** Requests that run at once. */
+  /** Sequences that are decoded at once. */
   readonly slots: number;
-  /** Memory of one engine, in tokens. */
-  readonly memoryTokens: number;
-  /** One decode step with no request, in ms. */
+  /** KV cache of one engine, in tokens. */
+  readonly kvCapacityTokens: number;
+  /** One decode step with no sequence, in ms. */
   readonly stepMs: number;
-  /** What each writing request adds to a step, in ms. */
-  readonly stepMsPerWriter: number;
-  /** What each 1,000 tokens of context of a writer add to a step, in ms. */
+  /** What each sequence adds to a step, in ms. */
+  readonly stepMsPerSequence: number;
+  /** What each 1,000 tokens of context add to a step, in ms. */
   readonly stepMsPerContextK: number;
-  /** Prompt tokens read in one ms. */
-  readonly readTokensPerMs: number;
-  /** Cost of a million pairs of a token and an earlier one, in ms. */
-  readonly pairsMsPerMillion: number;
-  /** Decode steps in one pass, so one event of a stream. */
-  readonly stepsPerPass: number;
-  /** Most prompt tokens that are read in one step. */
+  /** Prompt tokens prefilled in one ms. */
+  readonly prefillTokensPerMs: number;
+  /** Attention cost of a million pairs of tokens in prefill, in ms. */
+  readonly attentionMsPerMillionPairs: number;
+  /** Decode steps in one iteration, which makes one event of a stream. */
+  readonly stepsPerIteration: number;
+  /** Most prompt tokens prefilled in one step. */
   readonly chunkTokens: number;
 }
 
@@ -88,17 +88,16 @@
   readonly accounts: readonly ClientAccount[];
 }
 
-/** One running target; a restart is another target with another id. */
+/** A running target; a restart is another target with another id. */
 export interface Target {
   /**
-   * Incarnation of the target, new at each of its starts: its name and, where
-   * it says so, the time of its start. Load, health, memory and placements are
-   * kept by it, so that nothing of an earlier life counts for a later one.
+   * Incarnation: the name and, if known, the start of the process. Load,
+   * health, KV cache and placements are kept by it.
    */
   readonly id: string;
   /** Name under which it registers and answers; may outlive a restart. */
   readonly name: string;
-  /** Its start, in ms since the epoch; absent where it does not say. */
+  /** Start of the process, in ms since the epoch; absent if unknown. */
   readonly bornAt: number | undefined;
   readonly service: string;
   readonly host: string;
@@ -109,35 +108,35 @@
   readonly revision: number;
 }
 
-/** What a caller's request says of itself, decoded from its headers. */
+/** What a caller's request says of itself. */
 export interface RequestFacts {
   readonly requestId: string | undefined;
   /** How long the caller will wait, in ms. */
   readonly deadlineMs: number | undefined;
   readonly apiKey: string | undefined;
-  /** Tokens of the prompt; absent where the request carries no prompt. */
+  /** Tokens of the prompt; absent without one. */
   readonly promptTokens: number | undefined;
-  /** Most tokens that may be written. */
+  /** Most tokens that may be generated. */
   readonly maxOutputTokens: number | undefined;
 }
 
-/** One helper of a prompt that several engines read together. */
-export interface ReadHelper {
+/** One helper of a prompt that several engines prefill. */
+export interface PrefillHelper {
   readonly target: Target;
-  /** Reservation that takes a part of the prompt's memory. */
+  /** Reservation for a part of the prompt's KV cache. */
   readonly ticket: string | undefined;
 }
 
-/** What the gate itself adds to a request for a target. */
+/** What the gate adds to a request for a target. */
 export interface ForwardFacts {
   readonly deadlineLeftMs: number;
   readonly target: Target;
   /** Name of the client account; absent on public routes without a key. */
   readonly account: string | undefined;
-  /** 0 is the most urgent, 9 the least; absent leaves it to the target. */
-  readonly urgency: number | undefined;
-  readonly helpers: readonly ReadHelper[];
-  /** Id of the last event that the caller has, for a resumed stream. */
+  /** 0 is the most urgent, 9 the least; absent for the target's default. */
+  readonly priority: number | undefined;
+  readonly helpers: readonly PrefillHelper[];
+  /** Last event that the caller has, for a resumed stream. */
   readonly lastEventId: string | undefined;
 }
 
@@ -147,7 +146,7 @@
   readonly isSigned: boolean;
   /** The target states that the request did not run. */
   readonly isNotRun: boolean;
-  /** Address (host:port) of another server that is to blame for a refusal. */
+  /** Address (host:port) of another server that caused a refusal. */
   readonly faultyAddress: string | undefined;
 }
 
--- a/packages/gate/src/admin/admin-api.ts
+++ b/packages/gate/src/admin/admin-api.ts
@@ -54,7 +54,7 @@
  */
 export class AdminApi {
   private readonly server = createServer((req, res) => {
-    // Whoever leaves amid its question gets no answer, and nothing else ends.
+    // A client that disconnects gets no answer.
     this.serve(req, res).catch(() => res.destroy());
   });
 
--- a/packages/gate/src/admission/estimate.test.ts
+++ b/packages/gate/src/admission/estimate.test.ts
@@ -11,9 +11,7 @@
 
 describe('admission estimate', () => {
   it('counts the short prompts that stand before a short one', () => {
-    // At a rush of short questions each was admitted on the time of its own
-    // prompt alone, and subscribers heard "too late" after their window
-    // instead of "come back" at its start.
+    // Guards against admitting a rush of requests by their own prompts alone.
     const request = {promptTokens: 5000, maxTokens: 10};
     const busy = createTarget('e1', [500_000, 0, 0, 0]);
     expect(estimateFinishMs(busy, request, figures)).toEqual(5150);
--- a/packages/gate/src/admission/estimate.ts
+++ b/packages/gate/src/admission/estimate.ts
@@ -16,9 +16,8 @@
 }
 
 /**
- * Estimates ms until a request finishes on `target`. Engines read shorter
- * prompts first, so what is pending in the request's own and shorter length
- * classes stands before it, and longer prompts do not.
+ * Estimates ms until a request finishes on `target`: engines prefill shorter
+ * prompts first, so its own and shorter length classes count.
  *
  * @example
  * estimateFinishMs(target, {promptTokens: 1000, maxTokens: 64}, figures);
--- a/packages/gate/src/api/request-log.test.ts
+++ b/packages/gate/src/api/request-log.test.ts
@@ -49,8 +49,7 @@
   });
 
   it('tells a body that broke off from one that was not answered', async () => {
-    // A caller hears nothing. Whether its connection broke under the body, or
-    // the gate had all of it and did not answer, nobody could tell.
+    // Guards against a request whose end no log shows.
     const socket = connect(port, '127.0.0.1', () =>
       socket.write(
         'POST / HTTP/1.1\r\nHost: a\r\nContent-Length: 9\r\n\r\nhalf',
--- a/packages/gate/src/api/request-log.ts
+++ b/packages/gate/src/api/request-log.ts
@@ -1,13 +1,12 @@
 /**
- * One line for each caller's request, from its head to the close of its
- * answer. A request that nobody answered showed at its caller alone: the line
- * tells whether the gate had read it, and whether it had answered.
+ * One log line for each caller's request: whether it was read, and whether it
+ * was answered.
  */
 import type {IncomingMessage, ServerResponse} from 'node:http';
 import type {Logger} from '@nutmeggauge/core';
 
 /**
- * Logs `request_ended` once the answer is out or its connection is gone.
+ * Logs `request_ended` after the answer, or when the connection is closed.
  *
  * @example
  * observeEnd(log, 'gate-1-7-a1b2c3', req, res);
@@ -24,7 +23,7 @@
     log.info('request_ended', {
       requestId,
       status: res.headersSent ? res.statusCode : undefined,
-      // False where the caller's connection was gone before the end.
+      // False if the caller's connection closed before the end.
       isAnswered: res.writableFinished,
       isRead: req.complete,
       bytes: req.socket.bytesRead - bytesBefore,
--- a/packages/gate/src/api/serve-admitted.ts
+++ b/packages/gate/src/api/serve-admitted.ts
@@ -57,8 +57,8 @@
   const startedAt = Date.now();
   const repeat = readRepeatFacts(admitted);
   if ((repeat.keyMintedAt ?? 0) > startedAt + CLOCK_SKEW_MS) {
-    // A key dated ahead would pass for one that a restarted agent's ledger
-    // must know, and its copy would run a second time.
+    // A key dated ahead would pass for one that a restarted agent's ledger must
+    // know.
     sendJson(
       res,
       400,
--- a/packages/gate/src/dispatch/dispatcher.ts
+++ b/packages/gate/src/dispatch/dispatcher.ts
@@ -152,15 +152,13 @@
         reason: outcome.reason,
         retryAfterMs: outcome.retryAfterMs ?? RETRY_AFTER_MS,
       };
-      // A keyed request runs only at its home agent, whose ledger its
-      // copies meet. Moving it to another agent after a not-run let the
-      // caller's retry, back at a healthy home, run it a second time
-      // (spec/at-most-once.pml with KEYED_RETRY shows the double run).
+      // A keyed request runs only at its home agent, whose ledger its copies
+      // meet; elsewhere it could run twice (spec/at-most-once.pml with
+      // KEYED_RETRY).
       return job.request.keyed ? progress.lastNotRun : undefined;
     }
     progress.mayHaveRun = true;
-    // At most once: a not-repeatable request that may have started is never
-    // sent again anywhere; the caller is told the outcome is unknown.
+    // A request that may have started is never sent again.
     if (job.request.notRepeatable)
       return {status: 'unknown', reason: outcome.reason};
     if (job.chunks.releasedCount > 0 && !job.resumable)
@@ -175,11 +173,9 @@
   ): Promise<TargetLink | undefined> {
     const {directory, router} = this.options;
     const {pool, keyed, ledgerKey} = job.request;
-    // Copies of a keyed request must meet the same agent's ledger, so they
-    // go to the key's home. It is found over all configured targets: over the
-    // usable ones, the death of the home moved its keys to an agent that had
-    // never seen them, and the caller's retry ran a second time there
-    // (spec/at-most-once.pml with HOME_AMONG_USABLE shows the double run).
+    // Copies of a keyed request must meet the same ledger, so the home is found
+    // over all configured targets, usable or not (spec/at-most-once.pml with
+    // HOME_AMONG_USABLE).
     if (keyed && ledgerKey !== undefined) {
       const home = await directory.findHome(pool, ledgerKey);
       return home !== undefined && !tried.has(home.id) ? home : undefined;
@@ -215,8 +211,8 @@
     } catch (error) {
       if (error instanceof TargetUnreachableError)
         return {status: 'not-run', reason: 'agent_unreachable'};
-      // An agent that was only paused must not spend its target on a request
-      // that is being answered elsewhere.
+      // An agent that was only suspended must not run a request that is
+      // answered elsewhere.
       cancel();
       const reason =
         error instanceof RpcClosedError ? 'agent_link_lost' : 'agent_no_answer';
--- a/packages/gate/src/dispatch/retry-budget.test.ts
+++ b/packages/gate/src/dispatch/retry-budget.test.ts
@@ -53,8 +53,7 @@
   });
 
   it('keeps an outage from multiplying the load', async () => {
-    // A switch dies and every target of a pool is gone, but still looks
-    // usable. Each of a hundred questions used to be sent three times.
+    // Guards against retries that multiply the load when every target is gone.
     let sends = 0;
     const targets = ['e1', 'e2', 'e3'].map(id =>
       createDeadTarget(id, () => sends++),
--- a/packages/gate/src/dispatch/retry-budget.ts
+++ b/packages/gate/src/dispatch/retry-budget.ts
@@ -1,10 +1,6 @@
 /**
- * A budget of retries at one gate. Each request earns a part of a retry, and
- * each retry spends one. Without it an outage doubles or triples the load
- * just when targets are few: every request that meets a dead or full target
- * is sent again, the targets left fill up, and more requests are sent again.
- * With it the added load stays within `ratio` of the requests, and a request
- * that finds the budget spent is answered at once.
+ * Retry budget of one gate. Each request earns a part of a retry, so that an
+ * outage adds at most `ratio` to the load.
  */
 
 /** Options of a retry budget. */
--- a/packages/gate/src/membership/agent-connection.ts
+++ b/packages/gate/src/membership/agent-connection.ts
@@ -33,9 +33,8 @@
 const BACKOFF_MAX_MS = 2000;
 
 /**
- * How long an agent may hold an older record than the gate before it is
- * handed the gate's, in ms. An agent reads the service itself, within
- * milliseconds; only one that cannot reach it stays behind.
+ * How long an agent may hold an older record before it is handed the gate's, in
+ * ms: only one that cannot reach the service stays behind.
  */
 const BEHIND_MS = 2000;
 
@@ -48,10 +47,8 @@
   readonly pool: string;
   readonly counters: Counters;
   /**
-   * Age past which an agent's last load report marks it unusable, in ms.
-   * Load reports double as heartbeats: an agent that froze (paused process,
-   * cut link that TCP has not noticed yet) stops sending them, and routing to
-   * it stops within this bound instead of waiting for the socket to fail.
+   * Age of an agent's last load report at which it becomes unusable, in ms:
+   * reports double as heartbeats.
    */
   readonly heartbeatStaleMs: number;
   /** The gate's record, handed to an agent that stays behind it. */
@@ -176,7 +173,7 @@
       request,
       bounds.answerMs,
     );
-    // When silence wins, the late answer of the call has no reader.
+    // Nobody reads the late answer of the call.
     answer.catch(() => undefined);
     try {
       return await Promise.race([answer, receipt.silence]);
@@ -200,8 +197,7 @@
       return {silence: new Promise(() => {}), markAccepted: () => {}};
     let timeout: ReadTimeout | undefined;
     const silence = new Promise<never>((_resolve, reject) => {
-      // Behind a round of reading: a gate that stood still for as long finds
-      // receipts unread that came in time, and would send each request again.
+      // After a suspension, receipts are read before the timeout counts.
       timeout = new ReadTimeout(() => {
         // No load report from before this moment may call the agent usable.
         this.lastReportAt = 0;
@@ -252,9 +248,8 @@
   }
 
   private receiveLoad(params: unknown): void {
-    // An agent of another version may leave a figure out, and the choice
-    // among targets would fail on it for every request. Without a whole
-    // report the target counts as silent.
+    // Agents of another version may omit a figure; such a target counts as
+    // silent.
     const {data: report} = LoadReportSchema.safeParse(params);
     if (report === undefined) {
       this.options.counters.add('membership.reports_malformed');
@@ -281,8 +276,8 @@
       this.behindSince = Date.now();
       return;
     }
-    // One that still knows no record at its second report started while the
-    // service is out of reach: it refuses every keyed request until it has one.
+    // An agent without a record at its second report started without the
+    // service, and refuses every keyed request.
     const isWaiting =
       agentVersion > 0 && Date.now() - this.behindSince < BEHIND_MS;
     if (isWaiting) return;
--- a/packages/gate/src/membership/membership.test.ts
+++ b/packages/gate/src/membership/membership.test.ts
@@ -25,9 +25,7 @@
 
 describe('the host list', () => {
   it('changes nothing when it fails with an answer', async () => {
-    // The host list says that a host leaves, then its service fails and
-    // answers with an error as JSON. Read as an empty list, it called the
-    // leaving host back, and requests went to an engine that was going away.
+    // Guards against an error answer that reads as an empty host list.
     const leaving = {hosts: [{id: 'e1', state: 'leaving'}]};
     const bad: ReadonlyArray<readonly [number, unknown]> = [
       [503, {error: 'down'}],
--- a/packages/gate/src/membership/membership.ts
+++ b/packages/gate/src/membership/membership.ts
@@ -40,7 +40,7 @@
 /** Longest wait for the host list, in ms. */
 const HOST_LIST_TIMEOUT_MS = 2000;
 
-/** An error that is answered as JSON is no list, and calls no host back. */
+/** An error answered as JSON is not a list. */
 const HostListSchema = z.object({
   hosts: z.array(z.object({id: z.string(), state: z.string()})),
 });
@@ -156,7 +156,8 @@
         bodyTimeout: HOST_LIST_TIMEOUT_MS,
       });
       const {hosts} = HostListSchema.parse(await response.body.json());
-      if (response.statusCode !== 200) throw new Error('no host list');
+      if (response.statusCode !== 200)
+        throw new Error(`GET ${url}/v1/hosts: ${response.statusCode}`);
       this.applyLeaving(
         new Set(hosts.filter(h => h.state === 'leaving').map(h => h.id)),
       );
--- a/packages/gate/src/membership/subset.ts
+++ b/packages/gate/src/membership/subset.ts
@@ -1,9 +1,6 @@
 /**
- * Which targets of a pool a gate keeps links to. With hundreds of gates and
- * over a thousand targets, links from each to each would cost every process
- * more heartbeats than its budget of control; each gate takes a few targets
- * of every pool instead, ranked by a hash of both names, so that the targets
- * are spread over the gates without any of them talking to the others.
+ * Deterministic subsetting: each gate keeps links to a few targets of every
+ * pool, ranked by a hash of both names, which bounds the number of heartbeats.
  */
 import {createHash} from 'node:crypto';
 
--- a/packages/gate/src/relay/peer-relay.ts
+++ b/packages/gate/src/relay/peer-relay.ts
@@ -1,10 +1,7 @@
 /**
- * Hands configuration records from gate to gate. The configuration service
- * can be down, or out of reach for some hosts, for long stretches, and a gate
- * keeps nothing when it is replaced: one that starts during such a stretch
- * would refuse every caller until the service is back. It takes the newest
- * record from another gate instead. A record comes in by the same rule as
- * one from the service: checked, and only when its version is higher.
+ * Hands configuration records from gate to gate while the configuration service
+ * is down or out of reach. Records are validated, and accepted only with a
+ * higher version.
  */
 import {createServer} from 'node:net';
 import {
--- a/packages/gate/src/routing/load-routers.test.ts
+++ b/packages/gate/src/routing/load-routers.test.ts
@@ -19,9 +19,8 @@
   const question = createRequest('q'.repeat(4000));
 
   it('sends a short prompt past a long backlog, not behind short ones', () => {
-    // One engine reads a prompt of a million tokens, another has a queue of
-    // questions. By tokens alone the question joined the queue, though at
-    // the first engine it would have been read next.
+    // Guards against queueing a question behind others because a longer prompt
+    // has more tokens.
     const longBacklog = createTarget('long', [0, 0, 0, 1_000_000]);
     const questions = createTarget('questions', [40_000, 0, 0, 0]);
     const picked = router.choose([questions, longBacklog], question);
@@ -35,7 +34,7 @@
   });
 
   it('counts what this gate sent since the last load report', () => {
-    // Between two reports a gate sent every question to the same engine.
+    // Guards against sending everything to one engine between two reports.
     const justSent = createTarget('sent', [0, 0, 0, 0], [20_000, 0, 0, 0]);
     const other = createTarget('other', [10_000, 0, 0, 0]);
     expect(router.choose([justSent, other], question)?.id).toEqual('other');
--- a/packages/gate/src/routing/load-routers.ts
+++ b/packages/gate/src/routing/load-routers.ts
@@ -37,8 +37,8 @@
 }
 
 /**
- * Picks the candidate with the lowest score, at random among equals: gates
- * that all took the first of equals would herd onto one target.
+ * Picks the candidate with the lowest score, at random among equals, so that
+ * gates do not herd.
  *
  * @example
  * pickLowest(candidates, c => c.outstanding, Math.random);
@@ -135,8 +135,8 @@
 }
 
 /**
- * What a longer prompt under way costs a shorter one beside it, in prompt
- * tokens: the rest of the engine's present chunk and its share of the next.
+ * Cost of a longer prompt under way for a shorter one, in prompt tokens: the
+ * rest of the present chunk and a share of the next.
  */
 const LONGER_BESIDE_TOKENS = 8192;
 
@@ -144,11 +144,10 @@
 const ACTIVE_REQUEST_TOKENS = 256;
 
 /**
- * Token load by length class. Engines read shorter prompts first, so what is
- * pending in longer classes costs a prompt no more than the chunk under way,
- * however many tokens it has; what is pending in its own and shorter classes
- * counts in full. Adds a cost for each request at the target, after the
- * active-request weight of the same note (PAPER-kv-aware-routing-ray-20bc.md).
+ * Token load by length class: engines prefill shorter prompts first, so longer
+ * classes cost no more than the chunk under way. Adds a cost for each request
+ * at the target, after the active-request weight of
+ * PAPER-kv-aware-routing-ray-20bc.md.
  *
  * @example
  * new ClassLoadRouter().choose(candidates, request);
--- a/packages/gate/src/routing/prefix-memory.ts
+++ b/packages/gate/src/routing/prefix-memory.ts
@@ -1,10 +1,7 @@
 /**
- * Which beginnings of prompts were sent to which target. The engines keep
- * prompt prefixes in their caches, so a target that was sent the same
- * beginning lately will skip its prefill. The gate remembers its own sends
- * instead of reading the engines' cache events: those come late and with
- * gaps, and to carry them to every gate would cost more than the budget of
- * control (docs/design/0005-routing.md).
+ * Which prompt prefixes were sent to which target, and so are likely in its
+ * cache. The gate's own sends replace the engines' cache events, which are late
+ * and incomplete (docs/design/0005-routing.md).
  */
 import {createHash} from 'node:crypto';
 import {LRUCache} from 'lru-cache';
--- a/packages/gate/src/streaming/reassembly.ts
+++ b/packages/gate/src/streaming/reassembly.ts
@@ -1,9 +1,6 @@
 /**
- * Ordered reassembly of one request's chunks, built on `most`. Chunks are
- * released to the caller strictly in sequence order; a chunk that arrives
- * early is held, and a copy of one already released (a resumed stream on
- * another target starts again at 0) is dropped, so the caller gets each
- * piece once and in order.
+ * Ordered reassembly of one request's chunks: early chunks are held, copies of
+ * released ones dropped, so the caller gets each once and in order.
  */
 import {EventEmitter} from 'node:events';
 import * as most from 'most';
--- a/packages/nutmeggauge/src/cli/errors.ts
+++ b/packages/nutmeggauge/src/cli/errors.ts
@@ -1,15 +1,15 @@
 /**
- * Failures of the command line that the user can mend: each is told in one
- * line on stderr and sets the exit status, without a stack.
+ * Errors that the user can correct, reported in one line on stderr with an exit
+ * status.
  */
 import VError from 'verror';
 import {EXIT_BAD_SETTINGS} from '@nutmeggauge/core';
 
-/** Exit status of a command that ran and found nothing, or broken promises. */
+/** Exit status of a command that found nothing, or broken invariants. */
 export const EXIT_NOT_FOUND = 1;
 
 /**
- * Base of these failures.
+ * Base class of these errors.
  *
  * @example
  * throw new UsageError({info: {flag: '--seed'}}, '--seed needs a number');
--- a/packages/nutmeggauge/src/cli/flags.ts
+++ b/packages/nutmeggauge/src/cli/flags.ts
@@ -1,7 +1,4 @@
-/**
- * Flags of `nutmeggauge`: their types, and the checks that turn a bad one into
- * one clear line.
- */
+/** Flags of `nutmeggauge` and their validation. */
 import meow from 'meow';
 import {UsageError} from './errors.js';
 import type {Result} from 'meow';
@@ -82,13 +79,13 @@
     --chunk-tokens  Engine stand-in: most prompt tokens read in one step
 `;
 
-/** A command line that was read: words, flags, and the help. */
+/** A parsed command line: words, flags, and the help. */
 export type CommandLine = Result<typeof FLAGS>;
 
 /** Values of the flags. */
 export type CommandFlags = CommandLine['flags'];
 
-/** Exit status after the help that was asked for. */
+/** Exit status after `--help`. */
 const EXIT_SHOWN = 0;
 
 function formatFlag(key: string): string {
@@ -108,7 +105,7 @@
 }
 
 /**
- * Reads the words of a command line.
+ * Parses a command line.
  *
  * @param words - Without the names of Node and of the script.
  * @throws UsageError when a flag is unknown, set twice, or has a bad value.
@@ -120,7 +117,7 @@
   importMeta: ImportMeta,
 ): CommandLine {
   const cli = readWords(words, importMeta);
-  // meow shows the help only where nothing stands beside the flag.
+  // meow shows the help only if the flag stands alone.
   if (words.includes('--help')) cli.showHelp(EXIT_SHOWN);
   for (const [key, value] of Object.entries(cli.flags))
     if (value !== undefined) checkFlag(key, value);
@@ -134,7 +131,7 @@
   try {
     return meow(HELP, {importMeta, argv: words, flags: FLAGS});
   } catch (cause) {
-    // meow throws for a flag set twice and for a value that is no choice.
+    // meow throws for a repeated flag and for an invalid choice.
     const message = (cause as Error).message.replace(/\s+/g, ' ');
     throw new UsageError({info: {words}}, message);
   }
--- a/packages/nutmeggauge/src/cluster/ports.ts
+++ b/packages/nutmeggauge/src/cluster/ports.ts
@@ -7,15 +7,13 @@
 import type {Server} from 'node:net';
 
 /**
- * Ports to pick from: above those of well-known services and below those that
- * systems lend to outgoing connections (from 32,768 on Linux). A port of the
- * latter was lent to another program between its choice and the start of the
- * process that it was meant for, which ended with EADDRINUSE (1 of 32 demos).
+ * Ports to choose from: above well-known services and below ephemeral ports,
+ * which may be taken before their process starts.
  */
 const FIRST_PORT = 10_240;
 const LAST_PORT = 32_000;
 
-/** How often a port is drawn again before the search is given up. */
+/** Most draws before the search fails. */
 const MAX_DRAWS = 200;
 
 /**
--- a/packages/nutmeggauge/src/e2e/admin.test.ts
+++ b/packages/nutmeggauge/src/e2e/admin.test.ts
@@ -55,8 +55,7 @@
   });
 
   it('keeps the fleet off the port that callers reach', async () => {
-    // Any caller could list the targets and their addresses on /healthz, and
-    // read the gate's counters.
+    // Guards against exposing targets and counters to callers.
     const health = await request(`${stack.gateUrl}/healthz`);
     expect(Object.keys((await health.body.json()) as object)).toEqual([
       'id',
@@ -89,9 +88,7 @@
   });
 
   it('leave a gate of this release on the newest record it can read', async () => {
-    // Operators move to schema 2 while gates of this release still run: they
-    // publish each change twice. A gate that was handed the schema 2 record
-    // refused it and was never told of the schema 1 record beside it.
+    // Guards against a gate that is never told of the record of its own schema.
     const {config, gate} = stack;
     const next = stripVersion(stack.record);
     config.publish({...next, schemaVersion: 2});
--- a/packages/nutmeggauge/src/e2e/api.test.ts
+++ b/packages/nutmeggauge/src/e2e/api.test.ts
@@ -71,7 +71,7 @@
   });
 
   it('refuses at once with Retry-After when the deadline cannot be met', async () => {
-    // A 1M-token prompt needs about 2.5 s of prefill; a 100 ms deadline cannot hold.
+    // A prompt whose prefill takes longer than its deadline.
     const res = await postJson(
       `${stack.gateUrl}/v1/completions`,
       {model: 'chat', prompt: 'y'.repeat(4_000_000), max_tokens: 4},
--- a/packages/nutmeggauge/src/e2e/at-most-once.test.ts
+++ b/packages/nutmeggauge/src/e2e/at-most-once.test.ts
@@ -39,9 +39,8 @@
   });
 
   it('resumes a repeatable request on another engine and the caller gets the whole answer once', async () => {
-    // A subscriber streams a renewal answer; the engine serving it dies after
-    // a few tokens. The gate resends it to the other engine, and reassembly
-    // drops the tokens already delivered, so no piece is missing or doubled.
+    // Guards against missing or repeated pieces when an engine dies in
+    // mid-answer.
     let killed: Promise<void> | undefined;
     const result = await streamCompletion(
       stack.gateUrl,
@@ -67,9 +66,7 @@
   });
 
   it('is never resent: the caller hears outcome unknown and the engines ran it once', async () => {
-    // A dealer's order request carries an Idempotency-Key; the engine dies
-    // mid-answer. Resending could place the order twice, so the gate stops
-    // and says "outcome unknown" with the request id, never "not run".
+    // Guards against placing an order twice after its engine has died.
     const before = countSubmitted(stack);
     const pending = postJson(
       `${stack.gateUrl}/v1/completions`,
@@ -94,9 +91,7 @@
   });
 
   it('answers outcome unknown, and the caller retry with the same key does not run it again', async () => {
-    // The order service books the order, then dies before it answers. The
-    // caller is told "outcome unknown", retries with the same key, and the
-    // agent's ledger keeps the second copy from booking a second kit.
+    // Guards against a second run when the answer to an order was lost.
     stack.plain[0].setFault('drop-reply');
     const first = await placeOrder(stack, 'o-1');
     stack.plain[0].setFault('none');
@@ -107,10 +102,8 @@
   });
 
   it('gives the retry through a restarted gate the first answer, not a second booking', async () => {
-    // A foreman's order is booked through gate A; gate A is replaced before
-    // the caller's retry, which lands on a fresh gate B with no memory of it.
-    // The agent beside the order service holds the ledger, so B's copy is
-    // answered with the first slip and nothing is booked twice.
+    // Guards against a second run through a gate that knows nothing of the
+    // first.
     const first = await placeOrder(stack, 'o-2');
     stack.gate.close();
     const configUrl = `http://127.0.0.1:${(stack.config.server.address() as {port: number}).port}`;
@@ -140,10 +133,8 @@
   });
 
   it('is not moved to another agent, so the caller retry cannot book it twice', async () => {
-    // The order service behind the key's home agent refuses for a moment.
-    // The gate used to move the order to the other order service, which
-    // booked it; the caller's retry then met the home agent, now healthy,
-    // whose ledger had never seen the key, and it booked the kit again.
+    // Guards against a second run at another target after the home refused
+    // once.
     const key = 'o-home';
     const homeIndex = findHomeIndex(stack, key);
     stack.plain[homeIndex].setFault('reject');
@@ -168,10 +159,7 @@
   });
 
   it('is not booked again at another agent by the caller retry', async () => {
-    // A builder's order is booked at its home order desk, whose host then
-    // dies. The gate used to choose the home among the targets still usable,
-    // so the builder's retry met the other agent, whose ledger had never
-    // seen the key, and a second kit was shipped.
+    // Guards against a new home for keys whose home has died.
     const key = 'o-death';
     const home = findHomeIndex(stack, key);
     const first = await placeOrder(stack, key);
@@ -197,9 +185,7 @@
   });
 
   it('is not booked again by the agent that forgot it', async () => {
-    // The order desk books a kit; the agent beside it is restarted, and its
-    // ledger lives in memory only. The caller's retry of the same key then
-    // found an empty ledger and was booked a second time.
+    // Guards against an empty ledger after a restart of the agent.
     const key = uuidv7();
     await placeOrder(stack, key);
     await stack.restartAgent(1);
@@ -219,9 +205,7 @@
   });
 
   it('gives the repeat the whole answer of the first run', async () => {
-    // A dealer's quote carries an Idempotency-Key and is answered; the dealer
-    // sends it again. The ledger knew the outcome but kept no text, so the
-    // repeat was answered 200 with an empty quote.
+    // Guards against an empty answer to a repeated stream.
     const send = () =>
       postJson(
         `${stack.gateUrl}/v1/completions`,
@@ -246,9 +230,7 @@
   });
 
   it('reaches the caller as the service answered it', async () => {
-    // A foreman asks for a part that does not exist. The service's 404 is
-    // its answer; it used to come back as 503 "not run", and the foreman's
-    // client asked again and again for a part that never was.
+    // Guards against reporting the service's own 404 as not run.
     stack.plain[0].setFault('not-found');
     const res = await placeOrder(stack, 'o-404');
     expect(res.status).toEqual(404);
--- a/packages/nutmeggauge/src/e2e/config-faults.test.ts
+++ b/packages/nutmeggauge/src/e2e/config-faults.test.ts
@@ -33,8 +33,8 @@
   });
 
   it('keeps serving on the last good record while the service is down', async () => {
-    // The configuration service goes down for a long stretch. Gates keep
-    // the record they accepted in memory and go on admitting requests.
+    // Guards against refusing requests during an outage of the configuration
+    // service.
     stack.config.setMode('down');
     const res = await postJson(
       `${stack.gateUrl}/v1/completions`,
@@ -46,8 +46,7 @@
   });
 
   it('never reverts to the older record a stale replica serves', async () => {
-    // An operator adds a key (record v2); then a lagging replica serves v1
-    // for a long stretch. The gate must keep v2: the new key keeps working.
+    // Guards against a lagging replica that takes a new key away.
     const base = stripVersion(stack.record);
     const accounts = [
       ...(base.accounts as object[]),
@@ -68,9 +67,7 @@
   });
 
   it("lets a gate that starts meanwhile serve on its peer's record", async () => {
-    // The configuration service is down for an hour; an entry host is
-    // replaced. Its gate kept nothing and used to refuse every caller until
-    // the service came back.
+    // Guards against a new gate that refuses everything during an outage.
     const configUrl = `http://127.0.0.1:${readPort(stack.config.server)}`;
     const version = await readVersion(stack);
     stack.config.setMode('down');
@@ -88,9 +85,8 @@
   });
 
   it('lets an agent that starts meanwhile take keyed orders', async () => {
-    // While the service is down the order desk's agent restarts. It knows no
-    // record, so it refused every keyed order as "behind" until the service
-    // came back (22 of 49 refusals of the first run of demo --faults).
+    // Guards against a restarted agent that refuses keyed requests during an
+    // outage.
     stack.config.setMode('down');
     await stack.restartAgent(1);
     await waitUntil(
--- a/packages/nutmeggauge/src/e2e/deadlines.test.ts
+++ b/packages/nutmeggauge/src/e2e/deadlines.test.ts
@@ -24,9 +24,7 @@
   });
 
   it('answers at the deadline when the agent froze mid-request', async () => {
-    // A lookup goes to an agent that then freezes (a paused process whose
-    // socket stays open). Without a gate-side bound the foreman would wait
-    // forever; the gate answers 504 at the deadline, saying it may have run.
+    // Guards against waiting for a frozen agent past the deadline.
     const frozen = await startFrozenAgent();
     publishChatTargets(stack, () => [
       {id: 'frozen', agent: `127.0.0.1:${frozen.port}`, zone: 'az-1'},
@@ -48,9 +46,7 @@
   });
 
   it('frees the engine memory when the caller goes away mid-stream', async () => {
-    // A subscriber closes the app while a long answer streams. The gate
-    // cancels at the agent, the agent aborts its engine stream, and the
-    // engine frees the sequence's KV memory at once instead of decoding on.
+    // Guards against decoding for a caller that has left.
     await waitUntil(
       async () =>
         (
@@ -88,9 +84,7 @@
   });
 
   it('leaves no memory behind at the engine', async () => {
-    // An entry host loses power while a review streams through its gate.
-    // Nobody is left to read the answer; the engine must not go on holding
-    // memory for it until the review's window of a minute has passed.
+    // Guards against KV cache that a lost gate's request holds.
     const {scheduler} = stack.engines[0];
     await streamCompletion(
       stack.gateUrl,
--- a/packages/nutmeggauge/src/e2e/drain.test.ts
+++ b/packages/nutmeggauge/src/e2e/drain.test.ts
@@ -24,9 +24,7 @@
   });
 
   it('sends it no new work once its agent drains, and its request in flight finishes whole', async () => {
-    // A language server is being replaced while it streams a schedule review.
-    // Its agent drains: it tells every gate at once, new requests go to the
-    // other engine, and the review in flight still reaches the dealer whole.
+    // Guards against cutting a stream when its engine is replaced.
     let drained: Promise<void> | undefined;
     let busy = -1;
     const streaming = streamCompletion(stack.gateUrl, long, auth, count => {
@@ -66,8 +64,7 @@
   });
 
   it('gets no new work, and comes back when the list says so', async () => {
-    // The platform is about to take a host away and says so only in its host
-    // list; the agent beside the engine hears nothing and reports as usual.
+    // Guards against routing to a host that only the host list calls leaving.
     stack.hostList.setHosts([{id: 'engine-1', state: 'leaving'}]);
     await waitUntil(
       async () => (await readUsable(stack))['engine-1'] === false,
@@ -96,8 +93,7 @@
   });
 
   it('finishes the request in flight before it exits', async () => {
-    // An entry host is replaced while a quote streams through its gate.
-    // SIGTERM stops new work but the quote in flight is finished, not cut.
+    // Guards against cutting a stream when its gate is replaced.
     let drained: Promise<void> | undefined;
     const result = await streamCompletion(stack.gateUrl, long, auth, count => {
       if (count === 3) drained = stack.gate.drain();
--- a/packages/nutmeggauge/src/e2e/fencing.test.ts
+++ b/packages/nutmeggauge/src/e2e/fencing.test.ts
@@ -52,9 +52,7 @@
     };
 
     it('are not turned back by an agent that was paused and wakes late', async () => {
-      // Agent A reads that engine e shall run model m1 and is paused. The
-      // operator publishes m2; A's replacement B orders it. Then A wakes,
-      // sees m2 running, still believes m1, and would order the old model.
+      // Guards against an old agent that wakes and orders the old model.
       config.publish(recordOf('m1'));
       const paused = await startAgentOrders();
       config.publish(recordOf('m2'));
@@ -66,8 +64,7 @@
     });
 
     it('are withheld while the agent cannot tell whether its record is the newest', async () => {
-      // The configuration service serves an old replica: the agent that
-      // holds the newer record must not order on what it cannot confirm.
+      // Guards against orders based on a record that cannot be confirmed.
       config.publish(recordOf('m3'));
       const agent = await startAgentOrders();
       config.setMode('stale');
--- a/packages/nutmeggauge/src/e2e/subset.test.ts
+++ b/packages/nutmeggauge/src/e2e/subset.test.ts
@@ -13,9 +13,7 @@
   });
 
   it('reaches the home of every key all the same', async () => {
-    // A gate of a large fleet keeps links to a few order desks only. A key
-    // whose home is another one must still run there and nowhere else, or
-    // its copies through other gates would not meet one ledger.
+    // Guards against a second home for keys whose home is outside the subset.
     const linked = Object.keys(await readUsable(stack));
     expect(linked.filter(id => id.startsWith('plain-')).length).toEqual(1);
     for (let i = 0; i < 8; i++) {
--- a/packages/nutmeggauge/src/losses/causes.ts
+++ b/packages/nutmeggauge/src/losses/causes.ts
@@ -2,10 +2,10 @@
 
 /** Causes by which worth is lost, in the order of the tables. */
 export const CAUSES = [
-  'late-surprise',
+  'late-mispredicted',
   'late-predicted',
   'late-unpredicted',
-  'late-pause',
+  'late-itl',
   'refused',
   'cut',
   'caller-left',
@@ -16,10 +16,10 @@
 
 /** What the tables call the causes. */
 export const CAUSE_NAMES: Readonly<Record<Cause, string>> = {
-  'late-surprise': 'late, predicted in time',
+  'late-mispredicted': 'late, predicted in time',
   'late-predicted': 'predicted late',
   'late-unpredicted': 'late, nothing predicted',
-  'late-pause': 'late by a pause',
+  'late-itl': 'late by inter-token latency',
   refused: 'refused',
   cut: 'cut or failed',
   'caller-left': 'caller left',
--- a/packages/nutmeggauge/src/losses/visits.ts
+++ b/packages/nutmeggauge/src/losses/client-attempts.ts
@@ -1,69 +1,69 @@
 /**
- * What one gate wrote of one request, put together, and the visits of one
- * request to several gates.
+ * Client attempts, reconstructed from the log lines of gates: one for each
+ * arrival of a request at a gate.
  */
 import type {GateLife} from './gate-lives.js';
 import type {TimelineEvent} from '../timeline/merge.js';
 
-/** The engines that a stream was sent to. */
+/** The engines of a placement. */
 export interface PlacementRecord {
   /** Wall clock of its gate, in ms. */
   readonly t: number;
-  readonly first: string;
+  readonly decoder: string;
   readonly helpers: readonly string[];
-  /** Time from the placement to the first event as forecast, in ms. */
-  readonly predictedFirstMs: number;
-  /** Age of what the gate knew, in ms. */
+  /** Predicted time from the placement to the first token, in ms. */
+  readonly predictedTtftMs: number;
+  /** Age of the gate's facts, in ms. */
   readonly factsAgeMs: number;
   readonly tokens: number | undefined;
 }
 
-/** How a visit ended. */
-export interface VisitEnd {
+/** How a client attempt ended. */
+export interface AttemptEnd {
   readonly t: number;
-  /** The gate's word for it, such as `answered` or `too_late`. */
+  /** Outcome as logged, such as `answered` or `too_late`. */
   readonly outcome: string;
-  /** Refused before its route was known. */
+  /** Refused before routing. */
   readonly isEarly: boolean;
   readonly status: number | undefined;
   readonly route: string | undefined;
   readonly kind: string | undefined;
   readonly target: string | undefined;
   readonly tokens: number | undefined;
-  /** First event since the arrival, in ms. */
-  readonly firstMs: number | undefined;
-  /** Longest pause between two events, in ms. */
-  readonly gapMs: number | undefined;
-  /** Whole answer since the arrival, in ms. */
+  /** Time to first token, in ms. */
+  readonly ttftMs: number | undefined;
+  /** Largest inter-token latency, in ms. */
+  readonly maxItlMs: number | undefined;
+  /** Time to the complete answer, in ms. */
   readonly ms: number;
 }
 
 /** One arrival of a request at one gate. */
-export interface Visit {
+export interface ClientAttempt {
   readonly proc: string;
   readonly requestId: string | undefined;
   /** Wall clock of the gate, in ms. */
   readonly arrivedAt: number;
   readonly placements: readonly PlacementRecord[];
-  /** Times at which it was looked at and kept back. */
-  readonly keptAt: readonly number[];
-  /** Targets of attempts that failed, and when. */
+  /** Times at which it was deferred. */
+  readonly deferredAt: readonly number[];
+  /** Targets of failed attempts, and when. */
   readonly failures: ReadonlyArray<{
     readonly t: number;
     readonly target: string;
   }>;
-  readonly end: VisitEnd | undefined;
-  /** Last line of the gate's life, for a visit without an end. */
+  readonly end: AttemptEnd | undefined;
+  /** Last line of the gate's life, for a client attempt without an end. */
   readonly lastSeenAt: number;
-  /** The gate's process ended, or fell silent for good, before the visit did. */
+  /** The gate ended, or fell silent for good, before the client attempt did. */
   readonly isGateGone: boolean;
 }
 
-/** Events that belong to a request's way. */
-const VISIT_EVENTS: ReadonlySet<string> = new Set([
+/** Events of a client attempt. */
+const ATTEMPT_EVENTS: ReadonlySet<string> = new Set([
   'stream_placed',
-  'stream_kept',
-  'waited_for_place',
+  'stream_deferred',
+  'waited_for_slot',
   'attempt_failed',
   'request_given_up',
   'request_ended',
@@ -71,18 +71,18 @@
 ]);
 
 /**
- * Longest duration that a line is believed, in ms: a day. Windows are told by
- * dates, and with a duration of 8.6e15 ms an arrival had none: a RangeError.
+ * Longest credible duration, in ms: larger ones lead to dates that cannot be
+ * printed.
  */
 const MAX_DURATION_MS = 86_400_000;
 
-/** Largest status of HTTP (RFC 9110, 15). */
+/** Largest HTTP status (RFC 9110, 15). */
 const MAX_STATUS = 599;
 
-/** Most tokens that a line is believed: 1,000 times the longest prompt. */
+/** Most credible tokens: far above the longest prompt. */
 const MAX_TOKENS = 1e9;
 
-/** Reads a figure from 0 to `most`; nothing when it is none. */
+/** Reads a figure from 0 to `most`; nothing if it is invalid. */
 function readFigure(
   line: TimelineEvent,
   field: string,
@@ -114,22 +114,22 @@
 }
 
 function toPlacements(line: TimelineEvent): readonly PlacementRecord[] {
-  const first = readText(line, 'first');
-  const predictedFirstMs = readMs(line, 'predictedFirstMs');
-  if (first === undefined || predictedFirstMs === undefined) return [];
+  const decoder = readText(line, 'decoder');
+  const predictedTtftMs = readMs(line, 'predictedTtftMs');
+  if (decoder === undefined || predictedTtftMs === undefined) return [];
   return [
     {
       t: line.t,
-      first,
+      decoder,
       helpers: readTexts(line, 'helpers'),
-      predictedFirstMs,
+      predictedTtftMs,
       factsAgeMs: readMs(line, 'factsAgeMs') ?? 0,
       tokens: readTokens(line),
     },
   ];
 }
 
-function toEnd(line: TimelineEvent): VisitEnd {
+function toEnd(line: TimelineEvent): AttemptEnd {
   const isEarly = line.event === 'request_refused';
   return {
     t: line.t,
@@ -140,18 +140,18 @@
     kind: readText(line, 'kind'),
     target: readText(line, 'target'),
     tokens: readTokens(line),
-    firstMs: readMs(line, 'firstMs'),
-    gapMs: readMs(line, 'gapMs'),
+    ttftMs: readMs(line, 'ttftMs'),
+    maxItlMs: readMs(line, 'maxItlMs'),
     ms: readMs(line, 'ms') ?? 0,
   };
 }
 
-function buildVisit(
+function buildAttempt(
   life: GateLife,
   lines: readonly TimelineEvent[],
   endLine: TimelineEvent | undefined,
   span: LogSpan,
-): Visit {
+): ClientAttempt {
   const end = endLine === undefined ? undefined : toEnd(endLine);
   const pick = (event: string) => lines.filter(line => line.event === event);
   return {
@@ -159,7 +159,7 @@
     requestId: readText(lines[0], 'requestId'),
     arrivedAt: end === undefined ? lines[0].t : end.t - end.ms,
     placements: pick('stream_placed').flatMap(toPlacements),
-    keptAt: pick('stream_kept').map(({t}) => t),
+    deferredAt: pick('stream_deferred').map(({t}) => t),
     failures: pick('attempt_failed').map(line => ({
       t: line.t,
       target: readText(line, 'target') ?? '',
@@ -175,16 +175,16 @@
 }
 
 /**
- * Longest time that a request is taken to last, in ms, where the log shows
- * shorter ones only: the time limit that callers of every deployment set.
+ * Assumed longest duration of a request, in ms, unless the log shows a longer
+ * one.
  */
 const USUAL_LIMIT_MS = 10_000;
 
-/** What all logs together tell. */
+/** Range of all logs. */
 interface LogSpan {
-  /** Last stamp of any gate, in ms. */
+  /** Last timestamp of any gate, in ms. */
   readonly endsAt: number;
-  /** Longest time that a request lasted, in ms. */
+  /** Longest duration of a request, in ms. */
   readonly longestMs: number;
 }
 
@@ -200,9 +200,9 @@
 }
 
 /**
- * True when a visit without an end was lost with its gate. A gate leaves lines
- * out under load, ends among them: a visit whose own last line is older than
- * any request lasts had ended before its gate did, nobody knows how.
+ * True if a client attempt without an end was lost with its gate. If its last
+ * line is older than any request lasts, its end was dropped from the log
+ * instead.
  */
 function isGateGone(
   life: GateLife,
@@ -214,72 +214,77 @@
   return life.isOver || endsAt - lastAt > longestMs;
 }
 
-function listVisitsOfLife(life: GateLife, span: LogSpan): readonly Visit[] {
+function listAttemptsOfLife(
+  life: GateLife,
+  span: LogSpan,
+): readonly ClientAttempt[] {
   const open = new Map<string, TimelineEvent[]>();
-  const visits: Visit[] = [];
+  const attempts: ClientAttempt[] = [];
   for (const line of life.lines) {
-    if (!VISIT_EVENTS.has(line.event)) continue;
+    if (!ATTEMPT_EVENTS.has(line.event)) continue;
     const id = readText(line, 'requestId');
     const lines = [...(open.get(id ?? '') ?? []), line];
     const isEnd =
       line.event === 'request_ended' || line.event === 'request_refused';
     if (isEnd) {
       open.delete(id ?? '');
-      visits.push(
-        buildVisit(life, id === undefined ? [line] : lines, line, span),
+      attempts.push(
+        buildAttempt(life, id === undefined ? [line] : lines, line, span),
       );
     } else if (id !== undefined) open.set(id, lines);
   }
   for (const lines of open.values())
-    visits.push(buildVisit(life, lines, undefined, span));
-  return visits;
+    attempts.push(buildAttempt(life, lines, undefined, span));
+  return attempts;
 }
 
 /**
- * Lists the visits of all requests to all gates.
+ * Lists the client attempts of all requests.
  *
  * @example
- * listVisits(readGateLogs(['all.log']).lives).length;
+ * listClientAttempts(readGateLogs(['all.log']).lives).length;
  */
-export function listVisits(lives: readonly GateLife[]): readonly Visit[] {
+export function listClientAttempts(
+  lives: readonly GateLife[],
+): readonly ClientAttempt[] {
   const span = readSpan(lives);
-  return lives.flatMap(life => listVisitsOfLife(life, span));
+  return lives.flatMap(life => listAttemptsOfLife(life, span));
 }
 
-/** One request with all its visits, in the order of their arrivals. */
+/** A request with all its client attempts, by time of arrival. */
 export interface RequestRecord {
   readonly requestId: string | undefined;
-  readonly visits: readonly Visit[];
-  /** The visit by which the request is judged. */
-  readonly visit: Visit;
+  readonly attempts: readonly ClientAttempt[];
+  /** The client attempt by which the request is judged. */
+  readonly attempt: ClientAttempt;
 }
 
-/** The answered visit, else the last one: a caller that came back. */
-function pickVisit(visits: readonly Visit[]): Visit {
-  const answered = visits.find(({end}) => end?.outcome === 'answered');
-  return answered ?? visits[visits.length - 1];
+/** The answered attempt, or else the last one. */
+function pickAttempt(attempts: readonly ClientAttempt[]): ClientAttempt {
+  const answered = attempts.find(({end}) => end?.outcome === 'answered');
+  return answered ?? attempts[attempts.length - 1];
 }
 
 /**
- * Puts together the visits of each request.
+ * Groups client attempts by request.
  *
  * @example
- * mergeVisits(listVisits(lives)).filter(({visits}) => visits.length > 1);
+ * mergeClientAttempts(listClientAttempts(lives)).filter(({attempts}) => attempts.length > 1);
  */
-export function mergeVisits(
-  visits: readonly Visit[],
+export function mergeClientAttempts(
+  attempts: readonly ClientAttempt[],
 ): readonly RequestRecord[] {
-  const byId = new Map<string, Visit[]>();
+  const byId = new Map<string, ClientAttempt[]>();
   const nameless: RequestRecord[] = [];
-  for (const visit of visits) {
-    const {requestId} = visit;
+  for (const attempt of attempts) {
+    const {requestId} = attempt;
     if (requestId === undefined)
-      nameless.push({requestId, visits: [visit], visit});
-    else byId.set(requestId, [...(byId.get(requestId) ?? []), visit]);
+      nameless.push({requestId, attempts: [attempt], attempt});
+    else byId.set(requestId, [...(byId.get(requestId) ?? []), attempt]);
   }
   const named = [...byId].map(([requestId, own]) => {
     const sorted = own.sort((a, b) => a.arrivedAt - b.arrivedAt);
-    return {requestId, visits: sorted, visit: pickVisit(sorted)};
+    return {requestId, attempts: sorted, attempt: pickAttempt(sorted)};
   });
   return [...named, ...nameless];
 }
--- a/packages/nutmeggauge/src/losses/engine-activity.ts
+++ b/packages/nutmeggauge/src/losses/engine-activity.ts
@@ -1,19 +1,18 @@
-/**
- * What engines did around one long prompt: for each, when it had prompts to
- * read and when it wrote answers.
- */
+/** Activity of engines around one long prompt: prefill and decode spans. */
 import {isLate} from './worth.js';
 import type {JudgedRequest} from './judge-request.js';
-import type {Visit} from './visits.js';
+import type {ClientAttempt} from './client-attempts.js';
 
-/** A time in which an engine had one prompt to read or one answer to write. */
+/**
+ * A time in which an engine has one prompt to prefill or one answer to decode.
+ */
 export interface ActivitySpan {
   readonly engine: string;
-  readonly work: 'reading' | 'writing';
+  readonly work: 'prefill' | 'decode';
   /** Wall clock of the gate, in ms. */
   readonly from: number;
   readonly to: number;
-  /** It is part of the marked prompt. */
+  /** Belongs to the selected prompt. */
   readonly isMarked: boolean;
 }
 
@@ -22,17 +21,16 @@
   readonly request: JudgedRequest;
   readonly from: number;
   readonly to: number;
-  /** Those of the prompt first. */
+  /** The selected prompt's engines first. */
   readonly engines: readonly string[];
   readonly spans: readonly ActivitySpan[];
 }
 
-/** How much of the time before and after the prompt is shown, in ms. */
+/** Time shown before and after the prompt, in ms. */
 const AROUND_MS = 1000;
 
 /**
- * Picks the prompt to show: the largest late one, or the largest of all when
- * none was late.
+ * Picks the prompt to show: the largest late one, or else the largest.
  *
  * @example
  * pickPrompt(requests)?.requestId;
@@ -40,31 +38,34 @@
 export function pickPrompt(
   requests: readonly JudgedRequest[],
 ): JudgedRequest | undefined {
-  const placed = requests.filter(({visit}) => visit.placements.length > 0);
+  const placed = requests.filter(({attempt}) => attempt.placements.length > 0);
   const late = placed.filter(({cause}) => isLate(cause));
   const candidates = late.length > 0 ? late : placed;
   return [...candidates].sort((a, b) => (b.tokens ?? 0) - (a.tokens ?? 0))[0];
 }
 
-/** When a visit was over, as far as the log tells. */
-function readEndAt({end, lastSeenAt}: Visit): number {
+/** End of a client attempt, as far as the log shows. */
+function readEndAt({end, lastSeenAt}: ClientAttempt): number {
   return end?.t ?? lastSeenAt;
 }
 
-/** Spans of each attempt of a visit; the last one wrote what came after. */
-function listSpans(visit: Visit, isMarked: boolean): readonly ActivitySpan[] {
-  const {placements, failures, arrivedAt, end} = visit;
-  const endAt = readEndAt(visit);
+/** Spans of each placement of a client attempt. */
+function listSpans(
+  attempt: ClientAttempt,
+  isMarked: boolean,
+): readonly ActivitySpan[] {
+  const {placements, failures, arrivedAt, end} = attempt;
+  const endAt = readEndAt(attempt);
   const firstAt =
-    end?.firstMs === undefined ? undefined : arrivedAt + end.firstMs;
-  return placements.flatMap(({t, first, helpers}, i) => {
+    end?.ttftMs === undefined ? undefined : arrivedAt + end.ttftMs;
+  return placements.flatMap(({t, decoder, helpers}, i) => {
     const next = placements.at(i + 1)?.t ?? endAt;
     const failedAt = failures.find(failure => failure.t >= t)?.t ?? next;
     const to = Math.min(next, failedAt);
     const readTo = firstAt === undefined ? to : Math.min(to, firstAt);
-    const reading = [first, ...helpers].map(engine => ({
+    const reading = [decoder, ...helpers].map(engine => ({
       engine,
-      work: 'reading' as const,
+      work: 'prefill' as const,
       from: t,
       to: Math.max(t, readTo),
       isMarked,
@@ -73,13 +74,13 @@
     const from = Math.max(t, firstAt);
     return [
       ...reading,
-      {engine: first, work: 'writing' as const, from, to, isMarked},
+      {engine: decoder, work: 'decode' as const, from, to, isMarked},
     ];
   });
 }
 
 /**
- * Lists what engines did around one prompt.
+ * Lists what engines did around a prompt.
  *
  * @example
  * listActivity(requests, pickPrompt(requests)).engines;
@@ -88,10 +89,10 @@
   requests: readonly JudgedRequest[],
   request: JudgedRequest,
 ): EngineActivity {
-  const from = request.visit.arrivedAt - AROUND_MS;
-  const to = readEndAt(request.visit) + AROUND_MS;
+  const from = request.attempt.arrivedAt - AROUND_MS;
+  const to = readEndAt(request.attempt) + AROUND_MS;
   const spans = requests
-    .flatMap(({visit}) => listSpans(visit, visit === request.visit))
+    .flatMap(({attempt}) => listSpans(attempt, attempt === request.attempt))
     .filter(span => span.to >= from && span.from <= to);
   const own = spans.filter(({isMarked}) => isMarked);
   const others = spans.map(({engine}) => engine).sort();
--- a/packages/nutmeggauge/src/losses/gate-gaps.ts
+++ b/packages/nutmeggauge/src/losses/gate-gaps.ts
@@ -1,7 +1,7 @@
 /**
- * Times in which a gate did not serve: from the last line of a life to the
- * next `gate_started`. What would have arrived there is in no log; it is
- * estimated from what the gate was sent while it served.
+ * Times without a gate: from the last line of one life to the next
+ * `gate_started`. What would have arrived is estimated from the gate's usual
+ * load.
  */
 import type {GateLife} from './gate-lives.js';
 import type {JudgedRequest} from './judge-request.js';
@@ -12,18 +12,18 @@
   /** Wall clock of the gate, in ms. */
   readonly from: number;
   readonly to: number;
-  /** Length in ms; 0 when the clock was set back meanwhile. */
+  /** Length in ms; 0 if the clock was set back. */
   readonly ms: number;
-  /** The gate had drained: its callers had been told to go elsewhere. */
+  /** The gate had drained, so callers had been sent elsewhere. */
   readonly hasDrained: boolean;
-  /** Worth of what the gate is sent in such a time, by its own mean. */
+  /** Estimated worth of the requests that would have arrived. */
   readonly estimatedWorth: number;
 }
 
-/** Worth that one gate is sent in a ms while it serves. */
+/** Worth of the requests that one gate receives in a ms. */
 export type WorthRates = ReadonlyMap<string, number>;
 
-/** Time for which a gate wrote lines, in ms. */
+/** Time for which a gate logged, in ms. */
 function sumServedMs(lives: readonly GateLife[]): number {
   let sum = 0;
   for (const {lines} of lives)
@@ -36,7 +36,7 @@
 }
 
 /**
- * Estimates the worth that each gate is sent in a ms.
+ * Estimates the worth of the requests that each gate receives in a ms.
  *
  * @example
  * estimateRates(lives, requests).get('gate-1');
@@ -46,8 +46,8 @@
   requests: readonly JudgedRequest[],
 ): WorthRates {
   const worths = new Map<string, number>();
-  for (const {visit, worth} of requests)
-    worths.set(visit.proc, (worths.get(visit.proc) ?? 0) + worth);
+  for (const {attempt, worth} of requests)
+    worths.set(attempt.proc, (worths.get(attempt.proc) ?? 0) + worth);
   return new Map(
     listProcs(lives).map(proc => {
       const servedMs = sumServedMs(lives.filter(life => life.proc === proc));
@@ -58,7 +58,7 @@
 }
 
 /**
- * Lists the times without a gate, of all gates.
+ * Lists the gaps of all gates.
  *
  * @example
  * listGaps(lives, estimateRates(lives, requests));
@@ -82,7 +82,7 @@
   const gaps: GateGap[] = [];
   let before: GateLife | undefined;
   for (const life of lives) {
-    // A start that failed left no gate there: the gap goes on past it.
+    // After a failed start the gap continues.
     if (before !== undefined && life.servesFrom === undefined) continue;
     if (before !== undefined && life.servesFrom !== undefined)
       gaps.push(buildGap(before, life.servesFrom, rate));
--- a/packages/nutmeggauge/src/losses/gate-lives.ts
+++ b/packages/nutmeggauge/src/losses/gate-lives.ts
@@ -1,47 +1,46 @@
 /**
- * Cuts the lines of each gate into lives: from
- * one start of its process to the next. The order within a gate is that of its
- * file, since its clock may step.
+ * Splits the lines of each gate into lives, one for each start of its process.
+ * Lines keep the order of their file, as the clock may be set back.
  */
 import {InputFileError} from '../cli/errors.js';
 import {FIRST_EVENT, readSourcedLines} from './sourced-lines.js';
 import type {TimelineEvent} from '../timeline/merge.js';
 import type {SourcedLine} from './sourced-lines.js';
 
-/** What a gate wrote between two starts of its process. */
+/** The lines of a gate between two starts of its process. */
 export interface GateLife {
   readonly proc: string;
   readonly lines: readonly TimelineEvent[];
-  /** When it began to serve; absent where the log begins later, or it failed. */
+  /** When it began to serve; absent if unknown or if the start failed. */
   readonly servesFrom: number | undefined;
-  /** It went on to write that it had drained. */
+  /** It logged the end of its drain. */
   readonly hasDrained: boolean;
-  /** Another life follows in the log, so this one is over. */
+  /** Another life follows in the log. */
   readonly isOver: boolean;
 }
 
-/** What was read, and what was passed over. */
+/** Parsed lines, and counts of the ignored ones. */
 export interface GateLogs {
   readonly files: readonly string[];
   readonly lives: readonly GateLife[];
-  /** Lines that hold a `{` and no whole JSON object. */
+  /** Lines with a `{` but no complete JSON object. */
   readonly malformedLines: number;
-  /** Lines of JSON that are not a gate's. */
+  /** JSON lines that are not a gate's. */
   readonly foreignLines: number;
-  /** Lines that stand in the files more than once. */
+  /** Lines that occur more than once. */
   readonly repeatedLines: number;
-  /** Lines that gates said they had not written. */
+  /** Lines that gates reported as dropped. */
   readonly droppedLines: number;
-  /** How often each gate's clock went back between two lines. */
+  /** How often each gate's clock was set back. */
   readonly clockSteps: Readonly<Record<string, number>>;
 }
 
-/** Events that only a gate writes; a file without any is not a gate's log. */
+/** Events that only gates log; a file without any is not a gate's log. */
 const GATE_EVENTS: ReadonlySet<string> = new Set([
   'gate_started',
   'stream_placed',
-  'stream_kept',
-  'waited_for_place',
+  'stream_deferred',
+  'waited_for_slot',
   'request_ended',
   'request_refused',
   'request_given_up',
@@ -64,10 +63,10 @@
   }
 }
 
-/** Puts lines together to lives. */
+/** Groups lines into lives. */
 class LivesReader {
   private readonly lives = new Map<string, LifeBuilder[]>();
-  /** Sources whose process has said that it starts, and nothing else yet. */
+  /** Sources whose process has only logged that it starts. */
   private readonly starting = new Set<string>();
 
   add({source, event}: SourcedLine): void {
@@ -100,7 +99,7 @@
   }
 }
 
-/** Sources that only one process wrote to: its first line needs no name. */
+/** Sources with a single process: its first line needs no name. */
 function listOwnSources(lines: readonly SourcedLine[]): ReadonlySet<string> {
   const procs = new Map<string, Set<string>>();
   for (const {source, event} of lines) {
@@ -123,7 +122,7 @@
   return steps;
 }
 
-/** Gates that wrote any of the lines. */
+/** Gates that wrote the lines. */
 function listGates(lines: readonly SourcedLine[]): ReadonlySet<string> {
   const events = lines.flatMap(({event}) =>
     event === FIRST_EVENT ? [] : event,
@@ -147,7 +146,7 @@
   return reader.list();
 }
 
-/** Lines that gates could not write, by their own count. */
+/** Lines that gates reported as dropped. */
 function countDropped(lives: readonly GateLife[]): number {
   return lives
     .flatMap(life => life.lines)
--- a/packages/nutmeggauge/src/losses/loss-page.ts
+++ b/packages/nutmeggauge/src/losses/loss-page.ts
@@ -8,36 +8,36 @@
 import type {JudgedRequest} from './judge-request.js';
 import type {LossAnalysis} from './summarize-losses.js';
 
-/** Meanings of the bars, the marked ones drawn last, over the others. */
+/** Legend of the bars; the selected prompt's are drawn last. */
 const BARS = [
-  {name: 'reading', color: '#3b78c4', opacity: 0.35},
-  {name: 'writing', color: '#4a9d5b', opacity: 0.35},
+  {name: 'prefill', color: '#3b78c4', opacity: 0.35},
+  {name: 'decode', color: '#4a9d5b', opacity: 0.35},
   {name: 'the prompt, reading', color: '#d62828', opacity: 0.9},
   {name: 'the prompt, writing', color: '#f4a03a', opacity: 0.9},
 ] as const;
 
 function findBar({work, isMarked}: ActivitySpan): number {
-  return (isMarked ? 2 : 0) + (work === 'reading' ? 0 : 1);
+  return (isMarked ? 2 : 0) + (work === 'prefill' ? 0 : 1);
 }
 
 function describePrompt({
   requestId,
   tokens,
   cause,
-  visit,
+  attempt,
 }: JudgedRequest): string {
-  const {end, proc} = visit;
+  const {end, proc} = attempt;
   const outcome = cause === undefined ? 'in time' : CAUSE_NAMES[cause];
-  const first = end?.firstMs === undefined ? 'none' : `${end.firstMs} ms`;
+  const first = end?.ttftMs === undefined ? 'none' : `${end.ttftMs} ms`;
   return `Request ${requestId ?? '?'} at ${proc}: ${tokens ?? '?'} tokens, ${outcome}, first event ${first}`;
 }
 
 function listSeries(activity: EngineActivity): readonly SpanSeries[] {
   const {engines, request, spans} = activity;
-  const zero = request.visit.arrivedAt;
+  const zero = request.attempt.arrivedAt;
   const indexes = new Map(engines.map((engine, i) => [engine, i]));
   const toLane = ({engine, work, from, to}: ActivitySpan): LaneSpan => ({
-    lane: (indexes.get(engine) ?? 0) * 2 + (work === 'reading' ? 0 : 1),
+    lane: (indexes.get(engine) ?? 0) * 2 + (work === 'prefill' ? 0 : 1),
     from: (from - zero) / 1000,
     to: (to - zero) / 1000,
   });
@@ -48,14 +48,14 @@
 }
 
 /**
- * Draws engines around one prompt.
+ * Draws the activity of engines around a prompt.
  *
  * @example
  * renderActivity(listActivity(requests, request));
  */
 export function renderActivity(activity: EngineActivity): string {
   const {engines, request, from, to} = activity;
-  const zero = request.visit.arrivedAt;
+  const zero = request.attempt.arrivedAt;
   return renderLanes(
     describePrompt(request),
     's since its arrival',
@@ -65,7 +65,7 @@
   );
 }
 
-/** What the plot cannot tell, since the log does not. */
+/** Limits of the plot. */
 const PLOT_NOTE =
   'A bar of reading lasts from the placement to the first event: the log does not tell when in between an engine read its part. A darker bar is several streams at once.';
 
