Gates log a request from its connection to its answer

Cause of the gap: a gate wrote one line for each request, at its end, and none for a connection that was closed with an unread request. Before: a request that the gate never read had 0 lines, any other 1. After: the test sees five lines in their order (request-log.test.ts, 3 of 3). Conclusion: a loss now shows where the request stopped; no behaviour changes.

--- a/packages/gate/src/api/handler.ts
+++ b/packages/gate/src/api/handler.ts
@@ -10,7 +10,7 @@
   sendJson,
 } from '@nutmeggauge/core';
 import {parseCallerRequest} from './requests.js';
-import {observeEnd} from './request-log.js';
+import {observeRequest} from './request-log.js';
 import {renderError} from './responses.js';
 import {sendRefusal, toRetryAfter} from './results.js';
 import {serveAdmitted} from './serve-admitted.js';
@@ -40,7 +40,7 @@
     sendJson(res, status, renderError(type, reason, requestId));
   };
   context.counters.add('api.requests');
-  observeEnd(log, requestId, req, res);
+  observeRequest(log, requestId, req, res);
   if (context.isClosed()) {
     const body = renderError('shutting_down', 'gate_draining', requestId);
     sendJson(res, 503, body, {...toRetryAfter(1000), connection: 'close'});
--- a/packages/gate/src/api/request-log.test.ts
+++ b/packages/gate/src/api/request-log.test.ts
@@ -3,15 +3,20 @@
 import {after, before, describe, it} from 'node:test';
 import {closeHttpServer, openListener} from '@nutmeggauge/core';
 import {expect} from 'earl';
-import {observeEnd} from './request-log.js';
+import {observeConnections, observeRequest} from './request-log.js';
 import type {Server} from 'node:http';
 import type {LogFields, Logger} from '@nutmeggauge/core';
 
-describe('the line of a request', () => {
+describe('the lines of a request', () => {
+  const events: string[] = [];
+  /** Fields of the lines `request_ended`. */
   const lines: LogFields[] = [];
   const drop = () => undefined;
   const log: Logger = {
-    info: (_event, fields = {}) => void lines.push(fields),
+    info: (event, fields = {}) => {
+      events.push(event);
+      if (event === 'request_ended') lines.push(fields);
+    },
     warn: drop,
     error: drop,
     debug: drop,
@@ -21,10 +26,11 @@
 
   before(async () => {
     server = createServer((req, res) => {
-      observeEnd(log, 'r-1', req, res);
+      observeRequest(log, 'r-1', req, res);
       req.on('error', drop);
       req.resume().once('end', () => res.writeHead(503).end('later'));
     });
+    observeConnections(log, server);
     port = await openListener(server, {host: '127.0.0.1', port: 0});
   });
 
@@ -36,6 +42,23 @@
     return lines.splice(0)[0];
   }
 
+  it('follow it from its connection to its answer', async () => {
+    // Guards against a lost request of which no log says how far it came.
+    request({port, method: 'POST', headers: {connection: 'close'}})
+      .end('whole')
+      .once('response', res => res.resume());
+    await waitForLine();
+    while (!events.includes('connection_closed'))
+      await new Promise(resolve => setTimeout(resolve, 5));
+    expect(events.splice(0)).toEqual([
+      'connection_opened',
+      'request_arrived',
+      'request_read',
+      'request_ended',
+      'connection_closed',
+    ]);
+  });
+
   it('says what its caller was answered', async () => {
     request({port, method: 'POST', agent: false})
       .end('whole')
--- a/packages/gate/src/dispatch/dispatcher.ts
+++ b/packages/gate/src/dispatch/dispatcher.ts
@@ -192,10 +192,12 @@
     attempt: number,
   ): Promise<DispatchOutcome> {
     const {request, route} = job;
-    const cancel = () => target.cancel(request.requestId);
+    const {requestId} = request;
+    const cancel = () => target.cancel(requestId);
     job.signal.addEventListener('abort', cancel, {once: true});
     const leftMs = Math.max(0, request.deadlineAt - Date.now());
     const timer = setTimeout(cancel, leftMs);
+    this.log.info('request_sent', {requestId, target: target.id, attempt});
     try {
       return await target.dispatch(
         {...request, attempt, resume: readResumePoint(job.chunks)},
@@ -216,10 +218,7 @@
       cancel();
       const reason =
         error instanceof RpcClosedError ? 'agent_link_lost' : 'agent_no_answer';
-      this.log.warn(reason, {
-        requestId: request.requestId,
-        target: target.id,
-      });
+      this.log.warn(reason, {requestId, target: target.id});
       return {status: 'unknown', reason};
     } finally {
       clearTimeout(timer);
--- a/packages/gate/src/gate.ts
+++ b/packages/gate/src/gate.ts
@@ -18,6 +18,7 @@
 import {AdminApi} from './admin/admin-api.js';
 import {createAccountLimits} from './admission/limits.js';
 import {handleCallerRequest} from './api/handler.js';
+import {observeConnections} from './api/request-log.js';
 import {renderError} from './api/responses.js';
 import {createDispatcher} from './dispatch/dispatcher.js';
 import {createRetryBudget} from './dispatch/retry-budget.js';
@@ -139,6 +140,7 @@
     const server = createServer((req, res) => this.serve(req, res));
     this.server = server;
     closeIdleWhenRead(server);
+    observeConnections(this.log, server);
     await openListener(server, this.settings.listen);
     this.log.info('gate_listening', {
       id: this.settings.id,
--- a/packages/nutmeggauge/src/load/client.ts
+++ b/packages/nutmeggauge/src/load/client.ts
@@ -90,6 +90,7 @@
 
 async function post(
   options: CallerOptions,
+  index: number,
   path: string,
   body: object,
   headers: Readonly<Record<string, string>> = {},
@@ -101,6 +102,7 @@
       authorization: `Bearer ${options.key}`,
       'content-type': 'application/json',
       'x-deadline-ms': String(options.deadlineMs),
+      'x-request-id': String(index),
       ...headers,
     },
     body: JSON.stringify(body),
@@ -156,7 +158,7 @@
   const base = {index, kind: 'generate' as const, gapsMs: []};
   const end = () => performance.now() - startedAt;
   try {
-    const response = await post(options, '/v1/completions', {
+    const response = await post(options, index, '/v1/completions', {
       model: 'chat',
       prompt,
       max_tokens: maxTokens,
@@ -216,6 +218,7 @@
   try {
     const response = await post(
       options,
+      index,
       '/v1/services/orders/place-order',
       {sku: 'lens-30', quantity: 1},
       {'idempotency-key': idempotencyKey},
