A gate that stops reads what has arrived before it closes

What callers saw: a gate is suspended and told to stop, or told to stop on a busy machine. Requests sent to it in time end with ECONNRESET and no answer. Cause: a resumed process runs its signal handlers and timers before it reads, and libuv accepts one connection in each round of the event loop. The drain closed the listener and the idle connections in the first round. The direct gate does the same when its notice is over. Besides, answers given while a gate stops did not say that their connection ends, so callers reused it after the last answer. Change: waitForReading(server) waits for three rounds without a new connection; both gates wait for it before they close; each answer of a stopping gate ends its connection; the drain counts answers sent, not handlers that returned. The tests failed before: gate "reset" and no Connection: close, direct gate ["200", "reset"]. Conclusion: fixed; what connects while a listener closes is left to the balancer.

--- a/packages/core/src/http.ts
+++ b/packages/core/src/http.ts
@@ -73,7 +73,6 @@
   res.writeHead(200, {
     'content-type': 'text/event-stream',
     'cache-control': 'no-cache',
-    connection: 'keep-alive',
   });
 }
 
--- a/packages/core/src/listen.ts
+++ b/packages/core/src/listen.ts
@@ -41,6 +41,37 @@
   return typeof address === 'object' && address !== null ? address.port : 0;
 }
 
+/**
+ * Rounds of the event loop without a new connection after which all that has
+ * arrived is read: the first may have begun, the last reads the requests of the
+ * connection before. Node accepts one connection a round.
+ */
+const QUIET_ROUNDS = 3;
+
+/** Longest wait for reading, in ms: callers may go on connecting. */
+const READING_LIMIT_MS = 1000;
+
+/**
+ * Waits until all that has arrived at a server is read, connections that wait
+ * to be accepted included: a resumed process runs its timers and signal
+ * handlers before it reads.
+ *
+ * @example
+ * await waitForReading(server);
+ * server.close();
+ */
+export async function waitForReading(server: Server): Promise<void> {
+  const giveUpAt = performance.now() + READING_LIMIT_MS;
+  let quietRounds = 0;
+  const markBusy = () => (quietRounds = 0);
+  server.on('connection', markBusy);
+  while (quietRounds < QUIET_ROUNDS && performance.now() < giveUpAt) {
+    quietRounds++;
+    await new Promise(resolve => setImmediate(resolve));
+  }
+  server.off('connection', markBusy);
+}
+
 /**
  * Closes idle connections only after pending data has been read: a resumed
  * process runs its timers before it reads.
--- a/packages/direct/src/gate.test.ts
+++ b/packages/direct/src/gate.test.ts
@@ -1,3 +1,4 @@
+import {connect} from 'node:net';
 import {describe, it} from 'node:test';
 import {expect} from 'earl';
 import {buildLoopbackHost} from '@nutmeggauge/core';
@@ -6,6 +7,18 @@
 import {buildConfig, openGateWorld} from './test/gate-world.js';
 import type {TargetScript} from './test/fake-target.js';
 
+/** Time until a stopping gate of these tests takes nothing more, in ms. */
+const STOP_NOTICE_MS = 1000;
+
+/** Time for which a suspended process runs nothing, in ms. */
+const FROZEN_MS = 400;
+
+/** Blocks like a suspended process: no reads, no timers. */
+function freezeProcess(): void {
+  const lock = new Int32Array(new SharedArrayBuffer(4));
+  Atomics.wait(lock, 0, 0, FROZEN_MS);
+}
+
 describe('direct gate', () => {
   it('serves what it has when told to stop, and takes itself out at once', async () => {
     // Guards against requests that fail while gates restart one by one.
@@ -53,6 +66,43 @@
     }
   });
 
+  it('answers what had arrived when it stops taking requests', async () => {
+    // Guards against connections that a stop resets over an unread request.
+    const world = await openGateWorld();
+    try {
+      await world.addTarget('t', 'orders', answerWhole);
+      await world.waitUntil(async () => (await world.askReady()) === 200);
+      const request =
+        'GET /safe/x HTTP/1.1\r\nHost: site\r\nx-test-key: k1\r\n' +
+        'x-test-id: q1\r\nx-test-deadline: 4000\r\n\r\n';
+      const statuses: string[] = [];
+      await new Promise<void>(resolve => {
+        const socket = connect(world.port, world.host, () =>
+          socket.write(request),
+        );
+        socket.on('data', chunk => {
+          statuses.push(String(chunk).slice(9, 12));
+          if (statuses.length > 1) return;
+          void world.gate.drain();
+          const writeAndFreeze = () => {
+            socket.write(request);
+            freezeProcess();
+          };
+          // Behind the round of reading that precedes the timers.
+          setTimeout(
+            () => setImmediate(writeAndFreeze),
+            STOP_NOTICE_MS - FROZEN_MS / 2,
+          );
+        });
+        socket.on('error', () => statuses.push('reset'));
+        socket.on('close', () => resolve());
+      });
+      expect(statuses).toEqual(['200', '503']);
+    } finally {
+      world.close();
+    }
+  });
+
   it('learns from another gate what the store does not tell it', async () => {
     // Guards against a revoked key that still works at a gate without the
     // store.
--- a/packages/direct/src/gate.ts
+++ b/packages/direct/src/gate.ts
@@ -224,14 +224,20 @@
     const startedAt = this.readNow();
     const giveUpAt = startedAt + this.settings.stopGraceMs - DRAIN_RESERVE_MS;
     await sleep(Math.min(DRAIN_NOTICE_MS, this.settings.stopGraceMs / 2));
-    this.ingress.stopTaking();
-    while (this.ingress.inFlight > 0 && this.readNow() < giveUpAt)
-      await sleep(DRAIN_POLL_MS);
-    this.ingress.closeIdle();
+    await this.ingress.stopTaking();
+    await this.waitForAnswers(giveUpAt);
+    await this.ingress.closeIdle();
+    // What was read last.
+    await this.waitForAnswers(giveUpAt);
     log.info('drain_finished', {left: this.ingress.inFlight});
     await this.peers.stop();
   }
 
+  private async waitForAnswers(giveUpAt: number): Promise<void> {
+    while (this.ingress.inFlight > 0 && this.readNow() < giveUpAt)
+      await sleep(DRAIN_POLL_MS);
+  }
+
   /** Stops everything at once. */
   close(): void {
     clearInterval(this.sweep);
--- a/packages/direct/src/ingress/ingress.ts
+++ b/packages/direct/src/ingress/ingress.ts
@@ -3,7 +3,11 @@
  * the forwarders.
  */
 import {createServer} from 'node:http';
-import {closeIdleWhenRead, openListener} from '@nutmeggauge/core';
+import {
+  closeIdleWhenRead,
+  openListener,
+  waitForReading,
+} from '@nutmeggauge/core';
 import {CallerResponse} from '../forward/caller-response.js';
 import {forwardCall} from '../forward/call-forwarder.js';
 import {chooseReturnMs} from '../forward/retry-after.js';
@@ -74,13 +78,15 @@
   }
 
   /** Refuses new requests on kept connections as not run. */
-  stopTaking(): void {
+  async stopTaking(): Promise<void> {
     this.isClosing = true;
+    await waitForReading(this.server);
     this.server.closeIdleConnections();
   }
 
-  /** Closes connections without a request. */
-  closeIdle(): void {
+  /** Stops listening, and closes connections without a request. */
+  async closeIdle(): Promise<void> {
+    await waitForReading(this.server);
     this.server.close();
     this.server.closeIdleConnections();
   }
--- a/packages/gate/src/gate.ts
+++ b/packages/gate/src/gate.ts
@@ -13,11 +13,13 @@
   readPath,
   readPort,
   sendJson,
+  waitForReading,
   waitMs,
 } from '@nutmeggauge/core';
 import {AdminApi} from './admin/admin-api.js';
 import {createAccountLimits} from './admission/limits.js';
 import {handleCallerRequest} from './api/handler.js';
+import {OpenRequests} from './api/open-requests.js';
 import {observeConnections} from './api/request-log.js';
 import {renderError} from './api/responses.js';
 import {createDispatcher} from './dispatch/dispatcher.js';
@@ -56,7 +58,7 @@
   private keys = new Map<string, Account>();
   private draining: Promise<void> | undefined;
   private closed = false;
-  private inFlight = 0;
+  private readonly requests = new OpenRequests();
 
   constructor(private readonly settings: GateSettings) {
     this.watcher = createConfigWatcher({
@@ -151,8 +153,9 @@
 
   /**
    * Graceful shutdown: say "draining" on `/healthz` while still serving, so
-   * that the balancer stops sending first; then stop accepting, finish every
-   * request in flight (at most `drainTimeoutMs`), and stop the tasks.
+   * that the balancer stops sending first; then answer what has arrived, stop
+   * accepting, finish every request in flight (at most `drainTimeoutMs`), and
+   * stop the tasks.
    */
   drain(): Promise<void> {
     this.draining ??= this.runDrain();
@@ -170,18 +173,25 @@
   }
 
   private async runDrain(): Promise<void> {
-    this.log.info('drain_started', {inFlight: this.inFlight});
+    this.log.info('drain_started', {inFlight: this.requests.count});
+    this.requests.endConnections();
     await waitMs(this.settings.drainNoticeMs);
     this.closed = true;
-    this.server?.close();
-    this.server?.closeIdleConnections();
+    await this.closeListener();
     const giveUpAt = Date.now() + this.settings.drainTimeoutMs;
-    while (this.inFlight > 0 && Date.now() < giveUpAt)
+    while (this.requests.count > 0 && Date.now() < giveUpAt)
       await waitMs(DRAIN_POLL_MS);
-    this.log.info('drain_finished', {left: this.inFlight});
+    this.log.info('drain_finished', {left: this.requests.count});
     this.close();
   }
 
+  private async closeListener(): Promise<void> {
+    if (this.server === undefined) return;
+    await waitForReading(this.server);
+    this.server.close();
+    this.server.closeIdleConnections();
+  }
+
   /** Stops every task at once. */
   close(): void {
     this.watcher.stop();
@@ -202,6 +212,7 @@
   }
 
   private serve(req: IncomingMessage, res: ServerResponse): void {
+    this.requests.observe(req, res);
     if (req.method === 'GET' && readPath(req) === '/healthz') {
       // Callers reach this port: what the gate sees of the fleet stays on
       // the administration API.
@@ -218,10 +229,9 @@
       });
       return;
     }
-    this.inFlight++;
-    handleCallerRequest(this.context, req, res)
-      .catch((error: unknown) => this.endFailed(res, error))
-      .finally(() => this.inFlight--);
+    handleCallerRequest(this.context, req, res).catch((error: unknown) =>
+      this.endFailed(res, error),
+    );
   }
 
   /** A fault in the serving of one request costs that request only. */
--- a/packages/nutmeggauge/src/e2e/drain.test.ts
+++ b/packages/nutmeggauge/src/e2e/drain.test.ts
@@ -1,3 +1,4 @@
+import {connect} from 'node:net';
 import {after, before, describe, it} from 'node:test';
 import {expect} from 'earl';
 import {
@@ -103,3 +104,89 @@
     expect(result.text).toEqual(renderWholeAnswer(100));
   });
 });
+
+/** Time for which a suspended process runs nothing, in ms. */
+const FROZEN_MS = 50;
+
+/** Blocks like a suspended process: no reads, no timers. */
+function freezeProcess(): void {
+  const lock = new Int32Array(new SharedArrayBuffer(4));
+  Atomics.wait(lock, 0, 0, FROZEN_MS);
+}
+
+function renderRequest(maxTokens: number): string {
+  const body = JSON.stringify({
+    model: 'chat',
+    prompt: 's',
+    max_tokens: maxTokens,
+  });
+  return (
+    'POST /v1/completions HTTP/1.1\r\nHost: a\r\n' +
+    `Authorization: ${auth.authorization}\r\n` +
+    `Content-Length: ${body.length}\r\n\r\n${body}`
+  );
+}
+
+describe('stop of a gate', () => {
+  let stack: Stack;
+  before(async () => {
+    stack = await startStack({engines: 1});
+  });
+  after(async () => {
+    await stack.close();
+  });
+
+  it('answers what had arrived, and each answer ends its connection', async () => {
+    // Guards against connections that a stop resets over an unread request.
+    const {port, hostname} = new URL(stack.gateUrl);
+    const heads: string[] = [];
+    let hasReset = false;
+    await new Promise<void>(resolve => {
+      const socket = connect(Number(port), hostname, () =>
+        socket.write(renderRequest(2)),
+      );
+      socket.on('data', chunk => {
+        const text = String(chunk);
+        if (text.startsWith('HTTP/1.1')) heads.push(text);
+        if (heads.length > 1) return;
+        socket.write(renderRequest(2));
+        void stack.gate.drain();
+        freezeProcess();
+      });
+      socket.on('error', () => (hasReset = true));
+      socket.on('close', () => resolve());
+    });
+    expect(hasReset).toEqual(false);
+    expect(heads.map(head => head.slice(9, 12))).toEqual(['200', '503']);
+    expect(/^connection: close/im.test(heads[1])).toEqual(true);
+  });
+});
+
+describe('stop of a gate beside a request', () => {
+  let stack: Stack;
+  before(async () => {
+    stack = await startStack({engines: 1});
+  });
+  after(async () => {
+    await stack.close();
+  });
+
+  it('tells the caller that its connection ends with the answer', async () => {
+    // Guards against callers that reuse a connection of a gate that has ended.
+    const {port, hostname} = new URL(stack.gateUrl);
+    const text = await new Promise<string>(resolve => {
+      let received = '';
+      const socket = connect(Number(port), hostname, () =>
+        socket.write(renderRequest(50)),
+      );
+      socket.on('data', chunk => (received += String(chunk)));
+      socket.on('close', () => resolve(received));
+      const {scheduler} = stack.engines[0];
+      void waitUntil(() => scheduler.readLoad().running > 0).then(() =>
+        stack.gate.drain(),
+      );
+    });
+    expect(text.slice(9, 12)).toEqual('200');
+    expect(/^connection: close/im.test(text)).toEqual(true);
+  });
+});
