A gate that ends a connection reads the request's body first

What callers saw: a long prompt sent to a gate that stops ends with ECONNRESET, although the gate has answered 503 and when to come back. Cause: the refusal was sent before the body was read, and the connection of a stopping gate ends with its answer; closing over unread data is a reset. Ruled out: the direct gate, which reads a body before it judges the request. Change: refusals ahead of the body read its rest if the connection ends. A body above the size limit is still cut without an answer.

--- a/packages/core/src/http.ts
+++ b/packages/core/src/http.ts
@@ -1,6 +1,7 @@
 /**
  * Small helpers for Node's `http` servers used by gate, agent and stand-ins.
  */
+import {finished} from 'node:stream/promises';
 import type {IncomingMessage, ServerResponse} from 'node:http';
 
 /** Largest JSON body accepted: a 1M-token prompt is about 4 MB of text. */
@@ -42,6 +43,20 @@
   }
 }
 
+/**
+ * Reads a body to its end and drops it. A connection that is closed over unread
+ * data is reset, and its caller loses the answer.
+ *
+ * @example
+ * await dropBody(req);
+ * sendJson(res, 503, body, {connection: 'close'});
+ */
+export async function dropBody(req: IncomingMessage): Promise<void> {
+  req.resume();
+  // A caller that leaves amid its body needs no answer.
+  await finished(req, {writable: false}).catch(() => undefined);
+}
+
 /**
  * Writes a JSON response and ends it.
  *
--- a/packages/gate/src/api/handler.ts
+++ b/packages/gate/src/api/handler.ts
@@ -5,6 +5,7 @@
 import {randomBytes} from 'node:crypto';
 import {
   createLogger,
+  dropBody,
   readJsonBody,
   readPath,
   sendJson,
@@ -39,15 +40,21 @@
     context.counters.add(`api.${type}`);
     sendJson(res, status, renderError(type, reason, requestId));
   };
+  // A connection that ends with its answer is reset over an unread body.
+  const readRest = async () => {
+    if (!res.shouldKeepAlive) await dropBody(req);
+  };
   context.counters.add('api.requests');
   observeRequest(log, requestId, req, res);
   if (context.isClosed()) {
+    await readRest();
     const body = renderError('shutting_down', 'gate_draining', requestId);
     sendJson(res, 503, body, {...toRetryAfter(1000), connection: 'close'});
     return;
   }
   const record = context.readRecord();
   if (record === undefined) {
+    await readRest();
     sendRefusal(
       res,
       {status: 503, reason: 'not_configured', retryAfterMs: 1000},
@@ -58,6 +65,7 @@
   const key = /^Bearer (.+)$/.exec(req.headers.authorization ?? '')?.[1];
   const account = key === undefined ? undefined : context.findAccount(key);
   if (account === undefined) {
+    await readRest();
     const reason = key === undefined ? 'missing_key' : 'unknown_key';
     sendError(401, 'unauthorized', reason);
     return;
--- a/packages/nutmeggauge/src/e2e/drain.test.ts
+++ b/packages/nutmeggauge/src/e2e/drain.test.ts
@@ -1,5 +1,5 @@
 import {connect} from 'node:net';
-import {after, before, describe, it} from 'node:test';
+import {after, afterEach, before, beforeEach, describe, it} from 'node:test';
 import {expect} from 'earl';
 import {
   TEST_KEY,
@@ -114,12 +114,8 @@
   Atomics.wait(lock, 0, 0, FROZEN_MS);
 }
 
-function renderRequest(maxTokens: number): string {
-  const body = JSON.stringify({
-    model: 'chat',
-    prompt: 's',
-    max_tokens: maxTokens,
-  });
+function renderRequest(maxTokens: number, prompt = 's'): string {
+  const body = JSON.stringify({model: 'chat', prompt, max_tokens: maxTokens});
   return (
     'POST /v1/completions HTTP/1.1\r\nHost: a\r\n' +
     `Authorization: ${auth.authorization}\r\n` +
@@ -127,39 +123,65 @@
   );
 }
 
+/** What a caller reads of two answers on one connection. */
+interface TwoAnswers {
+  readonly heads: readonly string[];
+  readonly hasReset: boolean;
+}
+
+/**
+ * Sends a request, and after its answer another one to a gate that is told to
+ * stop before it reads it.
+ */
+function askAroundStop(stack: Stack, prompt: string): Promise<TwoAnswers> {
+  const {port, hostname} = new URL(stack.gateUrl);
+  const heads: string[] = [];
+  let hasReset = false;
+  return new Promise(resolve => {
+    const socket = connect(Number(port), hostname, () =>
+      socket.write(renderRequest(2)),
+    );
+    socket.on('data', chunk => {
+      const text = String(chunk);
+      if (text.startsWith('HTTP/1.1')) heads.push(text);
+      if (heads.length > 1) return;
+      socket.write(renderRequest(2, prompt));
+      void stack.gate.drain();
+      freezeProcess();
+    });
+    socket.on('error', () => (hasReset = true));
+    socket.on('close', () => resolve({heads, hasReset}));
+  });
+}
+
+/** Length of a prompt that arrives in many pieces, in characters. */
+const LONG_PROMPT = 8_000_000;
+
 describe('stop of a gate', () => {
   let stack: Stack;
-  before(async () => {
+  beforeEach(async () => {
     stack = await startStack({engines: 1});
   });
-  after(async () => {
+  afterEach(async () => {
     await stack.close();
   });
 
   it('answers what had arrived, and each answer ends its connection', async () => {
     // Guards against connections that a stop resets over an unread request.
-    const {port, hostname} = new URL(stack.gateUrl);
-    const heads: string[] = [];
-    let hasReset = false;
-    await new Promise<void>(resolve => {
-      const socket = connect(Number(port), hostname, () =>
-        socket.write(renderRequest(2)),
-      );
-      socket.on('data', chunk => {
-        const text = String(chunk);
-        if (text.startsWith('HTTP/1.1')) heads.push(text);
-        if (heads.length > 1) return;
-        socket.write(renderRequest(2));
-        void stack.gate.drain();
-        freezeProcess();
-      });
-      socket.on('error', () => (hasReset = true));
-      socket.on('close', () => resolve());
-    });
+    const {heads, hasReset} = await askAroundStop(stack, 's');
     expect(hasReset).toEqual(false);
     expect(heads.map(head => head.slice(9, 12))).toEqual(['200', '503']);
     expect(/^connection: close/im.test(heads[1])).toEqual(true);
   });
+
+  it('reads a long prompt to its end before it refuses it', async () => {
+    // Guards against a refusal that its caller loses, since the connection is
+    // reset over the unread rest of the body.
+    const prompt = 's'.repeat(LONG_PROMPT);
+    const {heads, hasReset} = await askAroundStop(stack, prompt);
+    expect(hasReset).toEqual(false);
+    expect(heads.map(head => head.slice(9, 12))).toEqual(['200', '503']);
+  });
 });
 
 describe('stop of a gate beside a request', () => {
