--- a/packages/direct/src/test/test-dialect.ts
+++ b/packages/direct/src/test/test-dialect.ts
@@ -52,7 +52,7 @@
       requestId: headers['x-test-id'] as string | undefined,
       isSigned: headers['x-test-signature'] !== undefined,
       isNotRun: headers['x-test-not-run'] !== undefined,
-      faultyAddress: undefined,
+      faultyAddress: headers['x-test-fault'] as string | undefined,
     };
   }
 }
--- a/packages/gate/src/settings.ts
+++ b/packages/gate/src/settings.ts
@@ -1,8 +1,14 @@
 /**
  * Settings of `nutmeggauge-gate`, read from YAML and checked by zod.
  */
+import {isIPv4} from 'node:net';
 import {z} from 'zod';
 
+/** True for an address that only this host can reach. */
+function isLoopback(host: string): boolean {
+  return isIPv4(host) && host.startsWith('127.');
+}
+
 export const RoutingPolicySchema = z.enum([
   'round-robin',
   'least-outstanding',
@@ -45,8 +51,8 @@
       token: z.string().min(16).optional(),
     })
     .refine(
-      admin => admin.token !== undefined || admin.listen.host === '127.0.0.1',
-      {path: ['token'], message: 'needed unless listen.host is 127.0.0.1'},
+      admin => admin.token !== undefined || isLoopback(admin.listen.host),
+      {path: ['token'], message: 'needed unless listen.host is 127.x.x.x'},
     )
     .optional(),
   /** Retries over all requests of this gate. */
--- a/packages/nutmeggauge/src/cli/commands.ts
+++ b/packages/nutmeggauge/src/cli/commands.ts
@@ -86,7 +86,8 @@
   soak: async (_, flags) => {
     const runDir = resolveRunDir('soak', flags);
     const hasTiming = flags.timing;
-    return (await runSoaks({...flags, hasTiming, runDir})) ? 0 : 1;
+    const hasAgents = flags.agents;
+    return (await runSoaks({...flags, hasTiming, hasAgents, runDir})) ? 0 : 1;
   },
   timeline: paths => printEvents(mergeTimeline(paths)),
   explain: ([requestId, ...paths]) => {
--- a/packages/nutmeggauge/src/cli/flags.ts
+++ b/packages/nutmeggauge/src/cli/flags.ts
@@ -23,11 +23,14 @@
   targets: {type: 'number', default: 6},
   lengthMs: {type: 'number', default: 14_000},
   restores: {type: 'number', default: 2},
+  gateStops: {type: 'number', default: 2},
   timing: {type: 'boolean', default: true},
+  agents: {type: 'boolean', default: false},
   routing: {type: 'string', default: 'class-load', choices: ROUTINGS},
   runDir: {type: 'string'},
   out: {type: 'string'},
   id: {type: 'string', default: 'stand-in'},
+  host: {type: 'string', default: '127.0.0.1'},
   port: {type: 'number', default: 0},
   fencing: {type: 'string', default: 'refuse', choices: FENCINGS},
   lagMs: {type: 'number', default: 250},
@@ -47,12 +50,16 @@
     $ nutmeggauge measure [--out DIR] [--run-dir DIR]
     $ nutmeggauge capacity <folder of measured.json>
     $ nutmeggauge soak [--seed N] [--seeds COUNT] [--jobs N] [--gates N]
-      [--targets N] [--length-ms N] [--restores N] [--no-timing] [--run-dir DIR]
+      [--targets N] [--length-ms N] [--restores N] [--gate-stops N] [--no-timing]
+      [--run-dir DIR]
+    $ nutmeggauge soak --agents [--seed N] [--seeds COUNT] [--jobs N] [--gates N]
+      [--length-ms N] [--run-dir DIR]
     $ nutmeggauge timeline <run-dir or .log files…>
     $ nutmeggauge explain <request id> <run-dir or .log files…>
     $ nutmeggauge losses <run-dir or .log files…> [--objectives FILE]
       [--json FILE] [--html FILE] [--request ID]
     $ nutmeggauge standin <engine|config|hosts|plain> --id ID --port N
+      [--host ADDRESS]
 
   Options
     --faults      Kill, pause and cut off processes while the load runs
@@ -62,6 +69,10 @@
     --gates, --targets, --length-ms
                   Size and length of a soak (default 3, 6 and 14000)
     --restores    Soak: returns of the store from an older copy (default 2)
+    --gate-stops  Soak: series of suspensions of a gate that is told to stop or
+                  killed amid one (default 2)
+    --agents      Soak: gates with agents beside their targets, in place of
+                  direct gates
     --no-timing   Soak: leaves out promises with a bound on time, for busy
                   machines
     --routing     round-robin | least-outstanding | power-of-two | token-load |
@@ -73,7 +84,8 @@
                   Losses: files for the whole analysis and for the page
     --request     Losses: the request that the page's plot shows (default: the
                   largest late prompt)
-    --id, --port  Name and port of a stand-in
+    --id, --host, --port
+                  Name and address of a stand-in (default host 127.0.0.1)
     --fencing     Engine stand-in: refuse | ignore orders with old fencing numbers
     --lag-ms      Engine load lag, or host list lag, in ms
     --latency-ms  Plain service latency, in ms
--- a/packages/nutmeggauge/src/cluster/cluster-spec.ts
+++ b/packages/nutmeggauge/src/cluster/cluster-spec.ts
@@ -4,6 +4,11 @@
 export interface ClusterSpec {
   /** Folder for settings files and logs. */
   readonly runDir: string;
+  /**
+   * Loopback address of every process.
+   * @default '127.0.0.1'
+   */
+  readonly host?: string;
   /** Engines, each with its agent. */
   readonly engines: number;
   /** Plain services, each with its agent. */
--- a/packages/nutmeggauge/src/cluster/launch-plan.ts
+++ b/packages/nutmeggauge/src/cluster/launch-plan.ts
@@ -29,7 +29,9 @@
   readonly configUrl: string;
 }
 
-const HOST = '127.0.0.1';
+/** Where a cluster listens that names no host. */
+const DEFAULT_HOST = '127.0.0.1';
+
 const DEFAULT_ZONES = ['az-1', 'az-2', 'az-3'];
 const DEFAULT_ENGINE = {prefillRate: 400_000, chunkTokens: 16_384};
 /** Age of the host list that gates read, in ms. */
@@ -58,8 +60,9 @@
   ports: readonly number[],
 ): ClusterLayout {
   const [configPort, hostsPort, ...rest] = ports;
-  const configUrl = `http://${HOST}:${configPort}`;
-  const hostListUrl = `http://${HOST}:${hostsPort}`;
+  const host = readHost(spec);
+  const configUrl = `http://${host}:${configPort}`;
+  const hostListUrl = `http://${host}:${hostsPort}`;
   const count = spec.engines + spec.plainServices;
   const targets = Array.from({length: count}, (_, i) =>
     planTarget(spec, i, rest.slice(i * 2, i * 2 + 2)),
@@ -71,11 +74,11 @@
   return {
     configUrl,
     targets,
-    gateUrls: gatePorts.map(port => `http://${HOST}:${port}`),
-    adminUrls: adminPorts.map(port => `http://${HOST}:${port}`),
+    gateUrls: gatePorts.map(port => `http://${host}:${port}`),
+    adminUrls: adminPorts.map(port => `http://${host}:${port}`),
     launches: [
-      planStandIn('config', 'config-service', configPort),
-      planStandIn('hosts', 'host-list', hostsPort, [
+      planStandIn(spec, 'config', 'config-service', configPort),
+      planStandIn(spec, 'hosts', 'host-list', hostsPort, [
         '--lag-ms',
         String(HOST_LIST_LAG_MS),
       ]),
@@ -93,6 +96,10 @@
   };
 }
 
+function readHost({host = DEFAULT_HOST}: ClusterSpec): string {
+  return host;
+}
+
 function pickZone(spec: ClusterSpec, index: number): string {
   const zones = spec.zones ?? DEFAULT_ZONES;
   return zones[index % zones.length];
@@ -109,19 +116,21 @@
       ? `engine-${String(index + 1).padStart(2, '0')}`
       : `plain-${index - spec.engines + 1}`,
     kind: isEngine ? 'engine' : 'plain',
-    url: `http://${HOST}:${port}`,
-    agent: `${HOST}:${agentPort}`,
+    url: `http://${readHost(spec)}:${port}`,
+    agent: `${readHost(spec)}:${agentPort}`,
     zone: pickZone(spec, index),
   };
 }
 
 function planStandIn(
+  spec: ClusterSpec,
   kind: string,
   id: string,
   port: number,
   extra: readonly string[] = [],
 ): Launch {
-  const args = ['standin', kind, '--id', id, '--port', String(port), ...extra];
+  const address = ['--host', readHost(spec), '--port', String(port)];
+  const args = ['standin', kind, '--id', id, ...address, ...extra];
   return {name: id, script: CLI_BIN, args, stopRank: 2};
 }
 
@@ -131,14 +140,20 @@
   index: number,
 ): Launch {
   const engine = spec.engine ?? DEFAULT_ENGINE;
-  return planStandIn(target.kind, target.id, Number(new URL(target.url).port), [
-    '--fencing',
-    index % 2 === 0 ? 'refuse' : 'ignore',
-    '--prefill-rate',
-    String(engine.prefillRate),
-    '--chunk-tokens',
-    String(engine.chunkTokens),
-  ]);
+  return planStandIn(
+    spec,
+    target.kind,
+    target.id,
+    Number(new URL(target.url).port),
+    [
+      '--fencing',
+      index % 2 === 0 ? 'refuse' : 'ignore',
+      '--prefill-rate',
+      String(engine.prefillRate),
+      '--chunk-tokens',
+      String(engine.chunkTokens),
+    ],
+  );
 }
 
 function planAgent(
@@ -160,7 +175,7 @@
         stringifyYaml({
           id: target.id,
           zone: target.zone,
-          listen: {host: HOST, port},
+          listen: {host: readHost(spec), port},
           target: {kind: target.kind, url: target.url},
           configService: {url: configUrl, waitMs: CONFIG_WAIT_MS},
           ledger: {bootstrap: isFirstStart},
@@ -194,15 +209,15 @@
         stringifyYaml({
           id: name,
           zone: pickZone(spec, index),
-          listen: {host: HOST, port},
+          listen: {host: readHost(spec), port},
           configService: {url: shared.configUrl, waitMs: CONFIG_WAIT_MS},
           hostList: {url: shared.hostListUrl, pollMs: HOST_LIST_POLL_MS},
-          admin: {listen: {host: HOST, port: shared.adminPort}},
+          admin: {listen: {host: readHost(spec), port: shared.adminPort}},
           relay: {
-            listen: {host: HOST, port: shared.relayPorts[index]},
+            listen: {host: readHost(spec), port: shared.relayPorts[index]},
             peers: shared.relayPorts
               .filter((_port, i) => i !== index)
-              .map(peerPort => `${HOST}:${peerPort}`),
+              .map(peerPort => `${readHost(spec)}:${peerPort}`),
           },
           // No balancer stands before a local gate that must notice its drain.
           drainNoticeMs: 0,
--- a/packages/nutmeggauge/src/cluster/local-cluster.ts
+++ b/packages/nutmeggauge/src/cluster/local-cluster.ts
@@ -33,6 +33,8 @@
  */
 export class LocalCluster {
   private readonly children = new Map<string, ChildHandle>();
+  /** Restarts under way, by name. */
+  private readonly restarts = new Map<string, Promise<void>>();
   private lastVersion = 0;
 
   constructor(
@@ -62,6 +64,11 @@
     );
   }
 
+  /** True while a process runs and has not been told to end. */
+  isStaying(name: string): boolean {
+    return this.children.get(name)?.isStaying === true;
+  }
+
   /** Starts every process, stand-ins before agents before gates. */
   async start(): Promise<void> {
     for (const rank of [2, 1, 0]) {
@@ -112,12 +119,18 @@
     await child?.waitForExit();
   }
 
-  /** Starts a killed process again, as a new life: no agent bootstraps twice. */
-  async restart(name: string): Promise<void> {
-    const launch = this.layout.launches.find(l => l.name === name);
-    if (launch === undefined) return;
-    launch.writeSettings?.({isFirstStart: false});
-    await this.launch(launch, false);
+  /**
+   * Starts a process again once it has ended, as a new life: no agent
+   * bootstraps twice. Overlapping restarts of one process are one.
+   */
+  restart(name: string): Promise<void> {
+    const running = this.restarts.get(name);
+    if (running !== undefined) return running;
+    const restart = this.runRestart(name).finally(() =>
+      this.restarts.delete(name),
+    );
+    this.restarts.set(name, restart);
+    return restart;
   }
 
   /** SIGTERM to every process (gates first), then waits for all to exit. */
@@ -134,6 +147,15 @@
     }
   }
 
+  private async runRestart(name: string): Promise<void> {
+    const launch = this.layout.launches.find(l => l.name === name);
+    const former = this.children.get(name);
+    if (launch === undefined || former?.isStaying) return;
+    await former?.waitForExit();
+    launch.writeSettings?.({isFirstStart: false});
+    await this.launch(launch, false);
+  }
+
   private async launch(launch: Launch, isFirstStart = true): Promise<void> {
     if (isFirstStart) launch.writeSettings?.({isFirstStart});
     const {name, script, args} = launch;
@@ -163,7 +185,10 @@
 ): Promise<LocalCluster> {
   mkdirSync(spec.runDir, {recursive: true});
   const targets = spec.engines + spec.plainServices;
-  const ports = await findFreePorts(2 + targets * 2 + spec.gates * 3);
+  const ports = await findFreePorts(
+    2 + targets * 2 + spec.gates * 3,
+    spec.host,
+  );
   const cluster = new LocalCluster(spec, planLaunches(spec, ports));
   try {
     await cluster.start();
--- a/packages/nutmeggauge/src/cluster/ports.ts
+++ b/packages/nutmeggauge/src/cluster/ports.ts
@@ -17,12 +17,15 @@
 const MAX_DRAWS = 200;
 
 /**
- * Finds `count` distinct free TCP ports on 127.0.0.1.
+ * Finds `count` distinct free TCP ports of a loopback host.
  *
  * @example
  * const [configPort, gatePort] = await findFreePorts(2);
  */
-export async function findFreePorts(count: number): Promise<number[]> {
+export async function findFreePorts(
+  count: number,
+  host = '127.0.0.1',
+): Promise<number[]> {
   const servers: Server[] = [];
   const ports: number[] = [];
   // Held until all are found, so that no port is found twice.
@@ -32,7 +35,7 @@
     const port =
       FIRST_PORT + Math.floor(Math.random() * (LAST_PORT - FIRST_PORT));
     const server = createServer();
-    if (!(await isFree(server, port))) continue;
+    if (!(await isFree(server, host, port))) continue;
     servers.push(server);
     ports.push(port);
   }
@@ -43,9 +46,9 @@
 }
 
 /** Listens on `port` if nobody else does. */
-function isFree(server: Server, port: number): Promise<boolean> {
+function isFree(server: Server, host: string, port: number): Promise<boolean> {
   return new Promise(resolve => {
     server.on('error', () => resolve(false));
-    server.listen(port, '127.0.0.1', () => resolve(true));
+    server.listen(port, host, () => resolve(true));
   });
 }
--- a/packages/nutmeggauge/src/cluster/process.ts
+++ b/packages/nutmeggauge/src/cluster/process.ts
@@ -15,7 +15,8 @@
  * const child = await startChild('gate-1', gateBin, ['--config', 'gate.yaml'], 'runs/x/gate-1.log');
  */
 export class ChildHandle {
-  private exited: Promise<number | null>;
+  private readonly exited: Promise<number | null>;
+  private isEnding = false;
 
   constructor(
     readonly name: string,
@@ -31,9 +32,16 @@
     return this.child.exitCode === null && this.child.signalCode === null;
   }
 
+  /** True while the process runs and has not been told to end. */
+  get isStaying(): boolean {
+    return this.isRunning && !this.isEnding;
+  }
+
   /** Sends a signal; SIGTERM asks for a graceful drain. */
   signal(signal: NodeJS.Signals): void {
-    if (this.isRunning) this.child.kill(signal);
+    if (!this.isRunning) return;
+    if (signal === 'SIGTERM' || signal === 'SIGKILL') this.isEnding = true;
+    this.child.kill(signal);
   }
 
   /** Resolves with the exit code once the process has ended. */
--- a/packages/nutmeggauge/src/faults/schedule.ts
+++ b/packages/nutmeggauge/src/faults/schedule.ts
@@ -1,11 +1,12 @@
 /**
- * Faults played on a local cluster while load runs: processes are killed and
- * started again, paused and woken, and the configuration service goes down
- * or serves old records.
+ * Faults played on a local cluster while load runs: processes are killed or
+ * stopped and started again, paused and woken, the machine is kept busy, and
+ * the configuration service goes down or serves old records.
  */
-import {createLogger, waitMs} from '@nutmeggauge/core';
+import {createLogger, readClockMs, waitMs} from '@nutmeggauge/core';
 import {request} from 'undici';
 import {z} from 'zod';
+import {startBusy} from './busy.js';
 import type {LocalCluster} from '../cluster/local-cluster.js';
 
 export const FaultSchema = z.object({
@@ -15,17 +16,33 @@
   forMs: z.number().positive(),
   /**
    * - `kill`: SIGKILL, then a new start.
+   * - `stop`: SIGTERM, then a new start.
    * - `pause`: SIGSTOP, then SIGCONT.
+   * - `busy`: a process that spins on each core.
    * - `config-down`, `config-stale`: the configuration service refuses every
    *   read, or answers with its oldest record.
    */
-  kind: z.enum(['kill', 'pause', 'config-down', 'config-stale']),
-  /** Process to kill or pause, such as `agent-engine-01`. */
+  kind: z.enum([
+    'kill',
+    'stop',
+    'pause',
+    'busy',
+    'config-down',
+    'config-stale',
+  ]),
+  /** Process to kill, stop or pause, such as `agent-engine-01`. */
   process: z.string().optional(),
 });
 
 export type Fault = z.output<typeof FaultSchema>;
 
+/** A fault as it was played; times in epoch ms. */
+export interface PlayedClusterFault {
+  readonly fault: Fault;
+  readonly beganAt: number;
+  readonly endedAt: number;
+}
+
 /**
  * Plays faults on a cluster; resolves when the last one has ended.
  *
@@ -35,16 +52,18 @@
 export async function runFaults(
   cluster: LocalCluster,
   faults: readonly Fault[],
-): Promise<void> {
+): Promise<readonly PlayedClusterFault[]> {
   const log = createLogger('faults');
-  await Promise.all(
+  return Promise.all(
     faults.map(async fault => {
       await waitMs(fault.atMs);
       log.info('fault_began', {...fault});
+      const beganAt = readClockMs();
       await beginFault(cluster, fault);
       await waitMs(fault.forMs);
       await endFault(cluster, fault);
       log.info('fault_ended', {...fault});
+      return {fault, beganAt, endedAt: readClockMs()};
     }),
   );
 }
@@ -54,8 +73,12 @@
   switch (fault.kind) {
     case 'kill':
       return cluster.kill(name);
+    case 'stop':
+      return cluster.signal(name, 'SIGTERM');
     case 'pause':
       return cluster.signal(name, 'SIGSTOP');
+    case 'busy':
+      return void setTimeout(startBusy(), fault.forMs);
     case 'config-down':
       return setConfigMode(cluster, 'down');
     case 'config-stale':
@@ -67,9 +90,12 @@
   const name = fault.process ?? '';
   switch (fault.kind) {
     case 'kill':
+    case 'stop':
       return cluster.restart(name);
     case 'pause':
       return cluster.signal(name, 'SIGCONT');
+    case 'busy':
+      return;
     case 'config-down':
     case 'config-stale':
       return setConfigMode(cluster, 'up');
--- a/packages/nutmeggauge/src/load/client.ts
+++ b/packages/nutmeggauge/src/load/client.ts
@@ -20,6 +20,9 @@
   readonly kind: 'generate' | 'order';
   readonly httpStatus: number;
   readonly verdict: Verdict;
+  readonly gateUrl: string;
+  /** When it was sent, in epoch ms. */
+  readonly sentAt: number;
   /** Id that the gate gave the request, when an error body told it. */
   readonly requestId?: string;
   readonly errorType?: string;
@@ -31,6 +34,8 @@
   readonly slip?: number;
   /** How a broken answer showed, at which gate and when. */
   readonly brokenBy?: string;
+  /** Code of the connection's error. */
+  readonly errorCode?: string;
 }
 
 /** How a caller reaches the system. */
@@ -42,6 +47,11 @@
   readonly deadlineMs: number;
   /** Time that a message takes from the caller to the gate, one way, in ms. */
   readonly distanceMs: number;
+  /**
+   * Connections of the caller.
+   * @default undici's global ones
+   */
+  readonly dispatcher?: Dispatcher;
 }
 
 interface GateError {
@@ -88,6 +98,10 @@
   };
 }
 
+function describeSend({gateUrl}: CallerOptions, index: number) {
+  return {index, gateUrl, sentAt: readClockMs(), gapsMs: []};
+}
+
 async function post(
   options: CallerOptions,
   index: number,
@@ -108,6 +122,7 @@
     body: JSON.stringify(body),
     headersTimeout: options.deadlineMs + GIVE_UP_MS,
     bodyTimeout: options.deadlineMs + GIVE_UP_MS,
+    dispatcher: options.dispatcher,
   });
 }
 
@@ -155,7 +170,7 @@
   maxTokens: number,
 ): Promise<CallerResult> {
   const startedAt = performance.now();
-  const base = {index, kind: 'generate' as const, gapsMs: []};
+  const base = {...describeSend(options, index), kind: 'generate' as const};
   const end = () => performance.now() - startedAt;
   try {
     const response = await post(options, index, '/v1/completions', {
@@ -197,6 +212,7 @@
       verdict: 'broken',
       totalMs: end(),
       brokenBy,
+      errorCode: (error as NodeJS.ErrnoException).code,
     };
   }
 }
@@ -213,7 +229,7 @@
   idempotencyKey: string,
 ): Promise<CallerResult> {
   const startedAt = performance.now();
-  const base = {index, kind: 'order' as const, gapsMs: []};
+  const base = {...describeSend(options, index), kind: 'order' as const};
   const end = () => performance.now() - startedAt;
   try {
     const response = await post(
@@ -244,6 +260,7 @@
       verdict: 'broken',
       totalMs: end(),
       brokenBy,
+      errorCode: (error as NodeJS.ErrnoException).code,
     };
   }
 }
--- a/packages/nutmeggauge/src/load/run-plan.ts
+++ b/packages/nutmeggauge/src/load/run-plan.ts
@@ -7,6 +7,7 @@
 import {v7 as uuidv7} from 'uuid';
 import {sendCompletion, sendOrder} from './client.js';
 import {renderPrompt} from './workload.js';
+import type {Dispatcher} from 'undici';
 import type {CallerResult} from './client.js';
 import type {PlannedRequest} from './workload.js';
 
@@ -21,6 +22,16 @@
    * @default 0
    */
   readonly distanceMs?: number;
+  /**
+   * False while the balancer sends nothing to this gate.
+   * @default always true
+   */
+  readonly isTaking?: (gateUrl: string) => boolean;
+  /**
+   * Connections of the callers.
+   * @default undici's global ones
+   */
+  readonly dispatcher?: Dispatcher;
   /** Called after each result, for progress lines. */
   readonly onResult?: (
     result: CallerResult,
@@ -42,6 +53,16 @@
   }
 }
 
+/** Takes the gates in turn; leaves out those that the balancer leaves out. */
+function pickGate(
+  {gateUrls, isTaking = () => true}: RunOptions,
+  position: number,
+): string {
+  const taking = gateUrls.filter(isTaking);
+  const usable = taking.length === 0 ? gateUrls : taking;
+  return usable[position % usable.length];
+}
+
 /**
  * Sends every planned request and resolves with all results, in plan order.
  *
@@ -58,10 +79,11 @@
   const sends = plan.map(async (planned, position) => {
     await waitMs(Math.max(0, planned.atMs - (performance.now() - startedAt)));
     const caller = {
-      gateUrl: options.gateUrls[position % options.gateUrls.length],
+      gateUrl: pickGate(options, position),
       key: planned.key,
       deadlineMs: options.deadlineMs,
       distanceMs: options.distanceMs ?? 0,
+      dispatcher: options.dispatcher,
     };
     const result =
       planned.kind === 'order'
--- a/packages/nutmeggauge/src/soak/callers.ts
+++ b/packages/nutmeggauge/src/soak/callers.ts
@@ -26,6 +26,9 @@
 /** One stream in this many has it. */
 const HUGE_EVERY = 12;
 
+/** Share of the idle timeout after which a connection is not reused. */
+const REUSED_SHARE = 0.8;
+
 /** Where a gate takes requests. */
 export interface GateEntry {
   readonly gate: number;
@@ -36,13 +39,22 @@
  * One caller.
  *
  * @example
- * const record = await new Caller('c1').call(entry, 'safe', 'k1');
+ * const record = await new Caller('c1', 15_000).call(entry, 'safe', 'k1');
  */
 export class Caller {
-  private readonly agent = new Agent({keepAlive: true, maxSockets: 20});
+  private readonly agent: Agent;
   private lastNumber = 0;
 
-  constructor(private readonly name: string) {}
+  /**
+   * @param idleTimeoutMs - Idle timeout of the gates, in ms.
+   */
+  constructor(
+    private readonly name: string,
+    idleTimeoutMs: number,
+  ) {
+    const timeout = idleTimeoutMs * REUSED_SHARE;
+    this.agent = new Agent({keepAlive: true, maxSockets: 20, timeout});
+  }
 
   /** Sends one request and waits for its end. */
   call(
--- a/packages/nutmeggauge/src/soak/check.test.ts
+++ b/packages/nutmeggauge/src/soak/check.test.ts
@@ -36,6 +36,7 @@
     faults: [],
     published: [],
     exits: [],
+    outages: [],
     heldTickets: [],
     peakBytes: 0,
     ...changes,
@@ -65,6 +66,26 @@
     expect(listPromises({records: [STREAM]})).toEqual([]);
   });
 
+  it('find a request whose connection ended without an answer', () => {
+    const lost = {...SERVED, status: undefined, body: '', isWhole: false};
+    const records = [lost, ...Array<CallerRecord>(9).fill(SERVED)];
+    const outage = {node: 'gate-0', from: 9000, to: 10_010};
+    const stop = (beganAt: number): PlayedFault => ({
+      action: {kind: 'gate-drain', gate: 0},
+      beganAt,
+      endedAt: beganAt,
+    });
+    expect(listPromises({records})).toEqual(['answered']);
+    expect(listPromises({records, outages: [outage]})).toEqual([]);
+    const other = {...outage, node: 'gate-1'};
+    expect(listPromises({records, outages: [other]})).toEqual(['answered']);
+    const runs: readonly TargetRun[] = [];
+    expect(listPromises({records, runs, faults: [stop(7000)]})).toEqual([]);
+    expect(listPromises({records, runs, faults: [stop(9990)]})).toEqual([
+      'answered',
+    ]);
+  });
+
   it('find an order that ran twice', () => {
     const runs = [RUN, {...RUN, target: 't2'}];
     expect(listPromises({runs})).toEqual(['at-most-once']);
@@ -139,6 +160,7 @@
       {action: {kind: 'gate-drain', gate: 0}, beganAt: 9900, endedAt: 10_010},
     ];
     expect(listPromises({records, faults})).toEqual([
+      'answered',
       'graceful-stop',
       'recovery',
     ]);
--- a/packages/nutmeggauge/src/soak/check.ts
+++ b/packages/nutmeggauge/src/soak/check.ts
@@ -9,6 +9,7 @@
   buildCallBody,
   buildEvent,
 } from '@nutmeggauge/platform';
+import {findUnanswered} from './check-answered.js';
 import type {TargetRun} from '@nutmeggauge/platform';
 import type {UnexpectedExit} from './gate-process.js';
 import type {CallerRecord, PlayedFault, SoakHistory} from './history.js';
@@ -17,6 +18,7 @@
 /** A broken invariant. */
 export interface Violation {
   readonly promise:
+    | 'answered'
     | 'at-most-once'
     | 'attempts'
     | 'not-run'
@@ -80,7 +82,11 @@
     ...checkRuns(record, runs.get(record.requestId) ?? []),
     ...checkAnswer(record),
   ]);
-  found.push(...checkTargets(history), ...checkProcesses(history));
+  found.push(
+    ...findUnanswered(history),
+    ...checkTargets(history),
+    ...checkProcesses(history),
+  );
   if (!hasTiming) return found;
   const timed = new TimedChecks(history, runs);
   return [...found, ...timed.run()];
--- /dev/null
+++ b/packages/nutmeggauge/src/soak/cluster-soak.ts
@@ -0,0 +1,170 @@
+/**
+ * Fault soak of gates with agents: a local cluster under random faults, and
+ * what callers were answered.
+ */
+import {join} from 'node:path';
+import {writeFileSync} from 'node:fs';
+import {uniformInt} from 'pure-rand/distribution/uniformInt';
+import {xoroshiro128plus} from 'pure-rand/generator/xoroshiro128plus';
+import {Agent} from 'undici';
+import {buildLoopbackHost} from '@nutmeggauge/core';
+import {startLocalCluster} from '../cluster/local-cluster.js';
+import {FAULT_WORKLOAD, buildDemoRecord} from '../defaults.js';
+import {buildRandomFaults} from '../faults/random-faults.js';
+import {runFaults} from '../faults/schedule.js';
+import {readExecutions} from '../load/executions.js';
+import {runPlan} from '../load/run-plan.js';
+import {summarizeRun} from '../load/summary.js';
+import {planWorkload} from '../load/workload.js';
+import {DRAIN_NOTICE_MS, findClusterViolations} from './cluster-check.js';
+import type {LocalCluster} from '../cluster/local-cluster.js';
+import type {PlannedRequest, WorkloadSpec} from '../load/workload.js';
+import type {ClusterViolation} from './cluster-check.js';
+
+/** Options of a run. */
+export interface ClusterSoakOptions {
+  readonly seed: number;
+  readonly gates: number;
+  /** Length of the load, in ms. */
+  readonly lengthMs: number;
+  /** Folder for settings and logs. */
+  readonly runDir: string;
+}
+
+/** Result of a run. */
+export interface ClusterSoakResult {
+  readonly seed: number;
+  readonly requests: number;
+  readonly served: number;
+  readonly faults: number;
+  readonly violations: readonly ClusterViolation[];
+}
+
+const ENGINES = 3;
+const PLAIN_SERVICES = 1;
+
+/** Window of every request, in ms. */
+const DEADLINE_MS = 10_000;
+
+/** Requests of one burst, at the most. */
+const BURST_REQUESTS = 60;
+
+/**
+ * Longest silence between two bursts, in ms: above the idle timeout of a
+ * gate's connections.
+ */
+const LONGEST_SILENCE_MS = 6500;
+
+/** Requests a second within a burst. */
+const BURST_RATE = 60;
+
+/** A caller reuses a connection until the end of its announced idle time. */
+const CALLER_IDLE_MS = 600_000;
+
+/**
+ * Runs one seed.
+ *
+ * @example
+ * const {violations} = await runClusterSoak({seed: 7, gates: 2, lengthMs: 30_000, runDir: 'runs/soak-7'});
+ */
+export async function runClusterSoak(
+  options: ClusterSoakOptions,
+): Promise<ClusterSoakResult> {
+  const {runDir, gates} = options;
+  const cluster = await startLocalCluster({
+    runDir,
+    // Ports of a process that is down stay free of other runs.
+    host: buildLoopbackHost(0),
+    engines: ENGINES,
+    plainServices: PLAIN_SERVICES,
+    gates,
+    gateSettings: {drainNoticeMs: DRAIN_NOTICE_MS},
+  });
+  try {
+    await cluster.publish(buildDemoRecord(cluster.targets));
+    await cluster.waitUntilReady();
+    return await runLoad(cluster, options);
+  } finally {
+    await cluster.stop();
+  }
+}
+
+async function runLoad(
+  cluster: LocalCluster,
+  options: ClusterSoakOptions,
+): Promise<ClusterSoakResult> {
+  const {seed, runDir, lengthMs} = options;
+  const plan = planBursts(seed, lengthMs);
+  const gateNames = cluster.gateUrls.map((_, i) => `gate-${i + 1}`);
+  const schedule = buildRandomFaults({
+    seed,
+    lengthMs,
+    gates: gateNames,
+    backends: cluster.targets.flatMap(({id}) => [id, `agent-${id}`]),
+  });
+  const dispatcher = new Agent({
+    keepAliveTimeout: CALLER_IDLE_MS,
+    keepAliveMaxTimeout: CALLER_IDLE_MS,
+    keepAliveTimeoutThreshold: 0,
+  });
+  const [results, faults] = await Promise.all([
+    runPlan(plan, {
+      gateUrls: cluster.gateUrls,
+      // As a balancer does, which knows of a planned stop.
+      isTaking: url =>
+        cluster.isStaying(gateNames[cluster.gateUrls.indexOf(url)]),
+      deadlineMs: DEADLINE_MS,
+      sharedPrefixTokens: FAULT_WORKLOAD.sharedPrefixTokens,
+      dispatcher,
+    }),
+    runFaults(cluster, schedule),
+  ]);
+  await dispatcher.destroy();
+  const summary = summarizeRun(plan, results, readExecutions(runDir));
+  const violations = findClusterViolations({
+    summary,
+    results,
+    faults,
+    gateUrls: cluster.gateUrls,
+  });
+  const history = {violations, faults, results};
+  writeFileSync(join(runDir, 'history.json'), JSON.stringify(history, null, 1));
+  return {
+    seed,
+    requests: summary.sent,
+    served: summary.answered,
+    faults: faults.length,
+    violations,
+  };
+}
+
+/** Bursts of requests with silences between them, by the seed. */
+function planBursts(seed: number, lengthMs: number): readonly PlannedRequest[] {
+  const random = xoroshiro128plus(seed);
+  const plan: PlannedRequest[] = [];
+  let startMs = 0;
+  for (let burst = 0; startMs < lengthMs; burst++) {
+    const requests = uniformInt(random, 2, BURST_REQUESTS);
+    const spec: WorkloadSpec = {
+      ...FAULT_WORKLOAD,
+      seed: seed + burst,
+      requests,
+      ratePerSecond: BURST_RATE,
+      orders: Math.ceil(requests / 4),
+      repeatedOrders: Math.ceil(requests / 8),
+    };
+    const first = plan.length;
+    const planned = planWorkload(spec).map(request => ({
+      ...request,
+      index: first + request.index,
+      atMs: startMs + request.atMs,
+      ...('orderName' in request
+        ? {orderName: `${burst}-${request.orderName}`}
+        : {}),
+    }));
+    plan.push(...planned);
+    const lastMs = Math.max(...planned.map(({atMs}) => atMs));
+    startMs = lastMs + uniformInt(random, 0, LONGEST_SILENCE_MS);
+  }
+  return plan;
+}
--- a/packages/nutmeggauge/src/soak/gate-process.ts
+++ b/packages/nutmeggauge/src/soak/gate-process.ts
@@ -16,6 +16,17 @@
 /** Longest graceful stop, in ms: the grace period and the exit. */
 const STOP_LIMIT_MS = 8500;
 
+/** Part of the line that a gate logs once it listens. */
+const STARTED_TEXT = '"gate_started"';
+
+/** A time in which a gate did not listen, on the monotonic clock, in ms. */
+export interface GateOutage {
+  readonly node: string;
+  readonly from: number;
+  /** Infinite until it listens. */
+  readonly to: number;
+}
+
 /** An exit that was not requested. */
 export interface UnexpectedExit {
   readonly node: string;
@@ -35,6 +46,8 @@
 export class GateProcess {
   /** Largest resident memory, in bytes. */
   peakBytes = 0;
+  /** Times without a gate that listens. */
+  readonly outages: GateOutage[] = [];
   private child: ChildProcess | undefined;
   private isEndExpected = false;
   private isClosed = false;
@@ -64,6 +77,7 @@
     child.stderr.pipe(log, {end: false});
     let hadBegun = false;
     child.stdout.once('data', () => (hadBegun = true));
+    this.observeOutage(child);
     this.child = child;
     this.isEndExpected = false;
     child.once('exit', (code, signal) => {
@@ -105,6 +119,28 @@
     this.child?.kill('SIGHUP');
   }
 
+  /** Ends an outage when the process listens, and begins one at its exit. */
+  private observeOutage(child: ChildProcess): void {
+    const {node} = this.addresses;
+    if (this.outages.length === 0)
+      this.outages.push({node, from: performance.now(), to: Infinity});
+    let text = '';
+    const read = (chunk: Buffer) => {
+      text += String(chunk);
+      if (!text.includes(STARTED_TEXT)) return;
+      child.stdout?.off('data', read);
+      const outage = this.outages.pop();
+      if (outage !== undefined)
+        this.outages.push({...outage, to: performance.now()});
+    };
+    child.stdout?.on('data', read);
+    child.once('exit', () => {
+      const last = this.outages[this.outages.length - 1];
+      if (last?.to === Infinity) return;
+      this.outages.push({node, from: performance.now(), to: Infinity});
+    });
+  }
+
   /** Samples its memory. */
   async sampleMemory(): Promise<void> {
     const pid = this.child?.pid;
--- a/packages/nutmeggauge/src/soak/history.ts
+++ b/packages/nutmeggauge/src/soak/history.ts
@@ -1,6 +1,6 @@
 /** History of a soak run, as callers, targets and the driver saw it. */
 import type {StandinKind, TargetRun} from '@nutmeggauge/platform';
-import type {UnexpectedExit} from './gate-process.js';
+import type {GateOutage, UnexpectedExit} from './gate-process.js';
 import type {FaultAction} from './schedule.js';
 
 /** One request as its caller saw it. */
@@ -46,6 +46,7 @@
   readonly faults: readonly PlayedFault[];
   readonly published: readonly PublishedFact[];
   readonly exits: readonly UnexpectedExit[];
+  readonly outages: readonly GateOutage[];
   /** Reservations that outlived every request. */
   readonly heldTickets: readonly string[];
   readonly peakBytes: number;
--- a/packages/nutmeggauge/src/soak/run-soaks.ts
+++ b/packages/nutmeggauge/src/soak/run-soaks.ts
@@ -1,7 +1,9 @@
 /** Runs many seeds of the soak, each in a process of its own. */
 import {spawn} from 'node:child_process';
 import {join} from 'node:path';
+import {runClusterSoak} from './cluster-soak.js';
 import {runSoak} from './soak.js';
+import type {ClusterSoakResult} from './cluster-soak.js';
 import type {SoakOptions, SoakResult} from './soak.js';
 
 /** Seeds to run. */
@@ -10,6 +12,8 @@
   readonly seeds: number;
   /** Number of concurrent runs. */
   readonly jobs: number;
+  /** Runs gates with agents in place of direct gates. */
+  readonly hasAgents: boolean;
 }
 
 /**
@@ -21,7 +25,7 @@
  * await runSoaks({...options, seeds: 50, jobs: 4});
  */
 export async function runSoaks(series: SoakSeries): Promise<boolean> {
-  if (series.seeds <= 1) return printResult(await runSoak(series));
+  if (series.seeds <= 1) return printResult(await runOne(series));
   let isKept = true;
   let next = series.seed;
   const end = series.seed + series.seeds;
@@ -35,6 +39,10 @@
   return isKept;
 }
 
+function runOne(series: SoakSeries): Promise<SoakResult | ClusterSoakResult> {
+  return series.hasAgents ? runClusterSoak(series) : runSoak(series);
+}
+
 function runInChild(series: SoakSeries, seed: number): Promise<boolean> {
   const words = [
     ...[process.argv[1], 'soak', '--seed', String(seed)],
@@ -42,7 +50,9 @@
     ...['--length-ms', String(series.lengthMs)],
     ...['--run-dir', join(series.runDir, String(seed))],
     ...['--restores', String(series.restores)],
+    ...['--gate-stops', String(series.gateStops)],
     ...(series.hasTiming ? [] : ['--no-timing']),
+    ...(series.hasAgents ? ['--agents'] : []),
   ];
   const child = spawn(process.execPath, words, {stdio: 'inherit'});
   return new Promise(resolve =>
@@ -50,7 +60,7 @@
   );
 }
 
-function printResult(result: SoakResult): boolean {
+function printResult(result: SoakResult | ClusterSoakResult): boolean {
   const {violations, ...figures} = result;
   const line = {...figures, violations: violations.length};
   process.stdout.write(`${JSON.stringify(line)}\n`);
--- a/packages/nutmeggauge/src/soak/schedule.ts
+++ b/packages/nutmeggauge/src/soak/schedule.ts
@@ -14,6 +14,7 @@
   | {readonly kind: 'gate-pause'; readonly gate: number}
   | {readonly kind: 'gate-reload'; readonly gate: number}
   | {readonly kind: 'all-gates-kill'}
+  | {readonly kind: 'busy'}
   | {readonly kind: 'store'; readonly mode: StoreMode}
   | {readonly kind: 'store-history'}
   | {readonly kind: 'store-restore'; readonly ageMs: number}
@@ -59,6 +60,8 @@
   readonly lengthMs: number;
   /** Returns of the store from an older copy. */
   readonly restores: number;
+  /** Series of suspensions of a gate that is told to stop or killed amid one. */
+  readonly gateStops: number;
 }
 
 /** Calm time at the end, in ms: above every timeout of the gates. */
@@ -78,8 +81,15 @@
 /** Time until all that a copy lacks is written again, in ms. */
 const RESTORE_MS = 2500;
 
+/** Longest suspension of a series, in ms: above the idle timeout of callers. */
+const LONGEST_STOP_MS = 4500;
+
+/** Suspensions of one series, at the most. */
+const SERIES_LENGTH = 3;
+
 /** Added to a seed, so that restores leave its other faults as they are. */
 const RESTORE_STREAM = 0x5eed;
+const STOP_STREAM = 0x570b;
 
 const STORE_MODES: readonly StoreMode[] = ['busy', 'silent', 'reset'];
 const LINK_MODES: readonly LinkMode[] = [
@@ -136,7 +146,39 @@
     const forMs = Math.min(drawnMs, end - atMs);
     faults.push({atMs, forMs, action: pick(makers)()});
   }
-  return [...faults, ...buildRestores(seed, sizes.restores, end)];
+  return [
+    ...faults,
+    ...buildRestores(seed, sizes.restores, end),
+    ...buildGateStops(seed, sizes, end),
+  ];
+}
+
+/** Each series harms one gate, whose suspensions may overlap. */
+function buildGateStops(
+  seed: number,
+  {gates, gateStops}: SoakSizes,
+  end: number,
+): readonly ScheduledFault[] {
+  const random = xoroshiro128plus(seed + STOP_STREAM);
+  const draw = (most: number) => uniformInt(random, 0, most - 1);
+  const kinds = ['gate-drain', 'gate-drain', 'gate-kill'] as const;
+  return Array.from({length: gateStops}, () => {
+    const gate = draw(gates);
+    const pauses = Array.from({length: 1 + draw(SERIES_LENGTH)}, () => {
+      const atMs = draw(end);
+      const forMs = Math.min(SHORTEST_MS + draw(LONGEST_STOP_MS), end - atMs);
+      return {atMs, forMs, action: {kind: 'gate-pause' as const, gate}};
+    });
+    const {atMs, forMs} = pauses[0];
+    const faults: ScheduledFault[] = [...pauses];
+    faults.push({
+      atMs: atMs + draw(forMs + 1),
+      forMs: 0,
+      action: {kind: kinds[draw(kinds.length)], gate},
+    });
+    faults.push({atMs, forMs, action: {kind: 'busy'}});
+    return faults;
+  }).flat();
 }
 
 function buildRestores(
--- a/packages/nutmeggauge/src/soak/soak-world.ts
+++ b/packages/nutmeggauge/src/soak/soak-world.ts
@@ -9,11 +9,12 @@
   TargetStandin,
   buildConfigDocument,
 } from '@nutmeggauge/platform';
+import {startBusy} from '../faults/busy.js';
 import {FaultyLink} from './faulty-link.js';
 import {GateProcess} from './gate-process.js';
 import type {TargetRun} from '@nutmeggauge/platform';
 import type {GateEntry} from './callers.js';
-import type {UnexpectedExit} from './gate-process.js';
+import type {GateOutage, UnexpectedExit} from './gate-process.js';
 import type {PublishedFact} from './history.js';
 import type {FaultAction} from './schedule.js';
 
@@ -49,7 +50,7 @@
  * One system.
  *
  * @example
- * const world = new SoakWorld('runs/soak-7', 3, 6);
+ * const world = new SoakWorld('runs/soak-7', 3, 6, 15_000);
  * await world.start();
  */
 export class SoakWorld {
@@ -70,12 +71,18 @@
     private readonly folder: string,
     private readonly gateCount: number,
     private readonly targetCount: number,
+    private readonly idleTimeoutMs: number,
   ) {}
 
   get entries(): readonly GateEntry[] {
     return this.gates.map(gate => gate.entry);
   }
 
+  /** Times in which a gate did not listen. */
+  get outages(): readonly GateOutage[] {
+    return this.gates.flatMap(gate => gate.process.outages);
+  }
+
   /** Largest memory of any gate, in bytes. */
   get peakBytes(): number {
     return Math.max(...this.gates.map(gate => gate.process.peakBytes));
@@ -137,6 +144,8 @@
         return this.runOnce(() =>
           this.gates.forEach(gate => gate.process.kill()),
         );
+      case 'busy':
+        return startBusy();
       case 'store':
         this.store.mode = action.mode;
         return () => (this.store.mode = 'up');
@@ -195,7 +204,9 @@
 
   private publishConfig(): void {
     const keys = [this.key];
-    this.store.publishConfig(buildConfigDocument(this.version, keys));
+    this.store.publishConfig(
+      buildConfigDocument(this.version, keys, this.idleTimeoutMs),
+    );
     this.version += 2;
   }
 
--- a/packages/nutmeggauge/src/soak/soak.test.ts
+++ b/packages/nutmeggauge/src/soak/soak.test.ts
@@ -10,18 +10,26 @@
 
 const execFileAsync = promisify(execFile);
 
-const SIZES = {gates: 3, targets: 6, lengthMs: 14_000, restores: 2};
+const SIZES = {
+  gates: 3,
+  targets: 6,
+  lengthMs: 14_000,
+  restores: 2,
+  gateStops: 2,
+};
 
 /** A run of the soak. */
 interface SoakRun {
   readonly seed: number;
   readonly restores: number;
+  readonly gateStops: number;
 }
 
 /** Seeds for CI without a known fault. */
 const USUAL_RUNS: readonly SoakRun[] = [
-  {seed: 1, restores: 0},
-  {seed: 2, restores: 3},
+  {seed: 1, restores: 0, gateStops: 0},
+  {seed: 2, restores: 3, gateStops: 0},
+  {seed: 3, restores: 0, gateStops: 3},
 ];
 
 describe('soak schedule', () => {
@@ -32,9 +40,16 @@
     expect(lastEnd <= SIZES.lengthMs - CALM_MS).toEqual(true);
   });
 
-  it('has the same other faults whether or not the store is restored', () => {
+  it('has the same other faults whether or not gates are stopped in series', () => {
+    const others = buildSchedule(7, {...SIZES, gateStops: 0});
     const faults = buildSchedule(7, SIZES);
-    const others = buildSchedule(7, {...SIZES, restores: 0});
+    expect(faults.slice(0, others.length)).toEqual([...others]);
+    expect(faults.length >= others.length + 3 * SIZES.gateStops).toEqual(true);
+  });
+
+  it('has the same other faults whether or not the store is restored', () => {
+    const faults = buildSchedule(7, {...SIZES, gateStops: 0});
+    const others = buildSchedule(7, {...SIZES, restores: 0, gateStops: 0});
     const isRestore = faults.map(({action}) => action.kind === 'store-restore');
     expect(isRestore.filter(Boolean).length).toEqual(2);
     expect(faults.filter((_, i) => !isRestore[i])).toEqual([...others]);
@@ -43,8 +58,12 @@
 
 describe('soak', () => {
   // Regression seeds run with the faults that they showed theirs under.
-  const regressions = REGRESSION_SEEDS.map(({seed}) => ({seed, restores: 0}));
-  for (const {seed, restores} of [...USUAL_RUNS, ...regressions])
+  const regressions = REGRESSION_SEEDS.map(({seed}) => ({
+    seed,
+    restores: 0,
+    gateStops: 0,
+  }));
+  for (const {seed, restores, gateStops} of [...USUAL_RUNS, ...regressions])
     it(`keeps every promise under the faults of seed ${seed}`, async () => {
       const runDir = mkdtempSync(join(tmpdir(), 'nutmeggauge-soak-'));
       // Without time bounds, as CI may be busy; in a process of its own, so
@@ -54,7 +73,8 @@
         const {stdout} = await execFileAsync(process.execPath, [
           'packages/nutmeggauge/dist/bin.js',
           ...words,
-          ...['--restores', String(restores), '--run-dir', runDir],
+          ...['--restores', String(restores)],
+          ...['--gate-stops', String(gateStops), '--run-dir', runDir],
         ]);
         expect(stdout).toInclude('"violations":0');
       } finally {
--- a/packages/nutmeggauge/src/soak/soak.ts
+++ b/packages/nutmeggauge/src/soak/soak.ts
@@ -27,6 +27,10 @@
 /** How often memory is sampled, in ms. */
 const MEMORY_EVERY_MS = 1000;
 
+/** Idle timeout of the gates, in ms, and a shorter one than a suspension. */
+const IDLE_MS = 15_000;
+const SHORT_IDLE_MS = 2000;
+
 /** Options of a run. */
 export interface SoakOptions {
   readonly seed: number;
@@ -36,6 +40,8 @@
   readonly lengthMs: number;
   /** Returns of the store from an older copy. */
   readonly restores: number;
+  /** Series of suspensions of a gate that is told to stop or killed amid one. */
+  readonly gateStops: number;
   /** Also checks invariants with a time bound. */
   readonly hasTiming: boolean;
   /** Folder for settings and logs of the gates. */
@@ -55,14 +61,16 @@
  * Runs one seed.
  *
  * @example
- * const {violations} = await runSoak({seed: 7, gates: 3, targets: 6, lengthMs: 12_000, restores: 2, hasTiming: true, runDir: 'runs/soak-7'});
+ * const {violations} = await runSoak({seed: 7, gates: 3, targets: 6, lengthMs: 12_000, restores: 2, gateStops: 2, hasTiming: true, runDir: 'runs/soak-7'});
  */
 export async function runSoak(options: SoakOptions): Promise<SoakResult> {
-  const world = new SoakWorld(options.runDir, options.gates, options.targets);
+  const idleTimeoutMs = options.gateStops > 0 ? SHORT_IDLE_MS : IDLE_MS;
+  const {runDir, gates, targets} = options;
+  const world = new SoakWorld(runDir, gates, targets, idleTimeoutMs);
   await world.start();
   try {
     await sleep(START_MS);
-    const history = await runLoad(world, options);
+    const history = await runLoad(world, options, idleTimeoutMs);
     const violations = findViolations(history, options.hasTiming);
     writeHistory(options.runDir, history, violations);
     return {
@@ -80,6 +88,7 @@
 async function runLoad(
   world: SoakWorld,
   options: SoakOptions,
+  idleTimeoutMs: number,
 ): Promise<SoakHistory> {
   const startedAt = performance.now();
   const endsAt = startedAt + options.lengthMs;
@@ -90,7 +99,9 @@
     ),
   );
   const records = await Promise.all(
-    Array.from({length: CALLERS}, (_, i) => runCaller(world, i, endsAt)),
+    Array.from({length: CALLERS}, (_, i) =>
+      runCaller(world, i, endsAt, new Caller(`c${i}`, idleTimeoutMs)),
+    ),
   );
   const endedAt = performance.now();
   clearInterval(sampler);
@@ -103,6 +114,7 @@
     faults: await faults,
     published: world.published,
     exits: world.exits,
+    outages: world.outages,
     heldTickets: world.listHeldTickets(),
     peakBytes: world.peakBytes,
   };
@@ -126,8 +138,8 @@
   world: SoakWorld,
   index: number,
   endsAt: number,
+  caller: Caller,
 ): Promise<readonly CallerRecord[]> {
-  const caller = new Caller(`c${index}`);
   const calls: Array<Promise<CallerRecord>> = [];
   const {entries} = world;
   while (performance.now() < endsAt) {
--- a/packages/nutmeggauge/src/standin/run-standin.ts
+++ b/packages/nutmeggauge/src/standin/run-standin.ts
@@ -14,6 +14,7 @@
 /** Flags of the standin subcommand. */
 export interface StandInFlags {
   readonly id: string;
+  readonly host: string;
   readonly port: number;
   readonly fencing: string;
   readonly lagMs: number;
@@ -26,17 +27,17 @@
 export const STAND_IN_KINDS = ['engine', 'config', 'hosts', 'plain'] as const;
 
 /**
- * Starts the stand-in of `kind` on 127.0.0.1 and keeps the process alive.
+ * Starts the stand-in of `kind` and keeps the process alive.
  *
  * @example
- * await runStandIn('engine', {id: 'engine-1', port: 7101, fencing: 'refuse', lagMs: 250, latencyMs: 20, prefillRate: 400000, chunkTokens: 16384});
+ * await runStandIn('engine', {id: 'engine-1', host: '127.0.0.1', port: 7101, fencing: 'refuse', lagMs: 250, latencyMs: 20, prefillRate: 400000, chunkTokens: 16384});
  */
 export async function runStandIn(
   kind: string,
   flags: StandInFlags,
 ): Promise<void> {
   setProcessName(flags.id);
-  const host = '127.0.0.1';
+  const {host} = flags;
   switch (kind) {
     case 'engine':
       await startEngineStandIn(
