A body that cannot be read is answered, and runs nothing

What callers saw: a call whose body is above the limit or no JSON is answered 200: it has run at its service without its arguments. Found by reading, while looking for connections that are closed over unread data: the reader of a body breaks off at the limit and hands on "nothing", which a service call takes for "no arguments". Ruled out: prompts, whose schema needs the body (400 before as well). Change: a body is read to its end; above the limit 413 body_too_large, no JSON 400 body_not_json, before the request is taken in.

--- a/packages/core/src/http.ts
+++ b/packages/core/src/http.ts
@@ -22,27 +22,53 @@
 }
 
 /**
- * Reads a request body as JSON; resolves undefined when it is not JSON or too large.
+ * Reads a body; resolves undefined when it is larger than `limitBytes`. It is
+ * read to its end either way, so that the caller can be answered.
  *
  * @throws The connection's error when the caller leaves amid its body.
  * @example
- * const body = await readJsonBody(req);
+ * const body = await readBody(req, MAX_BODY_BYTES);
  */
-export async function readJsonBody(req: IncomingMessage): Promise<unknown> {
+export async function readBody(
+  req: IncomingMessage,
+  limitBytes: number,
+): Promise<Buffer | undefined> {
   const parts: Buffer[] = [];
   let size = 0;
   for await (const part of req as AsyncIterable<Buffer>) {
     size += part.length;
-    if (size > MAX_BODY_BYTES) return undefined;
-    parts.push(part);
+    if (size > limitBytes) parts.length = 0;
+    else parts.push(part);
   }
+  return size > limitBytes ? undefined : Buffer.concat(parts);
+}
+
+/**
+ * Parses a body as JSON; undefined when it is not.
+ *
+ * @example
+ * parseJson(Buffer.from('{"a":1}')); // {a: 1}
+ */
+export function parseJson(body: Buffer): unknown {
   try {
-    return JSON.parse(Buffer.concat(parts).toString('utf8'));
+    return JSON.parse(body.toString('utf8'));
   } catch {
     return undefined;
   }
 }
 
+/**
+ * Reads a request body as JSON; resolves undefined when it is not JSON or too large.
+ *
+ * @throws The connection's error when the caller leaves amid its body.
+ * @example
+ * const body = await readJsonBody(req);
+ */
+export async function readJsonBody(req: IncomingMessage): Promise<unknown> {
+  const body = await readBody(req, MAX_BODY_BYTES);
+  return body === undefined ? undefined : parseJson(body);
+}
+
 /**
  * Reads a body to its end and drops it. A connection that is closed over unread
  * data is reset, and its caller loses the answer.
--- a/packages/gate/src/api/handler.ts
+++ b/packages/gate/src/api/handler.ts
@@ -4,9 +4,11 @@
  */
 import {randomBytes} from 'node:crypto';
 import {
+  MAX_BODY_BYTES,
   createLogger,
   dropBody,
-  readJsonBody,
+  parseJson,
+  readBody,
   readPath,
   sendJson,
 } from '@nutmeggauge/core';
@@ -70,14 +72,23 @@
     sendError(401, 'unauthorized', reason);
     return;
   }
-  let body: unknown;
+  let bytes: Buffer | undefined;
   try {
-    body = await readJsonBody(req);
+    bytes = await readBody(req, MAX_BODY_BYTES);
   } catch {
     // The caller left amid its body: nobody waits, and nothing may run.
     context.counters.add('api.caller_left');
     return;
   }
+  if (bytes === undefined) {
+    sendError(413, 'bad_request', 'body_too_large');
+    return;
+  }
+  const body = parseJson(bytes);
+  if (body === undefined && bytes.length > 0) {
+    sendError(400, 'bad_request', 'body_not_json');
+    return;
+  }
   const request = parseCallerRequest(readPath(req) ?? '', body);
   if ('error' in request) {
     sendError(400, 'bad_request', request.error);
--- a/packages/nutmeggauge/src/e2e/api.test.ts
+++ b/packages/nutmeggauge/src/e2e/api.test.ts
@@ -1,5 +1,7 @@
 import {after, before, describe, it} from 'node:test';
+import {MAX_BODY_BYTES} from '@nutmeggauge/core';
 import {expect} from 'earl';
+import {request} from 'undici';
 import {OTHER_KEY, TEST_KEY, postJson, startStack} from '../test/stack.js';
 import type {Stack} from '../test/stack.js';
 
@@ -81,4 +83,35 @@
     expect(res.body.error.reason).toEqual('deadline_unreachable');
     expect(Number(res.headers['retry-after'])).toBeGreaterThanOrEqual(1);
   });
+
+  it('answers a body above the limit with 413, and runs nothing', async () => {
+    // Guards against a reset in place of an answer, and against a call that
+    // runs without its arguments.
+    const before = stack.plain[0].executions.length;
+    const res = await postJson(
+      `${stack.gateUrl}/v1/services/orders/place-order`,
+      {sku: 'x'.repeat(MAX_BODY_BYTES)},
+      {authorization: `Bearer ${TEST_KEY}`},
+    );
+    expect(res.status).toEqual(413);
+    expect(res.body.error.reason).toEqual('body_too_large');
+    expect(stack.plain[0].executions.length).toEqual(before);
+  });
+
+  it('answers a body that is not JSON with 400, and runs nothing', async () => {
+    // Guards against a call that runs without its arguments.
+    const before = stack.plain[0].executions.length;
+    const res = await request(
+      `${stack.gateUrl}/v1/services/orders/place-order`,
+      {
+        method: 'POST',
+        headers: {authorization: `Bearer ${TEST_KEY}`},
+        body: '{"sku": ',
+      },
+    );
+    const body = (await res.body.json()) as {error: {reason: string}};
+    expect(res.statusCode).toEqual(400);
+    expect(body.error.reason).toEqual('body_not_json');
+    expect(stack.plain[0].executions.length).toEqual(before);
+  });
 });
