--- a/packages/nutmeggauge/src/soak/cluster-check.ts
+++ b/packages/nutmeggauge/src/soak/cluster-check.ts
@@ -18,6 +18,11 @@
   readonly results: readonly CallerResult[];
   readonly faults: readonly PlayedClusterFault[];
   readonly gateUrls: readonly string[];
+  /**
+   * Checks requests that were sent to a stopping gate as well: on a busy machine
+   * they leave their caller later than it says.
+   */
+  readonly hasTiming: boolean;
 }
 
 /**
@@ -50,8 +55,9 @@
 
 function isExcused(
   {gateUrl, sentAt, totalMs, errorCode}: CallerResult,
-  {faults, gateUrls}: ClusterHistory,
+  {faults, gateUrls, hasTiming}: ClusterHistory,
 ): boolean {
+  const servedMs = hasTiming ? DRAIN_NOTICE_MS : 0;
   const gate = `gate-${gateUrls.indexOf(gateUrl) + 1}`;
   return faults.some(
     ({fault, beganAt, endedAt}) =>
@@ -62,7 +68,6 @@
         // It does not listen once it has stopped, and a balancer that has other
         // gates sends it nothing.
         (fault.kind === 'stop' &&
-          (errorCode === 'ECONNREFUSED' ||
-            sentAt > beganAt + DRAIN_NOTICE_MS))),
+          (errorCode === 'ECONNREFUSED' || sentAt > beganAt + servedMs))),
   );
 }
--- a/packages/nutmeggauge/src/soak/cluster-soak.ts
+++ b/packages/nutmeggauge/src/soak/cluster-soak.ts
@@ -27,6 +27,8 @@
   readonly gates: number;
   /** Length of the load, in ms. */
   readonly lengthMs: number;
+  /** Also checks what has a bound on time. */
+  readonly hasTiming: boolean;
   /** Folder for settings and logs. */
   readonly runDir: string;
 }
@@ -65,7 +67,7 @@
  * Runs one seed.
  *
  * @example
- * const {violations} = await runClusterSoak({seed: 7, gates: 2, lengthMs: 30_000, runDir: 'runs/soak-7'});
+ * const {violations} = await runClusterSoak({seed: 7, gates: 2, lengthMs: 30_000, hasTiming: true, runDir: 'runs/soak-7'});
  */
 export async function runClusterSoak(
   options: ClusterSoakOptions,
@@ -126,6 +128,7 @@
     results,
     faults,
     gateUrls: cluster.gateUrls,
+    hasTiming: options.hasTiming,
   });
   const history = {violations, faults, results};
   writeFileSync(join(runDir, 'history.json'), JSON.stringify(history, null, 1));
--- a/packages/nutmeggauge/src/soak/regression-seeds.ts
+++ b/packages/nutmeggauge/src/soak/regression-seeds.ts
@@ -15,3 +15,21 @@
   {seed: 207, cause: 'the same, while Node itself was starting'},
   {seed: 218, cause: 'the same, while Node itself was starting'},
 ];
+
+const UNREAD =
+  'a stopping gate closed its listener and its connections before it had read what had arrived';
+
+/** Seeds of gates with agents, two gates and 25 s of load. */
+export const CLUSTER_REGRESSION_SEEDS: readonly RegressionSeed[] = [
+  {seed: 2, cause: UNREAD},
+  {seed: 3, cause: UNREAD},
+  {
+    seed: 4,
+    cause: 'a caller reused a connection after the last answer of a gate',
+  },
+  {
+    seed: 5,
+    cause:
+      'a refusal was lost, as its connection was closed over an unread body',
+  },
+];
