The agent's answers to copies stand in a module of their own

Change: intake/copies.ts (copies wait for the first run, settled ones are replayed), intake/chunk-receiver.ts (its type); no behaviour changes. Ruled out: a type import from copies.ts back into intake.ts (import-circles.test.ts).

--- a/packages/agent/src/intake/intake.ts
+++ b/packages/agent/src/intake/intake.ts
@@ -9,20 +9,18 @@
   findLengthClass,
 } from '@nutmeggauge/core';
 import {LEDGER_FULL} from '../ledger/ledger.js';
+import {Copies} from './copies.js';
 import type {
-  ChunkNotice,
   Counters,
   DispatchOutcome,
   DispatchRequest,
 } from '@nutmeggauge/core';
 import type {Lane, Lanes} from '../lanes/lanes.js';
-import type {Ledger, LedgerEntry} from '../ledger/ledger.js';
+import type {Ledger} from '../ledger/ledger.js';
 import type {KeyOwnership} from '../ledger/ownership.js';
+import type {ChunkReceiver} from './chunk-receiver.js';
 import type {TargetClient} from '../target/target.js';
 
-/** Receives the chunks of one request. */
-export type ChunkReceiver = (notice: ChunkNotice) => void;
-
 /** Parts that an intake works with. */
 export interface IntakeOptions {
   readonly target: TargetClient;
@@ -73,11 +71,12 @@
  */
 export class Intake {
   private readonly active = new Map<string, ActiveRequest>();
-  /** Outcomes on their way, by ledger key; copies of a request wait for them. */
-  private readonly pending = new Map<string, Promise<DispatchOutcome>>();
+  private readonly copies: Copies;
   private draining = false;
 
-  constructor(private readonly options: IntakeOptions) {}
+  constructor(private readonly options: IntakeOptions) {
+    this.copies = new Copies(options.ledger, options.counters);
+  }
 
   /** True once `drain` was called. */
   get isDraining(): boolean {
@@ -161,7 +160,7 @@
     const key = request.notRepeatable ? request.ledgerKey : undefined;
     const held = key === undefined ? undefined : ledger.find(key);
     if (key !== undefined && held !== undefined)
-      return this.serveCopy(key, held, request, receive);
+      return this.copies.serve(key, held, request, receive);
     if (this.draining) return createNotRun('draining', 100);
     if (Date.now() >= request.deadlineAt)
       return createNotRun('deadline_passed');
@@ -178,10 +177,9 @@
       return createNotRun('ledger_full', 5000);
     }
     if (claim !== undefined)
-      return this.serveCopy(key, claim, request, receive);
+      return this.copies.serve(key, claim, request, receive);
     const running = this.runClaimed(key, request, owner, receive);
-    this.pending.set(key, running);
-    return running.finally(() => this.pending.delete(key));
+    return this.copies.add(key, running);
   }
 
   private async runClaimed(
@@ -207,60 +205,6 @@
     return outcome;
   }
 
-  /**
-   * Answers a copy of a request that this agent has taken on: with the
-   * outcome of the first run, waiting for it while time remains.
-   */
-  private async serveCopy(
-    key: string,
-    held: LedgerEntry,
-    request: DispatchRequest,
-    receive: ChunkReceiver,
-  ): Promise<DispatchOutcome> {
-    this.options.counters.add('agent.ledger_hits');
-    if (held.state === 'settled') return this.replay(held, request, receive);
-    const outcome = await this.waitForFirst(key, request.deadlineAt);
-    if (outcome === undefined)
-      return {status: 'unknown', reason: 'duplicate_in_progress'};
-    const settled = this.options.ledger.find(key);
-    if (settled?.state === 'settled')
-      return this.replay(settled, request, receive);
-    return outcome;
-  }
-
-  private replay(
-    entry: Extract<LedgerEntry, {state: 'settled'}>,
-    request: DispatchRequest,
-    receive: ChunkReceiver,
-  ): DispatchOutcome {
-    if (entry.outcome.status !== 'done') return entry.outcome;
-    // "done" without the text would look like an empty answer.
-    if (entry.pieces === undefined)
-      return {status: 'unknown', reason: 'ran_answer_not_kept'};
-    entry.pieces.forEach((text, seq) =>
-      receive({requestId: request.requestId, seq, text}),
-    );
-    return entry.outcome;
-  }
-
-  private waitForFirst(
-    key: string,
-    deadlineAt: number,
-  ): Promise<DispatchOutcome | undefined> {
-    const first = this.pending.get(key);
-    if (first === undefined) return Promise.resolve(undefined);
-    return new Promise(resolve => {
-      const timer = setTimeout(
-        () => resolve(undefined),
-        Math.max(0, deadlineAt - Date.now()),
-      );
-      void first.then(outcome => {
-        clearTimeout(timer);
-        resolve(outcome);
-      });
-    });
-  }
-
   /**
    * Prevents a key from running at two homes: this agent may lack a change of
    * the pool, or the history of the key.
