--- a/packages/nutmeggauge/src/faults/schedule.ts
+++ b/packages/nutmeggauge/src/faults/schedule.ts
@@ -18,7 +18,7 @@
    * - `kill`: SIGKILL, then a new start.
    * - `stop`: SIGTERM, then a new start.
    * - `pause`: SIGSTOP, then SIGCONT.
-   * - `busy`: a few processes spin.
+   * - `busy`: a few processes spin, for 10 s at most.
    * - `config-down`, `config-stale`: the configuration service refuses every
    *   read, or answers with its oldest record.
    */
