A draining gate no longer closes a connection after an answer begun before

Cause: an answer whose head is sent before the drain cannot say any more that its connection ends. nutmeggauge-gate ended such a connection after the answer, and a request that the caller had sent meanwhile got no answer. Found by reading OpenRequests before its use in the direct gate. Ruled out: the same in the direct gate, which left such connections open; the new test in gate.test.ts passes on its old code too. Change: the next answer ends such a connection. When all requests are answered, the gate closes idle connections once more and waits for what arrived meanwhile, as the direct gate does. OpenRequests moves to core, and the direct gate uses it in place of its own counter and its own Connection: close. The new test in e2e/drain.test.ts failed before with ["200"] in place of ["200", "503"]; its describe block opens one deployment for each test now. Conclusion: fixed.

--- a/packages/core/src/index.ts
+++ b/packages/core/src/index.ts
@@ -12,6 +12,7 @@
 export * from './log.js';
 export * from './loopback.js';
 export * from './metrics.js';
+export * from './open-requests.js';
 export * from './protocol.js';
 export * from './read-timeout.js';
 export * from './rendezvous.js';
--- a/packages/direct/src/forward/caller-response.ts
+++ b/packages/direct/src/forward/caller-response.ts
@@ -75,10 +75,7 @@
   private readonly disconnectListeners: Array<() => void> = [];
   private hasDisconnected = false;
 
-  constructor(
-    private readonly response: ServerResponse,
-    private readonly isStopping: () => boolean,
-  ) {
+  constructor(private readonly response: ServerResponse) {
     // A write after the end emits an error that does not affect the response.
     response.on('error', () => undefined);
     response.on('close', () => {
@@ -166,7 +163,6 @@
     ];
     if (retryAfterMs !== undefined)
       headers.push('Retry-After', (retryAfterMs / 1000).toFixed(3));
-    if (this.isStopping()) headers.push('Connection', 'close');
     this.response.writeHead(status, headers);
     this.response.end(body);
   }
@@ -179,17 +175,16 @@
   }
 
   /**
-   * Adds `Connection: close` if the response is unframed or the gate is
-   * stopping. A response without a length stays unframed, because the gate
-   * cannot know whether it is complete.
+   * Adds `Connection: close` if the response is unframed. A response without a
+   * length stays unframed, because the gate cannot know whether it is complete.
    */
   private addConnectionClose(
     headers: string[],
     framing: ResponseFraming,
   ): void {
     this.isUnframed = framing === 'by-close';
-    if (this.isUnframed) this.response.useChunkedEncodingByDefault = false;
-    if (this.isUnframed || this.isStopping())
-      headers.push('Connection', 'close');
+    if (!this.isUnframed) return;
+    this.response.useChunkedEncodingByDefault = false;
+    headers.push('Connection', 'close');
   }
 }
--- a/packages/direct/src/gate.test.ts
+++ b/packages/direct/src/gate.test.ts
@@ -3,7 +3,11 @@
 import {expect} from 'earl';
 import {buildLoopbackHost} from '@nutmeggauge/core';
 import {HOLD_AFTER_OUTAGE_MS} from './fleet/target-table.js';
-import {answerCompletely} from './test/fake-target.js';
+import {
+  answerCompletely,
+  buildSignedHead,
+  formatEvents,
+} from './test/fake-target.js';
 import {buildConfig, openGateHarness} from './test/gate-harness.js';
 import type {TargetScript} from './test/fake-target.js';
 
@@ -109,6 +113,50 @@
     }
   });
 
+  it('answers a request that its caller sends as soon as a stream from before the drain has ended', async () => {
+    // Guards against a connection that is closed under a request, because the
+    // answer before it could no longer say that its connection ends.
+    const harness = await openGateHarness();
+    try {
+      let hasSecond = false;
+      let finishStream = () => {};
+      await harness.addTarget('t', 'chat', (req, res) => {
+        res.writeHead(200, buildSignedHead(req));
+        res.write(formatEvents(1, 1));
+        finishStream = () => res.end(formatEvents(2, 2));
+        if (hasSecond) finishStream();
+      });
+      await harness.waitUntil(async () => (await harness.askReady()) === 200);
+      const request =
+        'GET /stream/x HTTP/1.1\r\nHost: site\r\nx-test-key: k1\r\n' +
+        'x-test-id: q1\r\nx-test-tokens: 1000\r\nx-test-deadline: 4000\r\n\r\n';
+      const text = await new Promise<string>(resolve => {
+        let received = '';
+        const socket = connect(harness.port, harness.host, () =>
+          socket.write(request),
+        );
+        socket.on('data', chunk => {
+          const isFirst = received === '';
+          received += String(chunk);
+          if (isFirst) {
+            void harness.gate.drain();
+            finishStream();
+          }
+          if (!received.endsWith('0\r\n\r\n') || hasSecond) return;
+          hasSecond = true;
+          socket.write(request);
+        });
+        socket.on('close', () => resolve(received));
+      });
+      const heads = text.split('HTTP/1.1 ').slice(1);
+      expect(heads.length).toEqual(2);
+      expect(/^connection: close/im.test(heads[0])).toEqual(false);
+      expect(/^connection: close/im.test(heads[1])).toEqual(true);
+    } finally {
+      harness.close();
+    }
+  });
+
   it('applies a configuration from another gate while its own store is down', async () => {
     // Guards against a revoked key that still works at a gate that cannot
     // reach the store.
--- a/packages/direct/src/gate.ts
+++ b/packages/direct/src/gate.ts
@@ -173,7 +173,7 @@
       readNow,
       readFactsAgeMs: () => this.peers.readFactsAgeMs(),
     };
-    this.ingress = createIngress(this.context, () => this.isStopping);
+    this.ingress = createIngress(this.context);
     tracker.onRemove(() => this.context.queues.advance());
     this.observeChanges();
   }
@@ -227,6 +227,7 @@
   private async runDrain(): Promise<void> {
     const {log} = this.dependencies;
     log.info('drain_started', {inFlight: this.ingress.inFlight});
+    this.ingress.closeConnectionsAfterAnswers();
     const startedAt = this.readNow();
     const giveUpAt =
       startedAt + this.settings.stopGraceMs - DRAIN_EXIT_RESERVE_MS;
--- a/packages/direct/src/ingress/ingress.ts
+++ b/packages/direct/src/ingress/ingress.ts
@@ -4,6 +4,7 @@
  */
 import {createServer} from 'node:http';
 import {
+  OpenRequests,
   closeIdleAfterRead,
   openListener,
   waitForPendingReads,
@@ -41,18 +42,15 @@
  * HTTP server for callers.
  *
  * @example
- * const ingress = createIngress(context, () => false);
+ * const ingress = createIngress(context);
  * await ingress.start({host: '10.1.0.4', port: 8080});
  */
 export class Ingress {
   private readonly server: Server;
-  private open = 0;
+  private readonly requests = new OpenRequests();
   private isClosing = false;
 
-  constructor(
-    private readonly context: ForwardContext,
-    private readonly isStopping: () => boolean,
-  ) {
+  constructor(private readonly context: ForwardContext) {
     this.server = createServer(
       {
         maxHeaderSize: MAX_HEAD_BYTES,
@@ -69,7 +67,7 @@
 
   /** Number of requests whose response is not complete. */
   get inFlight(): number {
-    return this.open;
+    return this.requests.count;
   }
 
   /** Starts to listen; resolves with the bound port. */
@@ -77,6 +75,14 @@
     return openListener(this.server, address);
   }
 
+  /**
+   * Closes each connection after its current response, so that no caller reuses
+   * a connection to a gate that is stopping.
+   */
+  closeConnectionsAfterAnswers(): void {
+    this.requests.closeConnectionsAfterAnswers();
+  }
+
   /**
    * Refuses new requests, including those on kept-alive connections, with 503
    * and a short Retry-After, and closes idle connections.
@@ -112,9 +118,8 @@
     res: ServerResponse,
   ): Promise<void> {
     const arrivedAt = this.context.readNow();
-    this.open++;
-    res.once('close', () => this.open--);
-    const caller = new CallerResponse(res, this.isStopping);
+    this.requests.add(res);
+    const caller = new CallerResponse(res);
     const body = await readBody(req, this.readBodyLimit());
     if (caller.isDisconnected) return;
     if (body === undefined)
@@ -269,11 +274,8 @@
  * Creates the HTTP server for callers.
  *
  * @example
- * const ingress = createIngress(context, () => isDraining);
+ * const ingress = createIngress(context);
  */
-export function createIngress(
-  context: ForwardContext,
-  isStopping: () => boolean,
-): Ingress {
-  return new Ingress(context, isStopping);
+export function createIngress(context: ForwardContext): Ingress {
+  return new Ingress(context);
 }
--- a/packages/gate/src/gate.ts
+++ b/packages/gate/src/gate.ts
@@ -4,6 +4,7 @@
  */
 import {createServer} from 'node:http';
 import {
+  OpenRequests,
   createConfigWatcher,
   createCounters,
   createLatencyHistogram,
@@ -19,7 +20,6 @@
 import {AdminApi} from './admin/admin-api.js';
 import {createAccountLimits} from './admission/limits.js';
 import {handleCallerRequest} from './api/handler.js';
-import {OpenRequests} from './api/open-requests.js';
 import {observeConnections} from './api/request-log.js';
 import {renderError} from './api/responses.js';
 import {createDispatcher} from './dispatch/dispatcher.js';
@@ -179,12 +179,20 @@
     this.closed = true;
     await this.closeListener();
     const drainDeadlineAt = Date.now() + this.settings.drainTimeoutMs;
-    while (this.requests.count > 0 && Date.now() < drainDeadlineAt)
-      await waitMs(DRAIN_POLL_MS);
+    await this.waitForOpenRequests(drainDeadlineAt);
+    // Connections of answers that were sent meanwhile are idle now, or have
+    // another request.
+    await this.closeListener();
+    await this.waitForOpenRequests(drainDeadlineAt);
     this.log.info('drain_finished', {left: this.requests.count});
     this.close();
   }
 
+  private async waitForOpenRequests(drainDeadlineAt: number): Promise<void> {
+    while (this.requests.count > 0 && Date.now() < drainDeadlineAt)
+      await waitMs(DRAIN_POLL_MS);
+  }
+
   private async closeListener(): Promise<void> {
     if (this.server === undefined) return;
     await waitForPendingReads(this.server);
@@ -212,7 +220,7 @@
   }
 
   private serve(req: IncomingMessage, res: ServerResponse): void {
-    this.requests.add(req, res);
+    this.requests.add(res);
     if (req.method === 'GET' && readPath(req) === '/healthz') {
       // Callers can reach this port, so details of targets and accounts are on
       // the administration API only.
--- a/packages/nutmeggauge/src/e2e/drain.test.ts
+++ b/packages/nutmeggauge/src/e2e/drain.test.ts
@@ -122,8 +122,17 @@
   Atomics.wait(lock, 0, 0, FREEZE_MS);
 }
 
-function renderRequest(maxTokens: number, prompt = 's'): string {
-  const body = JSON.stringify({model: 'chat', prompt, max_tokens: maxTokens});
+function renderRequest(
+  maxTokens: number,
+  prompt = 's',
+  stream = false,
+): string {
+  const body = JSON.stringify({
+    model: 'chat',
+    prompt,
+    max_tokens: maxTokens,
+    stream,
+  });
   return (
     'POST /v1/completions HTTP/1.1\r\nHost: a\r\n' +
     `Authorization: ${auth.authorization}\r\n` +
@@ -198,10 +207,10 @@
 
 describe('gate whose drain begins during a request', () => {
   let stack: Stack;
-  before(async () => {
+  beforeEach(async () => {
     stack = await startStack({engines: 1});
   });
-  after(async () => {
+  afterEach(async () => {
     await stack.close();
   });
 
@@ -223,4 +232,28 @@
     expect(text.slice(9, 12)).toEqual('200');
     expect(/^connection: close/im.test(text)).toEqual(true);
   });
+
+  it('answers a request that its caller sends as soon as a stream from before the drain has ended', async () => {
+    // Guards against a connection that is closed under a request, because the
+    // answer before it could no longer say that its connection ends.
+    const {port, hostname} = new URL(stack.gateUrl);
+    const text = await new Promise<string>(resolve => {
+      let received = '';
+      let hasSecond = false;
+      const socket = connect(Number(port), hostname, () =>
+        socket.write(renderRequest(20, 's', true)),
+      );
+      socket.on('data', chunk => {
+        received += String(chunk);
+        void stack.gate.drain();
+        if (hasSecond || !received.includes('[DONE]')) return;
+        hasSecond = true;
+        socket.write(renderRequest(2));
+      });
+      socket.on('close', () => resolve(received));
+    });
+    const heads = text.split('HTTP/1.1 ').slice(1);
+    expect(heads.map(head => head.slice(0, 3))).toEqual(['200', '503']);
+    expect(/^connection: close/im.test(heads[1])).toEqual(true);
+  });
 });
