Refusals reach callers that are still sending their body

Cause: closing a connection over unread data resets it. The direct gate left its loop over the body at the limit, which destroys the request and its connection, so the 413 was lost. nutmeggauge-gate and its administration API answered some requests (405, 401, 404) before their body, which resets with Connection: close. Ruled out: 401, 404 and 503 of the direct gate, which come after the body; 401 and 503 of nutmeggauge-gate's callers, which read it first, but without a bound. Change: readBody stops at the limit without destroying the request. endResponse (core) sends the whole response at once and ends it after the rest of the body has been read and dropped, up to 64 MiB and with bounded pauses; then the connection ends. sendJson and the direct gate's refusals use it. The direct gate uses readBody of core.

--- a/packages/core/src/http.ts
+++ b/packages/core/src/http.ts
@@ -1,7 +1,8 @@
 /**
  * Request and response helpers for Node's `http` servers.
  */
-import {finished} from 'node:stream/promises';
+import {finished} from 'node:stream';
+import {ReadTimeout} from './read-timeout.js';
 import type {IncomingMessage, ServerResponse} from 'node:http';
 
 /** Largest accepted JSON body; a 1M-token prompt is about 4 MB of text. */
@@ -22,9 +23,18 @@
 }
 
 /**
- * Reads a request body; resolves to undefined when it is larger than
- * `limitBytes`. A body over the limit is still read to its end, so that the
- * caller can receive an answer.
+ * Longest rest of an answered request's body that is read and dropped, in
+ * bytes. A caller that sends more loses its connection.
+ */
+export const MAX_DROPPED_BYTES = 64 * 1024 * 1024;
+
+/** Longest pause within the rest of an answered request's body, in ms. */
+const MAX_DROP_PAUSE_MS = 5000;
+
+/**
+ * Reads a request body; resolves to undefined as soon as it is larger than
+ * `limitBytes`. The rest is then unread, so the response must be sent by
+ * `sendJson` or `endResponse`.
  *
  * @throws The connection's error when the caller disconnects while sending the
  *   body.
@@ -37,12 +47,14 @@
 ): Promise<Buffer | undefined> {
   const parts: Buffer[] = [];
   let size = 0;
-  for await (const part of req as AsyncIterable<Buffer>) {
+  // Destroying the request would close its connection before the response.
+  const iterator = req.iterator({destroyOnReturn: false});
+  for await (const part of iterator as AsyncIterable<Buffer>) {
     size += part.length;
-    if (size > limitBytes) parts.length = 0;
-    else parts.push(part);
+    if (size > limitBytes) return undefined;
+    parts.push(part);
   }
-  return size > limitBytes ? undefined : Buffer.concat(parts);
+  return Buffer.concat(parts);
 }
 
 /**
@@ -74,17 +86,74 @@
 }
 
 /**
- * Reads a request body to its end and discards it. Closing a connection with
- * unread data resets it, and the caller loses the answer.
+ * Ends a response whose head has been written. If part of the request body has
+ * not arrived yet, the response is sent at once, and ended after the body has
+ * been read and dropped: closing a connection with unread data resets it, and
+ * the caller loses the response. A caller that pauses for too long or sends more
+ * than `MAX_DROPPED_BYTES` loses its connection.
  *
+ * @param maxPauseMs - Longest pause within the rest of the body, in ms.
  * @example
- * await dropBody(req);
- * sendJson(res, 503, body, {connection: 'close'});
+ * res.writeHead(413, {'content-length': text.length});
+ * endResponse(res, text);
  */
-export async function dropBody(req: IncomingMessage): Promise<void> {
+export function endResponse(
+  res: ServerResponse,
+  body: string | Buffer,
+  maxPauseMs = MAX_DROP_PAUSE_MS,
+): void {
+  const {req} = res;
+  if (!isBodyUnread(req)) {
+    res.end(body);
+    return;
+  }
+  res.write(body);
+  dropBody(req, maxPauseMs, () => {
+    if (res.destroyed) return;
+    res.end(() => {
+      if (!req.complete) req.socket.destroy();
+    });
+  });
+}
+
+function isBodyUnread({complete, headers}: IncomingMessage): boolean {
+  if (complete) return false;
+  return (
+    headers['transfer-encoding'] !== undefined ||
+    Number(headers['content-length'] ?? 0) > 0
+  );
+}
+
+/**
+ * Drops the rest of a body, and calls `finish` once after its end, at a limit,
+ * or when the caller disconnects.
+ */
+function dropBody(
+  req: IncomingMessage,
+  maxPauseMs: number,
+  finish: () => void,
+): void {
+  let droppedBytes = 0;
+  const stopAndFinish = () => {
+    timeout.stop();
+    req.off('data', receive);
+    stopObserving();
+    req.pause();
+    finish();
+  };
+  let timeout = new ReadTimeout(stopAndFinish, maxPauseMs);
+  const receive = (part: Buffer) => {
+    timeout.stop();
+    droppedBytes += part.length;
+    if (droppedBytes > MAX_DROPPED_BYTES) {
+      stopAndFinish();
+      return;
+    }
+    timeout = new ReadTimeout(stopAndFinish, maxPauseMs);
+  };
+  const stopObserving = finished(req, {writable: false}, stopAndFinish);
+  req.on('data', receive);
   req.resume();
-  // A caller that disconnects while sending its body needs no answer.
-  await finished(req, {writable: false}).catch(() => undefined);
 }
 
 /**
@@ -105,7 +174,7 @@
     'content-length': Buffer.byteLength(text),
     ...headers,
   });
-  res.end(text);
+  endResponse(res, text);
 }
 
 /**
--- a/packages/core/src/index.ts
+++ b/packages/core/src/index.ts
@@ -4,6 +4,7 @@
 export * from './config/watch.js';
 export * from './daemon.js';
 export * from './errors.js';
+export * from './freeze-process.js';
 export * from './http.js';
 export * from './idempotency-key.js';
 export * from './uncaught-errors.js';
--- a/packages/direct/src/forward/caller-response.ts
+++ b/packages/direct/src/forward/caller-response.ts
@@ -3,6 +3,7 @@
  * error from the gate. A failure after the head has been sent closes the
  * connection, so that an incomplete response never looks complete.
  */
+import {endResponse} from '@nutmeggauge/core';
 import type {ServerResponse} from 'node:http';
 import type {RawHeaders} from '../types.js';
 
@@ -75,7 +76,14 @@
   private readonly disconnectListeners: Array<() => void> = [];
   private hasDisconnected = false;
 
-  constructor(private readonly response: ServerResponse) {
+  /**
+   * @param maxPauseMs - Longest pause within the rest of the body of a request
+   *   that is refused before its body has arrived, in ms.
+   */
+  constructor(
+    private readonly response: ServerResponse,
+    private readonly maxPauseMs: number,
+  ) {
     // A write after the end emits an error that does not affect the response.
     response.on('error', () => undefined);
     response.on('close', () => {
@@ -164,7 +172,7 @@
     if (retryAfterMs !== undefined)
       headers.push('Retry-After', (retryAfterMs / 1000).toFixed(3));
     this.response.writeHead(status, headers);
-    this.response.end(body);
+    endResponse(this.response, body, this.maxPauseMs);
   }
 
   /** Closes the connection to show that the response is incomplete. */
--- a/packages/direct/src/ingress/ingress.ts
+++ b/packages/direct/src/ingress/ingress.ts
@@ -7,6 +7,7 @@
   OpenRequests,
   closeIdleAfterRead,
   openListener,
+  readBody,
   waitForPendingReads,
 } from '@nutmeggauge/core';
 import {CallerResponse} from '../forward/caller-response.js';
@@ -119,8 +120,16 @@
   ): Promise<void> {
     const arrivedAt = this.context.readNow();
     this.requests.add(res);
-    const caller = new CallerResponse(res);
-    const body = await readBody(req, this.readBodyLimit());
+    const caller = new CallerResponse(res, this.server.keepAliveTimeout);
+    let body: Buffer | undefined;
+    try {
+      body = await readBody(req, this.readBodyLimit());
+    } catch {
+      // The caller disconnected while sending its body: nothing runs, and no
+      // response is sent.
+      this.context.counters.add('ingress.caller_left');
+      return;
+    }
     if (caller.isDisconnected) return;
     if (body === undefined)
       return this.refuseEarly(caller, 413, 'body_too_large');
@@ -230,26 +239,6 @@
   }
 }
 
-/** Reads a request body; returns undefined if it exceeds `limit` bytes. */
-async function readBody(
-  req: IncomingMessage,
-  limit: number,
-): Promise<Buffer | undefined> {
-  const parts: Buffer[] = [];
-  let size = 0;
-  try {
-    for await (const part of req as AsyncIterable<Buffer>) {
-      size += part.length;
-      if (size > limit) return undefined;
-      parts.push(part);
-    }
-  } catch {
-    // The caller disconnected; the close event of the response handles that.
-    return Buffer.alloc(0);
-  }
-  return Buffer.concat(parts);
-}
-
 function readFirstValue(
   value: string | string[] | undefined,
 ): string | undefined {
--- a/packages/gate/src/api/handler.ts
+++ b/packages/gate/src/api/handler.ts
@@ -6,7 +6,6 @@
 import {
   MAX_BODY_BYTES,
   createLogger,
-  dropBody,
   parseJson,
   readBody,
   readPath,
@@ -42,22 +41,15 @@
     context.counters.add(`api.${type}`);
     sendJson(res, status, renderError(type, reason, requestId));
   };
-  // Closing a connection after the answer resets it if part of the body is
-  // unread, so the rest is read first.
-  const dropUnreadBody = async () => {
-    if (!res.shouldKeepAlive) await dropBody(req);
-  };
   context.counters.add('api.requests');
   observeRequest(log, requestId, req, res);
   if (context.isClosed()) {
-    await dropUnreadBody();
     const body = renderError('shutting_down', 'gate_draining', requestId);
     sendJson(res, 503, body, {...toRetryAfter(1000), connection: 'close'});
     return;
   }
   const record = context.readRecord();
   if (record === undefined) {
-    await dropUnreadBody();
     sendRefusal(
       res,
       {status: 503, reason: 'not_configured', retryAfterMs: 1000},
@@ -68,7 +60,6 @@
   const key = /^Bearer (.+)$/.exec(req.headers.authorization ?? '')?.[1];
   const account = key === undefined ? undefined : context.findAccount(key);
   if (account === undefined) {
-    await dropUnreadBody();
     const reason = key === undefined ? 'missing_key' : 'unknown_key';
     sendError(401, 'unauthorized', reason);
     return;
--- a/packages/nutmeggauge/src/e2e/api.test.ts
+++ b/packages/nutmeggauge/src/e2e/api.test.ts
@@ -1,3 +1,4 @@
+import {connect} from 'node:net';
 import {after, before, describe, it} from 'node:test';
 import {MAX_BODY_BYTES} from '@nutmeggauge/core';
 import {expect} from 'earl';
@@ -103,6 +104,31 @@
     expect(stack.plain[0].executions.length).toEqual(before);
   });
 
+  it('answers a request that it refuses unread, and ends its connection without a reset', async () => {
+    // Guards against a connection reset over an unread body, which may discard
+    // the answer.
+    const {hostname, port} = new URL(stack.gateUrl);
+    const body = 'x'.repeat(MAX_BODY_BYTES + 1);
+    const readOutcome = (method: string, key: string) =>
+      new Promise<string>(resolve => {
+        let text = '';
+        let end = 'closed';
+        const socket = connect(Number(port), hostname, () =>
+          socket.write(
+            `${method} /v1/services/orders/list HTTP/1.1\r\nHost: a\r\n` +
+              `Authorization: Bearer ${key}\r\nConnection: close\r\n` +
+              `Content-Length: ${body.length}\r\n\r\n${body}`,
+          ),
+        );
+        socket.on('data', chunk => (text += String(chunk)));
+        socket.on('error', () => (end = 'reset'));
+        socket.on('close', () => resolve(`${text.slice(9, 12)} ${end}`));
+      });
+    expect(await readOutcome('PUT', TEST_KEY)).toEqual('405 closed');
+    expect(await readOutcome('POST', 'unknown')).toEqual('401 closed');
+    expect(await readOutcome('POST', TEST_KEY)).toEqual('413 closed');
+  });
+
   it('answers a body that is not JSON with status 400 without executing the call', async () => {
     // Guards against a call that is executed without its arguments.
     const before = stack.plain[0].executions.length;
