JSON-RPC links read what has arrived before they give up

Cause: the bound on an answer, the idle and the connect timeout of a link are plain timers, and a process that wakes runs its timers before it reads. Ruled out: more iterations where any byte counts as a sign of life (stall timer, connect of an exchange, body of an HTTP call). Change: ReadTimeout takes a count of bytes read and then waits until an iteration reads nothing more, for at most 1 s; the answer of a call and an agent's ack use it. The connect and the idle timeout expire after one iteration of reading. The meaning of deadlines is unchanged. The wait of an ack behind more than 2 MiB has no test of its own; it is ReadTimeout's.

--- a/packages/core/src/rpc.test.ts
+++ b/packages/core/src/rpc.test.ts
@@ -4,6 +4,7 @@
 import {Worker} from 'node:worker_threads';
 import {expect} from 'earl';
 import fc from 'fast-check';
+import {freezeProcess} from './freeze-process.js';
 import {openListener} from './listen.js';
 import {RpcFailedError} from './errors.js';
 import {createCounters} from './metrics.js';
@@ -194,3 +195,105 @@
     server.close();
   });
 });
+
+/** Timeout of these links, and the duration of a longer suspension, in ms. */
+const TIMEOUT_MS = 200;
+const SUSPENSION_MS = 500;
+
+/** Longest wait until a worker has sent its answer, in ms. */
+const MAX_SEND_MS = 10_000;
+
+/**
+ * Sizes of answers that let the receive window of the connection grow, and that
+ * one iteration of the event loop cannot read, in bytes.
+ */
+const WARM_UP_BYTES = 64 * 1024 * 1024;
+const LARGE_ANSWER_BYTES = 3 * 1024 * 1024;
+
+/**
+ * Source of a worker that answers each call with as many characters as its
+ * params say, and sets a flag when the system has taken the answer.
+ */
+const LARGE_ANSWER_LISTENER = `
+  const {createServer} = require('node:net');
+  const {createInterface} = require('node:readline');
+  const {parentPort, workerData} = require('node:worker_threads');
+  const server = createServer(socket =>
+    createInterface({input: socket}).on('line', line => {
+      const {id, params} = JSON.parse(line);
+      const result = 'x'.repeat(params.size);
+      socket.write(JSON.stringify({jsonrpc: '2.0', id, result}) + '\\n', () => {
+        Atomics.store(workerData, 0, 1);
+        Atomics.notify(workerData, 0);
+      });
+    }),
+  );
+  server.listen(0, '127.0.0.1', () =>
+    parentPort.postMessage(server.address().port),
+  );
+`;
+
+describe('JSON-RPC link of a process that is suspended for longer than a timeout', () => {
+  it('returns an answer that arrived during the suspension', async () => {
+    // Guards against a call that fails when the process resumes, before it has
+    // read the answer.
+    const {link, far, close} = await openLinkFixture();
+    far.once('data', line => {
+      const {id} = JSON.parse(String(line)) as {id: number};
+      far.write(`{"jsonrpc":"2.0","id":${id},"result":"in time"}\n`);
+      freezeProcess(SUSPENSION_MS);
+    });
+    expect(await link.call<string>('x', {}, TIMEOUT_MS)).toEqual('in time');
+    close();
+  });
+
+  it('returns a large answer that arrived during the suspension', async () => {
+    // Guards against a call that fails while a part of its answer is unread.
+    const workerData = new Int32Array(new SharedArrayBuffer(4));
+    const worker = new Worker(LARGE_ANSWER_LISTENER, {eval: true, workerData});
+    const [port] = (await once(worker, 'message')) as [number];
+    const link = await openRpcLink(`127.0.0.1:${port}`);
+    await link.call('x', {size: WARM_UP_BYTES});
+    workerData[0] = 0;
+    const answer = link.call<string>(
+      'x',
+      {size: LARGE_ANSWER_BYTES},
+      TIMEOUT_MS,
+    );
+    Atomics.wait(workerData, 0, 0, MAX_SEND_MS);
+    freezeProcess(2 * TIMEOUT_MS);
+    expect((await answer).length).toEqual(LARGE_ANSWER_BYTES);
+    link.close();
+    await worker.terminate();
+  });
+
+  it('stays open when a message arrived during the suspension', async () => {
+    // Guards against a link that closes as idle before the process has read its
+    // messages.
+    const {link, far, close} = await openLinkFixture();
+    const received = new Promise<string>(resolve => {
+      link.handle('x', () => resolve('received'));
+      link.onClose(() => resolve('closed'));
+    });
+    link.closeWhenIdle(TIMEOUT_MS);
+    setImmediate(() => {
+      far.write('{"jsonrpc":"2.0","method":"x"}\n');
+      freezeProcess(SUSPENSION_MS);
+    });
+    expect(await received).toEqual('received');
+    close();
+  });
+
+  it('opens when it connected during the suspension', async () => {
+    // Guards against a connect timeout that expires before the process has seen
+    // that it is connected.
+    const server = createServer(socket => socket.on('error', () => undefined));
+    const port = await openListener(server, {host: '127.0.0.1', port: 0});
+    const opening = openRpcLink(`127.0.0.1:${port}`, undefined, TIMEOUT_MS);
+    process.nextTick(freezeProcess, SUSPENSION_MS);
+    const link = await opening;
+    expect(link.isClosed).toEqual(false);
+    link.close();
+    server.close();
+  });
+});
--- a/packages/core/src/rpc.ts
+++ b/packages/core/src/rpc.ts
@@ -10,11 +10,16 @@
   JSONRPCErrorException,
   JSONRPCServer,
   JSONRPCServerAndClient,
+  createJSONRPCErrorResponse,
 } from 'json-rpc-2.0';
 import {RpcClosedError, RpcFailedError} from './errors.js';
+import {ReadTimeout} from './read-timeout.js';
 import type {Socket} from 'node:net';
 import type {Counters} from './metrics.js';
 
+/** Error code of a call that fails without an answer of the peer. */
+const DEFAULT_ERROR_CODE = 0;
+
 /** Handler of a method or notification; receives the params unvalidated. */
 export type RpcHandler = (params: unknown) => unknown;
 
@@ -30,6 +35,7 @@
   private readonly peer: JSONRPCServerAndClient;
   private readonly closeListeners: Array<() => void> = [];
   private closed = false;
+  private lastCallId = 0;
 
   constructor(
     private readonly socket: Socket,
@@ -37,7 +43,10 @@
   ) {
     this.peer = new JSONRPCServerAndClient(
       new JSONRPCServer({errorListener: warnUnexpectedError}),
-      new JSONRPCClient(message => this.send(message)),
+      new JSONRPCClient(
+        message => this.send(message),
+        () => ++this.lastCallId,
+      ),
     );
     socket.setNoDelay(true);
     const lines = createInterface({input: socket, crlfDelay: Infinity});
@@ -53,6 +62,11 @@
     return this.closed;
   }
 
+  /** Number of bytes read from the peer. */
+  get bytesRead(): number {
+    return this.socket.bytesRead;
+  }
+
   /** Registers the handler of a method or notification named `method`. */
   handle(method: string, handler: RpcHandler): void {
     this.peer.addMethod(method, params => handler(params));
@@ -78,16 +92,14 @@
         `JSON-RPC link closed before the call of ${method}`,
       );
     }
+    const answer = this.peer.request(
+      method,
+      params as Record<string, unknown>,
+      undefined,
+    );
+    const timeout = this.startCallTimeout(this.lastCallId, timeoutMs);
     try {
-      const requester =
-        timeoutMs === undefined
-          ? this.peer
-          : this.peer.timeout(Math.max(1, timeoutMs));
-      return (await requester.request(
-        method,
-        params as Record<string, unknown>,
-        undefined,
-      )) as T;
+      return (await answer) as T;
     } catch (cause) {
       if (this.closed) {
         throw new RpcClosedError(
@@ -99,9 +111,30 @@
         {cause: cause as Error, info: {method}},
         `JSON-RPC call of ${method} failed`,
       );
+    } finally {
+      timeout?.stop();
     }
   }
 
+  /** Fails a call that has no answer when the timeout expires. */
+  private startCallTimeout(
+    id: number,
+    timeoutMs: number | undefined,
+  ): ReadTimeout | undefined {
+    if (timeoutMs === undefined) return undefined;
+    const failCall = () =>
+      void this.peer.receiveAndSend(
+        createJSONRPCErrorResponse(id, DEFAULT_ERROR_CODE, 'Request timeout'),
+        undefined,
+        undefined,
+      );
+    return new ReadTimeout(
+      failCall,
+      Math.max(1, timeoutMs),
+      () => this.bytesRead,
+    );
+  }
+
   /** Sends a notification; does nothing when the link is closed. */
   notify(method: string, params: object): void {
     if (this.closed) return;
@@ -125,7 +158,13 @@
    * suspended or unreachable does not close its connection.
    */
   closeWhenIdle(idleMs: number): void {
-    this.socket.setTimeout(idleMs, () => this.close());
+    this.socket.setTimeout(idleMs, () => {
+      // A suspended process has not read its sockets when the timeout fires.
+      const {bytesRead} = this;
+      setImmediate(() => {
+        if (this.bytesRead === bytesRead) this.close();
+      });
+    });
   }
 
   /** Closes the socket; outstanding calls fail with RpcClosedError. */
@@ -252,14 +291,16 @@
       socket.destroy();
       reject(error);
     });
-    socket.setTimeout(timeoutMs, () => {
+    const expire = () => {
       const message = `connection to ${address} timed out`;
       reject(new RpcFailedError({info: {address}}, message));
       socket.destroy();
-    });
+    };
+    const timeout =
+      timeoutMs > 0 ? new ReadTimeout(expire, timeoutMs) : undefined;
+    socket.once('close', () => timeout?.stop());
     socket.once('connect', () => {
-      socket.setTimeout(0);
-      socket.removeAllListeners('timeout');
+      timeout?.stop();
       resolve(createRpcLink(socket, counters));
     });
   });
--- a/packages/gate/src/membership/agent-connection.ts
+++ b/packages/gate/src/membership/agent-connection.ts
@@ -176,7 +176,7 @@
     this.outstanding++;
     this.unreportedByClass[findLengthClass(bounds.promptTokens)] +=
       bounds.promptTokens;
-    const ackWait = this.waitForAck(bounds.ackTimeoutMs);
+    const ackWait = this.waitForAck(link, bounds.ackTimeoutMs);
     this.inFlight.set(request.requestId, {
       onChunk,
       markAccepted: ackWait.markAccepted,
@@ -205,19 +205,23 @@
    * Starts the wait for an agent's ack. The returned `timedOut` rejects when no
    * ack arrives within `ackTimeoutMs`; without `ackTimeoutMs` it never rejects.
    */
-  private waitForAck(ackTimeoutMs: number | undefined): AckWait {
+  private waitForAck(link: RpcLink, ackTimeoutMs: number | undefined): AckWait {
     if (ackTimeoutMs === undefined)
       return {timedOut: new Promise(() => {}), markAccepted: () => {}};
     let timeout: ReadTimeout | undefined;
     const timedOut = new Promise<never>((_resolve, reject) => {
       // After a suspension of the gate, ReadTimeout lets pending acks be read
-      // before it fires.
-      timeout = new ReadTimeout(() => {
-        // Marks the agent unusable until its next load report.
-        this.lastReportAt = 0;
-        const message = `${this.id} sent no ack within ${ackTimeoutMs} ms`;
-        reject(new RpcFailedError({info: {target: this.id}}, message));
-      }, ackTimeoutMs);
+      // before it fires, also those behind many chunks.
+      timeout = new ReadTimeout(
+        () => {
+          // Marks the agent unusable until its next load report.
+          this.lastReportAt = 0;
+          const message = `${this.id} sent no ack within ${ackTimeoutMs} ms`;
+          reject(new RpcFailedError({info: {target: this.id}}, message));
+        },
+        ackTimeoutMs,
+        () => link.bytesRead,
+      );
     });
     return {timedOut: timedOut, markAccepted: () => timeout?.stop()};
   }
