A gate that wakes does not hedge a call whose answer has arrived

Cause: the timer of a hedge is a plain one and fires before a resumed process has read the answer; it spent an attempt of the retry budget and a second target. Change: the hedge waits with a ReadTimeout.

--- a/packages/direct/src/forward/call-forwarder.test.ts
+++ b/packages/direct/src/forward/call-forwarder.test.ts
@@ -1,4 +1,5 @@
 import {describe, it} from 'node:test';
+import {freezeProcess} from '@nutmeggauge/core';
 import {expect} from 'earl';
 import {
   answerNotRun,
@@ -9,6 +10,9 @@
 import type {TargetScript} from '../test/fake-target.js';
 import type {GateHarness} from '../test/gate-harness.js';
 
+/** Duration of a suspension, in ms: longer than the delay of a hedge. */
+const SUSPENSION_MS = 500;
+
 const dropConnection: TargetScript = req => req.socket.destroy();
 
 /** Runs `check` with a gate and two targets that run the given scripts. */
@@ -147,6 +151,23 @@
     });
   });
 
+  it('does not hedge a safe call whose response arrived while the gate was suspended', async () => {
+    // Guards against an attempt that is spent because a resumed gate has not
+    // read the response yet.
+    const answerAndFreeze: TargetScript = (req, res) => {
+      answerCompletely(req, res);
+      setImmediate(freezeProcess, SUSPENSION_MS);
+    };
+    await checkWithTargets(answerAndFreeze, answerAndFreeze, async harness => {
+      expect((await harness.call('/safe/x')).status).toEqual(200);
+      const isEnded = (line: string) => line.includes('"request_ended"');
+      await harness.waitUntil(() => harness.lines.some(isEnded));
+      const line = harness.lines.find(isEnded) ?? '';
+      const {tried} = JSON.parse(line) as {tried: readonly string[]};
+      expect(tried.length).toEqual(1);
+    });
+  });
+
   it('responds with 504 to an unsafe call that has no response at its deadline', async () => {
     const hang: TargetScript = () => undefined;
     await checkWithTargets(hang, hang, async harness => {
--- a/packages/direct/src/forward/call-forwarder.ts
+++ b/packages/direct/src/forward/call-forwarder.ts
@@ -3,6 +3,7 @@
  * when the first one is slow or fails. An unsafe call is retried only if it is
  * certain that the target did not run it.
  */
+import {ReadTimeout} from '@nutmeggauge/core';
 import {ExchangeError} from '../errors.js';
 import {findFraming} from './exchange.js';
 import {readVerdict} from './judge-answer.js';
@@ -43,7 +44,7 @@
   private fallbackResponse: CompleteResponse | undefined;
   private isSettled = false;
   private deadlineTimer: NodeJS.Timeout | undefined;
-  private hedgeTimer: NodeJS.Timeout | undefined;
+  private hedgeTimeout: ReadTimeout | undefined;
 
   constructor(
     private readonly context: ForwardContext,
@@ -56,7 +57,7 @@
     const leftMs = request.expiresAt - context.readNow();
     this.deadlineTimer = setTimeout(() => this.expire(), leftMs);
     if (request.route.kind === 'safe')
-      this.hedgeTimer = setTimeout(
+      this.hedgeTimeout = new ReadTimeout(
         () => this.tryNext('slow'),
         request.route.objectiveMs * HEDGE_DELAY_SHARE,
       );
@@ -232,7 +233,7 @@
     if (this.isSettled) return;
     this.isSettled = true;
     clearTimeout(this.deadlineTimer);
-    clearTimeout(this.hedgeTimer);
+    this.hedgeTimeout?.stop();
     for (const exchange of this.open) exchange.cancel();
     const {context, request} = this;
     const ms = context.readNow() - request.arrivedAt;
