--- a/packages/core/src/listen.test.ts
+++ b/packages/core/src/listen.test.ts
@@ -2,6 +2,7 @@
 import {connect} from 'node:net';
 import {describe, it} from 'node:test';
 import {expect} from 'earl';
+import {freezeProcess} from './freeze-process.js';
 import {closeHttpServer, closeIdleAfterRead, openListener} from './listen.js';
 
 /** Idle timeout of keep-alive connections, in ms. */
@@ -14,14 +15,6 @@
 
 const REQUEST = 'POST / HTTP/1.1\r\nHost: a\r\nContent-Length: 0\r\n\r\n';
 
-/**
- * Blocks the thread, so that no I/O and no timers run, as in a suspended
- * process.
- */
-function freezeProcess(): void {
-  Atomics.wait(new Int32Array(new SharedArrayBuffer(4)), 0, 0, SUSPENSION_MS);
-}
-
 /**
  * Sends a request on a keep-alive connection, and a second one followed by a
  * suspension if `shouldFreeze`. Returns the answers and resets seen by the
@@ -46,7 +39,7 @@
       else if (shouldFreeze)
         setImmediate(() => {
           socket.write(REQUEST);
-          freezeProcess();
+          freezeProcess(SUSPENSION_MS);
         });
     });
     socket.on('error', () => outcomes.push('reset'));
--- a/packages/direct/src/forward/stall-timer.test.ts
+++ b/packages/direct/src/forward/stall-timer.test.ts
@@ -1,6 +1,6 @@
 import {connect, createServer} from 'node:net';
 import {describe, it} from 'node:test';
-import {openListener} from '@nutmeggauge/core';
+import {freezeProcess, openListener} from '@nutmeggauge/core';
 import {expect} from 'earl';
 import {StallTimer, chooseTtftTimeoutMs} from './stall-timer.js';
 
@@ -38,9 +38,7 @@
       socket.write('first');
       setImmediate(() => {
         socket.write('second');
-        // Blocks the event loop like a suspension: no reads, no timers.
-        const lock = new Int32Array(new SharedArrayBuffer(4));
-        Atomics.wait(lock, 0, 0, SUSPENSION_MS);
+        freezeProcess(SUSPENSION_MS);
       });
     });
     const port = await openListener(server, {host: '127.0.0.1', port: 0});
--- a/packages/direct/src/forward/stream-forwarder.test.ts
+++ b/packages/direct/src/forward/stream-forwarder.test.ts
@@ -1,4 +1,5 @@
 import {describe, it} from 'node:test';
+import {freezeProcess} from '@nutmeggauge/core';
 import {expect} from 'earl';
 import {
   answerNotRun,
@@ -386,10 +387,7 @@
       });
       // Blocks the event loop, so that the disconnect and the stall timeout are
       // handled in the same turn.
-      setTimeout(() => {
-        const lock = new Int32Array(new SharedArrayBuffer(4));
-        Atomics.wait(lock, 0, 0, 1500);
-      }, 400);
+      setTimeout(freezeProcess, 400, 1500);
       await call;
       await harness.waitUntil(() =>
         harness.lines.some(line => line.includes('"caller_left"')),
--- a/packages/direct/src/gate.test.ts
+++ b/packages/direct/src/gate.test.ts
@@ -1,7 +1,7 @@
 import {connect} from 'node:net';
 import {describe, it} from 'node:test';
 import {expect} from 'earl';
-import {buildLoopbackHost} from '@nutmeggauge/core';
+import {buildLoopbackHost, freezeProcess} from '@nutmeggauge/core';
 import {HOLD_AFTER_OUTAGE_MS} from './fleet/target-table.js';
 import {
   answerCompletely,
@@ -14,15 +14,9 @@
 /** Time until a stopping gate of these tests refuses new requests, in ms. */
 const STOP_NOTICE_MS = 1000;
 
-/** Time for which `freezeProcess` blocks the process, in ms. */
+/** Duration of a suspension, in ms. */
 const FREEZE_MS = 400;
 
-/** Blocks the event loop: no reads and no timers, as in a suspended process. */
-function freezeProcess(): void {
-  const lock = new Int32Array(new SharedArrayBuffer(4));
-  Atomics.wait(lock, 0, 0, FREEZE_MS);
-}
-
 describe('direct gate', () => {
   it('fails readiness at once when a drain starts, and still serves open and newly arriving requests', async () => {
     // Guards against requests that fail during a rolling restart of the gates.
@@ -95,7 +89,7 @@
           void harness.gate.drain();
           const writeAndFreeze = () => {
             socket.write(request);
-            freezeProcess();
+            freezeProcess(FREEZE_MS);
           };
           // `setImmediate` runs after the poll phase of the event loop, so that
           // the gate's timers run before the gate reads the request.
--- a/packages/gate/src/membership/agent-connection.test.ts
+++ b/packages/gate/src/membership/agent-connection.test.ts
@@ -4,6 +4,7 @@
   TargetUnreachableError,
   createCounters,
   createRpcLink,
+  freezeProcess,
   openListener,
   waitMs,
 } from '@nutmeggauge/core';
@@ -83,9 +84,7 @@
       link.handle('dispatch', params => {
         const {requestId} = params as {requestId: string};
         link.notify('accepted', {requestId});
-        // Blocks the event loop like a stopped process: no reads, no timers.
-        const lock = new Int32Array(new SharedArrayBuffer(4));
-        Atomics.wait(lock, 0, 0, SUSPENSION_MS);
+        freezeProcess(SUSPENSION_MS);
         return {status: 'not-run', reason: 'test'};
       });
     });
--- a/packages/nutmeggauge/src/e2e/drain.test.ts
+++ b/packages/nutmeggauge/src/e2e/drain.test.ts
@@ -1,5 +1,6 @@
 import {connect} from 'node:net';
 import {after, afterEach, before, beforeEach, describe, it} from 'node:test';
+import {freezeProcess} from '@nutmeggauge/core';
 import {expect} from 'earl';
 import {
   TEST_KEY,
@@ -113,15 +114,9 @@
   });
 });
 
-/** Time for which `freezeProcess` blocks the process, in ms. */
+/** Duration of a suspension, in ms. */
 const FREEZE_MS = 50;
 
-/** Blocks the event loop as a suspended process does: no reads, no timers. */
-function freezeProcess(): void {
-  const lock = new Int32Array(new SharedArrayBuffer(4));
-  Atomics.wait(lock, 0, 0, FREEZE_MS);
-}
-
 function renderRequest(
   maxTokens: number,
   prompt = 's',
@@ -167,7 +162,7 @@
       if (heads.length > 1) return;
       socket.write(renderRequest(2, prompt));
       void stack.gate.drain();
-      freezeProcess();
+      freezeProcess(FREEZE_MS);
     });
     socket.on('error', () => (hasReset = true));
     socket.on('close', () => resolve({heads, hasReset}));
