--- a/packages/core/src/http.ts
+++ b/packages/core/src/http.ts
@@ -73,7 +73,8 @@
 
 /**
  * Reads a request body as JSON; resolves to undefined when it is not valid JSON
- * or larger than `MAX_BODY_BYTES`.
+ * or larger than `MAX_BODY_BYTES`. The rest of a larger one is then unread, as
+ * with `readBody`.
  *
  * @throws The connection's error when the caller disconnects while sending the
  *   body.
