--- a/packages/direct/src/forward/caller-response.ts
+++ b/packages/direct/src/forward/caller-response.ts
@@ -3,6 +3,7 @@
  * error from the gate. A failure after the head has been sent closes the
  * connection, so that an incomplete response never looks complete.
  */
+import {endResponse} from '@nutmeggauge/core';
 import type {ServerResponse} from 'node:http';
 import type {RawHeaders} from '../types.js';
 
@@ -75,9 +76,13 @@
   private readonly disconnectListeners: Array<() => void> = [];
   private hasDisconnected = false;
 
+  /**
+   * @param maxPauseMs - Longest pause within the rest of the body of a request
+   *   that is refused before its body has arrived, in ms.
+   */
   constructor(
     private readonly response: ServerResponse,
-    private readonly isStopping: () => boolean,
+    private readonly maxPauseMs: number,
   ) {
     // A write after the end emits an error that does not affect the response.
     response.on('error', () => undefined);
@@ -166,9 +171,8 @@
     ];
     if (retryAfterMs !== undefined)
       headers.push('Retry-After', (retryAfterMs / 1000).toFixed(3));
-    if (this.isStopping()) headers.push('Connection', 'close');
     this.response.writeHead(status, headers);
-    this.response.end(body);
+    endResponse(this.response, body, this.maxPauseMs);
   }
 
   /** Closes the connection to show that the response is incomplete. */
@@ -179,17 +183,16 @@
   }
 
   /**
-   * Adds `Connection: close` if the response is unframed or the gate is
-   * stopping. A response without a length stays unframed, because the gate
-   * cannot know whether it is complete.
+   * Adds `Connection: close` if the response is unframed. A response without a
+   * length stays unframed, because the gate cannot know whether it is complete.
    */
   private addConnectionClose(
     headers: string[],
     framing: ResponseFraming,
   ): void {
     this.isUnframed = framing === 'by-close';
-    if (this.isUnframed) this.response.useChunkedEncodingByDefault = false;
-    if (this.isUnframed || this.isStopping())
-      headers.push('Connection', 'close');
+    if (!this.isUnframed) return;
+    this.response.useChunkedEncodingByDefault = false;
+    headers.push('Connection', 'close');
   }
 }
--- a/packages/direct/src/ingress/ingress.ts
+++ b/packages/direct/src/ingress/ingress.ts
@@ -4,8 +4,10 @@
  */
 import {createServer} from 'node:http';
 import {
+  OpenRequests,
   closeIdleAfterRead,
   openListener,
+  readBody,
   waitForPendingReads,
 } from '@nutmeggauge/core';
 import {CallerResponse} from '../forward/caller-response.js';
@@ -41,18 +43,15 @@
  * HTTP server for callers.
  *
  * @example
- * const ingress = createIngress(context, () => false);
+ * const ingress = createIngress(context);
  * await ingress.start({host: '10.1.0.4', port: 8080});
  */
 export class Ingress {
   private readonly server: Server;
-  private open = 0;
+  private readonly requests = new OpenRequests();
   private isClosing = false;
 
-  constructor(
-    private readonly context: ForwardContext,
-    private readonly isStopping: () => boolean,
-  ) {
+  constructor(private readonly context: ForwardContext) {
     this.server = createServer(
       {
         maxHeaderSize: MAX_HEAD_BYTES,
@@ -69,7 +68,7 @@
 
   /** Number of requests whose response is not complete. */
   get inFlight(): number {
-    return this.open;
+    return this.requests.count;
   }
 
   /** Starts to listen; resolves with the bound port. */
@@ -77,6 +76,14 @@
     return openListener(this.server, address);
   }
 
+  /**
+   * Closes each connection after its current response, so that no caller reuses
+   * a connection to a gate that is stopping.
+   */
+  closeConnectionsAfterAnswers(): void {
+    this.requests.closeConnectionsAfterAnswers();
+  }
+
   /**
    * Refuses new requests, including those on kept-alive connections, with 503
    * and a short Retry-After, and closes idle connections.
@@ -112,10 +119,17 @@
     res: ServerResponse,
   ): Promise<void> {
     const arrivedAt = this.context.readNow();
-    this.open++;
-    res.once('close', () => this.open--);
-    const caller = new CallerResponse(res, this.isStopping);
-    const body = await readBody(req, this.readBodyLimit());
+    this.requests.add(res);
+    const caller = new CallerResponse(res, this.server.keepAliveTimeout);
+    let body: Buffer | undefined;
+    try {
+      body = await readBody(req, this.readBodyLimit());
+    } catch {
+      // The caller disconnected while sending its body: nothing runs, and no
+      // response is sent.
+      this.context.counters.add('ingress.caller_left');
+      return;
+    }
     if (caller.isDisconnected) return;
     if (body === undefined)
       return this.refuseEarly(caller, 413, 'body_too_large');
@@ -225,26 +239,6 @@
   }
 }
 
-/** Reads a request body; returns undefined if it exceeds `limit` bytes. */
-async function readBody(
-  req: IncomingMessage,
-  limit: number,
-): Promise<Buffer | undefined> {
-  const parts: Buffer[] = [];
-  let size = 0;
-  try {
-    for await (const part of req as AsyncIterable<Buffer>) {
-      size += part.length;
-      if (size > limit) return undefined;
-      parts.push(part);
-    }
-  } catch {
-    // The caller disconnected; the close event of the response handles that.
-    return Buffer.alloc(0);
-  }
-  return Buffer.concat(parts);
-}
-
 function readFirstValue(
   value: string | string[] | undefined,
 ): string | undefined {
@@ -269,11 +263,8 @@
  * Creates the HTTP server for callers.
  *
  * @example
- * const ingress = createIngress(context, () => isDraining);
+ * const ingress = createIngress(context);
  */
-export function createIngress(
-  context: ForwardContext,
-  isStopping: () => boolean,
-): Ingress {
-  return new Ingress(context, isStopping);
+export function createIngress(context: ForwardContext): Ingress {
+  return new Ingress(context);
 }
--- a/packages/nutmeggauge/src/e2e/drain.test.ts
+++ b/packages/nutmeggauge/src/e2e/drain.test.ts
@@ -1,5 +1,6 @@
 import {connect} from 'node:net';
 import {after, afterEach, before, beforeEach, describe, it} from 'node:test';
+import {freezeProcess} from '@nutmeggauge/core';
 import {expect} from 'earl';
 import {
   TEST_KEY,
@@ -113,17 +114,20 @@
   });
 });
 
-/** Time for which `freezeProcess` blocks the process, in ms. */
+/** Duration of a suspension, in ms. */
 const FREEZE_MS = 50;
 
-/** Blocks the event loop as a suspended process does: no reads, no timers. */
-function freezeProcess(): void {
-  const lock = new Int32Array(new SharedArrayBuffer(4));
-  Atomics.wait(lock, 0, 0, FREEZE_MS);
-}
-
-function renderRequest(maxTokens: number, prompt = 's'): string {
-  const body = JSON.stringify({model: 'chat', prompt, max_tokens: maxTokens});
+function renderRequest(
+  maxTokens: number,
+  prompt = 's',
+  stream = false,
+): string {
+  const body = JSON.stringify({
+    model: 'chat',
+    prompt,
+    max_tokens: maxTokens,
+    stream,
+  });
   return (
     'POST /v1/completions HTTP/1.1\r\nHost: a\r\n' +
     `Authorization: ${auth.authorization}\r\n` +
@@ -158,7 +162,7 @@
       if (heads.length > 1) return;
       socket.write(renderRequest(2, prompt));
       void stack.gate.drain();
-      freezeProcess();
+      freezeProcess(FREEZE_MS);
     });
     socket.on('error', () => (hasReset = true));
     socket.on('close', () => resolve({heads, hasReset}));
@@ -198,10 +202,10 @@
 
 describe('gate whose drain begins during a request', () => {
   let stack: Stack;
-  before(async () => {
+  beforeEach(async () => {
     stack = await startStack({engines: 1});
   });
-  after(async () => {
+  afterEach(async () => {
     await stack.close();
   });
 
@@ -223,4 +227,28 @@
     expect(text.slice(9, 12)).toEqual('200');
     expect(/^connection: close/im.test(text)).toEqual(true);
   });
+
+  it('answers a request that its caller sends as soon as a stream from before the drain has ended', async () => {
+    // Guards against a connection that is closed under a request, because the
+    // answer before it could no longer say that its connection ends.
+    const {port, hostname} = new URL(stack.gateUrl);
+    const text = await new Promise<string>(resolve => {
+      let received = '';
+      let hasSecond = false;
+      const socket = connect(Number(port), hostname, () =>
+        socket.write(renderRequest(20, 's', true)),
+      );
+      socket.on('data', chunk => {
+        received += String(chunk);
+        void stack.gate.drain();
+        if (hasSecond || !received.includes('[DONE]')) return;
+        hasSecond = true;
+        socket.write(renderRequest(2));
+      });
+      socket.on('close', () => resolve(received));
+    });
+    const heads = text.split('HTTP/1.1 ').slice(1);
+    expect(heads.map(head => head.slice(0, 3))).toEqual(['200', '503']);
+    expect(/^connection: close/im.test(heads[1])).toEqual(true);
+  });
 });
