Processes of demo, soak and bench end with their driver, and ends of their own fail the run

Cause: all processes ran in the process group of the driver. When the shell above it ends while a member is stopped, the kernel sends SIGHUP to the orphaned group. Brought about without a clock: a job of a shell with job control starts a driver, whose second process is seen in state T before the shell of the job ends. 3 of 3 runs before the change: second process ended by the signal, first one not ("[0,null]"). On this kernel (6.18.44) the stopped member alone was ended, in 2 of 2 runs of a script of plain Node processes too; why the others went on was not found out. Second fault of the same place: whatever the driver did not stop itself outlived it. Third: an agent of a demo killed from outside: "lost 0", status 0 (1 of 1).

Change: startOwnedProcess starts each process in a session of its own and ends it with the driver (SIGKILL; drivers of single seeds SIGTERM and SIGCONT). The driver then ends by the signal that it got. A SIGKILL of the driver still leaves its processes.

--- a/packages/nutmeggauge/src/bench/run-experiment.ts
+++ b/packages/nutmeggauge/src/bench/run-experiment.ts
@@ -6,6 +6,7 @@
 import {join} from 'node:path';
 import {waitMs} from '@nutmeggauge/core';
 import {startLocalCluster} from '../cluster/local-cluster.js';
+import {formatExit} from '../cluster/owned-process.js';
 import {buildDemoRecord} from '../defaults.js';
 import {runFaults} from '../faults/schedule.js';
 import {readExecutions} from '../load/executions.js';
@@ -171,5 +172,9 @@
         options.print(`  ${phase}: ${done}/${total}`);
     },
   });
-  return summarizeRun(plan, results, readExecutions(options.runDir));
+  const {unexpectedExits} = cluster;
+  for (const exit of unexpectedExits)
+    options.print(`  by itself, ${formatExit(exit)}`);
+  const executions = readExecutions(options.runDir);
+  return summarizeRun(plan, results, executions, unexpectedExits);
 }
--- a/packages/nutmeggauge/src/cluster/local-cluster.ts
+++ b/packages/nutmeggauge/src/cluster/local-cluster.ts
@@ -14,6 +14,7 @@
 import type {ClusterSpec, ClusterTarget} from './cluster-spec.js';
 import type {ClusterLayout, Launch} from './launch-plan.js';
 import type {ChildHandle} from './process.js';
+import type {ProcessExit} from './owned-process.js';
 
 /** Interval between readiness checks, in ms. */
 const READY_POLL_MS = 50;
@@ -34,6 +35,8 @@
  */
 export class LocalCluster {
   private readonly children = new Map<string, ChildHandle>();
+  /** Every process that was started, including those that were replaced. */
+  private readonly started: ChildHandle[] = [];
   /** Restarts in progress, by process name. */
   private readonly restarts = new Map<string, Promise<void>>();
   private lastVersion = 0;
@@ -56,6 +59,11 @@
     return this.layout.configUrl;
   }
 
+  /** How each process ended that ended without a request of the cluster. */
+  get unexpectedExits(): readonly ProcessExit[] {
+    return this.started.flatMap(child => child.unexpectedExit ?? []);
+  }
+
   /** Lists the ids of the running processes by process name. */
   listPids(): ReadonlyMap<string, number> {
     return new Map(
@@ -176,7 +184,9 @@
     if (isFirstStart) launch.writeSettings?.({isFirstStart});
     const {name, script, args} = launch;
     const log = join(this.spec.runDir, `${name}.log`);
-    this.children.set(name, await startChild(name, script, args, log));
+    const child = await startChild(name, script, args, log);
+    this.children.set(name, child);
+    this.started.push(child);
   }
 
   private isReady(state: GateState | undefined): boolean {
--- a/packages/nutmeggauge/src/cluster/process.ts
+++ b/packages/nutmeggauge/src/cluster/process.ts
@@ -3,11 +3,12 @@
  * copied to a file, and `startChild` resolves once the log says that the child
  * listens.
  */
-import {spawn} from 'node:child_process';
 import {createWriteStream} from 'node:fs';
 import {createInterface} from 'node:readline';
 import {ClusterError} from '@nutmeggauge/core';
+import {formatExit, startOwnedProcess} from './owned-process.js';
 import type {ChildProcess} from 'node:child_process';
+import type {ProcessExit} from './owned-process.js';
 
 /**
  * A child process that runs a gate, an agent or a stand-in.
@@ -18,16 +19,25 @@
 export class ChildHandle {
   private readonly exited: Promise<number | null>;
   private isTerminating = false;
+  private exitWithoutRequest: ProcessExit | undefined;
 
   constructor(
     readonly name: string,
     readonly child: ChildProcess,
   ) {
     this.exited = new Promise(resolve =>
-      child.once('exit', code => resolve(code)),
+      child.once('exit', (code, signal) => {
+        if (!this.isTerminating) this.exitWithoutRequest = {name, code, signal};
+        resolve(code);
+      }),
     );
   }
 
+  /** How the process ended, if it was sent no SIGTERM or SIGKILL before. */
+  get unexpectedExit(): ProcessExit | undefined {
+    return this.exitWithoutRequest;
+  }
+
   /** True until the process has exited. */
   get isRunning(): boolean {
     return this.child.exitCode === null && this.child.signalCode === null;
@@ -67,7 +77,7 @@
   logPath: string,
   timeoutMs = 15_000,
 ): Promise<ChildHandle> {
-  const child = spawn(process.execPath, [script, ...args], {
+  const child = startOwnedProcess([script, ...args], {
     stdio: ['ignore', 'ignore', 'pipe'],
     // Readiness and executions are read from log lines of level info.
     env: {...process.env, NUTMEGGAUGE_LOG: 'info'},
@@ -86,12 +96,12 @@
         ),
       timeoutMs,
     );
-    child.once('exit', code => {
+    child.once('exit', (code, signal) => {
       clearTimeout(timer);
       reject(
         new ClusterError(
-          {info: {name, code}},
-          `${name} exited with ${code} before it was listening; see ${logPath}`,
+          {info: {name, code, signal}},
+          `${formatExit({name, code, signal})} before it was listening; see ${logPath}`,
         ),
       );
     });
--- a/packages/nutmeggauge/src/demo.ts
+++ b/packages/nutmeggauge/src/demo.ts
@@ -14,6 +14,7 @@
 import {runPlan} from './load/run-plan.js';
 import {formatSummary, summarizeRun} from './load/summary.js';
 import {planWorkload} from './load/workload.js';
+import type {CallerResult} from './load/client.js';
 import type {RunSummary} from './load/summary.js';
 
 /** Options of the demo. */
@@ -51,19 +52,20 @@
     gates: options.faults ? 2 : 1,
     gateSettings: {routing: {policy: options.routing}},
   });
+  const base = options.faults ? FAULT_WORKLOAD : DEMO_WORKLOAD;
+  const workload = {...base, seed: options.seed};
+  const plan = planWorkload(workload);
+  let results: readonly CallerResult[];
   try {
     await cluster.publish(buildDemoRecord(cluster.targets));
     await cluster.waitUntilReady();
-    const base = options.faults ? FAULT_WORKLOAD : DEMO_WORKLOAD;
-    const workload = {...base, seed: options.seed};
-    const plan = planWorkload(workload);
     print(
       `sending ${plan.length} requests (${workload.requests} completions, ${workload.orders} orders, ${workload.repeatedOrders} repeated)`,
     );
     const faults = options.faults ? DEMO_FAULTS : [];
     for (const {atMs, forMs, kind, process: name = ''} of faults)
       print(`  at ${atMs} ms for ${forMs} ms: ${kind} ${name}`);
-    const [results] = await Promise.all([
+    [results] = await Promise.all([
       runPlan(plan, {
         gateUrls: cluster.gateUrls,
         deadlineMs: DEADLINE_MS,
@@ -75,14 +77,18 @@
       }),
       runFaults(cluster, faults),
     ]);
-    const executions = readExecutions(options.runDir);
-    const summary = summarizeRun(plan, results, executions);
-    print(formatSummary(summary));
-    print(
-      `to merge the logs of all processes, run: nutmeggauge timeline ${options.runDir}`,
-    );
-    return summary;
   } finally {
     await cluster.stop();
   }
+  const summary = summarizeRun(
+    plan,
+    results,
+    readExecutions(options.runDir),
+    cluster.unexpectedExits,
+  );
+  print(formatSummary(summary));
+  print(
+    `to merge the logs of all processes, run: nutmeggauge timeline ${options.runDir}`,
+  );
+  return summary;
 }
--- a/packages/nutmeggauge/src/faults/busy.ts
+++ b/packages/nutmeggauge/src/faults/busy.ts
@@ -1,5 +1,5 @@
 /** Simulates a busy machine with processes that busy-loop. */
-import {spawn} from 'node:child_process';
+import {startOwnedProcess} from '../cluster/owned-process.js';
 
 /**
  * Number of busy-looping processes; the driver of a soak needs a core as well.
@@ -23,7 +23,7 @@
  */
 export function startCpuLoad(): () => void {
   const children = Array.from({length: SPIN_PROCESS_COUNT}, () =>
-    spawn(process.execPath, ['-e', SPIN_SCRIPT], {stdio: 'ignore'}),
+    startOwnedProcess(['-e', SPIN_SCRIPT], {stdio: 'ignore'}),
   );
   return () => children.forEach(child => child.kill('SIGKILL'));
 }
--- a/packages/nutmeggauge/src/load/summary.ts
+++ b/packages/nutmeggauge/src/load/summary.ts
@@ -4,8 +4,10 @@
  * to first token by prompt length, and inter-token latency.
  */
 import {createLatencyHistogram} from '@nutmeggauge/core';
+import {formatExit} from '../cluster/owned-process.js';
 import {LENGTH_BUCKETS, resolveBucket} from './workload.js';
 import type {LatencyHistogram, LatencySummary} from '@nutmeggauge/core';
+import type {ProcessExit} from '../cluster/owned-process.js';
 import type {CallerResult, Verdict} from './client.js';
 import type {ExecutionRecord} from './executions.js';
 import type {PlannedRequest} from './workload.js';
@@ -32,6 +34,8 @@
   readonly falseNotRun: number;
   /** Number of orders whose sends returned different slip numbers. */
   readonly repeatMismatches: number;
+  /** Processes that ended although the run did not end them. */
+  readonly unexpectedExits: readonly ProcessExit[];
   readonly ttftByBucket: Readonly<Record<string, LatencySummary>>;
   /** TTFT of prompts of up to 32k tokens, which run in the short lane. */
   readonly shortTtft: LatencySummary;
@@ -47,12 +51,13 @@
  *
  * @param executions - Executions of all targets, read from their logs.
  * @example
- * const summary = summarizeRun(plan, results, readExecutions(runDir));
+ * const summary = summarizeRun(plan, results, readExecutions(runDir), cluster.unexpectedExits);
  */
 export function summarizeRun(
   plan: readonly PlannedRequest[],
   results: readonly CallerResult[],
   executions: readonly ExecutionRecord[],
+  unexpectedExits: readonly ProcessExit[],
 ): RunSummary {
   const byIndex = new Map(plan.map(p => [p.index, p]));
   const count = (verdict: Verdict) =>
@@ -70,6 +75,7 @@
     doubled: countDuplicates(executions),
     falseNotRun: countFalseNotRun(results, executions),
     repeatMismatches: countRepeatMismatches(byIndex, results),
+    unexpectedExits,
     ...summarizeLatencies(byIndex, results),
   };
 }
@@ -151,14 +157,16 @@
 
 /**
  * Returns true if the run had no lost request, no duplicate execution, no
- * false "not run" answer and no repeated order with a different slip number.
+ * false "not run" answer, no repeated order with a different slip number and no
+ * process that ended by itself.
  */
 export function isClean(summary: RunSummary): boolean {
   return (
     summary.lost === 0 &&
     summary.doubled === 0 &&
     summary.falseNotRun === 0 &&
-    summary.repeatMismatches === 0
+    summary.repeatMismatches === 0 &&
+    summary.unexpectedExits.length === 0
   );
 }
 
@@ -175,6 +183,8 @@
   for (const [reason, n] of Object.entries(summary.refusedByReason))
     lines.push(`  refused ${reason}: ${n}`);
   for (const loss of summary.losses) lines.push(`  lost ${loss}`);
+  for (const exit of summary.unexpectedExits)
+    lines.push(`  by itself, ${formatExit(exit)}`);
   lines.push('TTFT ms by prompt length   count     p50      p95      p99');
   for (const [bucket, s] of Object.entries(summary.ttftByBucket)) {
     const cell = (v: number) =>
--- a/packages/nutmeggauge/src/soak/check.ts
+++ b/packages/nutmeggauge/src/soak/check.ts
@@ -146,7 +146,7 @@
     .map(({node, code, signal}) => ({
       promise: 'no-exit',
       requestId: undefined,
-      detail: `${node} ended with ${code ?? signal}`,
+      detail: `${node} ended with code ${code}, signal ${signal}`,
     }));
   if (history.peakBytes > MAX_GATE_BYTES)
     found.push({
--- a/packages/nutmeggauge/src/soak/cluster-check.ts
+++ b/packages/nutmeggauge/src/soak/cluster-check.ts
@@ -1,4 +1,5 @@
 /** Checks the answers that the callers of a cluster received under faults. */
+import {formatExit} from '../cluster/owned-process.js';
 import type {InjectedClusterFault} from '../faults/schedule.js';
 import type {CallerResult} from '../load/client.js';
 import type {RunSummary} from '../load/summary.js';
@@ -11,7 +12,8 @@
 
 /** A violated invariant, with a description of what was observed. */
 export interface ClusterViolation {
-  readonly promise: 'answered' | 'at-most-once' | 'not-run' | 'same-answer';
+  readonly promise:
+    'answered' | 'at-most-once' | 'not-run' | 'same-answer' | 'no-exit';
   readonly detail: string;
 }
 
@@ -48,6 +50,8 @@
   ] as const;
   for (const [promise, count] of counts)
     if (count > 0) found.push({promise, detail: `${count} requests`});
+  for (const exit of summary.unexpectedExits)
+    found.push({promise: 'no-exit', detail: formatExit(exit)});
   return found;
 }
 
--- a/packages/nutmeggauge/src/soak/cluster-soak.test.ts
+++ b/packages/nutmeggauge/src/soak/cluster-soak.test.ts
@@ -8,6 +8,7 @@
 import {buildRandomFaults} from '../faults/random-faults.js';
 import {findClusterViolations} from './cluster-check.js';
 import {CLUSTER_REGRESSION_SEEDS} from './regression-seeds.js';
+import type {ProcessExit} from '../cluster/owned-process.js';
 import type {Fault, InjectedClusterFault} from '../faults/schedule.js';
 import type {CallerResult} from '../load/client.js';
 import type {RunSummary} from '../load/summary.js';
@@ -36,6 +37,7 @@
   doubled: 0,
   falseNotRun: 0,
   repeatMismatches: 0,
+  unexpectedExits: [] as readonly ProcessExit[],
 } as RunSummary;
 
 function listViolatedInvariants(
@@ -101,6 +103,12 @@
     );
   });
 
+  it('reports a process that ended by itself', () => {
+    const exit = {name: 'gate-2', code: null, signal: 'SIGHUP'} as const;
+    const summary = {...CLEAN_SUMMARY, unexpectedExits: [exit]};
+    expect(listViolatedInvariants({summary}, [])).toEqual(['no-exit']);
+  });
+
   it('reports repeated runs, false not-run answers and retries answered differently', () => {
     const summary = {
       ...CLEAN_SUMMARY,
--- a/packages/nutmeggauge/src/soak/cluster-soak.ts
+++ b/packages/nutmeggauge/src/soak/cluster-soak.ts
@@ -18,6 +18,8 @@
 import {planWorkload} from '../load/workload.js';
 import {findClusterViolations} from './cluster-check.js';
 import type {LocalCluster} from '../cluster/local-cluster.js';
+import type {InjectedClusterFault} from '../faults/schedule.js';
+import type {CallerResult} from '../load/client.js';
 import type {PlannedRequest, WorkloadSpec} from '../load/workload.js';
 import type {ClusterViolation} from './cluster-check.js';
 
@@ -40,6 +42,13 @@
   readonly violations: readonly ClusterViolation[];
 }
 
+/** Requests, results and faults of a run. */
+interface ClusterRun {
+  readonly plan: readonly PlannedRequest[];
+  readonly results: readonly CallerResult[];
+  readonly faults: readonly InjectedClusterFault[];
+}
+
 const ENGINE_COUNT = 3;
 const PLAIN_SERVICE_COUNT = 1;
 
@@ -83,20 +92,21 @@
     plainServices: PLAIN_SERVICE_COUNT,
     gates,
   });
+  let run: ClusterRun;
   try {
     await cluster.publish(buildDemoRecord(cluster.targets));
     await cluster.waitUntilReady();
-    return await runLoad(cluster, options);
+    run = await runLoad(cluster, options);
   } finally {
     await cluster.stop();
   }
+  return judgeRun(cluster, run, options);
 }
 
 async function runLoad(
   cluster: LocalCluster,
-  options: ClusterSoakOptions,
-): Promise<ClusterSoakResult> {
-  const {seed, runDir, lengthMs} = options;
+  {seed, lengthMs}: ClusterSoakOptions,
+): Promise<ClusterRun> {
   const plan = planBursts(seed, lengthMs);
   const gateNames = cluster.gateUrls.map((_, i) => `gate-${i + 1}`);
   const schedule = buildRandomFaults({
@@ -124,7 +134,20 @@
     runFaults(cluster, schedule),
   ]);
   await dispatcher.destroy();
-  const summary = summarizeRun(plan, results, readExecutions(runDir));
+  return {plan, results, faults};
+}
+
+function judgeRun(
+  cluster: LocalCluster,
+  {plan, results, faults}: ClusterRun,
+  {seed, runDir}: ClusterSoakOptions,
+): ClusterSoakResult {
+  const summary = summarizeRun(
+    plan,
+    results,
+    readExecutions(runDir),
+    cluster.unexpectedExits,
+  );
   const violations = findClusterViolations({
     summary,
     results,
--- a/packages/nutmeggauge/src/soak/gate-process.ts
+++ b/packages/nutmeggauge/src/soak/gate-process.ts
@@ -1,9 +1,9 @@
 /** A gate running as a child process, with faults injected by signals. */
-import {spawn} from 'node:child_process';
 import {createWriteStream, writeFileSync} from 'node:fs';
 import {join} from 'node:path';
 import {readGateArgs, renderSettings} from '@nutmeggauge/platform';
 import pidusage from 'pidusage';
+import {startOwnedProcess} from '../cluster/owned-process.js';
 import type {ChildProcess} from 'node:child_process';
 import type {GateAddresses} from '@nutmeggauge/platform';
 
@@ -78,17 +78,17 @@
     if (this.isClosed) return;
     const {node} = this.addresses;
     writeFileSync(this.settingsPath, renderSettings(this.addresses));
-    const child = spawn(process.execPath, readGateArgs(DEPLOY_FILE), {
+    const child = startOwnedProcess(readGateArgs(DEPLOY_FILE), {
       stdio: ['ignore', 'pipe', 'pipe'],
       env: {...process.env, NUTMEGGAUGE_CONFIG: this.settingsPath},
     });
     const log = createWriteStream(join(this.folder, `${node}.log`), {
       flags: 'a',
     });
-    child.stdout.pipe(log, {end: false});
-    child.stderr.pipe(log, {end: false});
+    child.stdout?.pipe(log, {end: false});
+    child.stderr?.pipe(log, {end: false});
     let hadBegun = false;
-    child.stdout.once('data', () => (hadBegun = true));
+    child.stdout?.once('data', () => (hadBegun = true));
     this.observeOutage(child);
     this.child = child;
     this.isExitExpected = false;
--- a/packages/nutmeggauge/src/soak/run-soaks.ts
+++ b/packages/nutmeggauge/src/soak/run-soaks.ts
@@ -1,6 +1,6 @@
 /** Runs the soak for a range of seeds, each seed in its own child process. */
-import {spawn} from 'node:child_process';
 import {join} from 'node:path';
+import {formatExit, startOwnedProcess} from '../cluster/owned-process.js';
 import {runClusterSoak} from './cluster-soak.js';
 import {runSoak} from './soak.js';
 import type {ClusterSoakResult} from './cluster-soak.js';
@@ -54,9 +54,18 @@
     ...(series.hasTiming ? [] : ['--no-timing']),
     ...(series.hasAgents ? ['--agents'] : []),
   ];
-  const child = spawn(process.execPath, cliArgs, {stdio: 'inherit'});
+  const child = startOwnedProcess(cliArgs, {
+    stdio: 'inherit',
+    endSignal: 'SIGTERM',
+  });
   return new Promise(resolve =>
-    child.once('exit', code => resolve(code === 0)),
+    child.once('exit', (code, signal) => {
+      if (signal !== null)
+        process.stdout.write(
+          `${formatExit({name: `soak of seed ${seed}`, code, signal})}\n`,
+        );
+      resolve(code === 0);
+    }),
   );
 }
 
