Gate and agent reload their settings on SIGHUP instead of ending

Cause: runDaemon handled SIGTERM and SIGINT only, so SIGHUP (a closed terminal, an orphaned process group) ended nutmeggauge-gate and nutmeggauge-agent without a line and with the requests that they had accepted.

Before (e2e/reload.test.ts on, gate and agent as processes, the target holds its answer until the signal has been handled): the caller of the request in flight got "other side closed"; with a bad file no line came and the process was gone.

Change: SIGHUP reads and checks the settings file. One line, in the words of the direct gate: settings_reloaded with the keys that were applied (gate: estimate, drainNoticeMs, drainTimeoutMs; agent: drainTimeoutMs) and the changed keys that need a restart, or settings_reload_failed with the code and message of the typed error; then nothing changes. The rest stays with a restart: it is bound to listeners, links and state. The launchers ignore SIGHUP until the command handles it; dist/bin.js started directly does not, while Node loads it.

--- a/packages/agent/src/agent.ts
+++ b/packages/agent/src/agent.ts
@@ -46,6 +46,9 @@
  */
 const DRAIN_SLACK_MS = 2000;
 
+/** Settings that the agent reads only when it uses them. */
+const RELOADABLE_KEYS = ['drainTimeoutMs'] as const;
+
 /**
  * Holds the state of one agent process and runs its background tasks.
  *
@@ -67,8 +70,9 @@
   private readonly watcher: ConfigWatcher | undefined;
   private readonly orders: EngineOrders | undefined;
   private draining: Promise<void> | undefined;
+  readonly reloadableKeys = RELOADABLE_KEYS;
 
-  constructor(private readonly settings: AgentSettings) {
+  constructor(private settings: AgentSettings) {
     const {ledger, lanes, target} = settings;
     this.ownership = createKeyOwnership({
       targetId: settings.id,
@@ -125,6 +129,11 @@
     return this.draining;
   }
 
+  /** Puts the reloadable settings into force. */
+  applySettings(settings: AgentSettings): void {
+    this.settings = settings;
+  }
+
   /** Upper bound of the duration of `drain`, in ms. */
   get drainLimitMs(): number {
     return this.settings.drainTimeoutMs + DRAIN_SLACK_MS;
--- a/packages/core/src/daemon.ts
+++ b/packages/core/src/daemon.ts
@@ -1,6 +1,7 @@
 /**
  * Entry point shared by the gate and agent binaries: reads `--config`,
- * validates the settings, runs the task and drains it on SIGTERM or SIGINT.
+ * validates the settings, runs the task, drains it on SIGTERM or SIGINT, and
+ * reloads its settings on SIGHUP.
  */
 import meow from 'meow';
 import {SettingsError} from './errors.js';
@@ -10,7 +11,9 @@
 } from './uncaught-errors.js';
 import {createLogger, setProcessName} from './log.js';
 import {loadSettings} from './settings.js';
+import {SettingsReloader} from './settings-reload.js';
 import type {z} from 'zod';
+import type {ReloadableTask, SettingsSection} from './settings-reload.js';
 
 /** Exit status of a process whose settings or command line are invalid. */
 export const EXIT_BAD_SETTINGS = 2;
@@ -18,8 +21,13 @@
 /** Exit status of a process whose task failed to start. */
 const EXIT_START_FAILED = 1;
 
+/** Schema of the settings of a binary. */
+type SettingsSchema = z.ZodType<SettingsSection & {readonly id: string}>;
+
 /** Long-running task of a binary. */
-export interface DaemonTask {
+export interface DaemonTask<
+  T extends SettingsSection,
+> extends ReloadableTask<T> {
   start(): Promise<void>;
   /**
    * Finishes the requests in flight; resolves when the process may exit. A
@@ -31,7 +39,7 @@
 }
 
 /** Definition of a binary. */
-export interface DaemonOptions<S extends z.ZodType> {
+export interface DaemonOptions<S extends SettingsSchema> {
   /** Name on the command line, such as `nutmeggauge-gate`. */
   readonly name: string;
   /** `import.meta` of the binary. */
@@ -39,7 +47,7 @@
   /** Contents of the settings file, as shown by `--help`. */
   readonly settingsHelp: string;
   readonly schema: S;
-  readonly createTask: (settings: z.output<S>) => DaemonTask;
+  readonly createTask: (settings: z.output<S>) => DaemonTask<z.output<S>>;
 }
 
 /**
@@ -48,12 +56,15 @@
  * @example
  * await runDaemon({name: 'nutmeggauge-gate', importMeta: import.meta, settingsHelp: '…', schema, createTask: createGate});
  */
-export async function runDaemon<S extends z.ZodType<{id: string}>>(
+export async function runDaemon<S extends SettingsSchema>(
   options: DaemonOptions<S>,
 ): Promise<void> {
   let settings: z.output<S>;
+  let load: () => z.output<S>;
   try {
-    settings = loadSettings(options.schema, parseConfigPath(options));
+    const path = parseConfigPath(options);
+    load = () => loadSettings(options.schema, path);
+    settings = load();
   } catch (error) {
     if (!(error instanceof SettingsError)) throw error;
     process.stderr.write(`${options.name}: ${error.message}\n`);
@@ -66,7 +77,10 @@
     createUncaughtErrorHandler({
       log,
       drain: () => task.drain(),
-      drainLimitMs: task.drainLimitMs,
+      // A reload may change the limit.
+      get drainLimitMs() {
+        return task.drainLimitMs;
+      },
       exit: status => process.exit(status),
     }),
   );
@@ -78,6 +92,8 @@
   // the process during the drain.
   process.on('SIGTERM', () => stop('SIGTERM'));
   process.on('SIGINT', () => stop('SIGINT'));
+  const reloader = new SettingsReloader({settings, load, task, log});
+  process.on('SIGHUP', () => reloader.reload());
   try {
     await task.start();
   } catch (error) {
@@ -91,7 +107,9 @@
  *
  * @throws SettingsError that names the invalid flag or argument.
  */
-function parseConfigPath(options: DaemonOptions<z.ZodType>): string {
+function parseConfigPath<S extends SettingsSchema>(
+  options: DaemonOptions<S>,
+): string {
   const {flags, input} = parseCommandLine(options);
   const foreign = Object.keys(flags).find(key => key !== 'config');
   if (foreign !== undefined)
@@ -104,11 +122,11 @@
   return config;
 }
 
-function parseCommandLine({
+function parseCommandLine<S extends SettingsSchema>({
   name,
   importMeta,
   settingsHelp,
-}: DaemonOptions<z.ZodType>) {
+}: DaemonOptions<S>) {
   try {
     return meow(
       `
--- a/packages/core/src/index.ts
+++ b/packages/core/src/index.ts
@@ -16,6 +16,7 @@
 export * from './read-timeout.js';
 export * from './rendezvous.js';
 export * from './rpc.js';
+export * from './settings-reload.js';
 export * from './settings-text.js';
 export * from './settings.js';
 export * from './sse.js';
--- a/packages/gate/bin/nutmeggauge-gate.js
+++ b/packages/gate/bin/nutmeggauge-gate.js
@@ -5,6 +5,9 @@
 import process from 'node:process';
 import {URL, fileURLToPath} from 'node:url';
 
+// Until the command handles SIGHUP itself, the signal must not end it.
+process.on('SIGHUP', () => undefined);
+
 const compiled = new URL('../dist/bin.js', import.meta.url);
 if (!existsSync(fileURLToPath(compiled))) {
   process.stderr.write(
--- a/packages/gate/src/api/handler-context.ts
+++ b/packages/gate/src/api/handler-context.ts
@@ -17,7 +17,8 @@
   readonly limits: AccountLimits;
   readonly membership: Membership;
   readonly dispatcher: Dispatcher;
-  readonly figures: EstimateFigures;
+  /** Returns the engine speeds in force. */
+  readonly readFigures: () => EstimateFigures;
   /** Time to first token at this gate, in ms. */
   readonly ttft: LatencyHistogram;
   readonly readRecord: () => ConfigRecord | undefined;
--- a/packages/gate/src/api/serve-admitted.ts
+++ b/packages/gate/src/api/serve-admitted.ts
@@ -167,9 +167,10 @@
   const candidates = context.membership.listUsable(pool);
   if (candidates.length === 0)
     return {status: 503, reason: 'no_target', retryAfterMs: 1000};
-  if (!context.figures.refusesLate) return undefined;
+  const figures = context.readFigures();
+  if (!figures.refusesLate) return undefined;
   const shortestMs = Math.min(
-    ...candidates.map(c => estimateFinishMs(c, route, context.figures)),
+    ...candidates.map(c => estimateFinishMs(c, route, figures)),
   );
   if (shortestMs <= deadlineMs) return undefined;
   return {
--- a/packages/gate/src/gate.ts
+++ b/packages/gate/src/gate.ts
@@ -38,6 +38,13 @@
 /** Margin on the maximum drain time for late timers on a busy host, in ms. */
 const DRAIN_SLACK_MS = 2000;
 
+/** Settings that the gate reads anew each time it uses them. */
+const RELOADABLE_KEYS = [
+  'estimate',
+  'drainNoticeMs',
+  'drainTimeoutMs',
+] as const;
+
 /**
  * Holds the state of one gate process and runs its services.
  *
@@ -59,8 +66,9 @@
   private draining: Promise<void> | undefined;
   private closed = false;
   private readonly requests = new OpenRequests();
+  readonly reloadableKeys = RELOADABLE_KEYS;
 
-  constructor(private readonly settings: GateSettings) {
+  constructor(private settings: GateSettings) {
     this.watcher = createConfigWatcher({
       url: settings.configService.url,
       counters: this.counters,
@@ -99,7 +107,7 @@
         acceptTimeoutMs: settings.routing.acceptTimeoutMs,
         retryBudget: createRetryBudget(settings.retryBudget),
       }),
-      figures: settings.estimate,
+      readFigures: () => this.settings.estimate,
       ttft: this.ttft,
       readRecord,
       findAccount: key => this.keys.get(key),
@@ -162,6 +170,11 @@
     return this.draining;
   }
 
+  /** Puts the reloadable settings into force. */
+  applySettings(settings: GateSettings): void {
+    this.settings = settings;
+  }
+
   /** Maximum duration of a drain, in ms. */
   get drainLimitMs(): number {
     const {drainNoticeMs, drainTimeoutMs} = this.settings;
--- a/packages/nutmeggauge/src/cli/launchers.test.ts
+++ b/packages/nutmeggauge/src/cli/launchers.test.ts
@@ -6,6 +6,7 @@
   readFileSync,
   rmSync,
   statSync,
+  writeFileSync,
 } from 'node:fs';
 import {tmpdir} from 'node:os';
 import {join} from 'node:path';
@@ -62,6 +63,28 @@
   }
 });
 
+describe('launchers of the gate and agent commands', () => {
+  for (const [folder, name] of COMMANDS.slice(1))
+    it(`${name} survives a SIGHUP that arrives while the command is loading`, () => {
+      // Guards against a SIGHUP that ends a process before its handler exists.
+      const copy = mkdtempSync(join(tmpdir(), 'loading-'));
+      mkdirSync(join(copy, 'bin'));
+      mkdirSync(join(copy, 'dist'));
+      const launcher = join(copy, 'bin', `${name}.mjs`);
+      copyFileSync(findLauncher(folder, name), launcher);
+      writeFileSync(
+        join(copy, 'dist', 'bin.js'),
+        "process.kill(process.pid, 'SIGHUP'); setImmediate(() => console.log('alive'));",
+      );
+      const result = spawnSync(process.execPath, [launcher], {
+        encoding: 'utf8',
+        timeout: COMMAND_TIMEOUT_MS,
+      });
+      rmSync(copy, {recursive: true});
+      expect(result.stdout).toEqual('alive\n');
+    });
+});
+
 /** Invalid arguments of the gate or agent command, and the expected error. */
 const INVALID_ARGUMENTS: ReadonlyArray<readonly [readonly string[], string]> = [
   [[], '--config needs the path of a settings file'],
