A whole answer is not resumed when only the report of its end is lost

The lines of the request: its 32 tokens came from engine-02, whose agent was then killed by the demo (agent_link_lost); attempt 2 found engine-01 dead, attempt 3 resumed on engine-03 behind the last token, and the engine added " t32". The caller got a 200 with [DONE] and one token too many, and the demo counted it as lost.

Cause: the dispatcher resumed at releasedCount whatever the limit; an engine that is asked to go on behind the last token generates another one. Ruled out: the idle timeout (the connection had been opened 0.1 s before), a process that ended by itself (none did).

Change: an outcome other than done is judged done once as many tokens have arrived as the answer may have. In pools that are not resumable, the caller of such a whole answer is no longer told that its outcome is unknown.

--- /dev/null
+++ b/packages/gate/src/dispatch/dispatcher.test.ts
@@ -0,0 +1,123 @@
+import {describe, it} from 'node:test';
+import {expect} from 'earl';
+import {
+  RpcClosedError,
+  createClassCounts,
+  createCounters,
+} from '@nutmeggauge/core';
+import {RoundRobinRouter} from '../routing/router.js';
+import {createChunkStream} from '../streaming/reassembly.js';
+import {createDispatcher} from './dispatcher.js';
+import {createRetryBudget} from './retry-budget.js';
+import type {DispatchOutcome, DispatchRequest} from '@nutmeggauge/core';
+import type {TargetLink} from '../membership/target-link.js';
+
+const MAX_TOKENS = 4;
+
+const LINK_LOST = new RpcClosedError({}, 'link closed');
+
+/**
+ * Creates a target that sends chunks up to `chunkCount`, beginning at the
+ * resume point, and then ends with `end`.
+ */
+function createStreamTarget(
+  id: string,
+  chunkCount: number,
+  end: DispatchOutcome | Error,
+  sent: DispatchRequest[],
+): TargetLink {
+  return {
+    id,
+    zone: 'az-1',
+    outstanding: 0,
+    load: undefined,
+    unreportedByClass: createClassCounts(),
+    isUsable: true,
+    dispatch: async (request, onChunk) => {
+      sent.push(request);
+      const {requestId, resume} = request;
+      for (let seq = resume?.fromSeq ?? 0; seq < chunkCount; seq++)
+        onChunk({requestId, seq, text: ` t${seq}`});
+      if (end instanceof Error) throw end;
+      return end;
+    },
+    cancel: () => {},
+  };
+}
+
+/** Dispatches one generate request to the first of `targets`. */
+async function runDispatch(targets: readonly TargetLink[], resumable: boolean) {
+  const chunks = createChunkStream();
+  const texts: string[] = [];
+  const streamEnd = chunks.observe(text => texts.push(text));
+  const result = await createDispatcher({
+    directory: {listUsable: () => targets, findHome: async () => undefined},
+    router: new RoundRobinRouter(),
+    counters: createCounters(),
+    maxAttempts: 3,
+    acceptTimeoutMs: 1000,
+    retryBudget: createRetryBudget({ratio: 0.2, burst: 10}),
+  }).run({
+    request: {
+      requestId: 'r1',
+      account: 'a',
+      pool: 'chat',
+      kind: 'generate',
+      maxTokens: MAX_TOKENS,
+      deadlineAt: Date.now() + 60_000,
+      notRepeatable: false,
+      keyed: false,
+      recordVersion: 1,
+    },
+    route: {
+      promptTokens: 1,
+      maxTokens: MAX_TOKENS,
+      isLongPrompt: false,
+      prefixes: [],
+    },
+    resumable,
+    chunks,
+    signal: new AbortController().signal,
+  });
+  chunks.end();
+  await streamEnd;
+  return {status: result.status, text: texts.join('')};
+}
+
+describe('answer whose link closes before its end is reported', () => {
+  const extraChunk = {
+    status: 'done',
+    chunks: MAX_TOKENS + 1,
+    tokens: 1,
+    cachedTokens: 0,
+  } as const;
+
+  for (const resumable of [true, false])
+    it(`is complete once all of its tokens have arrived, ${resumable ? '' : 'not '}resumable`, async () => {
+      // Guards against an engine that resumes a whole answer and adds a token.
+      const sent: DispatchRequest[] = [];
+      const targets = [
+        createStreamTarget('e1', MAX_TOKENS, LINK_LOST, sent),
+        createStreamTarget('e2', MAX_TOKENS + 1, extraChunk, sent),
+      ];
+      expect(await runDispatch(targets, resumable)).toEqual({
+        status: 'done',
+        text: ' t0 t1 t2 t3',
+      });
+      expect(sent.length).toEqual(1);
+    });
+
+  it('is resumed at its last token while one is missing', async () => {
+    const sent: DispatchRequest[] = [];
+    const rest = {...extraChunk, chunks: MAX_TOKENS};
+    const targets = [
+      createStreamTarget('e1', MAX_TOKENS - 1, LINK_LOST, sent),
+      createStreamTarget('e2', MAX_TOKENS, rest, sent),
+    ];
+    expect(await runDispatch(targets, true)).toEqual({
+      status: 'done',
+      text: ' t0 t1 t2 t3',
+    });
+    expect(sent[1].resume?.fromSeq).toEqual(MAX_TOKENS - 1);
+  });
+});
--- a/packages/gate/src/dispatch/dispatcher.ts
+++ b/packages/gate/src/dispatch/dispatcher.ts
@@ -9,6 +9,8 @@
  * - A request whose chunks have partly been delivered is resumed, and only in
  *   pools whose engines can resume. Running it again would generate a
  *   different text, and the caller would get parts of two answers.
+ * - A request whose tokens have all been delivered is done, also without the
+ *   report of its end.
  */
 import {
   RpcClosedError,
@@ -36,6 +38,8 @@
 /** Default Retry-After for a request that did not run, in ms. */
 const RETRY_AFTER_MS = 1000;
 
+type DoneOutcome = Extract<DispatchOutcome, {status: 'done'}>;
+
 /**
  * Final result of a dispatch, from which the API builds the answer to the
  * caller.
@@ -43,7 +47,7 @@
 export type DispatchResult =
   | {
       readonly status: 'done';
-      readonly outcome: Extract<DispatchOutcome, {status: 'done'}>;
+      readonly outcome: DoneOutcome;
       readonly target: string;
     }
   | {
@@ -149,6 +153,10 @@
       return {status: 'unknown', reason: 'answer_incomplete'};
     }
     if (job.signal.aborted) return {status: 'unknown', reason: 'caller_gone'};
+    // Only the report of the end is missing. A resumed engine would add a token
+    // beyond the limit.
+    if (isWhole(job))
+      return {status: 'done', outcome: renderDone(job), target: target.id};
     if (outcome.status === 'not-run') {
       counters.add('dispatch.retry_not_run');
       progress.lastNotRun = {
@@ -231,6 +239,25 @@
   }
 }
 
+/** Returns whether as many tokens have arrived as the answer may have. */
+function isWhole({request, chunks}: DispatchJob): boolean {
+  return (
+    request.kind === 'generate' &&
+    request.maxTokens !== undefined &&
+    chunks.releasedCount >= request.maxTokens
+  );
+}
+
+/** Renders the outcome of an answer whose end was not reported. */
+function renderDone({chunks}: DispatchJob): DoneOutcome {
+  return {
+    status: 'done',
+    chunks: chunks.releasedCount,
+    tokens: chunks.releasedCount,
+    cachedTokens: 0,
+  };
+}
+
 function readResumePoint(chunks: ChunkStream): ResumePoint | undefined {
   if (chunks.releasedCount === 0) return undefined;
   return {fromSeq: chunks.releasedCount, text: chunks.releasedText};
--- a/packages/nutmeggauge/src/e2e/streams.test.ts
+++ b/packages/nutmeggauge/src/e2e/streams.test.ts
@@ -9,6 +9,7 @@
   waitForGate,
 } from '../test/stack.js';
 import {startFrozenAgent} from '../test/frozen-agent.js';
+import type {IncomingMessage, ServerResponse} from 'node:http';
 import type {Stack} from '../test/stack.js';
 
 const TOKEN_LETTERS = ['a', 'b'];
@@ -53,6 +54,49 @@
   });
 });
 
+/**
+ * Makes the first engine that answers close its connection instead of reporting
+ * the end of the answer.
+ */
+function dropFirstEnd({engines}: Stack): void {
+  let isDropped = false;
+  const dropEnd = (_req: IncomingMessage, res: ServerResponse) => {
+    if (isDropped) return;
+    isDropped = true;
+    const write = res.write.bind(res) as (text: string) => boolean;
+    res.write = (text: string) => {
+      if (!text.startsWith('event: done')) return write(text);
+      // The tokens before the end are sent first.
+      setImmediate(() => res.destroy());
+      return true;
+    };
+    res.end = () => res;
+  };
+  for (const {server} of engines) server.prependListener('request', dropEnd);
+}
+
+describe('stream whose engine dies after its last token', () => {
+  let stack: Stack;
+  before(async () => {
+    stack = await startStack();
+  });
+  after(async () => {
+    await stack.close();
+  });
+
+  it('ends with the tokens that were asked for', async () => {
+    // Guards against a second engine that adds a token to a whole answer.
+    dropFirstEnd(stack);
+    const result = await streamCompletion(
+      stack.gateUrl,
+      {model: 'chat', prompt: 'e'.repeat(4000), max_tokens: 20},
+      TEST_AUTH,
+    );
+    expect(result.done).toEqual(true);
+    expect(result.text).toEqual(renderCompleteAnswer(20));
+  });
+});
+
 describe('stream whose engine dies in a pool that is not resumable', () => {
   let stack: Stack;
   before(async () => {
