--- a/packages/direct/src/placement/tracked-engine.ts
+++ b/packages/direct/src/placement/tracked-engine.ts
@@ -77,11 +77,11 @@
     const isUnchanged = isDeepStrictEqual(costModel, this.costModel);
     this.costModel = costModel;
     if (isUnchanged) return;
-    this.iterations = costModel && this.predict(costModel);
+    this.iterations = costModel && this.buildSchedule(costModel);
   }
 
-  /** Predicts the schedule from the open placements in their order. */
-  private predict(costModel: EngineCostModel): EngineIterations {
+  /** Builds the schedule from the open placements in their order. */
+  private buildSchedule(costModel: EngineCostModel): EngineIterations {
     const iterations = new EngineIterations(
       costModel,
       this.options.readSlowdown(),
