--- /dev/null
+++ b/packages/direct/src/forward/silent-engine.test.ts
@@ -0,0 +1,133 @@
+import {describe, it} from 'node:test';
+import {expect} from 'earl';
+import {EVENT_COUNT, openStreamBed} from '../test/silent-engine.js';
+import type {SilentEngine, StreamBed} from '../test/silent-engine.js';
+
+/** Number of short streams that the silent engine decodes. */
+const STREAM_COUNT = 8;
+
+/** Prompt whose prefill takes one iteration of about 1.5 s. */
+const PROMPT_OF_1500_MS = '/long/100000';
+
+/** Prompt whose first iteration takes about 2.4 s. */
+const PROMPT_OF_2400_MS = '/long/154000';
+
+/**
+ * Opens a gate with an engine that decodes short streams and has just begun the
+ * prefill of a long prompt, and with another engine that is idle.
+ */
+async function openBesidePrefill(
+  bed: StreamBed,
+  path: string,
+): Promise<{readonly busy: SilentEngine; readonly idle: SilentEngine}> {
+  const busy = await bed.addEngine('busy');
+  await bed.beginStreams(busy, STREAM_COUNT);
+  bed.call(path);
+  await bed.clock.advanceUntil(() => busy.streams.length === STREAM_COUNT + 1);
+  const idle = await bed.addEngine('idle');
+  return {busy, idle};
+}
+
+describe('engine in a long iteration', () => {
+  it('is not taken for stalled before the predicted end of the iteration', async () => {
+    // Guards against a second prefill of every stream of a healthy engine.
+    const bed = await openStreamBed();
+    try {
+      const {busy} = await openBesidePrefill(bed, PROMPT_OF_1500_MS);
+      await bed.clock.advance(1200);
+      const backups = bed.countLines('engine_silent');
+      const isSuspended = bed.harness.gate['health'].isSuspended(
+        'busy',
+        bed.clock.now,
+      );
+      await bed.clock.advance(300);
+      busy.stream(EVENT_COUNT);
+      await bed.waitForEnds();
+      expect({backups, isSuspended}).toEqual({backups: 0, isSuspended: false});
+      expect(bed.callers.every(({isWhole}) => isWhole)).toEqual(true);
+    } finally {
+      bed.close();
+    }
+  });
+
+  it('that callers do not outlast is replaced before they leave', async () => {
+    // Guards against waiting for a healthy engine until its callers are gone.
+    const bed = await openStreamBed();
+    try {
+      const {busy, idle} = await openBesidePrefill(bed, PROMPT_OF_2400_MS);
+      await bed.clock.advance(1700);
+      idle.stream(EVENT_COUNT);
+      await bed.clock.advance(800);
+      busy.stream(EVENT_COUNT);
+      await bed.waitForEnds();
+      expect(bed.callers.map(({end}) => end)).toEqual(
+        bed.callers.map(() => 'whole'),
+      );
+    } finally {
+      bed.close();
+    }
+  });
+
+  it('is replaced before its callers leave if it has died', async () => {
+    // Guards against a predicted long iteration that hides a dead engine.
+    const bed = await openStreamBed();
+    try {
+      const {idle} = await openBesidePrefill(bed, PROMPT_OF_1500_MS);
+      const short = bed.callers.slice(0, STREAM_COUNT);
+      for (let ms = 0; ms < 2000; ms += 100) {
+        await bed.clock.advance(100);
+        // The idle engine answers 200 ms after a stream has reached it.
+        if (ms % 200 === 0) idle.stream(EVENT_COUNT);
+      }
+      expect(short.map(({end}) => end)).toEqual(short.map(() => 'whole'));
+    } finally {
+      bed.close();
+    }
+  });
+
+  it('leaves its streams an attempt for the time when it dies', async () => {
+    // Guards against a stream that cannot be resumed because a backup was
+    // started in a long iteration before.
+    const bed = await openStreamBed();
+    try {
+      const {busy, idle} = await openBesidePrefill(bed, PROMPT_OF_1500_MS);
+      const [caller] = bed.callers;
+      await bed.clock.advance(1300);
+      busy.stream(3);
+      await bed.clock.waitUntil(() => caller.body.includes('piece-3'));
+      busy.close();
+      for (let ms = 0; ms < 1500; ms += 100) {
+        await bed.clock.advance(100);
+        idle.stream(EVENT_COUNT);
+      }
+      expect(caller.end).toEqual('whole');
+    } finally {
+      bed.close();
+    }
+  });
+});
+
+describe('engine that goes silent without a known reason', () => {
+  it('is usable again as soon as it sends events', async () => {
+    // Guards against one pause that counts as a failure for each stream and
+    // suspends a healthy engine for seconds.
+    const bed = await openStreamBed();
+    try {
+      const busy = await bed.addEngine('busy');
+      await bed.beginStreams(busy, STREAM_COUNT);
+      await bed.addEngine('idle');
+      await bed.clock.advance(1200);
+      busy.stream(3);
+      await bed.clock.waitUntil(() =>
+        bed.callers.every(({body}) => body.includes('piece-3')),
+      );
+      const isSuspended = bed.harness.gate['health'].isSuspended(
+        'busy',
+        bed.clock.now,
+      );
+      expect(isSuspended).toEqual(false);
+    } finally {
+      bed.close();
+    }
+  });
+});
--- a/packages/direct/src/placement/abandoned-streams.test.ts
+++ b/packages/direct/src/placement/abandoned-streams.test.ts
@@ -189,7 +189,7 @@
           const demand = buildPromptDemand(5000);
           const choice = choose(setups, demand);
           const hasShortIterations = (id: string) =>
-            buildFleet(setups).predictPauseMs(id) < findPatienceMs(demand) / 2;
+            buildFleet(setups).estimatePauseMs(id) < findPatienceMs(demand) / 2;
           if (choice === undefined || hasShortIterations(choice.decoder))
             return;
           const {ids} = buildFleet(setups);
--- a/packages/direct/src/test/fake-store.ts
+++ b/packages/direct/src/test/fake-store.ts
@@ -28,6 +28,11 @@
   private history: LoggedChange[] = [];
   private readonly waiters = new Set<() => void>();
 
+  /** True while a gate waits for changes. */
+  get isWatched(): boolean {
+    return this.waiters.size > 0;
+  }
+
   /** Publishes a configuration. */
   publishConfig(config: FleetConfig): void {
     this.config = config;
--- a/packages/direct/src/test/fleet-load.ts
+++ b/packages/direct/src/test/fleet-load.ts
@@ -126,10 +126,10 @@
   }
 
   /**
-   * Predicts the longest coming iteration of an engine, in ms: the longest
+   * Estimates the longest coming iteration of an engine, in ms: the longest
    * pause of the streams that it decodes.
    */
-  predictPauseMs(id: string): number {
+  estimatePauseMs(id: string): number {
     const load = this.tracker.describe(id, 0);
     const decodeMs = estimateDecodeMs(
       load.decoding.length,
@@ -141,7 +141,7 @@
 
   /** Lists the streams of an engine whose pause exceeds their patience. */
   listAbandoned(id: string): readonly Placement[] {
-    const pauseMs = this.predictPauseMs(id);
+    const pauseMs = this.estimatePauseMs(id);
     return this.tracker
       .describe(id, 0)
       .decoding.filter(stream => pauseMs > findPatienceMs(stream));
