--- a/packages/direct/src/forward/begun-stream.test.ts
+++ b/packages/direct/src/forward/begun-stream.test.ts
@@ -67,6 +67,14 @@
   'the backup engine resets the connection': {
     run: addBackup(req => req.socket.resetAndDestroy()),
   },
+  'all other engines refuse connections': {
+    run: async bed => {
+      for (const id of ['e1', 'e2', 'e3', 'e4']) {
+        await bed.addEngine(id);
+        bed.targets.get(id)?.close();
+      }
+    },
+  },
   'the retry budget is spent': {
     retryBounds: {ratio: 0, slack: 0, windowMs: 10_000},
     run: addBackup(),
