Begun-stream tests: the pause ends at a fixed time after the first events

Cause: four engines were added within the pause, 110 ms each, so that it lasted 2,040 ms and the test's caller left after 2,000 ms as it should; no fault of the gate. Now the pause is 1,600 ms whatever happens within it.

--- a/packages/direct/src/forward/begun-stream.test.ts
+++ b/packages/direct/src/forward/begun-stream.test.ts
@@ -173,8 +173,9 @@
       // Guards against a gate that ends a stream although its engine goes on.
       const {bed, busy} = await openBegunStream(disturbance);
       try {
+        const pauseEndsAt = bed.clock.now + PAUSE_MS;
         await disturbance.run?.(bed, busy);
-        await bed.clock.advance(PAUSE_MS);
+        await bed.clock.advance(pauseEndsAt - bed.clock.now);
         busy.stream(EVENT_COUNT);
         await bed.clock.advance(200);
         expect(bed.callers[0].end).toEqual('whole');
