Streams of a living engine outlast a restored entry and a lost report

Cause: an entry of an earlier server at the same address counted as its successor if its position was newer, as after a restore; a report that came too late gave up a stream whose head had arrived meanwhile. Change: a server that was born before cannot replace; the head counts as a sign of life.

--- a/packages/direct/src/forward/open-exchanges.ts
+++ b/packages/direct/src/forward/open-exchanges.ts
@@ -45,14 +45,22 @@
   endReplaced(target: Target): void {
     const sameAddress = this.byAddress.get(formatAddress(target)) ?? [];
     for (const {exchange, target: earlier} of [...sameAddress]) {
-      // A delayed update of an older entry must not fail newer exchanges.
+      // Neither a delayed update of an older entry nor an earlier server that a
+      // restored store lists must fail newer exchanges.
       const isReplaced =
-        earlier.id !== target.id && isNewer(target.position, earlier.position);
+        earlier.id !== target.id &&
+        isNewer(target.position, earlier.position) &&
+        !isBornBefore(target, earlier);
       if (isReplaced) exchange.markBroken();
     }
   }
 }
 
+function isBornBefore(target: Target, other: Target): boolean {
+  if (target.bornAt === undefined || other.bornAt === undefined) return false;
+  return target.bornAt < other.bornAt;
+}
+
 function formatAddress({host, port}: Target): string {
   return `${host}:${port}`;
 }
--- a/packages/direct/src/forward/stream-forwarder.ts
+++ b/packages/direct/src/forward/stream-forwarder.ts
@@ -319,6 +319,8 @@
     if (chain.placed === undefined) return;
     const report = await this.context.reports.read(chain.placed.target);
     if (report !== undefined || !chain.isStalled || chain.isClosed) return;
+    // The engine may have sent the response head in the meantime.
+    if (this.progress.hasHead) return;
     this.mayHaveRun = true;
     this.giveUp(chain, 'engine_dead');
   }
