A prompt breaks no answer that has begun beside it

Symptom: callers of begun short streams leave, two seconds after their last event, since their engine prefills a long shard of another prompt in one iteration. Fleets of more than 32 engines never defer a prompt. Change: a choice that makes the caller of no begun stream leave goes before all others, if the prompt's own caller still gets it; where there is none, the prompt waits for at most its objective and is then refused with when to come back. A stream that breaks costs more than any prompt is worth. One function says how long callers wait (estimatePatienceMs). The long shard of a test of stalls comes from another gate now, as the gate itself no longer places it there; the checks are the same.

--- a/packages/direct/src/forward/silent-engine.test.ts
+++ b/packages/direct/src/forward/silent-engine.test.ts
@@ -9,8 +9,8 @@
 /** Prompt whose prefill takes one iteration of about 1.5 s. */
 const PROMPT_OF_1500_MS = '/long/100000';
 
-/** Prompt whose first iteration takes about 2.4 s. */
-const PROMPT_OF_2400_MS = '/long/154000';
+/** Shard whose iteration callers do not outlast, in ms. */
+const TOO_LONG_SHARD_MS = 2400;
 
 /**
  * Opens a gate with an engine that decodes short streams and has just begun the
@@ -28,6 +28,34 @@
   return {busy, idle};
 }
 
+/**
+ * Opens a gate with an engine that decodes short streams while it prefills a
+ * shard that another gate has placed on it, and with another engine that is
+ * idle.
+ */
+async function openBesidePeerShard(
+  bed: StreamBed,
+  prefillMs: number,
+): Promise<{readonly busy: SilentEngine; readonly idle: SilentEngine}> {
+  const busy = await bed.addEngine('busy');
+  await bed.beginStreams(busy, STREAM_COUNT);
+  bed.harness.gate['tracker'].add({
+    key: 'peer#1',
+    decoder: 'elsewhere',
+    shards: ['elsewhere', 'busy'].map(target => ({target, prefillMs})),
+    promptTokens: 200_000,
+    kvTokens: 0,
+    reserved: [],
+    objectiveMs: 4000,
+    itlObjectiveMs: 1000,
+    value: 1,
+    predictedTtftMs: prefillMs,
+    placedAt: bed.clock.now,
+  });
+  const idle = await bed.addEngine('idle');
+  return {busy, idle};
+}
+
 describe('engine in a long iteration', () => {
   it('is not taken for stalled before the predicted end of the iteration', async () => {
     // Guards against a second prefill of every stream of a healthy engine.
@@ -54,7 +82,7 @@
     // Guards against waiting for a healthy engine until its callers are gone.
     const bed = await openStreamBed();
     try {
-      const {busy, idle} = await openBesidePrefill(bed, PROMPT_OF_2400_MS);
+      const {busy, idle} = await openBesidePeerShard(bed, TOO_LONG_SHARD_MS);
       await bed.clock.advance(1700);
       idle.stream(EVENT_COUNT);
       await bed.clock.advance(800);
--- a/packages/direct/src/forward/stream-attempt.ts
+++ b/packages/direct/src/forward/stream-attempt.ts
@@ -4,7 +4,7 @@
  */
 import {ExchangeError} from '../errors.js';
 import {estimatePrefillMs} from '../placement/engine-model.js';
-import {estimatePatienceMs} from '../placement/price-prefill.js';
+import {estimatePatienceMs} from '../placement/loss.js';
 import {createEventSplitter} from './event-splitter.js';
 import {findFraming} from './exchange.js';
 import {readVerdict} from './judge-answer.js';
--- a/packages/direct/src/placement/choose-send-time.ts
+++ b/packages/direct/src/placement/choose-send-time.ts
@@ -26,6 +26,12 @@
  */
 const MAX_ENGINES_FOR_DELAYS = 32;
 
+/**
+ * Delay of a prompt that would break streams, in ms: a few iterations, in which
+ * some of these streams end.
+ */
+const BROKEN_STREAMS_DELAY_MS = 120;
+
 /** Engines chosen for a prompt, and the delay before choosing again. */
 export interface TimedChoice {
   readonly choice: PromptChoice;
@@ -45,28 +51,13 @@
 }
 
 /**
- * Chooses the engines for a prompt that is sent at once.
- *
- * @returns The choice, or undefined if the engines lack KV cache for the prompt
- *   now.
- * @example
- * chooseNow(candidates, demand, engine, performance.now())?.choice.decoder;
- */
-export function chooseNow(
-  candidates: readonly Candidate[],
-  demand: PromptDemand,
-  engine: EngineCostModel,
-  now: number,
-): TimedChoice | undefined {
-  const choice = choosePromptEngines(candidates, demand, engine, now);
-  return choice && {choice, waitMs: 0};
-}
-
-/**
- * Chooses the engines and the send time for a prompt.
+ * Chooses the engines and the send time for a prompt. A prompt that would make
+ * callers cancel streams that have begun waits for at most its objective.
  *
+ * @param isUrgent - Whether the stream has been attempted before, so that its
+ *   caller has waited already.
  * @returns The choice, or undefined if the engines lack KV cache for the prompt
- *   now.
+ *   now, or if it would still break streams after its objective.
  * @example
  * chooseSendTime(candidates, demand, engine, performance.now())?.waitMs;
  */
@@ -75,11 +66,16 @@
   demand: PromptDemand,
   engine: EngineCostModel,
   now: number,
+  isUrgent = false,
 ): TimedChoice | undefined {
   const choice = choosePromptEngines(candidates, demand, engine, now);
   if (choice === undefined) return undefined;
+  if (choice.brokenStreams > 0)
+    return demand.objectiveLeftMs > 0
+      ? {choice, waitMs: BROKEN_STREAMS_DELAY_MS}
+      : undefined;
   let best: TimedChoice = {choice, waitMs: 0};
-  if (candidates.length > MAX_ENGINES_FOR_DELAYS) return best;
+  if (isUrgent || candidates.length > MAX_ENGINES_FOR_DELAYS) return best;
   for (const delayMs of DELAYS_MS) {
     if (best.choice.cost < MIN_SAVING) break;
     const deferredChoice = choosePromptEngines(
--- a/packages/direct/src/placement/load-tracker.ts
+++ b/packages/direct/src/placement/load-tracker.ts
@@ -159,7 +159,10 @@
    */
   estimateIterationLeftMs(target: string, now: number): number {
     return (
-      this.engines.get(target)?.iterations?.estimateIterationLeftMs(now) ?? 0
+      this.engines
+        .get(target)
+        ?.readIterations()
+        ?.estimateIterationLeftMs(now) ?? 0
     );
   }
 
--- a/packages/direct/src/placement/loss.ts
+++ b/packages/direct/src/placement/loss.ts
@@ -1,5 +1,11 @@
 /** Expected loss of a stream through waiting, as a share of its value. */
 
+/** Multiple of the inter-token latency objective at which callers cancel. */
+const ABANDON_ITL_OBJECTIVES = 8;
+
+/** Multiple of the time-to-first-token objective at which callers cancel. */
+export const ABANDON_TTFT_OBJECTIVES = 4;
+
 /** Share of its value that an answer loses by missing its objective. */
 export const LATE_LOSS = 0.75;
 
@@ -16,6 +22,15 @@
  */
 const ABANDON_LOSS = 0.5;
 
+/**
+ * Loss through a caller that cancels a begun stream, in units of the value of a
+ * short stream: more than the value of a prompt of a million tokens.
+ */
+const BROKEN_STREAM_LOSS = 150;
+
+/** Shortest pause after which callers cancel, in ms. */
+const MIN_PATIENCE_MS = 2000;
+
 /** Error model of a latency prediction. */
 export interface PredictionError {
   /** Share of the objective from which on a miss is possible. */
@@ -58,6 +73,72 @@
  */
 export const ITL_ERROR: PredictionError = {riskStartShare: 0.9, errorMs: 90};
 
+/**
+ * Error of predicted iterations that are close to the patience of callers: an
+ * engine may be slower than reported for up to one polling interval.
+ */
+const PATIENCE_ERROR: PredictionError = {riskStartShare: 0.9, errorMs: 200};
+
+/** Latency objectives of a stream, in ms. */
+export interface StreamObjectives {
+  /** Objective for the time to first token, in ms. */
+  readonly objectiveMs: number;
+  readonly itlObjectiveMs: number;
+}
+
+/**
+ * Estimates the time without an event after which the caller of a stream
+ * cancels, in ms.
+ *
+ * @example
+ * estimatePatienceMs({objectiveMs: 300, itlObjectiveMs: 250}); // 2000
+ */
+export function estimatePatienceMs(objectives: StreamObjectives): number {
+  return Math.max(
+    MIN_PATIENCE_MS,
+    ABANDON_TTFT_OBJECTIVES * objectives.objectiveMs,
+    ABANDON_ITL_OBJECTIVES * objectives.itlObjectiveMs,
+  );
+}
+
+/**
+ * Estimates the probability that the caller of a begun stream cancels because
+ * an iteration predicted as `iterationMs` outlasts its patience.
+ *
+ * @example
+ * estimateBreakProbability(2280, {objectiveMs: 300, itlObjectiveMs: 250}); // 1
+ */
+export function estimateBreakProbability(
+  iterationMs: number,
+  objectives: StreamObjectives,
+): number {
+  const patienceMs = estimatePatienceMs(objectives);
+  return estimateMissProbability(iterationMs, patienceMs, PATIENCE_ERROR);
+}
+
+/**
+ * Estimates the loss of a decoded stream through an iteration, in units of the
+ * value of a short stream.
+ *
+ * @example
+ * estimateIterationLoss(200, {value: 1.5, objectiveMs: 300, itlObjectiveMs: 250}); // 0
+ */
+export function estimateIterationLoss(
+  iterationMs: number,
+  stream: StreamObjectives & {readonly value: number},
+): number {
+  const lateLoss = estimateLoss(iterationMs, {
+    remainingMs: stream.itlObjectiveMs,
+    wholeMs: stream.itlObjectiveMs,
+    abandonMultiple: ABANDON_ITL_OBJECTIVES,
+    error: ITL_ERROR,
+  });
+  return (
+    lateLoss * stream.value +
+    BROKEN_STREAM_LOSS * estimateBreakProbability(iterationMs, stream)
+  );
+}
+
 /** A latency objective, and when the caller cancels if it is missed. */
 export interface Objective {
   /** Error of the predictions that are compared with this objective. */
--- a/packages/direct/src/placement/place-prompt.ts
+++ b/packages/direct/src/placement/place-prompt.ts
@@ -11,6 +11,7 @@
   priceAsDecoder,
   priceLoadAndZone,
 } from './price-decoder.js';
+import {ABANDON_TTFT_OBJECTIVES} from './loss.js';
 import {pricePrefill} from './price-prefill.js';
 import type {EngineCostModel} from '../types.js';
 import type {Placement} from './placement.js';
@@ -51,7 +52,8 @@
 }
 
 /**
- * Picks the engines with the least interference as helpers. The count includes
+ * Picks the engines with the least interference as helpers, first those on
+ * which no stream is broken. The count includes
  * one spare, because the decoding engine may be among those picked. Engines
  * that help as many prompts as they have slots would refuse another shard.
  */
@@ -64,13 +66,17 @@
     .filter(({candidate}) => candidate.load.helpedPrompts < engine.slots)
     .sort(
       (a, b) =>
+        Number(a.helperBrokenStreams > 0) - Number(b.helperBrokenStreams > 0) ||
         a.helperInterference - b.helperInterference ||
         a.helperDoneMs - b.helperDoneMs,
     )
     .slice(0, count);
 }
 
-/** Picks the engines that cost least as the decoding engine. */
+/**
+ * Picks the engines that cost least as the decoding engine, first those on
+ * which no stream is broken.
+ */
 function pickDecoders(
   priced: readonly PricedEngine[],
   demand: PromptDemand,
@@ -86,7 +92,11 @@
   const findCost = (pricedEngine: PricedEngine) =>
     costs.get(pricedEngine) ?? Infinity;
   return [...priced]
-    .sort((a, b) => findCost(a) - findCost(b))
+    .sort(
+      (a, b) =>
+        Number(a.decoderBrokenStreams > 0) -
+          Number(b.decoderBrokenStreams > 0) || findCost(a) - findCost(b),
+    )
     .slice(0, MAX_DECODERS);
 }
 
@@ -148,17 +158,44 @@
     kvTokens: demand.promptTokens + demand.maxOutputTokens - reserved,
     backlogMs: load.backlogMs,
     predictedTtftMs,
+    brokenStreams: helpers.reduce(
+      (sum, {helperBrokenStreams}) => sum + helperBrokenStreams,
+      decoder.decoderBrokenStreams,
+    ),
     cost:
-      estimateStreamLoss(predictedTtftMs, iterationMs, demand) * demand.value +
+      estimateStreamLoss(predictedTtftMs, iterationMs, demand) +
       sumAllInterference(decoder, helpers) +
       priceLoadAndZone(decoder.candidate, demand, engine) +
       HELPER_PRICE * helpers.length,
   };
 }
 
+/**
+ * Checks whether a choice breaks no stream and the caller of the prompt does
+ * not cancel before the first token.
+ */
+function isHarmless(choice: PromptChoice, demand: PromptDemand): boolean {
+  const patienceLeftMs =
+    demand.objectiveLeftMs + (ABANDON_TTFT_OBJECTIVES - 1) * demand.objectiveMs;
+  return choice.brokenStreams === 0 && choice.predictedTtftMs < patienceLeftMs;
+}
+
+/** Checks whether `choice` is to be preferred to `other`. */
+function isBetter(
+  choice: PromptChoice,
+  other: PromptChoice | undefined,
+  demand: PromptDemand,
+): boolean {
+  if (other === undefined) return true;
+  const harmless = isHarmless(choice, demand);
+  if (harmless !== isHarmless(other, demand)) return harmless;
+  return choice.cost < other.cost;
+}
+
 /**
  * Chooses one or more engines for a prompt: the cheapest combination of a
- * decoding engine and helpers over all numbers of shards.
+ * decoding engine and helpers over all numbers of shards, among those that
+ * break no stream if there are any.
  *
  * @returns The choice, or undefined if the engines lack KV cache for the
  *   prompt.
@@ -190,7 +227,7 @@
       if (others.length < shardCount - 1) continue;
       const choice = buildChoice(decoder, others, demand, engine);
       if (choice === undefined) continue;
-      if (best === undefined || choice.cost < best.cost) best = choice;
+      if (isBetter(choice, best, demand)) best = choice;
     }
   }
   return best;
--- a/packages/direct/src/placement/price-decoder.ts
+++ b/packages/direct/src/placement/price-decoder.ts
@@ -2,13 +2,11 @@
 import {countFreeKvTokens} from './kv-cache.js';
 import {estimateDecodeMs} from './engine-model.js';
 import {
+  ABANDON_TTFT_OBJECTIVES,
   TTFT_ERROR,
-  LATE_LOSS,
-  ITL_ERROR,
+  estimateIterationLoss,
   estimateLoss,
-  estimateMissProbability,
 } from './loss.js';
-import {ABANDON_TTFT_OBJECTIVES} from './price-prefill.js';
 import type {EngineCostModel} from '../types.js';
 import type {Candidate, PricedEngine} from './price-prefill.js';
 import type {PromptDemand} from './prompt-types.js';
@@ -91,7 +89,8 @@
 }
 
 /**
- * Estimates the share of its value that the new stream loses.
+ * Estimates the loss of the new stream, in units of the value of a short
+ * stream.
  *
  * @example
  * estimateStreamLoss(200, 60, demand);
@@ -101,17 +100,15 @@
   iterationMs: number,
   demand: PromptDemand,
 ): number {
-  return (
+  const ttftLoss =
     estimateLoss(predictedTtftMs, {
       remainingMs: demand.objectiveLeftMs,
       wholeMs: demand.objectiveMs,
       abandonMultiple: ABANDON_TTFT_OBJECTIVES,
       error: TTFT_ERROR,
     }) +
-    LATE_LOSS *
-      estimateMissProbability(iterationMs, demand.itlObjectiveMs, ITL_ERROR) +
-    (WAITING_PRICE * predictedTtftMs) / demand.objectiveMs
-  );
+    (WAITING_PRICE * predictedTtftMs) / demand.objectiveMs;
+  return ttftLoss * demand.value + estimateIterationLoss(iterationMs, demand);
 }
 
 /**
@@ -141,8 +138,8 @@
     engine,
   );
   return (
-    (estimateStreamLoss(decoderDoneMs, iterationMs, demand) + missingKvShare) *
-      demand.value +
+    estimateStreamLoss(decoderDoneMs, iterationMs, demand) +
+    missingKvShare * demand.value +
     decoderDecodeInterference +
     sumInterference(queueInterference.values()) +
     priceLoadAndZone(candidate, demand, engine)
--- a/packages/direct/src/placement/price-prefill.ts
+++ b/packages/direct/src/placement/price-prefill.ts
@@ -4,37 +4,16 @@
  * expected loss of the delayed streams is called interference.
  */
 import {estimateDecodeMs} from './engine-model.js';
-import {TTFT_ERROR, ITL_ERROR, estimateAddedLoss} from './loss.js';
+import {
+  ABANDON_TTFT_OBJECTIVES,
+  TTFT_ERROR,
+  estimateAddedLoss,
+  estimateIterationLoss,
+  estimatePatienceMs,
+} from './loss.js';
 import type {EngineCostModel} from '../types.js';
 import type {EngineLoad} from './load-tracker.js';
 
-/** Multiple of the inter-token latency objective at which callers cancel. */
-const ABANDON_ITL_OBJECTIVES = 8;
-
-/** Multiple of the time-to-first-token objective at which callers cancel. */
-export const ABANDON_TTFT_OBJECTIVES = 4;
-
-/** Shortest pause after which callers cancel, in ms. */
-const MIN_PATIENCE_MS = 2000;
-
-/**
- * Estimates the time without an event after which the caller of a stream
- * cancels, in ms.
- *
- * @example
- * estimatePatienceMs({objectiveMs: 300, itlObjectiveMs: 250}); // 2000
- */
-export function estimatePatienceMs(objectives: {
-  readonly objectiveMs: number;
-  readonly itlObjectiveMs: number;
-}): number {
-  return Math.max(
-    MIN_PATIENCE_MS,
-    ABANDON_TTFT_OBJECTIVES * objectives.objectiveMs,
-    ABANDON_ITL_OBJECTIVES * objectives.itlObjectiveMs,
-  );
-}
-
 /** An engine considered for placing one prompt. */
 export interface Candidate {
   readonly id: string;
@@ -57,6 +36,10 @@
   readonly helperDecodeInterference: number;
   /** Interference with decoded streams if the engine decodes the answer. */
   readonly decoderDecodeInterference: number;
+  /** Streams that callers cancel if the engine is a helper. */
+  readonly helperBrokenStreams: number;
+  /** Streams that callers cancel if the engine decodes the answer. */
+  readonly decoderBrokenStreams: number;
   /** Interference with each queued prompt, by placement key. */
   readonly queueInterference: ReadonlyMap<string, number>;
   /** Sum of decode and queue interference if the engine is a helper. */
@@ -78,13 +61,8 @@
   let sum = 0;
   for (const stream of load.decoding)
     sum +=
-      stream.value *
-      estimateAddedLoss(decodeMs + longestMs, addedMs, {
-        remainingMs: stream.itlObjectiveMs,
-        wholeMs: stream.itlObjectiveMs,
-        abandonMultiple: ABANDON_ITL_OBJECTIVES,
-        error: ITL_ERROR,
-      });
+      estimateIterationLoss(decodeMs + iterationPrefillMs, stream) -
+      estimateIterationLoss(decodeMs + longestMs, stream);
   return sum;
 }
 
@@ -103,17 +81,31 @@
     const overlapMs = Math.min(prefillMs, shardEndMs - prefillDoneMs);
     if (overlapMs <= longestMs) continue;
     sum +=
-      placement.value *
-      estimateAddedLoss(longestMs, overlapMs - longestMs, {
-        remainingMs: placement.itlObjectiveMs,
-        wholeMs: placement.itlObjectiveMs,
-        abandonMultiple: ABANDON_ITL_OBJECTIVES,
-        error: ITL_ERROR,
-      });
+      estimateIterationLoss(overlapMs, placement) -
+      estimateIterationLoss(longestMs, placement);
   }
   return sum;
 }
 
+/**
+ * Counts the decoded streams whose callers outlast every coming iteration but
+ * not one with `iterationPrefillMs` of prefill.
+ */
+function countBrokenStreams(
+  load: EngineLoad,
+  decodeMs: number,
+  iterationPrefillMs: number,
+): number {
+  const longestMs = Math.max(0, ...load.iterationPrefillsMs);
+  return load.decoding.filter(stream => {
+    const patienceMs = estimatePatienceMs(stream);
+    return (
+      decodeMs + longestMs < patienceMs &&
+      decodeMs + iterationPrefillMs >= patienceMs
+    );
+  }).length;
+}
+
 /**
  * Estimates the interference with queued prompts, which the new shard preempts.
  * A prompt that waits longer for another engine is not delayed by this one.
@@ -182,6 +174,12 @@
     helperDoneMs: startMs + prefillMs,
     decoderDoneMs: startMs + prefillMs + nextIterationPrefillMs,
     helperDecodeInterference,
+    helperBrokenStreams: countBrokenStreams(load, decodeMs, prefillMs),
+    decoderBrokenStreams: countBrokenStreams(
+      load,
+      decodeMs,
+      prefillMs + nextIterationPrefillMs,
+    ),
     decoderDecodeInterference:
       estimateDecodeInterference(
         load,
--- a/packages/direct/src/placement/prompt-placer.ts
+++ b/packages/direct/src/placement/prompt-placer.ts
@@ -3,7 +3,7 @@
  * them, and informs the load tracker and the peers.
  */
 import {isWithinIdleKvCapacity} from './kv-cache.js';
-import {chooseNow, chooseSendTime} from './choose-send-time.js';
+import {chooseSendTime} from './choose-send-time.js';
 import {
   MAX_PREFILL_ENGINES,
   buildPlacement,
@@ -127,8 +127,9 @@
    *
    * @param mayExceedSlots - Places the stream even if all slots are taken; the
    *   stream then waits in the queue of the engine.
-   * @returns `full` if no slot or not enough KV cache is free, `none` if even
-   *   idle engines could not hold the prompt.
+   * @returns `full` if no slot or not enough KV cache is free or the prompt
+   *   would break other streams, `none` if even idle engines could not hold the
+   *   prompt.
    */
   place(
     request: PromptRequest,
@@ -146,10 +147,8 @@
     const candidates = targets.map(target =>
       this.describeCandidate(target, now),
     );
-    // The caller of a stream that has been attempted before has waited already.
-    const timed = mayExceedSlots
-      ? chooseNow(candidates, demand, engine, now)
-      : chooseSendTime(candidates, demand, engine, now);
+    const isUrgent = mayExceedSlots;
+    const timed = chooseSendTime(candidates, demand, engine, now, isUrgent);
     if (timed === undefined)
       return isWithinIdleKvCapacity(
         demand,
--- a/packages/direct/src/placement/prompt-types.ts
+++ b/packages/direct/src/placement/prompt-types.ts
@@ -24,5 +24,7 @@
   /** Prefill queue of the decoding engine before this prompt, in ms. */
   readonly backlogMs: number;
   readonly predictedTtftMs: number;
+  /** Number of begun streams that callers cancel because of this prompt. */
+  readonly brokenStreams: number;
   readonly cost: number;
 }
--- a/packages/direct/src/test/fleet-load.ts
+++ b/packages/direct/src/test/fleet-load.ts
@@ -2,7 +2,8 @@
 import {estimateDecodeMs} from '../placement/engine-model.js';
 import {createLoadTracker} from '../placement/load-tracker.js';
 import {estimateValue} from '../placement/place-prompt.js';
-import type {LoadTracker, Placement} from '../placement/load-tracker.js';
+import type {LoadTracker} from '../placement/load-tracker.js';
+import type {Placement} from '../placement/placement.js';
 import type {Candidate} from '../placement/price-prefill.js';
 import type {PromptDemand} from '../placement/prompt-types.js';
 import type {EngineCostModel} from '../types.js';
