--- a/packages/direct/src/placement/choose-send-time.test.ts
+++ b/packages/direct/src/placement/choose-send-time.test.ts
@@ -155,3 +155,51 @@
     );
   });
 });
+
+describe('chooseSendTime while every engine decodes short streams', () => {
+  /** Prompt of which even the shortest shards outlast the callers' patience. */
+  const BREAKING_TOKENS = 400_000;
+
+  function createDecodingFleet(): LoadTracker {
+    const tracker = createLoadTracker(() => ENGINE);
+    for (let i = 0; i < ENGINES; i++)
+      tracker.add(
+        {
+          key: `w#${i}`,
+          decoder: `e${i}`,
+          shards: [{target: `e${i}`, prefillMs: 0}],
+          promptTokens: 3000,
+          kvTokens: 4000,
+          reserved: [],
+          objectiveMs: 300,
+          itlObjectiveMs: 250,
+          value: 1.3,
+          predictedTtftMs: 100,
+          placedAt: 0,
+        },
+        true,
+      );
+    return tracker;
+  }
+
+  it('defers a prompt that would make callers cancel these streams', () => {
+    // Guards against a long prompt that breaks answers that have begun.
+    const tracker = createDecodingFleet();
+    const timed = choose(tracker, buildDemand(BREAKING_TOKENS, 0), 10);
+    expect((timed?.waitMs ?? 0) > 0).toEqual(true);
+  });
+
+  it('chooses nothing for such a prompt after its objective', () => {
+    // Guards against a prompt that waits in vain until its deadline.
+    const tracker = createDecodingFleet();
+    const demand = buildDemand(BREAKING_TOKENS, 3000);
+    expect(choose(tracker, demand, 10)).toEqual(undefined);
+  });
+
+  it('sends the prompt once an engine decodes nothing for callers to cancel', () => {
+    const tracker = createDecodingFleet();
+    for (let i = 0; i < ENGINES; i++) tracker.remove(`w#${i}`, 10);
+    const demand = buildDemand(BREAKING_TOKENS, 500);
+    expect(choose(tracker, demand, 500)?.waitMs).toEqual(0);
+  });
+});
