--- a/packages/direct/src/placement/choose-send-time.test.ts
+++ b/packages/direct/src/placement/choose-send-time.test.ts
@@ -30,8 +30,9 @@
   tracker: LoadTracker,
   demand: PromptDemand,
   now: number,
+  engines = ENGINES,
 ): TimedChoice | undefined {
-  const candidates = Array.from({length: ENGINES}, (_, i) => ({
+  const candidates = Array.from({length: engines}, (_, i) => ({
     id: `e${i}`,
     isRemote: false,
     slowdown: 1,
@@ -155,3 +156,96 @@
     );
   });
 });
+
+describe('chooseSendTime while every engine decodes short streams', () => {
+  /** Prompt of which even the shortest shards outlast the callers' patience. */
+  const BREAKING_TOKENS = 400_000;
+
+  function createDecodingFleet(): LoadTracker {
+    const tracker = createLoadTracker(() => ENGINE);
+    for (let i = 0; i < ENGINES; i++)
+      tracker.add(
+        {
+          key: `w#${i}`,
+          decoder: `e${i}`,
+          shards: [{target: `e${i}`, prefillMs: 0}],
+          promptTokens: 3000,
+          kvTokens: 4000,
+          reserved: [],
+          objectiveMs: 300,
+          itlObjectiveMs: 250,
+          value: 1.3,
+          predictedTtftMs: 100,
+          placedAt: 0,
+        },
+        true,
+      );
+    return tracker;
+  }
+
+  it('defers a prompt that would make callers cancel these streams', () => {
+    // Guards against a long prompt that breaks answers that have begun.
+    const tracker = createDecodingFleet();
+    const timed = choose(tracker, buildDemand(BREAKING_TOKENS, 0), 10);
+    expect((timed?.waitMs ?? 0) > 0).toEqual(true);
+  });
+
+  it('chooses nothing for such a prompt after its objective', () => {
+    // Guards against a prompt that waits in vain until its deadline.
+    const tracker = createDecodingFleet();
+    const demand = buildDemand(BREAKING_TOKENS, 3000);
+    expect(choose(tracker, demand, 10)).toEqual(undefined);
+  });
+
+  it('sends the prompt once an engine decodes nothing for callers to cancel', () => {
+    const tracker = createDecodingFleet();
+    for (let i = 0; i < ENGINES; i++) tracker.remove(`w#${i}`, 10);
+    const demand = buildDemand(BREAKING_TOKENS, 500);
+    expect(choose(tracker, demand, 500)?.waitMs).toEqual(0);
+  });
+});
+
+describe('chooseSendTime in a large fleet', () => {
+  const MANY_ENGINES = 40;
+
+  /** Creates engines whose queued prompts just meet their objectives. */
+  function createQueuedFleet(): LoadTracker {
+    const tracker = createLoadTracker(() => ENGINE);
+    for (let i = 0; i < MANY_ENGINES; i++)
+      tracker.add({
+        key: `q#${i}`,
+        decoder: `e${i}`,
+        shards: [{target: `e${i}`, prefillMs: 1800}],
+        promptTokens: 300_000,
+        kvTokens: 100_000,
+        reserved: [],
+        objectiveMs: 2000,
+        itlObjectiveMs: 1000,
+        value: estimateValue(300_000),
+        predictedTtftMs: 1800,
+        placedAt: 0,
+      });
+    return tracker;
+  }
+
+  it('defers a long prompt that costs the queued prompts more than it is worth', () => {
+    // Guards against a prompt that preempts many others on a fleet for which no
+    // delays are compared.
+    const demand = buildDemand(300_000, 0);
+    const timed = choose(createQueuedFleet(), demand, 10, MANY_ENGINES);
+    expect((timed?.waitMs ?? 0) > 0).toEqual(true);
+  });
+
+  it('sends the prompt after its objective', () => {
+    // Guards against a prompt that is deferred until its caller cancels.
+    const demand = buildDemand(300_000, 3000);
+    const timed = choose(createQueuedFleet(), demand, 10, MANY_ENGINES);
+    expect(timed?.waitMs).toEqual(0);
+  });
+
+  it('sends a short prompt at once', () => {
+    const demand = buildDemand(2000, 0);
+    const timed = choose(createQueuedFleet(), demand, 10, MANY_ENGINES);
+    expect(timed?.waitMs).toEqual(0);
+  });
+});
--- a/packages/direct/src/placement/prompt-placer.ts
+++ b/packages/direct/src/placement/prompt-placer.ts
@@ -13,7 +13,8 @@
 import type {EngineSlowdowns} from '../health/engine-slowdowns.js';
 import type {TargetHealth} from '../health/target-health.js';
 import type {EngineCostModel, Target} from '../types.js';
-import type {LoadTracker, Placement} from './load-tracker.js';
+import type {LoadTracker} from './load-tracker.js';
+import type {Placement} from './placement.js';
 import type {PromptChoice, PromptDemand} from './prompt-types.js';
 import type {Candidate} from './price-prefill.js';
 
@@ -54,6 +55,14 @@
     );
   }
 
+  /**
+   * Estimates the time until the decoding engine sends events again, in ms; 0 if
+   * it is not known to be in a long iteration.
+   */
+  estimateIterationLeftMs(): number {
+    return this.tracker.estimateIterationLeftMs(this.target.id, this.readNow());
+  }
+
   /** Releases the slot; further calls have no effect. */
   release(): void {
     if (this.isReleased) return;
@@ -118,8 +127,9 @@
    *
    * @param mayExceedSlots - Places the stream even if all slots are taken; the
    *   stream then waits in the queue of the engine.
-   * @returns `full` if no slot or not enough KV cache is free, `none` if even
-   *   idle engines could not hold the prompt.
+   * @returns `full` if no slot or not enough KV cache is free or the prompt
+   *   would break other streams, `none` if even idle engines could not hold the
+   *   prompt.
    */
   place(
     request: PromptRequest,
@@ -134,12 +144,11 @@
       ...request,
       value: estimateValue(request.promptTokens),
     };
-    const timed = chooseSendTime(
-      targets.map(target => this.describeCandidate(target, now)),
-      demand,
-      engine,
-      now,
+    const candidates = targets.map(target =>
+      this.describeCandidate(target, now),
     );
+    const isUrgent = mayExceedSlots;
+    const timed = chooseSendTime(candidates, demand, engine, now, isUrgent);
     if (timed === undefined)
       return isWithinIdleKvCapacity(
         demand,
--- a/packages/direct/src/placement/prompt-types.ts
+++ b/packages/direct/src/placement/prompt-types.ts
@@ -1,5 +1,5 @@
 /** Types of a prompt to place and of the engines chosen for it. */
-import type {KvReservation, PrefillShard} from './load-tracker.js';
+import type {KvReservation, PrefillShard} from './placement.js';
 
 /** Requirements of a prompt that is to be placed. */
 export interface PromptDemand {
@@ -24,5 +24,9 @@
   /** Prefill queue of the decoding engine before this prompt, in ms. */
   readonly backlogMs: number;
   readonly predictedTtftMs: number;
+  /** Longest predicted iteration of the decoding engine, in ms. */
+  readonly iterationMs: number;
+  /** Number of begun streams that callers cancel because of this prompt. */
+  readonly brokenStreams: number;
   readonly cost: number;
 }
