A later restore of the store does not unready gates that already serve

Cause: readiness was derived from the era of the facts at each check, and the synchronization is started only by a change of the facts. A gate that has served since era 0 counted as not synchronized from the first restore on, at all gates at once: until a peer had answered if the restored copy changed an entry, and until the next change of the facts, without limit, if it changed none. Ruled out: restores after the first one (the gate was finished by then). Change: the synchronization ends when the gate first serves facts of era 0. Before: the new test fails (isDone false is not equal to true), 5 of 6.

--- a/packages/direct/src/peers/startup-sync.test.ts
+++ b/packages/direct/src/peers/startup-sync.test.ts
@@ -124,4 +124,21 @@
     expect(sync.isDone).toEqual(true);
     expect(readWaitedMs()).toEqual(1500);
   });
+
+  it('stays done when the store is restored later', async () => {
+    // Guards against gates that are all taken out of service by a restore that
+    // changes no entry.
+    const {state, sync, asked, readStore} = createHarness(0, {a: PEER_FACTS});
+    await readStore();
+    const [target] = state.listUsable(buildTarget('a', 0).service);
+    state.applySnapshot({
+      position: buildPosition(5, 1),
+      config: buildConfig(1),
+      targets: [{...target, position: buildPosition(4, 1)}],
+      malformed: [],
+    });
+    expect(state.position.era).toEqual(1);
+    expect(sync.isDone).toEqual(true);
+    expect(asked).toEqual([]);
+  });
 });
--- a/packages/direct/src/peers/startup-sync.ts
+++ b/packages/direct/src/peers/startup-sync.ts
@@ -58,14 +58,17 @@
 
   /** Whether the gate may become ready. */
   get isDone(): boolean {
-    const {state} = this.options;
-    return this.isFinished || (state.isServing && state.position.era === 0);
+    return this.isFinished;
   }
 
   private handleChange(): void {
     const {state} = this.options;
     if (this.isFinished || this.isRunning || !state.isServing) return;
-    if (state.position.era === 0) return;
+    // A gate that serves before a restore sees the restore itself.
+    if (state.position.era === 0) {
+      this.isFinished = true;
+      return;
+    }
     this.isRunning = true;
     void this.run();
   }
