Gates ask for placements whose announcement they have missed

Cause: complete placements were sent only with the first heartbeat of a gate. If a placed datagram was lost, or a peer was silent for more than 3,200 ms (a partition, a pause of either gate) and its placements were dropped, later heartbeats named only the numbers of the open streams, and unknown numbers were ignored. The engines of these streams counted as idle at the other gate until the streams ended. Ruled out: a restarted peer, which asks for a complete heartbeat itself. Change: a heartbeat that names an unknown placement is answered by a request for a complete one; at most one request per heartbeat.

--- a/packages/direct/src/peers/peer-group.test.ts
+++ b/packages/direct/src/peers/peer-group.test.ts
@@ -143,6 +143,15 @@
     }
   });
 
+  it('learns of a placement whose announcement was lost from the next heartbeat', async () => {
+    // Guards against an engine that counts as idle until the end of a stream
+    // that was placed while two gates could not reach each other.
+    firstMember.tracker.add(buildPlacement(firstMember, 1));
+    await waitUntil(
+      () => secondMember.tracker.describe('e1', performance.now()).active === 1,
+    );
+  });
+
   it('propagates a configuration to gates that cannot reach the store', async () => {
     // Guards against outdated routes at gates that cannot reach the store.
     const thirdMember = buildMember(hosts[2], [hosts[0]]);
--- a/packages/direct/src/peers/peer-group.ts
+++ b/packages/direct/src/peers/peer-group.ts
@@ -299,8 +299,10 @@
     for (const slowdown of heartbeat.slowdowns)
       this.options.slowdowns.apply(slowdown);
     if (isNew) this.options.log.info('peer_joined', {peer: peer.host});
-    if (heartbeat.wantsReply || isNew)
-      this.sendHeartbeat(peer.host, false, true);
+    const isIncomplete = this.isMissingPlacements(heartbeat);
+    const isReplyDue = heartbeat.wantsReply || isNew;
+    if (isReplyDue || isIncomplete)
+      this.sendHeartbeat(peer.host, isIncomplete, isReplyDue);
     if (this.isUpdateSource(peer)) this.fetcher.schedule();
     this.confirmRemovals();
   }
@@ -344,6 +346,18 @@
       tracker.markFirstToken(toKey(number), now);
   }
 
+  /**
+   * Returns whether the sender has open placements that are not tracked here:
+   * their announcement was lost, or they were dropped while the sender was
+   * silent.
+   */
+  private isMissingPlacements(heartbeat: Heartbeat): boolean {
+    const owner = formatOwner(heartbeat.from, heartbeat.incarnation);
+    return heartbeat.open.some(
+      number => !this.options.tracker.isTracked(`${owner}#${number}`),
+    );
+  }
+
   /** Drops a peer and its placements; a later heartbeat adds the peer again. */
   private dropPeer(peer: Peer, reason: 'left' | 'silent'): void {
     const {log} = this.options;
--- a/packages/direct/src/placement/load-tracker.ts
+++ b/packages/direct/src/placement/load-tracker.ts
@@ -97,6 +97,11 @@
     return this.entries.size === 0;
   }
 
+  /** Checks whether the placement of an open stream is known. */
+  isTracked(key: string): boolean {
+    return this.entries.has(key);
+  }
+
   /** Registers a listener that is called when a stream releases its slot. */
   onRemove(listener: () => void): void {
     this.removeListeners.push(listener);
