A backup of a begun stream that is refused goes on to another engine

Cause: when a backup failed while the stalled attempt was open, its chain ended, and the stalled attempt could start no further one (isStalled). Its timer then stopped for good (verdict ignore). If the stalled engine was dead, the stream waited for it although another engine was idle and attempts were left, until the caller left. A backup that was not sent (refused connection) went on already. Ruled out: attempts or retry budget spent (4 attempts allowed, 1 of 2 idle engines asked). Change: only the stalled chain ends for the other one; a backup claims the next attempt within the same limits of attempts, budget and time.

--- a/packages/direct/src/forward/silent-engine.test.ts
+++ b/packages/direct/src/forward/silent-engine.test.ts
@@ -1,11 +1,24 @@
 import {describe, it} from 'node:test';
 import {expect} from 'earl';
-import {EVENT_COUNT, openStreamBed} from '../test/silent-engine.js';
-import type {SilentEngine, StreamBed} from '../test/silent-engine.js';
+import {answerNotRun} from '../test/fake-target.js';
+import {
+  EVENT_COUNT,
+  SilentEngine,
+  buildStreamConfig,
+  openStreamBed,
+} from '../test/silent-engine.js';
+import type {TargetScript} from '../test/fake-target.js';
+import type {StreamBed} from '../test/silent-engine.js';
 
 /** Number of short streams that the silent engine decodes. */
 const STREAM_COUNT = 8;
 
+/** Ways in which a backup engine gives no answer. */
+const REFUSALS: Readonly<Record<string, TargetScript>> = {
+  refuses: answerNotRun,
+  'resets the connection': req => req.socket.resetAndDestroy(),
+};
+
 /** Prompt whose prefill takes one iteration of about 1.5 s. */
 const PROMPT_OF_1500_MS = '/long/100000';
 
@@ -135,6 +148,35 @@
   });
 });
 
+describe('engine that goes silent for good', () => {
+  for (const [name, close] of Object.entries(REFUSALS))
+    it(`loses no begun stream if its first backup engine ${name}`, async () => {
+      // Guards against a begun stream that waits for a dead engine until its
+      // caller leaves although another engine is idle.
+      const bed = await openStreamBed({config: buildStreamConfig(1, 4)});
+      try {
+        const busy = await bed.addEngine('busy');
+        await bed.beginStreams(busy, 1);
+        let attempts = 0;
+        for (const id of ['b1', 'b2']) {
+          const engine = new SilentEngine(id);
+          await bed.addEngine(id, (req, res) => {
+            if (++attempts === 1) return close(req, res);
+            engine.script(req, res);
+            engine.stream(EVENT_COUNT);
+          });
+        }
+        await bed.clock.advance(2200);
+        expect({attempts, end: bed.callers[0].end}).toEqual({
+          attempts: 2,
+          end: 'whole',
+        });
+      } finally {
+        bed.close();
+      }
+    });
+});
+
 describe('engine that goes silent without a known reason', () => {
   it('is usable again as soon as it sends events', async () => {
     // Guards against one pause that counts as a failure for each stream and
--- a/packages/direct/src/forward/stream-forwarder.ts
+++ b/packages/direct/src/forward/stream-forwarder.ts
@@ -233,7 +233,9 @@
       end.kind === 'no-memory' || (end.kind === 'failed' && !end.error.wasSent);
     if (isUnsent) return this.countUnsent(chain);
     this.mayHaveRun ||= end.kind !== 'not-run';
-    if (this.isOtherChainOpen(chain)) return this.closeForOther(chain);
+    // A backup goes on to further engines, as the stalled one may be dead.
+    if (chain.isStalled && this.isOtherChainOpen(chain))
+      return this.closeForOther(chain);
     this.claimNextAttempt(chain, end);
   }
 
