Engines whose entry is removed keep their cost model

Cause: the cost model of an engine is found by the service of its entry. As soon as the entry was removed (a leaving engine, a lost lease), the predicted schedule of the engine was dropped, although its streams go on. Its prompts counted as prefilled and its iteration as ended, so each of its streams got a backup. Ruled out: an engine that leaves the configuration (no service has a model then).

--- a/packages/direct/src/fleet/target-table.ts
+++ b/packages/direct/src/fleet/target-table.ts
@@ -38,6 +38,7 @@
 /** A removed incarnation of a target. */
 interface RemovedTarget {
   readonly at: number;
+  readonly service: string;
   /** Position at which the entry of the incarnation was missing or replaced. */
   readonly position: FactPosition;
 }
@@ -122,9 +123,12 @@
     return this.targets.get(name);
   }
 
-  /** Finds the service of a target by its incarnation id. */
+  /**
+   * Finds the service of a target by its incarnation id, also of a target that
+   * was removed recently, as it may still end its requests.
+   */
   findService(id: string): string | undefined {
-    return this.serviceById.get(id);
+    return this.serviceById.get(id) ?? this.left.get(id)?.service;
   }
 
   /** Lists every target. */
@@ -373,7 +377,11 @@
     this.targets.delete(target.name);
     this.serviceById.delete(target.id);
     this.held.delete(target.name);
-    this.left.set(target.id, {at: this.options.readNow(), position});
+    this.left.set(target.id, {
+      at: this.options.readNow(),
+      service: target.service,
+      position,
+    });
     this.options.onChange('target_removed', target, source);
   }
 }
--- a/packages/direct/src/forward/silent-engine.test.ts
+++ b/packages/direct/src/forward/silent-engine.test.ts
@@ -91,6 +91,26 @@
     }
   });
 
+  it('is not taken for stalled if its entry is removed meanwhile', async () => {
+    // Guards against a second prefill of every stream of an engine that leaves.
+    const bed = await openStreamBed();
+    try {
+      const {busy} = await openBesidePrefill(bed, PROMPT_OF_1500_MS);
+      bed.harness.store.dropTarget('busy');
+      await bed.clock.advanceUntil(
+        () => bed.countLines('target_removed', 'busy') > 0,
+      );
+      await bed.clock.advance(1000);
+      expect(bed.countLines('engine_silent')).toEqual(0);
+      await bed.clock.advance(500);
+      busy.stream(EVENT_COUNT);
+      await bed.waitForEnds();
+      expect(bed.callers.every(({isWhole}) => isWhole)).toEqual(true);
+    } finally {
+      bed.close();
+    }
+  });
+
   it('that callers do not outlast is replaced before they leave', async () => {
     // Guards against waiting for a healthy engine until its callers are gone.
     const bed = await openStreamBed();
