The running iteration of an engine outlasts its last placement

Cause: the schedule of an engine was dropped with its last placement. An engine finishes the iteration that is running although its prompts were cancelled; with one more placement on it, this was predicted, without one it counted as idle at once. A stream moved away from a silent engine made it look the most attractive of all. Change: an engine is forgotten only when it has no placement and no running iteration.

--- a/packages/direct/src/placement/load-tracker.test.ts
+++ b/packages/direct/src/placement/load-tracker.test.ts
@@ -130,3 +130,32 @@
     expect(tracker.isEmpty).toEqual(true);
   });
 });
+
+describe('LoadTracker of an engine whose work ends early', () => {
+  it('predicts the rest of the iteration that was running', () => {
+    // Guards against sending short prompts into a long iteration that the
+    // engine finishes although its prompts were cancelled.
+    const tracker = createLoadTracker(() => ENGINE);
+    tracker.add(buildPlacement(1, 20, 0), true);
+    tracker.add(buildPlacement(2, 2000, 10, 'e1'));
+    const before = tracker.describe('e0', 500).waitMs;
+    tracker.remove('g#2', 500);
+    tracker.remove('g#1', 500);
+    expect(before).toBeGreaterThan(500);
+    expect(tracker.describe('e0', 500).waitMs).toEqual(before);
+    tracker.add(buildPlacement(3, 20, 600));
+    expect(tracker.describe('e0', 600).waitMs).toEqual(before - 100);
+  });
+
+  it('forgets the engine once that iteration has ended', () => {
+    // Guards against a gate that keeps every engine that ever existed.
+    const tracker = createLoadTracker(() => ENGINE);
+    tracker.add(buildPlacement(1, 20, 0), true);
+    tracker.add(buildPlacement(2, 2000, 10, 'e1'));
+    tracker.remove('g#2', 500);
+    tracker.remove('g#1', 500);
+    tracker.add(buildPlacement(3, 20, 9000, 'e2'));
+    tracker.remove('g#3', 9500);
+    expect(tracker['engines'].size).toEqual(0);
+  });
+});
--- a/packages/direct/src/placement/load-tracker.ts
+++ b/packages/direct/src/placement/load-tracker.ts
@@ -142,11 +142,9 @@
     const entry = this.entries.get(key);
     if (entry === undefined) return;
     this.entries.delete(key);
-    for (const target of listTargets(entry.placement)) {
-      const engine = this.engines.get(target);
-      engine?.remove(entry, now);
-      if (engine?.entries.size === 0) this.engines.delete(target);
-    }
+    for (const target of listTargets(entry.placement))
+      this.engines.get(target)?.remove(entry, now);
+    this.dropIdleEngines(now);
     for (const listener of this.removeListeners) listener();
   }
 
@@ -274,6 +272,11 @@
     return lastMs;
   }
 
+  private dropIdleEngines(now: number): void {
+    for (const [target, engine] of this.engines)
+      if (engine.isIdle(now)) this.engines.delete(target);
+  }
+
   private findOrAddEngine(target: string): TrackedEngine {
     let engine = this.engines.get(target);
     if (engine === undefined) {
--- a/packages/direct/src/placement/tracked-engine.ts
+++ b/packages/direct/src/placement/tracked-engine.ts
@@ -50,6 +50,15 @@
     return this.iterations;
   }
 
+  /**
+   * Returns true if no placement is left and no iteration is running. An engine
+   * finishes an iteration even if its prompts are cancelled.
+   */
+  isIdle(now: number): boolean {
+    if (this.entries.size > 0) return false;
+    return (this.readIterations()?.estimateIterationLeftMs(now) ?? 0) === 0;
+  }
+
   /** Adds a placement that has a shard, a sequence or KV cache here. */
   add(entry: TrackedPlacement): void {
     const iterations = this.readIterations();
