An attempted stream is deferred, not refused, while it would break others

Cause: a prompt that would break begun streams is deferred until its objective and then refused. A stream that has begun is nearly always past its objective, so when its engine died and each other engine decoded short streams, it was refused by the placement, sent to the admission queue, refused there at once (its limit is 0.35 of the objective), and cut, although the short streams end within a second or two. Ruled out: the objective not yet passed (deferred and whole, trials with 100,000, 150,000 and 250,000 tokens); KV cache (150,000 tokens fit). Change: a stream that has been attempted waits until it can be placed, its caller leaves or its deadline passes. Before: the new test fails (no fifth stream reaches the engine), begun-stream 25 of 26; in the trial the stream was cut 0 ms after its engine died. After: 26 of 26; begun-stream, silent-engine, stalled-stream, stream-forwarder and placement tests 103 of 103.

--- a/packages/direct/src/forward/begun-stream.test.ts
+++ b/packages/direct/src/forward/begun-stream.test.ts
@@ -1,6 +1,6 @@
 import {describe, it} from 'node:test';
 import {expect} from 'earl';
-import {answerNotRun} from '../test/fake-target.js';
+import {answerNotRun, formatEvents} from '../test/fake-target.js';
 import {
   EVENT_COUNT,
   buildStreamConfig,
@@ -14,6 +14,9 @@
 /** Pause of the engine, in ms: longer than the stall timeout. */
 const PAUSE_MS = 1600;
 
+/** Objective for the time to first token of a long stream, in ms. */
+const LONG_OBJECTIVE_MS = 4000;
+
 /** What happens while the engine of a begun stream pauses. */
 interface Disturbance {
   readonly config?: FleetConfig;
@@ -202,6 +205,36 @@
   });
 });
 
+describe('begun long stream whose engine dies', () => {
+  it('is resumed as soon as that breaks no streams of the other engine', async () => {
+    // Guards against a stream that is given up because its objective has passed
+    // while the only other engine decodes short streams.
+    const bed = await openStreamBed();
+    try {
+      const dying = await bed.addEngine('busy');
+      const long = bed.call('/long/150000');
+      await bed.clock.advanceUntil(() => dying.streams.length === 1);
+      dying.stream(1);
+      await bed.clock.advance(LONG_OBJECTIVE_MS);
+      dying.stream(2);
+      await bed.clock.waitUntil(() => long.body === formatEvents(1, 2));
+      await publishEntry({isDraining: true})?.(bed, dying);
+      const other = await bed.addEngine('other');
+      await bed.beginStreams(other, 4);
+      dying.close();
+      await bed.clock.advance(300);
+      expect(other.streams.length).toEqual(4);
+      other.stream(EVENT_COUNT);
+      await bed.clock.advanceUntil(() => other.streams.length === 5);
+      other.stream(EVENT_COUNT);
+      await bed.waitForEnds();
+      expect(bed.callers.every(({isWhole}) => isWhole)).toEqual(true);
+    } finally {
+      bed.close();
+    }
+  });
+});
+
 describe('stream whose backup engine refuses', () => {
   it('is whole if its engine begins while its report is awaited', async () => {
     // Guards against a stream that is given up for a lost report although its
--- a/packages/direct/src/placement/choose-send-time.ts
+++ b/packages/direct/src/placement/choose-send-time.ts
@@ -52,12 +52,14 @@
 
 /**
  * Chooses the engines and the send time for a prompt. A prompt that would make
- * callers cancel streams that have begun waits for at most its objective.
+ * callers cancel streams that have begun waits for at most its objective, and
+ * for as long as its caller if it has been attempted before.
  *
  * @param isUrgent - Whether the stream has been attempted before, so that its
  *   caller has waited already.
  * @returns The choice, or undefined if the engines lack KV cache for the prompt
- *   now, or if it would still break streams after its objective.
+ *   now, or if it would still break streams after its objective and has not been
+ *   attempted before.
  * @example
  * chooseSendTime(candidates, demand, engine, performance.now())?.waitMs;
  */
@@ -71,7 +73,7 @@
   const choice = choosePromptEngines(candidates, demand, engine, now);
   if (choice === undefined) return undefined;
   if (choice.brokenStreams > 0)
-    return demand.objectiveLeftMs > 0
+    return isUrgent || demand.objectiveLeftMs > 0
       ? {choice, waitMs: BROKEN_STREAMS_DELAY_MS}
       : undefined;
   let best: TimedChoice = {choice, waitMs: 0};
