A silent engine is suspended also when the retry budget is spent

Cause: the stall of an engine was recorded only after a retry had been claimed. Without budget (several engines silent at once), the engine stayed as eligible as before, and looked idle as soon as its callers had left. Ruled out: the refusing order of checks before it (attempts, free slot, known iteration, bytes of other streams), which is unchanged: with all attempts spent, a silent engine is still not noticed. Change: the stall is recorded before the retry is claimed.

--- a/packages/direct/src/forward/silent-engine.test.ts
+++ b/packages/direct/src/forward/silent-engine.test.ts
@@ -197,6 +197,29 @@
     });
 });
 
+describe('engine that goes silent while the retry budget is spent', () => {
+  it('gets no new streams', async () => {
+    // Guards against a dead engine that is not noticed because no retry shows it.
+    const retryBounds = {ratio: 0, slack: 0, windowMs: 10_000};
+    const bed = await openStreamBed({retryBounds});
+    try {
+      const busy = await bed.addEngine('busy');
+      await bed.beginStreams(busy, 4);
+      const idle = await bed.addEngine('idle');
+      await bed.clock.advance(1300);
+      for (let i = 1; i <= 8; i++) {
+        bed.call();
+        await bed.clock.advanceUntil(
+          () => idle.streams.length + busy.streams.length === 4 + i,
+        );
+      }
+      expect(busy.streams.length).toEqual(4);
+    } finally {
+      bed.close();
+    }
+  });
+});
+
 describe('engine that goes silent without a known reason', () => {
   it('is usable again as soon as it sends events', async () => {
     // Guards against one pause that counts as a failure for each stream and
--- a/packages/direct/src/forward/stream-forwarder.ts
+++ b/packages/direct/src/forward/stream-forwarder.ts
@@ -189,10 +189,11 @@
     if (silent.isClosed || this.isOtherChainOpen(silent)) return;
     const {predictedTtftMs} = placed.choice;
     const neededMs = Math.max(MIN_RETRY_LEFT_MS, predictedTtftMs);
-    if (this.readLeftMs() < neededMs || !this.claimRetry()) return;
+    if (this.readLeftMs() < neededMs) return;
     const {health, readNow} = this.context;
-    this.tried.add(placed.target.id);
     health.recordStall(placed.target.id, readNow());
+    if (!this.claimRetry()) return;
+    this.tried.add(placed.target.id);
     silent.isStalled = true;
     this.record.addStall(placed);
     void this.runChain();
