A begun stream waits for KV cache instead of being cut

Cause: a stream whose engine has died was sent to the admission queue when no other engine had free KV cache. The queue refuses what has waited for 0.35 of its objective, which a begun stream nearly always has, so the stream was cut in the same turn, although KV cache becomes free within a second or two. Ruled out: slots (an attempted stream may exceed them). A stream that has not begun is refused as before. Before: the new test fails (no second stream reaches the other engine), begun-stream 26 of 27.

--- a/packages/direct/src/forward/begun-stream.test.ts
+++ b/packages/direct/src/forward/begun-stream.test.ts
@@ -17,6 +17,9 @@
 /** Objective for the time to first token of a long stream, in ms. */
 const LONG_OBJECTIVE_MS = 4000;
 
+/** Time after which a short stream is not admitted to a queue, in ms. */
+const KV_WAIT_LIMIT_MS = 400;
+
 /** What happens while the engine of a begun stream pauses. */
 interface Disturbance {
   readonly config?: FleetConfig;
@@ -205,6 +208,34 @@
   });
 });
 
+describe('begun stream whose engine dies', () => {
+  it('is resumed as soon as the other engine has free KV cache', async () => {
+    // Guards against a stream that is cut because no KV cache is free at the
+    // moment in which its engine dies.
+    const bed = await openStreamBed();
+    try {
+      const dying = await bed.addEngine('busy');
+      await bed.beginStreams(dying, 1);
+      await bed.clock.advance(KV_WAIT_LIMIT_MS);
+      dying.stream(3);
+      await publishEntry({isDraining: true})?.(bed, dying);
+      const other = await bed.addEngine('other');
+      bed.call('/long/258000');
+      await bed.clock.advanceUntil(() => other.streams.length === 1);
+      dying.close();
+      await bed.clock.advance(500);
+      expect(other.streams.length).toEqual(1);
+      other.stream(EVENT_COUNT);
+      await bed.clock.advanceUntil(() => other.streams.length === 2);
+      other.stream(EVENT_COUNT);
+      await bed.waitForEnds();
+      expect(bed.callers.every(({isWhole}) => isWhole)).toEqual(true);
+    } finally {
+      bed.close();
+    }
+  });
+});
+
 describe('begun long stream whose engine dies', () => {
   it('is resumed as soon as that breaks no streams of the other engine', async () => {
     // Guards against a stream that is given up because its objective has passed
--- a/packages/direct/src/forward/slot-finder.ts
+++ b/packages/direct/src/forward/slot-finder.ts
@@ -29,7 +29,7 @@
  * Finds the engines for each attempt at one stream.
  *
  * @example
- * const placed = await new SlotFinder(context, request, engine, tried).findSlot(false, signal);
+ * const placed = await new SlotFinder(context, request, engine, tried).findSlot(false, signal, false);
  */
 export class SlotFinder {
   /** @param tried - Ids of the engines to avoid. */
@@ -47,13 +47,21 @@
    *   taken.
    * @param signal - Aborted when no engine is needed any more; a slot that was
    *   found by then is released.
+   * @param hasBegun - True for a stream that can no longer be refused; it waits
+   *   until an engine has free KV cache.
    */
   async findSlot(
     mayExceedSlots: boolean,
     signal: AbortSignal,
+    hasBegun: boolean,
   ): Promise<PlacedPrompt | NoSlotReason> {
     let result = await this.waitForSendTime(mayExceedSlots, signal);
-    if (result === 'full') result = await this.waitForSlot(signal);
+    while (result === 'full' && hasBegun && !signal.aborted) {
+      await sleep(REEVALUATE_MS);
+      result = await this.waitForSendTime(mayExceedSlots, signal);
+    }
+    if (result === 'full' && !signal.aborted)
+      result = await this.waitForSlot(signal);
     if (!signal.aborted) return result;
     if (result instanceof PlacedPrompt) result.release();
     return 'left';
--- a/packages/direct/src/forward/stream-forwarder.ts
+++ b/packages/direct/src/forward/stream-forwarder.ts
@@ -105,7 +105,11 @@
     }
     // A stream that has already been attempted skips the admission queue.
     const mayExceedSlots = this.sentAttempts > 0 || this.unsentAttempts > 0;
-    const result = await this.finder.findSlot(mayExceedSlots, chain.signal);
+    const result = await this.finder.findSlot(
+      mayExceedSlots,
+      chain.signal,
+      this.progress.hasHead,
+    );
     if (result instanceof PlacedPrompt)
       return this.checkDeadline(chain, result);
     if (result === 'none') this.giveUp(chain, 'no_target');
