--- a/packages/direct/src/forward/begun-stream.test.ts
+++ b/packages/direct/src/forward/begun-stream.test.ts
@@ -1,6 +1,6 @@
 import {describe, it} from 'node:test';
 import {expect} from 'earl';
-import {answerNotRun} from '../test/fake-target.js';
+import {answerNotRun, formatEvents} from '../test/fake-target.js';
 import {
   EVENT_COUNT,
   buildStreamConfig,
@@ -14,6 +14,12 @@
 /** Pause of the engine, in ms: longer than the stall timeout. */
 const PAUSE_MS = 1600;
 
+/** Objective for the time to first token of a long stream, in ms. */
+const LONG_OBJECTIVE_MS = 4000;
+
+/** Time after which a short stream is not admitted to a queue, in ms. */
+const KV_WAIT_LIMIT_MS = 400;
+
 /** What happens while the engine of a begun stream pauses. */
 interface Disturbance {
   readonly config?: FleetConfig;
@@ -202,6 +208,64 @@
   });
 });
 
+describe('begun stream whose engine dies', () => {
+  it('is resumed as soon as the other engine has free KV cache', async () => {
+    // Guards against a stream that is cut because no KV cache is free at the
+    // moment in which its engine dies.
+    const bed = await openStreamBed();
+    try {
+      const dying = await bed.addEngine('busy');
+      await bed.beginStreams(dying, 1);
+      await bed.clock.advance(KV_WAIT_LIMIT_MS);
+      dying.stream(3);
+      await publishEntry({isDraining: true})?.(bed, dying);
+      const other = await bed.addEngine('other');
+      bed.call('/long/258000');
+      await bed.clock.advanceUntil(() => other.streams.length === 1);
+      dying.close();
+      await bed.clock.advance(500);
+      expect(other.streams.length).toEqual(1);
+      other.stream(EVENT_COUNT);
+      await bed.clock.advanceUntil(() => other.streams.length === 2);
+      other.stream(EVENT_COUNT);
+      await bed.waitForEnds();
+      expect(bed.callers.every(({isWhole}) => isWhole)).toEqual(true);
+    } finally {
+      bed.close();
+    }
+  });
+});
+
+describe('begun long stream whose engine dies', () => {
+  it('is resumed as soon as that breaks no streams of the other engine', async () => {
+    // Guards against a stream that is given up because its objective has passed
+    // while the only other engine decodes short streams.
+    const bed = await openStreamBed();
+    try {
+      const dying = await bed.addEngine('busy');
+      const long = bed.call('/long/150000');
+      await bed.clock.advanceUntil(() => dying.streams.length === 1);
+      dying.stream(1);
+      await bed.clock.advance(LONG_OBJECTIVE_MS);
+      dying.stream(2);
+      await bed.clock.waitUntil(() => long.body === formatEvents(1, 2));
+      await publishEntry({isDraining: true})?.(bed, dying);
+      const other = await bed.addEngine('other');
+      await bed.beginStreams(other, 4);
+      dying.close();
+      await bed.clock.advance(300);
+      expect(other.streams.length).toEqual(4);
+      other.stream(EVENT_COUNT);
+      await bed.clock.advanceUntil(() => other.streams.length === 5);
+      other.stream(EVENT_COUNT);
+      await bed.waitForEnds();
+      expect(bed.callers.every(({isWhole}) => isWhole)).toEqual(true);
+    } finally {
+      bed.close();
+    }
+  });
+});
+
 describe('stream whose backup engine refuses', () => {
   it('is whole if its engine begins while its report is awaited', async () => {
     // Guards against a stream that is given up for a lost report although its
--- a/packages/direct/src/forward/silent-engine.test.ts
+++ b/packages/direct/src/forward/silent-engine.test.ts
@@ -1,7 +1,14 @@
 import {describe, it} from 'node:test';
 import {expect} from 'earl';
-import {EVENT_COUNT, openStreamBed} from '../test/silent-engine.js';
-import type {SilentEngine, StreamBed} from '../test/silent-engine.js';
+import {answerNotRun} from '../test/fake-target.js';
+import {
+  EVENT_COUNT,
+  SilentEngine,
+  buildStreamConfig,
+  openStreamBed,
+} from '../test/silent-engine.js';
+import type {TargetScript} from '../test/fake-target.js';
+import type {StreamBed} from '../test/silent-engine.js';
 
 /** Number of short streams that the silent engine decodes. */
 const STREAM_COUNT = 8;
@@ -9,6 +16,12 @@
 /** Shard whose iteration callers outlast, in ms. */
 const LONG_SHARD_MS = 1500;
 
+/** Ways in which a backup engine gives no answer. */
+const REFUSALS: Readonly<Record<string, TargetScript>> = {
+  refuses: answerNotRun,
+  'resets the connection': req => req.socket.resetAndDestroy(),
+};
+
 /** Shard whose iteration callers do not outlast, in ms. */
 const TOO_LONG_SHARD_MS = 2400;
 
@@ -62,6 +75,26 @@
     }
   });
 
+  it('is not taken for stalled if its entry is removed meanwhile', async () => {
+    // Guards against a second prefill of every stream of an engine that leaves.
+    const bed = await openStreamBed();
+    try {
+      const {busy} = await openBesidePeerShard(bed, LONG_SHARD_MS);
+      bed.harness.store.dropTarget('busy');
+      await bed.clock.advanceUntil(
+        () => bed.countLines('target_removed', 'busy') > 0,
+      );
+      await bed.clock.advance(1000);
+      expect(bed.countLines('engine_silent')).toEqual(0);
+      await bed.clock.advance(500);
+      busy.stream(EVENT_COUNT);
+      await bed.waitForEnds();
+      expect(bed.callers.every(({isWhole}) => isWhole)).toEqual(true);
+    } finally {
+      bed.close();
+    }
+  });
+
   it('that callers do not outlast is replaced before they leave', async () => {
     // Guards against waiting for a healthy engine until its callers are gone.
     const bed = await openStreamBed();
@@ -119,6 +152,58 @@
   });
 });
 
+describe('engine that goes silent for good', () => {
+  for (const [name, close] of Object.entries(REFUSALS))
+    it(`loses no begun stream if its first backup engine ${name}`, async () => {
+      // Guards against a begun stream that waits for a dead engine until its
+      // caller leaves although another engine is idle.
+      const bed = await openStreamBed({config: buildStreamConfig(1, 4)});
+      try {
+        const busy = await bed.addEngine('busy');
+        await bed.beginStreams(busy, 1);
+        let attempts = 0;
+        for (const id of ['b1', 'b2']) {
+          const engine = new SilentEngine(id);
+          await bed.addEngine(id, (req, res) => {
+            if (++attempts === 1) return close(req, res);
+            engine.script(req, res);
+            engine.stream(EVENT_COUNT);
+          });
+        }
+        await bed.clock.advance(2200);
+        expect({attempts, end: bed.callers[0].end}).toEqual({
+          attempts: 2,
+          end: 'whole',
+        });
+      } finally {
+        bed.close();
+      }
+    });
+});
+
+describe('engine that goes silent while the retry budget is spent', () => {
+  it('gets no new streams', async () => {
+    // Guards against a dead engine that is not noticed because no retry shows it.
+    const retryBounds = {ratio: 0, slack: 0, windowMs: 10_000};
+    const bed = await openStreamBed({retryBounds});
+    try {
+      const busy = await bed.addEngine('busy');
+      await bed.beginStreams(busy, 4);
+      const idle = await bed.addEngine('idle');
+      await bed.clock.advance(1300);
+      for (let i = 1; i <= 8; i++) {
+        bed.call();
+        await bed.clock.advanceUntil(
+          () => idle.streams.length + busy.streams.length === 4 + i,
+        );
+      }
+      expect(busy.streams.length).toEqual(4);
+    } finally {
+      bed.close();
+    }
+  });
+});
+
 describe('engine that goes silent without a known reason', () => {
   it('is usable again as soon as it sends events', async () => {
     // Guards against one pause that counts as a failure for each stream and
--- a/packages/direct/src/forward/stream-forwarder.ts
+++ b/packages/direct/src/forward/stream-forwarder.ts
@@ -105,7 +105,11 @@
     }
     // A stream that has already been attempted skips the admission queue.
     const mayExceedSlots = this.sentAttempts > 0 || this.unsentAttempts > 0;
-    const result = await this.finder.findSlot(mayExceedSlots, chain.signal);
+    const result = await this.finder.findSlot(
+      mayExceedSlots,
+      chain.signal,
+      this.progress.hasHead,
+    );
     if (result instanceof PlacedPrompt)
       return this.checkDeadline(chain, result);
     if (result === 'none') this.giveUp(chain, 'no_target');
@@ -189,10 +193,11 @@
     if (silent.isClosed || this.isOtherChainOpen(silent)) return;
     const {predictedTtftMs} = placed.choice;
     const neededMs = Math.max(MIN_RETRY_LEFT_MS, predictedTtftMs);
-    if (this.readLeftMs() < neededMs || !this.claimRetry()) return;
+    if (this.readLeftMs() < neededMs) return;
     const {health, readNow} = this.context;
-    this.tried.add(placed.target.id);
     health.recordStall(placed.target.id, readNow());
+    if (!this.claimRetry()) return;
+    this.tried.add(placed.target.id);
     silent.isStalled = true;
     this.record.addStall(placed);
     void this.runChain();
@@ -233,7 +238,9 @@
       end.kind === 'no-memory' || (end.kind === 'failed' && !end.error.wasSent);
     if (isUnsent) return this.countUnsent(chain);
     this.mayHaveRun ||= end.kind !== 'not-run';
-    if (this.isOtherChainOpen(chain)) return this.closeForOther(chain);
+    // A backup goes on to further engines, as the stalled one may be dead.
+    if (chain.isStalled && this.isOtherChainOpen(chain))
+      return this.closeForOther(chain);
     this.claimNextAttempt(chain, end);
   }
 
