--- a/packages/direct/src/placement/loss.ts
+++ b/packages/direct/src/placement/loss.ts
@@ -1,4 +1,4 @@
-/** Expected loss of a stream through waiting, as a share of its value. */
+/** Expected loss of streams through waiting and through long iterations. */
 
 /** Multiple of the inter-token latency objective at which callers cancel. */
 const ABANDON_ITL_OBJECTIVES = 8;
@@ -7,7 +7,7 @@
 export const ABANDON_TTFT_OBJECTIVES = 4;
 
 /** Share of its value that an answer loses by missing its objective. */
-export const LATE_LOSS = 0.75;
+const LATE_LOSS = 0.75;
 
 /**
  * Share of the TTFT objective from which on a miss has a probability above 0;
@@ -41,11 +41,8 @@
 
 /**
  * Estimates the probability that a wait predicted as `ms` exceeds `limitMs`.
- *
- * @example
- * estimateMissProbability(150, 300, TTFT_ERROR); // 0
  */
-export function estimateMissProbability(
+function estimateMissProbability(
   ms: number,
   limitMs: number,
   {riskStartShare, errorMs}: PredictionError,
@@ -71,7 +68,7 @@
  * Error of predicted inter-token latency: the time that three more short
  * prompts add to an iteration, independent of the latency itself.
  */
-export const ITL_ERROR: PredictionError = {riskStartShare: 0.9, errorMs: 90};
+const ITL_ERROR: PredictionError = {riskStartShare: 0.9, errorMs: 90};
 
 /**
  * Error of predicted iterations that are close to the patience of callers: an
@@ -104,11 +101,8 @@
 /**
  * Estimates the probability that the caller of a begun stream cancels because
  * an iteration predicted as `iterationMs` outlasts its patience.
- *
- * @example
- * estimateBreakProbability(2280, {objectiveMs: 300, itlObjectiveMs: 250}); // 1
  */
-export function estimateBreakProbability(
+function estimateBreakProbability(
   iterationMs: number,
   objectives: StreamObjectives,
 ): number {
--- a/packages/direct/src/placement/prompt-placer.ts
+++ b/packages/direct/src/placement/prompt-placer.ts
@@ -147,6 +147,7 @@
     const candidates = targets.map(target =>
       this.describeCandidate(target, now),
     );
+    // The caller of a stream that has been attempted before has waited already.
     const isUrgent = mayExceedSlots;
     const timed = chooseSendTime(candidates, demand, engine, now, isUrgent);
     if (timed === undefined)
