Test of the stall timer: the timer starts with the suspension, not before the connection

Traced: its timer of 200 ms started before the connection, and expires rightly if the process takes longer than that until the first data; with 250 ms of standing still there it fails 3 of 3, without any event unread. Now the timer starts where the process is suspended for 500 ms, so the same check holds at any speed: 5 of 5, and with a ReadTimeout that does not read first it fails (1 of 1, as it should).

--- a/packages/direct/src/forward/stall-timer.test.ts
+++ b/packages/direct/src/forward/stall-timer.test.ts
@@ -37,6 +37,7 @@
     const server = createServer(socket => {
       socket.write('first');
       setImmediate(() => {
+        stallTimer.restart(STALL_MS);
         socket.write('second');
         freezeProcess(SUSPENSION_MS);
       });
@@ -44,7 +45,6 @@
     const port = await openListener(server, {host: '127.0.0.1', port: 0});
     const socket = connect(port, '127.0.0.1');
     let text = '';
-    stallTimer.restart(STALL_MS);
     await new Promise<void>(resolve =>
       socket.on('data', part => {
         text += String(part);
