Logs and counters of runs that a server broke off: content and state of the server

Cause: not fixed here. The logs could not tell the three hypotheses apart: a retry has a new request id, and 'truncated' is logged for a crash and for a cut path alike. The change: a fingerprint of method, host, path, account and body (computed only when it is read), and one connection to the server of a run that broke off (once for all runs that broke off together). run_broken_off says content, target, state of the server (ended, up, silent, left) and the time since the run's first event; counters crash.server_*. No decision depends on it. Before: no line said either. Tests: 238 of 238 of packages/direct.

--- /dev/null
+++ b/packages/direct/src/crashes/crash-watch.test.ts
@@ -0,0 +1,84 @@
+import {describe, it} from 'node:test';
+import {Writable} from 'node:stream';
+import {createCounters} from '@nutmeggauge/core';
+import {expect} from 'earl';
+import {createFleetState} from '../fleet/fleet-state.js';
+import {createDecisionLog} from '../observe/decision-log.js';
+import {buildTarget} from '../test/build-target.js';
+import {ServerCheck} from './check-server.js';
+import {CrashWatch} from './crash-watch.js';
+import {Fingerprint} from './fingerprint.js';
+import type {ServerState} from './check-server.js';
+
+/** Answers every check with the state that a test sets. */
+class FakeServerCheck extends ServerCheck {
+  state: ServerState = 'up';
+  checks = 0;
+
+  override async check(): Promise<ServerState> {
+    this.checks++;
+    return this.state;
+  }
+}
+
+function openWatch() {
+  const state = createFleetState(() => performance.now());
+  const serverCheck = new FakeServerCheck();
+  const counters = createCounters();
+  const output = new Writable({write: (_chunk, _encoding, done) => done()});
+  const log = createDecisionLog({proc: 'g', output, readWallMs: Date.now});
+  const watch = new CrashWatch({
+    state,
+    serverCheck,
+    log,
+    counters,
+    readNow: () => performance.now(),
+  });
+  const fingerprint = new Fingerprint({
+    method: 'POST',
+    host: 'site',
+    path: '/',
+    account: 'acme',
+    body: Buffer.alloc(0),
+  });
+  const judge = (id: string) =>
+    watch.judgeBreak({
+      fingerprint,
+      requestId: 'q1',
+      target: buildTarget(id, 1),
+      firstEventAt: undefined,
+    });
+  return {state, serverCheck, counters, judge};
+}
+
+describe('crash watch', () => {
+  it('takes a server for crashed only if it refuses connections', async () => {
+    // Guards against a request that is blamed for a cut path or a spoilt answer.
+    const {state, serverCheck, counters, judge} = openWatch();
+    state.applyChange({kind: 'target', target: buildTarget('e1', 1)});
+    for (const server of ['up', 'silent', 'ended'] as const) {
+      serverCheck.state = server;
+      expect(await judge('e1')).toEqual(server);
+    }
+    expect(counters.read()['crash.server_ended']).toEqual(1);
+  });
+
+  it('does not check a server that leaves as planned', async () => {
+    // Guards against a request that is blamed for the end of a drained server.
+    const {state, serverCheck, judge} = openWatch();
+    serverCheck.state = 'ended';
+    state.applyChange({kind: 'target', target: buildTarget('e1', 1, true)});
+    expect(await judge('e1')).toEqual('left');
+    expect(await judge('unlisted')).toEqual('left');
+    expect(serverCheck.checks).toEqual(0);
+  });
+
+  it('checks a server once for all runs that it broke off', async () => {
+    const {state, serverCheck, judge} = openWatch();
+    serverCheck.state = 'ended';
+    state.applyChange({kind: 'target', target: buildTarget('e1', 1)});
+    await Promise.all([judge('e1'), judge('e1'), judge('e1')]);
+    await judge('e1');
+    expect(serverCheck.checks).toEqual(1);
+  });
+});
--- /dev/null
+++ b/packages/direct/src/crashes/crash-watch.ts
@@ -0,0 +1,110 @@
+/**
+ * Finds out whether a server that broke off an answer has crashed. A connection
+ * may also end because the answer was cut on the way or was spoilt, because the
+ * server left as planned, or because its host lost power.
+ */
+import type {Counters} from '@nutmeggauge/core';
+import type {FleetState} from '../fleet/fleet-state.js';
+import type {DecisionLog} from '../observe/decision-log.js';
+import type {Target} from '../types.js';
+import type {ServerCheck, ServerState} from './check-server.js';
+import type {Fingerprint} from './fingerprint.js';
+
+/** Time for which an ended server is remembered, in ms. */
+const ENDED_RETENTION_MS = 60_000;
+
+/** Run of a request that its server broke off. */
+export interface BrokenRun {
+  readonly fingerprint: Fingerprint;
+  readonly requestId: string | undefined;
+  readonly target: Target;
+  /**
+   * Time of the first event of this run on the monotonic clock, in ms; absent
+   * if none was received.
+   */
+  readonly firstEventAt: number | undefined;
+}
+
+/** What became of a server: its state, or that it left as planned. */
+export type BreakCause = ServerState | 'left';
+
+/** Dependencies of a crash watch. */
+export interface CrashWatchOptions {
+  readonly state: FleetState;
+  readonly serverCheck: ServerCheck;
+  readonly log: DecisionLog;
+  readonly counters: Counters;
+  readonly readNow: () => number;
+}
+
+/**
+ * Watches the servers of broken runs.
+ *
+ * @example
+ * const cause = await watch.judgeBreak(run); // 'ended'
+ */
+export class CrashWatch {
+  private readonly checks = new Map<string, Promise<ServerState>>();
+  /** Times at which servers were found to have ended, by incarnation id. */
+  private readonly endedAt = new Map<string, number>();
+
+  constructor(private readonly options: CrashWatchOptions) {}
+
+  /**
+   * Judges why a server broke off a run. Only `ended` is a crash: the host still
+   * answers, and nothing listens on the port any more.
+   */
+  async judgeBreak(run: BrokenRun): Promise<BreakCause> {
+    const brokenAt = this.options.readNow();
+    const cause = await this.findCause(run.target);
+    this.recordBreak(run, cause, brokenAt);
+    return cause;
+  }
+
+  private async findCause(target: Target): Promise<BreakCause> {
+    if (this.endedAt.has(target.id)) return 'ended';
+    const known = this.options.state.findIncarnation(target.id);
+    if (known === undefined || known.isDraining) return 'left';
+    const state = await this.checkOnce(target);
+    if (state === 'ended') this.markEnded(target.id);
+    return state;
+  }
+
+  /** Checks a server once for all runs that it broke off together. */
+  private checkOnce(target: Target): Promise<ServerState> {
+    const running = this.checks.get(target.id);
+    if (running !== undefined) return running;
+    const check = this.options.serverCheck
+      .check(target)
+      .finally(() => this.checks.delete(target.id));
+    this.checks.set(target.id, check);
+    return check;
+  }
+
+  private markEnded(target: string): void {
+    const now = this.options.readNow();
+    for (const [id, endedAt] of this.endedAt)
+      if (now - endedAt > ENDED_RETENTION_MS) this.endedAt.delete(id);
+    this.endedAt.set(target, now);
+  }
+
+  private recordBreak(
+    run: BrokenRun,
+    cause: BreakCause,
+    brokenAt: number,
+  ): void {
+    const {log, counters} = this.options;
+    const {firstEventAt} = run;
+    counters.add(`crash.server_${cause}`);
+    log.warn('run_broken_off', {
+      requestId: run.requestId,
+      content: run.fingerprint.id,
+      target: run.target.id,
+      server: cause,
+      sinceFirstEventMs:
+        firstEventAt === undefined
+          ? undefined
+          : Math.round(brokenAt - firstEventAt),
+    });
+  }
+}
--- a/packages/direct/src/errors.ts
+++ b/packages/direct/src/errors.ts
@@ -63,6 +63,16 @@
     super(`exchange failed: ${fault}`, cause);
   }
 
+  /**
+   * Whether the connection ended before the answer did, as it does when the
+   * target crashes.
+   */
+  get isConnectionEnd(): boolean {
+    return (
+      this.wasSent && (this.fault === 'reset' || this.fault === 'truncated')
+    );
+  }
+
   /** Whether the failure indicates a fault of the target. */
   get isTargetFault(): boolean {
     return this.fault !== 'cancelled' && this.fault !== 'unwritable';
--- a/packages/direct/src/forward/call-forwarder.ts
+++ b/packages/direct/src/forward/call-forwarder.ts
@@ -107,6 +107,8 @@
       this.open.delete(exchange);
       context.calls.recordEnd(target.id);
     }
+    if (result.kind === 'failed')
+      await this.checkCrash(target, exchange, result.error);
     if (this.isSettled) return;
     this.recordHealth(target, result);
     this.handleResult(target, result, why);
@@ -144,6 +146,22 @@
     }
   }
 
+  /** Finds out whether the target has crashed that broke off an attempt. */
+  private async checkCrash(
+    target: Target,
+    exchange: Exchange,
+    error: ExchangeError,
+  ): Promise<void> {
+    if (!error.isConnectionEnd || exchange.isReplaced) return;
+    const {fingerprint, facts} = this.request;
+    await this.context.crashes.judgeBreak({
+      fingerprint,
+      requestId: facts.requestId,
+      target,
+      firstEventAt: undefined,
+    });
+  }
+
   private recordHealth(target: Target, result: AttemptResult): void {
     const {health, readNow} = this.context;
     if (result.kind === 'answer') health.recordSuccess(target.id);
--- a/packages/direct/src/forward/context.ts
+++ b/packages/direct/src/forward/context.ts
@@ -1,6 +1,7 @@
 /** Dependencies of the call forwarder and the stream forwarder. */
 import type {Counters, LatencyHistogram} from '@nutmeggauge/core';
 import type {AdmissionQueues} from '../admission/admission-queue.js';
+import type {CrashWatch} from '../crashes/crash-watch.js';
 import type {FleetState} from '../fleet/fleet-state.js';
 import type {TargetHealth} from '../health/target-health.js';
 import type {DecisionLog} from '../observe/decision-log.js';
@@ -20,6 +21,7 @@
   readonly prompts: PromptPlacer;
   readonly queues: AdmissionQueues;
   readonly exchanges: OpenExchanges;
+  readonly crashes: CrashWatch;
   readonly reservations: KvReservations;
   readonly reports: EngineReports;
   readonly log: DecisionLog;
--- a/packages/direct/src/forward/exchange.ts
+++ b/packages/direct/src/forward/exchange.ts
@@ -53,6 +53,7 @@
   private isConnected = false;
   private isCancelled = false;
   private hasFailed = false;
+  private hasBeenReplaced = false;
 
   private readonly target: Target;
 
@@ -76,6 +77,11 @@
     return this.isConnected;
   }
 
+  /** True if the exchange was failed by `markBroken`. */
+  get isReplaced(): boolean {
+    return this.hasBeenReplaced;
+  }
+
   /**
    * Returns true if a body that has ended is complete. Node's parser takes a
    * reset for the end of a body without a length, so only the socket error
@@ -112,6 +118,7 @@
   /** Fails the exchange in the same way as a reset by the target. */
   markBroken(): void {
     const {host, port} = this.target;
+    this.hasBeenReplaced = true;
     this.request?.destroy(
       new Error(`${host}:${port} now belongs to another server`),
     );
--- a/packages/direct/src/forward/request.ts
+++ b/packages/direct/src/forward/request.ts
@@ -1,4 +1,5 @@
 /** Request type that is passed from the ingress to the forwarders. */
+import type {Fingerprint} from '../crashes/fingerprint.js';
 import type {CallerResponse} from './caller-response.js';
 import type {RawHeaders, RequestMetadata, Route} from '../types.js';
 
@@ -9,6 +10,8 @@
   readonly path: string;
   readonly headers: RawHeaders;
   readonly body: Buffer;
+  /** Identifies the content, which a retry of the caller has in common. */
+  readonly fingerprint: Fingerprint;
   readonly facts: RequestMetadata;
   readonly route: Route;
   /** Service chosen from the traffic splits of the route. */
--- a/packages/direct/src/forward/stream-attempt.ts
+++ b/packages/direct/src/forward/stream-attempt.ts
@@ -91,6 +91,7 @@
 export class StreamAttempt {
   private exchange: Exchange | undefined;
   private isCancelled = false;
+  private firstEventReceivedAt: number | undefined;
   /** Time of the newest event of this attempt; absent before the first one. */
   private lastEventAt: number | undefined;
 
@@ -111,6 +112,19 @@
     }
   }
 
+  /**
+   * Time of the first event of this attempt on the monotonic clock, in ms; absent
+   * before.
+   */
+  get firstEventAt(): number | undefined {
+    return this.firstEventReceivedAt;
+  }
+
+  /** True if another server took over the address of the engine. */
+  get isEngineReplaced(): boolean {
+    return this.exchange?.isReplaced ?? false;
+  }
+
   /** Cancels the attempt, so that the engine drops the request. */
   cancel(): void {
     this.isCancelled = true;
@@ -291,6 +305,7 @@
       stallTimer.restart(stallMs);
       const now = context.readNow();
       this.lastEventAt = now;
+      this.firstEventReceivedAt ??= now;
       context.health.markActive(placed.target.id, now);
       for (const event of events) {
         caller.write(event.bytes);
--- a/packages/direct/src/forward/stream-forwarder.ts
+++ b/packages/direct/src/forward/stream-forwarder.ts
@@ -10,6 +10,7 @@
 import {StreamAttempt} from './stream-attempt.js';
 import {StreamProgress} from './stream-progress.js';
 import {StreamRecord} from './stream-record.js';
+import type {ExchangeError} from '../errors.js';
 import type {EngineCostModel, Target} from '../types.js';
 import type {ForwardContext} from './context.js';
 import type {GateRequest} from './request.js';
@@ -78,6 +79,8 @@
       const placed = await this.place(chain);
       if (placed === undefined) break;
       const end = await this.runAttempt(chain, placed);
+      if (end.kind === 'failed')
+        await this.checkCrash(chain, placed, end.error);
       if (this.isSettled) break;
       this.handleEnd(chain, placed, end);
     }
@@ -166,6 +169,22 @@
     return end;
   }
 
+  /** Finds out whether the engine has crashed that broke off an attempt. */
+  private async checkCrash(
+    {attempt}: AttemptChain,
+    {target}: PlacedPrompt,
+    error: ExchangeError,
+  ): Promise<void> {
+    if (!error.isConnectionEnd || attempt?.isEngineReplaced !== false) return;
+    const {fingerprint, facts} = this.request;
+    await this.context.crashes.judgeBreak({
+      fingerprint,
+      requestId: facts.requestId,
+      target,
+      firstEventAt: attempt.firstEventAt,
+    });
+  }
+
   /** Returns true if a backup is running or may be started for the chain. */
   private isBackupPossible(chain: AttemptChain): boolean {
     return (
--- a/packages/direct/src/gate.ts
+++ b/packages/direct/src/gate.ts
@@ -12,6 +12,8 @@
   AdmissionQueues,
   createAdmissionQueue,
 } from './admission/admission-queue.js';
+import {ConnectionCheck} from './crashes/check-server.js';
+import {CrashWatch} from './crashes/crash-watch.js';
 import {OpenExchanges} from './forward/open-exchanges.js';
 import {createFleetState} from './fleet/fleet-state.js';
 import {createStoreWatcher} from './fleet/store-watcher.js';
@@ -164,6 +166,13 @@
         }),
       ),
       exchanges: new OpenExchanges(),
+      crashes: new CrashWatch({
+        state,
+        serverCheck: new ConnectionCheck(),
+        log,
+        counters: this.counters,
+        readNow,
+      }),
       reservations: dependencies.reservations,
       reports: dependencies.reports,
       log,
--- a/packages/direct/src/ingress/ingress.ts
+++ b/packages/direct/src/ingress/ingress.ts
@@ -10,6 +10,7 @@
   readBody,
   waitForPendingReads,
 } from '@nutmeggauge/core';
+import {Fingerprint} from '../crashes/fingerprint.js';
 import {CallerResponse} from '../forward/caller-response.js';
 import {forwardCall} from '../forward/call-forwarder.js';
 import {chooseRetryAfterMs} from '../forward/retry-after.js';
@@ -174,11 +175,19 @@
     const service = chooseService(route);
     if (service === undefined)
       return this.refuseEarly(caller, 503, 'no_target', facts);
+    const method = req.method ?? 'GET';
     this.forward({
-      method: req.method ?? 'GET',
+      method,
       path,
       headers: req.rawHeaders,
       body,
+      fingerprint: new Fingerprint({
+        method,
+        host,
+        path,
+        account: account?.name,
+        body,
+      }),
       facts,
       route,
       service,
