--- a/packages/direct/src/test/fake-target.ts
+++ b/packages/direct/src/test/fake-target.ts
@@ -5,8 +5,12 @@
 import type {IncomingMessage, Server, ServerResponse} from 'node:http';
 import type {Target} from '../types.js';
 
-/** Handles a request that the target has received. */
-export type TargetScript = (req: IncomingMessage, res: ServerResponse) => void;
+/** Handles a request that the target has received with its whole body. */
+export type TargetScript = (
+  req: IncomingMessage,
+  res: ServerResponse,
+  body?: string,
+) => void;
 
 /** Builds the head of a signed answer to `req`. */
 export function buildSignedHead(req: IncomingMessage): Record<string, string> {
@@ -64,8 +68,9 @@
     this.server = createServer((req, res) => {
       this.received.push(String(req.headers['x-test-id']));
       this.heads.push(req.headers);
-      req.resume();
-      req.once('end', () => this.script(req, res));
+      let body = '';
+      req.on('data', chunk => (body += String(chunk)));
+      req.once('end', () => this.script(req, res, body));
     });
   }
 
