A request under which servers crash is told to all gates and refused

What callers saw: over a tenth of the short prompts not served, again and again, as one request ended 30 to 41 servers, each with the streams of other callers. Cause: a gate knew a request by its id alone. Every retry of the caller, and every gate, took it for a new one, so each sent it to two more servers. Class: evidence that is kept under a key that the repeated thing doesn't keep, and in one process although the repetition comes to all. Ruled out: more sends than the route allows; servers that end by themselves. The change: crashes/ keeps, by content, the servers that ended under it since its last whole answer. After one crash the content runs apart from other streams and once at a time among all gates; after two (three while servers crash that it doesn't explain) it is refused with 503 and the time for which that holds. Gates tell each other by datagram, three heartbeats repeat it, and a hash in the heartbeat shows a gate that knows less. Why 503 with Retry-After: the verdict is drawn from crashes and may be wrong, and it ends with time; a 4xx would tell an innocent caller to give up for good.

--- a/packages/direct/src/crashes/crash-watch.test.ts
+++ b/packages/direct/src/crashes/crash-watch.test.ts
@@ -4,6 +4,7 @@
 import {expect} from 'earl';
 import {createFleetState} from '../fleet/fleet-state.js';
 import {createDecisionLog} from '../observe/decision-log.js';
+import {buildSuspects} from '../test/build-suspects.js';
 import {buildTarget} from '../test/build-target.js';
 import {ServerCheck} from './check-server.js';
 import {CrashWatch} from './crash-watch.js';
@@ -27,12 +28,15 @@
   const counters = createCounters();
   const output = new Writable({write: (_chunk, _encoding, done) => done()});
   const log = createDecisionLog({proc: 'g', output, readWallMs: Date.now});
+  const suspects = buildSuspects();
   const watch = new CrashWatch({
     state,
     serverCheck,
+    suspects,
     log,
     counters,
     readNow: () => performance.now(),
+    onEnd: () => undefined,
   });
   const fingerprint = new Fingerprint({
     method: 'POST',
@@ -48,7 +52,7 @@
       target: buildTarget(id, 1),
       firstEventAt: undefined,
     });
-  return {state, serverCheck, counters, judge};
+  return {state, serverCheck, counters, suspects, judge};
 }
 
 describe('crash watch', () => {
--- a/packages/direct/src/crashes/crash-watch.ts
+++ b/packages/direct/src/crashes/crash-watch.ts
@@ -9,10 +9,17 @@
 import type {Target} from '../types.js';
 import type {ServerCheck, ServerState} from './check-server.js';
 import type {Fingerprint} from './fingerprint.js';
+import type {SuspectRequests} from './suspect-requests.js';
 
 /** Time for which an ended server is remembered, in ms. */
 const ENDED_RETENTION_MS = 60_000;
 
+/**
+ * Time from the first event of a run within which a crash may still be due to
+ * its begin, in ms; above an iteration of an engine.
+ */
+const BEGIN_WINDOW_MS = 300;
+
 /** Run of a request that its server broke off. */
 export interface BrokenRun {
   readonly fingerprint: Fingerprint;
@@ -32,9 +39,12 @@
 export interface CrashWatchOptions {
   readonly state: FleetState;
   readonly serverCheck: ServerCheck;
+  readonly suspects: SuspectRequests;
   readonly log: DecisionLog;
   readonly counters: Counters;
   readonly readNow: () => number;
+  /** Called once for each server that has ended. */
+  readonly onEnd: (target: string) => void;
 }
 
 /**
@@ -51,13 +61,14 @@
   constructor(private readonly options: CrashWatchOptions) {}
 
   /**
-   * Judges why a server broke off a run. Only `ended` is a crash: the host still
-   * answers, and nothing listens on the port any more.
+   * Judges why a server broke off a run, and records a crash. Only `ended` is a
+   * crash: the host still answers, and nothing listens on the port any more.
    */
   async judgeBreak(run: BrokenRun): Promise<BreakCause> {
     const brokenAt = this.options.readNow();
     const cause = await this.findCause(run.target);
     this.recordBreak(run, cause, brokenAt);
+    if (cause === 'ended') this.recordCrash(run, brokenAt);
     return cause;
   }
 
@@ -81,11 +92,25 @@
     return check;
   }
 
-  private markEnded(target: string): void {
+  /**
+   * Records that a server has ended.
+   *
+   * @param target - Incarnation id of the server.
+   */
+  markEnded(target: string): void {
+    if (this.endedAt.has(target)) return;
     const now = this.options.readNow();
     for (const [id, endedAt] of this.endedAt)
       if (now - endedAt > ENDED_RETENTION_MS) this.endedAt.delete(id);
     this.endedAt.set(target, now);
+    this.options.onEnd(target);
+  }
+
+  private recordCrash(run: BrokenRun, brokenAt: number): void {
+    const {firstEventAt, fingerprint, target} = run;
+    const isEarly =
+      firstEventAt === undefined || brokenAt - firstEventAt <= BEGIN_WINDOW_MS;
+    this.options.suspects.recordCrash(fingerprint.id, target.id, isEarly);
   }
 
   private recordBreak(
--- a/packages/direct/src/crashes/fingerprint.ts
+++ b/packages/direct/src/crashes/fingerprint.ts
@@ -49,6 +49,11 @@
     return this.cachedId;
   }
 
+  /** Returns whether `id` is the id of this content. */
+  isId(id: string): boolean {
+    return readOutline(id) === this.outline && id === this.id;
+  }
+
   private hashOutline(): string {
     const {method, host, path, account, body} = this.content;
     const text = JSON.stringify([
--- /dev/null
+++ b/packages/direct/src/crashes/suspect-requests.ts
@@ -0,0 +1,326 @@
+/**
+ * Requests under which servers have crashed, by their content. Gates tell each
+ * other of every crash, because a caller may send the request again at any gate.
+ */
+import {createHash} from 'node:crypto';
+import {readOutline} from './fingerprint.js';
+import {SuspectRequest} from './suspect-request.js';
+import type {Counters} from '@nutmeggauge/core';
+import type {DecisionLog} from '../observe/decision-log.js';
+import type {CrashReport} from './crash-report.js';
+import type {Fingerprint} from './fingerprint.js';
+import type {Verdict} from './suspect-request.js';
+
+/** Time for which a content is remembered after its newest crash, in ms. */
+const RETENTION_MS = 3_600_000;
+
+/**
+ * Time for which a whole answer is remembered, in ms; above the time for which
+ * peers repeat older crashes.
+ */
+const ANSWER_RETENTION_MS = 10_000;
+
+/** Maximum number of remembered contents. */
+const MAX_CONTENTS = 1024;
+
+/** Maximum number of reports in one message, which bounds its size. */
+const MAX_REPORTS = 64;
+
+/**
+ * Time for which an observation of this gate is repeated in its heartbeats, in
+ * ms: three heartbeats, as datagrams are lost now and then.
+ */
+const REPEAT_MS = 3200;
+
+/** Period around the crashes of a content in which others form a wave, in ms. */
+const WAVE_WINDOW_MS = 5000;
+
+/** Number of crashes that a content does not explain and that form a wave. */
+const WAVE_CRASHES = 2;
+
+/** Called when requests with a content are refused from now on. */
+export type RefusalListener = (content: string) => void;
+
+/** Dependencies of the suspect requests of one gate. */
+export interface SuspectRequestsOptions {
+  /** Time from the newest crash during which requests are refused, in ms. */
+  readonly refusalMs: number;
+  readonly log: DecisionLog;
+  readonly counters: Counters;
+  readonly readNow: () => number;
+  /** Sends a report to the other gates. */
+  readonly announce: (report: CrashReport) => void;
+  /** Called for each crash that a peer reports. */
+  readonly onPeerCrash: (target: string) => void;
+}
+
+/**
+ * Suspect requests that one gate knows.
+ *
+ * @example
+ * suspects.recordCrash(fingerprint.id, 'i-1', true);
+ * suspects.judge(fingerprint); // 'suspect'
+ */
+export class SuspectRequests {
+  private readonly byContent = new Map<string, SuspectRequest>();
+  /** Number of remembered contents by their outline. */
+  private readonly outlines = new Map<string, number>();
+  /** Contents that this gate observed, and the time to repeat them until. */
+  private readonly repeatUntil = new Map<string, number>();
+  private readonly refusalListeners = new Set<RefusalListener>();
+
+  constructor(private readonly options: SuspectRequestsOptions) {}
+
+  /** Number of remembered contents. */
+  get size(): number {
+    return this.byContent.size;
+  }
+
+  /** Number of contents whose requests are refused. */
+  countRefused(): number {
+    return [...this.byContent.values()].filter(({isRefused}) => isRefused)
+      .length;
+  }
+
+  /** Registers a listener for refusals; returns a function that removes it. */
+  onRefusal(listener: RefusalListener): () => void {
+    this.refusalListeners.add(listener);
+    return () => void this.refusalListeners.delete(listener);
+  }
+
+  /** Judges what a request may do. */
+  judge(fingerprint: Fingerprint): Verdict {
+    const suspect = this.find(fingerprint);
+    if (suspect === undefined || suspect.targets.length === 0) return 'free';
+    return this.readLeftMs(suspect) > 0 ? 'refused' : 'suspect';
+  }
+
+  /** Returns the time for which a request is still refused, in ms. */
+  readRefusalLeftMs(fingerprint: Fingerprint): number {
+    const suspect = this.find(fingerprint);
+    return suspect === undefined ? 0 : this.readLeftMs(suspect);
+  }
+
+  /** Lists the servers that have crashed under a request. */
+  listCrashed(fingerprint: Fingerprint): readonly string[] {
+    return this.find(fingerprint)?.targets ?? [];
+  }
+
+  /**
+   * Records that a server has crashed under a request.
+   *
+   * @param isEarly - Whether the run had just begun or was still to begin.
+   */
+  recordCrash(content: string, target: string, isEarly: boolean): void {
+    const {readNow, counters, log, announce} = this.options;
+    const now = readNow();
+    const suspect = this.findOrAdd(content);
+    if (!suspect.addCrash({target, at: now, isEarly})) return;
+    counters.add('suspect.crashes');
+    log.warn('request_suspected', {
+      content,
+      target,
+      early: isEarly,
+      crashed: suspect.targets,
+    });
+    if (isEarly) this.repeatUntil.set(content, now + REPEAT_MS);
+    this.refuseIfGuilty(suspect, 'own');
+    announce(suspect.toReport(now));
+  }
+
+  /** Records a whole answer to a request, which clears it. */
+  recordAnswer(fingerprint: Fingerprint): void {
+    const suspect = this.find(fingerprint);
+    if (suspect === undefined || suspect.targets.length === 0) return;
+    const now = this.options.readNow();
+    this.recordCleared(suspect, 'own');
+    suspect.recordAnswer(now);
+    this.repeatUntil.set(suspect.content, now + REPEAT_MS);
+    this.options.announce(suspect.toReport(now));
+  }
+
+  /** Merges what a peer knows. */
+  merge(reports: readonly CrashReport[]): void {
+    for (const report of reports) this.mergeReport(report);
+  }
+
+  /** Lists reports of what this gate has observed within the last heartbeats. */
+  listRecent(): readonly CrashReport[] {
+    const now = this.options.readNow();
+    const reports: CrashReport[] = [];
+    for (const [content, until] of this.repeatUntil) {
+      const suspect = this.byContent.get(content);
+      if (until < now || suspect === undefined)
+        this.repeatUntil.delete(content);
+      else reports.push(suspect.toReport(now));
+    }
+    return reports.slice(-MAX_REPORTS);
+  }
+
+  /** Lists reports of all contents, refused ones first. */
+  listAll(): readonly CrashReport[] {
+    const now = this.options.readNow();
+    return [...this.byContent.values()]
+      .sort(compareSuspects)
+      .slice(0, MAX_REPORTS)
+      .map(suspect => suspect.toReport(now));
+  }
+
+  /** Hash of the refused contents, by which gates compare; absent if none. */
+  hashRefused(): string | undefined {
+    const refused = [...this.byContent.values()].filter(s => s.isRefused);
+    if (refused.length === 0) return undefined;
+    const text = refused.map(({content}) => content).sort();
+    return createHash('sha256')
+      .update(text.join())
+      .digest('base64url')
+      .slice(0, 6);
+  }
+
+  /** Forgets contents whose newest crash or answer is long past. */
+  expire(): void {
+    const now = this.options.readNow();
+    for (const suspect of [...this.byContent.values()]) {
+      if (suspect.isRefused && this.readLeftMs(suspect) === 0)
+        this.endRefusal(suspect);
+      const retentionMs =
+        suspect.targets.length === 0 ? ANSWER_RETENTION_MS : RETENTION_MS;
+      if (now - suspect.changedAt > retentionMs) this.drop(suspect);
+    }
+  }
+
+  /** Lets one request at a time run again, whose crash would renew the refusal. */
+  private endRefusal(suspect: SuspectRequest): void {
+    suspect.endRefusal();
+    this.options.counters.add('suspect.refusal_ended');
+    this.options.log.info('request_refusal_ended', {
+      content: suspect.content,
+      crashed: suspect.targets,
+    });
+  }
+
+  private find(fingerprint: Fingerprint): SuspectRequest | undefined {
+    if (this.byContent.size === 0) return undefined;
+    if (!this.outlines.has(fingerprint.outline)) return undefined;
+    return this.byContent.get(fingerprint.id);
+  }
+
+  private findOrAdd(content: string): SuspectRequest {
+    const known = this.byContent.get(content);
+    if (known !== undefined) return known;
+    if (this.byContent.size >= MAX_CONTENTS) this.dropLeastImportant();
+    const suspect = new SuspectRequest(content);
+    this.byContent.set(content, suspect);
+    const outline = readOutline(content);
+    this.outlines.set(outline, (this.outlines.get(outline) ?? 0) + 1);
+    return suspect;
+  }
+
+  private drop({content}: SuspectRequest): void {
+    this.byContent.delete(content);
+    this.repeatUntil.delete(content);
+    const outline = readOutline(content);
+    const left = (this.outlines.get(outline) ?? 1) - 1;
+    if (left > 0) this.outlines.set(outline, left);
+    else this.outlines.delete(outline);
+  }
+
+  /** A refused content is forgotten only if all contents are refused. */
+  private dropLeastImportant(): void {
+    const least = [...this.byContent.values()].sort(compareSuspects).at(-1);
+    if (least !== undefined) this.drop(least);
+  }
+
+  private readLeftMs(suspect: SuspectRequest): number {
+    if (!suspect.isRefused) return 0;
+    const {refusalMs, readNow} = this.options;
+    return Math.max(0, suspect.lastCrashAt + refusalMs - readNow());
+  }
+
+  private mergeReport(report: CrashReport): void {
+    const now = this.options.readNow();
+    const isNews = report.crashes.length > 0;
+    if (!isNews && !this.byContent.has(report.content)) return;
+    const suspect = this.findOrAdd(report.content);
+    if (report.answeredMs !== undefined)
+      this.mergeAnswer(suspect, now - report.answeredMs);
+    for (const {target, ageMs, early} of report.crashes) {
+      const crash = {target, at: now - ageMs, isEarly: early === true};
+      if (suspect.addCrash(crash)) this.options.onPeerCrash(target);
+    }
+    if (report.refused === true && suspect.targets.length > 0)
+      this.refuse(suspect, 'peer');
+    else this.refuseIfGuilty(suspect, 'peer');
+  }
+
+  private mergeAnswer(suspect: SuspectRequest, at: number): void {
+    const before = suspect.targets.length;
+    const wasRefused = suspect.isRefused;
+    suspect.recordAnswer(at);
+    if (wasRefused && before > 0 && !suspect.isRefused)
+      this.recordCleared(suspect, 'peer');
+  }
+
+  private refuseIfGuilty(suspect: SuspectRequest, source: string): void {
+    if (suspect.isGuilty(this.isWave(suspect))) this.refuse(suspect, source);
+  }
+
+  private refuse(suspect: SuspectRequest, source: string): void {
+    const {refusalMs, readNow, counters, log} = this.options;
+    const leftMs = suspect.lastCrashAt + refusalMs - readNow();
+    if (suspect.isRefused || leftMs <= 0) return;
+    suspect.markRefused();
+    counters.add('suspect.condemned');
+    log.warn('request_condemned', {
+      content: suspect.content,
+      source,
+      crashed: suspect.targets,
+      early: suspect.listEarly().length,
+      leftMs: Math.round(leftMs),
+    });
+    for (const listener of [...this.refusalListeners])
+      listener(suspect.content);
+  }
+
+  /**
+   * Returns whether servers crash that neither the content nor a refused content
+   * explains: innocent requests may then be hit twice by chance.
+   */
+  private isWave(suspect: SuspectRequest): boolean {
+    const early = suspect.listEarly().map(({at}) => at);
+    const since = Math.min(...early) - WAVE_WINDOW_MS;
+    const until = Math.max(...early) + WAVE_WINDOW_MS;
+    const explained = new Set(suspect.targets);
+    const unexplained = new Set<string>();
+    for (const other of this.byContent.values()) {
+      if (other === suspect) continue;
+      for (const {target, at} of other.listEarly())
+        if (other.isRefused) explained.add(target);
+        else if (at >= since && at <= until) unexplained.add(target);
+    }
+    for (const target of explained) unexplained.delete(target);
+    return unexplained.size >= WAVE_CRASHES;
+  }
+
+  private recordCleared(
+    {content, targets}: SuspectRequest,
+    source: string,
+  ): void {
+    this.options.counters.add('suspect.cleared');
+    this.options.log.info('request_cleared', {
+      content,
+      source,
+      crashed: targets,
+    });
+  }
+}
+
+/** Sorts refused contents first, those without crashes last, then newer first. */
+function compareSuspects(a: SuspectRequest, b: SuspectRequest): number {
+  return rankSuspect(b) - rankSuspect(a) || b.changedAt - a.changedAt;
+}
+
+function rankSuspect({isRefused, targets}: SuspectRequest): number {
+  if (isRefused) return 2;
+  return targets.length > 0 ? 1 : 0;
+}
--- a/packages/direct/src/forward/call-forwarder.ts
+++ b/packages/direct/src/forward/call-forwarder.ts
@@ -45,6 +45,7 @@
   private isSettled = false;
   private deadlineTimer: NodeJS.Timeout | undefined;
   private hedgeTimeout: ReadTimeout | undefined;
+  private stopListening: (() => void) | undefined;
 
   constructor(
     private readonly context: ForwardContext,
@@ -53,6 +54,9 @@
 
   start(): void {
     const {request, context} = this;
+    this.stopListening = context.suspects.onRefusal(content => {
+      if (request.fingerprint.isId(content)) this.refuseSuspect();
+    });
     request.caller.onDisconnect(() => this.settle('caller_left'));
     const leftMs = request.expiresAt - context.readNow();
     this.deadlineTimer = setTimeout(() => this.expire(), leftMs);
@@ -67,6 +71,10 @@
   private tryNext(why: string): void {
     if (this.isSettled) return;
     const {context, request} = this;
+    const verdict = context.suspects.judge(request.fingerprint);
+    if (verdict === 'refused') return this.refuseSuspect();
+    // A hedge could crash a second target.
+    if (verdict === 'suspect' && this.open.size > 0) return;
     const isRetry = this.sentAttempts > 0;
     if (this.sentAttempts >= request.route.maxAttempts)
       return this.giveUpIfIdle(why);
@@ -176,8 +184,10 @@
     result: AttemptResult,
     why: string,
   ): void {
-    if (result.kind === 'answer')
+    if (result.kind === 'answer') {
+      this.context.suspects.recordAnswer(this.request.fingerprint);
       return this.sendResponse(result.answer, target);
+    }
     this.context.counters.add(`call.attempt_${result.kind}`);
     this.context.log.warn('attempt_failed', {
       requestId: this.request.facts.requestId,
@@ -223,6 +233,21 @@
     this.refuse(503, this.tried.size === 0 ? 'no_target' : 'not_run');
   }
 
+  /**
+   * Refuses a call whose content is refused from now on, and cancels its
+   * attempts. An unsafe call in flight may have been executed, so its answer is
+   * awaited.
+   */
+  private refuseSuspect(): void {
+    if (this.isSettled) return;
+    const {context, request} = this;
+    if (request.route.kind === 'unsafe' && this.open.size > 0) return;
+    this.mayHaveRun ||= [...this.open].some(({wasSent}) => wasSent);
+    if (this.mayHaveRun) return this.refuse(502, 'outcome_unknown');
+    const leftMs = context.suspects.readRefusalLeftMs(request.fingerprint);
+    this.refuse(503, 'crashes_servers', leftMs);
+  }
+
   private expire(): void {
     this.refuse(504, 'timeout');
   }
@@ -237,12 +262,22 @@
     this.settle('answered', target);
   }
 
-  private refuse(status: number, reason: GateErrorReason): void {
+  /**
+   * @param retryAfterMs - Delay until a retry may help, in ms; by default a short
+   *   one for requests that did not run.
+   */
+  private refuse(
+    status: number,
+    reason: GateErrorReason,
+    retryAfterMs?: number,
+  ): void {
     if (this.isSettled) return;
     const {context, request} = this;
     const leftMs = request.expiresAt - context.readNow();
     const retryDelayMs =
-      status === 503 ? chooseRetryAfterMs(0, leftMs) : undefined;
+      status === 503
+        ? (retryAfterMs ?? chooseRetryAfterMs(0, leftMs))
+        : undefined;
     request.caller.refuse(status, reason, retryDelayMs);
     this.settle(reason);
   }
@@ -252,6 +287,7 @@
     this.isSettled = true;
     clearTimeout(this.deadlineTimer);
     this.hedgeTimeout?.stop();
+    this.stopListening?.();
     for (const exchange of this.open) exchange.cancel();
     const {context, request} = this;
     const ms = context.readNow() - request.arrivedAt;
--- a/packages/direct/src/forward/caller-response.ts
+++ b/packages/direct/src/forward/caller-response.ts
@@ -59,6 +59,8 @@
   | 'not_run'
   | 'overloaded'
   | 'too_late'
+  /** Servers have crashed under requests with the same content. */
+  | 'crashes_servers'
   | 'timeout'
   | 'outcome_unknown'
   | 'stopping';
--- a/packages/direct/src/forward/context.ts
+++ b/packages/direct/src/forward/context.ts
@@ -2,6 +2,7 @@
 import type {Counters, LatencyHistogram} from '@nutmeggauge/core';
 import type {AdmissionQueues} from '../admission/admission-queue.js';
 import type {CrashWatch} from '../crashes/crash-watch.js';
+import type {SuspectRequests} from '../crashes/suspect-requests.js';
 import type {FleetState} from '../fleet/fleet-state.js';
 import type {TargetHealth} from '../health/target-health.js';
 import type {DecisionLog} from '../observe/decision-log.js';
@@ -22,6 +23,7 @@
   readonly queues: AdmissionQueues;
   readonly exchanges: OpenExchanges;
   readonly crashes: CrashWatch;
+  readonly suspects: SuspectRequests;
   readonly reservations: KvReservations;
   readonly reports: EngineReports;
   readonly log: DecisionLog;
--- a/packages/direct/src/forward/slot-finder.ts
+++ b/packages/direct/src/forward/slot-finder.ts
@@ -86,7 +86,8 @@
 
   private tryPlace(mayExceedSlots: boolean): PlacementOutcome {
     const {context, request} = this;
-    const {route, facts} = request;
+    const {route, facts, fingerprint} = request;
+    const isSuspect = context.suspects.judge(fingerprint) !== 'free';
     const elapsedMs = context.readNow() - request.arrivedAt;
     return context.prompts.place(
       {
@@ -96,6 +97,7 @@
         objectiveMs: route.objectiveMs,
         objectiveLeftMs: route.objectiveMs - elapsedMs,
         itlObjectiveMs: route.itlObjectiveMs ?? route.objectiveMs,
+        suspect: isSuspect ? fingerprint.id : undefined,
       },
       this.engine,
       this.tried,
--- a/packages/direct/src/forward/stream-attempt.ts
+++ b/packages/direct/src/forward/stream-attempt.ts
@@ -91,6 +91,7 @@
 export class StreamAttempt {
   private exchange: Exchange | undefined;
   private isCancelled = false;
+  private hasEnded = false;
   private firstEventReceivedAt: number | undefined;
   /** Time of the newest event of this attempt; absent before the first one. */
   private lastEventAt: number | undefined;
@@ -107,6 +108,7 @@
       if (!(error instanceof ExchangeError)) throw error;
       return {kind: 'failed', error};
     } finally {
+      this.hasEnded = true;
       this.exchange?.cancel();
       lease?.close();
     }
@@ -120,6 +122,16 @@
     return this.firstEventReceivedAt;
   }
 
+  /** True while the attempt runs and has received an event. */
+  get isStreaming(): boolean {
+    return !this.hasEnded && this.firstEventReceivedAt !== undefined;
+  }
+
+  /** True if bytes of the request may have reached the engine. */
+  get wasSent(): boolean {
+    return this.exchange?.wasSent ?? false;
+  }
+
   /** True if another server took over the address of the engine. */
   get isEngineReplaced(): boolean {
     return this.exchange?.isReplaced ?? false;
--- a/packages/direct/src/forward/stream-forwarder.ts
+++ b/packages/direct/src/forward/stream-forwarder.ts
@@ -51,6 +51,7 @@
   private mayHaveRun = false;
   private isSettled = false;
   private deadlineTimer: NodeJS.Timeout | undefined;
+  private stopListening: (() => void) | undefined;
 
   constructor(
     private readonly context: ForwardContext,
@@ -68,6 +69,9 @@
       () => this.endWithError(504, 'timeout'),
       request.expiresAt - context.readNow(),
     );
+    this.stopListening = context.suspects.onRefusal(content => {
+      if (request.fingerprint.isId(content)) this.refuseSuspect();
+    });
     request.caller.onDisconnect(() => this.settle('caller_left'));
     if (!this.isSettled) void this.runChain();
   }
@@ -102,6 +106,11 @@
    * unless another chain is running.
    */
   private async place(chain: AttemptChain): Promise<PlacedPrompt | undefined> {
+    const {suspects} = this.context;
+    if (suspects.judge(this.request.fingerprint) === 'refused') {
+      this.refuseSuspect();
+      return undefined;
+    }
     if (this.sentAttempts > 0 && this.readLeftMs() < MIN_RETRY_LEFT_MS) {
       this.giveUp(chain, 'no_time_left');
       return undefined;
@@ -246,6 +255,7 @@
   ): void {
     if (end.kind === 'done') {
       this.context.health.recordSuccess(placed.target.id);
+      this.context.suspects.recordAnswer(this.request.fingerprint);
       return this.settle('answered', placed.target);
     }
     if (end.kind === 'passed-on')
@@ -331,6 +341,23 @@
     this.settle(reason);
   }
 
+  /**
+   * Refuses a stream whose content is refused from now on, and cancels its
+   * attempts, unless an engine is streaming it already.
+   */
+  private refuseSuspect(): void {
+    const attempts = [...this.chains].flatMap(({attempt}) => attempt ?? []);
+    if (this.isSettled || attempts.some(({isStreaming}) => isStreaming)) return;
+    this.record.addGivenUp('crashes_servers', [...this.tried]);
+    this.mayHaveRun ||= attempts.some(({wasSent}) => wasSent);
+    if (this.progress.hasHead || this.mayHaveRun)
+      return this.endWithError(502, 'outcome_unknown');
+    const {request, context} = this;
+    const leftMs = context.suspects.readRefusalLeftMs(request.fingerprint);
+    request.caller.refuse(503, 'crashes_servers', leftMs);
+    this.settle('crashes_servers');
+  }
+
   private closeForOther(chain: AttemptChain): void {
     this.close(chain);
     const [other] = this.chains;
@@ -364,6 +391,7 @@
     if (this.isSettled) return;
     this.isSettled = true;
     clearTimeout(this.deadlineTimer);
+    this.stopListening?.();
     for (const chain of [...this.chains]) this.close(chain);
     const tried = [...this.tried];
     this.record.addEnd({outcome, target, tried, sends: this.sentAttempts});
--- a/packages/direct/src/gate.ts
+++ b/packages/direct/src/gate.ts
@@ -14,6 +14,7 @@
 } from './admission/admission-queue.js';
 import {ConnectionCheck} from './crashes/check-server.js';
 import {CrashWatch} from './crashes/crash-watch.js';
+import {SuspectRequests} from './crashes/suspect-requests.js';
 import {OpenExchanges} from './forward/open-exchanges.js';
 import {createFleetState} from './fleet/fleet-state.js';
 import {createStoreWatcher} from './fleet/store-watcher.js';
@@ -51,8 +52,8 @@
 /** Interval at which a drain checks for open requests, in ms. */
 const DRAIN_POLL_MS = 50;
 
-/** Interval at which held targets are checked for expiry, in ms. */
-const HOLD_CHECK_INTERVAL_MS = 100;
+/** Interval at which held targets and suspect requests expire, in ms. */
+const EXPIRY_CHECK_INTERVAL_MS = 100;
 
 /** Settings of a direct gate. */
 export interface DirectGateSettings {
@@ -70,6 +71,11 @@
   readonly retryBounds: RetryBounds;
   /** Time between the request to stop and the kill of the process, in ms. */
   readonly stopGraceMs: number;
+  /**
+   * Time for which a request is refused after servers have crashed under it, in
+   * ms.
+   */
+  readonly crashRefusalMs: number;
 }
 
 /** Dependencies of a direct gate, which an adapter provides. */
@@ -95,12 +101,13 @@
   private readonly tracker = createLoadTracker(id => this.state.findEngine(id));
   private readonly health = createTargetHealth();
   private readonly slowdowns: EngineSlowdowns;
+  private readonly suspects: SuspectRequests;
   private readonly watcher;
   private readonly peers: PeerGroup;
   private readonly ingress: Ingress;
   private readonly context: ForwardContext;
   private readonly status = new StatusServer();
-  private holdCheckTimer: NodeJS.Timeout | undefined;
+  private expiryTimer: NodeJS.Timeout | undefined;
   private draining: Promise<void> | undefined;
 
   constructor(
@@ -127,6 +134,14 @@
       log,
       readNow,
     });
+    this.suspects = new SuspectRequests({
+      refusalMs: settings.crashRefusalMs,
+      log,
+      counters: this.counters,
+      readNow,
+      announce: report => this.peers.announceCrash(report),
+      onPeerCrash: target => this.context.crashes.markEnded(target),
+    });
     this.peers = new PeerGroup({
       host: settings.peers.host,
       port: settings.peers.port,
@@ -135,6 +150,7 @@
       state,
       tracker,
       slowdowns: this.slowdowns,
+      suspects: this.suspects,
       log,
       readNow,
       readStoreAgeMs: () => this.watcher.ageMs,
@@ -169,10 +185,13 @@
       crashes: new CrashWatch({
         state,
         serverCheck: new ConnectionCheck(),
+        suspects: this.suspects,
         log,
         counters: this.counters,
         readNow,
+        onEnd: target => health.recordFailure(target, readNow(), true),
       }),
+      suspects: this.suspects,
       reservations: dependencies.reservations,
       reports: dependencies.reports,
       log,
@@ -201,10 +220,10 @@
     if (settings.metrics !== undefined)
       await this.status.openMetrics(settings.metrics, () => this.readMetrics());
     await this.ingress.start(settings.ingress);
-    this.holdCheckTimer = setInterval(
-      () => this.state.expireHeld(),
-      HOLD_CHECK_INTERVAL_MS,
-    );
+    this.expiryTimer = setInterval(() => {
+      this.state.expireHeld();
+      this.suspects.expire();
+    }, EXPIRY_CHECK_INTERVAL_MS);
     dependencies.log.info('gate_started', {
       zone: settings.zone,
       seeds: settings.seedHosts,
@@ -258,7 +277,7 @@
 
   /** Closes all listeners and connections at once, without a drain. */
   close(): void {
-    clearInterval(this.holdCheckTimer);
+    clearInterval(this.expiryTimer);
     this.watcher.stop();
     this.slowdowns.stop();
     void this.peers.stop();
@@ -286,6 +305,8 @@
         config_version: this.state.config?.version ?? 0,
         facts_age_ms: Math.round(this.peers.readFactsAgeMs()),
         gates_known: this.peers.countGates(),
+        suspect_contents: this.suspects.size,
+        refused_contents: this.suspects.countRefused(),
       },
     };
   }
--- a/packages/direct/src/ingress/ingress.ts
+++ b/packages/direct/src/ingress/ingress.ts
@@ -176,18 +176,21 @@
     if (service === undefined)
       return this.refuseEarly(caller, 503, 'no_target', facts);
     const method = req.method ?? 'GET';
+    const fingerprint = new Fingerprint({
+      method,
+      host,
+      path,
+      account: account?.name,
+      body,
+    });
+    if (this.context.suspects.judge(fingerprint) === 'refused')
+      return this.refuseSuspect(caller, facts, fingerprint);
     this.forward({
       method,
       path,
       headers: req.rawHeaders,
       body,
-      fingerprint: new Fingerprint({
-        method,
-        host,
-        path,
-        account: account?.name,
-        body,
-      }),
+      fingerprint,
       facts,
       route,
       service,
@@ -226,6 +229,26 @@
     this.refuseEarly(caller, status, reason, facts);
   }
 
+  /**
+   * Refuses a request under which servers have crashed until the refusal of its
+   * content ends.
+   */
+  private refuseSuspect(
+    caller: CallerResponse,
+    facts: RequestMetadata,
+    fingerprint: Fingerprint,
+  ): void {
+    const {suspects, log} = this.context;
+    const leftMs = suspects.readRefusalLeftMs(fingerprint);
+    this.refuseEarly(caller, 503, 'crashes_servers', facts, leftMs);
+    log.info('suspect_refused', {
+      requestId: facts.requestId,
+      content: fingerprint.id,
+      crashed: suspects.listCrashed(fingerprint),
+      leftMs: Math.round(leftMs),
+    });
+  }
+
   private refuseEarly(
     caller: CallerResponse,
     status: number,
--- a/packages/direct/src/peers/messages.ts
+++ b/packages/direct/src/peers/messages.ts
@@ -3,6 +3,7 @@
  * datagram is made up for by the next heartbeat.
  */
 import {z} from 'zod';
+import {CrashReportSchema} from '../crashes/crash-report.js';
 import type {Placement} from '../placement/placement.js';
 
 /**
@@ -24,6 +25,8 @@
   predictedMs: z.number(),
   ageMs: z.number(),
   begun: z.boolean(),
+  /** Fingerprint of a prompt under which servers have crashed. */
+  suspect: z.string().optional(),
 });
 export type WirePlacement = z.output<typeof WirePlacementSchema>;
 
@@ -56,6 +59,13 @@
   slowdowns: z.array(
     z.object({target: z.string(), slowdown: z.number().positive()}),
   ),
+  /**
+   * Crashes under requests: the latest observations of the sender, or all that it
+   * knows in a heartbeat that was asked for. Absent if there are none.
+   */
+  crashes: z.array(CrashReportSchema).optional(),
+  /** Hash of the contents that the sender refuses; absent if there are none. */
+  refusedHash: z.string().optional(),
   /** Whether the sender asks for a heartbeat in return. */
   wantsReply: z.boolean(),
   /** Whether the sender is shutting down. */
@@ -89,6 +99,11 @@
     method: z.literal('ended'),
     params: PlacementKeySchema,
   }),
+  z.object({
+    jsonrpc: JSON_RPC,
+    method: z.literal('crashed'),
+    params: CrashReportSchema,
+  }),
 ]);
 export type Datagram = z.output<typeof DatagramSchema>;
 
@@ -124,6 +139,7 @@
     predictedMs: Math.round(placement.predictedTtftMs),
     ageMs: Math.round(now - placement.placedAt),
     begun,
+    suspect: placement.suspect,
   };
 }
 
@@ -149,5 +165,6 @@
     value: wire.value,
     predictedTtftMs: wire.predictedMs,
     placedAt: now - wire.ageMs,
+    suspect: wire.suspect,
   };
 }
--- a/packages/direct/src/peers/peer-group.test.ts
+++ b/packages/direct/src/peers/peer-group.test.ts
@@ -7,6 +7,7 @@
 import {NO_POSITION} from '../fleet/fact-position.js';
 import {createFleetState} from '../fleet/fleet-state.js';
 import {createDecisionLog} from '../observe/decision-log.js';
+import {buildSuspects} from '../test/build-suspects.js';
 import {createIdleSlowdowns} from '../test/fake-reports.js';
 import {ENGINE, buildConfig} from '../test/gate-harness.js';
 import {createLoadTracker} from '../placement/load-tracker.js';
@@ -43,6 +44,7 @@
     state,
     tracker,
     slowdowns: createIdleSlowdowns(log, readNow),
+    suspects: buildSuspects(),
     log,
     readNow,
     readStoreAgeMs: () => 0,
--- a/packages/direct/src/peers/peer-group.ts
+++ b/packages/direct/src/peers/peer-group.ts
@@ -15,6 +15,8 @@
 import {StartupSync} from './startup-sync.js';
 import type {Socket as DatagramSocket} from 'node:dgram';
 import type {Server} from 'node:net';
+import type {CrashReport} from '../crashes/crash-report.js';
+import type {SuspectRequests} from '../crashes/suspect-requests.js';
 import type {EngineSlowdowns} from '../health/engine-slowdowns.js';
 import type {FactVersions, FleetState} from '../fleet/fleet-state.js';
 import type {DecisionLog} from '../observe/decision-log.js';
@@ -53,6 +55,7 @@
   readonly state: FleetState;
   readonly tracker: LoadTracker;
   readonly slowdowns: EngineSlowdowns;
+  readonly suspects: SuspectRequests;
   readonly log: DecisionLog;
   readonly readNow: () => number;
   /** Returns the age of the last answer from the store, in ms. */
@@ -202,6 +205,11 @@
     this.broadcast({jsonrpc: '2.0', method: 'ended', params: {key}});
   }
 
+  /** Announces a crash under a request, or a whole answer that clears it. */
+  announceCrash(report: CrashReport): void {
+    this.broadcast({jsonrpc: '2.0', method: 'crashed', params: report});
+  }
+
   private broadcast(message: Datagram): void {
     const bytes = Buffer.from(JSON.stringify(message));
     for (const {host} of this.table.listAlive()) this.sendBytes(host, bytes);
@@ -221,20 +229,42 @@
     for (const peer of this.table.expireSilent()) this.dropPeer(peer, 'silent');
     const hosts = new Set([...this.seedHosts, ...this.table.listHosts()]);
     hosts.delete(this.options.host);
-    for (const host of hosts)
-      this.sendHeartbeat(host, wantsReply || !this.table.isHeardFrom(host));
+    const refusalSource = this.pickRefusalSource();
+    for (const host of hosts) {
+      const isAsked = host === refusalSource || !this.table.isHeardFrom(host);
+      this.sendHeartbeat(host, wantsReply || isAsked);
+    }
   }
 
-  /** @param isFull - Whether the heartbeat includes complete placements. */
+  /**
+   * Picks a live peer that refuses other contents than this gate, because their
+   * reports were lost or came before this gate started. One is asked at a time.
+   */
+  private pickRefusalSource(): string | undefined {
+    const ownHash = this.options.suspects.hashRefused();
+    const sources = this.table
+      .listAlive()
+      .filter(
+        ({refusedHash}) => refusedHash !== undefined && refusedHash !== ownHash,
+      );
+    return sources[Math.floor(Math.random() * sources.length)]?.host;
+  }
+
+  /**
+   * @param isFull - Whether the heartbeat includes complete placements and all
+   *   known crashes.
+   */
   private sendHeartbeat(
     host: string,
     wantsReply: boolean,
     isFull = false,
   ): void {
-    const {state, tracker, slowdowns, readNow, incarnation} = this.options;
+    const {state, tracker, slowdowns, suspects} = this.options;
+    const {readNow, incarnation} = this.options;
     const {readStoreAgeMs, readContactMs} = this.options;
     const now = readNow();
     const ownPlacements = tracker.listOwnedBy(this.owner);
+    const crashes = isFull ? suspects.listAll() : suspects.listRecent();
     const params: Heartbeat = {
       from: this.options.host,
       incarnation,
@@ -255,6 +285,8 @@
           )
         : [],
       slowdowns: [...slowdowns.listAssigned()],
+      crashes: crashes.length > 0 ? [...crashes] : undefined,
+      refusedHash: suspects.hashRefused(),
       wantsReply,
       leaves: this.isLeaving,
     };
@@ -273,6 +305,8 @@
       tracker.markFirstToken(message.params.key, readNow());
     if (message.method === 'ended')
       tracker.remove(message.params.key, readNow());
+    if (message.method === 'crashed')
+      this.options.suspects.merge([message.params]);
   }
 
   private parse(bytes: Buffer): Datagram | undefined {
@@ -298,6 +332,7 @@
     this.applyPlacements(heartbeat, now);
     for (const slowdown of heartbeat.slowdowns)
       this.options.slowdowns.apply(slowdown);
+    this.options.suspects.merge(heartbeat.crashes ?? []);
     if (isNew) this.options.log.info('peer_joined', {peer: peer.host});
     const isIncomplete = this.isMissingPlacements(heartbeat);
     const isReplyDue = heartbeat.wantsReply || isNew;
--- a/packages/direct/src/peers/peer-table.ts
+++ b/packages/direct/src/peers/peer-table.ts
@@ -40,6 +40,8 @@
    * monotonic clock, in ms; Infinity during an outage.
    */
   contactSince: number;
+  /** Hash of the contents that the peer refuses; absent if there are none. */
+  refusedHash: string | undefined;
 }
 
 /**
@@ -89,6 +91,7 @@
       position: NO_POSITION,
       factsAgeMs: Infinity,
       contactSince: Infinity,
+      refusedHash: undefined,
     };
     if (host !== this.ownHost) this.peers.set(host, peer);
     return peer;
@@ -106,6 +109,7 @@
       heartbeat.contactMs > 0
         ? peer.lastHeartbeatAt - heartbeat.contactMs
         : Infinity;
+    peer.refusedHash = heartbeat.refusedHash;
     for (const host of heartbeat.peers) this.findOrAddPeer(host);
     return isFirst;
   }
--- a/packages/direct/src/placement/load-tracker.ts
+++ b/packages/direct/src/placement/load-tracker.ts
@@ -81,6 +81,8 @@
   private readonly engines = new Map<string, TrackedEngine>();
   private readonly slowdowns = new Map<string, number>();
   private readonly removeListeners: Array<() => void> = [];
+  /** Placements of suspect prompts before their first token, by key. */
+  private readonly trials = new Map<string, Placement>();
 
   /**
    * @param findEngine - Returns the cost model of an engine; undefined for a
@@ -124,6 +126,8 @@
       firstTokenAt: hasFirstToken ? placement.placedAt : undefined,
     };
     this.entries.set(placement.key, entry);
+    if (placement.suspect !== undefined && !hasFirstToken)
+      this.trials.set(placement.key, placement);
     for (const target of listTargets(placement))
       this.findOrAddEngine(target).add(entry);
   }
@@ -133,6 +137,7 @@
     const entry = this.entries.get(key);
     if (entry === undefined || entry.firstTokenAt !== undefined) return;
     entry.firstTokenAt = now;
+    this.trials.delete(key);
     for (const target of listTargets(entry.placement))
       this.engines.get(target)?.markFirstToken(entry, now);
   }
@@ -142,12 +147,23 @@
     const entry = this.entries.get(key);
     if (entry === undefined) return;
     this.entries.delete(key);
+    this.trials.delete(key);
     for (const target of listTargets(entry.placement))
       this.engines.get(target)?.remove(entry, now);
     this.dropIdleEngines(now);
     for (const listener of this.removeListeners) listener();
   }
 
+  /** Returns whether a suspect prompt runs on an engine and may still crash it. */
+  isTrialEngine(decoder: string): boolean {
+    return [...this.trials.values()].some(trial => trial.decoder === decoder);
+  }
+
+  /** Returns whether a prompt with this fingerprint runs as a suspect. */
+  isOnTrial(suspect: string): boolean {
+    return [...this.trials.values()].some(trial => trial.suspect === suspect);
+  }
+
   /** Estimates the time until a prompt is prefilled on all engines, in ms. */
   estimateRemainingPrefillMs(key: string, now: number): number {
     const placement = this.entries.get(key)?.placement;
--- a/packages/direct/src/placement/place-prompt.ts
+++ b/packages/direct/src/placement/place-prompt.ts
@@ -262,5 +262,6 @@
     value: demand.value,
     predictedTtftMs: choice.predictedTtftMs,
     placedAt: now,
+    suspect: demand.suspect,
   };
 }
--- a/packages/direct/src/placement/placement.ts
+++ b/packages/direct/src/placement/placement.ts
@@ -35,4 +35,9 @@
   readonly predictedTtftMs: number;
   /** Time of the placement on this process's monotonic clock, in ms. */
   readonly placedAt: number;
+  /**
+   * Fingerprint of the prompt if servers have crashed under it; until its first
+   * token no other stream should be placed on its decoding engine.
+   */
+  readonly suspect?: string;
 }
--- a/packages/direct/src/placement/prompt-placer.ts
+++ b/packages/direct/src/placement/prompt-placer.ts
@@ -18,6 +18,9 @@
 import type {PromptChoice, PromptDemand} from './prompt-types.js';
 import type {Candidate} from './price-prefill.js';
 
+/** Delay until the placement of a suspect that runs elsewhere is tried, in ms. */
+const TRIAL_POLL_MS = 40;
+
 /** Announces the placements of this gate to its peers. */
 export abstract class PlacementAnnouncer {
   /** Announces that a stream was placed. */
@@ -96,6 +99,11 @@
   /** Time left of that objective, in ms; negative once it is missed. */
   readonly objectiveLeftMs: number;
   readonly itlObjectiveMs: number;
+  /**
+   * Fingerprint of the prompt if servers have crashed under it; such a prompt is
+   * placed apart from other streams, and once at a time among all gates.
+   */
+  readonly suspect?: string;
 }
 
 /** Dependencies of a prompt placer. */
@@ -139,17 +147,28 @@
   ): PlacementOutcome {
     const {tracker, announcer, owner, readNow} = this.options;
     const now = readNow();
+    const {suspect} = request;
+    if (suspect !== undefined && tracker.isOnTrial(suspect))
+      return {waitMs: TRIAL_POLL_MS, predictedTtftMs: 0};
     const targets = this.listTargets(request.service, tried);
     const demand: PromptDemand = {
       ...request,
       value: estimateValue(request.promptTokens),
     };
-    const candidates = targets.map(target =>
-      this.describeCandidate(target, now),
-    );
-    // The caller of a stream that has been attempted before has waited already.
-    const isUrgent = mayExceedSlots;
-    const timed = chooseSendTime(candidates, demand, engine, now, isUrgent);
+    const choose = (candidates: readonly Target[]) =>
+      chooseSendTime(
+        candidates.map(target => this.describeCandidate(target, now)),
+        demand,
+        engine,
+        now,
+        // The caller of a stream that has been attempted has waited already.
+        mayExceedSlots,
+      );
+    const apart =
+      suspect === undefined
+        ? undefined
+        : choose(this.listEmptiest(targets, now));
+    const timed = apart ?? choose(targets);
     if (timed === undefined)
       return isWithinIdleKvCapacity(
         demand,
@@ -205,7 +224,24 @@
       .listUsable(service)
       .filter(target => !tried.has(target.id));
     const sound = left.filter(target => !health.isSuspended(target.id, now));
-    return sound.length > 0 ? sound : left;
+    const reachable = sound.length > 0 ? sound : left;
+    const safe = reachable.filter(
+      ({id}) => !this.options.tracker.isTrialEngine(id),
+    );
+    return safe.length > 0 ? safe : reachable;
+  }
+
+  /** Lists the engines with the fewest streams, which a crash would end. */
+  private listEmptiest(
+    targets: readonly Target[],
+    now: number,
+  ): readonly Target[] {
+    const counts = targets.map(({id}) => {
+      const {active, helpedPrompts} = this.options.tracker.describe(id, now);
+      return active + helpedPrompts;
+    });
+    const fewest = Math.min(...counts);
+    return targets.filter((_, i) => counts[i] === fewest);
   }
 
   private describeCandidate(target: Target, now: number): Candidate {
--- a/packages/direct/src/placement/prompt-types.ts
+++ b/packages/direct/src/placement/prompt-types.ts
@@ -11,6 +11,8 @@
   readonly objectiveLeftMs: number;
   readonly itlObjectiveMs: number;
   readonly value: number;
+  /** Fingerprint of the prompt if servers have crashed under it. */
+  readonly suspect?: string;
 }
 
 /** Engines chosen for a prompt. */
--- a/packages/direct/src/test/crash-fleet.ts
+++ b/packages/direct/src/test/crash-fleet.ts
@@ -164,7 +164,7 @@
     const {isCrashing = text => text === CRASHING_BODY} = this.options;
     if (isCrashing(body)) {
       if (target.service === 'chat') res.writeHead(200, buildSignedHead(req));
-      setTimeout(() => void this.crash(target, res), CRASH_DELAY_MS);
+      setTimeout(() => void this.endTarget(target, res), CRASH_DELAY_MS);
     } else if (target.service === 'chat') {
       void streamEvents(req, res);
     } else {
@@ -174,7 +174,10 @@
   }
 
   /** Ends a target unless its run was cancelled, and starts it again later. */
-  private async crash(target: FakeTarget, res: ServerResponse): Promise<void> {
+  private async endTarget(
+    target: FakeTarget,
+    res: ServerResponse,
+  ): Promise<void> {
     if (res.destroyed || !this.targets.delete(target)) return;
     this.crashes++;
     target.close();
--- a/packages/direct/src/test/gate-harness.ts
+++ b/packages/direct/src/test/gate-harness.ts
@@ -196,6 +196,7 @@
         seedHosts,
         retryBounds,
         stopGraceMs: 2000,
+        crashRefusalMs: 600_000,
       },
       {
         dialect: new TestDialect(),
