Streams that had long begun at a crash are not run apart; tests of the verdict

Cause: on the fix every stream that a server took with it counted as suspect, also one that had run for seconds. Each resumed stream then went to the emptiest engine, and other prompts kept away from it until its first token: a wave of crashes would have spread out over the fleet. The change: only a run that had just begun makes its content suspect, or three crashes at any time. A suspect that never brings a first token (a dark engine) keeps others away for twice its predicted time and a second at most.

--- a/packages/direct/src/crashes/suspect-request.ts
+++ b/packages/direct/src/crashes/suspect-request.ts
@@ -13,6 +13,9 @@
  */
 const ANY_CRASHES_TO_REFUSE = 6;
 
+/** Number of crashes at any time of a run that make a content suspect. */
+const ANY_CRASHES_TO_SUSPECT = 3;
+
 /** Crash of one server under a request. */
 export interface Crash {
   /** Incarnation id of the server. */
@@ -49,6 +52,16 @@
     return this.isRefusedNow;
   }
 
+  /**
+   * Whether requests run apart from others. Most streams that a server takes
+   * with it have long begun, and are not suspect.
+   */
+  get isSuspect(): boolean {
+    return (
+      this.listEarly().length > 0 || this.crashes.size >= ANY_CRASHES_TO_SUSPECT
+    );
+  }
+
   /** Incarnation ids of the servers that have crashed. */
   get targets(): readonly string[] {
     return [...this.crashes.keys()];
--- a/packages/direct/src/crashes/suspect-requests.ts
+++ b/packages/direct/src/crashes/suspect-requests.ts
@@ -91,8 +91,9 @@
   /** Judges what a request may do. */
   judge(fingerprint: Fingerprint): Verdict {
     const suspect = this.find(fingerprint);
-    if (suspect === undefined || suspect.targets.length === 0) return 'free';
-    return this.readLeftMs(suspect) > 0 ? 'refused' : 'suspect';
+    if (suspect === undefined) return 'free';
+    if (this.readLeftMs(suspect) > 0) return 'refused';
+    return suspect.isSuspect ? 'suspect' : 'free';
   }
 
   /** Returns the time for which a request is still refused, in ms. */
--- a/packages/direct/src/placement/load-tracker.ts
+++ b/packages/direct/src/placement/load-tracker.ts
@@ -22,6 +22,13 @@
  */
 const MAX_LAG_MS = 200;
 
+/**
+ * Time to first token above which a suspect prompt no longer keeps others away:
+ * a multiple of the predicted one plus a slack in ms.
+ */
+const TRIAL_TTFT_FACTOR = 2;
+const TRIAL_SLACK_MS = 1000;
+
 /** A prompt with a shard in the prefill queue of an engine. */
 export interface QueuedPrompt {
   readonly placement: Placement;
@@ -155,13 +162,21 @@
   }
 
   /** Returns whether a suspect prompt runs on an engine and may still crash it. */
-  isTrialEngine(decoder: string): boolean {
-    return [...this.trials.values()].some(trial => trial.decoder === decoder);
+  isTrialEngine(decoder: string, now: number): boolean {
+    return this.listTrials(now).some(trial => trial.decoder === decoder);
   }
 
   /** Returns whether a prompt with this fingerprint runs as a suspect. */
-  isOnTrial(suspect: string): boolean {
-    return [...this.trials.values()].some(trial => trial.suspect === suspect);
+  isOnTrial(suspect: string, now: number): boolean {
+    return this.listTrials(now).some(trial => trial.suspect === suspect);
+  }
+
+  private listTrials(now: number): readonly Placement[] {
+    // The first token of an engine that has failed never comes.
+    return [...this.trials.values()].filter(
+      ({placedAt, predictedTtftMs}) =>
+        now - placedAt < TRIAL_TTFT_FACTOR * predictedTtftMs + TRIAL_SLACK_MS,
+    );
   }
 
   /** Estimates the time until a prompt is prefilled on all engines, in ms. */
--- a/packages/direct/src/placement/prompt-placer.ts
+++ b/packages/direct/src/placement/prompt-placer.ts
@@ -148,7 +148,7 @@
     const {tracker, announcer, owner, readNow} = this.options;
     const now = readNow();
     const {suspect} = request;
-    if (suspect !== undefined && tracker.isOnTrial(suspect))
+    if (suspect !== undefined && tracker.isOnTrial(suspect, now))
       return {waitMs: TRIAL_POLL_MS, predictedTtftMs: 0};
     const targets = this.listTargets(request.service, tried);
     const demand: PromptDemand = {
@@ -226,7 +226,7 @@
     const sound = left.filter(target => !health.isSuspended(target.id, now));
     const reachable = sound.length > 0 ? sound : left;
     const safe = reachable.filter(
-      ({id}) => !this.options.tracker.isTrialEngine(id),
+      ({id}) => !this.options.tracker.isTrialEngine(id, now),
     );
     return safe.length > 0 ? safe : reachable;
   }
