Property test: gates that exchange crashes agree, whatever is lost or restarted

500 orders of crashes, answers, restarts and lost datagrams over four gates: after two heartbeats without loss all refuse the same contents. Without loss all refuse at the second crash, whichever gates saw the two. Conclusion: the merge does not depend on order.

--- /dev/null
+++ b/packages/direct/src/crashes/crash-exchange.test.ts
@@ -0,0 +1,146 @@
+import {describe, it} from 'node:test';
+import {expect} from 'earl';
+import fc from 'fast-check';
+import {buildSuspects} from '../test/build-suspects.js';
+import {CrashReportSchema} from './crash-report.js';
+import {Fingerprint} from './fingerprint.js';
+import type {CrashReport} from './crash-report.js';
+import type {SuspectRequests} from './suspect-requests.js';
+
+const GATE_COUNT = 4;
+
+/** Contents that callers send. */
+const FINGERPRINTS = ['a', 'b'].map(
+  text =>
+    new Fingerprint({
+      method: 'POST',
+      host: 'site',
+      path: '/',
+      account: undefined,
+      body: Buffer.from(text),
+    }),
+);
+
+/** Interval between two heartbeats of a gate, in ms. */
+const HEARTBEAT_MS = 1000;
+
+type Step =
+  | {readonly kind: 'crash'; readonly gate: number; readonly content: number}
+  | {readonly kind: 'answer'; readonly gate: number; readonly content: number}
+  | {readonly kind: 'restart'; readonly gate: number}
+  | {readonly kind: 'beat'; readonly gate: number};
+
+const gate = fc.nat({max: GATE_COUNT - 1});
+const content = fc.nat({max: FINGERPRINTS.length - 1});
+const STEP: fc.Arbitrary<Step> = fc.oneof(
+  fc.record({kind: fc.constant('crash' as const), gate, content}),
+  fc.record({kind: fc.constant('answer' as const), gate, content}),
+  fc.record({kind: fc.constant('restart' as const), gate}),
+  fc.record({kind: fc.constant('beat' as const), gate}),
+);
+
+/**
+ * Gates that exchange reports over a network that loses each datagram as a
+ * random source says.
+ */
+class LossyGates {
+  now = 0;
+  readonly gates: SuspectRequests[];
+  private lastTarget = 0;
+
+  constructor(private readonly isLost: () => boolean) {
+    this.gates = Array.from({length: GATE_COUNT}, (_, i) => this.buildGate(i));
+  }
+
+  /** Runs one step; a heartbeat's worth of time passes with each `beat`. */
+  run(step: Step): void {
+    this.now += 7;
+    const suspects = this.gates[step.gate];
+    if (step.kind === 'beat') return this.beat(step.gate);
+    if (step.kind === 'restart') {
+      this.gates[step.gate] = this.buildGate(step.gate);
+      return;
+    }
+    const fingerprint = FINGERPRINTS[step.content];
+    if (step.kind === 'answer') suspects.recordAnswer(fingerprint);
+    else if (suspects.judge(fingerprint) !== 'refused')
+      suspects.recordCrash(fingerprint.id, `t${++this.lastTarget}`, true);
+  }
+
+  /** Passes heartbeats of all gates, without losses, until nothing changes. */
+  settle(): void {
+    for (let round = 0; round < 2; round++) {
+      this.now += HEARTBEAT_MS;
+      for (const from of this.gates)
+        for (const to of this.gates)
+          if (from.hashRefused() !== to.hashRefused())
+            to.merge(encode(from.listAll()));
+    }
+  }
+
+  private beat(index: number): void {
+    this.now += HEARTBEAT_MS / GATE_COUNT;
+    this.send(index, this.gates[index].listRecent());
+  }
+
+  private buildGate(index: number): SuspectRequests {
+    return buildSuspects({
+      readNow: () => this.now,
+      announce: report => this.send(index, [report]),
+    });
+  }
+
+  private send(from: number, reports: readonly CrashReport[]): void {
+    this.gates.forEach((to, i) => {
+      if (i !== from && !this.isLost()) to.merge(encode(reports));
+    });
+  }
+}
+
+/** Encodes reports for the wire and decodes them again. */
+function encode(reports: readonly CrashReport[]): readonly CrashReport[] {
+  const text = JSON.stringify(reports);
+  return (JSON.parse(text) as unknown[]).map(r => CrashReportSchema.parse(r));
+}
+
+describe('gates that exchange crashes', () => {
+  it('agree on what is refused after any order of crashes, answers, restarts and losses', () => {
+    // Guards against a gate that sends a request on because it was told of the
+    // crashes in another order, late or not at all.
+    fc.assert(
+      fc.property(
+        fc.array(STEP, {maxLength: 40}),
+        fc.infiniteStream(fc.boolean()),
+        (steps, losses) => {
+          const network = new LossyGates(() => losses.next().value === true);
+          for (const step of steps) network.run(step);
+          network.settle();
+          const hashes = network.gates.map(suspects => suspects.hashRefused());
+          expect(new Set(hashes).size).toEqual(1);
+        },
+      ),
+      {numRuns: 500},
+    );
+  });
+
+  it('all refuse a request at its second crash if nothing is lost', () => {
+    // Guards against a count within one gate: each gate sees one crash.
+    fc.assert(
+      fc.property(
+        fc.array(gate, {minLength: 4, maxLength: 12}),
+        gatesInOrder => {
+          const network = new LossyGates(() => false);
+          for (const index of gatesInOrder)
+            network.run({kind: 'crash', gate: index, content: 0});
+          const verdicts = network.gates.map(suspects => ({
+            verdict: suspects.judge(FINGERPRINTS[0]),
+            crashed: suspects.listCrashed(FINGERPRINTS[0]).length,
+          }));
+          expect(verdicts).toEqual(
+            verdicts.map(() => ({verdict: 'refused', crashed: 2})),
+          );
+        },
+      ),
+    );
+  });
+});
