A call that has run is not denied when its own crash refuses it; fleet tests

What callers would have seen: the unsafe call that crashed the second server was answered 503, which promises that it never ran, though it may have. Cause: the refusal reached the call while the state of its server was still being checked, before the call knew that it may have run. The change: the call marks that it may have run before the check. Conclusion: at-most-once holds where the verdict meets a running call.

--- a/packages/direct/src/crashes/crash-exchange.test.ts
+++ b/packages/direct/src/crashes/crash-exchange.test.ts
@@ -56,7 +56,7 @@
   run(step: Step): void {
     this.now += 7;
     const suspects = this.gates[step.gate];
-    if (step.kind === 'beat') return this.beat(step.gate);
+    if (step.kind === 'beat') return this.sendHeartbeat(step.gate);
     if (step.kind === 'restart') {
       this.gates[step.gate] = this.buildGate(step.gate);
       return;
@@ -74,11 +74,11 @@
       for (const from of this.gates)
         for (const to of this.gates)
           if (from.hashRefused() !== to.hashRefused())
-            to.merge(encode(from.listAll()));
+            to.merge(toDecoded(from.listAll()));
     }
   }
 
-  private beat(index: number): void {
+  private sendHeartbeat(index: number): void {
     this.now += HEARTBEAT_MS / GATE_COUNT;
     this.send(index, this.gates[index].listRecent());
   }
@@ -92,13 +92,13 @@
 
   private send(from: number, reports: readonly CrashReport[]): void {
     this.gates.forEach((to, i) => {
-      if (i !== from && !this.isLost()) to.merge(encode(reports));
+      if (i !== from && !this.isLost()) to.merge(toDecoded(reports));
     });
   }
 }
 
 /** Encodes reports for the wire and decodes them again. */
-function encode(reports: readonly CrashReport[]): readonly CrashReport[] {
+function toDecoded(reports: readonly CrashReport[]): readonly CrashReport[] {
   const text = JSON.stringify(reports);
   return (JSON.parse(text) as unknown[]).map(r => CrashReportSchema.parse(r));
 }
--- a/packages/direct/src/forward/call-forwarder.ts
+++ b/packages/direct/src/forward/call-forwarder.ts
@@ -115,8 +115,11 @@
       this.open.delete(exchange);
       context.calls.recordEnd(target.id);
     }
-    if (result.kind === 'failed')
+    if (result.kind === 'failed') {
+      // A crash may refuse this call, which must not deny that it has run.
+      this.mayHaveRun ||= result.error.wasSent;
       await this.checkCrash(target, exchange, result.error);
+    }
     if (this.isSettled) return;
     this.recordHealth(target, result);
     this.handleResult(target, result, why);
@@ -203,7 +206,6 @@
       return this.sendResponse(result.answer, target);
     }
     if (!result.error.wasSent) return this.tryUnsentAgain();
-    this.mayHaveRun = true;
     if (this.request.route.kind === 'safe') return this.tryNext('broken');
     this.refuse(502, 'outcome_unknown');
   }
--- a/packages/direct/src/test/crash-fleet.ts
+++ b/packages/direct/src/test/crash-fleet.ts
@@ -2,7 +2,7 @@
 import {setTimeout as sleep} from 'node:timers/promises';
 import {buildLoopbackHost} from '@nutmeggauge/core';
 import {buildSignedHead, formatEvents, openFakeTarget} from './fake-target.js';
-import {openGateHarness} from './gate-harness.js';
+import {buildConfig, openGateHarness} from './gate-harness.js';
 import type {IncomingMessage, ServerResponse} from 'node:http';
 import type {FakeTarget} from './fake-target.js';
 import type {GateHarness, ReceivedResponse} from './gate-harness.js';
@@ -25,6 +25,9 @@
 /** Time from a crash to the start of the next incarnation, in ms. */
 const RESTART_DELAY_MS = 600;
 
+/** Time for a gate to close its sockets, in ms. */
+const SOCKET_CLOSE_MS = 100;
+
 /** Request that a caller sends to a gate of the fleet. */
 export interface FleetCall {
   readonly gate: number;
@@ -49,6 +52,18 @@
    * @default true for CRASHING_BODY
    */
   readonly isCrashing?: (body: string) => boolean;
+  /**
+   * Time from the start of a run to the crash, in ms.
+   *
+   * @default 20
+   */
+  readonly crashDelayMs?: number;
+  /**
+   * Whether a crashing run only resets its connection.
+   *
+   * @default false
+   */
+  readonly isOnlyCut?: boolean;
 }
 
 /** Port of the first fleet's gates; each fleet uses the next ones. */
@@ -87,6 +102,7 @@
   /** Restarts a gate, which loses everything that it knew. */
   async restartGate(index: number): Promise<void> {
     this.gates[index].close();
+    await sleep(SOCKET_CLOSE_MS);
     await this.startGate(index);
     for (const {entry} of this.targets)
       this.gates[index].store.publishTarget(entry);
@@ -109,6 +125,12 @@
     });
   }
 
+  /** Ends targets that no request has crashed. */
+  async endTargets(count: number): Promise<void> {
+    const ended = [...this.targets].slice(0, count);
+    await Promise.all(ended.map(target => this.endTarget(target)));
+  }
+
   /** Counts how often a body reached a target. */
   countReceived(body: string): number {
     return this.received.filter(received => received === body).length;
@@ -130,6 +152,12 @@
       host: buildLoopbackHost(index),
       port: this.port,
       seedHosts: [buildLoopbackHost(0), buildLoopbackHost(1)],
+      config: buildConfig(1, {
+        accounts: [
+          {name: 'acme', keys: ['k1']},
+          {name: 'other', keys: ['k2']},
+        ],
+      }),
     });
   }
 
@@ -161,10 +189,14 @@
     body: string,
   ): void {
     this.received.push(body);
-    const {isCrashing = text => text === CRASHING_BODY} = this.options;
+    const {isCrashing = text => text === CRASHING_BODY, crashDelayMs} =
+      this.options;
     if (isCrashing(body)) {
       if (target.service === 'chat') res.writeHead(200, buildSignedHead(req));
-      setTimeout(() => void this.endTarget(target, res), CRASH_DELAY_MS);
+      setTimeout(
+        () => void this.endRun(target, res),
+        crashDelayMs ?? CRASH_DELAY_MS,
+      );
     } else if (target.service === 'chat') {
       void streamEvents(req, res);
     } else {
@@ -173,12 +205,15 @@
     }
   }
 
-  /** Ends a target unless its run was cancelled, and starts it again later. */
-  private async endTarget(
-    target: FakeTarget,
-    res: ServerResponse,
-  ): Promise<void> {
-    if (res.destroyed || !this.targets.delete(target)) return;
+  private async endRun(target: FakeTarget, res: ServerResponse): Promise<void> {
+    if (res.destroyed) return;
+    if (this.options.isOnlyCut === true) res.destroy();
+    else await this.endTarget(target);
+  }
+
+  /** Ends a target and all its connections, and starts it again later. */
+  private async endTarget(target: FakeTarget): Promise<void> {
+    if (!this.targets.delete(target)) return;
     this.crashes++;
     target.close();
     await sleep(REMOVAL_DELAY_MS);
