A broken stream goes on without waiting for the state of its server

Cause: since each broken stream waited for one or two connections to its server, 200 ms in all where a dark host answers neither. Its caller counts that as a pause. The change: a run that had long begun is sent on at once; one that had just begun waits for at most 25 ms, a few round trips, as a refused connection is known in one. The check goes on, and a verdict that comes later cancels what runs by then.

--- a/packages/direct/src/crashes/crash-watch.ts
+++ b/packages/direct/src/crashes/crash-watch.ts
@@ -3,6 +3,7 @@
  * may also end because the answer was cut on the way or was spoilt, because the
  * server left as planned, or because its host lost power.
  */
+import {waitMs} from '@nutmeggauge/core';
 import type {Counters} from '@nutmeggauge/core';
 import type {FleetState} from '../fleet/fleet-state.js';
 import type {DecisionLog} from '../observe/decision-log.js';
@@ -20,6 +21,12 @@
  */
 const BEGIN_WINDOW_MS = 300;
 
+/**
+ * Longest time for which a request is held back until the state of its server is
+ * known, in ms; a few round trips within a region.
+ */
+const VERDICT_TIMEOUT_MS = 25;
+
 /** Run of a request that its server broke off. */
 export interface BrokenRun {
   readonly fingerprint: Fingerprint;
@@ -60,6 +67,17 @@
 
   constructor(private readonly options: CrashWatchOptions) {}
 
+  /**
+   * Judges a run that a server broke off, before the request is sent again.
+   * Resolves without a verdict if the run had long begun, which is no reason to
+   * hold the request back, or if the server does not answer soon.
+   */
+  async waitForVerdict(run: BrokenRun): Promise<void> {
+    const isEarly = isEarlyBreak(run, this.options.readNow());
+    const judged = this.judgeBreak(run);
+    if (isEarly) await Promise.race([judged, waitMs(VERDICT_TIMEOUT_MS)]);
+  }
+
   /**
    * Judges why a server broke off a run, and records a crash. Only `ended` is a
    * crash: the host still answers, and nothing listens on the port any more.
@@ -107,10 +125,12 @@
   }
 
   private recordCrash(run: BrokenRun, brokenAt: number): void {
-    const {firstEventAt, fingerprint, target} = run;
-    const isEarly =
-      firstEventAt === undefined || brokenAt - firstEventAt <= BEGIN_WINDOW_MS;
-    this.options.suspects.recordCrash(fingerprint.id, target.id, isEarly);
+    const {fingerprint, target} = run;
+    this.options.suspects.recordCrash(
+      fingerprint.id,
+      target.id,
+      isEarlyBreak(run, brokenAt),
+    );
   }
 
   private recordBreak(
@@ -133,3 +153,9 @@
     });
   }
 }
+
+function isEarlyBreak({firstEventAt}: BrokenRun, brokenAt: number): boolean {
+  return (
+    firstEventAt === undefined || brokenAt - firstEventAt <= BEGIN_WINDOW_MS
+  );
+}
--- a/packages/direct/src/forward/call-forwarder.ts
+++ b/packages/direct/src/forward/call-forwarder.ts
@@ -165,7 +165,7 @@
   ): Promise<void> {
     if (!error.isConnectionEnd || exchange.isReplaced) return;
     const {fingerprint, facts} = this.request;
-    await this.context.crashes.judgeBreak({
+    await this.context.crashes.waitForVerdict({
       fingerprint,
       requestId: facts.requestId,
       target,
--- a/packages/direct/src/forward/stream-forwarder.ts
+++ b/packages/direct/src/forward/stream-forwarder.ts
@@ -186,7 +186,7 @@
   ): Promise<void> {
     if (!error.isConnectionEnd || attempt?.isEngineReplaced !== false) return;
     const {fingerprint, facts} = this.request;
-    await this.context.crashes.judgeBreak({
+    await this.context.crashes.waitForVerdict({
       fingerprint,
       requestId: facts.requestId,
       target,
