Soak with requests under which targets crash; a suspect prompt stays in time

Ordinary requests get a body each; polls stay the same.

Now only if its first token still comes in time, and others keep away for 500 ms at most.

--- a/packages/direct/src/placement/load-tracker.ts
+++ b/packages/direct/src/placement/load-tracker.ts
@@ -23,8 +23,14 @@
 const MAX_LAG_MS = 200;
 
 /**
- * Time to first token above which a suspect prompt no longer keeps others away:
- * a multiple of the predicted one plus a slack in ms.
+ * Time for which other prompts keep away from the engine of a suspect prompt, in
+ * ms: most prompts begin to run within it, and it costs little of the fleet.
+ */
+const KEEP_AWAY_MS = 500;
+
+/**
+ * Time to first token above which a suspect prompt may run at a second engine: a
+ * multiple of the predicted one plus a slack in ms.
  */
 const TRIAL_TTFT_FACTOR = 2;
 const TRIAL_SLACK_MS = 1000;
@@ -163,19 +169,15 @@
 
   /** Returns whether a suspect prompt runs on an engine and may still crash it. */
   isTrialEngine(decoder: string, now: number): boolean {
-    return this.listTrials(now).some(trial => trial.decoder === decoder);
+    return [...this.trials.values()].some(
+      trial => trial.decoder === decoder && now - trial.placedAt < KEEP_AWAY_MS,
+    );
   }
 
   /** Returns whether a prompt with this fingerprint runs as a suspect. */
   isOnTrial(suspect: string, now: number): boolean {
-    return this.listTrials(now).some(trial => trial.suspect === suspect);
-  }
-
-  private listTrials(now: number): readonly Placement[] {
-    // The first token of an engine that has failed never comes.
-    return [...this.trials.values()].filter(
-      ({placedAt, predictedTtftMs}) =>
-        now - placedAt < TRIAL_TTFT_FACTOR * predictedTtftMs + TRIAL_SLACK_MS,
+    return [...this.trials.values()].some(
+      trial => trial.suspect === suspect && now < findTrialEnd(trial),
     );
   }
 
@@ -322,6 +324,11 @@
   }
 }
 
+/** Returns the time from which the engine of a trial counts as failed, in ms. */
+function findTrialEnd({placedAt, predictedTtftMs}: Placement): number {
+  return placedAt + TRIAL_TTFT_FACTOR * predictedTtftMs + TRIAL_SLACK_MS;
+}
+
 /**
  * Measures how late the first token of a stream is against its prediction, in
  * ms; 0 for streams with a long predicted time to first token.
--- a/packages/direct/src/placement/prompt-placer.ts
+++ b/packages/direct/src/placement/prompt-placer.ts
@@ -13,6 +13,7 @@
 import type {EngineSlowdowns} from '../health/engine-slowdowns.js';
 import type {TargetHealth} from '../health/target-health.js';
 import type {EngineCostModel, Target} from '../types.js';
+import type {TimedChoice} from './choose-send-time.js';
 import type {LoadTracker} from './load-tracker.js';
 import type {Placement} from './placement.js';
 import type {PromptChoice, PromptDemand} from './prompt-types.js';
@@ -164,11 +165,12 @@
         // The caller of a stream that has been attempted has waited already.
         mayExceedSlots,
       );
+    const anywhere = choose(targets);
     const apart =
       suspect === undefined
         ? undefined
         : choose(this.listEmptiest(targets, now));
-    const timed = apart ?? choose(targets);
+    const timed = pickInTime(apart, anywhere, request.objectiveLeftMs);
     if (timed === undefined)
       return isWithinIdleKvCapacity(
         demand,
@@ -253,3 +255,17 @@
     };
   }
 }
+
+/**
+ * Picks the choice apart from other streams, unless its first token would come
+ * too late because of it.
+ */
+function pickInTime(
+  apart: TimedChoice | undefined,
+  anywhere: TimedChoice | undefined,
+  objectiveLeftMs: number,
+): TimedChoice | undefined {
+  if (apart === undefined || anywhere === undefined) return apart ?? anywhere;
+  const latestMs = Math.max(objectiveLeftMs, anywhere.choice.predictedTtftMs);
+  return apart.choice.predictedTtftMs <= latestMs ? apart : anywhere;
+}
--- a/packages/nutmeggauge/src/cli/flags.ts
+++ b/packages/nutmeggauge/src/cli/flags.ts
@@ -24,6 +24,7 @@
   lengthMs: {type: 'number', default: 14_000},
   restores: {type: 'number', default: 2},
   gateStops: {type: 'number', default: 2},
+  crashing: {type: 'number', default: 0},
   timing: {type: 'boolean', default: true},
   agents: {type: 'boolean', default: false},
   routing: {type: 'string', default: 'class-load', choices: ROUTING_POLICIES},
@@ -50,8 +51,8 @@
     $ nutmeggauge measure [--out DIR] [--run-dir DIR]
     $ nutmeggauge capacity <folder with measured.json>
     $ nutmeggauge soak [--seed N] [--seeds COUNT] [--jobs N] [--gates N]
-      [--targets N] [--length-ms N] [--restores N] [--gate-stops N] [--no-timing]
-      [--run-dir DIR]
+      [--targets N] [--length-ms N] [--restores N] [--gate-stops N] [--crashing N]
+      [--no-timing] [--run-dir DIR]
     $ nutmeggauge soak --agents [--seed N] [--seeds COUNT] [--jobs N] [--gates N]
       [--length-ms N] [--run-dir DIR]
     $ nutmeggauge timeline <run-dir or .log files…>
@@ -74,6 +75,8 @@
                   (default 2)
     --gate-stops  Soak: number of stops or kills of a gate during or near a
                   suspension of that gate (default 2)
+    --crashing    Soak: number of callers that repeat a request under which every
+                  target crashes (default 0)
     --agents      Soak: use gates with an agent for each target instead of direct
                   gates
     --no-timing   Soak: skip checks with a bound on time, for busy machines
--- a/packages/nutmeggauge/src/soak/callers.ts
+++ b/packages/nutmeggauge/src/soak/callers.ts
@@ -62,15 +62,19 @@
 
   /**
    * Sends one request and resolves with its record once the request has ended.
+   *
+   * @param content - Body to send; by default one that differs each time.
    */
   call(
     endpoint: GateEndpoint,
     kind: StandinKind,
     key: string,
+    content?: string,
   ): Promise<CallerRecord> {
     const requestNumber = ++this.lastRequestNumber;
+    const requestId = `${this.name}-${requestNumber}`;
     const exchange = new CallerExchange({
-      requestId: `${this.name}-${requestNumber}`,
+      requestId,
       kind,
       gate: endpoint.gate,
       key,
@@ -80,6 +84,8 @@
       endpoint.port,
       this.agent,
       countPromptTokens(kind, requestNumber),
+      // Polls are the same each time; other requests differ.
+      kind === 'safe' ? undefined : (content ?? requestId),
     );
   }
 
@@ -116,6 +122,7 @@
     port: number,
     agent: Agent,
     promptTokens: number | undefined,
+    content: string | undefined,
   ): Promise<CallerRecord> {
     const {kind, requestId, key} = this.sent;
     return new Promise(resolve => {
@@ -142,7 +149,7 @@
       };
       req.once('error', () => finish(false));
       req.once('response', res => this.readResponse(res, finish));
-      req.end();
+      req.end(content);
     });
   }
 
--- a/packages/nutmeggauge/src/soak/check.test.ts
+++ b/packages/nutmeggauge/src/soak/check.test.ts
@@ -29,9 +29,12 @@
 
 function buildHistory(changes: Partial<SoakHistory>): SoakHistory {
   return {
+    gateCount: 3,
     startedAt: 0,
     endedAt: 10_500,
     records: [SERVED_RECORD],
+    crashing: [],
+    crashes: [],
     runs: [TARGET_RUN],
     faults: [],
     published: [],
--- a/packages/nutmeggauge/src/soak/check.ts
+++ b/packages/nutmeggauge/src/soak/check.ts
@@ -9,6 +9,7 @@
   buildEvent,
 } from '@nutmeggauge/platform';
 import {findUnanswered} from './check-answered.js';
+import {findCrashingViolations} from './check-crashing.js';
 import type {TargetRun} from '@nutmeggauge/platform';
 import type {Violation} from './violation.js';
 import type {UnexpectedExit} from './gate-process.js';
@@ -64,8 +65,11 @@
     ...checkRuns(record, runs.get(record.requestId) ?? []),
     ...checkAnswer(record),
   ]);
+  for (const record of history.crashing)
+    found.push(...checkRuns(record, runs.get(record.requestId) ?? []));
   found.push(
     ...findUnanswered(history, hasTiming),
+    ...findCrashingViolations(history),
     ...checkTargets(history),
     ...checkProcesses(history),
   );
--- a/packages/nutmeggauge/src/soak/history.ts
+++ b/packages/nutmeggauge/src/soak/history.ts
@@ -43,11 +43,22 @@
   readonly at: number;
 }
 
+/** Crash of a target under a request. */
+export interface TargetCrash {
+  /** Body of the request. */
+  readonly content: string;
+  readonly at: number;
+}
+
 /** Everything recorded in one run; the input of the invariant checks. */
 export interface SoakHistory {
+  readonly gateCount: number;
   readonly startedAt: number;
   readonly endedAt: number;
   readonly records: readonly CallerRecord[];
+  /** Requests under which targets crash. */
+  readonly crashing: readonly CallerRecord[];
+  readonly crashes: readonly TargetCrash[];
   readonly runs: readonly TargetRun[];
   readonly faults: readonly InjectedFault[];
   readonly published: readonly PublishedFact[];
--- a/packages/nutmeggauge/src/soak/run-soaks.ts
+++ b/packages/nutmeggauge/src/soak/run-soaks.ts
@@ -51,6 +51,7 @@
     ...['--run-dir', join(series.runDir, String(seed))],
     ...['--restores', String(series.restores)],
     ...['--gate-stops', String(series.gateStops)],
+    ...['--crashing', String(series.crashing)],
     ...(series.hasTiming ? [] : ['--no-timing']),
     ...(series.hasAgents ? ['--agents'] : []),
   ];
--- a/packages/nutmeggauge/src/soak/soak-harness.ts
+++ b/packages/nutmeggauge/src/soak/soak-harness.ts
@@ -16,7 +16,7 @@
 import type {TargetRun} from '@nutmeggauge/platform';
 import type {GateEndpoint} from './callers.js';
 import type {GateOutage, UnexpectedExit} from './gate-process.js';
-import type {PublishedFact} from './history.js';
+import type {PublishedFact, TargetCrash} from './history.js';
 import type {FaultAction} from './schedule.js';
 
 const INGRESS_PORT = 24_100;
@@ -64,6 +64,7 @@
   readonly runs: TargetRun[] = [];
   readonly published: PublishedFact[] = [];
   readonly exits: UnexpectedExit[] = [];
+  readonly crashes: TargetCrash[] = [];
   /** API key in force; earlier keys are revoked. */
   key = 'key-1';
   private readonly slots: TargetSlot[] = [];
@@ -245,7 +246,9 @@
 
   private async startTarget(index: number): Promise<TargetSlot> {
     const id = `t${index}-${++this.lastTargetNumber}`;
-    const standin = new TargetStandin(id, this.runs);
+    const standin = new TargetStandin(id, this.runs, content =>
+      this.endTarget(index, id, content),
+    );
     const link = new FaultyLink(await standin.start());
     const port = await link.start();
     if (!this.isClosed)
@@ -258,6 +261,13 @@
     return {standin, link};
   }
 
+  /** Ends a target under a request and replaces it. */
+  private endTarget(index: number, id: string, content: string): void {
+    if (this.isClosed || this.slots[index].standin.id !== id) return;
+    this.crashes.push({content, at: performance.now()});
+    this.killTarget(index);
+  }
+
   /** Kills a target without a drain and replaces it. */
   private killTarget(index: number): void {
     const {standin, link} = this.slots[index];
--- a/packages/nutmeggauge/src/soak/soak.test.ts
+++ b/packages/nutmeggauge/src/soak/soak.test.ts
@@ -23,6 +23,8 @@
   readonly seed: number;
   readonly restores: number;
   readonly gateStops: number;
+  /** Number of callers whose request crashes targets. */
+  readonly crashing?: number;
 }
 
 /** Runs for CI whose seeds have revealed no fault. */
@@ -30,6 +32,7 @@
   {seed: 1, restores: 0, gateStops: 0},
   {seed: 2, restores: 3, gateStops: 0},
   {seed: 3, restores: 0, gateStops: 3},
+  {seed: 4, restores: 0, gateStops: 0, crashing: 2},
 ];
 
 describe('fault schedule of the soak', () => {
@@ -59,12 +62,15 @@
 describe('soak', () => {
   // Regression seeds run without restores and gate stops, as when each seed
   // revealed its fault.
-  const regressions = REGRESSION_SEEDS.map(({seed}) => ({
+  const regressions: readonly SoakRun[] = REGRESSION_SEEDS.map(({seed}) => ({
     seed,
     restores: 0,
     gateStops: 0,
   }));
-  for (const {seed, restores, gateStops} of [...CI_RUNS, ...regressions])
+  for (const {seed, restores, gateStops, crashing = 0} of [
+    ...CI_RUNS,
+    ...regressions,
+  ])
     it(`violates no invariant under the faults of seed ${seed}`, async () => {
       const runDir = mkdtempSync(join(tmpdir(), 'nutmeggauge-soak-'));
       // Time bounds are off because CI may be busy. The soak runs in a child
@@ -76,6 +82,7 @@
           ...cliArgs,
           ...['--restores', String(restores)],
           ...['--gate-stops', String(gateStops), '--run-dir', runDir],
+          ...['--crashing', String(crashing)],
         ]);
         expect(stdout).toInclude('"violations":0');
       } finally {
--- a/packages/nutmeggauge/src/soak/soak.ts
+++ b/packages/nutmeggauge/src/soak/soak.ts
@@ -7,6 +7,7 @@
 import {setTimeout as sleep} from 'node:timers/promises';
 import {STANDIN_KINDS} from '@nutmeggauge/platform';
 import {Caller} from './callers.js';
+import {runCrashingCallers} from './crashing-callers.js';
 import {findViolations} from './check.js';
 import {buildSchedule} from './schedule.js';
 import {SoakHarness} from './soak-harness.js';
@@ -52,6 +53,8 @@
   readonly restores: number;
   /** Number of gates stopped or killed around a suspension of their process. */
   readonly gateStops: number;
+  /** Number of callers whose request crashes every target that runs it. */
+  readonly crashing: number;
   /** Whether invariants with a time bound are checked too. */
   readonly hasTiming: boolean;
   /** Folder for the settings and logs of the gates. */
@@ -64,6 +67,8 @@
   readonly requests: number;
   readonly served: number;
   readonly faults: number;
+  /** Number of targets that crashed under a request. */
+  readonly crashes: number;
   readonly violations: readonly Violation[];
 }
 
@@ -71,7 +76,7 @@
  * Runs the soak with one seed and returns the violated invariants.
  *
  * @example
- * const {violations} = await runSoak({seed: 7, gates: 3, targets: 6, lengthMs: 12_000, restores: 2, gateStops: 2, hasTiming: true, runDir: 'runs/soak-7'});
+ * const {violations} = await runSoak({seed: 7, gates: 3, targets: 6, lengthMs: 12_000, restores: 2, gateStops: 2, crashing: 1, hasTiming: true, runDir: 'runs/soak-7'});
  */
 export async function runSoak(options: SoakOptions): Promise<SoakResult> {
   const idleTimeoutMs =
@@ -89,6 +94,7 @@
       requests: history.records.length,
       served: history.records.filter(({status}) => status === 200).length,
       faults: history.faults.length,
+      crashes: history.crashes.length,
       violations,
     };
   } finally {
@@ -112,6 +118,12 @@
       runFault(harness, startedAt, fault),
     ),
   );
+  const crashing = runCrashingCallers(harness, {
+    seed: options.seed,
+    count: options.crashing,
+    endsAt,
+    idleTimeoutMs,
+  });
   const records = await Promise.all(
     Array.from({length: CALLER_COUNT}, (_, i) =>
       runCaller(harness, i, endsAt, new Caller(`c${i}`, idleTimeoutMs)),
@@ -121,9 +133,12 @@
   clearInterval(sampler);
   await sleep(RESERVATION_SETTLE_MS);
   return {
+    gateCount: options.gates,
     startedAt,
     endedAt: endsAt < endedAt ? endsAt : endedAt,
     records: records.flat(),
+    crashing: await crashing,
+    crashes: harness.crashes,
     runs: harness.runs,
     faults: await faults,
     published: harness.published,
--- a/packages/nutmeggauge/src/soak/violation.ts
+++ b/packages/nutmeggauge/src/soak/violation.ts
@@ -17,7 +17,9 @@
     | 'drain'
     | 'revoked-key'
     | 'graceful-stop'
-    | 'recovery';
+    | 'recovery'
+    | 'crashing-request'
+    | 'innocent-refused';
   readonly requestId: string | undefined;
   readonly detail: string;
 }
