Gates tell each other of a server that has ended, and choose it no more

A server that ended is listed for two to four seconds more. The change: a refused connection or a broken run whose server refuses one marks the incarnation as ended, takes it out for 5 s (above the time after which the store drops it) and tells all gates. A gate that is told opens one connection itself, so that one gate's lost path suspends no server for all.

--- a/packages/direct/src/crashes/crash-watch.test.ts
+++ b/packages/direct/src/crashes/crash-watch.test.ts
@@ -29,6 +29,8 @@
   const output = new Writable({write: (_chunk, _encoding, done) => done()});
   const log = createDecisionLog({proc: 'g', output, readWallMs: Date.now});
   const suspects = buildSuspects();
+  const ended: string[] = [];
+  const announced: string[] = [];
   const watch = new CrashWatch({
     state,
     serverCheck,
@@ -36,7 +38,8 @@
     log,
     counters,
     readNow: () => performance.now(),
-    onEnd: () => undefined,
+    onEnd: target => ended.push(target),
+    announceEnd: target => announced.push(target),
   });
   const fingerprint = new Fingerprint({
     method: 'POST',
@@ -52,7 +55,7 @@
       target: buildTarget(id, 1),
       firstEventAt: undefined,
     });
-  return {state, serverCheck, counters, suspects, judge};
+  return {state, serverCheck, counters, watch, ended, announced, judge};
 }
 
 describe('crash watch', () => {
@@ -85,4 +88,24 @@
     await judge('e1');
     expect(serverCheck.checks).toEqual(1);
   });
+
+  it('tells other gates of an ended server once, and checks what they tell', async () => {
+    // Guards against gates that keep choosing a server that one of them knows to
+    // have ended, and against one gate's lost path that suspends it for all.
+    const {state, serverCheck, watch, ended, announced, judge} = openWatch();
+    const targets = [1, 2, 3].map(i => buildTarget(`e${i}`, i));
+    for (const target of targets) state.applyChange({kind: 'target', target});
+    serverCheck.state = 'ended';
+    await Promise.all([judge('e1'), judge('e1')]);
+    watch.recordRefusal(targets[1]);
+    watch.recordRefusal(targets[1]);
+    expect(announced).toEqual(['e1', 'e2']);
+    serverCheck.state = 'up';
+    await watch.confirmEnd('e3');
+    expect(ended).toEqual(['e1', 'e2']);
+    serverCheck.state = 'ended';
+    await watch.confirmEnd('e3');
+    expect(ended).toEqual(['e1', 'e2', 'e3']);
+    expect(announced).toEqual(['e1', 'e2']);
+  });
 });
--- a/packages/direct/src/crashes/crash-watch.ts
+++ b/packages/direct/src/crashes/crash-watch.ts
@@ -52,6 +52,8 @@
   readonly readNow: () => number;
   /** Called once for each server that has ended. */
   readonly onEnd: (target: string) => void;
+  /** Tells the other gates that a server has ended. */
+  readonly announceEnd: (target: string) => void;
 }
 
 /**
@@ -95,7 +97,7 @@
     const known = this.options.state.findIncarnation(target.id);
     if (known === undefined || known.isDraining) return 'left';
     const state = await this.checkOnce(target);
-    if (state === 'ended') this.markEnded(target.id);
+    if (state === 'ended') this.markEnded(target.id, 'own');
     return state;
   }
 
@@ -110,18 +112,32 @@
     return check;
   }
 
+  /** Records that a server refused a connection of this gate. */
+  recordRefusal({id}: Target): void {
+    if (this.options.state.findIncarnation(id) !== undefined)
+      this.markEnded(id, 'own');
+  }
+
   /**
-   * Records that a server has ended.
-   *
-   * @param target - Incarnation id of the server.
+   * Checks a server that has ended according to a peer, which may just have lost
+   * its own path to the server.
    */
-  markEnded(target: string): void {
+  async confirmEnd(id: string): Promise<void> {
+    const target = this.options.state.findIncarnation(id);
+    if (target === undefined || this.endedAt.has(id)) return;
+    const state = await this.checkOnce(target);
+    if (state === 'ended') this.markEnded(id, 'peer');
+  }
+
+  private markEnded(target: string, source: 'own' | 'peer'): void {
     if (this.endedAt.has(target)) return;
     const now = this.options.readNow();
     for (const [id, endedAt] of this.endedAt)
       if (now - endedAt > ENDED_RETENTION_MS) this.endedAt.delete(id);
     this.endedAt.set(target, now);
+    this.options.log.info('server_ended', {target, source});
     this.options.onEnd(target);
+    if (source === 'own') this.options.announceEnd(target);
   }
 
   private recordCrash(run: BrokenRun, brokenAt: number): void {
--- a/packages/direct/src/errors.ts
+++ b/packages/direct/src/errors.ts
@@ -73,6 +73,12 @@
     );
   }
 
+  /** Whether nothing listens on the target's port. */
+  get isRefusedConnection(): boolean {
+    const {code} = (this.cause() ?? {}) as NodeJS.ErrnoException;
+    return this.fault === 'connect' && code === 'ECONNREFUSED';
+  }
+
   /** Whether the failure indicates a fault of the target. */
   get isTargetFault(): boolean {
     return this.fault !== 'cancelled' && this.fault !== 'unwritable';
--- a/packages/direct/src/forward/call-forwarder.ts
+++ b/packages/direct/src/forward/call-forwarder.ts
@@ -163,9 +163,11 @@
     exchange: Exchange,
     error: ExchangeError,
   ): Promise<void> {
+    const {crashes} = this.context;
+    if (error.isRefusedConnection) return crashes.recordRefusal(target);
     if (!error.isConnectionEnd || exchange.isReplaced) return;
     const {fingerprint, facts} = this.request;
-    await this.context.crashes.waitForVerdict({
+    await crashes.waitForVerdict({
       fingerprint,
       requestId: facts.requestId,
       target,
--- a/packages/direct/src/forward/stream-forwarder.ts
+++ b/packages/direct/src/forward/stream-forwarder.ts
@@ -184,9 +184,11 @@
     {target}: PlacedPrompt,
     error: ExchangeError,
   ): Promise<void> {
+    const {crashes} = this.context;
+    if (error.isRefusedConnection) return crashes.recordRefusal(target);
     if (!error.isConnectionEnd || attempt?.isEngineReplaced !== false) return;
     const {fingerprint, facts} = this.request;
-    await this.context.crashes.waitForVerdict({
+    await crashes.waitForVerdict({
       fingerprint,
       requestId: facts.requestId,
       target,
--- a/packages/direct/src/gate.ts
+++ b/packages/direct/src/gate.ts
@@ -140,7 +140,7 @@
       counters: this.counters,
       readNow,
       announce: report => this.peers.announceCrash(report),
-      onPeerCrash: target => this.context.crashes.markEnded(target),
+      onPeerCrash: target => void this.context.crashes.confirmEnd(target),
     });
     this.peers = new PeerGroup({
       host: settings.peers.host,
@@ -151,6 +151,7 @@
       tracker,
       slowdowns: this.slowdowns,
       suspects: this.suspects,
+      onTargetEnd: target => void this.context.crashes.confirmEnd(target),
       log,
       readNow,
       readStoreAgeMs: () => this.watcher.ageMs,
@@ -189,7 +190,8 @@
         log,
         counters: this.counters,
         readNow,
-        onEnd: target => health.recordFailure(target, readNow(), true),
+        onEnd: target => health.recordEnd(target, readNow()),
+        announceEnd: target => this.peers.announceTargetEnd(target),
       }),
       suspects: this.suspects,
       reservations: dependencies.reservations,
--- a/packages/direct/src/health/target-health.ts
+++ b/packages/direct/src/health/target-health.ts
@@ -11,6 +11,12 @@
 const SUSPEND_MIN_MS = 800;
 const SUSPEND_MAX_MS = 4000;
 
+/**
+ * Suspension of a target whose process has ended, in ms; above the time after
+ * which the store drops its entry.
+ */
+const SUSPEND_ENDED_MS = 5000;
+
 /** Weight of the newest outcome in the moving failure share of a target. */
 const FAILURE_WEIGHT = 0.15;
 
@@ -60,10 +66,18 @@
     record.failureShare += (1 - record.failureShare) * FAILURE_WEIGHT;
     if (!isUnreachable && record.consecutiveFailures < FAILURES_TO_SUSPEND)
       return;
-    record.suspendedUntil = now + record.suspendMs;
+    record.suspendedUntil = Math.max(
+      record.suspendedUntil,
+      now + record.suspendMs,
+    );
     record.suspendMs = Math.min(SUSPEND_MAX_MS, record.suspendMs * 2);
   }
 
+  /** Records that the process of a target has ended. */
+  recordEnd(id: string, now: number): void {
+    this.readRecord(id).suspendedUntil = now + SUSPEND_ENDED_MS;
+  }
+
   /**
    * Records that a stream of a target has stalled. Streams that stall together
    * lengthen no suspension, and it ends when the target sends bytes.
--- a/packages/direct/src/peers/messages.ts
+++ b/packages/direct/src/peers/messages.ts
@@ -99,6 +99,11 @@
     method: z.literal('ended'),
     params: PlacementKeySchema,
   }),
+  z.object({
+    jsonrpc: JSON_RPC,
+    method: z.literal('target-ended'),
+    params: z.object({target: z.string()}),
+  }),
   z.object({
     jsonrpc: JSON_RPC,
     method: z.literal('crashed'),
--- a/packages/direct/src/peers/peer-group.test.ts
+++ b/packages/direct/src/peers/peer-group.test.ts
@@ -45,6 +45,7 @@
     tracker,
     slowdowns: createIdleSlowdowns(log, readNow),
     suspects: buildSuspects(),
+    onTargetEnd: () => undefined,
     log,
     readNow,
     readStoreAgeMs: () => 0,
--- a/packages/direct/src/peers/peer-group.ts
+++ b/packages/direct/src/peers/peer-group.ts
@@ -56,6 +56,8 @@
   readonly tracker: LoadTracker;
   readonly slowdowns: EngineSlowdowns;
   readonly suspects: SuspectRequests;
+  /** Called when a peer reports that a target has ended. */
+  readonly onTargetEnd: (target: string) => void;
   readonly log: DecisionLog;
   readonly readNow: () => number;
   /** Returns the age of the last answer from the store, in ms. */
@@ -210,6 +212,18 @@
     this.broadcast({jsonrpc: '2.0', method: 'crashed', params: report});
   }
 
+  /**
+   * Announces that a target has ended. If the datagram is lost, the peer finds out
+   * with its next connection.
+   */
+  announceTargetEnd(target: string): void {
+    this.broadcast({
+      jsonrpc: '2.0',
+      method: 'target-ended',
+      params: {target},
+    });
+  }
+
   private broadcast(message: Datagram): void {
     const bytes = Buffer.from(JSON.stringify(message));
     for (const {host} of this.table.listAlive()) this.sendBytes(host, bytes);
@@ -305,6 +319,8 @@
       tracker.markFirstToken(message.params.key, readNow());
     if (message.method === 'ended')
       tracker.remove(message.params.key, readNow());
+    if (message.method === 'target-ended')
+      this.options.onTargetEnd(message.params.target);
     if (message.method === 'crashed')
       this.options.suspects.merge([message.params]);
   }
