Failing test: gates with agents send a crashing request to engine after engine

Cause: the same as in the direct gate: the dispatcher knows a request by an id of its own, and an agent tells nobody under which request its engine ended. Engine stand-in: ends 20 ms after it began a given prompt and listens again 500 ms later.

--- a/packages/standins/src/engine/options.ts
+++ b/packages/standins/src/engine/options.ts
@@ -70,6 +70,19 @@
    * @default 't'
    */
   readonly tokenLetter?: string;
+  /**
+   * Prompt under which the engine crashes when it begins to run it; empty for
+   * none. The engine listens again after `restartMs`.
+   *
+   * @default ''
+   */
+  readonly crashPrompt?: string;
+  /**
+   * Time from a crash until the engine listens again, in ms.
+   *
+   * @default 500
+   */
+  readonly restartMs?: number;
 }
 
 /** Engine options with defaults applied. */
@@ -96,6 +109,8 @@
     loadLagMs: 250,
     fencing: 'refuse',
     tokenLetter: 't',
+    crashPrompt: '',
+    restartMs: 500,
     ...options,
   };
 }
--- a/packages/standins/src/engine/server.ts
+++ b/packages/standins/src/engine/server.ts
@@ -9,6 +9,7 @@
   closeHttpServer,
   createLogger,
   openListener,
+  readPort,
   readJsonBody,
   sendJson,
   startSse,
@@ -27,6 +28,8 @@
   readonly server: Server;
   readonly scheduler: EngineScheduler;
   readonly orders: OrderHandler;
+  /** Number of crashes under the prompt `crashPrompt`. */
+  readonly crashes: number;
   close(): Promise<void>;
 }
 
@@ -45,6 +48,9 @@
   value: z.string(),
 });
 
+/** Time from the start of a run to the crash, in ms. */
+const CRASH_DELAY_MS = 20;
+
 /** Request handlers of one engine's HTTP API. */
 class EngineApi {
   readonly scheduler: EngineScheduler;
@@ -53,7 +59,11 @@
   private readonly lagTimer: NodeJS.Timeout;
   private readonly log = createLogger('engine');
 
-  constructor(private readonly options: ResolvedEngineOptions) {
+  /** @param crash - Ends the engine, which listens again later. */
+  constructor(
+    private readonly options: ResolvedEngineOptions,
+    private readonly crash: () => void,
+  ) {
     this.scheduler = new EngineScheduler(options);
     this.orders = new OrderHandler(options.fencing);
     this.reportedLoad = this.scheduler.readLoad();
@@ -121,7 +131,12 @@
       sendJson(res, 400, {error: 'bad_request'});
       return;
     }
-    const {requestId} = parsed.data;
+    const {requestId, prompt} = parsed.data;
+    if (prompt !== '' && prompt === this.options.crashPrompt) {
+      startSse(res);
+      setTimeout(this.crash, CRASH_DELAY_MS);
+      return;
+    }
     let ended = false;
     const endWith = (event: string, data: object) => {
       ended = true;
@@ -159,7 +174,19 @@
   port: number,
 ): Promise<EngineStandIn> {
   const resolved = resolveEngineOptions(options);
-  const api = new EngineApi(resolved);
+  let crashes = 0;
+  let isClosed = false;
+  const crash = () => {
+    if (isClosed || !server.listening) return;
+    crashes++;
+    const port = readPort(server);
+    server.closeAllConnections();
+    server.close();
+    setTimeout(() => {
+      if (!isClosed) void openListener(server, {host, port});
+    }, resolved.restartMs);
+  };
+  const api = new EngineApi(resolved, crash);
   const server = createServer((req, res) => void api.handle(req, res));
   await openListener(server, {host, port});
   createLogger('engine').info('engine_listening', {
@@ -171,7 +198,11 @@
     server,
     scheduler: api.scheduler,
     orders: api.orders,
+    get crashes() {
+      return crashes;
+    },
     close: async () => {
+      isClosed = true;
       api.stop();
       await closeHttpServer(server);
     },
