The verdict on suspect requests moves to core, for gates with agents

No change of behaviour: fingerprint, crash reports, verdict and server check are used by two paths now.

--- a/packages/direct/src/crashes/check-server.ts
+++ b/packages/core/src/crashes/check-server.ts
@@ -1,7 +1,5 @@
 /** Checks whether the server that broke off an answer is still running. */
 import {connect} from 'node:net';
-import type {Target} from '../types.js';
-
 /** Timeout of one connection attempt, in ms; above a round trip in a region. */
 const CONNECT_TIMEOUT_MS = 100;
 
@@ -14,20 +12,26 @@
  */
 export type ServerState = 'ended' | 'up' | 'silent';
 
+/** Address of a server. */
+export interface ServerAddress {
+  readonly host: string;
+  readonly port: number;
+}
+
 /** Checks the state of servers. */
 export abstract class ServerCheck {
   /** Checks a server that has closed a connection. */
-  abstract check(target: Target): Promise<ServerState>;
+  abstract check(address: ServerAddress): Promise<ServerState>;
 }
 
 /**
  * Checks servers by opening a connection, which any kind of server answers.
  *
  * @example
- * await new ConnectionCheck().check(target); // 'up'
+ * await new ConnectionCheck().check({host, port}); // 'up'
  */
 export class ConnectionCheck extends ServerCheck {
-  override async check({host, port}: Target): Promise<ServerState> {
+  override async check({host, port}: ServerAddress): Promise<ServerState> {
     for (let i = 0; i < MAX_CONNECTS; i++) {
       const state = await tryConnect(host, port);
       if (state !== 'silent') return state;
--- a/packages/direct/src/crashes/fingerprint.ts
+++ b/packages/core/src/crashes/fingerprint.ts
@@ -18,7 +18,7 @@
   readonly path: string;
   /** Name of the client account; absent on public routes. */
   readonly account: string | undefined;
-  readonly body: Buffer;
+  readonly body: Buffer | string;
 }
 
 /**
@@ -63,7 +63,7 @@
       account ?? null,
       body.length,
     ]);
-    return hashBytes(Buffer.from(text)).slice(0, OUTLINE_LENGTH);
+    return hashBytes(text).slice(0, OUTLINE_LENGTH);
   }
 }
 
@@ -77,6 +77,6 @@
   return id.slice(0, OUTLINE_LENGTH);
 }
 
-function hashBytes(bytes: Buffer): string {
+function hashBytes(bytes: Buffer | string): string {
   return createHash('sha256').update(bytes).digest('base64url');
 }
--- a/packages/direct/src/crashes/suspect-requests.ts
+++ b/packages/core/src/crashes/suspect-requests.ts
@@ -5,8 +5,8 @@
 import {createHash} from 'node:crypto';
 import {readOutline} from './fingerprint.js';
 import {SuspectRequest} from './suspect-request.js';
-import type {Counters} from '@nutmeggauge/core';
-import type {DecisionLog} from '../observe/decision-log.js';
+import type {Counters} from '../metrics.js';
+import type {LogFields} from '../log.js';
 import type {CrashReport} from './crash-report.js';
 import type {Fingerprint} from './fingerprint.js';
 import type {Verdict} from './suspect-request.js';
@@ -38,6 +38,12 @@
 /** Number of crashes that a content does not explain and that form a wave. */
 const WAVE_CRASHES = 2;
 
+/** Log of the decisions on suspect requests. */
+export interface SuspectLog {
+  info(event: string, fields: LogFields): void;
+  warn(event: string, fields: LogFields): void;
+}
+
 /** Called when requests with a content are refused from now on. */
 export type RefusalListener = (content: string) => void;
 
@@ -45,7 +51,7 @@
 export interface SuspectRequestsOptions {
   /** Time from the newest crash during which requests are refused, in ms. */
   readonly refusalMs: number;
-  readonly log: DecisionLog;
+  readonly log: SuspectLog;
   readonly counters: Counters;
   readonly readNow: () => number;
   /** Sends a report to the other gates. */
--- a/packages/direct/src/crashes/crash-watch.test.ts
+++ b/packages/direct/src/crashes/crash-watch.test.ts
@@ -1,15 +1,13 @@
+import type {ServerState} from '@nutmeggauge/core';
 import {describe, it} from 'node:test';
 import {Writable} from 'node:stream';
-import {createCounters} from '@nutmeggauge/core';
+import {Fingerprint, ServerCheck, createCounters} from '@nutmeggauge/core';
 import {expect} from 'earl';
 import {createFleetState} from '../fleet/fleet-state.js';
 import {createDecisionLog} from '../observe/decision-log.js';
 import {buildSuspects} from '../test/build-suspects.js';
 import {buildTarget} from '../test/build-target.js';
-import {ServerCheck} from './check-server.js';
 import {CrashWatch} from './crash-watch.js';
-import {Fingerprint} from './fingerprint.js';
-import type {ServerState} from './check-server.js';
 
 /** Answers every check with the state that a test sets. */
 class FakeServerCheck extends ServerCheck {
--- a/packages/direct/src/crashes/crash-watch.ts
+++ b/packages/direct/src/crashes/crash-watch.ts
@@ -4,13 +4,16 @@
  * server left as planned, or because its host lost power.
  */
 import {waitMs} from '@nutmeggauge/core';
-import type {Counters} from '@nutmeggauge/core';
+import type {
+  Counters,
+  Fingerprint,
+  ServerCheck,
+  ServerState,
+  SuspectRequests,
+} from '@nutmeggauge/core';
 import type {FleetState} from '../fleet/fleet-state.js';
 import type {DecisionLog} from '../observe/decision-log.js';
 import type {Target} from '../types.js';
-import type {ServerCheck, ServerState} from './check-server.js';
-import type {Fingerprint} from './fingerprint.js';
-import type {SuspectRequests} from './suspect-requests.js';
 
 /** Time for which an ended server is remembered, in ms. */
 const ENDED_RETENTION_MS = 60_000;
--- a/packages/direct/src/forward/context.ts
+++ b/packages/direct/src/forward/context.ts
@@ -1,8 +1,11 @@
 /** Dependencies of the call forwarder and the stream forwarder. */
-import type {Counters, LatencyHistogram} from '@nutmeggauge/core';
+import type {
+  Counters,
+  LatencyHistogram,
+  SuspectRequests,
+} from '@nutmeggauge/core';
 import type {AdmissionQueues} from '../admission/admission-queue.js';
 import type {CrashWatch} from '../crashes/crash-watch.js';
-import type {SuspectRequests} from '../crashes/suspect-requests.js';
 import type {FleetState} from '../fleet/fleet-state.js';
 import type {TargetHealth} from '../health/target-health.js';
 import type {DecisionLog} from '../observe/decision-log.js';
--- a/packages/direct/src/forward/request.ts
+++ b/packages/direct/src/forward/request.ts
@@ -1,5 +1,5 @@
 /** Request type that is passed from the ingress to the forwarders. */
-import type {Fingerprint} from '../crashes/fingerprint.js';
+import type {Fingerprint} from '@nutmeggauge/core';
 import type {CallerResponse} from './caller-response.js';
 import type {RawHeaders, RequestMetadata, Route} from '../types.js';
 
--- a/packages/direct/src/gate.ts
+++ b/packages/direct/src/gate.ts
@@ -4,6 +4,8 @@
  */
 import {setTimeout as sleep} from 'node:timers/promises';
 import {
+  ConnectionCheck,
+  SuspectRequests,
   createCounters,
   createLatencyHistogram,
   findHome,
@@ -12,9 +14,7 @@
   AdmissionQueues,
   createAdmissionQueue,
 } from './admission/admission-queue.js';
-import {ConnectionCheck} from './crashes/check-server.js';
 import {CrashWatch} from './crashes/crash-watch.js';
-import {SuspectRequests} from './crashes/suspect-requests.js';
 import {OpenExchanges} from './forward/open-exchanges.js';
 import {createFleetState} from './fleet/fleet-state.js';
 import {createStoreWatcher} from './fleet/store-watcher.js';
--- a/packages/direct/src/ingress/ingress.ts
+++ b/packages/direct/src/ingress/ingress.ts
@@ -4,13 +4,13 @@
  */
 import {createServer} from 'node:http';
 import {
+  Fingerprint,
   OpenRequests,
   closeIdleAfterRead,
   openListener,
   readBody,
   waitForPendingReads,
 } from '@nutmeggauge/core';
-import {Fingerprint} from '../crashes/fingerprint.js';
 import {CallerResponse} from '../forward/caller-response.js';
 import {forwardCall} from '../forward/call-forwarder.js';
 import {chooseRetryAfterMs} from '../forward/retry-after.js';
--- a/packages/direct/src/peers/messages.ts
+++ b/packages/direct/src/peers/messages.ts
@@ -2,8 +2,8 @@
  * Messages between gates: JSON-RPC notifications in UDP datagrams. A lost
  * datagram is made up for by the next heartbeat.
  */
+import {CrashReportSchema} from '@nutmeggauge/core';
 import {z} from 'zod';
-import {CrashReportSchema} from '../crashes/crash-report.js';
 import type {Placement} from '../placement/placement.js';
 
 /**
