Agents tell under which requests their targets crash, and gates refuse these

What callers saw: a request under which engines crash ended one engine after the other, three for each client attempt, at any gate. Cause: the same as in the direct gate: an id for each attempt, and no count of crashes that agents and gates share. The change: an agent whose target broke off a run and refuses connections reports the content to its gates; gates pass new reports on to their other agents, and a process that connects gets what is known. The dispatcher asks before each attempt, the agent again before each run, after the wait in its lane; prompts without a token are cancelled when they are refused. A call that may have run is answered unknown, never not-run. crashRefusalMs in the settings of both. Ruled out: to count within each gate, as a gate with a subset of agents hears of few crashes.

--- a/packages/agent/src/agent.ts
+++ b/packages/agent/src/agent.ts
@@ -6,7 +6,10 @@
 import {createServer} from 'node:net';
 import {
   CLOCK_SKEW_MS,
+  ConnectionCheck,
+  CrashReportsSchema,
   RpcMethod,
+  SuspectRequests,
   createConfigWatcher,
   createCounters,
   createLogger,
@@ -15,6 +18,7 @@
   readPort,
   waitMs,
 } from '@nutmeggauge/core';
+import {CrashGuard} from './crashes/crash-guard.js';
 import {DispatchHandler} from './dispatch/dispatch-handler.js';
 import {createLanes} from './lanes/lanes.js';
 import {createLedger} from './ledger/ledger.js';
@@ -27,6 +31,7 @@
   CancelNotification,
   ConfigRecord,
   ConfigWatcher,
+  CrashReport,
   DispatchOutcome,
   DispatchRequest,
   LoadReport,
@@ -46,6 +51,13 @@
  */
 const DRAIN_SLACK_MS = 2000;
 
+/** Ports of a target whose URL names none. */
+const HTTP_PORT = 80;
+const HTTPS_PORT = 443;
+
+/** Interval at which suspect requests expire, in ms. */
+const EXPIRY_CHECK_INTERVAL_MS = 1000;
+
 /** Settings that the agent reads only when it uses them. */
 const RELOADABLE_KEYS = ['drainTimeoutMs'] as const;
 
@@ -67,9 +79,11 @@
   private readonly dispatchHandler: DispatchHandler;
   private readonly ownership;
   private readonly reporter: LoadReporter;
+  private readonly suspects: SuspectRequests;
   private readonly watcher: ConfigWatcher | undefined;
   private readonly orders: EngineOrders | undefined;
   private draining: Promise<void> | undefined;
+  private expiryTimer: NodeJS.Timeout | undefined;
   readonly reloadableKeys = RELOADABLE_KEYS;
 
   constructor(private settings: AgentSettings) {
@@ -80,6 +94,7 @@
       retainMs: ledger.retainMs,
     });
     this.watcher = this.createWatcher();
+    this.suspects = this.createSuspects();
     this.dispatchHandler = new DispatchHandler({
       target:
         target.kind === 'engine'
@@ -88,6 +103,7 @@
       lanes: createLanes({short: lanes.shortSlots, long: lanes.longSlots}),
       ledger: createLedger(ledger),
       ownership: this.ownership,
+      crashGuard: this.createCrashGuard(),
       counters: this.counters,
       shortMaxTokens: lanes.shortMaxTokens,
       readRecordVersion: () => this.watcher?.version,
@@ -110,6 +126,10 @@
   async start(): Promise<void> {
     await openListener(this.server, this.settings.listen);
     this.reporter.start();
+    this.expiryTimer = setInterval(
+      () => this.suspects.expire(),
+      EXPIRY_CHECK_INTERVAL_MS,
+    );
     this.watcher?.start();
     this.orders?.start();
     this.log.info('agent_listening', {
@@ -154,6 +174,7 @@
   /** Stops the background tasks and closes the listener and every link. */
   close(): void {
     this.reporter.stop();
+    clearInterval(this.expiryTimer);
     this.watcher?.stop();
     this.orders?.stop();
     this.server.close();
@@ -172,6 +193,33 @@
     return watcher;
   }
 
+  private createSuspects(): SuspectRequests {
+    const broadcast = (report: CrashReport) => {
+      for (const link of this.links) link.notify(RpcMethod.crashed, [report]);
+    };
+    return new SuspectRequests({
+      refusalMs: this.settings.crashRefusalMs,
+      log: this.log,
+      counters: this.counters,
+      readNow: Date.now,
+      announce: broadcast,
+      forward: broadcast,
+    });
+  }
+
+  private createCrashGuard(): CrashGuard {
+    const {id, target} = this.settings;
+    const {hostname, port, protocol} = new URL(target.url);
+    const defaultPort = protocol === 'https:' ? HTTPS_PORT : HTTP_PORT;
+    return new CrashGuard({
+      targetId: id,
+      address: {host: hostname, port: Number(port) || defaultPort},
+      serverCheck: new ConnectionCheck(),
+      suspects: this.suspects,
+      readNow: Date.now,
+    });
+  }
+
   private createOrders(): EngineOrders | undefined {
     const {target, id} = this.settings;
     if (target.kind !== 'engine' || this.watcher === undefined)
@@ -201,6 +249,9 @@
     link.handle(RpcMethod.cancel, params =>
       this.dispatchHandler.cancel((params as CancelNotification).requestId),
     );
+    link.handle(RpcMethod.crashed, params => this.receiveCrashes(params));
+    const known = this.suspects.listAll();
+    if (known.length > 0) link.notify(RpcMethod.crashed, known);
     // A gate sends its configuration record if this agent's remains outdated.
     link.handle(RpcMethod.record, params => this.watcher?.offer(params));
     link.onClose(() => {
@@ -211,6 +262,12 @@
     this.reporter.addLink(link);
   }
 
+  private receiveCrashes(params: unknown): void {
+    const {data: reports} = CrashReportsSchema.safeParse(params);
+    if (reports === undefined) this.counters.add('agent.crashes_malformed');
+    else this.suspects.merge(reports);
+  }
+
   private dispatch(
     request: DispatchRequest,
     link: RpcLink,
--- a/packages/agent/src/dispatch/dispatch-handler.test.ts
+++ b/packages/agent/src/dispatch/dispatch-handler.test.ts
@@ -1,7 +1,12 @@
 import {setImmediate as waitImmediate} from 'node:timers/promises';
 import {describe, it} from 'node:test';
 import {expect} from 'earl';
-import {createCounters} from '@nutmeggauge/core';
+import {
+  ConnectionCheck,
+  createCounters,
+  createSuspectRequests,
+} from '@nutmeggauge/core';
+import {CrashGuard} from '../crashes/crash-guard.js';
 import {createLanes} from '../lanes/lanes.js';
 import {createLedger} from '../ledger/ledger.js';
 import {createKeyOwnership} from '../ledger/ownership.js';
@@ -43,6 +48,13 @@
       bornAt: -Infinity,
       retainMs: 60_000,
     }),
+    crashGuard: new CrashGuard({
+      targetId: 'plain-1',
+      address: {host: '127.0.0.1', port: 1},
+      serverCheck: new ConnectionCheck(),
+      suspects: createSuspectRequests(),
+      readNow: Date.now,
+    }),
     counters: createCounters(),
     shortMaxTokens: 100,
     readRecordVersion: () => recordVersion,
--- a/packages/agent/src/dispatch/dispatch-handler.ts
+++ b/packages/agent/src/dispatch/dispatch-handler.ts
@@ -15,6 +15,7 @@
   DispatchOutcome,
   DispatchRequest,
 } from '@nutmeggauge/core';
+import type {CrashGuard} from '../crashes/crash-guard.js';
 import type {Lane, Lanes} from '../lanes/lanes.js';
 import type {Ledger} from '../ledger/ledger.js';
 import type {KeyOwnership} from '../ledger/ownership.js';
@@ -27,6 +28,7 @@
   readonly lanes: Lanes;
   readonly ledger: Ledger;
   readonly ownership: KeyOwnership;
+  readonly crashGuard: CrashGuard;
   readonly counters: Counters;
   /** Longest prompt that runs in the short lane, in tokens. */
   readonly shortMaxTokens: number;
@@ -54,10 +56,13 @@
   readonly controller: AbortController;
   readonly kind: DispatchRequest['kind'];
   readonly owner: object;
+  readonly request: DispatchRequest;
   readonly promptTokens: number;
   readonly maxTokens: number;
   started: boolean;
   producedTokens: number;
+  /** Time of the first token, in epoch ms; absent before. */
+  firstTokenAt: number | undefined;
 }
 
 const createNotRun = (
@@ -82,6 +87,7 @@
 
   constructor(private readonly options: DispatchHandlerOptions) {
     this.duplicates = new DuplicateRequests(options.ledger, options.counters);
+    options.crashGuard.onRefusal(isRefused => this.cancelRefused(isRefused));
   }
 
   /** Whether `drain` has been called. */
@@ -137,6 +143,17 @@
     }
   }
 
+  /**
+   * Cancels prompts that may still crash the target. Calls that have started run
+   * on, as their callers need the outcome.
+   */
+  private cancelRefused(
+    isRefused: (request: DispatchRequest) => boolean,
+  ): void {
+    for (const [requestId, {request, producedTokens}] of this.active)
+      if (producedTokens === 0 && isRefused(request)) this.cancel(requestId);
+  }
+
   /** Returns the queued and pending work for the load report. */
   readWorkStats(): WorkStats {
     const lanes = this.options.lanes.readStats();
@@ -245,17 +262,19 @@
     owner: object,
     receive: ChunkReceiver,
   ): Promise<DispatchOutcome> {
-    const {lanes, shortMaxTokens, target} = this.options;
+    const {lanes, shortMaxTokens, target, crashGuard} = this.options;
     const promptTokens = countTokens(request.prompt ?? '');
     const lane: Lane = promptTokens <= shortMaxTokens ? 'short' : 'long';
     const active: ActiveRequest = {
       controller: new AbortController(),
       kind: request.kind,
       owner,
+      request,
       promptTokens,
       maxTokens: request.maxTokens ?? 0,
       started: false,
       producedTokens: 0,
+      firstTokenAt: undefined,
     };
     this.active.set(request.requestId, active);
     this.options.onLoadChange();
@@ -271,14 +290,24 @@
       if (refusal !== undefined) return createNotRun(refusal);
       active.started = true;
       try {
-        return await target.run(
+        const leftMs = crashGuard.readRefusalLeftMs(request);
+        if (leftMs > 0) return createNotRun('crashes_servers', leftMs);
+        const outcome = await target.run(
           request,
           (seq, text) => {
+            active.firstTokenAt ??= Date.now();
             if (active.producedTokens++ === 0) this.options.onLoadChange();
             receive({requestId: request.requestId, seq, text});
           },
           signal,
         );
+        const {firstTokenAt} = active;
+        const isCancelled = signal.aborted;
+        await crashGuard.recordOutcome(
+          {request, firstTokenAt, isCancelled},
+          outcome,
+        );
+        return outcome;
       } finally {
         lanes.leave(lane);
       }
--- a/packages/agent/src/index.ts
+++ b/packages/agent/src/index.ts
@@ -1,4 +1,5 @@
 export * from './agent.js';
+export * from './crashes/crash-guard.js';
 export * from './dispatch/dispatch-handler.js';
 export * from './lanes/lanes.js';
 export * from './ledger/ledger.js';
--- a/packages/agent/src/settings.ts
+++ b/packages/agent/src/settings.ts
@@ -59,6 +59,11 @@
       maxEntries: z.number().int().positive().default(50_000),
     })
     .prefault({}),
+  /**
+   * Time for which a request is refused after targets have crashed under it, in
+   * ms; the same for all agents and gates.
+   */
+  crashRefusalMs: z.number().int().positive().default(600_000),
   /** Shortest time between two load reports on an active link, in ms. */
   loadReportMs: z.number().int().positive().default(100),
   /** Longest time between two load reports on any link, in ms. */
--- a/packages/core/src/crashes/crash-exchange.test.ts
+++ b/packages/core/src/crashes/crash-exchange.test.ts
@@ -1,9 +1,9 @@
 import {describe, it} from 'node:test';
 import {expect} from 'earl';
 import fc from 'fast-check';
-import {buildSuspects} from '../test/build-suspects.js';
 import {CrashReportSchema} from './crash-report.js';
 import {Fingerprint} from './fingerprint.js';
+import {createSuspectRequests} from './suspect-requests.js';
 import type {CrashReport} from './crash-report.js';
 import type {SuspectRequests} from './suspect-requests.js';
 
@@ -84,7 +84,7 @@
   }
 
   private buildGate(index: number): SuspectRequests {
-    return buildSuspects({
+    return createSuspectRequests({
       readNow: () => this.now,
       announce: report => this.send(index, [report]),
     });
--- a/packages/core/src/crashes/crash-report.ts
+++ b/packages/core/src/crashes/crash-report.ts
@@ -24,3 +24,6 @@
   refused: z.literal(true).optional(),
 });
 export type CrashReport = Readonly<z.output<typeof CrashReportSchema>>;
+
+/** Several crash reports in one message. */
+export const CrashReportsSchema = z.array(CrashReportSchema);
--- a/packages/core/src/crashes/suspect-requests.test.ts
+++ b/packages/core/src/crashes/suspect-requests.test.ts
@@ -1,7 +1,7 @@
 import {describe, it} from 'node:test';
 import {expect} from 'earl';
-import {REFUSAL_MS, buildSuspects} from '../test/build-suspects.js';
 import {Fingerprint} from './fingerprint.js';
+import {DEFAULT_REFUSAL_MS, createSuspectRequests} from './suspect-requests.js';
 import type {CrashReport} from './crash-report.js';
 import type {SuspectRequests} from './suspect-requests.js';
 
@@ -29,7 +29,7 @@
   const clock = {now: 1000};
   const announced: CrashReport[] = [];
   const peerCrashes: string[] = [];
-  const suspects = buildSuspects({
+  const suspects = createSuspectRequests({
     readNow: () => clock.now,
     announce: report => announced.push(report),
     onPeerCrash: target => peerCrashes.push(target),
@@ -56,7 +56,7 @@
     recordEarly(suspects, BAD, ['b']);
     expect(suspects.judge(BAD)).toEqual('refused');
     expect(suspects.judge(buildFingerprint('good'))).toEqual('free');
-    expect(suspects.readRefusalLeftMs(BAD)).toEqual(REFUSAL_MS);
+    expect(suspects.readRefusalLeftMs(BAD)).toEqual(DEFAULT_REFUSAL_MS);
   });
 
   it('count a server once, however many runs it breaks off', () => {
@@ -125,12 +125,12 @@
     // Guards against a request that ends two servers after each refusal.
     const {suspects, clock} = openSuspects();
     recordEarly(suspects, BAD, ['a', 'b']);
-    clock.now += REFUSAL_MS;
+    clock.now += DEFAULT_REFUSAL_MS;
     suspects.expire();
     expect(suspects.judge(BAD)).toEqual('suspect');
     recordEarly(suspects, BAD, ['c']);
     expect(suspects.judge(BAD)).toEqual('refused');
-    expect(suspects.readRefusalLeftMs(BAD)).toEqual(REFUSAL_MS);
+    expect(suspects.readRefusalLeftMs(BAD)).toEqual(DEFAULT_REFUSAL_MS);
   });
 
   it('end a refusal at the same time in a gate that hears of it late', () => {
@@ -140,13 +140,15 @@
     later.clock.now = 50_000;
     clock.now += 2000;
     later.suspects.merge(suspects.listAll());
-    expect(later.suspects.readRefusalLeftMs(BAD)).toEqual(REFUSAL_MS - 2000);
+    expect(later.suspects.readRefusalLeftMs(BAD)).toEqual(
+      DEFAULT_REFUSAL_MS - 2000,
+    );
     expect(later.suspects.hashRefused()).toEqual(suspects.hashRefused());
     expect(later.peerCrashes).toEqual(['a', 'b']);
-    later.clock.now += REFUSAL_MS;
+    later.clock.now += DEFAULT_REFUSAL_MS;
     later.suspects.expire();
     // The clock of the first gate is a little behind.
-    clock.now += REFUSAL_MS - 2100;
+    clock.now += DEFAULT_REFUSAL_MS - 2100;
     expect(suspects.judge(BAD)).toEqual('refused');
     later.suspects.merge(suspects.listAll());
     expect(later.suspects.judge(BAD)).toEqual('suspect');
--- a/packages/core/src/crashes/suspect-requests.ts
+++ b/packages/core/src/crashes/suspect-requests.ts
@@ -5,12 +5,17 @@
 import {createHash} from 'node:crypto';
 import {readOutline} from './fingerprint.js';
 import {SuspectRequest} from './suspect-request.js';
-import type {Counters} from '../metrics.js';
+import {createLogger} from '../log.js';
+import {createCounters} from '../metrics.js';
 import type {LogFields} from '../log.js';
+import type {Counters} from '../metrics.js';
 import type {CrashReport} from './crash-report.js';
 import type {Fingerprint} from './fingerprint.js';
 import type {Verdict} from './suspect-request.js';
 
+/** Default time for which a content is refused, in ms. */
+export const DEFAULT_REFUSAL_MS = 600_000;
+
 /** Time for which a content is remembered after its newest crash, in ms. */
 const RETENTION_MS = 3_600_000;
 
@@ -54,10 +59,25 @@
   readonly log: SuspectLog;
   readonly counters: Counters;
   readonly readNow: () => number;
-  /** Sends a report to the other gates. */
-  readonly announce: (report: CrashReport) => void;
-  /** Called for each crash that a peer reports. */
-  readonly onPeerCrash: (target: string) => void;
+  /**
+   * Sends an observation of this process to the others.
+   *
+   * @default none
+   */
+  readonly announce?: (report: CrashReport) => void;
+  /**
+   * Passes a report on that told something new, where not every process hears
+   * every other one.
+   *
+   * @default none
+   */
+  readonly forward?: (report: CrashReport) => void;
+  /**
+   * Called for each crash that a peer reports.
+   *
+   * @default none
+   */
+  readonly onPeerCrash?: (target: string) => void;
 }
 
 /**
@@ -119,7 +139,7 @@
    * @param isEarly - Whether the run had just begun or was still to begin.
    */
   recordCrash(content: string, target: string, isEarly: boolean): void {
-    const {readNow, counters, log, announce} = this.options;
+    const {readNow, counters, log} = this.options;
     const now = readNow();
     const suspect = this.findOrAdd(content);
     if (!suspect.addCrash({target, at: now, isEarly})) return;
@@ -132,7 +152,7 @@
     });
     if (isEarly) this.repeatUntil.set(content, now + REPEAT_MS);
     this.refuseIfGuilty(suspect, 'own');
-    announce(suspect.toReport(now));
+    this.options.announce?.(suspect.toReport(now));
   }
 
   /** Records a whole answer to a request, which clears it. */
@@ -143,7 +163,7 @@
     this.recordCleared(suspect, 'own');
     suspect.recordAnswer(now);
     this.repeatUntil.set(suspect.content, now + REPEAT_MS);
-    this.options.announce(suspect.toReport(now));
+    this.options.announce?.(suspect.toReport(now));
   }
 
   /** Merges what a peer knows. */
@@ -249,23 +269,29 @@
     const isNews = report.crashes.length > 0;
     if (!isNews && !this.byContent.has(report.content)) return;
     const suspect = this.findOrAdd(report.content);
-    if (report.answeredMs !== undefined)
+    let isChanged =
+      report.answeredMs !== undefined &&
       this.mergeAnswer(suspect, now - report.answeredMs);
     for (const {target, ageMs, early} of report.crashes) {
       const crash = {target, at: now - ageMs, isEarly: early === true};
-      if (suspect.addCrash(crash)) this.options.onPeerCrash(target);
+      if (!suspect.addCrash(crash)) continue;
+      isChanged = true;
+      this.options.onPeerCrash?.(target);
     }
+    if (isChanged) this.options.forward?.(report);
     if (report.refused === true && suspect.targets.length > 0)
       this.refuse(suspect, 'peer');
     else this.refuseIfGuilty(suspect, 'peer');
   }
 
-  private mergeAnswer(suspect: SuspectRequest, at: number): void {
+  /** Merges a whole answer; returns whether it dropped crashes. */
+  private mergeAnswer(suspect: SuspectRequest, at: number): boolean {
     const before = suspect.targets.length;
     const wasRefused = suspect.isRefused;
     suspect.recordAnswer(at);
     if (wasRefused && before > 0 && !suspect.isRefused)
       this.recordCleared(suspect, 'peer');
+    return suspect.targets.length < before;
   }
 
   private refuseIfGuilty(suspect: SuspectRequest, source: string): void {
@@ -331,3 +357,21 @@
   if (isRefused) return 2;
   return targets.length > 0 ? 1 : 0;
 }
+
+/**
+ * Creates suspect requests that are not connected to other processes.
+ *
+ * @example
+ * const suspects = createSuspectRequests({refusalMs: 600_000, readNow: Date.now});
+ */
+export function createSuspectRequests(
+  options: Partial<SuspectRequestsOptions> = {},
+): SuspectRequests {
+  return new SuspectRequests({
+    refusalMs: DEFAULT_REFUSAL_MS,
+    log: createLogger('crashes'),
+    counters: createCounters(),
+    readNow: () => performance.now(),
+    ...options,
+  });
+}
--- a/packages/core/src/index.ts
+++ b/packages/core/src/index.ts
@@ -4,6 +4,7 @@
 export * from './config/watch.js';
 export * from './crashes/check-server.js';
 export * from './crashes/crash-report.js';
+export * from './crashes/dispatch-fingerprint.js';
 export * from './crashes/fingerprint.js';
 export * from './crashes/suspect-request.js';
 export * from './crashes/suspect-requests.js';
--- a/packages/core/src/protocol.ts
+++ b/packages/core/src/protocol.ts
@@ -15,6 +15,8 @@
   cancel: 'cancel',
   load: 'load',
   accepted: 'accepted',
+  /** Gate ↔ agent: reports crashes of targets under requests. */
+  crashed: 'crashed',
   /** Gate → gate: asks for the version of the configuration record in use. */
   recordVersion: 'record-version',
   /**
--- a/packages/direct/src/crashes/crash-watch.test.ts
+++ b/packages/direct/src/crashes/crash-watch.test.ts
@@ -1,11 +1,15 @@
 import type {ServerState} from '@nutmeggauge/core';
 import {describe, it} from 'node:test';
 import {Writable} from 'node:stream';
-import {Fingerprint, ServerCheck, createCounters} from '@nutmeggauge/core';
+import {
+  Fingerprint,
+  ServerCheck,
+  createCounters,
+  createSuspectRequests,
+} from '@nutmeggauge/core';
 import {expect} from 'earl';
 import {createFleetState} from '../fleet/fleet-state.js';
 import {createDecisionLog} from '../observe/decision-log.js';
-import {buildSuspects} from '../test/build-suspects.js';
 import {buildTarget} from '../test/build-target.js';
 import {CrashWatch} from './crash-watch.js';
 
@@ -26,7 +30,7 @@
   const counters = createCounters();
   const output = new Writable({write: (_chunk, _encoding, done) => done()});
   const log = createDecisionLog({proc: 'g', output, readWallMs: Date.now});
-  const suspects = buildSuspects();
+  const suspects = createSuspectRequests();
   const ended: string[] = [];
   const announced: string[] = [];
   const watch = new CrashWatch({
--- a/packages/direct/src/peers/peer-group.test.ts
+++ b/packages/direct/src/peers/peer-group.test.ts
@@ -2,12 +2,11 @@
 import {once} from 'node:events';
 import {afterEach, beforeEach, describe, it} from 'node:test';
 import {Writable} from 'node:stream';
-import {buildLoopbackHost} from '@nutmeggauge/core';
+import {buildLoopbackHost, createSuspectRequests} from '@nutmeggauge/core';
 import {expect} from 'earl';
 import {NO_POSITION} from '../fleet/fact-position.js';
 import {createFleetState} from '../fleet/fleet-state.js';
 import {createDecisionLog} from '../observe/decision-log.js';
-import {buildSuspects} from '../test/build-suspects.js';
 import {createIdleSlowdowns} from '../test/fake-reports.js';
 import {ENGINE, buildConfig} from '../test/gate-harness.js';
 import {createLoadTracker} from '../placement/load-tracker.js';
@@ -44,7 +43,7 @@
     state,
     tracker,
     slowdowns: createIdleSlowdowns(log, readNow),
-    suspects: buildSuspects(),
+    suspects: createSuspectRequests(),
     onTargetEnd: () => undefined,
     log,
     readNow,
--- a/packages/gate/src/dispatch/dispatcher.test.ts
+++ b/packages/gate/src/dispatch/dispatcher.test.ts
@@ -4,6 +4,7 @@
   RpcClosedError,
   createClassCounts,
   createCounters,
+  createSuspectRequests,
 } from '@nutmeggauge/core';
 import {RoundRobinRouter} from '../routing/router.js';
 import {createChunkStream} from '../streaming/reassembly.js';
@@ -57,6 +58,7 @@
     maxAttempts: 3,
     acceptTimeoutMs: 1000,
     retryBudget: createRetryBudget({ratio: 0.2, burst: 10}),
+    suspects: createSuspectRequests(),
   }).run({
     request: {
       requestId: 'r1',
--- a/packages/gate/src/dispatch/dispatcher.ts
+++ b/packages/gate/src/dispatch/dispatcher.ts
@@ -15,6 +15,7 @@
 import {
   RpcClosedError,
   TargetUnreachableError,
+  createDispatchFingerprint,
   createLogger,
 } from '@nutmeggauge/core';
 import type {
@@ -22,6 +23,7 @@
   DispatchOutcome,
   DispatchRequest,
   ResumePoint,
+  SuspectRequests,
 } from '@nutmeggauge/core';
 import type {TargetDirectory, TargetLink} from '../membership/target-link.js';
 import type {RouteRequest, Router} from '../routing/router.js';
@@ -79,6 +81,7 @@
   /** Timeout for an agent's ack of a repeatable request, in ms. */
   readonly acceptTimeoutMs: number;
   readonly retryBudget: RetryBudget;
+  readonly suspects: SuspectRequests;
 }
 
 /** State of one request across its dispatch attempts. */
@@ -113,6 +116,8 @@
     };
     this.options.retryBudget.recordRequest();
     for (let attempt = 1; attempt <= this.options.maxAttempts; attempt++) {
+      const refusal = this.checkSuspect(job, progress);
+      if (refusal !== undefined) return refusal;
       if (attempt > 1 && !this.claimRetry()) break;
       if (Date.now() >= job.request.deadlineAt) break;
       const target = await this.pickTarget(job, progress.tried);
@@ -129,6 +134,28 @@
       : progress.lastNotRun;
   }
 
+  /** Returns a result if targets have crashed under requests with this content. */
+  private checkSuspect(
+    {request}: DispatchJob,
+    {mayHaveRun}: DispatchProgress,
+  ): DispatchResult | undefined {
+    const {suspects, counters} = this.options;
+    const fingerprint = createDispatchFingerprint(request);
+    const retryAfterMs = suspects.readRefusalLeftMs(fingerprint);
+    if (retryAfterMs === 0) return undefined;
+    const reason = 'crashes_servers';
+    counters.add('dispatch.suspect_refused');
+    this.log.info('suspect_refused', {
+      requestId: request.requestId,
+      content: fingerprint.id,
+      crashed: suspects.listCrashed(fingerprint),
+      leftMs: Math.round(retryAfterMs),
+    });
+    return mayHaveRun
+      ? {status: 'unknown', reason}
+      : {status: 'not-run', reason, retryAfterMs};
+  }
+
   private claimRetry(): boolean {
     const {retryBudget, counters} = this.options;
     const isAllowed = retryBudget.claimRetry();
--- a/packages/gate/src/dispatch/retry-budget.test.ts
+++ b/packages/gate/src/dispatch/retry-budget.test.ts
@@ -5,6 +5,7 @@
   TargetUnreachableError,
   createCounters,
   createClassCounts,
+  createSuspectRequests,
 } from '@nutmeggauge/core';
 import {RoundRobinRouter} from '../routing/router.js';
 import {createChunkStream} from '../streaming/reassembly.js';
@@ -68,6 +69,7 @@
       maxAttempts: 3,
       acceptTimeoutMs: 1000,
       retryBudget: createRetryBudget({ratio: 0.2, burst: 10}),
+      suspects: createSuspectRequests(),
     });
     for (let i = 0; i < 100; i++) {
       const result = await dispatcher.run({
--- a/packages/gate/src/gate.ts
+++ b/packages/gate/src/gate.ts
@@ -5,6 +5,7 @@
 import {createServer} from 'node:http';
 import {
   OpenRequests,
+  SuspectRequests,
   createConfigWatcher,
   createCounters,
   createLatencyHistogram,
@@ -30,6 +31,7 @@
 import type {IncomingMessage, Server, ServerResponse} from 'node:http';
 import type {Account, ConfigRecord} from '@nutmeggauge/core';
 import type {HandlerContext} from './api/handler-context.js';
+import type {Membership} from './membership/membership.js';
 import type {GateSettings} from './settings.js';
 
 /** Interval at which a drain checks for open requests, in ms. */
@@ -38,6 +40,9 @@
 /** Margin on the maximum drain time for late timers on a busy host, in ms. */
 const DRAIN_SLACK_MS = 2000;
 
+/** Interval at which suspect requests expire, in ms. */
+const EXPIRY_CHECK_INTERVAL_MS = 1000;
+
 /** Settings that the gate reads anew each time it uses them. */
 const RELOADABLE_KEYS = [
   'estimate',
@@ -57,7 +62,9 @@
   readonly ttft = createLatencyHistogram();
   private readonly log = createLogger('gate');
   private readonly watcher;
-  private readonly membership;
+  private readonly membership: Membership;
+  private readonly suspects: SuspectRequests;
+  private expiryTimer: NodeJS.Timeout | undefined;
   private readonly relay: PeerRelay | undefined;
   private readonly admin: AdminApi | undefined;
   private readonly context: HandlerContext;
@@ -76,11 +83,21 @@
     });
     const readRecord = () => this.watcher.current;
     const {subsetSize, heartbeatStaleMs} = settings.routing;
+    this.suspects = new SuspectRequests({
+      refusalMs: settings.crashRefusalMs,
+      log: this.log,
+      counters: this.counters,
+      readNow: Date.now,
+      // Agents observe crashes; the gate passes their reports on.
+      forward: report => this.membership.sendCrash(report),
+    });
     this.membership = createMembership({
       gateId: settings.id,
       subsetSize,
       heartbeatStaleMs,
       readRecord,
+      listCrashes: () => this.suspects.listAll(),
+      onCrashes: reports => this.suspects.merge(reports),
       counters: this.counters,
       hostListUrl: settings.hostList?.url,
       hostListPollMs: settings.hostList?.pollMs,
@@ -106,6 +123,7 @@
         maxAttempts: settings.routing.maxAttempts,
         acceptTimeoutMs: settings.routing.acceptTimeoutMs,
         retryBudget: createRetryBudget(settings.retryBudget),
+        suspects: this.suspects,
       }),
       readFigures: () => this.settings.estimate,
       ttft: this.ttft,
@@ -145,6 +163,10 @@
   async start(): Promise<void> {
     this.watcher.start();
     this.membership.start();
+    this.expiryTimer = setInterval(
+      () => this.suspects.expire(),
+      EXPIRY_CHECK_INTERVAL_MS,
+    );
     await this.relay?.start();
     await this.admin?.start();
     const server = createServer((req, res) => this.serve(req, res));
@@ -217,6 +239,7 @@
   close(): void {
     this.watcher.stop();
     this.membership.stop();
+    clearInterval(this.expiryTimer);
     this.relay?.stop();
     this.admin?.stop();
     this.server?.closeAllConnections();
--- a/packages/gate/src/membership/agent-connection.test.ts
+++ b/packages/gate/src/membership/agent-connection.test.ts
@@ -37,6 +37,8 @@
       counters,
       heartbeatStaleMs: 60_000,
       readRecord: () => undefined,
+      listCrashes: () => [],
+      onCrashes: () => undefined,
     });
     connection.start();
     const waitUntil = async (check: () => boolean) => {
@@ -95,6 +97,8 @@
       counters: createCounters(),
       heartbeatStaleMs: 60_000,
       readRecord: () => undefined,
+      listCrashes: () => [],
+      onCrashes: () => undefined,
     });
     connection.start();
     const request = {
--- a/packages/gate/src/membership/agent-connection.ts
+++ b/packages/gate/src/membership/agent-connection.ts
@@ -4,6 +4,7 @@
  * requests, and passes received chunks to the request that they belong to.
  */
 import {
+  CrashReportsSchema,
   LoadReportSchema,
   ReadTimeout,
   RpcFailedError,
@@ -20,6 +21,7 @@
   ChunkNotification,
   ConfigRecord,
   Counters,
+  CrashReport,
   DispatchOutcome,
   DispatchRequest,
   LoadReport,
@@ -56,6 +58,10 @@
    * Reads the gate's configuration record, sent to an agent with a stale one.
    */
   readonly readRecord: () => ConfigRecord | undefined;
+  /** Lists the crashes that the gate knows, for an agent that connects. */
+  readonly listCrashes: () => readonly CrashReport[];
+  /** Called with the crashes that the agent reports. */
+  readonly onCrashes: (reports: readonly CrashReport[]) => void;
 }
 
 /** The wait for the agent's ack of one dispatch. */
@@ -197,6 +203,11 @@
     }
   }
 
+  /** Tells the agent of a crash under a request. */
+  sendCrash(report: CrashReport): void {
+    this.link?.notify(RpcMethod.crashed, [report]);
+  }
+
   cancel(requestId: string): void {
     this.link?.notify(RpcMethod.cancel, {requestId});
   }
@@ -255,6 +266,9 @@
       () => undefined,
     );
     link?.handle(RpcMethod.load, params => this.receiveLoad(params));
+    link?.handle(RpcMethod.crashed, params => this.receiveCrashes(params));
+    const known = this.options.listCrashes();
+    if (known.length > 0) link?.notify(RpcMethod.crashed, known);
     link?.handle(RpcMethod.accepted, params =>
       this.inFlight
         .get((params as AcceptedNotification).requestId)
@@ -267,6 +281,13 @@
     return link;
   }
 
+  private receiveCrashes(params: unknown): void {
+    const {data: reports} = CrashReportsSchema.safeParse(params);
+    if (reports === undefined)
+      this.options.counters.add('membership.crashes_malformed');
+    else this.options.onCrashes(reports);
+  }
+
   private receiveLoad(params: unknown): void {
     // Agents of another version may omit a field. Their reports do not count as
     // heartbeats.
--- a/packages/gate/src/membership/membership.test.ts
+++ b/packages/gate/src/membership/membership.test.ts
@@ -49,6 +49,8 @@
       counters,
       heartbeatStaleMs: 1000,
       readRecord: () => RECORD,
+      listCrashes: () => [],
+      onCrashes: () => undefined,
       hostListUrl: `http://127.0.0.1:${port}`,
       hostListPollMs: 10,
     });
--- a/packages/gate/src/membership/membership.ts
+++ b/packages/gate/src/membership/membership.ts
@@ -8,7 +8,12 @@
 import {createLogger, findHome} from '@nutmeggauge/core';
 import {AgentConnection} from './agent-connection.js';
 import {pickSubset} from './subset.js';
-import type {ConfigRecord, Counters, Pool} from '@nutmeggauge/core';
+import type {
+  ConfigRecord,
+  Counters,
+  CrashReport,
+  Pool,
+} from '@nutmeggauge/core';
 import type {TargetDirectory} from './target-link.js';
 
 /** Options of a Membership. */
@@ -22,6 +27,10 @@
   readonly heartbeatStaleMs: number;
   /** Reads the gate's configuration record. */
   readonly readRecord: () => ConfigRecord | undefined;
+  /** Lists the crashes that the gate knows. */
+  readonly listCrashes: () => readonly CrashReport[];
+  /** Called with the crashes that an agent reports. */
+  readonly onCrashes: (reports: readonly CrashReport[]) => void;
   /**
    * Number of targets of each pool to connect to; 0 for all.
    * @default 0
@@ -51,7 +60,7 @@
  * Keeps the agent connections of one gate, by pool and target.
  *
  * @example
- * const membership = createMembership({gateId: 'gate-1', counters, heartbeatStaleMs: 2500, readRecord});
+ * const membership = createMembership({gateId: 'gate-1', counters, heartbeatStaleMs: 2500, readRecord, listCrashes, onCrashes});
  * membership.apply(record);
  * membership.listUsable('chat');
  */
@@ -106,6 +115,11 @@
       .filter(connection => connection.isStarted);
   }
 
+  /** Tells all connected agents of a crash under a request. */
+  sendCrash(report: CrashReport): void {
+    for (const connection of this.listStarted()) connection.sendCrash(report);
+  }
+
   /** Starts reading the host list, if one is configured. */
   start(): void {
     const url = this.options.hostListUrl;
@@ -142,6 +156,8 @@
               counters: shared.counters,
               heartbeatStaleMs: shared.heartbeatStaleMs,
               readRecord: shared.readRecord,
+              listCrashes: shared.listCrashes,
+              onCrashes: shared.onCrashes,
             });
       connection.leavingByHostList = this.leaving.has(target.id);
       connections.set(target.id, connection);
@@ -191,7 +207,7 @@
  * Creates a membership without targets.
  *
  * @example
- * const membership = createMembership({gateId: 'gate-1', counters, heartbeatStaleMs: 2500, readRecord, hostListUrl: 'http://127.0.0.1:7300'});
+ * const membership = createMembership({gateId: 'gate-1', counters, heartbeatStaleMs: 2500, readRecord, listCrashes, onCrashes, hostListUrl: 'http://127.0.0.1:7300'});
  */
 export function createMembership(options: MembershipOptions): Membership {
   return new Membership(options);
--- a/packages/gate/src/settings.ts
+++ b/packages/gate/src/settings.ts
@@ -55,6 +55,11 @@
       {path: ['token'], message: 'required unless listen.host is 127.x.x.x'},
     )
     .optional(),
+  /**
+   * Time for which a request is refused after targets have crashed under it, in
+   * ms; the same for all agents and gates.
+   */
+  crashRefusalMs: z.number().int().positive().default(600_000),
   /** Retry budget over all requests of this gate. */
   retryBudget: z
     .object({
--- a/packages/nutmeggauge/src/test/protocol-harness.ts
+++ b/packages/nutmeggauge/src/test/protocol-harness.ts
@@ -6,6 +6,7 @@
  */
 import {setImmediate as waitImmediate} from 'node:timers/promises';
 import {
+  CrashGuard,
   DispatchHandler,
   TargetClient,
   createKeyOwnership,
@@ -16,8 +17,10 @@
   CLOCK_SKEW_MS,
   RpcClosedError,
   RpcFailedError,
+  ServerCheck,
   TargetUnreachableError,
   createCounters,
+  createSuspectRequests,
   findHome,
 } from '@nutmeggauge/core';
 import {
@@ -30,6 +33,7 @@
   ChunkNotification,
   DispatchOutcome,
   DispatchRequest,
+  ServerState,
 } from '@nutmeggauge/core';
 import type {ChunkSink, KeyOwnership} from '@nutmeggauge/agent';
 import type {
@@ -181,6 +185,7 @@
       lanes: createLanes({short: 2, long: 1}),
       ledger: createLedger({retainMs: RETAIN_MS}),
       ownership: this.ownership,
+      crashGuard: createTestGuard(this.id),
       counters: createCounters(),
       shortMaxTokens: 100,
       readRecordVersion: () => this.record.version,
@@ -189,6 +194,24 @@
   }
 }
 
+/** Finds every server up, because targets of the harness never end. */
+class SteadyServerCheck extends ServerCheck {
+  override async check(): Promise<ServerState> {
+    return 'up';
+  }
+}
+
+/** Creates a guard of a target that never crashes. */
+function createTestGuard(targetId: string): CrashGuard {
+  return new CrashGuard({
+    targetId,
+    address: {host: '127.0.0.1', port: 1},
+    serverCheck: new SteadyServerCheck(),
+    suspects: createSuspectRequests(),
+    readNow: Date.now,
+  });
+}
+
 /** Link from a gate to the agent of one host. */
 class HarnessLink implements TargetLink {
   readonly zone = 'az-1';
@@ -273,6 +296,7 @@
       maxAttempts: 3,
       acceptTimeoutMs: 200,
       retryBudget: createRetryBudget(),
+      suspects: createSuspectRequests(),
     });
   }
 
