The table of suspect requests is a module of its own

No change of behaviour: the bounded collection (find, add, drop the least important, list) leaves suspect-requests.ts, which had 377 lines and two jobs and has 329 now.

--- a/packages/core/src/crashes/suspect-requests.ts
+++ b/packages/core/src/crashes/suspect-requests.ts
@@ -3,15 +3,14 @@
  * other of every crash, because a caller may send the request again at any gate.
  */
 import {createHash} from 'node:crypto';
-import {readOutline} from './fingerprint.js';
-import {SuspectRequest} from './suspect-request.js';
+import {SuspectTable} from './suspect-table.js';
 import {createLogger} from '../log.js';
 import {createCounters} from '../metrics.js';
 import type {LogFields} from '../log.js';
 import type {Counters} from '../metrics.js';
 import type {CrashReport} from './crash-report.js';
 import type {Fingerprint} from './fingerprint.js';
-import type {Verdict} from './suspect-request.js';
+import type {SuspectRequest, Verdict} from './suspect-request.js';
 
 /** Default time for which a content is refused, in ms. */
 export const DEFAULT_REFUSAL_MS = 600_000;
@@ -25,9 +24,6 @@
  */
 const ANSWER_RETENTION_MS = 10_000;
 
-/** Maximum number of remembered contents. */
-const MAX_CONTENTS = 1024;
-
 /** Maximum number of reports in one message, which bounds its size. */
 const MAX_REPORTS = 64;
 
@@ -88,9 +84,7 @@
  * suspects.judge(fingerprint); // 'suspect'
  */
 export class SuspectRequests {
-  private readonly byContent = new Map<string, SuspectRequest>();
-  /** Number of remembered contents by their outline. */
-  private readonly outlines = new Map<string, number>();
+  private readonly table = new SuspectTable();
   /** Contents that this gate observed, and the time to repeat them until. */
   private readonly repeatUntil = new Map<string, number>();
   private readonly refusalListeners = new Set<RefusalListener>();
@@ -99,13 +93,12 @@
 
   /** Number of remembered contents. */
   get size(): number {
-    return this.byContent.size;
+    return this.table.size;
   }
 
   /** Number of contents whose requests are refused. */
   countRefused(): number {
-    return [...this.byContent.values()].filter(({isRefused}) => isRefused)
-      .length;
+    return this.table.listRefused().length;
   }
 
   /** Registers a listener for refusals; returns a function that removes it. */
@@ -116,7 +109,7 @@
 
   /** Judges what a request may do. */
   judge(fingerprint: Fingerprint): Verdict {
-    const suspect = this.find(fingerprint);
+    const suspect = this.table.find(fingerprint);
     if (suspect === undefined) return 'free';
     if (this.readLeftMs(suspect) > 0) return 'refused';
     return suspect.isSuspect ? 'suspect' : 'free';
@@ -124,13 +117,13 @@
 
   /** Returns the time for which a request is still refused, in ms. */
   readRefusalLeftMs(fingerprint: Fingerprint): number {
-    const suspect = this.find(fingerprint);
+    const suspect = this.table.find(fingerprint);
     return suspect === undefined ? 0 : this.readLeftMs(suspect);
   }
 
   /** Lists the servers that have crashed under a request. */
   listCrashed(fingerprint: Fingerprint): readonly string[] {
-    return this.find(fingerprint)?.targets ?? [];
+    return this.table.find(fingerprint)?.targets ?? [];
   }
 
   /**
@@ -141,7 +134,7 @@
   recordCrash(content: string, target: string, isEarly: boolean): void {
     const {readNow, counters, log} = this.options;
     const now = readNow();
-    const suspect = this.findOrAdd(content);
+    const suspect = this.table.findOrAdd(content);
     if (!suspect.addCrash({target, at: now, isEarly})) return;
     counters.add('suspect.crashes');
     log.warn('request_suspected', {
@@ -157,7 +150,7 @@
 
   /** Records a whole answer to a request, which clears it. */
   recordAnswer(fingerprint: Fingerprint): void {
-    const suspect = this.find(fingerprint);
+    const suspect = this.table.find(fingerprint);
     if (suspect === undefined || suspect.targets.length === 0) return;
     const now = this.options.readNow();
     this.recordCleared(suspect, 'own');
@@ -176,7 +169,7 @@
     const now = this.options.readNow();
     const reports: CrashReport[] = [];
     for (const [content, until] of this.repeatUntil) {
-      const suspect = this.byContent.get(content);
+      const suspect = this.table.findContent(content);
       if (until < now || suspect === undefined)
         this.repeatUntil.delete(content);
       else reports.push(suspect.toReport(now));
@@ -187,15 +180,15 @@
   /** Lists reports of all contents, refused ones first. */
   listAll(): readonly CrashReport[] {
     const now = this.options.readNow();
-    return [...this.byContent.values()]
-      .sort(compareSuspects)
+    return this.table
+      .list()
       .slice(0, MAX_REPORTS)
       .map(suspect => suspect.toReport(now));
   }
 
   /** Hash of the refused contents, by which gates compare; absent if none. */
   hashRefused(): string | undefined {
-    const refused = [...this.byContent.values()].filter(s => s.isRefused);
+    const refused = this.table.listRefused();
     if (refused.length === 0) return undefined;
     const text = refused.map(({content}) => content).sort();
     return createHash('sha256')
@@ -207,12 +200,12 @@
   /** Forgets contents whose newest crash or answer is long past. */
   expire(): void {
     const now = this.options.readNow();
-    for (const suspect of [...this.byContent.values()]) {
+    for (const suspect of this.table.list()) {
       if (suspect.isRefused && this.readLeftMs(suspect) === 0)
         this.endRefusal(suspect);
       const retentionMs =
         suspect.targets.length === 0 ? ANSWER_RETENTION_MS : RETENTION_MS;
-      if (now - suspect.changedAt > retentionMs) this.drop(suspect);
+      if (now - suspect.changedAt > retentionMs) this.table.drop(suspect);
     }
   }
 
@@ -226,38 +219,6 @@
     });
   }
 
-  private find(fingerprint: Fingerprint): SuspectRequest | undefined {
-    if (this.byContent.size === 0) return undefined;
-    if (!this.outlines.has(fingerprint.outline)) return undefined;
-    return this.byContent.get(fingerprint.id);
-  }
-
-  private findOrAdd(content: string): SuspectRequest {
-    const known = this.byContent.get(content);
-    if (known !== undefined) return known;
-    if (this.byContent.size >= MAX_CONTENTS) this.dropLeastImportant();
-    const suspect = new SuspectRequest(content);
-    this.byContent.set(content, suspect);
-    const outline = readOutline(content);
-    this.outlines.set(outline, (this.outlines.get(outline) ?? 0) + 1);
-    return suspect;
-  }
-
-  private drop({content}: SuspectRequest): void {
-    this.byContent.delete(content);
-    this.repeatUntil.delete(content);
-    const outline = readOutline(content);
-    const left = (this.outlines.get(outline) ?? 1) - 1;
-    if (left > 0) this.outlines.set(outline, left);
-    else this.outlines.delete(outline);
-  }
-
-  /** A refused content is forgotten only if all contents are refused. */
-  private dropLeastImportant(): void {
-    const least = [...this.byContent.values()].sort(compareSuspects).at(-1);
-    if (least !== undefined) this.drop(least);
-  }
-
   private readLeftMs(suspect: SuspectRequest): number {
     if (!suspect.isRefused) return 0;
     const {refusalMs, readNow} = this.options;
@@ -267,8 +228,9 @@
   private mergeReport(report: CrashReport): void {
     const now = this.options.readNow();
     const isNews = report.crashes.length > 0;
-    if (!isNews && !this.byContent.has(report.content)) return;
-    const suspect = this.findOrAdd(report.content);
+    const known = this.table.findContent(report.content);
+    if (!isNews && known === undefined) return;
+    const suspect = this.table.findOrAdd(report.content);
     let isChanged =
       report.answeredMs !== undefined &&
       this.mergeAnswer(suspect, now - report.answeredMs);
@@ -325,7 +287,7 @@
     const until = Math.max(...early) + WAVE_WINDOW_MS;
     const explained = new Set(suspect.targets);
     const unexplained = new Set<string>();
-    for (const other of this.byContent.values()) {
+    for (const other of this.table.list()) {
       if (other === suspect) continue;
       for (const {target, at} of other.listEarly())
         if (other.isRefused) explained.add(target);
@@ -348,16 +310,6 @@
   }
 }
 
-/** Sorts refused contents first, those without crashes last, then newer first. */
-function compareSuspects(a: SuspectRequest, b: SuspectRequest): number {
-  return rankSuspect(b) - rankSuspect(a) || b.changedAt - a.changedAt;
-}
-
-function rankSuspect({isRefused, targets}: SuspectRequest): number {
-  if (isRefused) return 2;
-  return targets.length > 0 ? 1 : 0;
-}
-
 /**
  * Creates suspect requests that are not connected to other processes.
  *
