Crash reports that agents and gates pass on come to an end

Cause: a report was passed on with the age that it had come with. The new property test fails on the code before with one crash and one answer. The change: a crash that an answer has cleared is remembered by its server and not added again, whatever its age; reports are passed on with ages of their own, and an answer that comes before its crashes is kept. Conclusion: class: a relative time that is passed on without adding the delay.

--- a/packages/core/src/crashes/crash-exchange.test.ts
+++ b/packages/core/src/crashes/crash-exchange.test.ts
@@ -103,6 +103,84 @@
   return (JSON.parse(text) as unknown[]).map(r => CrashReportSchema.parse(r));
 }
 
+/** Number of processes in each of the two sides of a mesh. */
+const SIDE_COUNT = 3;
+
+/** Most deliveries that one crash or answer may cause in a mesh. */
+const MAX_DELIVERIES_PER_STEP = 4 * SIDE_COUNT * SIDE_COUNT;
+
+/**
+ * Gates and agents, each linked to all processes of the other side, that pass
+ * reports on. A random source picks the delivery that comes next.
+ */
+class Mesh {
+  now = 0;
+  deliveries = 0;
+  readonly agents: SuspectRequests[];
+  private readonly gates: SuspectRequests[];
+  private pending: Array<() => void> = [];
+
+  constructor() {
+    const build = (listLinked: () => readonly SuspectRequests[]) => {
+      const send = (report: CrashReport) => {
+        for (const to of listLinked())
+          this.pending.push(() => to.merge(toDecoded([report])));
+      };
+      return createSuspectRequests({
+        readNow: () => this.now,
+        announce: send,
+        forward: send,
+      });
+    };
+    const indexes = Array.from({length: SIDE_COUNT});
+    this.gates = indexes.map(() => build(() => this.agents));
+    this.agents = indexes.map(() => build(() => this.gates));
+  }
+
+  /** Delivers reports until none is on its way, or there are too many. */
+  run(draw: (count: number) => number, maxDeliveries: number): void {
+    while (this.pending.length > 0 && this.deliveries <= maxDeliveries) {
+      const [deliver] = this.pending.splice(draw(this.pending.length), 1);
+      this.now += 1;
+      this.deliveries++;
+      deliver();
+    }
+  }
+}
+
+describe('gates and agents that pass crashes on', () => {
+  it('send no report for ever, in whatever order crashes and answers arrive', () => {
+    // Guards against a crash and the answer that cleared it that chase each
+    // other between processes until these do nothing else.
+    fc.assert(
+      fc.property(
+        fc.array(fc.record({kind: fc.constantFrom('crash', 'answer'), gate}), {
+          minLength: 1,
+          maxLength: 8,
+        }),
+        fc.infiniteStream(fc.nat()),
+        (steps, numbers) => {
+          const mesh = new Mesh();
+          const [fingerprint] = FINGERPRINTS;
+          const most = MAX_DELIVERIES_PER_STEP * steps.length;
+          const draw = (count: number) =>
+            (numbers.next().value as number) % count;
+          steps.forEach(({kind, gate: index}, i) => {
+            const agent = mesh.agents[index % SIDE_COUNT];
+            if (kind === 'answer') agent.recordAnswer(fingerprint);
+            else agent.recordCrash(fingerprint.id, `t${i}`, false);
+            // Some reports are still on their way at the next step.
+            mesh.run(draw, mesh.deliveries + 5);
+          });
+          mesh.run(draw, most);
+          expect(mesh.deliveries <= most).toEqual(true);
+        },
+      ),
+      {numRuns: 300},
+    );
+  });
+});
+
 describe('gates that exchange crashes', () => {
   it('agree on what is refused after any order of crashes, answers, restarts and losses', () => {
     // Guards against a gate that sends a request on because it was told of the
--- a/packages/core/src/crashes/suspect-request.ts
+++ b/packages/core/src/crashes/suspect-request.ts
@@ -42,6 +42,8 @@
  */
 export class SuspectRequest {
   private readonly crashes = new Map<string, Crash>();
+  /** Servers whose crash an answer has cleared. */
+  private readonly clearedTargets = new Set<string>();
   private answeredAt = -Infinity;
   private isRefusedNow = false;
 
@@ -82,8 +84,10 @@
     return [...this.crashes.values()].filter(({isEarly}) => isEarly);
   }
 
-  /** Adds a crash; returns false if it is known or older than an answer. */
+  /** Adds a crash; returns false if it is known or was cleared by an answer. */
   addCrash(crash: Crash): boolean {
+    // The delay of a report makes its crash look later than it was.
+    if (this.clearedTargets.has(crash.target)) return false;
     if (crash.at <= this.answeredAt) return false;
     const known = this.crashes.get(crash.target);
     if (known !== undefined && (known.isEarly || !crash.isEarly)) return false;
@@ -94,8 +98,11 @@
   /** Records a whole answer, which drops all earlier crashes. */
   recordAnswer(at: number): void {
     this.answeredAt = Math.max(this.answeredAt, at);
-    for (const {target, at: crashedAt} of this.crashes.values())
-      if (crashedAt <= this.answeredAt) this.crashes.delete(target);
+    for (const {target, at: crashedAt} of this.crashes.values()) {
+      if (crashedAt > this.answeredAt) continue;
+      this.crashes.delete(target);
+      this.clearedTargets.add(target);
+    }
     if (this.crashes.size === 0) this.isRefusedNow = false;
   }
 
--- a/packages/core/src/crashes/suspect-requests.ts
+++ b/packages/core/src/crashes/suspect-requests.ts
@@ -227,20 +227,19 @@
 
   private mergeReport(report: CrashReport): void {
     const now = this.options.readNow();
-    const isNews = report.crashes.length > 0;
-    const known = this.table.findContent(report.content);
-    if (!isNews && known === undefined) return;
+    // An answer may come before the crashes that it clears.
+    let isChanged = this.table.findContent(report.content) === undefined;
     const suspect = this.table.findOrAdd(report.content);
-    let isChanged =
-      report.answeredMs !== undefined &&
-      this.mergeAnswer(suspect, now - report.answeredMs);
+    if (report.answeredMs !== undefined)
+      isChanged =
+        this.mergeAnswer(suspect, now - report.answeredMs) || isChanged;
     for (const {target, ageMs, early} of report.crashes) {
       const crash = {target, at: now - ageMs, isEarly: early === true};
       if (!suspect.addCrash(crash)) continue;
       isChanged = true;
       this.options.onPeerCrash?.(target);
     }
-    if (isChanged) this.options.forward?.(report);
+    if (isChanged) this.options.forward?.(suspect.toReport(now));
     if (report.refused === true && suspect.targets.length > 0)
       this.refuse(suspect, 'peer');
     else this.refuseIfGuilty(suspect, 'peer');
