--- a/packages/direct/src/forward/exchange.ts
+++ b/packages/direct/src/forward/exchange.ts
@@ -97,9 +97,9 @@
     try {
       yield* message as AsyncIterable<Buffer>;
     } catch (cause) {
-      throw new ExchangeError('truncated', true, cause as Error);
+      throw this.createBodyError(cause as Error);
     }
-    if (!this.isWhole(message)) throw new ExchangeError('truncated', true);
+    if (!this.isWhole(message)) throw this.createBodyError();
   }
 
   /** Reads the whole body; rejects with an ExchangeError if it is truncated. */
@@ -172,6 +172,11 @@
     });
   }
 
+  private createBodyError(cause?: Error): ExchangeError {
+    const fault = this.isCancelled ? 'cancelled' : 'truncated';
+    return new ExchangeError(fault, true, cause);
+  }
+
   private findFault(cause?: Error): ExchangeFault {
     if (this.isCancelled) return 'cancelled';
     if (!this.isConnected) return 'connect';
