A wave of crashes is seen by all streams that it breaks off

Cause: two crashes refused an innocent request in a wave, as only requests that were about to begin counted as other crashes, and most servers had none. The change: any broken stream shows a crash that a content does not explain. Test: fails on the code before.

--- a/packages/core/src/crashes/suspect-request.ts
+++ b/packages/core/src/crashes/suspect-request.ts
@@ -79,9 +79,14 @@
     return Math.max(this.lastCrashAt, this.answeredAt);
   }
 
+  /** Lists all crashes. */
+  listCrashes(): readonly Crash[] {
+    return [...this.crashes.values()];
+  }
+
   /** Lists the crashes soon after the begin of a run. */
   listEarly(): readonly Crash[] {
-    return [...this.crashes.values()].filter(({isEarly}) => isEarly);
+    return this.listCrashes().filter(({isEarly}) => isEarly);
   }
 
   /** Adds a crash; returns false if it is known or was cleared by an answer. */
--- a/packages/core/src/crashes/suspect-requests.test.ts
+++ b/packages/core/src/crashes/suspect-requests.test.ts
@@ -111,6 +111,16 @@
     expect(suspects.judge(BAD)).toEqual('refused');
   });
 
+  it('see a wave of crashes also by the streams that had long begun', () => {
+    // Guards against refusing a request because the servers that crashed beside
+    // its own had no other request that was about to begin.
+    const {suspects} = openSuspects();
+    suspects.recordCrash(buildFingerprint('long').id, 'x', false);
+    suspects.recordCrash(buildFingerprint('longer').id, 'y', false);
+    recordEarly(suspects, BAD, ['a', 'b']);
+    expect(suspects.judge(BAD)).toEqual('suspect');
+  });
+
   it('take the crashes of refused contents for explained', () => {
     // Guards against several such requests at once that hide each other.
     const {suspects} = openSuspects();
--- a/packages/core/src/crashes/suspect-requests.ts
+++ b/packages/core/src/crashes/suspect-requests.ts
@@ -288,7 +288,7 @@
     const unexplained = new Set<string>();
     for (const other of this.table.list()) {
       if (other === suspect) continue;
-      for (const {target, at} of other.listEarly())
+      for (const {target, at} of other.listCrashes())
         if (other.isRefused) explained.add(target);
         else if (at >= since && at <= until) unexplained.add(target);
     }
