Ends of idle servers show a wave of crashes too

Cause: in the first milliseconds of a wave the reports of other crashes are still on their way, and a server that ended under no request has none. Test: fails without listEnded.

--- a/packages/core/src/crashes/suspect-requests.test.ts
+++ b/packages/core/src/crashes/suspect-requests.test.ts
@@ -121,6 +121,20 @@
     expect(suspects.judge(BAD)).toEqual('suspect');
   });
 
+  it('see a wave of crashes also by servers that ended under no request', () => {
+    // Guards against refusing a request at the first moment of a wave, when only
+    // the ends of idle servers are known.
+    const listEnded = () =>
+      new Map([
+        ['x', 1000],
+        ['y', 1000],
+        ['a', 1000],
+      ]);
+    const suspects = createSuspectRequests({readNow: () => 1000, listEnded});
+    recordEarly(suspects, BAD, ['a', 'b']);
+    expect(suspects.judge(BAD)).toEqual('suspect');
+  });
+
   it('take the crashes of refused contents for explained', () => {
     // Guards against several such requests at once that hide each other.
     const {suspects} = openSuspects();
--- a/packages/core/src/crashes/suspect-requests.ts
+++ b/packages/core/src/crashes/suspect-requests.ts
@@ -68,6 +68,13 @@
    * @default none
    */
   readonly forward?: (report: CrashReport) => void;
+  /**
+   * Lists the times at which servers ended, by incarnation id, also of those that
+   * ended under no known request.
+   *
+   * @default none
+   */
+  readonly listEnded?: () => ReadonlyMap<string, number>;
   /**
    * Called for each crash that a peer reports.
    *
@@ -285,12 +292,16 @@
     const since = Math.min(...early) - WAVE_WINDOW_MS;
     const until = Math.max(...early) + WAVE_WINDOW_MS;
     const explained = new Set(suspect.targets);
-    const unexplained = new Set<string>();
+    const isNear = (at: number) => at >= since && at <= until;
+    const ended = this.options.listEnded?.() ?? new Map<string, number>();
+    const unexplained = new Set(
+      [...ended].filter(([, at]) => isNear(at)).map(([target]) => target),
+    );
     for (const other of this.table.list()) {
       if (other === suspect) continue;
       for (const {target, at} of other.listCrashes())
         if (other.isRefused) explained.add(target);
-        else if (at >= since && at <= until) unexplained.add(target);
+        else if (isNear(at)) unexplained.add(target);
     }
     for (const target of explained) unexplained.delete(target);
     return unexplained.size >= WAVE_CRASHES;
--- a/packages/direct/src/crashes/crash-watch.ts
+++ b/packages/direct/src/crashes/crash-watch.ts
@@ -115,6 +115,11 @@
     return check;
   }
 
+  /** Lists when servers were found to have ended, by incarnation id. */
+  listEnded(): ReadonlyMap<string, number> {
+    return this.endedAt;
+  }
+
   /** Records that a server refused a connection of this gate. */
   recordRefusal({id}: Target): void {
     if (this.options.state.findIncarnation(id) !== undefined)
--- a/packages/direct/src/gate.ts
+++ b/packages/direct/src/gate.ts
@@ -140,6 +140,7 @@
       counters: this.counters,
       readNow,
       announce: report => this.peers.announceCrash(report),
+      listEnded: () => this.context.crashes.listEnded(),
       onPeerCrash: target => void this.context.crashes.confirmEnd(target),
     });
     this.peers = new PeerGroup({
