--- a/packages/agent/src/crashes/crash-guard.ts
+++ b/packages/agent/src/crashes/crash-guard.ts
@@ -2,7 +2,7 @@
  * Keeps requests away from the target of this agent under which targets have
  * crashed, and finds out under which requests this target crashes.
  */
-import {createDispatchFingerprint} from '@nutmeggauge/core';
+import {createDispatchFingerprint, isEarlyCrash} from '@nutmeggauge/core';
 import type {
   DispatchOutcome,
   DispatchRequest,
@@ -24,12 +24,6 @@
  */
 const SAME_CRASH_MS = 200;
 
-/**
- * Time from the first token of a run within which a crash may still be due to its
- * begin, in ms.
- */
-const BEGIN_WINDOW_MS = 300;
-
 /** Run of a request at the target. */
 export interface TargetRun {
   readonly request: DispatchRequest;
@@ -86,9 +80,7 @@
     if (!isBroken || run.isCancelled) return;
     const brokenAt = this.options.readNow();
     if ((await serverCheck.check(address)) !== 'ended') return;
-    const isEarly =
-      run.firstTokenAt === undefined ||
-      brokenAt - run.firstTokenAt <= BEGIN_WINDOW_MS;
+    const isEarly = isEarlyCrash(run.firstTokenAt, brokenAt);
     suspects.recordCrash(fingerprint.id, this.findCrash(brokenAt), isEarly);
   }
 
--- a/packages/core/src/crashes/suspect-request.ts
+++ b/packages/core/src/crashes/suspect-request.ts
@@ -16,6 +16,12 @@
 /** Number of crashes at any time of a run that make a content suspect. */
 const ANY_CRASHES_TO_SUSPECT = 3;
 
+/**
+ * Time from the first output of a run within which a crash may still be due to its
+ * begin, in ms; above an iteration of an engine.
+ */
+const BEGIN_WINDOW_MS = 300;
+
 /** Crash of one server under a request. */
 export interface Crash {
   /** Incarnation id of the server. */
@@ -26,6 +32,21 @@
   readonly isEarly: boolean;
 }
 
+/**
+ * Returns whether a run that a server broke off had just begun or was still to
+ * begin.
+ *
+ * @param beganAt - Time of the first output, in ms; absent before.
+ * @example
+ * isEarlyCrash(undefined, performance.now()); // true
+ */
+export function isEarlyCrash(
+  beganAt: number | undefined,
+  brokenAt: number,
+): boolean {
+  return beganAt === undefined || brokenAt - beganAt <= BEGIN_WINDOW_MS;
+}
+
 /**
  * What a request with a content may do: run as any other (`free`), run apart
  * from others (`suspect`), or not run (`refused`).
--- a/packages/direct/src/crashes/crash-watch.ts
+++ b/packages/direct/src/crashes/crash-watch.ts
@@ -3,7 +3,7 @@
  * may also end because the answer was cut on the way or was spoilt, because the
  * server left as planned, or because its host lost power.
  */
-import {waitMs} from '@nutmeggauge/core';
+import {isEarlyCrash, waitMs} from '@nutmeggauge/core';
 import type {
   Counters,
   Fingerprint,
@@ -18,12 +18,6 @@
 /** Time for which an ended server is remembered, in ms. */
 const ENDED_RETENTION_MS = 60_000;
 
-/**
- * Time from the first event of a run within which a crash may still be due to
- * its begin, in ms; above an iteration of an engine.
- */
-const BEGIN_WINDOW_MS = 300;
-
 /**
  * Longest time for which a request is held back until the state of its server is
  * known, in ms; a few round trips within a region.
@@ -78,7 +72,7 @@
    * hold the request back, or if the server does not answer soon.
    */
   async waitForVerdict(run: BrokenRun): Promise<void> {
-    const isEarly = isEarlyBreak(run, this.options.readNow());
+    const isEarly = isEarlyCrash(run.firstEventAt, this.options.readNow());
     const judged = this.judgeBreak(run);
     if (isEarly) await Promise.race([judged, waitMs(VERDICT_TIMEOUT_MS)]);
   }
@@ -153,7 +147,7 @@
     this.options.suspects.recordCrash(
       fingerprint.id,
       target.id,
-      isEarlyBreak(run, brokenAt),
+      isEarlyCrash(run.firstEventAt, brokenAt),
     );
   }
 
@@ -177,9 +171,3 @@
     });
   }
 }
-
-function isEarlyBreak({firstEventAt}: BrokenRun, brokenAt: number): boolean {
-  return (
-    firstEventAt === undefined || brokenAt - firstEventAt <= BEGIN_WINDOW_MS
-  );
-}
