Gates look for a wave of crashes only where it decides

Cause: each report that a peer repeats made the gate walk and sort all contents, also for a content with one crash or one that is refused already. A gate that starts during a flood merges 64 reports of every peer. Verdicts are the same: the wave is asked for with two early crashes and fewer than six in all, the only case in which it changes one. Test: fails on the code before (a look for each report).

--- a/packages/core/src/crashes/suspect-request.ts
+++ b/packages/core/src/crashes/suspect-request.ts
@@ -145,14 +145,14 @@
   /**
    * Returns whether the crashes are enough to refuse the content.
    *
-   * @param isWave - Whether servers crash that the content does not explain.
+   * @param isWave - Returns whether servers crash that the content does not
+   *   explain; called only if that decides.
    */
-  isGuilty(isWave: boolean): boolean {
-    const needed = isWave ? CRASHES_TO_REFUSE_IN_WAVE : CRASHES_TO_REFUSE;
-    return (
-      this.listEarly().length >= needed ||
-      this.crashes.size >= ANY_CRASHES_TO_REFUSE
-    );
+  isGuilty(isWave: () => boolean): boolean {
+    if (this.crashes.size >= ANY_CRASHES_TO_REFUSE) return true;
+    const {length} = this.listEarly();
+    if (length >= CRASHES_TO_REFUSE_IN_WAVE) return true;
+    return length >= CRASHES_TO_REFUSE && !isWave();
   }
 
   /** Builds the report for peers. */
--- a/packages/core/src/crashes/suspect-requests.test.ts
+++ b/packages/core/src/crashes/suspect-requests.test.ts
@@ -135,6 +135,23 @@
     expect(suspects.judge(BAD)).toEqual('suspect');
   });
 
+  it('look for a wave only where it decides', () => {
+    // Guards against gates that walk all contents for each report that a peer
+    // repeats.
+    let looks = 0;
+    const listEnded = () => {
+      looks++;
+      return new Map<string, number>();
+    };
+    const suspects = createSuspectRequests({readNow: () => 1000, listEnded});
+    recordEarly(suspects, buildFingerprint('once'), ['x']);
+    recordEarly(suspects, BAD, ['a']);
+    suspects.merge(suspects.listAll());
+    expect(looks).toEqual(0);
+    recordEarly(suspects, BAD, ['b', 'c']);
+    expect(looks).toEqual(1);
+  });
+
   it('take the crashes of refused contents for explained', () => {
     // Guards against several such requests at once that hide each other.
     const {suspects} = openSuspects();
--- a/packages/core/src/crashes/suspect-requests.ts
+++ b/packages/core/src/crashes/suspect-requests.ts
@@ -188,7 +188,7 @@
   listAll(): readonly CrashReport[] {
     const now = this.options.readNow();
     return this.table
-      .list()
+      .listByImportance()
       .slice(0, MAX_REPORTS)
       .map(suspect => suspect.toReport(now));
   }
@@ -263,7 +263,8 @@
   }
 
   private refuseIfGuilty(suspect: SuspectRequest, source: string): void {
-    if (suspect.isGuilty(this.isWave(suspect))) this.refuse(suspect, source);
+    if (suspect.isGuilty(() => this.isWave(suspect)))
+      this.refuse(suspect, source);
   }
 
   private refuse(suspect: SuspectRequest, source: string): void {
--- a/packages/core/src/crashes/suspect-table.ts
+++ b/packages/core/src/crashes/suspect-table.ts
@@ -45,8 +45,7 @@
   findOrAdd(content: string): SuspectRequest {
     const known = this.byContent.get(content);
     if (known !== undefined) return known;
-    const least = this.byContent.size < MAX_CONTENTS ? [] : this.list();
-    for (const suspect of least.slice(-1)) this.drop(suspect);
+    if (this.byContent.size >= MAX_CONTENTS) this.dropLeastImportant();
     const suspect = new SuspectRequest(content);
     this.byContent.set(content, suspect);
     const outline = readOutline(content);
@@ -63,14 +62,24 @@
     else this.outlines.delete(outline);
   }
 
-  /** Lists refused contents first, those without crashes last, then newer first. */
+  /** Lists all contents. */
   list(): readonly SuspectRequest[] {
+    return [...this.byContent.values()];
+  }
+
+  /** Lists refused contents first, those without crashes last, then newer first. */
+  listByImportance(): readonly SuspectRequest[] {
     return [...this.byContent.values()].sort(compareSuspects);
   }
 
   /** Lists refused contents. */
   listRefused(): readonly SuspectRequest[] {
-    return [...this.byContent.values()].filter(({isRefused}) => isRefused);
+    return this.list().filter(({isRefused}) => isRefused);
+  }
+
+  private dropLeastImportant(): void {
+    const least = this.listByImportance().at(-1);
+    if (least !== undefined) this.drop(least);
   }
 }
 
