Waiting shards are part of the iteration in which a new shard is prefilled

What callers saw: begun streams fall silent for two seconds and more beside long prompts, and their callers leave.

Cause: the schedule of an engine planned at most one shard of other engines' prompts in each iteration. In truth an iteration holds all shards that wait at its start.

Ruled out: that shards of other gates are not known (all were in the schedule), and that breaking begun streams was chosen knowingly: the costs of 23.8 and 23.9 are late events of some 20 streams; a broken one counts 150, and a choice that breaks one is deferred or refused (choose-send-time.ts).

Change: an iteration takes all queued shards, newest first, up to its tokens. The price of a shard has the waiting shards of that iteration in it: time to the first token, pauses of decoded streams, streams that break.

Tests: the test that expected one shard in each iteration stated the wrong model; two replace it, with exact ends, one of them for the limit by tokens.

--- a/packages/direct/src/placement/abandoned-streams.test.ts
+++ b/packages/direct/src/placement/abandoned-streams.test.ts
@@ -171,6 +171,31 @@
   });
 });
 
+describe('streams that are decoded beside a waiting shard', () => {
+  it('outlast the iteration that prefills it together with a new shard', () => {
+    // Guards against shards that are each short enough for one iteration but
+    // are prefilled in the same one.
+    const waiting = {count: 5, prefillMs: 1187, tokens: 33_000};
+    const fleet = new TestFleet(54);
+    for (let i = 0; i < fleet.engineCount; i++)
+      fleet.addDecodedStreams(i, 4, 5000);
+    for (let i = 0; i < waiting.count; i++)
+      fleet.addHelperShard(i, waiting.prefillMs, waiting.tokens);
+    const choice = choosePromptEngines(
+      fleet.listCandidates(),
+      buildPromptDemand(229_745),
+      LONG_ITERATION_ENGINE,
+      0,
+    );
+    const busy = new Set(fleet.ids.slice(0, waiting.count));
+    const pausesMs = choice?.shards.map(({target, prefillMs}) =>
+      busy.has(target) ? waiting.prefillMs + prefillMs : prefillMs,
+    );
+    const patienceMs = findPatienceMs(buildPromptDemand(5000));
+    expect(pausesMs?.filter(pauseMs => pauseMs > patienceMs)).toEqual([]);
+  });
+});
+
 describe('new short stream', () => {
   it('is not placed where its second event comes after its caller has left if another engine is free', () => {
     // Guards against a stream that starts before a long iteration of its
--- a/packages/direct/src/placement/choose-send-time.ts
+++ b/packages/direct/src/placement/choose-send-time.ts
@@ -51,6 +51,7 @@
     ...load,
     queued,
     waitMs: delayMs + Math.max(0, load.waitMs - delayMs),
+    waitingShards: queued.length === 0 ? [] : load.waitingShards,
     iterationPrefillsMs: queued.length === 0 ? [] : load.iterationPrefillsMs,
     longestPrefillMs: queued.length === 0 ? 0 : load.longestPrefillMs,
   };
--- a/packages/direct/src/placement/engine-iterations.test.ts
+++ b/packages/direct/src/placement/engine-iterations.test.ts
@@ -96,17 +96,41 @@
     return iterations;
   }
 
-  it('prefills in each iteration one shard of prompts that other engines decode', () => {
+  it('prefills all queued shards in the next iteration', () => {
+    // Guards against a pause of all streams that is predicted too short.
     const iterations = createDecodingEngine();
     iterations.addShard('old', buildShard(200), 0);
+    iterations.addShard('own', buildShard(50, true), 0);
     iterations.addShard('new', buildShard(100), 0);
-    const newEnd = decodeMs / 2 + decodeMs + 100;
+    const end = Math.round(decodeMs / 2 + decodeMs + 350);
     expect(listRoundedEnds(iterations, 0)).toEqual({
-      new: Math.round(newEnd),
-      old: Math.round(newEnd + decodeMs + 200),
+      new: end,
+      own: end,
+      old: end,
+    });
+    expect(iterations.listIterationPrefills(0).map(Math.round)).toEqual([350]);
+  });
+
+  it('prefills the newest shards first if one iteration cannot take all', () => {
+    // Guards against a long prompt that delays the prompts after it.
+    const iterations = createDecodingEngine();
+    const iterationTokens = ENGINE.stepsPerIteration * ENGINE.chunkTokens;
+    const work = {isDecodedHere: false, isWhole: false};
+    const addShard = (key: string, ms: number, share: number) =>
+      iterations.addShard(
+        key,
+        {...work, ms, tokens: share * iterationTokens},
+        0,
+      );
+    addShard('old', 800, 0.8);
+    addShard('new', 400, 0.4);
+    const firstEnd = decodeMs / 2 + decodeMs + 400 + 600;
+    expect(listRoundedEnds(iterations, 0)).toEqual({
+      new: Math.round(firstEnd),
+      old: Math.round(firstEnd + decodeMs + 200),
     });
     expect(iterations.listIterationPrefills(0).map(Math.round)).toEqual([
-      100, 200,
+      1000, 200,
     ]);
   });
 
--- a/packages/direct/src/placement/engine-iterations.ts
+++ b/packages/direct/src/placement/engine-iterations.ts
@@ -4,13 +4,14 @@
  * - The newest shard is prefilled first, whether or not this engine also
  *   decodes that prompt.
  * - While an engine decodes sequences, it runs long iterations that cannot be
- *   interrupted. Each prefills prompts that this engine decodes, and at most
- *   one shard of a prompt that another engine decodes.
+ *   interrupted. Each prefills all shards that are queued at its start, up to a
+ *   number of tokens.
  * - While an engine decodes nothing, a new shard preempts queued ones at once.
  * - The first token is sent with the iteration that completes the prefill.
  */
-import {estimateDecodeMs} from './engine-model.js';
+import {countIterationTokens, estimateDecodeMs} from './engine-model.js';
 import type {EngineCostModel} from '../types.js';
+import type {WaitingShard} from './engine-load.js';
 
 /** Shard of a prompt, to be prefilled by one engine. */
 export interface ShardWork {
@@ -181,6 +182,15 @@
     return new Map([...this.prefillEnds].map(([key, at]) => [key, at - now]));
   }
 
+  /** Lists the shards that wait for the coming iterations, newest first. */
+  listWaitingShards(now: number): readonly WaitingShard[] {
+    this.advance(now);
+    return this.shards.map(({leftTokens, msPerToken}) => ({
+      tokens: leftTokens,
+      prefillMs: leftTokens * msPerToken * this.slowdown,
+    }));
+  }
+
   /**
    * Lists the prefill time of each coming iteration, in ms. Streams decoded by
    * the engine see this time as part of their inter-token latency.
@@ -232,11 +242,7 @@
    * given shards by it.
    */
   private planIteration(shards: readonly QueuedShard[]): IterationPlan {
-    // Each iteration prefills at least one token, so that planning terminates.
-    let tokenBudget = Math.max(
-      1,
-      this.engine.stepsPerIteration * this.engine.chunkTokens,
-    );
+    let tokenBudget = countIterationTokens(this.engine);
     let prefillMs = 0;
     const ended: QueuedShard[] = [];
     for (const shard of shards) {
@@ -246,7 +252,6 @@
       prefillMs += advanceShard(shard, tokenBudget) * this.slowdown;
       tokenBudget -= before - shard.leftTokens;
       if (shard.leftTokens <= 0) ended.push(shard);
-      if (!shard.isDecodedHere) break;
     }
     return {prefillMs, ended};
   }
--- a/packages/direct/src/placement/engine-load.ts
+++ b/packages/direct/src/placement/engine-load.ts
@@ -29,6 +29,13 @@
   readonly prefillDoneMs: number;
 }
 
+/** Rest of a shard that waits for an iteration. */
+export interface WaitingShard {
+  readonly tokens: number;
+  /** Prefill time on this engine, in ms. */
+  readonly prefillMs: number;
+}
+
 /** A stream whose prefill has not ended yet, on its decoding engine. */
 export interface PendingStream {
   readonly placement: Placement;
@@ -42,6 +49,8 @@
   readonly backlogMs: number;
   /** Time until a new shard can start, after the running iteration, in ms. */
   readonly waitMs: number;
+  /** Shards that wait for the coming iterations, newest first. */
+  readonly waitingShards: readonly WaitingShard[];
   /** Prefill time of each coming iteration, in ms. */
   readonly iterationPrefillsMs: readonly number[];
   /** Longest of these times, in ms; 0 if there are none. */
@@ -63,6 +72,7 @@
 export const IDLE_LOAD: EngineLoad = {
   backlogMs: 0,
   waitMs: 0,
+  waitingShards: [],
   iterationPrefillsMs: [],
   longestPrefillMs: 0,
   lagMs: 0,
--- a/packages/direct/src/placement/engine-model.ts
+++ b/packages/direct/src/placement/engine-model.ts
@@ -39,3 +39,14 @@
     (engine.stepMsPerContextK * contextTokens) / 1000;
   return step * engine.stepsPerIteration;
 }
+
+/**
+ * Counts the prompt tokens that one iteration of an engine that decodes can
+ * prefill. The count is at least 1, so that plans of iterations terminate.
+ *
+ * @example
+ * countIterationTokens(engine); // 116_736 with 57 steps of 2048 tokens
+ */
+export function countIterationTokens(engine: EngineCostModel): number {
+  return Math.max(1, engine.stepsPerIteration * engine.chunkTokens);
+}
--- a/packages/direct/src/placement/load-tracker.ts
+++ b/packages/direct/src/placement/load-tracker.ts
@@ -250,6 +250,7 @@
     return {
       backlogMs: backlogMs + lagMs,
       waitMs,
+      waitingShards: iterations?.listWaitingShards(now) ?? [],
       iterationPrefillsMs,
       longestPrefillMs: findLongest(iterationPrefillsMs),
       lagMs,
--- a/packages/direct/src/placement/place-prompt.test.ts
+++ b/packages/direct/src/placement/place-prompt.test.ts
@@ -197,10 +197,9 @@
     const [candidate] = listCandidates(tracker, 1, 0);
     expect(candidate.load.backlogMs > 1000).toEqual(true);
     const pricer = new EnginePricer(candidate, ENGINE, 0);
-    const priced = pricer.price(200);
-    expect(priced.helperDoneMs < 300).toEqual(true);
-    expect(priced.decoderDoneMs < 300).toEqual(true);
-    const long = pricer.price(2000);
+    const priced = pricer.price({tokens: 20_000, prefillMs: 200});
+    expect(priced.doneMs < 300).toEqual(true);
+    const long = pricer.price({tokens: 200_000, prefillMs: 2000});
     expect([...long.queueInterference.values()][0] > 1).toEqual(true);
   });
 
--- a/packages/direct/src/placement/place-prompt.ts
+++ b/packages/direct/src/placement/place-prompt.ts
@@ -16,7 +16,12 @@
 import {findPricer} from './price-prefill.js';
 import type {EngineCostModel} from '../types.js';
 import type {Placement} from './placement.js';
-import type {Candidate, EnginePricer, PricedEngine} from './price-prefill.js';
+import type {
+  Candidate,
+  EnginePricer,
+  PricedEngine,
+  ShardSize,
+} from './price-prefill.js';
 import type {PromptChoice, PromptDemand} from './prompt-types.js';
 
 /** Price of each helper: one more engine whose failure aborts the prefill. */
@@ -76,9 +81,9 @@
     able,
     count,
     (a, b) =>
-      Number(a.helperBrokenStreams > 0) - Number(b.helperBrokenStreams > 0) ||
-      a.helperInterference - b.helperInterference ||
-      a.helperDoneMs - b.helperDoneMs,
+      Number(a.brokenStreams > 0) - Number(b.brokenStreams > 0) ||
+      a.interference - b.interference ||
+      a.doneMs - b.doneMs,
   );
 }
 
@@ -105,8 +110,8 @@
   if (priced.length <= MAX_DECODERS) return priced;
   const decoders = priced.map(engine => ({engine, cost: pricer.price(engine)}));
   const compare = (a: PricedDecoder, b: PricedDecoder) =>
-    Number(a.engine.decoderBrokenStreams > 0) -
-      Number(b.engine.decoderBrokenStreams > 0) || a.cost - b.cost;
+    Number(a.engine.brokenStreams > 0) - Number(b.engine.brokenStreams > 0) ||
+    a.cost - b.cost;
   return pickLowest(decoders, MAX_DECODERS, compare).map(({engine}) => engine);
 }
 
@@ -118,10 +123,10 @@
 function pickShardEngines(
   pricers: readonly EnginePricer[],
   pricedWhole: readonly PricedEngine[],
-  smallestShardMs: number,
+  smallestShard: ShardSize,
   {decoderPricer, engine}: ShardPricing,
 ): readonly EnginePricer[] {
-  const priced = pricers.map(pricer => pricer.price(smallestShardMs));
+  const priced = pricers.map(pricer => pricer.price(smallestShard));
   const picked = new Set(
     [
       ...pickDecoders(pricedWhole, decoderPricer),
@@ -136,15 +141,11 @@
  * Sums the interference on all chosen engines. A queued prompt that several
  * engines delay is late only once, so only its largest loss counts.
  */
-function sumAllInterference(
-  decoder: PricedEngine,
-  helpers: readonly PricedEngine[],
-): number {
+function sumAllInterference(engines: readonly PricedEngine[]): number {
   const largestLossByPrompt = new Map<string, number>();
-  let sum = decoder.decoderDecodeInterference;
-  for (const {helperDecodeInterference} of helpers)
-    sum += helperDecodeInterference;
-  for (const {queueInterference} of [decoder, ...helpers]) {
+  let sum = 0;
+  for (const {decodeInterference, queueInterference} of engines) {
+    sum += decodeInterference;
     for (const [key, loss] of queueInterference)
       largestLossByPrompt.set(
         key,
@@ -175,29 +176,27 @@
     demand.promptTokens / (helpers.length + 1),
     engine,
   );
-  let prefillDoneMs = decoder.decoderDoneMs;
-  for (const helper of helpers)
-    prefillDoneMs = Math.max(prefillDoneMs, helper.helperDoneMs);
-  const predictedTtftMs = prefillDoneMs;
+  const engines = [decoder, ...helpers];
+  const predictedTtftMs = Math.max(...engines.map(({doneMs}) => doneMs));
   const reserved = reservations.reduce((sum, item) => sum + item.tokens, 0);
   return {
     decoder: decoder.candidate.id,
-    shards: [decoder, ...helpers].map(({candidate, shardMs}) => ({
+    shards: engines.map(({candidate, shard}) => ({
       target: candidate.id,
-      prefillMs: shardMs,
+      prefillMs: shard.prefillMs,
     })),
     reservations,
     kvTokens: demand.promptTokens + demand.maxOutputTokens - reserved,
     backlogMs: load.backlogMs,
     predictedTtftMs,
     iterationMs,
-    brokenStreams: helpers.reduce(
-      (sum, {helperBrokenStreams}) => sum + helperBrokenStreams,
-      decoder.decoderBrokenStreams,
+    brokenStreams: engines.reduce(
+      (sum, {brokenStreams}) => sum + brokenStreams,
+      0,
     ),
     cost:
       estimateStreamLoss(predictedTtftMs, iterationMs, demand) +
-      sumAllInterference(decoder, helpers) +
+      sumAllInterference(engines) +
       priceLoadAndZone(decoder.candidate, demand, engine) +
       HELPER_PRICE * helpers.length,
   };
@@ -251,12 +250,17 @@
     candidates.length,
     Math.ceil(prefillMs / MIN_SHARD_MS),
   );
+  const buildShard = (count: number): ShardSize => ({
+    tokens: demand.promptTokens / count,
+    prefillMs: prefillMs / count,
+  });
   const all = candidates.map(candidate => findPricer(candidate, engine, now));
   const decoderPricer = new DecoderPricer(demand, engine);
   let pricers: readonly EnginePricer[] = all;
   let best: PromptChoice | undefined;
   for (let shardCount = 1; shardCount <= most; shardCount++) {
-    const priced = pricers.map(pricer => pricer.price(prefillMs / shardCount));
+    const shard = buildShard(shardCount);
+    const priced = pricers.map(pricer => pricer.price(shard));
     const helpers =
       shardCount === 1 ? [] : pickHelpers(priced, shardCount, engine);
     for (const decoder of pickDecoders(priced, decoderPricer)) {
@@ -269,7 +273,7 @@
       if (isBetter(choice, best, demand)) best = choice;
     }
     if (shardCount === 1 && most > 1 && all.length > MAX_SHARD_ENGINES)
-      pricers = pickShardEngines(all, priced, prefillMs / most, {
+      pricers = pickShardEngines(all, priced, buildShard(most), {
         decoderPricer,
         engine,
       });
--- a/packages/direct/src/placement/price-decoder.ts
+++ b/packages/direct/src/placement/price-decoder.ts
@@ -138,12 +138,11 @@
   ) {}
 
   price(priced: PricedEngine): number {
-    const {candidate, decoderDoneMs, decoderDecodeInterference} = priced;
+    const {candidate, doneMs, interference} = priced;
     return (
-      estimateTtftLoss(decoderDoneMs, this.demand) +
+      estimateTtftLoss(doneMs, this.demand) +
       this.findFixedPrice(candidate) +
-      decoderDecodeInterference +
-      sumInterference(priced.queueInterference.values())
+      interference
     );
   }
 
@@ -174,9 +173,3 @@
     );
   }
 }
-
-function sumInterference(losses: Iterable<number>): number {
-  let sum = 0;
-  for (const loss of losses) sum += loss;
-  return sum;
-}
--- a/packages/direct/src/placement/price-prefill.ts
+++ b/packages/direct/src/placement/price-prefill.ts
@@ -1,9 +1,10 @@
 /**
- * Prices an engine for the prefill of a shard. The newest shard is prefilled
- * first, so it delays every prompt in the prefill queue of the engine. The
+ * Prices an engine for the prefill of a shard. An engine that decodes prefills
+ * the shard in one iteration with all queued shards. Otherwise it prefills the
+ * newest shard first, which delays every prompt in its prefill queue. The
  * expected loss of the delayed streams is called interference.
  */
-import {estimateDecodeMs} from './engine-model.js';
+import {countIterationTokens, estimateDecodeMs} from './engine-model.js';
 import {
   ABANDON_TTFT_OBJECTIVES,
   TTFT_ERROR,
@@ -23,27 +24,27 @@
   readonly load: EngineLoad;
 }
 
+/** Size of a shard. */
+export interface ShardSize {
+  readonly tokens: number;
+  /** Prefill time at configured speed, in ms. */
+  readonly prefillMs: number;
+}
+
 /** A candidate engine with the cost of prefilling a shard on it. */
 export interface PricedEngine {
   readonly candidate: Candidate;
-  /** Prefill time of the shard at configured speed, in ms. */
-  readonly shardMs: number;
-  /** Time until the prefill ends if the engine is a helper, in ms. */
-  readonly helperDoneMs: number;
-  /** Time until the prefill ends if the engine decodes the answer, in ms. */
-  readonly decoderDoneMs: number;
-  /** Interference with decoded streams if the engine is a helper. */
-  readonly helperDecodeInterference: number;
-  /** Interference with decoded streams if the engine decodes the answer. */
-  readonly decoderDecodeInterference: number;
-  /** Streams that callers cancel if the engine is a helper. */
-  readonly helperBrokenStreams: number;
-  /** Streams that callers cancel if the engine decodes the answer. */
-  readonly decoderBrokenStreams: number;
+  readonly shard: ShardSize;
+  /** Time until the prefill of the shard ends, in ms. */
+  readonly doneMs: number;
+  /** Interference with decoded streams. */
+  readonly decodeInterference: number;
+  /** Decoded streams that their callers cancel. */
+  readonly brokenStreams: number;
   /** Interference with each queued prompt, by placement key. */
   readonly queueInterference: ReadonlyMap<string, number>;
-  /** Sum of decode and queue interference if the engine is a helper. */
-  readonly helperInterference: number;
+  /** Sum of decode and queue interference. */
+  readonly interference: number;
 }
 
 /** Interference map of an engine without queued prompts. */
@@ -54,18 +55,15 @@
  * depend on the size is computed once.
  *
  * @example
- * new EnginePricer(candidate, engine, now).price(190).helperInterference;
+ * new EnginePricer(candidate, engine, now).price({tokens: 30_000, prefillMs: 190});
  */
 export class EnginePricer {
   /** Time that an iteration spends on decoding, in ms. */
   private readonly decodeMs: number;
   /** Time until a shard can start, in ms. */
   private readonly startMs: number;
-  /**
-   * Prefill planned for the next iteration, in ms: an iteration with a prompt
-   * that this engine decodes also includes it.
-   */
-  private readonly nextPrefillMs: number;
+  /** Number of tokens that one iteration can prefill. */
+  private readonly iterationTokens: number;
   /** Loss of the decoded streams through the longest planned iteration. */
   private readonly plannedLoss: number;
 
@@ -79,51 +77,52 @@
       estimateDecodeMs(load.decoding.length, load.contextTokens, engine) *
       slowdown;
     this.startMs = load.waitMs + load.lagMs + this.decodeMs;
-    this.nextPrefillMs =
-      load.decoding.length > 0 ? (load.iterationPrefillsMs[0] ?? 0) : 0;
+    this.iterationTokens = countIterationTokens(engine);
     this.plannedLoss = estimateGroupLoss(
       this.decodeMs + load.longestPrefillMs,
       load.decodingGroups,
     );
   }
 
-  /** Prices the engine for a shard that takes `shardMs` on an idle engine. */
-  price(shardMs: number): PricedEngine {
-    const {candidate, decodeMs, startMs, nextPrefillMs} = this;
-    const prefillMs = shardMs * candidate.slowdown;
-    const decoderPrefillMs = prefillMs + nextPrefillMs;
-    const queueInterference = this.estimateQueueInterference(
-      prefillMs + decodeMs,
-    );
-    const pendingInterference = this.estimatePendingInterference(
-      startMs + prefillMs,
-      prefillMs,
-    );
-    const helperDecodeInterference =
-      this.estimateDecodeInterference(prefillMs) + pendingInterference;
-    const helperBrokenStreams = this.countBrokenStreams(prefillMs);
-    let helperInterference = helperDecodeInterference;
-    for (const loss of queueInterference.values()) helperInterference += loss;
-    const isSame = nextPrefillMs === 0;
+  /** Prices the engine for a shard. */
+  price(shard: ShardSize): PricedEngine {
+    const {candidate, startMs} = this;
+    const prefillMs = shard.prefillMs * candidate.slowdown;
+    const iterationPrefillMs = prefillMs + this.estimateJoinedMs(shard.tokens);
+    const queueInterference = this.estimateQueueInterference(prefillMs);
+    const decodeInterference =
+      this.estimateDecodeInterference(iterationPrefillMs) +
+      this.estimatePendingInterference(startMs + prefillMs, prefillMs);
+    let interference = decodeInterference;
+    for (const loss of queueInterference.values()) interference += loss;
     return {
       candidate,
-      shardMs,
-      helperDoneMs: startMs + prefillMs,
-      decoderDoneMs: startMs + decoderPrefillMs,
-      helperDecodeInterference,
-      helperBrokenStreams,
-      decoderBrokenStreams: isSame
-        ? helperBrokenStreams
-        : this.countBrokenStreams(decoderPrefillMs),
-      decoderDecodeInterference: isSame
-        ? helperDecodeInterference
-        : this.estimateDecodeInterference(decoderPrefillMs) +
-          pendingInterference,
+      shard,
+      doneMs: startMs + iterationPrefillMs,
+      decodeInterference,
+      brokenStreams: this.countBrokenStreams(iterationPrefillMs),
       queueInterference,
-      helperInterference,
+      interference,
     };
   }
 
+  /**
+   * Estimates the prefill of waiting shards in the iteration that prefills a new
+   * shard of `shardTokens`, in ms.
+   */
+  private estimateJoinedMs(shardTokens: number): number {
+    const {decoding, waitingShards} = this.candidate.load;
+    if (decoding.length === 0) return 0;
+    let leftTokens = this.iterationTokens - shardTokens;
+    let joinedMs = 0;
+    for (const {tokens, prefillMs} of waitingShards) {
+      if (leftTokens <= 0) break;
+      joinedMs += prefillMs * Math.min(1, leftTokens / tokens);
+      leftTokens -= tokens;
+    }
+    return joinedMs;
+  }
+
   /**
    * Estimates the interference with decoded streams, whose inter-token latency
    * grows with the longest iteration.
@@ -211,7 +210,7 @@
  * and its load does not change.
  *
  * @example
- * findPricer(candidate, engine, performance.now()).price(190);
+ * findPricer(candidate, engine, performance.now()).price({tokens: 30_000, prefillMs: 190});
  */
 export function findPricer(
   candidate: Candidate,
--- a/packages/direct/src/test/fleet-load.ts
+++ b/packages/direct/src/test/fleet-load.ts
@@ -87,8 +87,8 @@
   }
 
   /** Adds a shard that an engine prefills as a helper of another engine. */
-  addHelperShard(engine: number, shardMs: number): void {
-    const placement = this.buildPlacement('other', [], 300_000, 0);
+  addHelperShard(engine: number, shardMs: number, shardTokens = 150_000): void {
+    const placement = this.buildPlacement('other', [], 2 * shardTokens, 0);
     const shards = [
       {target: 'other', prefillMs: shardMs},
       {target: `e${engine}`, prefillMs: shardMs},
