An event of an engine that is about to pause waits for the other engine

What callers saw: a stream falls silent, comes back with one event and falls silent again, for good.

Cause: while a backup runs beside a silent engine, whichever sends the next event first had the stream, and the other was cancelled. An engine sends one event between two iterations, however long the next one is. Both attempts of the route were spent.

Change: an event of a begun stream waits if its engine is predicted to pause for longer than the caller waits and the other engine is due in time and goes on sooner (forward/choose-hold.ts). It waits for 100 ms less than the caller does, and no longer than the other attempt or until another event comes. It works in both directions: a backup that is about to stall leaves the stream to a first engine that comes back in time. First events go out at once. Events of two runs are never mixed: a held event is forwarded whole, with the other attempt closed, or dropped.

--- a/packages/direct/src/forward/attempt-chain.ts
+++ b/packages/direct/src/forward/attempt-chain.ts
@@ -3,6 +3,7 @@
  * engine of the first chain is stalled but not cancelled.
  */
 import type {PlacedPrompt} from '../placement/prompt-placer.js';
+import type {OtherEngine} from './choose-hold.js';
 import type {StreamAttempt} from './stream-attempt.js';
 
 /**
@@ -32,6 +33,18 @@
     return this.abortController.signal.aborted;
   }
 
+  /** Predicts the next event of the engine of the newest attempt. */
+  describeEngine(): OtherEngine {
+    const {placed} = this;
+    // The search for an engine is not over.
+    if (placed === undefined) return {dueMs: 0, pauseMs: 0};
+    const pauseMs = placed.estimateNextIterationMs();
+    if (!this.isStalled)
+      return {dueMs: placed.estimateRemainingPrefillMs(), pauseMs};
+    const leftMs = placed.estimateIterationLeftMs();
+    return {dueMs: leftMs > 0 ? leftMs : undefined, pauseMs};
+  }
+
   /** Cancels the running attempt and the search for an engine. */
   close(): void {
     this.abortController.abort();
--- a/packages/direct/src/forward/silent-engine.test.ts
+++ b/packages/direct/src/forward/silent-engine.test.ts
@@ -36,19 +36,7 @@
 ): Promise<{readonly busy: SilentEngine; readonly idle: SilentEngine}> {
   const busy = await bed.addEngine('busy');
   await bed.beginStreams(busy, STREAM_COUNT);
-  bed.harness.gate['tracker'].add({
-    key: 'peer#1',
-    decoder: 'elsewhere',
-    shards: ['elsewhere', 'busy'].map(target => ({target, prefillMs})),
-    promptTokens: 200_000,
-    kvTokens: 0,
-    reserved: [],
-    objectiveMs: 4000,
-    itlObjectiveMs: 1000,
-    value: 1,
-    predictedTtftMs: prefillMs,
-    placedAt: bed.clock.now,
-  });
+  bed.addPeerShard('busy', prefillMs);
   const idle = await bed.addEngine('idle');
   return {busy, idle};
 }
@@ -152,6 +140,137 @@
   });
 });
 
+/** Shards that together take an engine longer than callers wait, in ms. */
+const WAITING_SHARDS_MS = [1187, 879];
+
+/** Time from the last event of a stream to the end of a long iteration, in ms. */
+const ITERATION_MS = 1680;
+
+/**
+ * Opens a gate with one stream whose engine is in a long iteration, and with a
+ * backup attempt at an idle engine.
+ */
+async function openBesideBackup(bed: StreamBed): Promise<{
+  readonly busy: SilentEngine;
+  readonly idle: SilentEngine;
+  /** Time of the last event that the caller has. */
+  readonly silentSince: number;
+}> {
+  const busy = await bed.addEngine('busy');
+  const idle = await bed.addEngine('idle', answerNotRun);
+  await bed.beginStreams(busy, 1);
+  const silentSince = bed.clock.now;
+  const target = bed.targets.get('idle');
+  if (target !== undefined) target.script = idle.script;
+  bed.addPeerShard('busy', 1624);
+  await bed.clock.advanceUntil(() => idle.streams.length === 1);
+  return {busy, idle, silentSince};
+}
+
+describe('engine that sends one event between two long iterations', () => {
+  /** Lets the engine send one event although more shards wait there. */
+  async function sendOneEvent(bed: StreamBed) {
+    const {busy, idle, silentSince} = await openBesideBackup(bed);
+    for (const ms of WAITING_SHARDS_MS) bed.addPeerShard('busy', ms);
+    await bed.clock.advance(silentSince + ITERATION_MS - bed.clock.now);
+    busy.stream(3);
+    await bed.clock.advance(50);
+    return {busy, idle, silentSince, caller: bed.callers[0]};
+  }
+
+  it('leaves the stream to a backup engine that goes on', async () => {
+    // Guards against a backup that is given up for a single event.
+    const bed = await openStreamBed();
+    try {
+      const {busy, idle, caller} = await sendOneEvent(bed);
+      idle.stream(EVENT_COUNT);
+      await bed.clock.advance(2100);
+      busy.stream(EVENT_COUNT);
+      await bed.waitForEnds();
+      expect({end: caller.end, isWhole: caller.isWhole}).toEqual({
+        end: 'whole',
+        isWhole: true,
+      });
+    } finally {
+      bed.close();
+    }
+  });
+
+  it('keeps the stream if the backup engine sends nothing before the caller leaves', async () => {
+    // Guards against an event that is held until the caller has left.
+    const bed = await openStreamBed();
+    try {
+      const {busy, silentSince, caller} = await sendOneEvent(bed);
+      await bed.clock.advance(silentSince + 1960 - bed.clock.now);
+      await bed.clock.waitUntil(() => caller.body.includes('piece-3'));
+      await bed.clock.advance(1900);
+      busy.stream(EVENT_COUNT);
+      await bed.waitForEnds();
+      expect(caller.isWhole).toEqual(true);
+    } finally {
+      bed.close();
+    }
+  });
+
+  it('keeps the stream if the backup engine breaks off', async () => {
+    // Guards against an event that waits for an attempt that has failed.
+    const bed = await openStreamBed();
+    try {
+      const {busy, idle, caller} = await sendOneEvent(bed);
+      idle.close();
+      await bed.clock.waitUntil(() => caller.body.includes('piece-3'));
+      await bed.clock.advance(1900);
+      busy.stream(EVENT_COUNT);
+      await bed.waitForEnds();
+      expect(caller.isWhole).toEqual(true);
+    } finally {
+      bed.close();
+    }
+  });
+
+  it('keeps the stream if it sends another event', async () => {
+    // Guards against a wrong prediction that delays an engine that goes on.
+    const bed = await openStreamBed();
+    try {
+      const {busy, idle, caller} = await sendOneEvent(bed);
+      busy.stream(4);
+      await bed.clock.waitUntil(() => caller.body.includes('piece-4'));
+      await bed.clock.waitUntil(() => idle.listOpen().length === 0);
+      busy.stream(EVENT_COUNT);
+      await bed.waitForEnds();
+      expect(caller.isWhole).toEqual(true);
+    } finally {
+      bed.close();
+    }
+  });
+});
+
+describe('backup engine that sends one event before a long iteration', () => {
+  it('leaves the stream to the first engine, whose iteration ends in time', async () => {
+    // Guards against a backup that takes the stream and goes silent.
+    const bed = await openStreamBed();
+    try {
+      const {busy, idle, silentSince} = await openBesideBackup(bed);
+      const [caller] = bed.callers;
+      await bed.clock.advance(100);
+      for (const ms of WAITING_SHARDS_MS) bed.addPeerShard('idle', ms);
+      await bed.clock.advance(100);
+      idle.stream(3);
+      await bed.clock.advance(silentSince + ITERATION_MS - bed.clock.now);
+      busy.stream(EVENT_COUNT);
+      await bed.clock.advance(2100);
+      idle.stream(EVENT_COUNT);
+      await bed.waitForEnds();
+      expect({end: caller.end, isWhole: caller.isWhole}).toEqual({
+        end: 'whole',
+        isWhole: true,
+      });
+    } finally {
+      bed.close();
+    }
+  });
+});
+
 describe('engine that goes silent for good', () => {
   for (const [name, close] of Object.entries(REFUSALS))
     it(`loses no begun stream if its first backup engine ${name}`, async () => {
--- a/packages/direct/src/forward/stream-attempt.ts
+++ b/packages/direct/src/forward/stream-attempt.ts
@@ -3,6 +3,7 @@
  * sends the request to the decoding engine and forwards its events.
  */
 import {ExchangeError} from '../errors.js';
+import {ITERATION_SLACK_MS} from '../placement/engine-iterations.js';
 import {estimatePrefillMs} from '../placement/engine-model.js';
 import {estimatePatienceMs} from '../placement/loss.js';
 import {createEventSplitter} from './event-splitter.js';
@@ -17,6 +18,7 @@
 import type {PlacedPrompt} from '../placement/prompt-placer.js';
 import type {EngineCostModel} from '../types.js';
 import type {ForwardContext} from './context.js';
+import type {StreamEvent} from './event-splitter.js';
 import type {ResponseHead, Exchange} from './exchange.js';
 import type {KvLease, LivenessCheck} from './kv-lease.js';
 import type {GateRequest} from './request.js';
@@ -33,9 +35,6 @@
 /** Time until the first event of a backup attempt, in ms. */
 const BACKUP_START_MS = 350;
 
-/** Tolerance of the predicted end of an iteration, in ms. */
-const ITERATION_SLACK_MS = 50;
-
 /** Period within which bytes of an engine show that it is alive, in ms. */
 const ACTIVITY_WINDOW_MS = 400;
 
@@ -80,6 +79,11 @@
    * attempt has claimed it.
    */
   readonly claimResponse: () => boolean;
+  /**
+   * Returns the time for which an event waits for the engine of another attempt,
+   * in ms; 0 if it is forwarded at once.
+   */
+  readonly chooseHoldMs: () => number;
 }
 
 /**
@@ -95,6 +99,9 @@
   private firstEventReceivedAt: number | undefined;
   /** Time of the newest event of this attempt; absent before the first one. */
   private lastEventAt: number | undefined;
+  /** Events that wait for the engine of another attempt. */
+  private heldEvents: StreamEvent[] = [];
+  private holdTimer: NodeJS.Timeout | undefined;
 
   constructor(private readonly options: StreamAttemptOptions) {}
 
@@ -109,6 +116,7 @@
       return {kind: 'failed', error};
     } finally {
       this.hasEnded = true;
+      clearTimeout(this.holdTimer);
       this.exchange?.cancel();
       lease?.close();
     }
@@ -140,9 +148,18 @@
   /** Cancels the attempt, so that the engine drops the request. */
   cancel(): void {
     this.isCancelled = true;
+    clearTimeout(this.holdTimer);
     this.exchange?.cancel();
   }
 
+  /** Forwards the events that wait for the engine of another attempt. */
+  releaseHeldEvents(): void {
+    clearTimeout(this.holdTimer);
+    if (this.isCancelled || this.hasEnded || this.heldEvents.length === 0)
+      return;
+    if (this.options.claimResponse()) this.writeHeldEvents();
+  }
+
   private async openLease(): Promise<KvLease | undefined | 'refused'> {
     const {context, placed, name} = this.options;
     const {reservations} = placed.choice;
@@ -280,6 +297,7 @@
     this.startResponse(head);
     await this.forwardEvents(exchange, head, stallTimer);
     this.claimResponse();
+    this.writeHeldEvents();
     request.caller.finish();
     return {kind: 'done'};
   }
@@ -305,27 +323,21 @@
     stallTimer: StallTimer,
   ): Promise<void> {
     const {context, request, placed, progress} = this.options;
-    const {route, caller} = request;
+    const {route} = request;
     const itlObjectiveMs = route.itlObjectiveMs ?? route.objectiveMs;
     const stallMs = Math.max(STALL_MIN_MS, STALL_ITL_FACTOR * itlObjectiveMs);
     const splitter = createEventSplitter();
-    let isFirst = true;
     for await (const bytes of exchange.readBody(head)) {
       const events = splitter.push(bytes);
       if (events.length === 0) continue;
-      this.claimResponse();
-      if (isFirst) placed.markFirstToken();
-      isFirst = false;
+      if (this.isCancelled) throw new ExchangeError('cancelled', true);
+      if (this.firstEventReceivedAt === undefined) placed.markFirstToken();
       stallTimer.restart(stallMs);
       const now = context.readNow();
       this.lastEventAt = now;
       this.firstEventReceivedAt ??= now;
       context.health.markActive(placed.target.id, now);
-      for (const event of events) {
-        caller.write(event.bytes);
-        const ttftMs = progress.recordEvent(event.id, now);
-        if (ttftMs !== undefined) context.ttftMs.recordMs(ttftMs);
-      }
+      this.forwardOrHold(events);
     }
     // A framed response must not end with the body of an unframed one.
     const framing = findFraming(head.message);
@@ -334,6 +346,29 @@
       throw new ExchangeError('truncated', true);
   }
 
+  private forwardOrHold(events: readonly StreamEvent[]): void {
+    // An engine that sends more while an event is held goes on.
+    const holdMs = this.heldEvents.length > 0 ? 0 : this.options.chooseHoldMs();
+    this.heldEvents.push(...events);
+    if (holdMs > 0) {
+      this.holdTimer = setTimeout(() => this.releaseHeldEvents(), holdMs);
+      return;
+    }
+    this.claimResponse();
+    this.writeHeldEvents();
+  }
+
+  private writeHeldEvents(): void {
+    const {context, request, progress} = this.options;
+    clearTimeout(this.holdTimer);
+    const now = context.readNow();
+    for (const event of this.heldEvents.splice(0)) {
+      request.caller.write(event.bytes);
+      const ttftMs = progress.recordEvent(event.id, now);
+      if (ttftMs !== undefined) context.ttftMs.recordMs(ttftMs);
+    }
+  }
+
   /**
    * Forwards an error response of the target if no event has been sent and no
    * other attempt is possible.
--- a/packages/direct/src/forward/stream-forwarder.ts
+++ b/packages/direct/src/forward/stream-forwarder.ts
@@ -3,8 +3,10 @@
  * another engine resumes the stream after the last complete event within the
  * same response, if the route allows it.
  */
+import {estimatePatienceMs} from '../placement/loss.js';
 import {PlacedPrompt} from '../placement/prompt-placer.js';
 import {AttemptChain} from './attempt-chain.js';
+import {chooseHoldMs} from './choose-hold.js';
 import {SlotFinder} from './slot-finder.js';
 import {chooseRetryAfterMs} from './retry-after.js';
 import {StreamAttempt} from './stream-attempt.js';
@@ -172,6 +174,7 @@
       isBackupPossible: () => this.isBackupPossible(chain),
       startBackup: () => this.startBackup(chain, placed),
       claimResponse: () => this.claimResponse(chain),
+      chooseHoldMs: () => this.chooseHoldMs(chain, placed),
     });
     let end: AttemptEnd;
     try {
@@ -224,7 +227,7 @@
   /**
    * Starts a backup chain for a stalled one if the retry budget and the
    * deadline allow it. Whichever chain receives the next event first claims the
-   * response.
+   * response, unless only the other one can go on.
    */
   private startBackup(silent: AttemptChain, placed: PlacedPrompt): void {
     // The stream may end in the same event-loop turn as the stall timer.
@@ -253,6 +256,27 @@
     return true;
   }
 
+  /**
+   * Returns the time for which an event of a chain waits for the engine of the
+   * other chain, in ms. The first event goes to the caller at once.
+   */
+  private chooseHoldMs(chain: AttemptChain, placed: PlacedPrompt): number {
+    const {context, progress} = this;
+    const {lastEventAt} = progress;
+    const other = [...this.chains].find(open => open !== chain);
+    if (other === undefined || lastEventAt === undefined) return 0;
+    const {objectiveMs, itlObjectiveMs = objectiveMs} = this.request.route;
+    const pauseMs = placed.estimatePauseMs();
+    const holdMs = chooseHoldMs({
+      silentMs: context.readNow() - lastEventAt,
+      patienceMs: estimatePatienceMs({objectiveMs, itlObjectiveMs}),
+      pauseMs,
+      other: other.describeEngine(),
+    });
+    if (holdMs > 0) this.record.addHold(placed, pauseMs, holdMs);
+    return holdMs;
+  }
+
   private claimRetry(): boolean {
     const {context, request} = this;
     return context.budget.claimRetry(request.service, context.readNow());
@@ -371,6 +395,7 @@
   private closeForOther(chain: AttemptChain): void {
     this.close(chain);
     const [other] = this.chains;
+    other.attempt?.releaseHeldEvents();
     if (other.isStalled && !this.progress.hasHead) void this.checkAlive(other);
   }
 
--- a/packages/direct/src/forward/stream-progress.ts
+++ b/packages/direct/src/forward/stream-progress.ts
@@ -15,7 +15,7 @@
   isUnframed = false;
   eventsSent = 0;
   private firstTokenAt: number | undefined;
-  private lastEventAt: number | undefined;
+  private newestEventAt: number | undefined;
   private maxItlMs = 0;
   private choice: PromptChoice | undefined;
 
@@ -25,6 +25,11 @@
     public lastEventId: string | undefined,
   ) {}
 
+  /** Time of the newest event that was sent, in ms; absent before the first. */
+  get lastEventAt(): number | undefined {
+    return this.newestEventAt;
+  }
+
   /** Records the engines that were chosen for a new attempt. */
   recordChoice(choice: PromptChoice): void {
     this.choice = choice;
@@ -39,9 +44,9 @@
   recordEvent(id: string | undefined, now: number): number | undefined {
     if (id !== undefined) this.lastEventId = id;
     this.eventsSent++;
-    if (this.lastEventAt !== undefined)
-      this.maxItlMs = Math.max(this.maxItlMs, now - this.lastEventAt);
-    this.lastEventAt = now;
+    if (this.newestEventAt !== undefined)
+      this.maxItlMs = Math.max(this.maxItlMs, now - this.newestEventAt);
+    this.newestEventAt = now;
     if (this.firstTokenAt !== undefined) return undefined;
     this.firstTokenAt = now;
     return now - this.arrivedAt;
--- a/packages/direct/src/forward/stream-record.ts
+++ b/packages/direct/src/forward/stream-record.ts
@@ -80,6 +80,20 @@
     });
   }
 
+  /** Records that an event waits for the engine of another attempt. */
+  addHold({target}: PlacedPrompt, pauseMs: number, holdMs: number): void {
+    const {context, request} = this;
+    context.counters.add('stream.event_held');
+    context.log.info('event_held', {
+      requestId: request.facts.requestId,
+      target: target.id,
+      pauseMs: Math.round(pauseMs),
+      holdMs: Math.round(holdMs),
+      events: this.progress.eventsSent,
+      ms: this.readElapsedMs(),
+    });
+  }
+
   /** Records that an attempt has failed. */
   addFailure({placed, fault, faultyAddress, attempt}: FailedAttempt): void {
     const {context, request} = this;
--- a/packages/direct/src/placement/engine-iterations.ts
+++ b/packages/direct/src/placement/engine-iterations.ts
@@ -36,6 +36,9 @@
   leftTokens: number;
 }
 
+/** Tolerance of the predicted end of an iteration, in ms. */
+export const ITERATION_SLACK_MS = 50;
+
 /** Tokens left below which a shard counts as complete (rounding error). */
 const TOKEN_EPSILON = 1e-6;
 
@@ -171,6 +174,25 @@
     return Math.max(0, this.iterationEndsAt - now);
   }
 
+  /**
+   * Estimates the pause of decoded streams after an event that has arrived at
+   * `now`, in ms.
+   */
+  estimatePauseMs(now: number): number {
+    const leftMs = this.estimateIterationLeftMs(now);
+    // The event may come a little before the predicted end of its iteration.
+    return leftMs > ITERATION_SLACK_MS
+      ? leftMs
+      : leftMs + this.estimateNextIterationMs(now);
+  }
+
+  /** Estimates the iteration that follows the running one, in ms. */
+  estimateNextIterationMs(now: number): number {
+    this.advance(now);
+    const shards = this.shards.map(shard => ({...shard}));
+    return this.decodeMs + this.planIteration(shards).prefillMs;
+  }
+
   /**
    * Lists the time from `now` until the prefill of each queued shard ends, by
    * shard key, in ms.
--- a/packages/direct/src/placement/load-tracker.ts
+++ b/packages/direct/src/placement/load-tracker.ts
@@ -166,6 +166,24 @@
     );
   }
 
+  /**
+   * Estimates the pause of the streams that an engine decodes after an event
+   * that has arrived at `now`, in ms; 0 if no schedule is known.
+   */
+  estimatePauseMs(target: string, now: number): number {
+    const iterations = this.engines.get(target)?.readIterations();
+    return iterations?.estimatePauseMs(now) ?? 0;
+  }
+
+  /**
+   * Estimates the iteration of an engine that follows the running one, in ms; 0
+   * if no schedule is known.
+   */
+  estimateNextIterationMs(target: string, now: number): number {
+    const iterations = this.engines.get(target)?.readIterations();
+    return iterations?.estimateNextIterationMs(now) ?? 0;
+  }
+
   /** Sets the slowdown of an engine; 1 means configured speed. */
   setSlowdown(target: string, slowdown: number, now: number): void {
     this.slowdowns.set(target, slowdown);
--- a/packages/direct/src/placement/prompt-placer.ts
+++ b/packages/direct/src/placement/prompt-placer.ts
@@ -55,9 +55,28 @@
 
   /** True while the prefill is expected to be running or queued. */
   isPrefilling(): boolean {
-    return (
-      this.tracker.estimateRemainingPrefillMs(this.key, this.readNow()) > 0
-    );
+    return this.estimateRemainingPrefillMs() > 0;
+  }
+
+  /** Estimates the time until the prompt is prefilled on all engines, in ms. */
+  estimateRemainingPrefillMs(): number {
+    return this.tracker.estimateRemainingPrefillMs(this.key, this.readNow());
+  }
+
+  /**
+   * Estimates the pause after an event that the decoding engine has just sent,
+   * in ms; 0 if its schedule is not known.
+   */
+  estimatePauseMs(): number {
+    return this.tracker.estimatePauseMs(this.target.id, this.readNow());
+  }
+
+  /**
+   * Estimates the iteration of the decoding engine that follows the running one,
+   * in ms; 0 if its schedule is not known.
+   */
+  estimateNextIterationMs(): number {
+    return this.tracker.estimateNextIterationMs(this.target.id, this.readNow());
   }
 
   /**
--- a/packages/direct/src/test/silent-engine.ts
+++ b/packages/direct/src/test/silent-engine.ts
@@ -160,6 +160,7 @@
   readonly targets = new Map<string, FakeTarget>();
   readonly callers: StreamCaller[] = [];
   private lastId = 0;
+  private lastShard = 0;
 
   constructor(
     readonly harness: GateHarness,
@@ -183,6 +184,23 @@
     return engine;
   }
 
+  /** Adds a shard that another gate has placed on an engine. */
+  addPeerShard(engine: string, prefillMs: number): void {
+    this.harness.gate['tracker'].add({
+      key: `peer#${++this.lastShard}`,
+      decoder: 'elsewhere',
+      shards: ['elsewhere', engine].map(target => ({target, prefillMs})),
+      promptTokens: 66_000,
+      kvTokens: 0,
+      reserved: [],
+      objectiveMs: 4000,
+      itlObjectiveMs: 1000,
+      value: 1,
+      predictedTtftMs: prefillMs,
+      placedAt: this.clock.now,
+    });
+  }
+
   /** Calls the gate for a stream. */
   call(path = '/stream/x'): StreamCaller {
     const {host, port} = this.harness;
