Logs and counters of broken runs name what requests may have in common

Ruled out: hashing the parts in the log (ids are short already); logging all 512. Before: none of account, route, tokens, parts in the line. No change of logic.

--- a/packages/direct/src/crashes/crash-watch.test.ts
+++ b/packages/direct/src/crashes/crash-watch.test.ts
@@ -12,6 +12,7 @@
 import {createDecisionLog} from '../observe/decision-log.js';
 import {buildTarget} from '../test/build-target.js';
 import {CrashWatch} from './crash-watch.js';
+import type {RequestMetadata} from '../types.js';
 
 /** Answers every check with the state that a test sets. */
 class FakeServerCheck extends ServerCheck {
@@ -24,11 +25,26 @@
   }
 }
 
+const FACTS: RequestMetadata = {
+  requestId: 'q1',
+  deadlineMs: undefined,
+  apiKey: undefined,
+  promptTokens: 1000,
+  maxOutputTokens: 100,
+  sharedParts: ['p1', 'p2'],
+};
+
 function openWatch() {
   const state = createFleetState(() => performance.now());
   const serverCheck = new FakeServerCheck();
   const counters = createCounters();
-  const output = new Writable({write: (_chunk, _encoding, done) => done()});
+  const lines: string[] = [];
+  const output = new Writable({
+    write: (chunk, _encoding, done) => {
+      lines.push(String(chunk));
+      done();
+    },
+  });
   const log = createDecisionLog({proc: 'g', output, readWallMs: Date.now});
   const suspects = createSuspectRequests();
   const ended: string[] = [];
@@ -52,15 +68,39 @@
   });
   const judge = (id: string) =>
     watch.judgeBreak({
-      fingerprint,
-      requestId: 'q1',
+      request: {fingerprint, facts: FACTS, account: 'acme', route: {name: 'r'}},
       target: buildTarget(id, 1),
       firstEventAt: undefined,
     });
-  return {state, serverCheck, counters, watch, ended, announced, judge};
+  return {
+    state,
+    serverCheck,
+    counters,
+    watch,
+    ended,
+    announced,
+    judge,
+    lines,
+  };
 }
 
 describe('crash watch', () => {
+  it('logs what the requests under which a server crashed may have in common', async () => {
+    // Guards against crashes whose lines can't be compared.
+    const {state, serverCheck, lines, judge} = openWatch();
+    state.applyChange({kind: 'target', target: buildTarget('e1', 1)});
+    serverCheck.state = 'ended';
+    await judge('e1');
+    const line = lines.find(text => text.includes('run_broken_off')) ?? '{}';
+    const {account, route, tokens, parts} = JSON.parse(line);
+    expect({account, route, tokens, parts}).toEqual({
+      account: 'acme',
+      route: 'r',
+      tokens: 1000,
+      parts: ['p1', 'p2'],
+    });
+  });
+
   it('takes a server for crashed only if it refuses connections', async () => {
     // Guards against a request that is blamed for a cut path or a spoilt answer.
     const {state, serverCheck, counters, judge} = openWatch();
--- a/packages/direct/src/crashes/crash-watch.ts
+++ b/packages/direct/src/crashes/crash-watch.ts
@@ -6,14 +6,14 @@
 import {isEarlyCrash, waitMs} from '@nutmeggauge/core';
 import type {
   Counters,
-  Fingerprint,
   ServerCheck,
   ServerState,
   SuspectRequests,
 } from '@nutmeggauge/core';
 import type {FleetState} from '../fleet/fleet-state.js';
 import type {DecisionLog} from '../observe/decision-log.js';
-import type {Target} from '../types.js';
+import type {GateRequest} from '../forward/request.js';
+import type {Route, Target} from '../types.js';
 
 /** Time for which an ended server is remembered, in ms. */
 const ENDED_RETENTION_MS = 60_000;
@@ -24,10 +24,18 @@
  */
 const VERDICT_TIMEOUT_MS = 25;
 
+/** Maximum number of parts of a prompt in a log line. */
+const MAX_LOGGED_PARTS = 16;
+
+/** Properties of a request whose run a server broke off. */
+export type BrokenRequest = Pick<
+  GateRequest,
+  'fingerprint' | 'facts' | 'account'
+> & {readonly route: Pick<Route, 'name'>};
+
 /** Run of a request that its server broke off. */
 export interface BrokenRun {
-  readonly fingerprint: Fingerprint;
-  readonly requestId: string | undefined;
+  readonly request: BrokenRequest;
   readonly target: Target;
   /**
    * Time of the first event of this run on the monotonic clock, in ms; absent
@@ -143,9 +151,9 @@
   }
 
   private recordCrash(run: BrokenRun, brokenAt: number): void {
-    const {fingerprint, target} = run;
+    const {request, target} = run;
     this.options.suspects.recordCrash(
-      fingerprint.id,
+      request.fingerprint.id,
       target.id,
       isEarlyCrash(run.firstEventAt, brokenAt),
     );
@@ -157,11 +165,18 @@
     brokenAt: number,
   ): void {
     const {log, counters} = this.options;
-    const {firstEventAt} = run;
+    const {firstEventAt, request} = run;
+    const {facts} = request;
     counters.add(`crash.server_${cause}`);
+    if (cause === 'ended' && firstEventAt === undefined)
+      counters.add('crash.run_without_event');
     log.warn('run_broken_off', {
-      requestId: run.requestId,
-      content: run.fingerprint.id,
+      requestId: facts.requestId,
+      content: request.fingerprint.id,
+      account: request.account,
+      route: request.route.name,
+      tokens: facts.promptTokens,
+      parts: facts.sharedParts.slice(0, MAX_LOGGED_PARTS),
       target: run.target.id,
       server: cause,
       sinceFirstEventMs:
--- a/packages/direct/src/forward/stream-forwarder.ts
+++ b/packages/direct/src/forward/stream-forwarder.ts
@@ -198,10 +198,8 @@
     const {crashes} = this.context;
     if (error.isRefusedConnection) return crashes.recordRefusal(target);
     if (!error.isConnectionEnd || attempt?.isEngineReplaced !== false) return;
-    const {fingerprint, facts} = this.request;
     await crashes.waitForVerdict({
-      fingerprint,
-      requestId: facts.requestId,
+      request: this.request,
       target,
       firstEventAt: attempt.firstEventAt,
     });
--- a/packages/direct/src/test/test-dialect.ts
+++ b/packages/direct/src/test/test-dialect.ts
@@ -14,6 +14,10 @@
   return value === undefined ? undefined : Number(value);
 }
 
+function readList(value: string | string[] | undefined): readonly string[] {
+  return value === undefined ? [] : String(value).split(',');
+}
+
 /** Reads the fields `x-other-…`, which this dialect doesn't know. */
 function readUnknownFields(
   headers: ParsedHeaders,
@@ -41,6 +45,7 @@
       apiKey: headers['x-test-key'] as string | undefined,
       promptTokens: readNumber(headers['x-test-tokens']),
       maxOutputTokens: 100,
+      sharedParts: readList(headers['x-test-parts']).slice(0, -1),
     };
   }
 
--- a/packages/direct/src/types.ts
+++ b/packages/direct/src/types.ts
@@ -129,6 +129,11 @@
   readonly promptTokens: number | undefined;
   /** Maximum number of tokens to generate. */
   readonly maxOutputTokens: number | undefined;
+  /**
+   * Ids of the parts of the prompt that other requests may share; without the
+   * last part, which is the request's own.
+   */
+  readonly sharedParts: readonly string[];
 }
 
 /** An engine that prefills a part of a prompt for another engine. */
