--- a/packages/direct/src/test/crash-fleet.ts
+++ b/packages/direct/src/test/crash-fleet.ts
@@ -34,6 +34,8 @@
   readonly body: string;
   readonly path?: string;
   readonly key?: string;
+  /** Ids of the parts of the prompt; the last one is the request's own. */
+  readonly parts?: readonly string[];
 }
 
 /** Options of a fleet. */
@@ -47,11 +49,12 @@
    */
   readonly service?: 'chat' | 'orders';
   /**
-   * Returns whether a target crashes when it runs a request with this body.
+   * Returns whether a target crashes when it runs a request with this body and
+   * these parts of its prompt.
    *
    * @default true for CRASHING_BODY
    */
-  readonly isCrashing?: (body: string) => boolean;
+  readonly isCrashing?: (body: string, parts: readonly string[]) => boolean;
   /**
    * Time from the start of a run to the crash, in ms.
    *
@@ -115,6 +118,7 @@
     body,
     path = '/stream/x',
     key,
+    parts,
   }: FleetCall): Promise<ReceivedResponse> {
     return this.gates[gate].call(path, {
       id: `q${++this.lastRequestNumber}`,
@@ -122,6 +126,7 @@
       tokens: 1000,
       body,
       key,
+      parts,
     });
   }
 
@@ -191,7 +196,8 @@
     this.received.push(body);
     const {isCrashing = text => text === CRASHING_BODY, crashDelayMs} =
       this.options;
-    if (isCrashing(body)) {
+    const parts = String(req.headers['x-test-parts'] ?? '').split(',');
+    if (isCrashing(body, parts)) {
       if (target.service === 'chat') res.writeHead(200, buildSignedHead(req));
       setTimeout(
         () => void this.endRun(target, res),
--- a/packages/direct/src/test/gate-harness.ts
+++ b/packages/direct/src/test/gate-harness.ts
@@ -151,6 +151,8 @@
   readonly key?: string;
   readonly deadlineMs?: number;
   readonly tokens?: number;
+  /** Ids of the parts of the prompt; the last one is the request's own. */
+  readonly parts?: readonly string[];
   readonly method?: string;
   readonly body?: string;
   /** Time after which the caller disconnects, in ms. */
@@ -295,6 +297,8 @@
     };
     if (options.tokens !== undefined)
       headers['x-test-tokens'] = String(options.tokens);
+    if (options.parts !== undefined)
+      headers['x-test-parts'] = options.parts.join();
     const req = request({
       ...address,
       path,
