--- a/packages/agent/src/agent.ts
+++ b/packages/agent/src/agent.ts
@@ -194,8 +194,8 @@
   }
 
   private createSuspects(): SuspectRequests {
-    const broadcast = (report: CrashReport) => {
-      for (const link of this.links) link.notify(RpcMethod.crashed, [report]);
+    const broadcast = (reports: readonly CrashReport[]) => {
+      for (const link of this.links) link.notify(RpcMethod.crashed, reports);
     };
     return new SuspectRequests({
       refusalMs: this.settings.crashRefusalMs,
@@ -203,7 +203,7 @@
       counters: this.counters,
       readNow: Date.now,
       announce: broadcast,
-      forward: broadcast,
+      forward: report => broadcast([report]),
     });
   }
 
--- a/packages/agent/src/crashes/crash-guard.ts
+++ b/packages/agent/src/crashes/crash-guard.ts
@@ -2,7 +2,7 @@
  * Keeps requests away from the target of this agent under which targets have
  * crashed, and finds out under which requests this target crashes.
  */
-import {createDispatchFingerprint, isEarlyCrash} from '@nutmeggauge/core';
+import {createDispatchFingerprint} from '@nutmeggauge/core';
 import type {
   DispatchOutcome,
   DispatchRequest,
@@ -27,6 +27,8 @@
 /** Run of a request at the target. */
 export interface TargetRun {
   readonly request: DispatchRequest;
+  /** Time at which the request was sent to the target, in epoch ms. */
+  readonly sentAt: number;
   /** Time of the first token, in epoch ms; absent before. */
   readonly firstTokenAt: number | undefined;
   /** Whether the run was cancelled by its caller or by its deadline. */
@@ -65,23 +67,30 @@
   onRefusal(
     listener: (isRefused: (r: DispatchRequest) => boolean) => void,
   ): void {
-    this.options.suspects.onRefusal(content =>
-      listener(request => createDispatchFingerprint(request).isId(content)),
+    this.options.suspects.onRefusal(isRefused =>
+      listener(request => isRefused(createDispatchFingerprint(request))),
     );
   }
 
+  /** Records that the answer to a request has begun. */
+  recordBegin(request: DispatchRequest): void {
+    this.options.suspects.recordBegin(createDispatchFingerprint(request));
+  }
+
   /** Records how a run ended; resolves when a crash of the target is recorded. */
   async recordOutcome(run: TargetRun, outcome: DispatchOutcome): Promise<void> {
     const {suspects, serverCheck, address} = this.options;
     const fingerprint = createDispatchFingerprint(run.request);
-    if (outcome.status === 'done') return suspects.recordAnswer(fingerprint);
+    const {sentAt, firstTokenAt: beganAt} = run;
+    if (outcome.status === 'done')
+      return suspects.recordAnswer(fingerprint, beganAt);
     const isBroken =
       outcome.status === 'unknown' && CRASH_REASONS.has(outcome.reason);
     if (!isBroken || run.isCancelled) return;
     const brokenAt = this.options.readNow();
     if ((await serverCheck.check(address)) !== 'ended') return;
-    const isEarly = isEarlyCrash(run.firstTokenAt, brokenAt);
-    suspects.recordCrash(fingerprint.id, this.findCrash(brokenAt), isEarly);
+    const target = this.findCrash(brokenAt);
+    suspects.recordCrash({fingerprint, target, sentAt, beganAt, brokenAt});
   }
 
   /** Returns the id of the crash that broke a run off at `at`. */
--- a/packages/agent/src/dispatch/dispatch-handler.ts
+++ b/packages/agent/src/dispatch/dispatch-handler.ts
@@ -292,11 +292,15 @@
       try {
         const leftMs = crashGuard.readRefusalLeftMs(request);
         if (leftMs > 0) return createNotRun('crashes_servers', leftMs);
+        const sentAt = Date.now();
         const outcome = await target.run(
           request,
           (seq, text) => {
             active.firstTokenAt ??= Date.now();
-            if (active.producedTokens++ === 0) this.options.onLoadChange();
+            if (active.producedTokens++ === 0) {
+              this.options.onLoadChange();
+              crashGuard.recordBegin(request);
+            }
             receive({requestId: request.requestId, seq, text});
           },
           signal,
@@ -304,7 +308,7 @@
         const {firstTokenAt} = active;
         const isCancelled = signal.aborted;
         await crashGuard.recordOutcome(
-          {request, firstTokenAt, isCancelled},
+          {request, sentAt, firstTokenAt, isCancelled},
           outcome,
         );
         return outcome;
--- a/packages/core/src/crashes/crash-exchange.test.ts
+++ b/packages/core/src/crashes/crash-exchange.test.ts
@@ -1,6 +1,7 @@
 import {describe, it} from 'node:test';
 import {expect} from 'earl';
 import fc from 'fast-check';
+import {BEGIN_WINDOW_MS} from './crash.js';
 import {CrashReportSchema} from './crash-report.js';
 import {Fingerprint} from './fingerprint.js';
 import {createSuspectRequests} from './suspect-requests.js';
@@ -64,7 +65,7 @@
     const fingerprint = FINGERPRINTS[step.content];
     if (step.kind === 'answer') suspects.recordAnswer(fingerprint);
     else if (suspects.judge(fingerprint) !== 'refused')
-      suspects.recordCrash(fingerprint.id, `t${++this.lastTarget}`, true);
+      suspects.recordCrash({fingerprint, target: `t${++this.lastTarget}`});
   }
 
   /** Passes heartbeats of all gates, without losses, until nothing changes. */
@@ -80,17 +81,17 @@
 
   private sendHeartbeat(index: number): void {
     this.now += HEARTBEAT_MS / GATE_COUNT;
-    this.send(index, this.gates[index].listRecent());
+    this.broadcast(index, this.gates[index].listRecent());
   }
 
   private buildGate(index: number): SuspectRequests {
     return createSuspectRequests({
       readNow: () => this.now,
-      announce: report => this.send(index, [report]),
+      announce: reports => this.broadcast(index, reports),
     });
   }
 
-  private send(from: number, reports: readonly CrashReport[]): void {
+  private broadcast(from: number, reports: readonly CrashReport[]): void {
     this.gates.forEach((to, i) => {
       if (i !== from && !this.isLost()) to.merge(toDecoded(reports));
     });
@@ -122,14 +123,14 @@
 
   constructor() {
     const build = (listLinked: () => readonly SuspectRequests[]) => {
-      const send = (report: CrashReport) => {
+      const send = (reports: readonly CrashReport[]) => {
         for (const to of listLinked())
-          this.pending.push(() => to.merge(toDecoded([report])));
+          this.pending.push(() => to.merge(toDecoded(reports)));
       };
       return createSuspectRequests({
         readNow: () => this.now,
         announce: send,
-        forward: send,
+        forward: report => send([report]),
       });
     };
     const indexes = Array.from({length: SIDE_COUNT});
@@ -168,7 +169,13 @@
           steps.forEach(({kind, gate: index}, i) => {
             const agent = mesh.agents[index % SIDE_COUNT];
             if (kind === 'answer') agent.recordAnswer(fingerprint);
-            else agent.recordCrash(fingerprint.id, `t${i}`, false);
+            else
+              agent.recordCrash({
+                fingerprint,
+                target: `t${i}`,
+                beganAt: mesh.now,
+                brokenAt: mesh.now + BEGIN_WINDOW_MS + 1,
+              });
             // Some reports are still on their way at the next step.
             mesh.run(draw, mesh.deliveries + 5);
           });
@@ -222,3 +229,83 @@
     );
   });
 });
+
+/** Part under which every server crashes. */
+const BAD_PART = 'bad';
+
+const OTHER_PARTS = ['p', 'q', 'r'];
+
+const partStep = fc.record({
+  kind: fc.constantFrom('send', 'send', 'send', 'restart', 'beat'),
+  gate,
+  /** Parts of the request beside the bad one. */
+  parts: fc.subarray(OTHER_PARTS, {minLength: 1}),
+  isBad: fc.boolean(),
+});
+
+/** Gates that send requests of prompts with shared parts, no two alike. */
+class PartGates extends LossyGates {
+  soundRefused = 0;
+  badCrashes = 0;
+  private lastRequest = 0;
+
+  /** Sends a request to a gate, unless that gate refuses it. */
+  send(index: number, parts: readonly string[], isBad: boolean): void {
+    const fingerprint = new Fingerprint({
+      method: 'POST',
+      host: 'site',
+      path: '/',
+      account: undefined,
+      body: `request ${++this.lastRequest}`,
+      listParts: () => (isBad ? [...parts, BAD_PART] : parts),
+    });
+    const suspects = this.gates[index];
+    const isRefused = suspects.judge(fingerprint) === 'refused';
+    this.now += 7;
+    if (isRefused && !isBad) this.soundRefused++;
+    if (isRefused) return;
+    if (!isBad) return suspects.recordAnswer(fingerprint);
+    this.badCrashes++;
+    const target = `s${this.lastRequest}`;
+    suspects.recordCrash({fingerprint, target, sentAt: this.now - 5});
+  }
+}
+
+describe('gates that exchange crashes under parts of prompts', () => {
+  it('agree on what is refused, and refuse no sound request, whatever is lost', () => {
+    // Guards against a part that one gate refuses and another one sends on, and
+    // against refusing the parts that sound requests share with the bad ones.
+    fc.assert(
+      fc.property(
+        fc.array(partStep, {maxLength: 60}),
+        fc.infiniteStream(fc.boolean()),
+        (steps, losses) => {
+          const network = new PartGates(() => losses.next().value === true);
+          for (const step of steps)
+            if (step.kind === 'send')
+              network.send(step.gate, step.parts, step.isBad);
+            else network.run({kind: step.kind as 'beat', gate: step.gate});
+          network.settle();
+          const hashes = network.gates.map(suspects => suspects.hashRefused());
+          expect(new Set(hashes).size).toEqual(1);
+          expect(network.soundRefused).toEqual(0);
+        },
+      ),
+      {numRuns: 500},
+    );
+  });
+
+  it('end three servers, and one for each part never seen apart from the bad one', () => {
+    // Guards against a count within one gate, or within one content.
+    fc.assert(
+      fc.property(fc.array(partStep, {minLength: 10, maxLength: 60}), steps => {
+        const network = new PartGates(() => false);
+        for (const {gate: index, parts, isBad} of steps)
+          network.send(index, parts, isBad);
+        expect(network.badCrashes <= 3 + OTHER_PARTS.length).toEqual(true);
+        expect(network.soundRefused).toEqual(0);
+      }),
+      {numRuns: 500},
+    );
+  });
+});
--- a/packages/core/src/crashes/dispatch-fingerprint.ts
+++ b/packages/core/src/crashes/dispatch-fingerprint.ts
@@ -1,5 +1,6 @@
 /** Fingerprints of the requests that gates dispatch to agents. */
 import {Fingerprint} from './fingerprint.js';
+import {hashPrefixes} from '../prompt-prefixes.js';
 import type {DispatchRequest} from '../protocol.js';
 
 /** Parts of a dispatched request that a retry of its caller has in common. */
@@ -25,5 +26,7 @@
     path: `${op}#${maxTokens}`,
     account,
     body: prompt ?? JSON.stringify(request.args ?? {}),
+    listParts: () =>
+      hashPrefixes(prompt ?? '').map(prefix => `${pool}/${prefix}`),
   });
 }
--- a/packages/core/src/crashes/fingerprint.ts
+++ b/packages/core/src/crashes/fingerprint.ts
@@ -1,6 +1,7 @@
 /**
- * Identifies requests by their content. Every retry of a caller has a new
- * request id, so the id does not show that a request has come before.
+ * Identifies requests by their content and the parts of their prompts. Every
+ * retry of a caller has a new request id, so the id does not show that a request
+ * has come before.
  */
 import {createHash} from 'node:crypto';
 
@@ -10,6 +11,9 @@
 /** Length of the part of a fingerprint that depends on the body. */
 const BODY_LENGTH = 22;
 
+/** Prefix of the ids of prompt parts; no fingerprint contains a colon. */
+const PART_PREFIX = 'part:';
+
 /** Content of a request that stays the same when its caller sends it again. */
 export interface RequestContent {
   readonly method: string;
@@ -19,6 +23,12 @@
   /** Name of the client account; absent on public routes. */
   readonly account: string | undefined;
   readonly body: Buffer | string;
+  /**
+   * Lists the parts of the prompt that requests to the same service may share.
+   *
+   * @default none
+   */
+  readonly listParts?: () => readonly string[];
 }
 
 /**
@@ -34,6 +44,7 @@
 export class Fingerprint {
   private cachedOutline: string | undefined;
   private cachedId: string | undefined;
+  private cachedPartIds: readonly string[] | undefined;
 
   constructor(private readonly content: RequestContent) {}
 
@@ -49,6 +60,24 @@
     return this.cachedId;
   }
 
+  /** Name of the client account; absent on public routes. */
+  get account(): string | undefined {
+    return this.content.account;
+  }
+
+  /** Ids of the parts of the prompt, by which other requests may resemble it. */
+  get partIds(): readonly string[] {
+    this.cachedPartIds ??= (this.content.listParts?.() ?? []).map(
+      part => `${PART_PREFIX}${part}`,
+    );
+    return this.cachedPartIds;
+  }
+
+  /** Returns whether `id` is the id of this content or of one of its parts. */
+  isFeature(id: string): boolean {
+    return isPartId(id) ? this.partIds.includes(id) : this.isId(id);
+  }
+
   /** Returns whether `id` is the id of this content. */
   isId(id: string): boolean {
     return readOutline(id) === this.outline && id === this.id;
@@ -77,6 +106,16 @@
   return id.slice(0, OUTLINE_LENGTH);
 }
 
+/**
+ * Returns whether an id names a part of prompts, and not a whole content.
+ *
+ * @example
+ * isPartId('part:chat/5c1e07a2'); // true
+ */
+export function isPartId(id: string): boolean {
+  return id.startsWith(PART_PREFIX);
+}
+
 function hashBytes(bytes: Buffer | string): string {
   return createHash('sha256').update(bytes).digest('base64url');
 }
--- a/packages/core/src/crashes/suspect-requests.test.ts
+++ b/packages/core/src/crashes/suspect-requests.test.ts
@@ -1,5 +1,6 @@
 import {describe, it} from 'node:test';
 import {expect} from 'earl';
+import {BEGIN_WINDOW_MS} from './crash.js';
 import {Fingerprint} from './fingerprint.js';
 import {DEFAULT_REFUSAL_MS, createSuspectRequests} from './suspect-requests.js';
 import type {CrashReport} from './crash-report.js';
@@ -31,7 +32,7 @@
   const peerCrashes: string[] = [];
   const suspects = createSuspectRequests({
     readNow: () => clock.now,
-    announce: report => announced.push(report),
+    announce: reports => announced.push(...reports),
     onPeerCrash: target => peerCrashes.push(target),
   });
   return {clock, announced, peerCrashes, suspects};
@@ -42,8 +43,21 @@
   fingerprint: Fingerprint,
   targets: readonly string[],
 ): void {
-  for (const target of targets)
-    suspects.recordCrash(fingerprint.id, target, true);
+  for (const target of targets) suspects.recordCrash({fingerprint, target});
+}
+
+/** Records the crash of a server under a stream that had long begun. */
+function recordLate(
+  suspects: SuspectRequests,
+  fingerprint: Fingerprint,
+  target: string,
+): void {
+  suspects.recordCrash({
+    fingerprint,
+    target,
+    beganAt: 0,
+    brokenAt: BEGIN_WINDOW_MS + 1,
+  });
 }
 
 describe('suspect requests', () => {
@@ -70,13 +84,11 @@
     // Guards against streams that are blamed for the prompt beside them, and
     // against a request that crashes servers late in its runs.
     const {suspects} = openSuspects();
-    for (const target of ['a', 'b'])
-      suspects.recordCrash(BAD.id, target, false);
+    for (const target of ['a', 'b']) recordLate(suspects, BAD, target);
     expect(suspects.judge(BAD)).toEqual('free');
-    suspects.recordCrash(BAD.id, 'c', false);
+    recordLate(suspects, BAD, 'c');
     expect(suspects.judge(BAD)).toEqual('suspect');
-    for (const target of ['d', 'e', 'f'])
-      suspects.recordCrash(BAD.id, target, false);
+    for (const target of ['d', 'e', 'f']) recordLate(suspects, BAD, target);
     expect(suspects.judge(BAD)).toEqual('refused');
   });
 
@@ -115,8 +127,8 @@
     // Guards against refusing a request because the servers that crashed beside
     // its own had no other request that was about to begin.
     const {suspects} = openSuspects();
-    suspects.recordCrash(buildFingerprint('long').id, 'x', false);
-    suspects.recordCrash(buildFingerprint('longer').id, 'y', false);
+    recordLate(suspects, buildFingerprint('long'), 'x');
+    recordLate(suspects, buildFingerprint('longer'), 'y');
     recordEarly(suspects, BAD, ['a', 'b']);
     expect(suspects.judge(BAD)).toEqual('suspect');
   });
@@ -233,10 +245,13 @@
   it('notify requests that wait or run when their content is refused', () => {
     const {suspects} = openSuspects();
     const refused: string[] = [];
-    const stop = suspects.onRefusal(content => refused.push(content));
+    const other = buildFingerprint('other');
+    const stop = suspects.onRefusal(isRefused =>
+      refused.push(...[BAD, other].filter(isRefused).map(({id}) => id)),
+    );
     recordEarly(suspects, BAD, ['a', 'b']);
     stop();
-    recordEarly(suspects, buildFingerprint('other'), ['x', 'y']);
+    recordEarly(suspects, other, ['x', 'y']);
     expect(refused).toEqual([BAD.id]);
   });
 });
--- a/packages/core/src/crashes/suspect-requests.ts
+++ b/packages/core/src/crashes/suspect-requests.ts
@@ -1,26 +1,36 @@
 /**
- * Requests under which servers have crashed, by their content. Gates tell each
- * other of every crash, because a caller may send the request again at any gate.
+ * Requests under which servers have crashed, by what they have in common: their
+ * whole content or a part of their prompts. Gates tell each other of every crash,
+ * because the next such request may come to any gate.
  */
 import {createHash} from 'node:crypto';
+import {LRUCache} from 'lru-cache';
+import {toCrash} from './crash.js';
+import {isPartId} from './fingerprint.js';
 import {SuspectTable} from './suspect-table.js';
+import {TableSurroundings} from './table-surroundings.js';
 import {createLogger} from '../log.js';
 import {createCounters} from '../metrics.js';
 import type {LogFields} from '../log.js';
 import type {Counters} from '../metrics.js';
+import type {Crash, CrashedRun} from './crash.js';
 import type {CrashReport} from './crash-report.js';
 import type {Fingerprint} from './fingerprint.js';
-import type {SuspectRequest, Verdict} from './suspect-request.js';
+import type {
+  AnswerProgress,
+  SuspectFeature,
+  Verdict,
+} from './suspect-feature.js';
 
-/** Default time for which a content is refused, in ms. */
+/** Default time for which a feature is refused, in ms. */
 export const DEFAULT_REFUSAL_MS = 600_000;
 
-/** Time for which a content is remembered after its newest crash, in ms. */
+/** Time for which a feature is remembered after its newest crash, in ms. */
 const RETENTION_MS = 3_600_000;
 
 /**
- * Time for which a whole answer is remembered, in ms; above the time for which
- * peers repeat older crashes.
+ * Time for which an answer is remembered, in ms; above the time for which peers
+ * repeat older crashes.
  */
 const ANSWER_RETENTION_MS = 10_000;
 
@@ -33,11 +43,16 @@
  */
 const REPEAT_MS = 3200;
 
-/** Period around the crashes of a content in which others form a wave, in ms. */
-const WAVE_WINDOW_MS = 5000;
+/** Maximum number of parts whose latest lasting answer is remembered. */
+const MAX_PROVEN_PARTS = 4096;
 
-/** Number of crashes that a content does not explain and that form a wave. */
-const WAVE_CRASHES = 2;
+/** Maximum number of parts of one prompt that crashes and answers count for. */
+const MAX_PARTS = 48;
+
+/** Maximum number of features by which suspects are kept apart. */
+const MAX_TRIAL_IDS = 16;
+
+const NO_ENDED: ReadonlyMap<string, number> = new Map();
 
 /** Log of the decisions on suspect requests. */
 export interface SuspectLog {
@@ -45,8 +60,14 @@
   warn(event: string, fields: LogFields): void;
 }
 
-/** Called when requests with a content are refused from now on. */
-export type RefusalListener = (content: string) => void;
+/**
+ * Called when a feature is refused from now on.
+ *
+ * @param isRefused - Returns whether a request is refused because of it.
+ */
+export type RefusalListener = (
+  isRefused: (fingerprint: Fingerprint) => boolean,
+) => void;
 
 /** Dependencies of the suspect requests of one gate. */
 export interface SuspectRequestsOptions {
@@ -56,11 +77,11 @@
   readonly counters: Counters;
   readonly readNow: () => number;
   /**
-   * Sends an observation of this process to the others.
+   * Sends observations of this process to the others.
    *
    * @default none
    */
-  readonly announce?: (report: CrashReport) => void;
+  readonly announce?: (reports: readonly CrashReport[]) => void;
   /**
    * Passes a report on that told something new, where not every process hears
    * every other one.
@@ -87,23 +108,27 @@
  * Suspect requests that one gate knows.
  *
  * @example
- * suspects.recordCrash(fingerprint.id, 'i-1', true);
+ * suspects.recordCrash({fingerprint, target: 'i-1'});
  * suspects.judge(fingerprint); // 'suspect'
  */
 export class SuspectRequests {
   private readonly table = new SuspectTable();
-  /** Contents that this gate observed, and the time to repeat them until. */
+  /** Features that this gate observed, and the time to repeat them until. */
   private readonly repeatUntil = new Map<string, number>();
   private readonly refusalListeners = new Set<RefusalListener>();
+  /** Times at which the newest lasting answers began, by part. */
+  private readonly provenAt = new LRUCache<string, number>({
+    max: MAX_PROVEN_PARTS,
+  });
 
   constructor(private readonly options: SuspectRequestsOptions) {}
 
-  /** Number of remembered contents. */
+  /** Number of remembered features. */
   get size(): number {
     return this.table.size;
   }
 
-  /** Number of contents whose requests are refused. */
+  /** Number of features whose requests are refused. */
   countRefused(): number {
     return this.table.listRefused().length;
   }
@@ -116,54 +141,104 @@
 
   /** Judges what a request may do. */
   judge(fingerprint: Fingerprint): Verdict {
-    const suspect = this.table.find(fingerprint);
-    if (suspect === undefined) return 'free';
-    if (this.readLeftMs(suspect) > 0) return 'refused';
-    return suspect.isSuspect ? 'suspect' : 'free';
+    if (this.table.size === 0) return 'free';
+    if (this.listRefusing(fingerprint).length > 0) return 'refused';
+    return this.listTrialIds(fingerprint).length > 0 ? 'suspect' : 'free';
+  }
+
+  /**
+   * Lists the ids of the features for which a request is suspect. Requests that
+   * share one run one at a time.
+   */
+  listTrialIds(fingerprint: Fingerprint): readonly string[] {
+    return this.findFeatures(fingerprint)
+      .filter(feature =>
+        feature.isSuspect(this.describeSurroundings(feature).listExplained()),
+      )
+      .slice(0, MAX_TRIAL_IDS)
+      .map(({id}) => id);
   }
 
   /** Returns the time for which a request is still refused, in ms. */
   readRefusalLeftMs(fingerprint: Fingerprint): number {
-    const suspect = this.table.find(fingerprint);
-    return suspect === undefined ? 0 : this.readLeftMs(suspect);
+    const leftMs = this.listRefusing(fingerprint).map(feature =>
+      this.readLeftMs(feature),
+    );
+    return Math.max(0, ...leftMs);
+  }
+
+  /** Lists the ids of the features for which a request is refused. */
+  listRefusingIds(fingerprint: Fingerprint): readonly string[] {
+    return this.listRefusing(fingerprint).map(({id}) => id);
   }
 
-  /** Lists the servers that have crashed under a request. */
+  /** Lists the servers that have crashed under requests like this one. */
   listCrashed(fingerprint: Fingerprint): readonly string[] {
-    return this.table.find(fingerprint)?.targets ?? [];
+    const refusing = this.listRefusing(fingerprint);
+    const content = this.table.findContent(fingerprint);
+    const features =
+      refusing.length > 0 || content === undefined ? refusing : [content];
+    return [...new Set(features.flatMap(({targets}) => targets))];
   }
 
-  /**
-   * Records that a server has crashed under a request.
-   *
-   * @param isEarly - Whether the run had just begun or was still to begin.
-   */
-  recordCrash(content: string, target: string, isEarly: boolean): void {
+  /** Records that a server has crashed under a request. */
+  recordCrash(run: CrashedRun): void {
     const {readNow, counters, log} = this.options;
     const now = readNow();
-    const suspect = this.table.findOrAdd(content);
-    if (!suspect.addCrash({target, at: now, isEarly})) return;
+    const crash = toCrash(run, now);
+    const changed = this.listCrashFeatures(run.fingerprint, crash).filter(
+      feature => feature.addCrash(crash),
+    );
+    if (changed.length === 0) return;
     counters.add('suspect.crashes');
     log.warn('request_suspected', {
-      content,
-      target,
-      early: isEarly,
-      crashed: suspect.targets,
+      content: run.fingerprint.id,
+      parts: changed.map(({id}) => id).filter(isPartId),
+      target: crash.target,
+      early: crash.isEarly,
+      crashed: changed[0].targets,
     });
-    if (isEarly) this.repeatUntil.set(content, now + REPEAT_MS);
-    this.refuseIfGuilty(suspect, 'own');
-    this.options.announce?.(suspect.toReport(now));
+    if (crash.isEarly) this.scheduleRepeat(changed, now);
+    this.refuseIfGuilty(changed[0], 'own');
+    this.refuseGuiltyParts('own');
+    this.announce(changed, now);
   }
 
-  /** Records a whole answer to a request, which clears it. */
-  recordAnswer(fingerprint: Fingerprint): void {
-    const suspect = this.table.find(fingerprint);
-    if (suspect === undefined || suspect.targets.length === 0) return;
+  /**
+   * Records that an answer to a request has begun, which clears the parts of its
+   * prompt.
+   */
+  recordBegin(fingerprint: Fingerprint): void {
+    const parts = this.table.findParts(fingerprint);
+    if (parts.length === 0) return;
+    this.recordProgress(parts, 'begun', this.options.readNow());
+  }
+
+  /**
+   * Records that an answer to a request has gone on for longer than a crash at its
+   * begin takes.
+   *
+   * @param beganAt - Time of its first output, in ms.
+   */
+  recordLasting(fingerprint: Fingerprint, beganAt: number): void {
+    for (const id of fingerprint.partIds.slice(0, MAX_PARTS))
+      this.provenAt.set(id, beganAt);
+    const parts = this.table.findParts(fingerprint);
+    if (parts.length === 0) return;
+    this.recordProgress(parts, 'begun', beganAt);
+    this.recordProgress(parts, 'lasted', beganAt);
+  }
+
+  /**
+   * Records a whole answer to a request, which clears it.
+   *
+   * @param beganAt - Time of its first output, in ms; now if it came at once.
+   */
+  recordAnswer(fingerprint: Fingerprint, beganAt?: number): void {
     const now = this.options.readNow();
-    this.recordCleared(suspect, 'own');
-    suspect.recordAnswer(now);
-    this.repeatUntil.set(suspect.content, now + REPEAT_MS);
-    this.options.announce?.(suspect.toReport(now));
+    this.recordLasting(fingerprint, beganAt ?? now);
+    const content = this.table.findContent(fingerprint);
+    if (content !== undefined) this.recordProgress([content], 'whole', now);
   }
 
   /** Merges what a peer knows. */
@@ -175,149 +250,275 @@
   listRecent(): readonly CrashReport[] {
     const now = this.options.readNow();
     const reports: CrashReport[] = [];
-    for (const [content, until] of this.repeatUntil) {
-      const suspect = this.table.findContent(content);
-      if (until < now || suspect === undefined)
-        this.repeatUntil.delete(content);
-      else reports.push(suspect.toReport(now));
+    for (const [id, until] of this.repeatUntil) {
+      const feature = this.table.find(id);
+      if (until < now || feature === undefined) this.repeatUntil.delete(id);
+      else reports.push(feature.toReport(now));
     }
     return reports.slice(-MAX_REPORTS);
   }
 
-  /** Lists reports of all contents, refused ones first. */
+  /** Lists reports of all features, refused ones first. */
   listAll(): readonly CrashReport[] {
     const now = this.options.readNow();
     return this.table
       .listByImportance()
       .slice(0, MAX_REPORTS)
-      .map(suspect => suspect.toReport(now));
+      .map(feature => feature.toReport(now));
   }
 
-  /** Hash of the refused contents, by which gates compare; absent if none. */
+  /** Hash of the refused features, by which gates compare; absent if none. */
   hashRefused(): string | undefined {
     const refused = this.table.listRefused();
     if (refused.length === 0) return undefined;
-    const text = refused.map(({content}) => content).sort();
+    const text = refused.map(({id}) => id).sort();
     return createHash('sha256')
       .update(text.join())
       .digest('base64url')
       .slice(0, 6);
   }
 
-  /** Forgets contents whose newest crash or answer is long past. */
+  /** Forgets features whose newest crash or answer is long past. */
   expire(): void {
     const now = this.options.readNow();
-    for (const suspect of this.table.list()) {
-      if (suspect.isRefused && this.readLeftMs(suspect) === 0)
-        this.endRefusal(suspect);
+    for (const feature of this.table.list()) {
+      feature.expireCleared(now);
+      if (feature.isRefused && this.readLeftMs(feature) === 0)
+        this.endRefusal(feature);
       const retentionMs =
-        suspect.targets.length === 0 ? ANSWER_RETENTION_MS : RETENTION_MS;
-      if (now - suspect.changedAt > retentionMs) this.table.drop(suspect);
+        feature.targets.length === 0 ? ANSWER_RETENTION_MS : RETENTION_MS;
+      if (now - feature.changedAt > retentionMs) this.table.drop(feature);
+    }
+  }
+
+  private findFeatures(fingerprint: Fingerprint): readonly SuspectFeature[] {
+    const content = this.table.findContent(fingerprint);
+    const parts = this.table.findParts(fingerprint);
+    const features = content === undefined ? parts : [content, ...parts];
+    return features.filter(({hasCrashes}) => hasCrashes);
+  }
+
+  /**
+   * Lists the features that refuse a request. Parts that were never seen apart
+   * refuse only requests with all of them; one with some of them runs as a
+   * suspect, and tells them apart.
+   */
+  private listRefusing(fingerprint: Fingerprint): readonly SuspectFeature[] {
+    return this.findFeatures(fingerprint).filter(
+      feature =>
+        this.readLeftMs(feature) > 0 &&
+        feature.isRefusedFor(fingerprint.account) &&
+        this.describeSurroundings(feature)
+          .listRivals()
+          .every(rival => fingerprint.isFeature(rival.id)),
+    );
+  }
+
+  private describeSurroundings(feature: SuspectFeature): TableSurroundings {
+    return new TableSurroundings(
+      feature,
+      this.table,
+      () => this.options.listEnded?.() ?? NO_ENDED,
+    );
+  }
+
+  /** Lists the features of a crashed run; its parts only for an early crash. */
+  private listCrashFeatures(
+    fingerprint: Fingerprint,
+    {isEarly}: Crash,
+  ): readonly SuspectFeature[] {
+    const content = this.table.findOrAdd(fingerprint.id);
+    if (!isEarly) return [content];
+    const parts = this.pickParts(fingerprint).map(id => this.findOrAddPart(id));
+    return [content, ...parts];
+  }
+
+  /** Picks parts to suspect; those without good answers go first. */
+  private pickParts({partIds}: Fingerprint): readonly string[] {
+    if (partIds.length <= MAX_PARTS) return partIds;
+    const unproven = partIds.filter(id => !this.provenAt.has(id));
+    return [...new Set([...unproven, ...partIds])].slice(0, MAX_PARTS);
+  }
+
+  private findOrAddPart(id: string): SuspectFeature {
+    const known = this.table.find(id);
+    if (known !== undefined) return known;
+    const part = this.table.findOrAdd(id);
+    const provenAt = this.provenAt.get(id);
+    if (provenAt !== undefined) {
+      part.recordProgress('begun', provenAt);
+      part.recordProgress('lasted', provenAt);
     }
+    return part;
+  }
+
+  private recordProgress(
+    features: readonly SuspectFeature[],
+    progress: AnswerProgress,
+    at: number,
+  ): void {
+    const now = this.options.readNow();
+    const cleared = features.filter(feature => {
+      const {targets} = feature;
+      if (!feature.recordProgress(progress, at)) return false;
+      this.recordCleared(feature, targets, 'own');
+      return true;
+    });
+    if (cleared.length === 0) return;
+    this.refuseGuiltyParts('own');
+    this.scheduleRepeat(cleared, now);
+    this.announce(cleared, now);
+  }
+
+  private scheduleRepeat(
+    features: readonly SuspectFeature[],
+    now: number,
+  ): void {
+    for (const {id} of features) this.repeatUntil.set(id, now + REPEAT_MS);
+  }
+
+  private announce(features: readonly SuspectFeature[], now: number): void {
+    this.options.announce?.(features.map(feature => feature.toReport(now)));
   }
 
   /** Lets one request at a time run again, whose crash would renew the refusal. */
-  private endRefusal(suspect: SuspectRequest): void {
-    suspect.endRefusal();
+  private endRefusal(feature: SuspectFeature): void {
+    feature.endRefusal();
     this.options.counters.add('suspect.refusal_ended');
     this.options.log.info('request_refusal_ended', {
-      content: suspect.content,
-      crashed: suspect.targets,
+      content: feature.id,
+      crashed: feature.targets,
     });
   }
 
-  private readLeftMs(suspect: SuspectRequest): number {
-    if (!suspect.isRefused) return 0;
+  private readLeftMs(feature: SuspectFeature): number {
+    if (!feature.isRefused) return 0;
     const {refusalMs, readNow} = this.options;
-    return Math.max(0, suspect.lastCrashAt + refusalMs - readNow());
+    const endsAt = feature.lastCrashAt + feature.readRefusalMs(refusalMs);
+    return Math.max(0, endsAt - readNow());
   }
 
   private mergeReport(report: CrashReport): void {
     const now = this.options.readNow();
     // An answer may come before the crashes that it clears.
-    let isChanged = this.table.findContent(report.content) === undefined;
-    const suspect = this.table.findOrAdd(report.content);
-    if (report.answeredMs !== undefined)
-      isChanged =
-        this.mergeAnswer(suspect, now - report.answeredMs) || isChanged;
-    for (const {target, ageMs, early} of report.crashes) {
-      const crash = {target, at: now - ageMs, isEarly: early === true};
-      if (!suspect.addCrash(crash)) continue;
+    let isChanged = this.table.find(report.content) === undefined;
+    const feature = this.table.findOrAdd(report.content);
+    isChanged = this.mergeProgress(feature, report, now) || isChanged;
+    for (const wire of report.crashes) {
+      const {target, ageMs, early, begun, ranMs = 0, run = '', account} = wire;
+      const at = now - ageMs;
+      const crash = {
+        target,
+        at,
+        isEarly: early === true,
+        hasBegun: begun === true,
+        sentAt: at - ranMs,
+        run,
+        account,
+      };
+      if (!feature.addCrash(crash)) continue;
       isChanged = true;
       this.options.onPeerCrash?.(target);
     }
-    if (isChanged) this.options.forward?.(suspect.toReport(now));
-    if (report.refused === true && suspect.targets.length > 0)
-      this.refuse(suspect, 'peer');
-    else this.refuseIfGuilty(suspect, 'peer');
+    if (isChanged) this.options.forward?.(feature.toReport(now));
+    const isRefusedByPeer =
+      report.refused === true &&
+      feature.isVerdictShared &&
+      feature.targets.length > 0;
+    if (isRefusedByPeer) this.refuse(feature, 'peer');
+    else this.refuseIfGuilty(feature, 'peer');
+    const isNewVerdict =
+      report.refused === true && isPartId(feature.id) && !feature.isRefused;
+    if (isChanged || isNewVerdict)
+      this.refuseGuiltyParts('peer', isNewVerdict ? feature.id : undefined);
   }
 
-  /** Merges a whole answer; returns whether it dropped crashes. */
-  private mergeAnswer(suspect: SuspectRequest, at: number): boolean {
-    const before = suspect.targets.length;
-    const wasRefused = suspect.isRefused;
-    suspect.recordAnswer(at);
-    if (wasRefused && before > 0 && !suspect.isRefused)
-      this.recordCleared(suspect, 'peer');
-    return suspect.targets.length < before;
+  /** Merges answers; returns whether they dropped crashes. */
+  private mergeProgress(
+    feature: SuspectFeature,
+    {begunMs, lastedMs, answeredMs}: CrashReport,
+    now: number,
+  ): boolean {
+    const {isRefused, targets} = feature;
+    const ages = {begun: begunMs, lasted: lastedMs, whole: answeredMs};
+    let hasDropped = false;
+    for (const [progress, ageMs] of Object.entries(ages))
+      if (ageMs !== undefined)
+        hasDropped =
+          feature.recordProgress(progress as AnswerProgress, now - ageMs) ||
+          hasDropped;
+    if (hasDropped && isRefused && !feature.isRefused)
+      this.recordCleared(feature, targets, 'peer');
+    return hasDropped;
   }
 
-  private refuseIfGuilty(suspect: SuspectRequest, source: string): void {
-    if (suspect.isGuilty(() => this.isWave(suspect)))
-      this.refuse(suspect, source);
+  private refuseIfGuilty(feature: SuspectFeature, source: string): void {
+    if (isPartId(feature.id)) return;
+    if (feature.isGuilty(this.describeSurroundings(feature)))
+      this.refuse(feature, source);
   }
 
-  private refuse(suspect: SuspectRequest, source: string): void {
+  /**
+   * Judges all parts anew. A part with more crashes may explain those of others, so
+   * it goes first, and all gates come to the same verdicts. A wave of other crashes
+   * delays a refusal, but neither ends one nor outweighs that of a peer.
+   *
+   * @param refusedByPeer - Id of a part that a peer refuses.
+   */
+  private refuseGuiltyParts(source: string, refusedByPeer?: string): void {
+    let isOneFreed = false;
+    for (const part of this.table.listPartsByCrashes()) {
+      const surroundings = this.describeSurroundings(part);
+      const isWaveOver = part.isRefused || part.id === refusedByPeer;
+      const isGuilty = part.isGuilty({
+        listExplained: () => surroundings.listExplained(),
+        isWave: () => !isWaveOver && surroundings.isWave(),
+      });
+      if (isGuilty) {
+        this.refuse(part, source);
+      } else if (part.isRefused) {
+        part.endRefusal();
+        isOneFreed = true;
+      }
+    }
+    // Parts that were inseparable from a freed one now refuse requests alone.
+    if (isOneFreed)
+      for (const feature of this.table.listRefused())
+        this.notifyRefusal(feature);
+  }
+
+  private refuse(feature: SuspectFeature, source: string): void {
     const {refusalMs, readNow, counters, log} = this.options;
-    const leftMs = suspect.lastCrashAt + refusalMs - readNow();
-    if (suspect.isRefused || leftMs <= 0) return;
-    suspect.markRefused();
+    const endsAt = feature.lastCrashAt + feature.readRefusalMs(refusalMs);
+    const leftMs = endsAt - readNow();
+    if (feature.isRefused || leftMs <= 0) return;
+    feature.markRefused();
     counters.add('suspect.condemned');
     log.warn('request_condemned', {
-      content: suspect.content,
+      content: feature.id,
       source,
-      crashed: suspect.targets,
-      early: suspect.listEarly().length,
+      crashed: feature.targets,
+      early: feature.listEarly().length,
       leftMs: Math.round(leftMs),
     });
-    for (const listener of [...this.refusalListeners])
-      listener(suspect.content);
+    this.notifyRefusal(feature);
   }
 
-  /**
-   * Returns whether servers crash that neither the content nor a refused content
-   * explains: innocent requests may then be hit twice by chance.
-   */
-  private isWave(suspect: SuspectRequest): boolean {
-    const early = suspect.listEarly().map(({at}) => at);
-    const since = Math.min(...early) - WAVE_WINDOW_MS;
-    const until = Math.max(...early) + WAVE_WINDOW_MS;
-    const explained = new Set(suspect.targets);
-    const isNear = (at: number) => at >= since && at <= until;
-    const ended = this.options.listEnded?.() ?? new Map<string, number>();
-    const unexplained = new Set(
-      [...ended].filter(([, at]) => isNear(at)).map(([target]) => target),
-    );
-    for (const other of this.table.list()) {
-      if (other === suspect) continue;
-      for (const {target, at} of other.listCrashes())
-        if (other.isRefused) explained.add(target);
-        else if (isNear(at)) unexplained.add(target);
-    }
-    for (const target of explained) unexplained.delete(target);
-    return unexplained.size >= WAVE_CRASHES;
+  private notifyRefusal({id}: SuspectFeature): void {
+    const isRefused = (fingerprint: Fingerprint) =>
+      fingerprint.isFeature(id) && this.judge(fingerprint) === 'refused';
+    for (const listener of [...this.refusalListeners]) listener(isRefused);
   }
 
+  /** Records that answers have cleared crashes of a feature. */
   private recordCleared(
-    {content, targets}: SuspectRequest,
+    feature: SuspectFeature,
+    crashed: readonly string[],
     source: string,
   ): void {
-    this.options.counters.add('suspect.cleared');
-    this.options.log.info('request_cleared', {
-      content,
-      source,
-      crashed: targets,
-    });
+    const {counters, log} = this.options;
+    counters.add('suspect.cleared');
+    log.info('request_cleared', {content: feature.id, source, crashed});
   }
 }
 
--- a/packages/direct/src/crashes/crash-watch.test.ts
+++ b/packages/direct/src/crashes/crash-watch.test.ts
@@ -71,6 +71,7 @@
       request: {fingerprint, facts: FACTS, account: 'acme', route: {name: 'r'}},
       target: buildTarget(id, 1),
       firstEventAt: undefined,
+      sentAt: performance.now(),
     });
   return {
     state,
--- a/packages/direct/src/crashes/crash-watch.ts
+++ b/packages/direct/src/crashes/crash-watch.ts
@@ -42,6 +42,8 @@
    * if none was received.
    */
   readonly firstEventAt: number | undefined;
+  /** Time at which the request was sent, in ms. */
+  readonly sentAt: number;
 }
 
 /** What became of a server: its state, or that it left as planned. */
@@ -151,12 +153,14 @@
   }
 
   private recordCrash(run: BrokenRun, brokenAt: number): void {
-    const {request, target} = run;
-    this.options.suspects.recordCrash(
-      request.fingerprint.id,
-      target.id,
-      isEarlyCrash(run.firstEventAt, brokenAt),
-    );
+    const {request, target, firstEventAt, sentAt} = run;
+    this.options.suspects.recordCrash({
+      fingerprint: request.fingerprint,
+      target: target.id,
+      sentAt,
+      beganAt: firstEventAt,
+      brokenAt,
+    });
   }
 
   private recordBreak(
--- a/packages/direct/src/crashes/crashing-request.test.ts
+++ b/packages/direct/src/crashes/crashing-request.test.ts
@@ -69,7 +69,7 @@
     // Guards against a gate that never hears of a crash whose datagram was lost.
     runWithFleet({}, async fleet => {
       for (const {gate} of fleet.gates)
-        gate['peers'].announceCrash = () => undefined;
+        gate['peers'].announceCrashes = () => undefined;
       await sendUntilRefused(fleet);
       await sleep(CONTACT_MS);
       const before = fleet.countReceived(CRASHING_BODY);
--- a/packages/direct/src/forward/call-forwarder.ts
+++ b/packages/direct/src/forward/call-forwarder.ts
@@ -56,8 +56,8 @@
 
   start(): void {
     const {request, context} = this;
-    this.stopListening = context.suspects.onRefusal(content => {
-      if (request.fingerprint.isId(content)) this.refuseSuspect();
+    this.stopListening = context.suspects.onRefusal(isRefused => {
+      if (isRefused(request.fingerprint)) this.refuseSuspect();
     });
     request.caller.onDisconnect(() => this.settle('caller_left'));
     const leftMs = request.expiresAt - context.readNow();
@@ -121,6 +121,7 @@
   private async runAttempt(target: Target, why: string): Promise<void> {
     const {context, request} = this;
     context.calls.recordStart(target.id);
+    const sentAt = context.readNow();
     const exchange = context.exchanges.open({
       target,
       method: request.method,
@@ -146,7 +147,7 @@
     if (result.kind === 'failed') {
       // A crash may refuse this call, which must not deny that it has run.
       this.mayHaveRun ||= result.error.wasSent;
-      await this.checkCrash(target, exchange, result.error);
+      await this.checkCrash(target, exchange, result.error, sentAt);
     }
     if (this.isSettled) return;
     this.recordHealth(target, result);
@@ -194,6 +195,7 @@
     target: Target,
     exchange: Exchange,
     error: ExchangeError,
+    sentAt: number,
   ): Promise<void> {
     const {crashes} = this.context;
     if (error.isRefusedConnection) return crashes.recordRefusal(target);
@@ -202,6 +204,7 @@
       request: this.request,
       target,
       firstEventAt: undefined,
+      sentAt,
     });
   }
 
--- a/packages/direct/src/forward/slot-finder.ts
+++ b/packages/direct/src/forward/slot-finder.ts
@@ -21,6 +21,12 @@
  */
 const BEGUN_RETRY_MS = 500;
 
+/**
+ * Time until other gates have heard of a placement, in ms; a few round trips
+ * within a region.
+ */
+const TRIAL_SETTLE_MS = 25;
+
 /**
  * Reason for which no engine was found: no slot is free (`full`), no engine can
  * run the prompt (`none`), the search was aborted (`left`), or the choices of
@@ -77,13 +83,26 @@
     for (;;) {
       const result = await this.findFreeSlot(mayExceedSlots, signal, hasBegun);
       if (!(result instanceof PlacedPrompt)) return result;
-      const isPermitted = await this.context.permits.claim(result.target.id);
-      if (isPermitted && !signal.aborted) return result;
+      const {permits} = this.context;
+      const isUsable =
+        (await this.claimTrial(result)) &&
+        (await permits.claim(result.target.id));
+      if (isUsable && !signal.aborted) return result;
       result.release();
       if (signal.aborted) return 'left';
     }
   }
 
+  /**
+   * Waits until the gates have heard of the placement of a suspect; returns false
+   * if another one goes first.
+   */
+  private async claimTrial(placed: PlacedPrompt): Promise<boolean> {
+    if (!placed.isSuspect) return true;
+    await sleep(TRIAL_SETTLE_MS);
+    return !placed.isTrialLost();
+  }
+
   private async findFreeSlot(
     mayExceedSlots: boolean,
     signal: AbortSignal,
@@ -185,7 +204,6 @@
   private choose(mayExceedSlots: boolean): PlacementOutcome {
     const {context, request} = this;
     const {route, facts, fingerprint} = request;
-    const isSuspect = context.suspects.judge(fingerprint) !== 'free';
     const elapsedMs = context.readNow() - request.arrivedAt;
     return context.prompts.place(
       {
@@ -195,7 +213,7 @@
         objectiveMs: route.objectiveMs,
         objectiveLeftMs: route.objectiveMs - elapsedMs,
         itlObjectiveMs: route.itlObjectiveMs ?? route.objectiveMs,
-        suspect: isSuspect ? fingerprint.id : undefined,
+        suspects: context.suspects.listTrialIds(fingerprint),
       },
       this.engine,
       this.tried,
--- a/packages/direct/src/forward/stream-attempt.ts
+++ b/packages/direct/src/forward/stream-attempt.ts
@@ -2,6 +2,7 @@
  * Runs one attempt at a stream: reserves KV cache on prefill helpers if needed,
  * sends the request to the decoding engine and forwards its events.
  */
+import {isEarlyCrash} from '@nutmeggauge/core';
 import {ExchangeError} from '../errors.js';
 import {ITERATION_SLACK_MS} from '../placement/engine-iterations.js';
 import {estimatePrefillMs} from '../placement/engine-model.js';
@@ -96,14 +97,21 @@
   private exchange: Exchange | undefined;
   private isCancelled = false;
   private hasEnded = false;
+  private exchangeOpenedAt: number | undefined;
   private firstEventReceivedAt: number | undefined;
+  /** Whether the answer has outlived its begin. */
+  private hasLasted = false;
   /** Time of the newest event of this attempt; absent before the first one. */
   private lastEventAt: number | undefined;
   /** Events that wait for the engine of another attempt. */
   private heldEvents: StreamEvent[] = [];
   private holdTimer: NodeJS.Timeout | undefined;
 
-  constructor(private readonly options: StreamAttemptOptions) {}
+  private readonly createdAt: number;
+
+  constructor(private readonly options: StreamAttemptOptions) {
+    this.createdAt = options.context.readNow();
+  }
 
   /** Runs the attempt; resolves, not rejects, if a target fails. */
   async run(): Promise<AttemptEnd> {
@@ -130,6 +138,14 @@
     return this.firstEventReceivedAt;
   }
 
+  /**
+   * Time at which the request was sent, or when the attempt was created if it was
+   * not sent, in ms.
+   */
+  get sentAt(): number {
+    return this.exchangeOpenedAt ?? this.createdAt;
+  }
+
   /** True while the attempt runs and has received an event. */
   get isStreaming(): boolean {
     return !this.hasEnded && this.firstEventReceivedAt !== undefined;
@@ -192,6 +208,7 @@
     if (this.isCancelled) throw new ExchangeError('cancelled', false);
     const exchange = this.sendToDecoder(lease);
     this.exchange = exchange;
+    this.exchangeOpenedAt = this.options.context.readNow();
     const stallTimer = new StallTimer(() => this.judgeStall());
     const {request, engine, placed} = this.options;
     const prefillMs = estimatePrefillMs(
@@ -335,7 +352,7 @@
       stallTimer.restart(stallMs);
       const now = context.readNow();
       this.lastEventAt = now;
-      this.firstEventReceivedAt ??= now;
+      this.recordProgress(now);
       context.health.markActive(placed.target.id, now);
       this.forwardOrHold(events);
     }
@@ -346,6 +363,19 @@
       throw new ExchangeError('truncated', true);
   }
 
+  /** Tells what the events show about the parts of the prompt. */
+  private recordProgress(now: number): void {
+    const {context, request} = this.options;
+    const {fingerprint} = request;
+    if (this.firstEventReceivedAt === undefined) {
+      this.firstEventReceivedAt = now;
+      context.suspects.recordBegin(fingerprint);
+    }
+    if (this.hasLasted || isEarlyCrash(this.firstEventReceivedAt, now)) return;
+    this.hasLasted = true;
+    context.suspects.recordLasting(fingerprint, this.firstEventReceivedAt);
+  }
+
   private forwardOrHold(events: readonly StreamEvent[]): void {
     // An engine that sends more while an event is held goes on.
     const holdMs = this.heldEvents.length > 0 ? 0 : this.options.chooseHoldMs();
--- a/packages/direct/src/forward/stream-forwarder.ts
+++ b/packages/direct/src/forward/stream-forwarder.ts
@@ -71,8 +71,8 @@
       () => this.endWithError(504, 'timeout'),
       request.expiresAt - context.readNow(),
     );
-    this.stopListening = context.suspects.onRefusal(content => {
-      if (request.fingerprint.isId(content)) this.refuseSuspect();
+    this.stopListening = context.suspects.onRefusal(isRefused => {
+      if (isRefused(request.fingerprint)) this.refuseSuspect();
     });
     request.caller.onDisconnect(() => this.settle('caller_left'));
     if (!this.isSettled) void this.runChain();
@@ -202,6 +202,7 @@
       request: this.request,
       target,
       firstEventAt: attempt.firstEventAt,
+      sentAt: attempt.sentAt,
     });
   }
 
@@ -287,7 +288,10 @@
   ): void {
     if (end.kind === 'done') {
       this.context.health.recordSuccess(placed.target.id);
-      this.context.suspects.recordAnswer(this.request.fingerprint);
+      this.context.suspects.recordAnswer(
+        this.request.fingerprint,
+        chain.attempt?.firstEventAt,
+      );
       return this.settle('answered', placed.target);
     }
     if (end.kind === 'passed-on')
--- a/packages/direct/src/gate.ts
+++ b/packages/direct/src/gate.ts
@@ -159,7 +159,7 @@
       log,
       counters: this.counters,
       readNow,
-      announce: report => this.peers.announceCrash(report),
+      announce: reports => this.peers.announceCrashes(reports),
       listEnded: () => this.context.crashes.listEnded(),
       onPeerCrash: target => void this.context.crashes.confirmEnd(target),
     });
--- a/packages/direct/src/ingress/ingress.ts
+++ b/packages/direct/src/ingress/ingress.ts
@@ -191,6 +191,7 @@
       path,
       account: account?.name,
       body,
+      listParts: () => facts.sharedParts.map(id => `${service}/${id}`),
     });
     if (this.context.suspects.judge(fingerprint) === 'refused')
       return this.refuseSuspect(caller, facts, fingerprint);
@@ -253,6 +254,7 @@
     log.info('suspect_refused', {
       requestId: facts.requestId,
       content: fingerprint.id,
+      refusedFor: suspects.listRefusingIds(fingerprint),
       crashed: suspects.listCrashed(fingerprint),
       leftMs: Math.round(leftMs),
     });
--- a/packages/direct/src/peers/messages.ts
+++ b/packages/direct/src/peers/messages.ts
@@ -2,7 +2,7 @@
  * Messages between gates: JSON-RPC notifications in UDP datagrams. A lost
  * datagram is made up for by the next heartbeat.
  */
-import {CrashReportSchema} from '@nutmeggauge/core';
+import {CrashReportSchema, CrashReportsSchema} from '@nutmeggauge/core';
 import {z} from 'zod';
 import type {Placement} from '../placement/placement.js';
 
@@ -25,8 +25,8 @@
   predictedMs: z.number(),
   ageMs: z.number(),
   begun: z.boolean(),
-  /** Fingerprint of a prompt under which servers have crashed. */
-  suspect: z.string().optional(),
+  /** Features of a prompt under which servers have crashed; absent if none. */
+  suspects: z.array(z.string()).optional(),
 });
 export type WirePlacement = z.output<typeof WirePlacementSchema>;
 
@@ -143,7 +143,7 @@
   z.object({
     jsonrpc: JSON_RPC,
     method: z.literal('crashed'),
-    params: CrashReportSchema,
+    params: CrashReportsSchema,
   }),
 ]);
 export type Datagram = z.output<typeof DatagramSchema>;
@@ -153,6 +153,10 @@
   return isUniform ? values.slice(0, 1) : [...values];
 }
 
+function toOptionalList(ids: readonly string[] = []): string[] | undefined {
+  return ids.length > 0 ? [...ids] : undefined;
+}
+
 /**
  * Converts a placement to its wire form.
  *
@@ -180,7 +184,7 @@
     predictedMs: Math.round(placement.predictedTtftMs),
     ageMs: Math.round(now - placement.placedAt),
     begun,
-    suspect: placement.suspect,
+    suspects: toOptionalList(placement.suspects),
   };
 }
 
@@ -206,6 +210,6 @@
     value: wire.value,
     predictedTtftMs: wire.predictedMs,
     placedAt: now - wire.ageMs,
-    suspect: wire.suspect,
+    suspects: wire.suspects,
   };
 }
--- a/packages/direct/src/peers/peer-group.ts
+++ b/packages/direct/src/peers/peer-group.ts
@@ -223,9 +223,9 @@
     this.broadcast({jsonrpc: '2.0', method: 'ended', params: {key}});
   }
 
-  /** Announces a crash under a request, or a whole answer that clears it. */
-  announceCrash(report: CrashReport): void {
-    this.broadcast({jsonrpc: '2.0', method: 'crashed', params: report});
+  /** Announces crashes under requests, or answers that clear them. */
+  announceCrashes(reports: readonly CrashReport[]): void {
+    this.broadcast({jsonrpc: '2.0', method: 'crashed', params: [...reports]});
   }
 
   /**
@@ -364,7 +364,7 @@
     if (message.method === 'permit-answered')
       this.options.onPermitAnswer(message.params);
     if (message.method === 'crashed')
-      this.options.suspects.merge([message.params]);
+      this.options.suspects.merge(message.params);
   }
 
   private parse(bytes: Buffer): Datagram | undefined {
--- a/packages/direct/src/placement/load-tracker.ts
+++ b/packages/direct/src/placement/load-tracker.ts
@@ -101,7 +101,8 @@
     };
     this.entries.set(placement.key, entry);
     this.changes++;
-    if (placement.suspect !== undefined && !hasFirstToken)
+    const {suspects = []} = placement;
+    if (suspects.length > 0 && !hasFirstToken)
       this.trials.set(placement.key, placement);
     for (const target of listTargets(placement))
       this.findOrAddEngine(target).add(entry);
@@ -138,10 +139,30 @@
     );
   }
 
-  /** Returns whether a prompt with this fingerprint runs as a suspect. */
-  isOnTrial(suspect: string, now: number): boolean {
+  /** Returns whether a prompt with one of these features runs as a suspect. */
+  isOnTrial(suspects: readonly string[], now: number): boolean {
+    if (suspects.length === 0) return false;
     return [...this.trials.values()].some(
-      trial => trial.suspect === suspect && now < findTrialEnd(trial),
+      trial =>
+        now < findTrialEnd(trial) &&
+        suspects.some(id => trial.suspects?.includes(id)),
+    );
+  }
+
+  /**
+   * Returns whether another suspect prompt was placed at the same moment that
+   * shares a feature or the decoding engine with this one, and goes first. All
+   * gates agree on the order by the keys.
+   */
+  isTrialLost(key: string, now: number): boolean {
+    const own = this.trials.get(key);
+    if (own === undefined) return false;
+    return [...this.trials.values()].some(
+      trial =>
+        trial.key < key &&
+        now < findTrialEnd(trial) &&
+        (trial.decoder === own.decoder ||
+          own.suspects?.some(id => trial.suspects?.includes(id))),
     );
   }
 
--- a/packages/direct/src/placement/place-prompt.ts
+++ b/packages/direct/src/placement/place-prompt.ts
@@ -305,6 +305,6 @@
     value: demand.value,
     predictedTtftMs: choice.predictedTtftMs,
     placedAt: now,
-    suspect: demand.suspect,
+    suspects: demand.suspects,
   };
 }
--- a/packages/direct/src/placement/placement.ts
+++ b/packages/direct/src/placement/placement.ts
@@ -36,8 +36,10 @@
   /** Time of the placement on this process's monotonic clock, in ms. */
   readonly placedAt: number;
   /**
-   * Fingerprint of the prompt if servers have crashed under it; until its first
+   * Features of the prompt under which servers have crashed; until its first
    * token no other stream should be placed on its decoding engine.
+   *
+   * @default none
    */
-  readonly suspect?: string;
+  readonly suspects?: readonly string[];
 }
--- a/packages/direct/src/placement/prompt-placer.ts
+++ b/packages/direct/src/placement/prompt-placer.ts
@@ -42,6 +42,7 @@
     readonly helpers: readonly Target[],
     readonly choice: PromptChoice,
     private readonly key: string,
+    private readonly hasSuspects: boolean,
     private readonly tracker: LoadTracker,
     private readonly announcer: PlacementAnnouncer,
     private readonly readNow: () => number,
@@ -87,6 +88,16 @@
     return this.tracker.estimateIterationLeftMs(this.target.id, this.readNow());
   }
 
+  /** Whether servers have crashed under requests like this one. */
+  get isSuspect(): boolean {
+    return this.hasSuspects;
+  }
+
+  /** Returns whether a suspect that was placed at the same moment goes first. */
+  isTrialLost(): boolean {
+    return this.tracker.isTrialLost(this.key, this.readNow());
+  }
+
   /** Releases the slot; further calls have no effect. */
   release(): void {
     if (this.isReleased) return;
@@ -121,10 +132,13 @@
   readonly objectiveLeftMs: number;
   readonly itlObjectiveMs: number;
   /**
-   * Fingerprint of the prompt if servers have crashed under it; such a prompt is
-   * placed apart from other streams, and once at a time among all gates.
+   * Features of the prompt under which servers have crashed. Such a prompt is
+   * placed apart from other streams, and those that share one are placed once at a
+   * time among all gates.
+   *
+   * @default none
    */
-  readonly suspect?: string;
+  readonly suspects?: readonly string[];
 }
 
 /** Dependencies of a prompt placer. */
@@ -171,8 +185,8 @@
   ): PlacementOutcome {
     const {tracker, announcer, owner, readNow} = this.options;
     const now = readNow();
-    const {suspect} = request;
-    if (suspect !== undefined && tracker.isOnTrial(suspect, now))
+    const {suspects = []} = request;
+    if (tracker.isOnTrial(suspects, now))
       return {waitMs: TRIAL_POLL_MS, predictedTtftMs: 0};
     const targets = this.listTargets(request.service, tried);
     if (
@@ -195,7 +209,7 @@
       );
     const anywhere = choose(targets);
     const apart =
-      suspect === undefined
+      suspects.length === 0
         ? undefined
         : choose(this.listEmptiest(targets, now));
     const timed = pickInTime(apart, anywhere, request.objectiveLeftMs);
@@ -225,6 +239,7 @@
       helpers,
       choice,
       key,
+      suspects.length > 0,
       tracker,
       announcer,
       readNow,
--- a/packages/direct/src/placement/prompt-types.ts
+++ b/packages/direct/src/placement/prompt-types.ts
@@ -11,8 +11,12 @@
   readonly objectiveLeftMs: number;
   readonly itlObjectiveMs: number;
   readonly value: number;
-  /** Fingerprint of the prompt if servers have crashed under it. */
-  readonly suspect?: string;
+  /**
+   * Features of the prompt under which servers have crashed.
+   *
+   * @default none
+   */
+  readonly suspects?: readonly string[];
 }
 
 /** Engines chosen for a prompt. */
--- a/packages/gate/src/api/serve-admitted.ts
+++ b/packages/gate/src/api/serve-admitted.ts
@@ -7,6 +7,7 @@
   CLOCK_SKEW_MS,
   SHORT_MAX_TOKENS,
   countTokens,
+  hashPrefixes,
   isNotRepeatable,
   readMintTime,
   sendJson,
@@ -14,7 +15,7 @@
   writeSse,
 } from '@nutmeggauge/core';
 import {estimateFinishMs} from '../admission/estimate.js';
-import {hashPrefixes} from '../routing/prefix-memory.js';
+
 import {createChunkStream} from '../streaming/reassembly.js';
 import {renderError, renderStreamChunk} from './responses.js';
 import {sendRefusal, sendResult} from './results.js';
--- a/packages/gate/src/routing/load-routers.test.ts
+++ b/packages/gate/src/routing/load-routers.test.ts
@@ -1,8 +1,8 @@
 import {describe, it} from 'node:test';
+import {hashPrefixes} from '@nutmeggauge/core';
 import {expect} from 'earl';
 import {createTarget} from '../test/target.js';
 import {ClassLoadRouter, TokenLoadRouter} from './load-routers.js';
-import {hashPrefixes} from './prefix-memory.js';
 import type {RouteRequest} from './router.js';
 
 const createRequest = (prompt: string): RouteRequest => ({
