Failing tests: answers without length or chunks that end early look whole

A server that ends under an answer without length or chunks closes its connection in order, which looks like the end of the answer: callers get an empty or half answer as whole, the request goes on to end servers, and its suspicion is cleared. And a gate that is killed while it passes such an answer on leaves its caller a whole one.

--- a/packages/direct/src/test/crash-fleet.ts
+++ b/packages/direct/src/test/crash-fleet.ts
@@ -61,6 +61,13 @@
    * @default 20
    */
   readonly crashDelayMs?: number;
+  /**
+   * Text that a crashing run sends first, in an answer with neither a length nor
+   * chunks; absent if the run only sends a head.
+   *
+   * @default none
+   */
+  readonly unframedText?: string;
   /**
    * Whether a crashing run only resets its connection.
    *
@@ -198,7 +205,10 @@
       this.options;
     const parts = String(req.headers['x-test-parts'] ?? '').split(',');
     if (isCrashing(body, parts)) {
-      if (target.service === 'chat') res.writeHead(200, buildSignedHead(req));
+      const {unframedText} = this.options;
+      if (unframedText !== undefined) startUnframed(req, res, unframedText);
+      else if (target.service === 'chat')
+        res.writeHead(200, buildSignedHead(req));
       setTimeout(
         () => void this.endRun(target, res),
         crashDelayMs ?? CRASH_DELAY_MS,
@@ -229,6 +239,18 @@
   }
 }
 
+/** Starts an answer whose end only the end of the connection marks. */
+export function startUnframed(
+  req: IncomingMessage,
+  res: ServerResponse,
+  text: string,
+): void {
+  res.useChunkedEncodingByDefault = false;
+  res.writeHead(200, {...buildSignedHead(req), connection: 'close'});
+  res.flushHeaders();
+  if (text !== '') res.write(text);
+}
+
 async function streamEvents(
   req: IncomingMessage,
   res: ServerResponse,
@@ -253,6 +275,11 @@
   options: CrashFleetOptions,
 ): Promise<CrashFleet> {
   const fleet = new CrashFleet(options);
-  await fleet.start();
+  try {
+    await fleet.start();
+  } catch (error) {
+    fleet.close();
+    throw error;
+  }
   return fleet;
 }
--- a/packages/direct/src/test/gate-harness.ts
+++ b/packages/direct/src/test/gate-harness.ts
@@ -2,6 +2,7 @@
 import {request} from 'node:http';
 import {Writable} from 'node:stream';
 import {buildLoopbackHost} from '@nutmeggauge/core';
+import {findFraming} from '../forward/exchange.js';
 import {createDirectGate} from '../gate.js';
 import {createDecisionLog} from '../observe/decision-log.js';
 import {KvReservations} from '../ports.js';
@@ -141,6 +142,8 @@
   readonly body: string;
   /** False if the connection broke before the answer was complete. */
   readonly isWhole: boolean;
+  /** Whether a length or chunks mark the end of the answer. */
+  readonly isFramed: boolean;
   readonly retryAfter: string | undefined;
   readonly ms: number;
 }
@@ -281,11 +284,13 @@
     let status = 0;
     let body = '';
     let retryAfter: string | undefined;
+    let isFramed = false;
     const finish = (isWhole: boolean) =>
       resolve({
         status,
         body,
         isWhole,
+        isFramed,
         retryAfter,
         ms: performance.now() - startedAt,
       });
@@ -310,6 +315,7 @@
     req.once('response', res => {
       status = res.statusCode ?? 0;
       retryAfter = res.headers['retry-after'];
+      isFramed = findFraming(res) === 'framed';
       res.on('data', chunk => (body += String(chunk)));
       res.once('error', () => finish(false));
       res.once('end', () => finish(res.complete));
