The end of an answer without length or chunks is checked like a break

Cause: a crash closes the connections of its process in order, which ends such an answer; only a reset showed. The answer then cleared the suspicion. Ruled out: holding such answers back (streams are forwarded as they come); comparing other streams of the server (the port tells at once, and a server with a single stream too); a check of each framed answer. Change: at the end of such an answer the server is checked as for a break: where its port refuses connections, the answer is truncated, the crash counts and the request goes on as after any break. A stream without an event is no answer.

--- a/packages/direct/src/crashes/crash-watch.ts
+++ b/packages/direct/src/crashes/crash-watch.ts
@@ -99,6 +99,16 @@
     return cause;
   }
 
+  /**
+   * Returns whether a server that closed its connection at the end of an answer
+   * without a length has crashed there.
+   */
+  async isCrashEnd(target: Target): Promise<boolean> {
+    const cause = await this.findCause(target);
+    this.options.counters.add(`crash.unframed_${cause}`);
+    return cause === 'ended';
+  }
+
   private async findCause(target: Target): Promise<BreakCause> {
     if (this.endedAt.has(target.id)) return 'ended';
     const known = this.options.state.findIncarnation(target.id);
--- a/packages/direct/src/forward/call-forwarder.ts
+++ b/packages/direct/src/forward/call-forwarder.ts
@@ -177,11 +177,14 @@
         return {kind: 'not-run'};
       }
       const body = await exchange.readWholeBody(head);
+      const framing = findFraming(head.message);
+      if (framing === 'by-close' && (await context.crashes.isCrashEnd(target)))
+        throw new ExchangeError('truncated', true);
       const answer = {
         status: head.status,
         headers: head.message.rawHeaders,
         body,
-        framing: findFraming(head.message),
+        framing,
       };
       return {kind: verdict, answer};
     } catch (error) {
--- a/packages/direct/src/forward/exchange.ts
+++ b/packages/direct/src/forward/exchange.ts
@@ -23,6 +23,9 @@
  */
 const MIN_FINAL_STATUS = 200;
 
+/** Statuses of responses that have no body. */
+const BODILESS_STATUSES: ReadonlySet<number> = new Set([204, 304]);
+
 /** Request to send to a target. */
 export interface ExchangeOptions {
   readonly target: Target;
@@ -212,8 +215,9 @@
  * findFraming(message); // 'framed'
  */
 export function findFraming(message: IncomingMessage): ResponseFraming {
-  const {headers} = message;
+  const {headers, statusCode = 0} = message;
   const isFramed =
+    BODILESS_STATUSES.has(statusCode) ||
     headers['content-length'] !== undefined ||
     headers['transfer-encoding'] !== undefined;
   return isFramed ? 'framed' : 'by-close';
--- a/packages/direct/src/forward/stream-attempt.ts
+++ b/packages/direct/src/forward/stream-attempt.ts
@@ -361,6 +361,19 @@
     const isFramingLost = framing === 'by-close' && !progress.isUnframed;
     if (splitter.hasPartialEvent || isFramingLost)
       throw new ExchangeError('truncated', true);
+    if (framing === 'by-close') await this.checkUnframedEnd();
+  }
+
+  /**
+   * Checks the end of an answer without a length, which a crash looks like.
+   *
+   * @throws ExchangeError if the answer has no event or its server has crashed.
+   */
+  private async checkUnframedEnd(): Promise<void> {
+    const {context, placed} = this.options;
+    const isEmpty = this.firstEventReceivedAt === undefined;
+    if (isEmpty || (await context.crashes.isCrashEnd(placed.target)))
+      throw new ExchangeError('truncated', true);
   }
 
   /** Tells what the events show about the parts of the prompt. */
