Streams go to callers in chunks, even if the server's answer has none

What callers saw: a gate that is killed while it passes on a stream without length or chunks leaves a whole one, as the kernel closes its connections in order. Cause: such streams were passed on without chunks. A call is written at once, after its body has arrived. Change: hop-by-hop framing for streams, ended once the end has been checked; a stream that began without chunks may end with any engine's.

--- a/packages/direct/src/forward/caller-response.ts
+++ b/packages/direct/src/forward/caller-response.ts
@@ -74,7 +74,6 @@
 export class CallerResponse {
   /** Status sent to the caller; absent until the head is sent. */
   status: number | undefined;
-  private isUnframed = false;
   private readonly disconnectListeners: Array<() => void> = [];
   private hasDisconnected = false;
 
@@ -111,11 +110,14 @@
     else this.disconnectListeners.push(listener);
   }
 
-  /** Sends the head of a target's response; `write` sends its body. */
-  start(status: number, headers: RawHeaders, framing: ResponseFraming): void {
+  /**
+   * Sends the head of a stream; `write` sends its events, in chunks even if the
+   * target's response has none: the end of the gate's connection must not look like
+   * the end of the stream.
+   */
+  start(status: number, headers: RawHeaders): void {
     this.status = status;
     const kept = stripHopByHop(headers);
-    this.addConnectionClose(kept, framing);
     this.response.sendDate = false;
     this.response.writeHead(status, kept);
     this.response.flushHeaders();
@@ -131,7 +133,10 @@
     this.response.end();
   }
 
-  /** Sends a target's complete response. */
+  /**
+   * Sends a target's complete response. One without a length stays so, because the
+   * gate cannot know whether it is complete; it is written at once.
+   */
   sendComplete(
     status: number,
     headers: RawHeaders,
@@ -145,7 +150,10 @@
     );
     if (!hasLength && framing === 'framed')
       kept.push('Content-Length', String(body.length));
-    this.addConnectionClose(kept, framing);
+    if (framing === 'by-close') {
+      this.response.useChunkedEncodingByDefault = false;
+      kept.push('Connection', 'close');
+    }
     this.response.sendDate = false;
     this.response.writeHead(status, kept);
     this.response.end(body);
@@ -179,22 +187,9 @@
 
   /** Closes the connection to show that the response is incomplete. */
   drop(): void {
-    // An ordinary close would mark an unframed response as complete.
-    if (this.isUnframed) this.response.socket?.resetAndDestroy();
+    // Callers of HTTP/1.0 take an ordinary close for the end of the response.
+    if (!this.response.useChunkedEncodingByDefault)
+      this.response.socket?.resetAndDestroy();
     this.response.destroy();
   }
-
-  /**
-   * Adds `Connection: close` if the response is unframed. A response without a
-   * length stays unframed, because the gate cannot know whether it is complete.
-   */
-  private addConnectionClose(
-    headers: string[],
-    framing: ResponseFraming,
-  ): void {
-    this.isUnframed = framing === 'by-close';
-    if (!this.isUnframed) return;
-    this.response.useChunkedEncodingByDefault = false;
-    headers.push('Connection', 'close');
-  }
 }
--- a/packages/direct/src/forward/stream-attempt.ts
+++ b/packages/direct/src/forward/stream-attempt.ts
@@ -328,10 +328,8 @@
     const {request, progress} = this.options;
     // A resumed stream keeps the response head of its first engine.
     if (progress.hasHead) return;
-    const framing = findFraming(head.message);
-    request.caller.start(head.status, head.message.rawHeaders, framing);
+    request.caller.start(head.status, head.message.rawHeaders);
     progress.hasHead = true;
-    progress.isUnframed = framing === 'by-close';
   }
 
   private async forwardEvents(
@@ -339,7 +337,7 @@
     head: ResponseHead,
     stallTimer: StallTimer,
   ): Promise<void> {
-    const {context, request, placed, progress} = this.options;
+    const {context, request, placed} = this.options;
     const {route} = request;
     const itlObjectiveMs = route.itlObjectiveMs ?? route.objectiveMs;
     const stallMs = Math.max(STALL_MIN_MS, STALL_ITL_FACTOR * itlObjectiveMs);
@@ -356,12 +354,8 @@
       context.health.markActive(placed.target.id, now);
       this.forwardOrHold(events);
     }
-    // A framed response must not end with the body of an unframed one.
-    const framing = findFraming(head.message);
-    const isFramingLost = framing === 'by-close' && !progress.isUnframed;
-    if (splitter.hasPartialEvent || isFramingLost)
-      throw new ExchangeError('truncated', true);
-    if (framing === 'by-close') await this.checkUnframedEnd();
+    if (splitter.hasPartialEvent) throw new ExchangeError('truncated', true);
+    if (findFraming(head.message) === 'by-close') await this.checkUnframedEnd();
   }
 
   /**
--- a/packages/direct/src/forward/stream-progress.ts
+++ b/packages/direct/src/forward/stream-progress.ts
@@ -11,8 +11,6 @@
 export class StreamProgress {
   /** True once the response head is sent, which rules out an error status. */
   hasHead = false;
-  /** True if the end of the connection marks the end of the response. */
-  isUnframed = false;
   eventsSent = 0;
   private firstTokenAt: number | undefined;
   private newestEventAt: number | undefined;
