A gate that is behind closes new connections unread while its peers are free

Class: one process gets the work of many and answers late instead of leaving it to others. Ruled out: 503 with Retry-After (counts as a loss, and the request has been read); a fixed number of connections (unlike prompts cost unlike much); acting on one long pause (a suspension, garbage collection). Change: the delay of the event loop goes into heartbeats (one number). Before: no such behaviour.

--- a/packages/direct/src/gate.ts
+++ b/packages/direct/src/gate.ts
@@ -22,6 +22,7 @@
 import {createStoreWatcher} from './fleet/store-watcher.js';
 import {EngineSlowdowns} from './health/engine-slowdowns.js';
 import {createTargetHealth} from './health/target-health.js';
+import {ConnectionShedder} from './ingress/connection-shedder.js';
 import {createIngress} from './ingress/ingress.js';
 import {StatusServer} from './observe/status-server.js';
 import {Permits} from './limits/permits.js';
@@ -118,6 +119,11 @@
   private readonly status = new StatusServer();
   private readonly turns: TurnMonitor;
   private readonly reads = new PendingReads();
+  private readonly shedder = new ConnectionShedder({
+    readNow: this.readNow,
+    listPeerLags: () => this.peers.listLags(),
+    counters: this.counters,
+  });
   private readonly choices = new ChoiceScheduler(this.reads, this.readNow);
   /** Gate that polls each engine. */
   private readonly engineHomes = new HomeTable();
@@ -188,6 +194,7 @@
       tracker,
       slowdowns: this.slowdowns,
       suspects: this.suspects,
+      readLagMs: () => this.shedder.readLagMs(),
       limits: this.limits,
       answerPermit: question => this.permits.answer(question),
       onPermitAnswer: answer => this.permits.receive(answer),
@@ -263,7 +270,7 @@
       readNow,
       readFactsAgeMs: () => this.peers.readFactsAgeMs(),
     };
-    this.ingress = createIngress(this.context);
+    this.ingress = createIngress(this.context, this.shedder);
     tracker.onRemove(() => this.context.queues.advance());
     this.observeChanges();
   }
@@ -283,6 +290,7 @@
     if (settings.metrics !== undefined)
       await this.status.openMetrics(settings.metrics, () => this.readMetrics());
     await this.ingress.start(settings.ingress);
+    this.shedder.start();
     this.expiryTimer = setInterval(() => {
       this.state.expireHeld();
       this.suspects.expire();
@@ -319,6 +327,7 @@
   private async runDrain(): Promise<void> {
     const {log} = this.dependencies;
     log.info('drain_started', {inFlight: this.ingress.inFlight});
+    this.shedder.stop();
     this.ingress.closeConnectionsAfterAnswers();
     const startedAt = this.readNow();
     const giveUpAt =
@@ -343,6 +352,7 @@
   close(): void {
     clearInterval(this.expiryTimer);
     this.turns.stop();
+    this.shedder.stop();
     this.watcher.stop();
     this.slowdowns.stop();
     void this.peers.stop();
--- a/packages/direct/src/ingress/ingress.ts
+++ b/packages/direct/src/ingress/ingress.ts
@@ -18,6 +18,7 @@
 import type {IncomingMessage, Server, ServerResponse} from 'node:http';
 import type {ListenAddress} from '@nutmeggauge/core';
 import type {GateErrorReason} from '../forward/caller-response.js';
+import type {ConnectionShedder} from './connection-shedder.js';
 import type {ForwardContext} from '../forward/context.js';
 import type {GateRequest} from '../forward/request.js';
 import type {RequestMetadata, Route} from '../types.js';
@@ -44,7 +45,7 @@
  * HTTP server for callers.
  *
  * @example
- * const ingress = createIngress(context);
+ * const ingress = createIngress(context, shedder);
  * await ingress.start({host: '10.1.0.4', port: 8080});
  */
 export class Ingress {
@@ -52,7 +53,10 @@
   private readonly requests = new OpenRequests();
   private isClosing = false;
 
-  constructor(private readonly context: ForwardContext) {
+  constructor(
+    private readonly context: ForwardContext,
+    private readonly shedder: ConnectionShedder,
+  ) {
     this.server = createServer(
       {
         maxHeaderSize: MAX_HEAD_BYTES,
@@ -63,6 +67,7 @@
     );
     closeIdleAfterRead(this.server);
     context.reads.observe(this.server);
+    shedder.observe(this.server);
     this.server.on('connection', () =>
       context.counters.add('ingress.connections'),
     );
@@ -127,6 +132,8 @@
     // What was read in this turn may have arrived when the turn began.
     const arrivedAt = readNow() - turns.readTurnAgeMs();
     this.requests.add(res);
+    // Kept connections would stay with this gate after most new ones went to it.
+    if (this.shedder.isShedding) res.shouldKeepAlive = false;
     const caller = new CallerResponse(res, this.server.keepAliveTimeout);
     let body: Buffer | undefined;
     try {
@@ -306,8 +313,11 @@
  * Creates the HTTP server for callers.
  *
  * @example
- * const ingress = createIngress(context);
+ * const ingress = createIngress(context, shedder);
  */
-export function createIngress(context: ForwardContext): Ingress {
-  return new Ingress(context);
+export function createIngress(
+  context: ForwardContext,
+  shedder: ConnectionShedder,
+): Ingress {
+  return new Ingress(context, shedder);
 }
--- a/packages/direct/src/peers/messages.ts
+++ b/packages/direct/src/peers/messages.ts
@@ -75,6 +75,8 @@
   limits: z.array(LimitReportSchema).optional(),
   /** Hash of the contents that the sender refuses; absent if there are none. */
   refusedHash: z.string().optional(),
+  /** Largest recent delay of the sender's event loop, in ms. */
+  lagMs: z.number().nonnegative().default(0),
   /** Whether the sender asks for a heartbeat in return. */
   wantsReply: z.boolean(),
   /** Whether the sender is shutting down. */
--- a/packages/direct/src/peers/peer-group.test.ts
+++ b/packages/direct/src/peers/peer-group.test.ts
@@ -46,6 +46,7 @@
     tracker,
     slowdowns: createIdleSlowdowns(log, readNow),
     suspects: createSuspectRequests(),
+    readLagMs: () => 0,
     limits: createIdleLimits(log, readNow),
     answerPermit: ({number}) => ({number, waitMs: 0}),
     onPermitAnswer: () => undefined,
--- a/packages/direct/src/peers/peer-group.ts
+++ b/packages/direct/src/peers/peer-group.ts
@@ -61,6 +61,8 @@
   readonly tracker: LoadTracker;
   readonly slowdowns: EngineSlowdowns;
   readonly suspects: SuspectRequests;
+  /** Returns the largest recent delay of the event loop, in ms. */
+  readonly readLagMs: () => number;
   readonly limits: RequestLimits;
   /** Answers the question of a peer for a permit. */
   readonly answerPermit: (question: PermitQuestion) => PermitAnswer;
@@ -223,6 +225,11 @@
     this.broadcast({jsonrpc: '2.0', method: 'ended', params: {key}});
   }
 
+  /** Lists the largest recent delays of the event loops of live peers, in ms. */
+  listLags(): readonly number[] {
+    return this.table.listAlive().map(({lagMs}) => lagMs);
+  }
+
   /** Announces crashes under requests, or answers that clear them. */
   announceCrashes(reports: readonly CrashReport[]): void {
     this.broadcast({jsonrpc: '2.0', method: 'crashed', params: [...reports]});
@@ -336,6 +343,7 @@
       crashes: crashes.length > 0 ? [...crashes] : undefined,
       limits: reports.length > 0 ? [...reports] : undefined,
       refusedHash: suspects.hashRefused(),
+      lagMs: Math.round(this.options.readLagMs()),
       leaves: this.isLeaving,
     };
   }
--- a/packages/direct/src/peers/peer-table.test.ts
+++ b/packages/direct/src/peers/peer-table.test.ts
@@ -24,6 +24,7 @@
     begun: [],
     placements: [],
     slowdowns: [],
+    lagMs: 0,
     wantsReply: false,
     leaves: false,
   };
--- a/packages/direct/src/peers/peer-table.ts
+++ b/packages/direct/src/peers/peer-table.ts
@@ -42,6 +42,8 @@
   contactSince: number;
   /** Hash of the contents that the peer refuses; absent if there are none. */
   refusedHash: string | undefined;
+  /** Largest recent delay of the peer's event loop, in ms. */
+  lagMs: number;
 }
 
 /**
@@ -92,6 +94,7 @@
       factsAgeMs: Infinity,
       contactSince: Infinity,
       refusedHash: undefined,
+      lagMs: 0,
     };
     if (host !== this.ownHost) this.peers.set(host, peer);
     return peer;
@@ -110,6 +113,7 @@
         ? peer.lastHeartbeatAt - heartbeat.contactMs
         : Infinity;
     peer.refusedHash = heartbeat.refusedHash;
+    peer.lagMs = heartbeat.lagMs;
     for (const host of heartbeat.peers) this.findOrAddPeer(host);
     return isFirst;
   }
