The soak plays parts under which targets crash; verdicts on parts that all share

Causes: suspects ran once at a time, so that three crashing ones in a row were evidence against a part that all share; a gate that was suspended, or that began later, held crashes which answers elsewhere had cleared; while every engine has crashed no answer can clear anything. Change: parts that have had answers run free until there is evidence to refuse them; a gate that hears of a crash which it knows to be cleared says so again; a proven part is refused 60 ms after its last crash at the earliest; without an answer to a request without the part in between it is refused for a second only, then for twice as long after each further crash.

--- a/packages/core/src/crashes/crash-exchange.test.ts
+++ b/packages/core/src/crashes/crash-exchange.test.ts
@@ -72,6 +72,7 @@
   settle(): void {
     for (let round = 0; round < 2; round++) {
       this.now += HEARTBEAT_MS;
+      for (const suspects of this.gates) suspects.expire();
       for (const from of this.gates)
         for (const to of this.gates)
           if (from.hashRefused() !== to.hashRefused())
--- a/packages/core/src/crashes/suspect-feature.ts
+++ b/packages/core/src/crashes/suspect-feature.ts
@@ -28,6 +28,8 @@
 
 /** What is known of other crashes when a feature is judged. */
 export interface CrashSurroundings {
+  /** The present time, in ms. */
+  readonly now: number;
   /** Targets whose crash a refused feature explains better. */
   listExplained(): ReadonlySet<string>;
   /** Returns whether servers crash that the feature does not explain. */
@@ -167,6 +169,11 @@
     this.isRefusedNow = false;
   }
 
+  /** Returns whether an answer has lately cleared a crash of a target. */
+  isClearedOf(target: string): boolean {
+    return [...this.cleared.keys()].some(key => key.split(' ')[0] === target);
+  }
+
   /** Forgets cleared crashes that no peer repeats any more. */
   expireCleared(now: number): void {
     for (const [key, at] of this.cleared)
--- a/packages/core/src/crashes/suspect-part.ts
+++ b/packages/core/src/crashes/suspect-part.ts
@@ -16,12 +16,21 @@
  */
 const CONTENTS_TO_REFUSE = 2;
 
-/** Number of crashed servers that make a proven part suspect. */
-const CRASHES_TO_SUSPECT_PROVEN = 2;
+/**
+ * Time for which peers may clear a proven part after a crash before it is refused,
+ * in ms; a few round trips within a region.
+ */
+const CLEARING_TIME_MS = 60;
 
 /** Time for which a part counts as proven after an answer that lasted, in ms. */
 const PROVEN_MS = 60_000;
 
+/**
+ * Time for which a part is refused at first while no answer without it has begun
+ * since its crashes, in ms.
+ */
+const UNCOMPARED_REFUSAL_MS = 1000;
+
 /** Time for which a proven part is refused at first, in ms. */
 const PROVEN_REFUSAL_MS = 10_000;
 
@@ -39,24 +48,32 @@
  */
 export class SuspectPart extends SuspectFeature {
   override readonly isVerdictShared = false;
+  /** Time of the newest begin of an answer without this part, in ms. */
+  private comparedAt = -Infinity;
 
   override get isProven(): boolean {
     const firstAt = Math.min(Infinity, ...this.listEarly().map(({at}) => at));
     return this.readProgressAt('lasted') > firstAt - PROVEN_MS;
   }
 
+  /**
+   * Returns whether no answer is known to have ever begun, or the crashes would be
+   * enough to refuse the part. Other parts are those that sound requests share, and
+   * the sooner one of these begins, the sooner the part is cleared.
+   */
   override isSuspect(explained: ReadonlySet<string>): boolean {
     const open = this.listOpen(explained);
-    if (open.length === 0) return false;
-    if (!this.isProven) return true;
+    if (this.readProgressAt('begun') === -Infinity) return open.length > 0;
     return (
-      countTargets(open) >= CRASHES_TO_SUSPECT_PROVEN &&
+      countTargets(open) >= CRASHES_TO_REFUSE &&
       countContents(open) >= CONTENTS_TO_REFUSE
     );
   }
 
   override isGuilty(surroundings: CrashSurroundings): boolean {
     if (this.listEarly().length < CRASHES_TO_REFUSE) return false;
+    const isFresh = surroundings.now - this.lastCrashAt < CLEARING_TIME_MS;
+    if (this.isProven && isFresh && !this.isRefused) return false;
     const open = this.listOpen(surroundings.listExplained());
     const count = this.isProven ? countRounds(open) : countTargets(open);
     if (count < CRASHES_TO_REFUSE) return false;
@@ -64,12 +81,23 @@
     return count >= CRASHES_TO_REFUSE_IN_WAVE || !surroundings.isWave();
   }
 
-  /** A proven part is tried again soon, and later after each further crash. */
+  /**
+   * A part that may be innocent is tried again soon, and later after each further
+   * crash: one with good answers before, or one of all requests while servers
+   * answer none.
+   */
   override readRefusalMs(refusalMs: number): number {
     const early = this.listEarly();
-    if (!this.isProven) return refusalMs;
+    const isCompared = early.some(({at}) => at <= this.comparedAt);
+    if (isCompared && !this.isProven) return refusalMs;
+    const firstMs = isCompared ? PROVEN_REFUSAL_MS : UNCOMPARED_REFUSAL_MS;
     const further = Math.max(0, countTargets(early) - CRASHES_TO_REFUSE);
-    return Math.min(refusalMs, PROVEN_REFUSAL_MS * 2 ** further);
+    return Math.min(refusalMs, firstMs * 2 ** further);
+  }
+
+  /** Records that an answer to a request without this part has begun. */
+  recordOtherBegin(at: number): void {
+    this.comparedAt = at;
   }
 
   /**
--- a/packages/core/src/crashes/suspect-requests.ts
+++ b/packages/core/src/crashes/suspect-requests.ts
@@ -43,8 +43,11 @@
  */
 const REPEAT_MS = 3200;
 
-/** Maximum number of parts whose latest lasting answer is remembered. */
-const MAX_PROVEN_PARTS = 4096;
+/** Shortest time between two corrections of peers on one feature, in ms. */
+const CORRECTION_INTERVAL_MS = 500;
+
+/** Maximum number of parts whose latest answers are remembered. */
+const MAX_KNOWN_PARTS = 4096;
 
 /** Maximum number of parts of one prompt that crashes and answers count for. */
 const MAX_PARTS = 48;
@@ -116,9 +119,17 @@
   /** Features that this gate observed, and the time to repeat them until. */
   private readonly repeatUntil = new Map<string, number>();
   private readonly refusalListeners = new Set<RefusalListener>();
+  /** Times at which peers were last corrected, by feature. */
+  private readonly correctedAt = new LRUCache<string, number>({
+    max: MAX_KNOWN_PARTS,
+  });
+  /** Times at which the newest answers began, by part. */
+  private readonly begunAt = new LRUCache<string, number>({
+    max: MAX_KNOWN_PARTS,
+  });
   /** Times at which the newest lasting answers began, by part. */
   private readonly provenAt = new LRUCache<string, number>({
-    max: MAX_PROVEN_PARTS,
+    max: MAX_KNOWN_PARTS,
   });
 
   constructor(private readonly options: SuspectRequestsOptions) {}
@@ -209,9 +220,13 @@
    * prompt.
    */
   recordBegin(fingerprint: Fingerprint): void {
+    const now = this.options.readNow();
+    for (const id of fingerprint.partIds.slice(0, MAX_PARTS))
+      this.begunAt.set(id, now);
+    for (const part of this.table.listPartsByCrashes())
+      if (!fingerprint.isFeature(part.id)) part.recordOtherBegin(now);
     const parts = this.table.findParts(fingerprint);
-    if (parts.length === 0) return;
-    this.recordProgress(parts, 'begun', this.options.readNow());
+    if (parts.length > 0) this.recordProgress(parts, 'begun', now);
   }
 
   /**
@@ -281,6 +296,7 @@
   /** Forgets features whose newest crash or answer is long past. */
   expire(): void {
     const now = this.options.readNow();
+    this.refuseGuiltyParts('own');
     for (const feature of this.table.list()) {
       feature.expireCleared(now);
       if (feature.isRefused && this.readLeftMs(feature) === 0)
@@ -318,6 +334,7 @@
     return new TableSurroundings(
       feature,
       this.table,
+      this.options.readNow(),
       () => this.options.listEnded?.() ?? NO_ENDED,
     );
   }
@@ -329,7 +346,9 @@
   ): readonly SuspectFeature[] {
     const content = this.table.findOrAdd(fingerprint.id);
     if (!isEarly) return [content];
-    const parts = this.pickParts(fingerprint).map(id => this.findOrAddPart(id));
+    const parts = this.pickParts(fingerprint).map(id =>
+      this.findOrAddFeature(id),
+    );
     return [content, ...parts];
   }
 
@@ -340,16 +359,16 @@
     return [...new Set([...unproven, ...partIds])].slice(0, MAX_PARTS);
   }
 
-  private findOrAddPart(id: string): SuspectFeature {
+  /** Finds a feature, or adds it with what is known of earlier answers. */
+  private findOrAddFeature(id: string): SuspectFeature {
     const known = this.table.find(id);
     if (known !== undefined) return known;
-    const part = this.table.findOrAdd(id);
+    const feature = this.table.findOrAdd(id);
+    const begunAt = this.begunAt.get(id);
+    if (begunAt !== undefined) feature.recordProgress('begun', begunAt);
     const provenAt = this.provenAt.get(id);
-    if (provenAt !== undefined) {
-      part.recordProgress('begun', provenAt);
-      part.recordProgress('lasted', provenAt);
-    }
-    return part;
+    if (provenAt !== undefined) feature.recordProgress('lasted', provenAt);
+    return feature;
   }
 
   private recordProgress(
@@ -402,7 +421,7 @@
     const now = this.options.readNow();
     // An answer may come before the crashes that it clears.
     let isChanged = this.table.find(report.content) === undefined;
-    const feature = this.table.findOrAdd(report.content);
+    const feature = this.findOrAddFeature(report.content);
     isChanged = this.mergeProgress(feature, report, now) || isChanged;
     for (const wire of report.crashes) {
       const {target, ageMs, early, begun, ranMs = 0, run = '', account} = wire;
@@ -421,6 +440,7 @@
       this.options.onPeerCrash?.(target);
     }
     if (isChanged) this.options.forward?.(feature.toReport(now));
+    this.notifyPeers(feature, report, now);
     const isRefusedByPeer =
       report.refused === true &&
       feature.isVerdictShared &&
@@ -433,6 +453,22 @@
       this.refuseGuiltyParts('peer', isNewVerdict ? feature.id : undefined);
   }
 
+  /**
+   * Tells peers again of an answer that cleared a crash which one of them still
+   * counts, as that gate was suspended or the announcement was lost.
+   */
+  private notifyPeers(
+    feature: SuspectFeature,
+    {crashes}: CrashReport,
+    now: number,
+  ): void {
+    const isStale = crashes.some(({target}) => feature.isClearedOf(target));
+    const toldAt = this.correctedAt.get(feature.id) ?? -Infinity;
+    if (!isStale || now - toldAt < CORRECTION_INTERVAL_MS) return;
+    this.correctedAt.set(feature.id, now);
+    this.announce([feature], now);
+  }
+
   /** Merges answers; returns whether they dropped crashes. */
   private mergeProgress(
     feature: SuspectFeature,
@@ -471,6 +507,7 @@
       const surroundings = this.describeSurroundings(part);
       const isWaveOver = part.isRefused || part.id === refusedByPeer;
       const isGuilty = part.isGuilty({
+        now: this.options.readNow(),
         listExplained: () => surroundings.listExplained(),
         isWave: () => !isWaveOver && surroundings.isWave(),
       });
--- a/packages/core/src/crashes/suspect-table.ts
+++ b/packages/core/src/crashes/suspect-table.ts
@@ -90,10 +90,11 @@
   }
 
   /** Lists the parts with crashes, those of the most servers first. */
-  listPartsByCrashes(): readonly SuspectFeature[] {
+  listPartsByCrashes(): readonly SuspectPart[] {
     if (this.partCount === 0) return [];
     return this.list()
-      .filter(({id, hasCrashes}) => hasCrashes && isPartId(id))
+      .filter(feature => feature instanceof SuspectPart)
+      .filter(({hasCrashes}) => hasCrashes)
       .map(part => ({part, count: part.targets.length}))
       .sort((a, b) => b.count - a.count)
       .map(({part}) => part);
--- a/packages/core/src/crashes/table-surroundings.ts
+++ b/packages/core/src/crashes/table-surroundings.ts
@@ -13,7 +13,7 @@
  * Crashes around those of one feature.
  *
  * @example
- * feature.isGuilty(new TableSurroundings(feature, table, () => new Map()));
+ * feature.isGuilty(new TableSurroundings(feature, table, now, () => new Map()));
  */
 export class TableSurroundings implements CrashSurroundings {
   /**
@@ -23,6 +23,7 @@
   constructor(
     private readonly feature: SuspectFeature,
     private readonly table: SuspectTable,
+    readonly now: number,
     private readonly listEnded: () => ReadonlyMap<string, number>,
   ) {}
 
--- a/packages/nutmeggauge/src/soak/callers.ts
+++ b/packages/nutmeggauge/src/soak/callers.ts
@@ -54,8 +54,20 @@
    * @default differs from request to request
    */
   readonly promptTokens?: number;
+  /**
+   * Ids of the parts of a prompt that it shares with others.
+   *
+   * @default only the part that all prompts share
+   */
+  readonly sharedParts?: readonly string[];
 }
 
+/** Id of a part that all prompts share. */
+const COMMON_PART = 'c0';
+
+/** Id of the last part of each prompt, which is its own. */
+const OWN_PART = 'e0';
+
 /**
  * A caller that sends requests to gates over keep-alive connections that no
  * other caller uses.
@@ -107,6 +119,9 @@
       // Polls are the same each time; other requests differ.
       kind === 'safe' ? undefined : (content ?? requestId),
       patienceMs,
+      isPrompt(kind)
+        ? [COMMON_PART, ...(options.sharedParts ?? []), OWN_PART]
+        : undefined,
     );
   }
 
@@ -145,6 +160,7 @@
     promptTokens: number | undefined,
     content: string | undefined,
     patienceMs: number,
+    parts: readonly string[] | undefined,
   ): Promise<CallerRecord> {
     const {kind, requestId, key} = this.sent;
     return new Promise(resolve => {
@@ -159,6 +175,7 @@
           key,
           deadlineMs: DEADLINE_MS,
           promptTokens,
+          parts,
         }),
       });
       const timer = setTimeout(() => {
--- a/packages/nutmeggauge/src/soak/check-crashing.ts
+++ b/packages/nutmeggauge/src/soak/check-crashing.ts
@@ -17,7 +17,8 @@
 const REFUSAL_REASON = 'crashes_servers';
 
 /**
- * Finds requests that still run after three targets have crashed under them, and
+ * Finds requests that still run after three targets have crashed under them or a
+ * part of their prompts, requests with a whole answer of a target that crashed, and
  * other requests that are refused for crashes.
  *
  * @example
@@ -35,7 +36,14 @@
       requestId,
       detail: kind,
     }));
-  return [...late, ...refused];
+  const whole = history.crashing
+    .filter(({status, isWhole}) => status === 200 && isWhole)
+    .map(({requestId}) => ({
+      promise: 'crashing-request' as const,
+      requestId,
+      detail: 'whole answer of a target that crashed',
+    }));
+  return [...late, ...refused, ...whole];
 }
 
 function checkContent(
--- a/packages/nutmeggauge/src/soak/crashing-callers.ts
+++ b/packages/nutmeggauge/src/soak/crashing-callers.ts
@@ -1,10 +1,15 @@
 /**
  * Callers that send a request again and again under which targets crash, as a
- * client does that retries whatever happens.
+ * client does that retries whatever happens, or ever new requests that share the
+ * part of their prompts under which targets crash.
  */
 import {setTimeout as sleep} from 'node:timers/promises';
-import {CRASHING_BODY_PREFIX} from '@nutmeggauge/platform';
+import {
+  CRASHING_BODY_PREFIX,
+  CRASHING_PART_PREFIX,
+} from '@nutmeggauge/platform';
 import {runSeededCallers} from './seeded-callers.js';
+import type {CallOptions} from './callers.js';
 import type {CallerRecord} from './history.js';
 import type {CallerKind, SeededCallersOptions} from './seeded-callers.js';
 import type {SoakHarness} from './soak-harness.js';
@@ -29,12 +34,16 @@
 ): Promise<readonly CallerRecord[]> {
   const {endpoints} = harness;
   return runSeededCallers(CRASHING, options, async ({index, caller, draw}) => {
-    const content = `${CRASHING_BODY_PREFIX}${index}`;
+    // Every second caller shares a part among requests of which no two are alike.
+    const isByPart = index % 2 === 1;
+    const call: CallOptions = isByPart
+      ? {sharedParts: [`${CRASHING_PART_PREFIX}${index}`]}
+      : {content: `${CRASHING_BODY_PREFIX}${index}`};
     const calls: Array<Promise<CallerRecord>> = [];
     await sleep(draw(MAX_START_MS));
     while (performance.now() < options.endsAt) {
       const endpoint = endpoints[draw(endpoints.length)];
-      calls.push(caller.call(endpoint, 'stream', harness.key, {content}));
+      calls.push(caller.call(endpoint, 'stream', harness.key, call));
       await sleep(draw(MAX_PAUSE_MS));
     }
     return calls;
