Only the gate whose answer cleared a crash corrects a peer that still counts it

Cause, found by reading the change: every gate that knew of the clearing announced it again, and a crash of the same server under another content looked cleared, so that gates could go on to correct each other, at 68 gates thousands of datagrams for one late report. Ruled out: an answer to the sender alone (the others of its kind are stale too). Change: a cleared crash is known by its own key and by whose answer cleared it. Begins of other answers no longer sort the table of parts. Before: the new test fails (other gates announce).

--- a/packages/core/src/crashes/crash-report.ts
+++ b/packages/core/src/crashes/crash-report.ts
@@ -34,6 +34,7 @@
   /** Whether requests with this feature are refused. */
   refused: z.literal(true).optional(),
 });
+export type ReportedCrash = Readonly<z.output<typeof WireCrashSchema>>;
 export type CrashReport = Readonly<z.output<typeof CrashReportSchema>>;
 
 /** Several crash reports in one message. */
--- a/packages/core/src/crashes/crash.ts
+++ b/packages/core/src/crashes/crash.ts
@@ -1,4 +1,5 @@
 /** Crashes of servers under requests. */
+import type {ReportedCrash} from './crash-report.js';
 import type {Fingerprint} from './fingerprint.js';
 
 /**
@@ -83,3 +84,25 @@
     account: fingerprint.account,
   };
 }
+
+/**
+ * Reads a crash from the report of a peer.
+ *
+ * @example
+ * feature.addCrash(parseCrash(report.crashes[0], performance.now()));
+ */
+export function parseCrash(
+  {target, ageMs, early, begun, ranMs = 0, run = '', account}: ReportedCrash,
+  now: number,
+): Crash {
+  const at = now - ageMs;
+  return {
+    target,
+    at,
+    isEarly: early === true,
+    hasBegun: begun === true,
+    sentAt: at - ranMs,
+    run,
+    account,
+  };
+}
--- a/packages/core/src/crashes/suspect-feature.ts
+++ b/packages/core/src/crashes/suspect-feature.ts
@@ -36,6 +36,14 @@
   isWave(): boolean;
 }
 
+/** Crash that an answer has cleared. */
+interface ClearedCrash {
+  /** Time at which it was cleared, in ms. */
+  readonly at: number;
+  /** Whether an answer of this process has cleared it. */
+  readonly isOwn: boolean;
+}
+
 /**
  * Crashes under requests with one feature since an answer has cleared it. Copies
  * in different gates agree once they have merged the same reports, in any order.
@@ -46,8 +54,8 @@
  */
 export abstract class SuspectFeature {
   private readonly crashes = new Map<string, Crash>();
-  /** Times at which crashes were cleared, by their key. */
-  private readonly cleared = new Map<string, number>();
+  /** Crashes that were cleared, by their key. */
+  private readonly cleared = new Map<string, ClearedCrash>();
   private readonly progressAt: Record<AnswerProgress, number> = {
     begun: -Infinity,
     lasted: -Infinity,
@@ -145,15 +153,16 @@
   /**
    * Records how far an answer has come, which drops crashes that it clears.
    *
+   * @param isOwn - Whether it is an answer of this process.
    * @returns whether a crash was dropped.
    */
-  recordProgress(progress: AnswerProgress, at: number): boolean {
+  recordProgress(progress: AnswerProgress, at: number, isOwn = false): boolean {
     this.progressAt[progress] = Math.max(this.progressAt[progress], at);
     const before = this.crashes.size;
     for (const [key, crash] of this.crashes) {
       if (!this.isCleared(crash)) continue;
       this.crashes.delete(key);
-      this.cleared.set(key, at);
+      this.cleared.set(key, {at, isOwn});
     }
     if (this.crashes.size === 0) this.isRefusedNow = false;
     return this.crashes.size < before;
@@ -169,14 +178,14 @@
     this.isRefusedNow = false;
   }
 
-  /** Returns whether an answer has lately cleared a crash of a target. */
-  isClearedOf(target: string): boolean {
-    return [...this.cleared.keys()].some(key => key.split(' ')[0] === target);
+  /** Returns whether an answer of this process has lately cleared a crash. */
+  isClearedHere(crash: Crash): boolean {
+    return this.cleared.get(this.buildKey(crash))?.isOwn === true;
   }
 
   /** Forgets cleared crashes that no peer repeats any more. */
   expireCleared(now: number): void {
-    for (const [key, at] of this.cleared)
+    for (const [key, {at}] of this.cleared)
       if (now - at > CLEARED_RETENTION_MS) this.cleared.delete(key);
   }
 
--- a/packages/core/src/crashes/suspect-parts.test.ts
+++ b/packages/core/src/crashes/suspect-parts.test.ts
@@ -136,6 +136,24 @@
     expect(late.judge(['p'])).toEqual('free');
   });
 
+  it('is told again only by the gate whose answer has cleared it', () => {
+    // Guards against all gates that correct each other at once.
+    const gate = new TestGate();
+    const other = new TestGate();
+    gate.recordCrash('s1', ['p']);
+    const stale = gate.announced.splice(0);
+    other.suspects.merge(stale);
+    gate.begin(['p']);
+    other.suspects.merge(gate.announced.splice(0));
+    other.announced.length = 0;
+    other.suspects.merge(stale);
+    expect(other.announced).toEqual([]);
+    gate.suspects.merge(stale);
+    expect(gate.announced.length).toEqual(1);
+    gate.suspects.merge(stale);
+    expect(gate.announced.length).toEqual(1);
+  });
+
   it('that has had answers does not hold up requests with it by one or two crashes', () => {
     // Guards against thousands of sound requests that wait for each other.
     const gate = new TestGate();
--- a/packages/core/src/crashes/suspect-requests.ts
+++ b/packages/core/src/crashes/suspect-requests.ts
@@ -5,7 +5,7 @@
  */
 import {createHash} from 'node:crypto';
 import {LRUCache} from 'lru-cache';
-import {toCrash} from './crash.js';
+import {parseCrash, toCrash} from './crash.js';
 import {isPartId} from './fingerprint.js';
 import {SuspectTable} from './suspect-table.js';
 import {TableSurroundings} from './table-surroundings.js';
@@ -223,7 +223,7 @@
     const now = this.options.readNow();
     for (const id of fingerprint.partIds.slice(0, MAX_PARTS))
       this.begunAt.set(id, now);
-    for (const part of this.table.listPartsByCrashes())
+    for (const part of this.table.listParts())
       if (!fingerprint.isFeature(part.id)) part.recordOtherBegin(now);
     const parts = this.table.findParts(fingerprint);
     if (parts.length > 0) this.recordProgress(parts, 'begun', now);
@@ -379,7 +379,7 @@
     const now = this.options.readNow();
     const cleared = features.filter(feature => {
       const {targets} = feature;
-      if (!feature.recordProgress(progress, at)) return false;
+      if (!feature.recordProgress(progress, at, true)) return false;
       this.recordCleared(feature, targets, 'own');
       return true;
     });
@@ -423,24 +423,15 @@
     let isChanged = this.table.find(report.content) === undefined;
     const feature = this.findOrAddFeature(report.content);
     isChanged = this.mergeProgress(feature, report, now) || isChanged;
-    for (const wire of report.crashes) {
-      const {target, ageMs, early, begun, ranMs = 0, run = '', account} = wire;
-      const at = now - ageMs;
-      const crash = {
-        target,
-        at,
-        isEarly: early === true,
-        hasBegun: begun === true,
-        sentAt: at - ranMs,
-        run,
-        account,
-      };
+    const crashes = report.crashes.map(crash => parseCrash(crash, now));
+    for (const crash of crashes) {
       if (!feature.addCrash(crash)) continue;
       isChanged = true;
-      this.options.onPeerCrash?.(target);
+      this.options.onPeerCrash?.(crash.target);
     }
     if (isChanged) this.options.forward?.(feature.toReport(now));
-    this.notifyPeers(feature, report, now);
+    if (crashes.some(crash => feature.isClearedHere(crash)))
+      this.announceAgain(feature, now);
     const isRefusedByPeer =
       report.refused === true &&
       feature.isVerdictShared &&
@@ -454,17 +445,12 @@
   }
 
   /**
-   * Tells peers again of an answer that cleared a crash which one of them still
-   * counts, as that gate was suspended or the announcement was lost.
+   * Announces again what has cleared a crash that a peer still counts, as that gate
+   * was suspended or the announcement was lost.
    */
-  private notifyPeers(
-    feature: SuspectFeature,
-    {crashes}: CrashReport,
-    now: number,
-  ): void {
-    const isStale = crashes.some(({target}) => feature.isClearedOf(target));
+  private announceAgain(feature: SuspectFeature, now: number): void {
     const toldAt = this.correctedAt.get(feature.id) ?? -Infinity;
-    if (!isStale || now - toldAt < CORRECTION_INTERVAL_MS) return;
+    if (now - toldAt < CORRECTION_INTERVAL_MS) return;
     this.correctedAt.set(feature.id, now);
     this.announce([feature], now);
   }
--- a/packages/core/src/crashes/suspect-table.ts
+++ b/packages/core/src/crashes/suspect-table.ts
@@ -89,12 +89,17 @@
     return ranked.map(({feature}) => feature);
   }
 
-  /** Lists the parts with crashes, those of the most servers first. */
-  listPartsByCrashes(): readonly SuspectPart[] {
+  /** Lists the parts with crashes. */
+  listParts(): readonly SuspectPart[] {
     if (this.partCount === 0) return [];
     return this.list()
       .filter(feature => feature instanceof SuspectPart)
-      .filter(({hasCrashes}) => hasCrashes)
+      .filter(({hasCrashes}) => hasCrashes);
+  }
+
+  /** Lists the parts with crashes, those of the most servers first. */
+  listPartsByCrashes(): readonly SuspectPart[] {
+    return this.listParts()
       .map(part => ({part, count: part.targets.length}))
       .sort((a, b) => b.count - a.count)
       .map(({part}) => part);
