A report holds at most eight crashes of a feature

Cause: a part with many open crashes was reported with up to 32 of them, and 64 such reports are too long for a datagram; found by reading the change. Ruled out: fewer reports (each gate that starts needs all that is refused). Change: the newest ones that tell of another server or content; the verdict needs four at most. Before: 32 crashes a report.

--- a/packages/core/src/crashes/suspect-feature.ts
+++ b/packages/core/src/crashes/suspect-feature.ts
@@ -14,6 +14,9 @@
 /** Maximum number of crashes that are kept of one feature. */
 const MAX_CRASHES = 32;
 
+/** Maximum number of crashes in a report, which bounds its size. */
+const MAX_REPORTED_CRASHES = 8;
+
 /**
  * Time for which a cleared crash is remembered, in ms; above the time for which
  * peers repeat it.
@@ -196,7 +199,7 @@
       at === -Infinity ? undefined : toAge(at);
     return {
       content: this.id,
-      crashes: this.listCrashes().map(crash => ({
+      crashes: this.pickReported().map(crash => ({
         target: crash.target,
         ageMs: toAge(crash.at),
         early: crash.isEarly ? true : undefined,
@@ -215,6 +218,20 @@
     crash: Crash,
   ): Partial<CrashReport['crashes'][number]>;
 
+  /** Picks the newest crashes that tell of another target or run. */
+  private pickReported(): readonly Crash[] {
+    if (this.crashes.size <= MAX_REPORTED_CRASHES) return this.listCrashes();
+    const seen = new Set<string>();
+    const telling = [...this.crashes.values()]
+      .sort((a, b) => b.at - a.at)
+      .filter(({target, run}) => {
+        const isNew = !seen.has(target) || !seen.has(run);
+        seen.add(target).add(run);
+        return isNew;
+      });
+    return telling.slice(0, MAX_REPORTED_CRASHES);
+  }
+
   private isCleared(crash: Crash): boolean {
     return crash.at <= this.progressAt[this.findClearing(crash)];
   }
--- a/packages/core/src/crashes/suspect-parts.test.ts
+++ b/packages/core/src/crashes/suspect-parts.test.ts
@@ -337,6 +337,19 @@
     expect(gate.judge(['search/p'])).toEqual('free');
   });
 
+  it('is reported with few of its crashes, and is refused by the peer all the same', () => {
+    // Guards against a heartbeat that is too long for a datagram.
+    const gate = new TestGate();
+    const peer = new TestGate();
+    for (let i = 0; i < 40; i++) gate.recordCrash(`s${i % 4}`, ['p']);
+    const reports = gate.suspects.listAll();
+    const part = reports.find(({content}) => content === 'part:p');
+    expect(Number(part?.crashes.length) <= 8).toEqual(true);
+    peer.now = gate.now;
+    peer.suspects.merge(reports);
+    expect(peer.judge(['p'])).toEqual('refused');
+  });
+
   it('stays refused in bounded memory and messages however many parts crash', () => {
     // Guards against prompts of many parts that displace a refused one.
     const gate = new TestGate();
