Peer group: datagrams, heartbeats and peers' placements in modules of their own

peer-group.ts had 517 lines and four duties. The transport of datagrams and the exchange of facts are abstract classes now, so that a fleet of gates can run without sockets in tests.

--- a/packages/direct/src/gate.ts
+++ b/packages/direct/src/gate.ts
@@ -28,6 +28,8 @@
 import {Permits} from './limits/permits.js';
 import {RequestLimits} from './limits/request-limits.js';
 import {UnknownFields} from './observe/unknown-fields.js';
+import {UdpTransport} from './peers/datagram-transport.js';
+import {RpcFactsExchange} from './peers/facts-exchange.js';
 import {PeerGroup} from './peers/peer-group.js';
 import {createLoadTracker} from './placement/load-tracker.js';
 import {ChoiceScheduler} from './placement/choice-scheduler.js';
@@ -187,7 +189,15 @@
     });
     this.peers = new PeerGroup({
       host: settings.peers.host,
-      port: settings.peers.port,
+      transport: new UdpTransport(settings.peers, (error, peer) =>
+        log.warn('peer_datagram_failed', {peer, reason: error.message}),
+      ),
+      facts: new RpcFactsExchange({
+        address: settings.peers,
+        state,
+        log,
+        readNow,
+      }),
       incarnation: `${process.pid}.${Math.floor(Math.random() * 1e9)}`,
       seedHosts: settings.seedHosts,
       state,
--- a/packages/direct/src/peers/facts-exchange.ts
+++ b/packages/direct/src/peers/facts-exchange.ts
@@ -48,6 +48,50 @@
  */
 const MAX_CONCURRENT_TRANSFERS = 2;
 
+/** Hands facts to peers and fetches theirs. */
+export abstract class FactsExchange {
+  /** Starts to hand facts to peers. */
+  abstract open(): Promise<void>;
+
+  /**
+   * Fetches facts from the peer on `host` that are newer than the known ones.
+   *
+   * @throws FactsBusyError if the peer already serves its maximum number of
+   *   gates.
+   */
+  abstract fetch(host: string, known: FactVersions): Promise<SharedFacts>;
+
+  /** Stops to hand facts to peers. */
+  abstract close(): void;
+}
+
+/**
+ * Facts over JSON-RPC, at the same port of each gate.
+ *
+ * @example
+ * const facts = new RpcFactsExchange({address, state, log, readNow});
+ * await facts.open();
+ */
+export class RpcFactsExchange extends FactsExchange {
+  private server: Server | undefined;
+
+  constructor(private readonly options: FactsServerOptions) {
+    super();
+  }
+
+  override async open(): Promise<void> {
+    this.server = await openFactsServer(this.options);
+  }
+
+  override fetch(host: string, known: FactVersions): Promise<SharedFacts> {
+    return fetchSharedFacts(`${host}:${this.options.address.port}`, known);
+  }
+
+  override close(): void {
+    this.server?.close();
+  }
+}
+
 /** Dependencies of the server that sends facts to peers. */
 export interface FactsServerOptions {
   readonly address: ListenAddress;
--- a/packages/direct/src/peers/peer-group.test.ts
+++ b/packages/direct/src/peers/peer-group.test.ts
@@ -12,6 +12,8 @@
 import {createIdleLimits} from '../test/idle-limits.js';
 import {createQuietTurns} from '../test/quiet-turns.js';
 import {createLoadTracker} from '../placement/load-tracker.js';
+import {UdpTransport} from './datagram-transport.js';
+import {RpcFactsExchange} from './facts-exchange.js';
 import {PeerGroup} from './peer-group.js';
 import type {FleetState} from '../fleet/fleet-state.js';
 import type {LoadTracker} from '../placement/load-tracker.js';
@@ -36,10 +38,14 @@
   const tracker = createLoadTracker(() => ENGINE);
   const state = createFleetState(readNow);
   const log = createDecisionLog({proc: host, output, readWallMs: Date.now});
+  const address = {host, port: PORT};
   const member = {contactMs: 0, tracker, state};
   const group = new PeerGroup({
     host,
-    port: PORT,
+    transport: new UdpTransport(address, error => {
+      throw error;
+    }),
+    facts: new RpcFactsExchange({address, state, log, readNow}),
     incarnation: String(Math.random()),
     seedHosts,
     state,
--- a/packages/direct/src/peers/peer-group.ts
+++ b/packages/direct/src/peers/peer-group.ts
@@ -4,30 +4,24 @@
  * down. Known hosts are still contacted for a while after their heartbeats have
  * stopped, so that a restarted gate is found without seeds.
  */
-import {createSocket} from 'node:dgram';
-import {setTimeout as sleep} from 'node:timers/promises';
 import {PlacementAnnouncer} from '../placement/prompt-placer.js';
 import {HOLD_AFTER_OUTAGE_MS} from '../fleet/target-table.js';
-import {fetchSharedFacts, openFactsServer} from './facts-exchange.js';
 import {createFactsFetcher} from './facts-fetcher.js';
-import {DatagramSchema, toPlacement, toWirePlacement} from './messages.js';
+import {buildHeartbeat} from './heartbeat-builder.js';
+import {DatagramSchema, toWirePlacement} from './messages.js';
+import {PeerPlacements, formatOwner} from './peer-placements.js';
 import {PeerTable} from './peer-table.js';
 import {StartupSync} from './startup-sync.js';
-import type {Socket as DatagramSocket} from 'node:dgram';
-import type {Server} from 'node:net';
-import type {
-  CrashReport,
-  SuspectRequests,
-  TurnMonitor,
-} from '@nutmeggauge/core';
-import type {EngineSlowdowns} from '../health/engine-slowdowns.js';
-import type {FactVersions, FleetState} from '../fleet/fleet-state.js';
+import type {CrashReport, TurnMonitor} from '@nutmeggauge/core';
+import type {FactVersions} from '../fleet/fleet-state.js';
 import type {DecisionLog} from '../observe/decision-log.js';
 import type {PermitAnswer, PermitQuestion} from '../limits/permits.js';
-import type {LimitReport, RequestLimits} from '../limits/request-limits.js';
-import type {LoadTracker} from '../placement/load-tracker.js';
+import type {LimitReport} from '../limits/request-limits.js';
 import type {Placement} from '../placement/placement.js';
+import type {DatagramTransport} from './datagram-transport.js';
+import type {FactsExchange} from './facts-exchange.js';
 import type {FactsFetcher} from './facts-fetcher.js';
+import type {HeartbeatSources} from './heartbeat-builder.js';
 import type {Heartbeat, Datagram} from './messages.js';
 import type {Peer} from './peer-table.js';
 
@@ -46,24 +40,11 @@
  */
 const STORE_SILENT_MS = 3000;
 
-/** Time for the last datagrams to be sent before the socket closes, in ms. */
-const LEAVE_FLUSH_MS = 30;
-
 /** Dependencies of a peer group. */
-export interface PeerGroupOptions {
-  /** Address of this gate, which also identifies it among the peers. */
-  readonly host: string;
-  readonly port: number;
-  /** Identifies one run of the process; differs after each restart. */
-  readonly incarnation: string;
+export interface PeerGroupOptions extends HeartbeatSources {
+  readonly transport: DatagramTransport;
+  readonly facts: FactsExchange;
   readonly seedHosts: readonly string[];
-  readonly state: FleetState;
-  readonly tracker: LoadTracker;
-  readonly slowdowns: EngineSlowdowns;
-  readonly suspects: SuspectRequests;
-  /** Returns the largest recent delay of the event loop, in ms. */
-  readonly readLagMs: () => number;
-  readonly limits: RequestLimits;
   /** Answers the question of a peer for a permit. */
   readonly answerPermit: (question: PermitQuestion) => PermitAnswer;
   /** Called with the answer of a peer to a question of this gate. */
@@ -72,14 +53,6 @@
   readonly onTargetEnd: (target: string) => void;
   readonly turns: TurnMonitor;
   readonly log: DecisionLog;
-  readonly readNow: () => number;
-  /** Returns the age of the last answer from the store, in ms. */
-  readonly readStoreAgeMs: () => number;
-  /**
-   * Returns the time for which the store has answered this gate without an
-   * outage, in ms; 0 during an outage.
-   */
-  readonly readContactMs: () => number;
 }
 
 /**
@@ -92,8 +65,7 @@
 export class PeerGroup extends PlacementAnnouncer {
   private readonly table: PeerTable;
   private seedHosts: readonly string[];
-  private socket: DatagramSocket | undefined;
-  private server: Server | undefined;
+  private readonly placements: PeerPlacements;
   private timer: NodeJS.Timeout | undefined;
   private changeTimer: NodeJS.Timeout | undefined;
   private readonly fetcher: FactsFetcher;
@@ -103,10 +75,11 @@
   constructor(private readonly options: PeerGroupOptions) {
     super();
     this.seedHosts = options.seedHosts;
-    const {host: ownHost, state, log, readNow, port, readStoreAgeMs} = options;
+    const {host: ownHost, state, log, readNow, readStoreAgeMs} = options;
     const fetch = (host: string, known: FactVersions) =>
-      fetchSharedFacts(`${host}:${port}`, known);
+      options.facts.fetch(host, known);
     this.table = new PeerTable(ownHost, readNow);
+    this.placements = new PeerPlacements(options.tracker, readNow);
     this.startupSync = new StartupSync({
       state,
       listPeers: () => this.listGates().filter(host => host !== ownHost),
@@ -166,21 +139,11 @@
 
   /** Opens the sockets and starts the heartbeats. */
   async start(): Promise<void> {
-    const {host, port, state, turns, log, readNow} = this.options;
-    const socket = createSocket('udp4');
-    this.socket = socket;
-    socket.on('message', bytes =>
+    const {transport, facts, turns} = this.options;
+    await transport.open(bytes =>
       turns.run('peer_message', () => this.receive(bytes)),
     );
-    socket.on('error', error =>
-      log.warn('peer_socket_failed', {reason: error.message}),
-    );
-    await new Promise<void>((resolve, reject) => {
-      socket.once('error', reject);
-      socket.bind(port, host, resolve);
-    });
-    const address = {host, port};
-    this.server = await openFactsServer({address, state, log, readNow});
+    await facts.open();
     this.timer = setInterval(
       () => turns.run('heartbeats', () => this.broadcastHeartbeats()),
       HEARTBEAT_MS,
@@ -201,12 +164,8 @@
     this.broadcastHeartbeats();
     clearInterval(this.timer);
     clearTimeout(this.changeTimer);
-    this.server?.close();
-    const {socket} = this;
-    this.socket = undefined;
-    // Lets the last datagrams be sent before the socket closes.
-    await sleep(LEAVE_FLUSH_MS);
-    socket?.close();
+    this.options.facts.close();
+    await this.options.transport.close();
   }
 
   override announcePlaced(placement: Placement): void {
@@ -262,22 +221,13 @@
   }
 
   private send(host: string, message: Datagram): void {
-    this.sendBytes(host, Buffer.from(JSON.stringify(message)));
+    this.options.transport.send(host, Buffer.from(JSON.stringify(message)));
   }
 
   private broadcast(message: Datagram): void {
     const bytes = Buffer.from(JSON.stringify(message));
-    for (const {host} of this.table.listAlive()) this.sendBytes(host, bytes);
-  }
-
-  private sendBytes(host: string, bytes: Buffer): void {
-    this.socket?.send(bytes, this.options.port, host, error => {
-      if (error !== null && error !== undefined)
-        this.options.log.warn('peer_send_failed', {
-          peer: host,
-          reason: error.message,
-        });
-    });
+    for (const {host} of this.table.listAlive())
+      this.options.transport.send(host, bytes);
   }
 
   private broadcastHeartbeats(wantsReply = false): void {
@@ -290,7 +240,7 @@
     const toAsked = formatHeartbeat({...heartbeat, wantsReply: true});
     for (const host of hosts) {
       const isAsked = host === refusalSource || !this.table.isHeardFrom(host);
-      this.sendBytes(host, isAsked ? toAsked : toAll);
+      this.options.transport.send(host, isAsked ? toAsked : toAll);
     }
   }
 
@@ -308,44 +258,14 @@
     return sources[Math.floor(Math.random() * sources.length)]?.host;
   }
 
-  /**
-   * @param isFull - Whether the heartbeat includes complete placements and all
-   *   known crashes.
-   */
   private buildHeartbeat(isFull: boolean): Omit<Heartbeat, 'wantsReply'> {
-    const {state, tracker, slowdowns, suspects, limits} = this.options;
-    const {readNow, incarnation} = this.options;
-    const {readStoreAgeMs, readContactMs} = this.options;
-    const now = readNow();
-    const ownPlacements = tracker.listOwnedBy(this.owner);
-    const reports = limits.listAll();
-    const crashes = isFull ? suspects.listAll() : suspects.listRecent();
-    return {
-      from: this.options.host,
-      incarnation,
-      configVersion: state.config?.version ?? 0,
-      ...state.position,
-      factsAgeMs: Math.round(readStoreAgeMs()),
-      contactMs: Math.round(readContactMs()),
-      peers: [...this.table.listHosts()],
-      open: ownPlacements.map(({placement}) =>
-        parsePlacementNumber(placement.key),
-      ),
-      begun: ownPlacements
-        .filter(({hasFirstToken}) => hasFirstToken)
-        .map(({placement}) => parsePlacementNumber(placement.key)),
-      placements: isFull
-        ? ownPlacements.map(({placement, hasFirstToken}) =>
-            toWirePlacement(placement, hasFirstToken, now),
-          )
-        : [],
-      slowdowns: [...slowdowns.listAssigned()],
-      crashes: crashes.length > 0 ? [...crashes] : undefined,
-      limits: reports.length > 0 ? [...reports] : undefined,
-      refusedHash: suspects.hashRefused(),
-      lagMs: Math.round(this.options.readLagMs()),
-      leaves: this.isLeaving,
-    };
+    const {owner, isLeaving} = this;
+    const peers = this.table.listHosts();
+    return buildHeartbeat(
+      this.options,
+      {owner, peers, leaves: isLeaving},
+      isFull,
+    );
   }
 
   private receive(bytes: Buffer): void {
@@ -353,8 +273,7 @@
     if (message === undefined) return;
     const {tracker, readNow} = this.options;
     if (message.method === 'heartbeat') this.applyHeartbeat(message.params);
-    if (message.method === 'placed')
-      tracker.add(toPlacement(message.params, readNow()), message.params.begun);
+    if (message.method === 'placed') this.placements.add(message.params);
     if (message.method === 'begun')
       tracker.markFirstToken(message.params.key, readNow());
     if (message.method === 'ended')
@@ -389,22 +308,21 @@
 
   private applyHeartbeat(heartbeat: Heartbeat): void {
     if (heartbeat.from === this.options.host) return;
-    const now = this.options.readNow();
     const peer = this.table.findOrAddPeer(heartbeat.from);
     if (peer.incarnation !== heartbeat.incarnation)
       this.applyIncarnation(peer, heartbeat);
     const isNew = this.table.recordHeartbeat(peer, heartbeat);
     if (heartbeat.leaves) return this.dropPeer(peer, 'left');
-    this.applyPlacements(heartbeat, now);
+    this.placements.applyHeartbeat(heartbeat);
     for (const slowdown of heartbeat.slowdowns)
       this.options.slowdowns.apply(slowdown);
     this.options.suspects.merge(heartbeat.crashes ?? []);
     this.options.limits.merge(heartbeat.limits ?? []);
     if (isNew) this.options.log.info('peer_joined', {peer: peer.host});
-    const isIncomplete = this.isMissingPlacements(heartbeat);
+    const isIncomplete = this.placements.isIncomplete(heartbeat);
     const isReplyDue = heartbeat.wantsReply || isNew;
     if (isReplyDue || isIncomplete)
-      this.sendBytes(
+      this.options.transport.send(
         peer.host,
         formatHeartbeat({
           ...this.buildHeartbeat(isReplyDue),
@@ -428,49 +346,17 @@
   private applyIncarnation(peer: Peer, heartbeat: Heartbeat): void {
     const {log} = this.options;
     if (peer.incarnation !== undefined) {
-      this.dropPlacements(peer.host, peer.incarnation);
+      this.placements.drop(peer);
       log.info('peer_restarted', {peer: peer.host});
     }
     peer.incarnation = heartbeat.incarnation;
   }
 
-  private dropPlacements(host: string, incarnation: string): void {
-    const {tracker, readNow} = this.options;
-    tracker.removeOwnedExcept(
-      formatOwner(host, incarnation),
-      new Set(),
-      readNow(),
-    );
-  }
-
-  private applyPlacements(heartbeat: Heartbeat, now: number): void {
-    const {tracker} = this.options;
-    const owner = formatOwner(heartbeat.from, heartbeat.incarnation);
-    const toKey = (number: number) => `${owner}#${number}`;
-    tracker.removeOwnedExcept(owner, new Set(heartbeat.open.map(toKey)), now);
-    for (const wire of heartbeat.placements)
-      tracker.add(toPlacement(wire, now), wire.begun);
-    for (const number of heartbeat.begun)
-      tracker.markFirstToken(toKey(number), now);
-  }
-
-  /**
-   * Returns whether the sender has open placements that are not tracked here:
-   * their announcement was lost, or they were dropped while the sender was
-   * silent.
-   */
-  private isMissingPlacements(heartbeat: Heartbeat): boolean {
-    const owner = formatOwner(heartbeat.from, heartbeat.incarnation);
-    return heartbeat.open.some(
-      number => !this.options.tracker.isTracked(`${owner}#${number}`),
-    );
-  }
-
   /** Drops a peer and its placements; a later heartbeat adds the peer again. */
   private dropPeer(peer: Peer, reason: 'left' | 'silent'): void {
     const {log} = this.options;
     if (peer.incarnation === undefined) return;
-    this.dropPlacements(peer.host, peer.incarnation);
+    this.placements.drop(peer);
     peer.incarnation = undefined;
     log.info('peer_lost', {peer: peer.host, reason});
   }
@@ -502,16 +388,7 @@
   }
 }
 
-/** Parses the number of a placement within its gate from the placement key. */
-function parsePlacementNumber(key: string): number {
-  return Number(key.slice(key.indexOf('#') + 1));
-}
-
 function formatHeartbeat(params: Heartbeat): Buffer {
   const message: Datagram = {jsonrpc: '2.0', method: 'heartbeat', params};
   return Buffer.from(JSON.stringify(message));
 }
-
-function formatOwner(host: string, incarnation: string): string {
-  return `${host}/${incarnation}`;
-}
