--- a/packages/direct/src/limits/permits.test.ts
+++ b/packages/direct/src/limits/permits.test.ts
@@ -2,6 +2,7 @@
 import {expect} from 'earl';
 import {startFakeClock} from '../test/fake-clock.js';
 import {countMostArrivals} from '../test/limited-fleet.js';
+import {createRandom} from '../test/create-random.js';
 import {PermitFleet} from '../test/permit-fleet.js';
 import type {PermitFleetOptions} from '../test/permit-fleet.js';
 
@@ -24,15 +25,6 @@
 
 const LIMITS = [0.5, 1.4, 20];
 
-/** Returns a generator of numbers from 0 to 1 that repeats for a seed. */
-function createRandom(seed: number): () => number {
-  let state = seed;
-  return () => {
-    state = (Math.imul(state, 1664525) + 1013904223) >>> 0;
-    return state / 2 ** 32;
-  };
-}
-
 /** Runs a fleet, with a gate replaced every two seconds if `isChanging`. */
 async function runFleet(
   options: Omit<PermitFleetOptions, 'random'>,
--- a/packages/direct/src/test/fake-clock.ts
+++ b/packages/direct/src/test/fake-clock.ts
@@ -3,7 +3,7 @@
 import {mock} from 'node:test';
 import timersPromises from 'node:timers/promises';
 
-/** Step of the clock, in ms. */
+/** Default step of the clock, in ms. */
 const STEP_MS = 10;
 
 /** Event-loop turns after each step in which sockets are read. */
@@ -65,7 +65,8 @@
   now = performance.now();
   private readonly timers = new Set<FakeTimer>();
 
-  constructor() {
+  /** @param stepMs - Step of the clock, in ms. */
+  constructor(private readonly stepMs: number) {
     mock.method(performance, 'now', () => this.now);
     const start = (run: () => void, ms = 0) => this.startTimer(run, ms, false);
     const startInterval = (run: () => void, ms = 0) =>
@@ -87,7 +88,7 @@
   async advance(ms: number): Promise<void> {
     const endsAt = this.now + ms;
     while (this.now < endsAt) {
-      const step = Math.min(STEP_MS, endsAt - this.now);
+      const step = Math.min(this.stepMs, endsAt - this.now);
       this.now += step;
       this.runDue();
       for (let i = 0; i < TURNS_PER_STEP; i++) await this.runTurn();
@@ -109,7 +110,7 @@
     const endsAt = this.now + ADVANCE_LIMIT_MS;
     while (!check()) {
       if (this.now > endsAt) throw new Error('condition not met');
-      await this.advance(STEP_MS);
+      await this.advance(this.stepMs);
     }
   }
 
@@ -156,7 +157,11 @@
   }
 }
 
-/** Starts a fake clock. */
-export function startFakeClock(): FakeClock {
-  return new FakeClock();
+/**
+ * Starts a fake clock.
+ *
+ * @param stepMs - Step of the clock, in ms.
+ */
+export function startFakeClock(stepMs = STEP_MS): FakeClock {
+  return new FakeClock(stepMs);
 }
