Gates join within tens of ms: greetings are repeated, and new names greeted at once

Cause: a gate contacts at most three seeds once and then after a whole heartbeat interval. Seeds that start a moment later don't hear it, and of the gates that a seed names it hears a second later; until then it sees an empty fleet. Heartbeats name live peers only: with a host that is gone for good two gates named it to each other, and contacted it, forever.

Ruled out: that the predictions are wrong (the late streams were predicted in time), and that engines lack room (2.8 million tokens for 12 in that second).

Bytes: a few greetings more at a start.

--- a/packages/direct/src/peers/heartbeat-builder.ts
+++ b/packages/direct/src/peers/heartbeat-builder.ts
@@ -34,7 +34,7 @@
 export interface HeartbeatEnvelope {
   /** Prefix of this gate's placement keys. */
   readonly owner: string;
-  /** Hosts of the gates that this gate knows. */
+  /** Hosts of the live gates that this gate knows. */
   readonly peers: readonly string[];
   readonly leaves: boolean;
 }
--- /dev/null
+++ b/packages/direct/src/peers/joining.test.ts
@@ -0,0 +1,93 @@
+import {afterEach, beforeEach, describe, it} from 'node:test';
+import {expect} from 'earl';
+import {DatagramNetwork} from '../test/datagram-network.js';
+import {startFakeClock} from '../test/fake-clock.js';
+import {buildConfig} from '../test/gate-harness.js';
+import {createModelGate} from '../test/model-gate.js';
+import type {FakeClock} from '../test/fake-clock.js';
+import type {ModelGate} from '../test/model-gate.js';
+import type {Heartbeat} from './messages.js';
+
+const DELAY_MS = 1;
+
+/** Step of the clock in a test of minutes, in ms. */
+const COARSE_STEP_MS = 20;
+
+/** Time after its start within which a gate hears of its peers, in ms. */
+const JOIN_MS = 100;
+
+/** Time after which gates no longer contact a silent peer, in ms. */
+const FORGET_MS = 130_000;
+
+describe('gates that join', () => {
+  let clock: FakeClock;
+  let network: DatagramNetwork;
+  let gates: ModelGate[];
+
+  beforeEach(() => {
+    clock = startFakeClock(1);
+    network = new DatagramNetwork(() => DELAY_MS);
+    gates = [];
+  });
+
+  afterEach(() => {
+    for (const {group} of gates) void group.stop();
+    clock.stop();
+  });
+
+  const startGate = async (host: string, seedHosts: readonly string[]) => {
+    const gate = createModelGate({
+      host,
+      zone: 'az-1',
+      incarnation: '1',
+      seedHosts,
+      transport: network.connect(host),
+      config: buildConfig(1),
+      targets: [],
+      readNow: () => clock.now,
+    });
+    await gate.group.start();
+    gates.push(gate);
+    return gate;
+  };
+
+  it('hear from a seed that starts a moment later', async () => {
+    // Guards against a gate that takes busy engines for idle ones until the
+    // next heartbeat, because its only greeting met no listener.
+    const gate = await startGate('a', ['b']);
+    await clock.advance(300);
+    await startGate('b', []);
+    await clock.advance(JOIN_MS);
+    expect(gate.group.countGates()).toEqual(2);
+  });
+
+  it('hear at once from the gates that their seed knows', async () => {
+    await startGate('a', ['b']);
+    await startGate('b', ['a']);
+    await startGate('c', ['b']);
+    await clock.advance(JOIN_MS);
+    const gate = await startGate('d', ['b']);
+    await clock.advance(10 * DELAY_MS);
+    expect(gate.group.countGates()).toEqual(4);
+  });
+
+  it('do not name a gate that is gone', async () => {
+    // Guards against hosts that gates tell each other of, and contact, forever.
+    clock.stop();
+    clock = startFakeClock(COARSE_STEP_MS);
+    await startGate('a', ['b', 'c']);
+    await startGate('b', ['a', 'c']);
+    await startGate('c', []);
+    await clock.advance(JOIN_MS);
+    network.removeListener('c');
+    await clock.advance(FORGET_MS);
+    const named: string[] = [];
+    network.addListener('a', bytes => {
+      const {params} = JSON.parse(String(bytes)) as {params: Heartbeat};
+      named.push(...params.peers);
+    });
+    await clock.advance(1500);
+    expect(named.includes('a')).toEqual(true);
+    expect(named.includes('c')).toEqual(false);
+  });
+});
--- a/packages/direct/src/peers/messages.ts
+++ b/packages/direct/src/peers/messages.ts
@@ -52,7 +52,7 @@
    * 0 during an outage.
    */
   contactMs: z.number().default(0),
-  /** Hosts of the gates that the sender knows. */
+  /** Hosts of the live gates that the sender knows. */
   peers: z.array(z.string()),
   /**
    * Placement numbers of the sender's open streams (`open`) and of those past
--- a/packages/direct/src/peers/peer-group.ts
+++ b/packages/direct/src/peers/peer-group.ts
@@ -9,6 +9,7 @@
 import {createFactsFetcher} from './facts-fetcher.js';
 import {buildHeartbeat} from './heartbeat-builder.js';
 import {DatagramSchema, toWirePlacement} from './messages.js';
+import {JoinRetry} from './join-retry.js';
 import {PeerPlacements, formatOwner} from './peer-placements.js';
 import {PeerTable} from './peer-table.js';
 import {StartupSync} from './startup-sync.js';
@@ -64,22 +65,28 @@
  */
 export class PeerGroup extends PlacementAnnouncer {
   private readonly table: PeerTable;
-  private seedHosts: readonly string[];
+  private seedHosts: readonly string[] = [];
   private readonly placements: PeerPlacements;
   private timer: NodeJS.Timeout | undefined;
   private changeTimer: NodeJS.Timeout | undefined;
+  private readonly joins: JoinRetry;
   private readonly fetcher: FactsFetcher;
   private readonly startupSync: StartupSync;
   private isLeaving = false;
 
   constructor(private readonly options: PeerGroupOptions) {
     super();
-    this.seedHosts = options.seedHosts;
     const {host: ownHost, state, log, readNow, readStoreAgeMs} = options;
     const fetch = (host: string, known: FactVersions) =>
       options.facts.fetch(host, known);
     this.table = new PeerTable(ownHost, readNow);
+    this.addSeeds(options.seedHosts);
     this.placements = new PeerPlacements(options.tracker, readNow);
+    this.joins = new JoinRetry({
+      listUnheard: () => this.listUnheard(),
+      greet: hosts => this.greet(hosts),
+      maxDelayMs: HEARTBEAT_MS,
+    });
     this.startupSync = new StartupSync({
       state,
       listPeers: () => this.listGates().filter(host => host !== ownHost),
@@ -149,12 +156,14 @@
       HEARTBEAT_MS,
     );
     this.broadcastHeartbeats(true);
+    this.joins.start();
   }
 
   /** Replaces the seed hosts and contacts them. */
   setSeeds(seedHosts: readonly string[]): void {
-    this.seedHosts = seedHosts;
+    this.addSeeds(seedHosts);
     this.broadcastHeartbeats(true);
+    this.joins.start();
   }
 
   /** Announces to peers that this gate leaves, and closes the sockets. */
@@ -164,6 +173,7 @@
     this.broadcastHeartbeats();
     clearInterval(this.timer);
     clearTimeout(this.changeTimer);
+    this.joins.stop();
     this.options.facts.close();
     await this.options.transport.close();
   }
@@ -232,8 +242,7 @@
 
   private broadcastHeartbeats(wantsReply = false): void {
     for (const peer of this.table.expireSilent()) this.dropPeer(peer, 'silent');
-    const hosts = new Set([...this.seedHosts, ...this.table.listHosts()]);
-    hosts.delete(this.options.host);
+    const hosts = this.listHosts();
     const refusalSource = this.pickRefusalSource();
     const heartbeat = this.buildHeartbeat(false);
     const toAll = formatHeartbeat({...heartbeat, wantsReply});
@@ -244,6 +253,29 @@
     }
   }
 
+  private addSeeds(seedHosts: readonly string[]): void {
+    this.seedHosts = seedHosts.filter(host => host !== this.options.host);
+    for (const host of this.seedHosts) this.table.findOrAddPeer(host);
+  }
+
+  /** Lists the hosts of all other gates, live or not. */
+  private listHosts(): ReadonlySet<string> {
+    return new Set([...this.seedHosts, ...this.table.listHosts()]);
+  }
+
+  private listUnheard(): readonly string[] {
+    return [...this.listHosts()].filter(host => !this.table.isHeardFrom(host));
+  }
+
+  /** Asks hosts for a heartbeat. */
+  private greet(hosts: readonly string[]): void {
+    const bytes = formatHeartbeat({
+      ...this.buildHeartbeat(false),
+      wantsReply: true,
+    });
+    for (const host of hosts) this.options.transport.send(host, bytes);
+  }
+
   /**
    * Picks a live peer that refuses other contents than this gate, because their
    * reports were lost or came before this gate started. One is asked at a time.
@@ -260,7 +292,8 @@
 
   private buildHeartbeat(isFull: boolean): Omit<Heartbeat, 'wantsReply'> {
     const {owner, isLeaving} = this;
-    const peers = this.table.listHosts();
+    // Peers that are gone are not named: they would be named again forever.
+    const peers = this.table.listAlive().map(({host}) => host);
     return buildHeartbeat(
       this.options,
       {owner, peers, leaves: isLeaving},
@@ -311,7 +344,9 @@
     const peer = this.table.findOrAddPeer(heartbeat.from);
     if (peer.incarnation !== heartbeat.incarnation)
       this.applyIncarnation(peer, heartbeat);
+    const unknown = heartbeat.peers.filter(host => !this.table.isKnown(host));
     const isNew = this.table.recordHeartbeat(peer, heartbeat);
+    if (unknown.length > 0) this.greetNew(unknown);
     if (heartbeat.leaves) return this.dropPeer(peer, 'left');
     this.placements.applyHeartbeat(heartbeat);
     for (const slowdown of heartbeat.slowdowns)
@@ -333,6 +368,13 @@
     this.confirmRemovals();
   }
 
+  /** Greets gates of which a peer has told. */
+  private greetNew(hosts: readonly string[]): void {
+    if (this.isLeaving) return;
+    this.greet(hosts);
+    this.joins.start();
+  }
+
   /**
    * Confirms removals of held targets through peers without an outage of the
    * store. Peers that may hold targets themselves confirm none.
--- a/packages/direct/src/peers/peer-table.ts
+++ b/packages/direct/src/peers/peer-table.ts
@@ -100,6 +100,11 @@
     return peer;
   }
 
+  /** Returns whether a host is this gate or a known peer. */
+  isKnown(host: string): boolean {
+    return host === this.ownHost || this.peers.has(host);
+  }
+
   /** Records a heartbeat; returns whether it is the first one of the peer. */
   recordHeartbeat(peer: Peer, heartbeat: Heartbeat): boolean {
     const isFirst = peer.lastHeartbeatAt === -Infinity;
