Each gate prefers equal engines in an order of its own

Cause: all gates list engines in the order of the store, and the first of equals wins; gates that have not heard of each other's placements chose the same engine. Now a gate orders engines by a hash of itself and the engine. Nothing needs to know whether peers are heard: known placements differ in price and end the tie.

--- a/packages/direct/src/placement/prompt-placer.ts
+++ b/packages/direct/src/placement/prompt-placer.ts
@@ -4,6 +4,7 @@
  */
 import {isWithinIdleKvCapacity} from './kv-cache.js';
 import {chooseSendTime} from './choose-send-time.js';
+import {TargetRanking} from './target-ranking.js';
 import {
   MAX_PREFILL_ENGINES,
   buildPlacement,
@@ -166,7 +167,11 @@
   /** Latest candidate for each engine; kept while nothing about it changes. */
   private readonly candidates = new Map<string, Candidate>();
 
-  constructor(private readonly options: PromptPlacerOptions) {}
+  private readonly ranking: TargetRanking;
+
+  constructor(private readonly options: PromptPlacerOptions) {
+    this.ranking = new TargetRanking(options.owner);
+  }
 
   /**
    * Places a stream on engines that are not in `tried`.
@@ -188,7 +193,7 @@
     const {suspects = []} = request;
     if (tracker.isOnTrial(suspects, now))
       return {waitMs: TRIAL_POLL_MS, predictedTtftMs: 0};
-    const targets = this.listTargets(request.service, tried);
+    const targets = this.ranking.sort(this.listTargets(request.service, tried));
     if (
       targets.length === 0 &&
       this.readLimitWaitMs(request.service, tried) > 0
@@ -265,6 +270,7 @@
   /** Forgets an engine that was removed. */
   drop(target: string): void {
     this.candidates.delete(target);
+    this.ranking.drop(target);
   }
 
   /** Checks whether an engine that is not in `tried` has a free slot. */
