Short streams are packed only as far as the placements of other gates are known

The price now counts with the share of the known gates that are heard. Gates that have said that they leave don't count.

What stays late cut off meets long prompts, which nobody can know of.

--- a/packages/direct/src/gate.ts
+++ b/packages/direct/src/gate.ts
@@ -240,6 +240,7 @@
         permits: this.permits,
         tracker,
         announcer: this.peers,
+        measureHeardShare: () => this.peers.measureHeardShare(),
         readNow,
       }),
       queues: new AdmissionQueues(service =>
--- a/packages/direct/src/peers/peer-group.ts
+++ b/packages/direct/src/peers/peer-group.ts
@@ -133,6 +133,11 @@
     return [this.options.host, ...this.table.listAlive().map(({host}) => host)];
   }
 
+  /** Measures the share of the other gates whose placements are known. */
+  measureHeardShare(): number {
+    return this.table.measureHeardShare();
+  }
+
   /**
    * Returns the age of the latest confirmation that the facts of this gate are
    * current, in ms. Each answer of the store is a confirmation, and so is each
--- a/packages/direct/src/peers/peer-table.test.ts
+++ b/packages/direct/src/peers/peer-table.test.ts
@@ -33,10 +33,13 @@
 function createHarness() {
   let now = 0;
   const table = new PeerTable('own', () => now);
-  const heartbeat = (host: string, revision = 5) => {
+  const heartbeat = (host: string, changes: Partial<Heartbeat> = {}) => {
     const peer = table.findOrAddPeer(host);
     peer.incarnation = '1';
-    return table.recordHeartbeat(peer, buildHeartbeat(host, revision));
+    return table.recordHeartbeat(peer, {
+      ...buildHeartbeat(host, 5),
+      ...changes,
+    });
   };
   const advance = (ms: number) => (now += ms);
   return {table, heartbeat, advance};
@@ -55,6 +58,18 @@
     ]);
   });
 
+  it('measures the share of the peers that are heard, without those that have left', () => {
+    const {table, heartbeat, advance} = createHarness();
+    expect(table.measureHeardShare()).toEqual(1);
+    heartbeat('a');
+    // The heartbeat of `a` names `c`, which has not been heard.
+    expect(table.measureHeardShare()).toEqual(0.5);
+    heartbeat('c', {leaves: true});
+    expect(table.measureHeardShare()).toEqual(1);
+    advance(10 * SECOND_MS);
+    expect(table.measureHeardShare()).toEqual(0);
+  });
+
   it('counts a peer for shared budgets for longer than the peer counts as alive', () => {
     // Guards against a retry budget that grows while a peer is unreachable.
     const {table, heartbeat, advance} = createHarness();
@@ -85,9 +100,9 @@
   it('accepts a confirmation of facts only from peers that know no newer facts', () => {
     // Guards against a peer with newer facts that confirms outdated ones.
     const {table, heartbeat, advance} = createHarness();
-    heartbeat('a', 5);
+    heartbeat('a', {revision: 5});
     advance(100);
-    heartbeat('b', 9);
+    heartbeat('b', {revision: 9});
     expect(table.readConfirmedAgeMs(buildPosition(5))).toEqual(140);
     expect(table.readConfirmedAgeMs(buildPosition(9))).toEqual(40);
     expect(table.readConfirmedAgeMs(buildPosition(4))).toEqual(Infinity);
--- a/packages/direct/src/peers/peer-table.ts
+++ b/packages/direct/src/peers/peer-table.ts
@@ -44,6 +44,8 @@
   refusedHash: string | undefined;
   /** Largest recent delay of the peer's event loop, in ms. */
   lagMs: number;
+  /** Whether the peer has said that it shuts down. */
+  hasLeft: boolean;
 }
 
 /**
@@ -70,6 +72,17 @@
     return this.listWithRecentHeartbeat(PEER_TIMEOUT_MS);
   }
 
+  /**
+   * Measures the share of the known peers that are live; 1 if no peer is known.
+   * Peers that have shut down do not count.
+   */
+  measureHeardShare(): number {
+    const present = [...this.peers.values()].filter(({hasLeft}) => !hasLeft);
+    if (present.length === 0) return 1;
+    const live = this.listAlive().filter(({hasLeft}) => !hasLeft);
+    return live.length / present.length;
+  }
+
   /** Counts the gates that share budgets, including this gate. */
   countBudgetMembers(): number {
     return 1 + this.listWithRecentHeartbeat(BUDGET_SHARE_TIMEOUT_MS).length;
@@ -95,6 +108,7 @@
       contactSince: Infinity,
       refusedHash: undefined,
       lagMs: 0,
+      hasLeft: false,
     };
     if (host !== this.ownHost) this.peers.set(host, peer);
     return peer;
@@ -119,6 +133,7 @@
         : Infinity;
     peer.refusedHash = heartbeat.refusedHash;
     peer.lagMs = heartbeat.lagMs;
+    peer.hasLeft = heartbeat.leaves;
     for (const host of heartbeat.peers) this.findOrAddPeer(host);
     return isFirst;
   }
--- a/packages/direct/src/placement/price-decoder.ts
+++ b/packages/direct/src/placement/price-decoder.ts
@@ -60,7 +60,9 @@
     );
   const excessStreams = load.active + 1 - engine.slots * HIGH_LOAD_SHARE;
   let price = isRemote ? REMOTE_ZONE_PRICE : 0;
-  if (isLatencySensitive !== hasLatencySensitive) price += ITL_MISMATCH_PRICE;
+  // Packing pays only as far as the streams of the other gates are known.
+  if (isLatencySensitive !== hasLatencySensitive)
+    price += ITL_MISMATCH_PRICE * (demand.heardShare ?? 1);
   if (excessStreams > 0)
     price +=
       (excessStreams / engine.slots) * EXCESS_STREAM_PRICE * demand.value;
--- a/packages/direct/src/placement/prompt-placer.ts
+++ b/packages/direct/src/placement/prompt-placer.ts
@@ -153,6 +153,8 @@
   readonly permits: Permits;
   readonly tracker: LoadTracker;
   readonly announcer: PlacementAnnouncer;
+  /** Measures the share of the other gates whose placements are known. */
+  readonly measureHeardShare: () => number;
   readonly readNow: () => number;
 }
 
@@ -202,6 +204,7 @@
     const demand: PromptDemand = {
       ...request,
       value: estimateValue(request.promptTokens),
+      heardShare: this.options.measureHeardShare(),
     };
     const choose = (candidates: readonly Target[]) =>
       chooseSendTime(
--- a/packages/direct/src/placement/prompt-types.ts
+++ b/packages/direct/src/placement/prompt-types.ts
@@ -17,6 +17,12 @@
    * @default none
    */
   readonly suspects?: readonly string[];
+  /**
+   * Share of the other gates whose placements are known, from 0 to 1.
+   *
+   * @default 1
+   */
+  readonly heardShare?: number;
 }
 
 /** Engines chosen for a prompt. */
--- a/packages/direct/src/test/model-gate.ts
+++ b/packages/direct/src/test/model-gate.ts
@@ -103,6 +103,7 @@
     }),
     tracker,
     announcer: group,
+    measureHeardShare: () => group.measureHeardShare(),
     readNow,
   });
   state.applySnapshot({
--- a/scripts/measure-choices.mjs
+++ b/scripts/measure-choices.mjs
@@ -97,6 +97,7 @@
     permits: {isBlocked: () => false, isLimited: () => false},
     tracker,
     announcer,
+    measureHeardShare: () => 1,
     readNow: () => now,
   });
 }
