Heartbeats name other gates only to gates that know others

Cause: each heartbeat to each gate named all gates, 12 bytes each: bytes grow with the cube of the gates. Heartbeats now carry a hash of the live gates that the sender knows; names go into an answer to a gate whose hash differs, one such gate is asked with each round of heartbeats, and empty fields are left out. A new gate greets its seeds, gets their names, and greets the others itself.

--- a/packages/direct/src/peers/heartbeat-builder.ts
+++ b/packages/direct/src/peers/heartbeat-builder.ts
@@ -5,7 +5,8 @@
 import type {FleetState} from '../fleet/fleet-state.js';
 import type {RequestLimits} from '../limits/request-limits.js';
 import type {LoadTracker} from '../placement/load-tracker.js';
-import type {Heartbeat} from './messages.js';
+import type {Placement} from '../placement/placement.js';
+import type {SentHeartbeat} from './messages.js';
 
 /** What heartbeats are built from. */
 export interface HeartbeatSources {
@@ -34,28 +35,36 @@
 export interface HeartbeatEnvelope {
   /** Prefix of this gate's placement keys. */
   readonly owner: string;
-  /** Hosts of the live gates that this gate knows. */
-  readonly peers: readonly string[];
+  /** Hash of the hosts of the live gates that this gate knows. */
+  readonly members: number;
   readonly leaves: boolean;
 }
 
+/** What a heartbeat holds beyond the state that each one tells. */
+export interface HeartbeatContents {
+  /** Whether it includes complete placements and all known crashes. */
+  readonly isFull: boolean;
+  /** Hosts of live gates that it names. */
+  readonly peers: readonly string[];
+  /** Whether it asks for a heartbeat in return. */
+  readonly wantsReply: boolean;
+}
+
 /**
- * Builds a heartbeat.
+ * Builds a heartbeat. Fields that are empty or false are left out.
  *
- * @param isFull - Whether the heartbeat includes complete placements and all
- *   known crashes.
  * @example
- * buildHeartbeat(sources, {owner, peers: table.listHosts(), leaves: false}, false);
+ * buildHeartbeat(sources, envelope, {isFull: false, peers: [], wantsReply: true});
  */
 export function buildHeartbeat(
   sources: HeartbeatSources,
-  {owner, peers, leaves}: HeartbeatEnvelope,
-  isFull: boolean,
-): Omit<Heartbeat, 'wantsReply'> {
+  {owner, members, leaves}: HeartbeatEnvelope,
+  {isFull, peers, wantsReply}: HeartbeatContents,
+): SentHeartbeat {
   const {state, suspects, limits, slowdowns} = sources;
   const now = sources.readNow();
   const placements = sources.tracker.listOwnedBy(owner);
-  const reports = limits.listAll();
+  const begun = placements.filter(({hasFirstToken}) => hasFirstToken);
   const crashes = isFull ? suspects.listAll() : suspects.listRecent();
   return {
     from: sources.host,
@@ -64,26 +73,37 @@
     ...state.position,
     factsAgeMs: Math.round(sources.readStoreAgeMs()),
     contactMs: Math.round(sources.readContactMs()),
-    peers: [...peers],
-    open: placements.map(({placement}) => parsePlacementNumber(placement.key)),
-    begun: placements
-      .filter(({hasFirstToken}) => hasFirstToken)
-      .map(({placement}) => parsePlacementNumber(placement.key)),
+    members,
+    peers: toOptional(peers),
+    open: toOptional(placements.map(toPlacementNumber)),
+    begun: toOptional(begun.map(toPlacementNumber)),
     placements: isFull
-      ? placements.map(({placement, hasFirstToken}) =>
-          toWirePlacement(placement, hasFirstToken, now),
+      ? toOptional(
+          placements.map(({placement, hasFirstToken}) =>
+            toWirePlacement(placement, hasFirstToken, now),
+          ),
         )
-      : [],
-    slowdowns: [...slowdowns.listAssigned()],
-    crashes: crashes.length > 0 ? [...crashes] : undefined,
-    limits: reports.length > 0 ? [...reports] : undefined,
+      : undefined,
+    slowdowns: toOptional(slowdowns.listAssigned()),
+    crashes: toOptional(crashes),
+    limits: toOptional(limits.listAll()),
     refusedHash: suspects.hashRefused(),
     lagMs: Math.round(sources.readLagMs()),
-    leaves,
+    wantsReply: wantsReply || undefined,
+    leaves: leaves || undefined,
   };
 }
 
-/** Parses the number of a placement within its gate from the placement key. */
-function parsePlacementNumber(key: string): number {
+function toOptional<T>(items: readonly T[]): T[] | undefined {
+  return items.length > 0 ? [...items] : undefined;
+}
+
+/** Returns the number of a placement within its gate. */
+function toPlacementNumber({
+  placement,
+}: {
+  readonly placement: Placement;
+}): number {
+  const {key} = placement;
   return Number(key.slice(key.indexOf('#') + 1));
 }
--- a/packages/direct/src/peers/messages.ts
+++ b/packages/direct/src/peers/messages.ts
@@ -52,20 +52,25 @@
    * 0 during an outage.
    */
   contactMs: z.number().default(0),
-  /** Hosts of the live gates that the sender knows. */
-  peers: z.array(z.string()),
+  /** Hash of the hosts of the live gates that the sender knows. */
+  members: z.number().optional(),
+  /**
+   * Hosts of these gates; only in answers to gates that know others. Absent if
+   * there are none.
+   */
+  peers: z.array(z.string()).default([]),
   /**
    * Placement numbers of the sender's open streams (`open`) and of those past
    * prefill (`begun`). Complete placements are sent only on request, which
-   * keeps heartbeats small.
+   * keeps heartbeats small. Empty lists are absent.
    */
-  open: z.array(z.number()),
-  begun: z.array(z.number()),
-  placements: z.array(WirePlacementSchema),
-  /** Slowdowns of the engines that the sender polls. */
-  slowdowns: z.array(
-    z.object({target: z.string(), slowdown: z.number().positive()}),
-  ),
+  open: z.array(z.number()).default([]),
+  begun: z.array(z.number()).default([]),
+  placements: z.array(WirePlacementSchema).default([]),
+  /** Slowdowns of the engines that the sender polls; absent if there are none. */
+  slowdowns: z
+    .array(z.object({target: z.string(), slowdown: z.number().positive()}))
+    .default([]),
   /**
    * Crashes under requests: the latest observations of the sender, or all that it
    * knows in a heartbeat that was asked for. Absent if there are none.
@@ -78,11 +83,13 @@
   /** Largest recent delay of the sender's event loop, in ms. */
   lagMs: z.number().nonnegative().default(0),
   /** Whether the sender asks for a heartbeat in return. */
-  wantsReply: z.boolean(),
+  wantsReply: z.boolean().default(false),
   /** Whether the sender is shutting down. */
-  leaves: z.boolean(),
+  leaves: z.boolean().default(false),
 });
 export type Heartbeat = z.output<typeof HeartbeatSchema>;
+/** Heartbeat as it is sent, without fields that have their default. */
+export type SentHeartbeat = z.input<typeof HeartbeatSchema>;
 
 export const PermitQuestionSchema = z.object({
   from: z.string(),
@@ -149,6 +156,8 @@
   }),
 ]);
 export type Datagram = z.output<typeof DatagramSchema>;
+/** Datagram as it is sent. */
+export type SentDatagram = z.input<typeof DatagramSchema>;
 
 function mergeEqual(values: readonly number[]): number[] {
   const isUniform = values.every(value => value === values[0]);
--- a/packages/direct/src/peers/peer-group.ts
+++ b/packages/direct/src/peers/peer-group.ts
@@ -22,8 +22,13 @@
 import type {DatagramTransport} from './datagram-transport.js';
 import type {FactsExchange} from './facts-exchange.js';
 import type {FactsFetcher} from './facts-fetcher.js';
-import type {HeartbeatSources} from './heartbeat-builder.js';
-import type {Heartbeat, Datagram} from './messages.js';
+import type {HeartbeatContents, HeartbeatSources} from './heartbeat-builder.js';
+import type {
+  Datagram,
+  Heartbeat,
+  SentDatagram,
+  SentHeartbeat,
+} from './messages.js';
 import type {Peer} from './peer-table.js';
 
 /** Interval between heartbeats, in ms. */
@@ -247,13 +252,11 @@
 
   private broadcastHeartbeats(wantsReply = false): void {
     for (const peer of this.table.expireSilent()) this.dropPeer(peer, 'silent');
-    const hosts = this.listHosts();
-    const refusalSource = this.pickRefusalSource();
-    const heartbeat = this.buildHeartbeat(false);
-    const toAll = formatHeartbeat({...heartbeat, wantsReply});
-    const toAsked = formatHeartbeat({...heartbeat, wantsReply: true});
-    for (const host of hosts) {
-      const isAsked = host === refusalSource || !this.table.isHeardFrom(host);
+    const asked = new Set([this.pickRefusalSource(), this.pickNameSource()]);
+    const toAll = this.buildHeartbeat({wantsReply});
+    const toAsked = this.buildHeartbeat({wantsReply: true});
+    for (const host of this.listHosts()) {
+      const isAsked = asked.has(host) || !this.table.isHeardFrom(host);
       this.options.transport.send(host, isAsked ? toAsked : toAll);
     }
   }
@@ -274,10 +277,7 @@
 
   /** Asks hosts for a heartbeat. */
   private greet(hosts: readonly string[]): void {
-    const bytes = formatHeartbeat({
-      ...this.buildHeartbeat(false),
-      wantsReply: true,
-    });
+    const bytes = this.buildHeartbeat({wantsReply: true});
     for (const host of hosts) this.options.transport.send(host, bytes);
   }
 
@@ -287,22 +287,36 @@
    */
   private pickRefusalSource(): string | undefined {
     const ownHash = this.options.suspects.hashRefused();
-    const sources = this.table
-      .listAlive()
-      .filter(
-        ({refusedHash}) => refusedHash !== undefined && refusedHash !== ownHash,
-      );
-    return sources[Math.floor(Math.random() * sources.length)]?.host;
+    return pickAny(
+      this.table
+        .listAlive()
+        .filter(
+          ({refusedHash}) =>
+            refusedHash !== undefined && refusedHash !== ownHash,
+        ),
+    )?.host;
   }
 
-  private buildHeartbeat(isFull: boolean): Omit<Heartbeat, 'wantsReply'> {
+  /**
+   * Picks a live peer that knows other gates than this gate. One is asked for
+   * their names at a time.
+   */
+  private pickNameSource(): string | undefined {
+    const ownMembers = this.table.hashMembers();
+    return pickAny(
+      this.table.listAlive().filter(({members}) => members !== ownMembers),
+    )?.host;
+  }
+
+  private buildHeartbeat(contents: Partial<HeartbeatContents>): Buffer {
     const {owner, isLeaving} = this;
-    // Peers that are gone are not named: they would be named again forever.
-    const peers = this.table.listAlive().map(({host}) => host);
-    return buildHeartbeat(
-      this.options,
-      {owner, peers, leaves: isLeaving},
-      isFull,
+    const members = this.table.hashMembers();
+    return formatHeartbeat(
+      buildHeartbeat(
+        this.options,
+        {owner, members, leaves: isLeaving},
+        {isFull: false, peers: [], wantsReply: false, ...contents},
+      ),
     );
   }
 
@@ -361,18 +375,26 @@
     if (isNew) this.options.log.info('peer_joined', {peer: peer.host});
     const isIncomplete = this.placements.isIncomplete(heartbeat);
     const isReplyDue = heartbeat.wantsReply || isNew;
-    if (isReplyDue || isIncomplete)
-      this.options.transport.send(
-        peer.host,
-        formatHeartbeat({
-          ...this.buildHeartbeat(isReplyDue),
-          wantsReply: isIncomplete,
-        }),
-      );
+    if (isReplyDue || isIncomplete) this.reply(peer, isReplyDue, isIncomplete);
     if (this.isUpdateSource(peer)) this.fetcher.schedule();
     this.confirmRemovals();
   }
 
+  /**
+   * Sends a heartbeat to a peer that has asked for one, or that this gate asks.
+   *
+   * @param isFull - Whether the peer has asked.
+   */
+  private reply(peer: Peer, isFull: boolean, wantsReply: boolean): void {
+    const isNaming = isFull && peer.members !== this.table.hashMembers();
+    // Peers that are gone are not named: they would be named again forever.
+    const peers = isNaming ? this.table.listAlive().map(({host}) => host) : [];
+    this.options.transport.send(
+      peer.host,
+      this.buildHeartbeat({isFull, peers, wantsReply}),
+    );
+  }
+
   /** Greets gates of which a peer has told. */
   private greetNew(hosts: readonly string[]): void {
     if (this.isLeaving) return;
@@ -435,7 +457,11 @@
   }
 }
 
-function formatHeartbeat(params: Heartbeat): Buffer {
-  const message: Datagram = {jsonrpc: '2.0', method: 'heartbeat', params};
+function pickAny<T>(items: readonly T[]): T | undefined {
+  return items[Math.floor(Math.random() * items.length)];
+}
+
+function formatHeartbeat(params: SentHeartbeat): Buffer {
+  const message: SentDatagram = {jsonrpc: '2.0', method: 'heartbeat', params};
   return Buffer.from(JSON.stringify(message));
 }
--- a/packages/direct/src/peers/peer-table.ts
+++ b/packages/direct/src/peers/peer-table.ts
@@ -20,6 +20,12 @@
  */
 const PEER_RETENTION_MS = 120_000;
 
+/** Number of different hashes of a host. */
+const HASH_RANGE = 2 ** 32;
+
+/** Hash of each host; kept because every heartbeat needs it. */
+const hostHashes = new Map<string, number>();
+
 /** State of a peer according to its heartbeats. */
 export interface Peer {
   readonly host: string;
@@ -44,6 +50,8 @@
   refusedHash: string | undefined;
   /** Largest recent delay of the peer's event loop, in ms. */
   lagMs: number;
+  /** Hash of the live gates that the peer knows; absent if it sends none. */
+  members: number | undefined;
   /** Whether the peer has said that it shuts down. */
   hasLeft: boolean;
 }
@@ -83,6 +91,16 @@
     return live.length / present.length;
   }
 
+  /**
+   * Hashes the hosts of the live gates, including this gate. Gates compare their
+   * hashes to find out whether they know the same gates.
+   */
+  hashMembers(): number {
+    let sum = hashHost(this.ownHost);
+    for (const {host} of this.listAlive()) sum += hashHost(host);
+    return sum % HASH_RANGE;
+  }
+
   /** Counts the gates that share budgets, including this gate. */
   countBudgetMembers(): number {
     return 1 + this.listWithRecentHeartbeat(BUDGET_SHARE_TIMEOUT_MS).length;
@@ -108,6 +126,7 @@
       contactSince: Infinity,
       refusedHash: undefined,
       lagMs: 0,
+      members: undefined,
       hasLeft: false,
     };
     if (host !== this.ownHost) this.peers.set(host, peer);
@@ -133,6 +152,7 @@
         : Infinity;
     peer.refusedHash = heartbeat.refusedHash;
     peer.lagMs = heartbeat.lagMs;
+    peer.members = heartbeat.members;
     peer.hasLeft = heartbeat.leaves;
     for (const host of heartbeat.peers) this.findOrAddPeer(host);
     return isFirst;
@@ -192,3 +212,14 @@
     );
   }
 }
+
+/** Hashes a host (FNV-1a, 32 bits). */
+function hashHost(host: string): number {
+  const known = hostHashes.get(host);
+  if (known !== undefined) return known;
+  let hash = 0x811c9dc5;
+  for (let i = 0; i < host.length; i++)
+    hash = Math.imul(hash ^ host.charCodeAt(i), 0x01000193) >>> 0;
+  hostHashes.set(host, hash);
+  return hash;
+}
