One gate of each other zone relays announcements of placements

Cause: every gate sends each announcement to every gate, so two thirds of the bytes cross zones, where they are dear. Now a gate sends one copy to each other zone; a gate there hands it to the others of its zone. Which one differs from placement to placement and is a gate heard within 1.3 s, so none has to live; the announcements of one placement take the same way and stay in order. A zone with one gate, without a gate heard lately or with gates that name no zone gets direct copies.

Ruled out: one fixed relay a zone (its loss is a blind second for the whole zone); two relays (twice the bytes and twice the work of decoding for what a heartbeat mends).

--- a/packages/direct/src/gate.ts
+++ b/packages/direct/src/gate.ts
@@ -189,6 +189,7 @@
     });
     this.peers = new PeerGroup({
       host: settings.peers.host,
+      zone: settings.zone,
       transport: new UdpTransport(settings.peers, (error, peer) =>
         log.warn('peer_datagram_failed', {peer, reason: error.message}),
       ),
--- a/packages/direct/src/peers/heartbeat-builder.ts
+++ b/packages/direct/src/peers/heartbeat-builder.ts
@@ -12,6 +12,8 @@
 export interface HeartbeatSources {
   /** Address of this gate, which also identifies it among the peers. */
   readonly host: string;
+  /** Availability zone of this gate. */
+  readonly zone: string;
   /** Identifies one run of the process; differs after each restart. */
   readonly incarnation: string;
   readonly state: FleetState;
@@ -68,6 +70,7 @@
   const crashes = isFull ? suspects.listAll() : suspects.listRecent();
   return {
     from: sources.host,
+    zone: sources.zone,
     incarnation: sources.incarnation,
     configVersion: state.config?.version ?? 0,
     ...state.position,
--- a/packages/direct/src/peers/messages.ts
+++ b/packages/direct/src/peers/messages.ts
@@ -41,6 +41,8 @@
 /** Heartbeat, by which a gate tells its peers its state and open placements. */
 export const HeartbeatSchema = z.object({
   from: z.string(),
+  /** Availability zone of the sender; absent from gates of earlier versions. */
+  zone: z.string().optional(),
   incarnation: z.string(),
   configVersion: z.number(),
   /** Era and revision form the position of the sender's facts. */
--- a/packages/direct/src/peers/peer-group.test.ts
+++ b/packages/direct/src/peers/peer-group.test.ts
@@ -42,6 +42,7 @@
   const member = {contactMs: 0, tracker, state};
   const group = new PeerGroup({
     host,
+    zone: 'az-1',
     transport: new UdpTransport(address, error => {
       throw error;
     }),
--- a/packages/direct/src/peers/peer-group.ts
+++ b/packages/direct/src/peers/peer-group.ts
@@ -5,6 +5,7 @@
 import {PlacementAnnouncer} from '../placement/prompt-placer.js';
 import {HOLD_AFTER_OUTAGE_MS} from '../fleet/target-table.js';
 import {createFactsFetcher} from './facts-fetcher.js';
+import {parsePlacementNumber} from './heartbeat-builder.js';
 import {Membership} from './membership.js';
 import {formatDatagram, parseDatagram, toWirePlacement} from './messages.js';
 import {
@@ -15,6 +16,7 @@
 import {PeerPlacements} from './peer-placements.js';
 import {PeerTable} from './peer-table.js';
 import {StartupSync} from './startup-sync.js';
+import {ZoneRelay} from './zone-relay.js';
 import {ZodError} from 'zod';
 import type {CrashReport, TurnMonitor} from '@nutmeggauge/core';
 import type {FactVersions} from '../fleet/fleet-state.js';
@@ -28,6 +30,7 @@
 import type {HeartbeatSources} from './heartbeat-builder.js';
 import type {Datagram} from './messages.js';
 import type {PlacementMessage} from './placement-codec.js';
+import type {RelayPeer} from './zone-relay.js';
 import type {Peer} from './peer-table.js';
 
 /**
@@ -65,6 +68,7 @@
   private readonly table: PeerTable;
   private readonly placements: PeerPlacements;
   private readonly membership: Membership;
+  private readonly relay: ZoneRelay;
   private readonly fetcher: FactsFetcher;
   private readonly startupSync: StartupSync;
 
@@ -75,6 +79,11 @@
       options.facts.fetch(host, known);
     this.table = new PeerTable(ownHost, readNow);
     this.placements = new PeerPlacements(options.tracker, readNow);
+    this.relay = new ZoneRelay({
+      zone: options.zone,
+      listPeers: () => this.listRelayPeers(),
+      send: (host, bytes) => options.transport.send(host, bytes),
+    });
     this.membership = new Membership({
       ...options,
       table: this.table,
@@ -216,7 +225,17 @@
   }
 
   private announcePlacement(message: PlacementMessage): void {
-    this.sendToAll(encodePlacementMessage(message));
+    const number = parsePlacementNumber(message.params.key);
+    this.relay.broadcast(encodePlacementMessage(message), number);
+  }
+
+  private listRelayPeers(): readonly RelayPeer[] {
+    const now = this.options.readNow();
+    return this.table.listAlive().map(({host, zone, lastHeartbeatAt}) => ({
+      host,
+      zone,
+      silentMs: now - lastHeartbeatAt,
+    }));
   }
 
   private send(host: string, message: Datagram): void {
@@ -224,19 +243,17 @@
   }
 
   private broadcast(message: Datagram): void {
-    this.sendToAll(formatDatagram(message));
-  }
-
-  private sendToAll(bytes: Buffer): void {
+    const bytes = formatDatagram(message);
     for (const {host} of this.table.listAlive())
       this.options.transport.send(host, bytes);
   }
 
   private receive(bytes: Buffer): void {
+    const datagram = this.relay.receive(bytes);
     try {
-      if (isPlacementMessage(bytes))
-        this.placements.apply(decodePlacementMessage(bytes));
-      else this.apply(parseDatagram(bytes));
+      if (isPlacementMessage(datagram))
+        this.placements.apply(decodePlacementMessage(datagram));
+      else this.apply(parseDatagram(datagram));
     } catch (error) {
       if (!(error instanceof SyntaxError || error instanceof ZodError))
         throw error;
--- a/packages/direct/src/peers/peer-table.ts
+++ b/packages/direct/src/peers/peer-table.ts
@@ -29,6 +29,8 @@
 /** State of a peer according to its heartbeats. */
 export interface Peer {
   readonly host: string;
+  /** Availability zone; undefined until the peer has named it. */
+  zone: string | undefined;
   /** Absent before the first heartbeat of the peer and after its loss. */
   incarnation: string | undefined;
   /**
@@ -117,6 +119,7 @@
     if (known !== undefined) return known;
     const peer: Peer = {
       host,
+      zone: undefined,
       incarnation: undefined,
       lastHeartbeatAt: -Infinity,
       discoveredAt: this.readNow(),
@@ -142,6 +145,7 @@
   recordHeartbeat(peer: Peer, heartbeat: Heartbeat): boolean {
     const isFirst = peer.lastHeartbeatAt === -Infinity;
     peer.lastHeartbeatAt = this.readNow();
+    peer.zone = heartbeat.zone;
     peer.configVersion = heartbeat.configVersion;
     const {era, revision} = heartbeat;
     peer.position = {era, revision};
--- a/packages/direct/src/test/model-gate.ts
+++ b/packages/direct/src/test/model-gate.ts
@@ -70,6 +70,7 @@
   const limits = createIdleLimits(log, readNow);
   const group = new PeerGroup({
     host,
+    zone,
     transport: settings.transport,
     facts: new IdleFactsExchange(),
     incarnation: settings.incarnation,
