Heartbeats to other zones are relayed too

What is left between zones are heartbeats: every gate to every gate, each second. They take the way of placements now, one copy a zone, each time through another gate than before; gates that are asked, were never heard or are silent get theirs directly. A dead relay swallows one heartbeat of a gate at most before it counts as silent, and a peer counts as lost after three (dead-relay.test.ts: nobody is lost beside a dead gate in 8 s).

Ruled out: longer intervals (a silent peer's placements are dropped after 3.2 s, and facts are confirmed by heartbeats).

--- a/packages/direct/src/peers/membership.ts
+++ b/packages/direct/src/peers/membership.ts
@@ -15,6 +15,7 @@
 import type {Heartbeat} from './messages.js';
 import type {PeerPlacements} from './peer-placements.js';
 import type {Peer, PeerTable} from './peer-table.js';
+import type {ZoneRelay} from './zone-relay.js';
 
 /** Interval between heartbeats, in ms. */
 const HEARTBEAT_MS = 1000;
@@ -30,6 +31,7 @@
   readonly table: PeerTable;
   readonly placements: PeerPlacements;
   readonly transport: DatagramTransport;
+  readonly relay: ZoneRelay;
   readonly seedHosts: readonly string[];
   /** Called after the heartbeat of a peer has been applied. */
   readonly onHeartbeat: (peer: Peer) => void;
@@ -50,6 +52,8 @@
   private changeTimer: NodeJS.Timeout | undefined;
   private readonly joins: JoinRetry;
   private hasLeft = false;
+  /** Number of heartbeats; each goes through other relays than the one before. */
+  private heartbeats = 0;
 
   constructor(private readonly options: MembershipOptions) {
     this.addSeeds(options.seedHosts);
@@ -133,12 +137,17 @@
     const {table, transport} = this.options;
     for (const peer of table.expireSilent()) this.dropPeer(peer, 'silent');
     const asked = new Set([this.pickRefusalSource(), this.pickNameSource()]);
-    const toAll = this.buildHeartbeat({wantsReply});
-    const toAsked = this.buildHeartbeat({wantsReply: true});
-    for (const host of this.listHosts()) {
-      const isAsked = asked.has(host) || !table.isHeardFrom(host);
-      transport.send(host, isAsked ? toAsked : toAll);
-    }
+    const live = new Set(table.listAlive().map(({host}) => host));
+    const isDirect = (host: string) =>
+      wantsReply || asked.has(host) || !live.has(host);
+    const direct = new Set([...this.listHosts()].filter(isDirect));
+    const toDirect = this.buildHeartbeat({wantsReply: true});
+    for (const host of direct) transport.send(host, toDirect);
+    this.options.relay.broadcast(
+      this.buildHeartbeat({}),
+      ++this.heartbeats,
+      direct,
+    );
   }
 
   private addSeeds(seedHosts: readonly string[]): void {
--- a/packages/direct/src/peers/peer-group.ts
+++ b/packages/direct/src/peers/peer-group.ts
@@ -88,6 +88,7 @@
       ...options,
       table: this.table,
       placements: this.placements,
+      relay: this.relay,
       onHeartbeat: peer => this.handleHeartbeat(peer),
     });
     this.startupSync = new StartupSync({
--- a/packages/direct/src/peers/zone-relay.ts
+++ b/packages/direct/src/peers/zone-relay.ts
@@ -15,6 +15,8 @@
 const RELAYED_BYTE = RELAYED.charCodeAt(0);
 const RELAYED_PREFIX = Buffer.from(RELAYED);
 
+const NOBODY: ReadonlySet<string> = new Set();
+
 /** A live peer, as the relay sees it. */
 export interface RelayPeer {
   readonly host: string;
@@ -45,11 +47,17 @@
    *
    * @param number - Datagrams with the same number take the same way, so that
    *   they arrive in order.
+   * @param except - Hosts that need no datagram.
    */
-  broadcast(bytes: Buffer, number: number): void {
+  broadcast(
+    bytes: Buffer,
+    number: number,
+    except: ReadonlySet<string> = NOBODY,
+  ): void {
     const {zone, listPeers, send} = this.options;
     const relayed = Buffer.concat([RELAYED_PREFIX, bytes]);
-    for (const [peerZone, peers] of groupByZone(listPeers())) {
+    const receivers = listPeers().filter(({host}) => !except.has(host));
+    for (const [peerZone, peers] of groupByZone(receivers)) {
       const relay =
         peerZone === zone || peerZone === undefined
           ? undefined
