--- a/packages/direct/src/placement/load-tracker.ts
+++ b/packages/direct/src/placement/load-tracker.ts
@@ -5,6 +5,8 @@
  */
 
 import {IDLE_LOAD, findLongest} from './engine-load.js';
+import {OwnedPlacements} from './owned-placements.js';
+import {SuspectTrials} from './suspect-trials.js';
 import {TrackedEngine} from './tracked-engine.js';
 import type {EngineCostModel} from '../types.js';
 import type {EngineIterations} from './engine-iterations.js';
@@ -24,18 +26,8 @@
  */
 const MAX_LAG_MS = 200;
 
-/**
- * Time for which other prompts keep away from the engine of a suspect prompt, in
- * ms: most prompts begin to run within it, and it costs little of the fleet.
- */
-const KEEP_AWAY_MS = 500;
-
-/**
- * Time to first token above which a suspect prompt may run at a second engine: a
- * multiple of the predicted one plus a slack in ms.
- */
-const TRIAL_TTFT_FACTOR = 2;
-const TRIAL_SLACK_MS = 1000;
+/** Interval at which engines without work are dropped, in ms. */
+const IDLE_CHECK_INTERVAL_MS = 1000;
 
 /**
  * Tracks the placements of all gates and derives the load of each engine.
@@ -46,12 +38,15 @@
  */
 export class LoadTracker {
   private readonly entries = new Map<string, TrackedPlacement>();
+  private readonly owned = new OwnedPlacements();
   private readonly engines = new Map<string, TrackedEngine>();
   private readonly slowdowns = new Map<string, number>();
   private readonly removeListeners: Array<() => void> = [];
   private changes = 0;
-  /** Placements of suspect prompts before their first token, by key. */
-  private readonly trials = new Map<string, Placement>();
+  /** Time from which idle engines are looked for again, in ms. */
+  private nextDropAt = -Infinity;
+  /** Suspect prompts before their first token. */
+  readonly trials = new SuspectTrials();
 
   /**
    * @param findEngine - Returns the cost model of an engine; undefined for a
@@ -100,10 +95,9 @@
       firstTokenAt: hasFirstToken ? placement.placedAt : undefined,
     };
     this.entries.set(placement.key, entry);
+    this.owned.add(entry);
     this.changes++;
-    const {suspects = []} = placement;
-    if (suspects.length > 0 && !hasFirstToken)
-      this.trials.set(placement.key, placement);
+    if (!hasFirstToken) this.trials.add(placement);
     for (const target of listTargets(placement))
       this.findOrAddEngine(target).add(entry);
   }
@@ -114,7 +108,7 @@
     if (entry === undefined || entry.firstTokenAt !== undefined) return;
     entry.firstTokenAt = now;
     this.changes++;
-    this.trials.delete(key);
+    this.trials.remove(key);
     for (const target of listTargets(entry.placement))
       this.engines.get(target)?.markFirstToken(entry, now);
   }
@@ -124,48 +118,15 @@
     const entry = this.entries.get(key);
     if (entry === undefined) return;
     this.entries.delete(key);
+    this.owned.remove(entry);
     this.changes++;
-    this.trials.delete(key);
+    this.trials.remove(key);
     for (const target of listTargets(entry.placement))
       this.engines.get(target)?.remove(entry, now);
     this.dropIdleEngines(now);
     for (const listener of this.removeListeners) listener();
   }
 
-  /** Returns whether a suspect prompt runs on an engine and may still crash it. */
-  isTrialEngine(decoder: string, now: number): boolean {
-    return [...this.trials.values()].some(
-      trial => trial.decoder === decoder && now - trial.placedAt < KEEP_AWAY_MS,
-    );
-  }
-
-  /** Returns whether a prompt with one of these features runs as a suspect. */
-  isOnTrial(suspects: readonly string[], now: number): boolean {
-    if (suspects.length === 0) return false;
-    return [...this.trials.values()].some(
-      trial =>
-        now < findTrialEnd(trial) &&
-        suspects.some(id => trial.suspects?.includes(id)),
-    );
-  }
-
-  /**
-   * Returns whether another suspect prompt was placed at the same moment that
-   * shares a feature or the decoding engine with this one, and goes first. All
-   * gates agree on the order by the keys.
-   */
-  isTrialLost(key: string, now: number): boolean {
-    const own = this.trials.get(key);
-    if (own === undefined) return false;
-    return [...this.trials.values()].some(
-      trial =>
-        trial.key < key &&
-        now < findTrialEnd(trial) &&
-        (trial.decoder === own.decoder ||
-          own.suspects?.some(id => trial.suspects?.includes(id))),
-    );
-  }
-
   /** Estimates the time until a prompt is prefilled on all engines, in ms. */
   estimateRemainingPrefillMs(key: string, now: number): number {
     const placement = this.entries.get(key)?.placement;
@@ -213,18 +174,15 @@
     this.engines.get(target)?.readIterations()?.setSlowdown(slowdown, now);
   }
 
-  /** Lists the placements whose keys begin with `owner`. */
+  /** Lists the placements of one gate. */
   listOwnedBy(owner: string): ReadonlyArray<{
     readonly placement: Placement;
     readonly hasFirstToken: boolean;
   }> {
-    const prefix = `${owner}#`;
-    return [...this.entries.values()]
-      .filter(({placement}) => placement.key.startsWith(prefix))
-      .map(({placement, firstTokenAt}) => ({
-        placement,
-        hasFirstToken: firstTokenAt !== undefined,
-      }));
+    return this.owned.list(owner).map(({placement, firstTokenAt}) => ({
+      placement,
+      hasFirstToken: firstTokenAt !== undefined,
+    }));
   }
 
   /** Removes every placement of `owner` whose key is not in `keep`. */
@@ -332,6 +290,8 @@
   }
 
   private dropIdleEngines(now: number): void {
+    if (now < this.nextDropAt) return;
+    this.nextDropAt = now + IDLE_CHECK_INTERVAL_MS;
     for (const [target, engine] of this.engines)
       if (engine.isIdle(now)) this.engines.delete(target);
   }
@@ -350,11 +310,6 @@
   }
 }
 
-/** Returns the time from which the engine of a trial counts as failed, in ms. */
-function findTrialEnd({placedAt, predictedTtftMs}: Placement): number {
-  return placedAt + TRIAL_TTFT_FACTOR * predictedTtftMs + TRIAL_SLACK_MS;
-}
-
 /**
  * Measures how late the first token of a stream is against its prediction, in
  * ms; 0 for streams with a long predicted time to first token.
--- a/packages/direct/src/placement/prompt-placer.ts
+++ b/packages/direct/src/placement/prompt-placer.ts
@@ -96,7 +96,7 @@
 
   /** Returns whether a suspect that was placed at the same moment goes first. */
   isTrialLost(): boolean {
-    return this.tracker.isTrialLost(this.key, this.readNow());
+    return this.tracker.trials.isLost(this.key, this.readNow());
   }
 
   /** Releases the slot; further calls have no effect. */
@@ -193,7 +193,7 @@
     const {tracker, announcer, owner, readNow} = this.options;
     const now = readNow();
     const {suspects = []} = request;
-    if (tracker.isOnTrial(suspects, now))
+    if (tracker.trials.isRunning(suspects, now))
       return {waitMs: TRIAL_POLL_MS, predictedTtftMs: 0};
     const targets = this.ranking.sort(this.listTargets(request.service, tried));
     if (
@@ -300,7 +300,7 @@
     const sound = left.filter(target => !health.isSuspended(target.id, now));
     const reachable = sound.length > 0 ? sound : left;
     const safe = reachable.filter(
-      ({id}) => !this.options.tracker.isTrialEngine(id, now),
+      ({id}) => !this.options.tracker.trials.isEngineAtRisk(id, now),
     );
     return safe.length > 0 ? safe : reachable;
   }
