Callers are taken from the start of the process, and wait for the first facts

Now a small script opens the listener before it loads the program, which takes it over before any connection is read; requests that come in the first 500 ms wait for the first configuration and targets. A gate that listens longer without facts refuses at once, as before.

--- a/deploy/start-cached.cjs
+++ b/deploy/start-cached.cjs
@@ -14,6 +14,7 @@
 const {wrap} = require('node:module');
 const {resolve} = require('node:path');
 const {Script} = require('node:vm');
+const {openEarlyListener} = require('../platform/early-listener.cjs');
 
 /** Returns the path of a program's code cache. */
 function getCachePath(program) {
@@ -50,9 +51,11 @@
   // settings reload during a restart would terminate the process and cause
   // another restart. A SIGHUP while Node itself starts still does so.
   process.on('SIGHUP', () => undefined);
-  process.stdout.write('{"level":"info","event":"program_starting"}\n');
   // Removes the program's path from argv, so that the program finds its own
   // arguments at the usual positions.
   const [program] = process.argv.splice(2, 1);
-  runProgram(resolve(program));
+  openEarlyListener(process.env.NUTMEGGAUGE_CONFIG, () => {
+    process.stdout.write('{"level":"info","event":"program_starting"}\n');
+    runProgram(resolve(program));
+  });
 }
--- a/packages/core/src/listen.ts
+++ b/packages/core/src/listen.ts
@@ -23,12 +23,35 @@
 export function openListener(
   server: Server,
   address: ListenAddress,
+): Promise<number> {
+  return startListening(server, ready =>
+    server.listen(address.port, address.host, ready),
+  );
+}
+
+/**
+ * Takes over a listener that is open already, with the connections that wait in
+ * its backlog; resolves with the bound port.
+ *
+ * @example
+ * await takeListener(httpServer, earlyServer);
+ */
+export function takeListener(
+  server: Server,
+  listener: Server,
+): Promise<number> {
+  return startListening(server, ready => server.listen(listener, ready));
+}
+
+function startListening(
+  server: Server,
+  listen: (ready: () => void) => void,
 ): Promise<number> {
   return new Promise((resolve, reject) => {
     // The error handler stays registered: an open listener emits an error for
     // each connection that it cannot accept.
     server.on('error', reject);
-    server.listen(address.port, address.host, () => resolve(readPort(server)));
+    listen(() => resolve(readPort(server)));
   });
 }
 
--- a/packages/direct/src/fleet/fleet-state.ts
+++ b/packages/direct/src/fleet/fleet-state.ts
@@ -91,7 +91,7 @@
   private services = new Map<string, ServiceConfig>();
   private readonly table: TargetTable;
   private latestOutageStartedAt = -Infinity;
-  private readonly listeners: FleetListener[] = [];
+  private readonly listeners = new Set<FleetListener>();
   private readonly restoreListeners: Array<(event: RestoreEvent) => void> = [];
 
   constructor(readNow: () => number) {
@@ -102,9 +102,13 @@
     });
   }
 
-  /** Registers a listener for changes of the known facts. */
-  onChange(listener: FleetListener): void {
-    this.listeners.push(listener);
+  /**
+   * Registers a listener for changes of the known facts; returns a function that
+   * removes it.
+   */
+  onChange(listener: FleetListener): () => void {
+    this.listeners.add(listener);
+    return () => void this.listeners.delete(listener);
   }
 
   /** Registers a listener for restores of the store from an older copy. */
--- a/packages/direct/src/gate.ts
+++ b/packages/direct/src/gate.ts
@@ -36,6 +36,7 @@
 import {createCallPlacer} from './placement/place-call.js';
 import {PromptPlacer} from './placement/prompt-placer.js';
 import {createSharedRetryBudget} from './retry/shared-retry-budget.js';
+import type {Server} from 'node:net';
 import type {ListenAddress, SlowTurn} from '@nutmeggauge/core';
 import type {ForwardContext} from './forward/context.js';
 import type {Ingress} from './ingress/ingress.js';
@@ -95,6 +96,12 @@
   readonly reservations: KvReservations;
   readonly reports: EngineReports;
   readonly log: DecisionLog;
+  /**
+   * Listener for callers that is open already.
+   *
+   * @default opened at the start
+   */
+  readonly listener?: Server;
 }
 
 /**
@@ -290,6 +297,14 @@
   /** Opens all listeners and starts following the store. */
   async start(): Promise<void> {
     const {settings, dependencies} = this;
+    // Before anything is waited for: the gate reads no connection before it has
+    // taken over the listener.
+    const listening = this.ingress.start(
+      settings.ingress,
+      dependencies.listener,
+    );
+    // Awaited below, after the parts that serve requests have started.
+    listening.catch(() => undefined);
     this.turns.start();
     void this.watcher.run();
     await this.peers.start();
@@ -301,7 +316,7 @@
     );
     if (settings.metrics !== undefined)
       await this.status.openMetrics(settings.metrics, () => this.readMetrics());
-    await this.ingress.start(settings.ingress);
+    await listening;
     this.shedder.start();
     this.expiryTimer = setInterval(() => {
       this.state.expireHeld();
--- a/packages/direct/src/ingress/ingress.ts
+++ b/packages/direct/src/ingress/ingress.ts
@@ -9,22 +9,25 @@
   closeIdleAfterRead,
   openListener,
   readBody,
+  takeListener,
   waitForPendingReads,
 } from '@nutmeggauge/core';
 import {CallerResponse} from '../forward/caller-response.js';
 import {forwardCall} from '../forward/call-forwarder.js';
-import {chooseRetryAfterMs} from '../forward/retry-after.js';
 import {forwardStream} from '../forward/stream-forwarder.js';
-import type {IncomingMessage, Server, ServerResponse} from 'node:http';
+import {DEFAULT_DEADLINE_MS, EarlyRefusals} from './early-refusals.js';
+import {StartupHold} from './startup-hold.js';
+import type {
+  IncomingMessage,
+  Server as HttpServer,
+  ServerResponse,
+} from 'node:http';
+import type {Server} from 'node:net';
 import type {ListenAddress} from '@nutmeggauge/core';
-import type {GateErrorReason} from '../forward/caller-response.js';
 import type {ConnectionShedder} from './connection-shedder.js';
 import type {ForwardContext} from '../forward/context.js';
 import type {GateRequest} from '../forward/request.js';
-import type {RequestMetadata, Route} from '../types.js';
-
-/** Deadline of a request that specifies none, in ms after its arrival. */
-const DEFAULT_DEADLINE_MS = 60_000;
+import type {Route} from '../types.js';
 
 /** Maximum size of a request head, in bytes; Node.js answers 431 above it. */
 const MAX_HEAD_BYTES = 64 * 1024;
@@ -32,12 +35,6 @@
 /** Idle timeout of connections until a configuration is applied, in ms. */
 const DEFAULT_IDLE_MS = 15_000;
 
-/**
- * Age of the fleet state above which an unknown API key or route may be new, in
- * ms: longer than one long poll of the store plus one heartbeat.
- */
-const STALE_FACTS_MS = 4000;
-
 /** Retry-After when another gate can serve the request at once, in ms. */
 const OTHER_GATE_RETRY_AFTER_MS = 20;
 
@@ -49,14 +46,18 @@
  * await ingress.start({host: '10.1.0.4', port: 8080});
  */
 export class Ingress {
-  private readonly server: Server;
+  private readonly server: HttpServer;
   private readonly requests = new OpenRequests();
+  private readonly refusals: EarlyRefusals;
+  private readonly hold: StartupHold;
   private isClosing = false;
 
   constructor(
     private readonly context: ForwardContext,
     private readonly shedder: ConnectionShedder,
   ) {
+    this.refusals = new EarlyRefusals(context);
+    this.hold = new StartupHold(context.state, context.readNow);
     this.server = createServer(
       {
         maxHeaderSize: MAX_HEAD_BYTES,
@@ -81,9 +82,16 @@
     return this.requests.count;
   }
 
-  /** Starts to listen; resolves with the bound port. */
-  start(address: ListenAddress): Promise<number> {
-    return openListener(this.server, address);
+  /**
+   * Starts to accept connections; resolves with the bound port.
+   *
+   * @param listener - Listener that is open already at this address.
+   */
+  start(address: ListenAddress, listener?: Server): Promise<number> {
+    this.hold.start();
+    return listener === undefined
+      ? openListener(this.server, address)
+      : takeListener(this.server, listener);
   }
 
   /**
@@ -146,7 +154,9 @@
     }
     if (caller.isDisconnected) return;
     if (body === undefined)
-      return this.refuseEarly(caller, 413, 'body_too_large');
+      return this.refusals.refuse(caller, 413, 'body_too_large');
+    if (!this.hold.isOver) await this.hold.wait();
+    if (caller.isDisconnected) return;
     const whole = body;
     this.context.turns.run('request', () =>
       this.dispatch(req, whole, caller, arrivedAt),
@@ -162,7 +172,7 @@
     const {state, dialect, readNow} = this.context;
     const facts = dialect.parseRequest(req.headers);
     if (this.isClosing)
-      return this.refuseEarly(
+      return this.refusals.refuse(
         caller,
         503,
         'stopping',
@@ -171,26 +181,26 @@
       );
     const config = state.config;
     if (config === undefined)
-      return this.refuseEarly(caller, 503, 'no_configuration', facts);
+      return this.refusals.refuse(caller, 503, 'no_configuration', facts);
     const path = req.url ?? '/';
     const host = req.headers.host ?? '';
     const route = state.routeTable?.find(host, path.split('?', 1)[0]);
     if (route === undefined)
-      return this.refuseUnknown(caller, 404, 'unknown_route', facts);
+      return this.refusals.refuseUnknown(caller, 404, 'unknown_route', facts);
     const account =
       facts.apiKey === undefined ? undefined : state.findAccount(facts.apiKey);
     const needsKey = !route.isPublic && config.accounts.length > 0;
     if (needsKey && account === undefined)
-      return this.refuseUnknown(caller, 401, 'unknown_key', facts);
+      return this.refusals.refuseUnknown(caller, 401, 'unknown_key', facts);
     const leftMs = Math.min(
       facts.deadlineMs ?? DEFAULT_DEADLINE_MS,
       route.timeoutMs,
     );
     if (arrivedAt + leftMs <= readNow())
-      return this.refuseEarly(caller, 503, 'too_late', facts);
+      return this.refusals.refuse(caller, 503, 'too_late', facts);
     const service = chooseService(route);
     if (service === undefined)
-      return this.refuseEarly(caller, 503, 'no_target', facts);
+      return this.refusals.refuse(caller, 503, 'no_target', facts);
     const method = req.method ?? 'GET';
     const fingerprint = new Fingerprint({
       method,
@@ -201,7 +211,7 @@
       listParts: () => facts.sharedParts.map(id => `${service}/${id}`),
     });
     if (this.context.suspects.judge(fingerprint) === 'refused')
-      return this.refuseSuspect(caller, facts, fingerprint);
+      return this.refusals.refuseSuspect(caller, facts, fingerprint);
     this.forward({
       method,
       path,
@@ -230,63 +240,6 @@
   private readBodyLimit(): number {
     return this.context.state.config?.limits.maxBodyBytes ?? 4 * 1024 * 1024;
   }
-
-  /**
-   * Refuses a request with an unknown key or route. A gate with stale fleet
-   * state responds with 503, as it cannot know whether the key or route exists.
-   */
-  private refuseUnknown(
-    caller: CallerResponse,
-    status: 401 | 404,
-    reason: 'unknown_key' | 'unknown_route',
-    facts: RequestMetadata,
-  ): void {
-    if (this.context.readFactsAgeMs() > STALE_FACTS_MS)
-      return this.refuseEarly(caller, 503, 'configuration_stale', facts);
-    this.refuseEarly(caller, status, reason, facts);
-  }
-
-  /**
-   * Refuses a request under which servers have crashed until the refusal of its
-   * content ends.
-   */
-  private refuseSuspect(
-    caller: CallerResponse,
-    facts: RequestMetadata,
-    fingerprint: Fingerprint,
-  ): void {
-    const {suspects, log} = this.context;
-    const leftMs = suspects.readRefusalLeftMs(fingerprint);
-    this.refuseEarly(caller, 503, 'crashes_servers', facts, leftMs);
-    log.info('suspect_refused', {
-      requestId: facts.requestId,
-      content: fingerprint.id,
-      refusedFor: suspects.listRefusingIds(fingerprint),
-      crashed: suspects.listCrashed(fingerprint),
-      leftMs: Math.round(leftMs),
-    });
-  }
-
-  private refuseEarly(
-    caller: CallerResponse,
-    status: number,
-    reason: GateErrorReason,
-    facts?: RequestMetadata,
-    retryDelayMs?: number,
-  ): void {
-    const {log, counters, state, readFactsAgeMs} = this.context;
-    const leftMs = facts?.deadlineMs ?? DEFAULT_DEADLINE_MS;
-    const waitMs = retryDelayMs ?? chooseRetryAfterMs(0, leftMs);
-    caller.refuse(status, reason, status === 503 ? waitMs : undefined);
-    counters.add(`ingress.${reason}`);
-    log.warn('request_refused', {
-      requestId: facts?.requestId,
-      status,
-      reason,
-      configVersion: state.config?.version,
-      factsAgeMs: Math.round(readFactsAgeMs()),
-    });
-  }
 }
 
 function readFirstValue(
