Gates that greet each other at once don't answer too, and names go to gates that know fewer

A gate without streams leaves a greeting unanswered when its own to that peer is on the way, and names go to gates that know fewer gates than are live, or that ask for them since their hash differs.

--- a/packages/direct/src/peers/heartbeat-builder.ts
+++ b/packages/direct/src/peers/heartbeat-builder.ts
@@ -39,6 +39,8 @@
   readonly owner: string;
   /** Hash of the hosts of the live gates that this gate knows. */
   readonly members: number;
+  /** Number of gates that this gate knows, heard or not. */
+  readonly known: number;
   readonly leaves: boolean;
 }
 
@@ -50,18 +52,20 @@
   readonly peers: readonly string[];
   /** Whether it asks for a heartbeat in return. */
   readonly wantsReply: boolean;
+  /** Whether it asks for the names of live gates too. */
+  readonly wantsNames: boolean;
 }
 
 /**
  * Builds a heartbeat. Fields that are empty or false are left out.
  *
  * @example
- * buildHeartbeat(sources, envelope, {isFull: false, peers: [], wantsReply: true});
+ * buildHeartbeat(sources, envelope, contents);
  */
 export function buildHeartbeat(
   sources: HeartbeatSources,
-  {owner, members, leaves}: HeartbeatEnvelope,
-  {isFull, peers, wantsReply}: HeartbeatContents,
+  {owner, members, known, leaves}: HeartbeatEnvelope,
+  {isFull, peers, wantsReply, wantsNames}: HeartbeatContents,
 ): SentHeartbeat {
   const {state, suspects, limits, slowdowns} = sources;
   const now = sources.readNow();
@@ -77,6 +81,7 @@
     factsAgeMs: Math.round(sources.readStoreAgeMs()),
     contactMs: Math.round(sources.readContactMs()),
     members,
+    known,
     peers: toOptional(peers),
     open: toOptional(listNumbers(placements)),
     begun: toOptional(listNumbers(begun)),
@@ -93,6 +98,7 @@
     refusedHash: suspects.hashRefused(),
     lagMs: Math.round(sources.readLagMs()),
     wantsReply: wantsReply || undefined,
+    wantsNames: wantsNames || undefined,
     leaves: leaves || undefined,
   };
 }
--- a/packages/direct/src/peers/membership.ts
+++ b/packages/direct/src/peers/membership.ts
@@ -26,6 +26,9 @@
  */
 const CHANGE_HEARTBEAT_DELAY_MS = 100;
 
+/** Time in which a greeting reaches a peer, in ms. */
+const GREETING_MS = 100;
+
 /** Dependencies of the membership of one gate. */
 export interface MembershipOptions extends HeartbeatSources {
   readonly table: PeerTable;
@@ -52,6 +55,8 @@
   private changeTimer: NodeJS.Timeout | undefined;
   private readonly joins: JoinRetry;
   private hasLeft = false;
+  /** Time of the latest greeting of each host, in ms. */
+  private readonly greetedAt = new Map<string, number>();
   /** Number of heartbeats; each goes through other relays than the one before. */
   private heartbeats = 0;
 
@@ -125,7 +130,9 @@
     if (isNew) log.info('peer_joined', {peer: peer.host});
     const isIncomplete = placements.isIncomplete(heartbeat);
     const isReplyDue = heartbeat.wantsReply || isNew;
-    if (isReplyDue || isIncomplete) this.reply(peer, isReplyDue, isIncomplete);
+    const isAnswered = !isIncomplete && this.isAnswered(heartbeat);
+    if ((isReplyDue && !isAnswered) || isIncomplete)
+      this.reply(heartbeat, isReplyDue, isIncomplete);
     this.options.onHeartbeat(peer);
   }
 
@@ -134,15 +141,18 @@
   }
 
   private broadcastHeartbeats(wantsReply = false): void {
-    const {table, transport} = this.options;
+    const {table, suspects} = this.options;
     for (const peer of table.expireSilent()) this.dropPeer(peer, 'silent');
-    const asked = new Set([this.pickRefusalSource(), this.pickNameSource()]);
+    const refusalSource = table.pickRefusalSource(suspects.hashRefused());
+    const nameSource = table.pickNameSource();
     const live = new Set(table.listAlive().map(({host}) => host));
     const isDirect = (host: string) =>
-      wantsReply || asked.has(host) || !live.has(host);
+      wantsReply ||
+      host === refusalSource ||
+      host === nameSource ||
+      !live.has(host);
     const direct = new Set([...this.listHosts()].filter(isDirect));
-    const toDirect = this.buildHeartbeat({wantsReply: true});
-    for (const host of direct) transport.send(host, toDirect);
+    this.greet([...direct], nameSource);
     this.options.relay.broadcast(
       this.buildHeartbeat({}),
       ++this.heartbeats,
@@ -166,10 +176,19 @@
     return [...this.listHosts()].filter(host => !table.isHeardFrom(host));
   }
 
-  /** Asks hosts for a heartbeat. */
-  private greet(hosts: readonly string[]): void {
-    const bytes = this.buildHeartbeat({wantsReply: true});
-    for (const host of hosts) this.options.transport.send(host, bytes);
+  /**
+   * Asks hosts for a heartbeat.
+   *
+   * @param nameSource - Host that is asked for names, too.
+   */
+  private greet(hosts: readonly string[], nameSource?: string): void {
+    const {transport, readNow} = this.options;
+    const plain = this.buildHeartbeat({wantsReply: true});
+    const naming = this.buildHeartbeat({wantsReply: true, wantsNames: true});
+    for (const host of hosts) {
+      transport.send(host, host === nameSource ? naming : plain);
+      this.greetedAt.set(host, readNow());
+    }
   }
 
   /** Greets gates of which a peer has told. */
@@ -179,53 +198,59 @@
     this.joins.start();
   }
 
+  /**
+   * Returns whether a greeting that this gate has just sent to a peer tells it
+   * all that an answer would: two gates that hear of each other at once greet
+   * each other.
+   */
+  private isAnswered({from, wantsNames}: Heartbeat): boolean {
+    const {tracker, readNow} = this.options;
+    const greetedAt = this.greetedAt.get(from) ?? -Infinity;
+    return (
+      !wantsNames &&
+      readNow() - greetedAt < GREETING_MS &&
+      tracker.listOwnedBy(this.owner).length === 0
+    );
+  }
+
   /**
    * Sends a heartbeat to a peer that has asked for one, or that this gate asks.
    *
    * @param isFull - Whether the peer has asked.
    */
-  private reply(peer: Peer, isFull: boolean, wantsReply: boolean): void {
+  private reply(
+    {from, members, known, wantsNames}: Heartbeat,
+    isFull: boolean,
+    wantsReply: boolean,
+  ): void {
     const {table, transport} = this.options;
-    const isNaming = isFull && peer.members !== table.hashMembers();
     // Peers that are gone are not named: they would be named again forever.
-    const peers = isNaming ? table.listAlive().map(({host}) => host) : [];
-    transport.send(peer.host, this.buildHeartbeat({isFull, peers, wantsReply}));
-  }
-
-  /**
-   * Picks a live peer that refuses other contents than this gate, because their
-   * reports were lost or came before this gate started. One is asked at a time.
-   */
-  private pickRefusalSource(): string | undefined {
-    const {suspects, table} = this.options;
-    const ownHash = suspects.hashRefused();
-    const sources = table
-      .listAlive()
-      .filter(
-        ({refusedHash}) => refusedHash !== undefined && refusedHash !== ownHash,
-      );
-    return pickAny(sources)?.host;
-  }
-
-  /**
-   * Picks a live peer that knows other gates than this gate. One is asked for
-   * their names at a time.
-   */
-  private pickNameSource(): string | undefined {
-    const {table} = this.options;
-    const ownMembers = table.hashMembers();
-    return pickAny(
-      table.listAlive().filter(({members}) => members !== ownMembers),
-    )?.host;
+    const live = table.listAlive();
+    const isBehind = isFull && known < live.length;
+    const isNaming =
+      (wantsNames || isBehind) && members !== table.hashMembers();
+    const peers = isNaming ? live.map(({host}) => host) : [];
+    transport.send(from, this.buildHeartbeat({isFull, peers, wantsReply}));
   }
 
   private buildHeartbeat(contents: Partial<HeartbeatContents>): Buffer {
     const {owner, options, hasLeft} = this;
-    const members = options.table.hashMembers();
+    const {table} = options;
     const params = buildHeartbeat(
       options,
-      {owner, members, leaves: hasLeft},
-      {isFull: false, peers: [], wantsReply: false, ...contents},
+      {
+        owner,
+        members: table.hashMembers(),
+        known: table.listHosts().length,
+        leaves: hasLeft,
+      },
+      {
+        isFull: false,
+        peers: [],
+        wantsReply: false,
+        wantsNames: false,
+        ...contents,
+      },
     );
     return formatDatagram({jsonrpc: '2.0', method: 'heartbeat', params});
   }
@@ -248,7 +273,3 @@
     log.info('peer_lost', {peer: peer.host, reason});
   }
 }
-
-function pickAny<T>(items: readonly T[]): T | undefined {
-  return items[Math.floor(Math.random() * items.length)];
-}
--- a/packages/direct/src/peers/messages.ts
+++ b/packages/direct/src/peers/messages.ts
@@ -57,10 +57,9 @@
   contactMs: z.number().default(0),
   /** Hash of the hosts of the live gates that the sender knows. */
   members: z.number().optional(),
-  /**
-   * Hosts of these gates; only in answers to gates that know others. Absent if
-   * there are none.
-   */
+  /** Number of gates that the sender knows, heard or not. */
+  known: z.number().default(0),
+  /** Hosts of these gates, in an answer to a gate that asks for them. */
   peers: z.array(z.string()).default([]),
   /**
    * Placement numbers of the sender's open streams (`open`) and of those past
@@ -87,6 +86,8 @@
   lagMs: z.number().nonnegative().default(0),
   /** Whether the sender asks for a heartbeat in return. */
   wantsReply: z.boolean().default(false),
+  /** Whether it asks for the names of the live gates that the receiver knows. */
+  wantsNames: z.boolean().default(false),
   /** Whether the sender is shutting down. */
   leaves: z.boolean().default(false),
 });
--- a/packages/direct/src/peers/peer-table.test.ts
+++ b/packages/direct/src/peers/peer-table.test.ts
@@ -26,6 +26,8 @@
     slowdowns: [],
     lagMs: 0,
     wantsReply: false,
+    wantsNames: false,
+    known: 1,
     leaves: false,
   };
 }
--- a/packages/direct/src/peers/peer-table.ts
+++ b/packages/direct/src/peers/peer-table.ts
@@ -103,6 +103,29 @@
     return sum % HASH_RANGE;
   }
 
+  /**
+   * Picks a live peer that refuses other contents than this gate, because their
+   * reports were lost or came before this gate started. One is asked at a time.
+   */
+  pickRefusalSource(ownHash: string | undefined): string | undefined {
+    return pickAny(
+      this.listAlive().filter(
+        ({refusedHash}) => refusedHash !== undefined && refusedHash !== ownHash,
+      ),
+    )?.host;
+  }
+
+  /**
+   * Picks a live peer that knows other gates than this gate. One is asked for
+   * their names at a time.
+   */
+  pickNameSource(): string | undefined {
+    const ownMembers = this.hashMembers();
+    return pickAny(
+      this.listAlive().filter(({members}) => members !== ownMembers),
+    )?.host;
+  }
+
   /** Counts the gates that share budgets, including this gate. */
   countBudgetMembers(): number {
     return 1 + this.listWithRecentHeartbeat(BUDGET_SHARE_TIMEOUT_MS).length;
@@ -227,3 +250,7 @@
   hostHashes.set(host, hash);
   return hash;
 }
+
+function pickAny<T>(items: readonly T[]): T | undefined {
+  return items[Math.floor(Math.random() * items.length)];
+}
