Test of the backup engine says which engine has the stream first

A shard of another gate keeps the stream away from the other engine until it has begun; all checks and times are as before.

--- a/packages/direct/src/forward/silent-engine.test.ts
+++ b/packages/direct/src/forward/silent-engine.test.ts
@@ -158,7 +158,10 @@
 }> {
   const busy = await bed.addEngine('busy');
   const idle = await bed.addEngine('idle', answerNotRun);
+  // Two idle engines cost the same, and either may be chosen.
+  const otherShard = bed.addPeerShard('idle', LONG_SHARD_MS);
   await bed.beginStreams(busy, 1);
+  bed.removePeerShard(otherShard);
   const silentSince = bed.clock.now;
   const target = bed.targets.get('idle');
   if (target !== undefined) target.script = idle.script;
--- a/packages/direct/src/test/silent-engine.ts
+++ b/packages/direct/src/test/silent-engine.ts
@@ -184,10 +184,11 @@
     return engine;
   }
 
-  /** Adds a shard that another gate has placed on an engine. */
-  addPeerShard(engine: string, prefillMs: number): void {
+  /** Adds a shard that another gate has placed on an engine; returns its key. */
+  addPeerShard(engine: string, prefillMs: number): string {
+    const key = `peer#${++this.lastShard}`;
     this.harness.gate['tracker'].add({
-      key: `peer#${++this.lastShard}`,
+      key,
       decoder: 'elsewhere',
       shards: ['elsewhere', engine].map(target => ({target, prefillMs})),
       promptTokens: 66_000,
@@ -199,6 +200,12 @@
       predictedTtftMs: prefillMs,
       placedAt: this.clock.now,
     });
+    return key;
+  }
+
+  /** Removes a shard that another gate has placed. */
+  removePeerShard(key: string): void {
+    this.harness.gate['tracker'].remove(key, this.clock.now);
   }
 
   /** Calls the gate for a stream. */
