--- a/packages/core/src/listen.ts
+++ b/packages/core/src/listen.ts
@@ -34,9 +34,9 @@
  * its backlog; resolves with the bound port.
  *
  * @example
- * await takeListener(httpServer, earlyServer);
+ * await acceptListener(httpServer, earlyServer);
  */
-export function takeListener(
+export function acceptListener(
   server: Server,
   listener: Server,
 ): Promise<number> {
--- a/packages/direct/src/forward/attempt-chain.ts
+++ b/packages/direct/src/forward/attempt-chain.ts
@@ -2,7 +2,7 @@
  * Consecutive attempts at one stream. A second chain runs as a backup while the
  * engine of the first chain is stalled but not cancelled.
  */
-import type {PlacedPrompt} from '../placement/prompt-placer.js';
+import type {PlacedPrompt} from '../placement/placed-prompt.js';
 import type {OtherEngine} from './choose-hold.js';
 import type {StreamAttempt} from './stream-attempt.js';
 
--- a/packages/direct/src/forward/slot-finder.ts
+++ b/packages/direct/src/forward/slot-finder.ts
@@ -3,7 +3,7 @@
  * overall, or after a wait in the admission queue.
  */
 import {setTimeout as sleep} from 'node:timers/promises';
-import {PlacedPrompt} from '../placement/prompt-placer.js';
+import {PlacedPrompt} from '../placement/placed-prompt.js';
 import type {Deferral, PlacementOutcome} from '../placement/prompt-placer.js';
 import type {EngineCostModel} from '../types.js';
 import type {ForwardContext} from './context.js';
--- a/packages/direct/src/forward/stream-attempt.ts
+++ b/packages/direct/src/forward/stream-attempt.ts
@@ -16,7 +16,7 @@
   StallTimer,
   chooseTtftTimeoutMs,
 } from './stall-timer.js';
-import type {PlacedPrompt} from '../placement/prompt-placer.js';
+import type {PlacedPrompt} from '../placement/placed-prompt.js';
 import type {EngineCostModel} from '../types.js';
 import type {ForwardContext} from './context.js';
 import type {StreamEvent} from './event-splitter.js';
--- a/packages/direct/src/forward/stream-forwarder.ts
+++ b/packages/direct/src/forward/stream-forwarder.ts
@@ -4,7 +4,7 @@
  * same response, if the route allows it.
  */
 import {estimatePatienceMs} from '../placement/loss.js';
-import {PlacedPrompt} from '../placement/prompt-placer.js';
+import {PlacedPrompt} from '../placement/placed-prompt.js';
 import {AttemptChain} from './attempt-chain.js';
 import {chooseHoldMs} from './choose-hold.js';
 import {SlotFinder} from './slot-finder.js';
--- a/packages/direct/src/forward/stream-record.ts
+++ b/packages/direct/src/forward/stream-record.ts
@@ -1,6 +1,6 @@
 /** Writes the log events and counters of streams. */
 import type {ExchangeFault} from '../errors.js';
-import type {PlacedPrompt} from '../placement/prompt-placer.js';
+import type {PlacedPrompt} from '../placement/placed-prompt.js';
 import type {Target} from '../types.js';
 import type {ForwardContext} from './context.js';
 import type {GateRequest} from './request.js';
--- /dev/null
+++ b/packages/direct/src/gate-settings.ts
@@ -0,0 +1,49 @@
+/** Settings of a direct gate, and what an adapter provides for it. */
+import type {Server} from 'node:net';
+import type {ListenAddress} from '@nutmeggauge/core';
+import type {DecisionLog} from './observe/decision-log.js';
+import type {
+  EngineReports,
+  FactStore,
+  HeaderDialect,
+  KvReservations,
+} from './ports.js';
+import type {RetryBounds} from './retry/shared-retry-budget.js';
+
+/** Settings of a direct gate. */
+export interface DirectGateSettings {
+  readonly node: string;
+  readonly zone: string;
+  /** Address that callers connect to. */
+  readonly ingress: ListenAddress;
+  /** Address where the load balancer checks readiness. */
+  readonly ready: ListenAddress;
+  /** Address that peers use, over TCP and UDP. */
+  readonly peers: ListenAddress;
+  /** Address where metrics are served; absent to serve none. */
+  readonly metrics: ListenAddress | undefined;
+  readonly seedHosts: readonly string[];
+  readonly retryBounds: RetryBounds;
+  /** Time between the request to stop and the kill of the process, in ms. */
+  readonly stopGraceMs: number;
+  /**
+   * Time for which a request is refused after servers have crashed under it, in
+   * ms.
+   */
+  readonly crashRefusalMs: number;
+}
+
+/** Dependencies of a direct gate, which an adapter provides. */
+export interface DirectGateDependencies {
+  readonly dialect: HeaderDialect;
+  readonly store: FactStore;
+  readonly reservations: KvReservations;
+  readonly reports: EngineReports;
+  readonly log: DecisionLog;
+  /**
+   * Listener for callers that is open already.
+   *
+   * @default opened at the start
+   */
+  readonly listener?: Server;
+}
--- a/packages/direct/src/gate.ts
+++ b/packages/direct/src/gate.ts
@@ -2,7 +2,6 @@
  * The direct gate: a process on an entry host that forwards callers' requests
  * directly to targets.
  */
-import {setTimeout as sleep} from 'node:timers/promises';
 import {
   ConnectionCheck,
   HomeTable,
@@ -17,6 +16,7 @@
   createAdmissionQueue,
 } from './admission/admission-queue.js';
 import {CrashWatch} from './crashes/crash-watch.js';
+import {runDrain} from './drain.js';
 import {OpenExchanges} from './forward/open-exchanges.js';
 import {createFleetState} from './fleet/fleet-state.js';
 import {createStoreWatcher} from './fleet/store-watcher.js';
@@ -24,6 +24,7 @@
 import {createTargetHealth} from './health/target-health.js';
 import {ConnectionShedder} from './ingress/connection-shedder.js';
 import {createIngress} from './ingress/ingress.js';
+import {formatSlowTurn} from './observe/slow-turn.js';
 import {StatusServer} from './observe/status-server.js';
 import {Permits} from './limits/permits.js';
 import {RequestLimits} from './limits/request-limits.js';
@@ -36,74 +37,18 @@
 import {createCallPlacer} from './placement/place-call.js';
 import {PromptPlacer} from './placement/prompt-placer.js';
 import {createSharedRetryBudget} from './retry/shared-retry-budget.js';
-import type {Server} from 'node:net';
-import type {ListenAddress, SlowTurn} from '@nutmeggauge/core';
 import type {ForwardContext} from './forward/context.js';
+import type {
+  DirectGateDependencies,
+  DirectGateSettings,
+} from './gate-settings.js';
 import type {Ingress} from './ingress/ingress.js';
-import type {DecisionFields, DecisionLog} from './observe/decision-log.js';
 import type {MetricValues} from './observe/metrics-text.js';
-import type {
-  EngineReports,
-  FactStore,
-  HeaderDialect,
-  KvReservations,
-} from './ports.js';
 import type {Target} from './types.js';
-import type {RetryBounds} from './retry/shared-retry-budget.js';
-
-/**
- * Time until the load balancer sends no more requests to a stopping gate, in
- * ms; long enough for two failed readiness checks.
- */
-const DRAIN_NOTICE_MS = 2900;
-
-/** Part of the stop grace period reserved for the process exit, in ms. */
-const DRAIN_EXIT_RESERVE_MS = 500;
-
-/** Interval at which a drain checks for open requests, in ms. */
-const DRAIN_POLL_MS = 50;
 
 /** Interval at which held targets and suspect requests expire, in ms. */
 const EXPIRY_CHECK_INTERVAL_MS = 100;
 
-/** Settings of a direct gate. */
-export interface DirectGateSettings {
-  readonly node: string;
-  readonly zone: string;
-  /** Address that callers connect to. */
-  readonly ingress: ListenAddress;
-  /** Address where the load balancer checks readiness. */
-  readonly ready: ListenAddress;
-  /** Address that peers use, over TCP and UDP. */
-  readonly peers: ListenAddress;
-  /** Address where metrics are served; absent to serve none. */
-  readonly metrics: ListenAddress | undefined;
-  readonly seedHosts: readonly string[];
-  readonly retryBounds: RetryBounds;
-  /** Time between the request to stop and the kill of the process, in ms. */
-  readonly stopGraceMs: number;
-  /**
-   * Time for which a request is refused after servers have crashed under it, in
-   * ms.
-   */
-  readonly crashRefusalMs: number;
-}
-
-/** Dependencies of a direct gate, which an adapter provides. */
-export interface DirectGateDependencies {
-  readonly dialect: HeaderDialect;
-  readonly store: FactStore;
-  readonly reservations: KvReservations;
-  readonly reports: EngineReports;
-  readonly log: DecisionLog;
-  /**
-   * Listener for callers that is open already.
-   *
-   * @default opened at the start
-   */
-  readonly listener?: Server;
-}
-
 /**
  * Direct gate with its listeners, its store watcher and its peers.
  *
@@ -343,7 +288,14 @@
    * so that callers retry them at other gates.
    */
   drain(): Promise<void> {
-    this.draining ??= this.runDrain();
+    this.draining ??= runDrain({
+      ingress: this.ingress,
+      stopGraceMs: this.settings.stopGraceMs,
+      stopShedding: () => this.shedder.stop(),
+      leavePeers: () => this.peers.stop(),
+      log: this.dependencies.log,
+      readNow: this.readNow,
+    });
     return this.draining;
   }
 
@@ -351,30 +303,6 @@
     return this.draining !== undefined;
   }
 
-  private async runDrain(): Promise<void> {
-    const {log} = this.dependencies;
-    log.info('drain_started', {inFlight: this.ingress.inFlight});
-    this.shedder.stop();
-    this.ingress.closeConnectionsAfterAnswers();
-    const startedAt = this.readNow();
-    const giveUpAt =
-      startedAt + this.settings.stopGraceMs - DRAIN_EXIT_RESERVE_MS;
-    await sleep(Math.min(DRAIN_NOTICE_MS, this.settings.stopGraceMs / 2));
-    await this.ingress.stopAccepting();
-    await this.waitForOpenRequests(giveUpAt);
-    await this.ingress.closeIdle();
-    // Waits for the requests that were read before idle connections were
-    // closed.
-    await this.waitForOpenRequests(giveUpAt);
-    log.info('drain_finished', {left: this.ingress.inFlight});
-    await this.peers.stop();
-  }
-
-  private async waitForOpenRequests(giveUpAt: number): Promise<void> {
-    while (this.ingress.inFlight > 0 && this.readNow() < giveUpAt)
-      await sleep(DRAIN_POLL_MS);
-  }
-
   /** Closes all listeners and connections at once, without a drain. */
   close(): void {
     clearInterval(this.expiryTimer);
@@ -472,18 +400,6 @@
   }
 }
 
-/** Formats a slow turn as fields of a log line. */
-function formatSlowTurn({ms, work, turns}: SlowTurn): DecisionFields {
-  return {
-    ms: Math.round(ms),
-    turns,
-    workMs: Object.fromEntries(
-      work.map(({cause, ms: workMs}) => [cause, Math.round(workMs)]),
-    ),
-    counts: Object.fromEntries(work.map(({cause, count}) => [cause, count])),
-  };
-}
-
 /**
  * Creates a direct gate.
  *
--- a/packages/direct/src/index.ts
+++ b/packages/direct/src/index.ts
@@ -4,6 +4,7 @@
 export * from './errors.js';
 export * from './fleet/fact-position.js';
 export * from './gate.js';
+export type * from './gate-settings.js';
 export {createFleetState} from './fleet/fleet-state.js';
 export type {FleetState} from './fleet/fleet-state.js';
 export {createDecisionLog} from './observe/decision-log.js';
--- a/packages/direct/src/ingress/ingress.ts
+++ b/packages/direct/src/ingress/ingress.ts
@@ -9,7 +9,7 @@
   closeIdleAfterRead,
   openListener,
   readBody,
-  takeListener,
+  acceptListener,
   waitForPendingReads,
 } from '@nutmeggauge/core';
 import {CallerResponse} from '../forward/caller-response.js';
@@ -91,7 +91,7 @@
     this.hold.start();
     return listener === undefined
       ? openListener(this.server, address)
-      : takeListener(this.server, listener);
+      : acceptListener(this.server, listener);
   }
 
   /**
--- a/packages/direct/src/peers/membership.ts
+++ b/packages/direct/src/peers/membership.ts
@@ -64,7 +64,7 @@
     this.addSeeds(options.seedHosts);
     this.joins = new JoinRetry({
       listUnheard: () => this.listUnheard(),
-      greet: hosts => this.greet(hosts),
+      greet: hosts => this.sendGreetings(hosts),
       maxDelayMs: HEARTBEAT_MS,
     });
   }
@@ -121,7 +121,7 @@
       this.applyIncarnation(peer, heartbeat);
     const unknown = heartbeat.peers.filter(named => !table.isKnown(named));
     const isNew = table.recordHeartbeat(peer, heartbeat);
-    if (unknown.length > 0) this.greetNew(unknown);
+    if (unknown.length > 0) this.sendFirstGreetings(unknown);
     if (heartbeat.leaves) return this.dropPeer(peer, 'left');
     placements.applyHeartbeat(heartbeat);
     for (const slowdown of heartbeat.slowdowns) slowdowns.apply(slowdown);
@@ -132,7 +132,7 @@
     const isReplyDue = heartbeat.wantsReply || isNew;
     const isAnswered = !isIncomplete && this.isAnswered(heartbeat);
     if ((isReplyDue && !isAnswered) || isIncomplete)
-      this.reply(heartbeat, isReplyDue, isIncomplete);
+      this.sendReply(heartbeat, isReplyDue, isIncomplete);
     this.options.onHeartbeat(peer);
   }
 
@@ -152,7 +152,7 @@
       host === nameSource ||
       !live.has(host);
     const direct = new Set([...this.listHosts()].filter(isDirect));
-    this.greet([...direct], nameSource);
+    this.sendGreetings([...direct], nameSource);
     this.options.relay.broadcast(
       this.buildHeartbeat({}),
       ++this.heartbeats,
@@ -181,7 +181,7 @@
    *
    * @param nameSource - Host that is asked for names, too.
    */
-  private greet(hosts: readonly string[], nameSource?: string): void {
+  private sendGreetings(hosts: readonly string[], nameSource?: string): void {
     const {transport, readNow} = this.options;
     const plain = this.buildHeartbeat({wantsReply: true});
     const naming = this.buildHeartbeat({wantsReply: true, wantsNames: true});
@@ -192,9 +192,9 @@
   }
 
   /** Greets gates of which a peer has told. */
-  private greetNew(hosts: readonly string[]): void {
+  private sendFirstGreetings(hosts: readonly string[]): void {
     if (this.hasLeft) return;
-    this.greet(hosts);
+    this.sendGreetings(hosts);
     this.joins.start();
   }
 
@@ -218,7 +218,7 @@
    *
    * @param isFull - Whether the peer has asked.
    */
-  private reply(
+  private sendReply(
     {from, members, known, wantsNames}: Heartbeat,
     isFull: boolean,
     wantsReply: boolean,
--- a/packages/direct/src/peers/peer-group.ts
+++ b/packages/direct/src/peers/peer-group.ts
@@ -2,7 +2,7 @@
  * Communication among gates: placements, facts, and what one gate observes and
  * all have to know.
  */
-import {PlacementAnnouncer} from '../placement/prompt-placer.js';
+import {PlacementAnnouncer} from '../placement/placed-prompt.js';
 import {HOLD_AFTER_OUTAGE_MS} from '../fleet/target-table.js';
 import {createFactsFetcher} from './facts-fetcher.js';
 import {parsePlacementNumber} from './heartbeat-builder.js';
@@ -10,7 +10,7 @@
 import {formatDatagram, parseDatagram, toWirePlacement} from './messages.js';
 import {
   decodePlacementMessage,
-  encodePlacementMessage,
+  formatPlacementMessage,
   isPlacementMessage,
 } from './placement-codec.js';
 import {PeerPlacements} from './peer-placements.js';
@@ -30,7 +30,6 @@
 import type {HeartbeatSources} from './heartbeat-builder.js';
 import type {Datagram} from './messages.js';
 import type {PlacementMessage} from './placement-codec.js';
-import type {RelayPeer} from './zone-relay.js';
 import type {Peer} from './peer-table.js';
 
 /**
@@ -81,7 +80,7 @@
     this.placements = new PeerPlacements(options.tracker, readNow);
     this.relay = new ZoneRelay({
       zone: options.zone,
-      listPeers: () => this.listRelayPeers(),
+      listPeers: () => this.table.listRelayPeers(),
       send: (host, bytes) => options.transport.send(host, bytes),
     });
     this.membership = new Membership({
@@ -227,16 +226,7 @@
 
   private announcePlacement(message: PlacementMessage): void {
     const number = parsePlacementNumber(message.params.key);
-    this.relay.broadcast(encodePlacementMessage(message), number);
-  }
-
-  private listRelayPeers(): readonly RelayPeer[] {
-    const now = this.options.readNow();
-    return this.table.listAlive().map(({host, zone, lastHeartbeatAt}) => ({
-      host,
-      zone,
-      silentMs: now - lastHeartbeatAt,
-    }));
+    this.relay.broadcast(formatPlacementMessage(message), number);
   }
 
   private send(host: string, message: Datagram): void {
--- a/packages/direct/src/peers/peer-table.ts
+++ b/packages/direct/src/peers/peer-table.ts
@@ -2,6 +2,7 @@
 import {NO_POSITION, isNewer, pickNewest} from '../fleet/fact-position.js';
 import type {FactPosition} from '../fleet/fact-position.js';
 import type {Heartbeat} from './messages.js';
+import type {RelayPeer} from './zone-relay.js';
 
 /**
  * Time without a heartbeat after which a peer counts as lost and its placements
@@ -82,6 +83,16 @@
     return this.listWithRecentHeartbeat(PEER_TIMEOUT_MS);
   }
 
+  /** Lists the live peers with what the relay of datagrams goes by. */
+  listRelayPeers(): readonly RelayPeer[] {
+    const now = this.readNow();
+    return this.listAlive().map(({host, zone, lastHeartbeatAt}) => ({
+      host,
+      zone,
+      silentMs: now - lastHeartbeatAt,
+    }));
+  }
+
   /**
    * Measures the share of the known peers that are live; 1 if no peer is known.
    * Peers that have shut down do not count.
--- a/packages/direct/src/peers/placement-codec.test.ts
+++ b/packages/direct/src/peers/placement-codec.test.ts
@@ -3,7 +3,7 @@
 import fc from 'fast-check';
 import {
   decodePlacementMessage,
-  encodePlacementMessage,
+  formatPlacementMessage,
   isPlacementMessage,
 } from './placement-codec.js';
 import type {WirePlacement} from './messages.js';
@@ -37,7 +37,7 @@
   it('returns each placement as it was encoded', () => {
     fc.assert(
       fc.property(placement, params => {
-        const bytes = encodePlacementMessage({method: 'placed', params});
+        const bytes = formatPlacementMessage({method: 'placed', params});
         const message = decodePlacementMessage(bytes);
         expect(isPlacementMessage(bytes)).toEqual(true);
         // JSON has no negative zero.
@@ -51,7 +51,7 @@
     fc.assert(
       fc.property(placement, base => {
         const params = {...base, targets: [base.decoder]};
-        const bytes = encodePlacementMessage({method: 'placed', params});
+        const bytes = formatPlacementMessage({method: 'placed', params});
         expect(String(bytes).split(base.decoder).length).toBeLessThanOrEqual(
           2 + base.reserved.length + (base.suspects?.length ?? 0),
         );
@@ -66,7 +66,7 @@
   for (const method of ['begun', 'ended'] as const)
     it(`returns the key of a stream that has ${method}`, () => {
       const message = {method, params: {key: '10.1.0.4/17.5#7'}};
-      const bytes = encodePlacementMessage(message);
+      const bytes = formatPlacementMessage(message);
       expect(decodePlacementMessage(bytes)).toEqual(message);
     });
 
--- a/packages/direct/src/peers/placement-codec.ts
+++ b/packages/direct/src/peers/placement-codec.ts
@@ -43,7 +43,7 @@
 const BegunSchema = z.tuple([z.literal(BEGUN), KeySchema]);
 const EndedSchema = z.tuple([z.literal(ENDED), KeySchema]);
 
-function encodePlacement(wire: WirePlacement): z.input<typeof PlacedSchema> {
+function formatPlacement(wire: WirePlacement): z.input<typeof PlacedSchema> {
   const isWhole = wire.targets.length === 1 && wire.targets[0] === wire.decoder;
   return [
     PLACED,
@@ -102,12 +102,12 @@
  * Encodes an announcement about a placement.
  *
  * @example
- * encodePlacementMessage({method: 'ended', params: {key: 'a/1#7'}});
+ * formatPlacementMessage({method: 'ended', params: {key: 'a/1#7'}});
  */
-export function encodePlacementMessage(message: PlacementMessage): Buffer {
+export function formatPlacementMessage(message: PlacementMessage): Buffer {
   const fields =
     message.method === 'placed'
-      ? encodePlacement(message.params)
+      ? formatPlacement(message.params)
       : [message.method === 'begun' ? BEGUN : ENDED, message.params.key];
   return Buffer.from(JSON.stringify(fields));
 }
--- a/packages/direct/src/peers/zone-relay.test.ts
+++ b/packages/direct/src/peers/zone-relay.test.ts
@@ -27,7 +27,7 @@
         new ZoneRelay({
           zone: zone ?? '',
           listPeers: () => peers.filter(peer => peer.host !== host),
-          send: (to, bytes) => this.deliver(host, to, bytes),
+          send: (to, bytes) => this.forward(host, to, bytes),
         }),
       );
   }
@@ -36,7 +36,7 @@
     this.relays.get(host)?.broadcast(DATAGRAM, number);
   }
 
-  private deliver(from: string, to: string, bytes: Buffer): void {
+  private forward(from: string, to: string, bytes: Buffer): void {
     if (this.findZone(from) !== this.findZone(to)) this.betweenZones++;
     this.received.set(to, (this.received.get(to) ?? 0) + 1);
     expect(this.relays.get(to)?.receive(bytes)).toEqual(DATAGRAM);
--- a/packages/direct/src/peers/zone-relay.ts
+++ b/packages/direct/src/peers/zone-relay.ts
@@ -57,7 +57,7 @@
     const {zone, listPeers, send} = this.options;
     const relayed = Buffer.concat([RELAYED_PREFIX, bytes]);
     const receivers = listPeers().filter(({host}) => !except.has(host));
-    for (const [peerZone, peers] of groupByZone(receivers)) {
+    for (const [peerZone, peers] of listByZone(receivers)) {
       const relay =
         peerZone === zone || peerZone === undefined
           ? undefined
@@ -81,7 +81,7 @@
   }
 }
 
-function groupByZone(
+function listByZone(
   peers: readonly RelayPeer[],
 ): ReadonlyMap<string | undefined, readonly RelayPeer[]> {
   const groups = new Map<string | undefined, RelayPeer[]>();
--- a/packages/direct/src/placement/starting-gates.test.ts
+++ b/packages/direct/src/placement/starting-gates.test.ts
@@ -16,7 +16,7 @@
 const CUT_OFF_SHARE = 0.5;
 const CUT_OFF_ENGINES = (FLEET.engines * 3) / 4;
 
-async function playReturn(
+async function runReturn(
   seed: number,
   isCutOff: boolean,
 ): Promise<StartResult> {
@@ -33,7 +33,7 @@
     it(`begin nine of ten short streams in time although they have just started (seed ${seed})`, async () => {
       // Guards against gates that all place their first prompts on the same
       // engines, because they have not heard of each other.
-      const result = await playReturn(seed, false);
+      const result = await runReturn(seed, false);
       expect(result.inTimeShare).toBeGreaterThanOrEqual(JOINED_SHARE);
     });
 
@@ -41,7 +41,7 @@
     it(`use most engines while they are cut off from each other (seed ${seed})`, async () => {
       // Guards against gates that pack their streams on the same engines,
       // because they cannot hear of each other's.
-      const result = await playReturn(seed, true);
+      const result = await runReturn(seed, true);
       expect(result.engines).toBeGreaterThanOrEqual(CUT_OFF_ENGINES);
       expect(result.inTimeShare).toBeGreaterThanOrEqual(CUT_OFF_SHARE);
     });
--- a/packages/direct/src/placement/target-ranking.ts
+++ b/packages/direct/src/placement/target-ranking.ts
@@ -11,7 +11,7 @@
  * them to the same engine.
  *
  * @example
- * new TargetRanking('10.1.0.4').sort(targets);
+ * new TargetRanking('10.1.0.4').rank(targets);
  */
 export class TargetRanking {
   private readonly ranks = new Map<string, number>();
@@ -19,7 +19,7 @@
   constructor(private readonly gate: string) {}
 
   /** Sorts targets in the order of this gate. */
-  sort(targets: readonly Target[]): readonly Target[] {
+  rank(targets: readonly Target[]): readonly Target[] {
     return targets
       .map(target => ({target, rank: this.findRank(target.id)}))
       .sort((a, b) => a.rank - b.rank)
--- a/packages/direct/src/test/datagram-network.ts
+++ b/packages/direct/src/test/datagram-network.ts
@@ -48,7 +48,7 @@
   }
 
   /** Delivers a datagram after its delay. */
-  deliver(from: string, to: string, bytes: Buffer): void {
+  forward(from: string, to: string, bytes: Buffer): void {
     this.onSend({from, to, bytes});
     const delayMs = this.findDelayMs(from, to);
     if (delayMs === undefined) return;
@@ -69,7 +69,7 @@
   }
 
   override send(host: string, bytes: Buffer): void {
-    this.network.deliver(this.host, host, bytes);
+    this.network.forward(this.host, host, bytes);
   }
 
   override async close(): Promise<void> {
--- a/packages/direct/src/test/starting-fleet.ts
+++ b/packages/direct/src/test/starting-fleet.ts
@@ -3,7 +3,7 @@
  * that are cut off from each other.
  */
 import {estimatePrefillMs} from '../placement/engine-model.js';
-import {PlacedPrompt} from '../placement/prompt-placer.js';
+import {PlacedPrompt} from '../placement/placed-prompt.js';
 import {createRandom} from './create-random.js';
 import {DatagramNetwork} from './datagram-network.js';
 import {LONG_ITERATION_ENGINE, findObjectives} from './fleet-load.js';
@@ -128,7 +128,7 @@
     await this.startGate(0);
     for (let i = 1; i < this.options.gates; i++)
       setTimeout(() => void this.startGate(i), this.random() * START_SPREAD_MS);
-    if (this.options.isCutOff) await this.cutOff();
+    if (this.options.isCutOff) await this.stopDatagrams();
     for (let i = 0; i < this.options.streams; i++)
       setTimeout(() => this.accept(`s${i}`), this.random() * ARRIVAL_SPREAD_MS);
     const endsAt = this.clock.now + ARRIVAL_SPREAD_MS + SETTLE_MS;
@@ -140,7 +140,7 @@
     return this.summarize();
   }
 
-  private async cutOff(): Promise<void> {
+  private async stopDatagrams(): Promise<void> {
     await this.clock.advance(CUT_OFF_MS);
     this.isCut = true;
     await this.clock.advance(CUT_OFF_MS);
