A gate that knows crashes answers a greeting also beside its own

It does not tell the crashes that its sender knows, which only an answer holds; a gate that asks for them could go without in each round of heartbeats. Bytes of a start without crashes are unchanged.

--- a/packages/direct/src/peers/joining.test.ts
+++ b/packages/direct/src/peers/joining.test.ts
@@ -80,6 +80,18 @@
     expect(gate.group.countGates()).toEqual(4);
   });
 
+  it('tell each other of crashes although they greet each other at once', async () => {
+    // Guards against a gate that leaves a request which crashes servers unknown
+    // to a peer, because it takes its own greeting for an answer.
+    const first = await startGate('a', ['b']);
+    const report = {content: 'c1', crashes: [{target: 'i-1', ageMs: 5000}]};
+    first.suspects.merge([report]);
+    const second = await startGate('b', ['a']);
+    await clock.advance(20 * DELAY_MS);
+    const known = second.suspects.listAll().map(({content}) => content);
+    expect(known).toEqual(['c1']);
+  });
+
   it('do not contact a gate forever that is gone', async () => {
     // Guards against hosts that gates name to each other again and again.
     clock.stop();
--- a/packages/direct/src/peers/membership.ts
+++ b/packages/direct/src/peers/membership.ts
@@ -204,12 +204,13 @@
    * each other.
    */
   private isAnswered({from, wantsNames}: Heartbeat): boolean {
-    const {tracker, readNow} = this.options;
+    const {tracker, suspects, readNow} = this.options;
     const greetedAt = this.greetedAt.get(from) ?? -Infinity;
     return (
       !wantsNames &&
       readNow() - greetedAt < GREETING_MS &&
-      tracker.listOwnedBy(this.owner).length === 0
+      tracker.listOwnedBy(this.owner).length === 0 &&
+      suspects.listAll().length === 0
     );
   }
 
--- a/packages/direct/src/test/model-gate.ts
+++ b/packages/direct/src/test/model-gate.ts
@@ -11,6 +11,7 @@
 import {createIdleSlowdowns} from './fake-reports.js';
 import {createIdleLimits} from './idle-limits.js';
 import {createQuietTurns} from './quiet-turns.js';
+import type {SuspectRequests} from '@nutmeggauge/core';
 import type {SharedFacts} from '../fleet/fleet-state.js';
 import type {DatagramTransport} from '../peers/datagram-transport.js';
 import type {LoadTracker} from '../placement/load-tracker.js';
@@ -47,6 +48,7 @@
   readonly group: PeerGroup;
   readonly placer: PromptPlacer;
   readonly tracker: LoadTracker;
+  readonly suspects: SuspectRequests;
 }
 
 /**
@@ -68,6 +70,7 @@
   const tracker = createLoadTracker(id => state.findEngine(id));
   const slowdowns = createIdleSlowdowns(log, readNow);
   const limits = createIdleLimits(log, readNow);
+  const suspects = createSuspectRequests({readNow});
   const group = new PeerGroup({
     host,
     zone,
@@ -78,7 +81,7 @@
     state,
     tracker,
     slowdowns,
-    suspects: createSuspectRequests(),
+    suspects,
     readLagMs: () => 0,
     limits,
     answerPermit: ({number}) => ({number, waitMs: 0}),
@@ -115,5 +118,5 @@
     targets: settings.targets,
     malformed: [],
   });
-  return {host, group, placer, tracker};
+  return {host, group, placer, tracker, suspects};
 }
