--- /dev/null
+++ b/packages/direct/src/forward/late-send.test.ts
@@ -0,0 +1,89 @@
+import {describe, it} from 'node:test';
+import {expect} from 'earl';
+import {startFakeClock} from '../test/fake-clock.js';
+import {openGateHarness} from '../test/gate-harness.js';
+import {ImpatientCallers} from '../test/impatient-callers.js';
+import type {FakeClock} from '../test/fake-clock.js';
+import type {FakeTarget} from '../test/fake-target.js';
+import type {GateHarness} from '../test/gate-harness.js';
+
+/** Number of callers. */
+const CALLER_COUNT = 30;
+
+/** Time for which the event loop stands still after a request is placed, in ms. */
+const HELD_MS = 900;
+
+/** Time after which nothing is left to do, in ms. */
+const SETTLE_MS = 1500;
+
+const PATHS = ['/safe/x', '/unsafe/x', '/stream/x'];
+
+interface Bed {
+  readonly clock: FakeClock;
+  readonly harness: GateHarness;
+  readonly callers: ImpatientCallers;
+  readonly targets: readonly FakeTarget[];
+}
+
+async function runBed(test: (bed: Bed) => Promise<void>): Promise<void> {
+  const harness = await openGateHarness();
+  const clock = startFakeClock();
+  const callers = new ImpatientCallers(clock, harness);
+  try {
+    const targets = [
+      await harness.addTarget('engine', 'chat', () => undefined),
+      await harness.addTarget('plain', 'orders', () => undefined),
+    ];
+    await clock.advanceUntil(() => harness.gate['state'].targetCount === 2);
+    await test({clock, harness, callers, targets});
+  } finally {
+    callers.close();
+    clock.stop();
+    harness.close();
+  }
+}
+
+function connectAll(callers: ImpatientCallers, deadlineMs?: number): void {
+  for (let i = 0; i < CALLER_COUNT; i++)
+    callers.connect({
+      id: `q${i}`,
+      path: PATHS[i % PATHS.length],
+      tokens: 1000,
+      deadlineMs,
+    });
+}
+
+function listReceived(targets: readonly FakeTarget[]): readonly string[] {
+  return targets.flatMap(({received}) => received);
+}
+
+describe('gate whose event loop is held while it connects to a target', () => {
+  it('sends no request whose caller has left meanwhile', () =>
+    // Guards against a caller that is looked at only before the connection.
+    runBed(async ({clock, callers, targets}) => {
+      callers.holdAfterSend(HELD_MS);
+      callers.leaveAt(clock.now + HELD_MS);
+      connectAll(callers);
+      await callers.advance(SETTLE_MS);
+      expect(callers.sends.length > 0).toEqual(true);
+      expect(listReceived(targets)).toEqual([]);
+    }));
+
+  it('sends no request whose deadline has passed meanwhile', () =>
+    // Guards against a deadline that is looked at only before the connection.
+    runBed(async ({callers, targets}) => {
+      callers.holdAfterSend(HELD_MS);
+      connectAll(callers, HELD_MS);
+      await callers.advance(SETTLE_MS);
+      expect(callers.sends.length > 0).toEqual(true);
+      expect(listReceived(targets)).toEqual([]);
+    }));
+
+  it('sends the requests of callers that still wait', () =>
+    runBed(async ({callers, targets}) => {
+      callers.holdAfterSend(HELD_MS);
+      connectAll(callers);
+      await callers.advance(SETTLE_MS);
+      expect(new Set(listReceived(targets)).size).toEqual(CALLER_COUNT);
+    }));
+});
--- a/packages/direct/src/test/impatient-callers.ts
+++ b/packages/direct/src/test/impatient-callers.ts
@@ -12,9 +12,11 @@
   readonly id: string;
   readonly path: string;
   readonly tokens: number;
+  /** Time for which the caller waits, in ms. @default 30_000 */
+  readonly deadlineMs?: number;
 }
 
-/** Time at which a request was sent to a target. */
+/** Time at which a connection for a request was opened. */
 export interface RecordedSend {
   readonly id: string;
   readonly at: number;
@@ -34,12 +36,15 @@
   readonly sends: RecordedSend[] = [];
   private readonly sockets = new Map<string, Socket>();
   private leavesAt = Infinity;
+  /** Time for which the next send holds the event loop, in ms. */
+  private heldMs = 0;
 
   constructor(
     private readonly clock: FakeClock,
     private readonly gate: {readonly host: string; readonly port: number},
   ) {
     const {sends} = this;
+    const holdOnce = () => this.holdOnce();
     const open = OpenExchanges.prototype.open;
     mock.method(
       OpenExchanges.prototype,
@@ -47,7 +52,9 @@
       function (this: OpenExchanges, options: ExchangeOptions) {
         const at = options.headers.indexOf('x-test-id');
         sends.push({id: options.headers[at + 1], at: clock.now});
-        return open.call(this, options);
+        const exchange = open.call(this, options);
+        holdOnce();
+        return exchange;
       },
     );
   }
@@ -69,8 +76,16 @@
     );
   }
 
+  /**
+   * Holds the event loop for `ms` right after the next connection to a target was
+   * begun.
+   */
+  holdAfterSend(ms: number): void {
+    this.heldMs = ms;
+  }
+
   /** Connects a caller and sends its request. */
-  connect({id, path, tokens}: ImpatientRequest): void {
+  connect({id, path, tokens, deadlineMs = 30_000}: ImpatientRequest): void {
     const socket = connect(this.gate.port, this.gate.host);
     socket.on('error', () => undefined);
     socket.resume();
@@ -80,7 +95,7 @@
         'host: site',
         `x-test-id: ${id}`,
         'x-test-key: k1',
-        'x-test-deadline: 30000',
+        `x-test-deadline: ${deadlineMs}`,
         `x-test-tokens: ${tokens}`,
         '\r\n',
       ].join('\r\n'),
@@ -113,6 +128,12 @@
     mock.restoreAll();
   }
 
+  private holdOnce(): void {
+    this.clock.now += this.heldMs;
+    this.heldMs = 0;
+    this.leaveIfDue();
+  }
+
   private leaveIfDue(): void {
     if (this.clock.now < this.leavesAt) return;
     for (const socket of this.sockets.values()) socket.destroy();
