A request is looked at once more when its connection is open

Callers saw nothing: they had left. Cause: a gate looked whether the caller waits before it opened the connection to the target, and Node wrote the request in whichever turn the connection opened. A loop that was held between the two sent it for a caller that had left, noticed the leave in the same turn and cut the run, as the record shows.

Now the exchange opens the connection itself and asks a SendCheck before the first byte. A caller counts as left from the end of its bytes on, up to two turns before its connection has closed.

--- a/packages/direct/src/errors.ts
+++ b/packages/direct/src/errors.ts
@@ -40,6 +40,8 @@
   | 'connect'
   /** The request head cannot be written, which is not a fault of the target. */
   | 'unwritable'
+  /** The request was no longer wanted once the connection was open. */
+  | 'withheld'
   | 'reset'
   | 'malformed'
   | 'foreign-answer'
@@ -47,6 +49,13 @@
   | 'stalled'
   | 'cancelled';
 
+/** Faults that say nothing about the target. */
+const GATE_FAULTS: ReadonlySet<ExchangeFault> = new Set([
+  'cancelled',
+  'unwritable',
+  'withheld',
+]);
+
 /** An exchange with a target failed before a complete answer was received. */
 export class ExchangeError extends DirectGateError {
   override name = 'ExchangeError';
@@ -81,6 +90,6 @@
 
   /** Whether the failure indicates a fault of the target. */
   get isTargetFault(): boolean {
-    return this.fault !== 'cancelled' && this.fault !== 'unwritable';
+    return !GATE_FAULTS.has(this.fault);
   }
 }
--- a/packages/direct/src/forward/call-forwarder.ts
+++ b/packages/direct/src/forward/call-forwarder.ts
@@ -8,6 +8,7 @@
 import {findFraming} from './exchange.js';
 import {readVerdict, recordAnswerFacts} from './judge-answer.js';
 import {chooseRetryAfterMs} from './retry-after.js';
+import {RequestSendCheck} from './send-check.js';
 import type {Target} from '../types.js';
 import type {ResponseFraming, GateErrorReason} from './caller-response.js';
 import type {ForwardContext} from './context.js';
@@ -135,6 +136,7 @@
         lastEventId: undefined,
       }),
       body: request.body,
+      sendCheck: new RequestSendCheck(context, request, target),
     });
     this.open.add(exchange);
     let result: AttemptResult;
--- a/packages/direct/src/forward/caller-response.ts
+++ b/packages/direct/src/forward/caller-response.ts
@@ -95,10 +95,13 @@
   }
 
   /**
-   * True if the caller's connection closed before the response was complete.
+   * True if the caller closed its connection before the response was complete.
+   * Known from the end of its bytes on, before the connection has closed.
    */
   get isDisconnected(): boolean {
-    return this.hasDisconnected;
+    if (this.hasDisconnected) return true;
+    const {socket, writableFinished} = this.response;
+    return !writableFinished && socket?.readableEnded === true;
   }
 
   /**
--- a/packages/direct/src/forward/exchange.ts
+++ b/packages/direct/src/forward/exchange.ts
@@ -4,12 +4,15 @@
  * an earlier response.
  */
 import {request as sendRequest} from 'node:http';
+import {connect} from 'node:net';
 import {ReadTimeout} from '@nutmeggauge/core';
 import {ExchangeError} from '../errors.js';
 import type {ClientRequest, IncomingMessage} from 'node:http';
+import type {Socket} from 'node:net';
 import type {ExchangeFault} from '../errors.js';
 import type {RawHeaders, Target} from '../types.js';
 import type {ResponseFraming} from './caller-response.js';
+import type {SendCheck} from './send-check.js';
 
 /**
  * Connection timeout, in ms: longer than a round trip within a region, shorter
@@ -33,6 +36,12 @@
   readonly path: string;
   readonly headers: RawHeaders;
   readonly body: Buffer;
+  /**
+   * Decides whether the request is sent once the connection is open.
+   *
+   * @default always
+   */
+  readonly sendCheck?: SendCheck;
 }
 
 /** Head of a target's response; the body is still to be read. */
@@ -41,8 +50,15 @@
   readonly message: IncomingMessage;
 }
 
+/** Settles the promise of a response head. */
+interface HeadWaiting {
+  readonly resolve: (head: ResponseHead) => void;
+  readonly reject: (error: ExchangeError) => void;
+}
+
 /**
- * One request to a target and its response.
+ * One request to a target and its response. The request is sent when the
+ * connection is open, unless its `sendCheck` withholds it.
  *
  * @example
  * const exchange = openExchange(options);
@@ -51,33 +67,26 @@
 export class Exchange {
   /** Resolves with the response head; rejects with an ExchangeError. */
   readonly head: Promise<ResponseHead>;
-  /** Request being sent; absent if its head could not be written. */
-  private readonly request: ClientRequest | undefined;
-  private isConnected = false;
+  private readonly socket: Socket;
+  /** Request being sent; absent until the connection is open. */
+  private request: ClientRequest | undefined;
   private isCancelled = false;
   private hasFailed = false;
   private hasBeenReplaced = false;
 
-  private readonly target: Target;
-
-  constructor(options: ExchangeOptions) {
-    this.target = options.target;
-    const opened = openRequest(options);
-    if (opened instanceof ExchangeError) {
-      this.head = Promise.reject(opened);
-    } else {
-      this.request = opened;
-      this.head = this.waitForHead(opened);
-      this.observeConnection(opened);
-      opened.end(options.body.length > 0 ? options.body : undefined);
-    }
+  constructor(private readonly options: ExchangeOptions) {
+    const {host, port} = options.target;
+    this.socket = connect({host, port, noDelay: true});
+    this.head = new Promise((resolve, reject) => {
+      this.observeConnection({resolve, reject});
+    });
     // Avoids an unhandled rejection if nothing awaits the head any more.
     this.head.catch(() => undefined);
   }
 
   /** True if bytes of the request may have reached the target. */
   get wasSent(): boolean {
-    return this.isConnected;
+    return this.request !== undefined;
   }
 
   /** True if the exchange was failed by `markBroken`. */
@@ -115,63 +124,91 @@
   /** Closes the connection, so that the target drops the request. */
   cancel(): void {
     this.isCancelled = true;
-    this.request?.destroy();
+    (this.request ?? this.socket).destroy();
   }
 
   /** Fails the exchange in the same way as a reset by the target. */
   markBroken(): void {
-    const {host, port} = this.target;
+    const {host, port} = this.options.target;
     this.hasBeenReplaced = true;
-    this.request?.destroy(
+    (this.request ?? this.socket).destroy(
       new Error(`${host}:${port} now belongs to another server`),
     );
   }
 
   /** Registers a listener for the end of the connection. */
   onClose(listener: () => void): void {
-    if (this.request === undefined) listener();
-    else this.request.once('close', listener);
-  }
-
-  private observeConnection(request: ClientRequest): void {
-    request.once('socket', socket => {
-      // When the process resumes after a suspension, pending socket events are
-      // handled before the timeout expires.
-      const timeout = new ReadTimeout(
-        () => request.destroy(),
-        CONNECT_TIMEOUT_MS,
-      );
-      socket.once('connect', () => {
-        this.isConnected = true;
-        timeout.stop();
-      });
-      socket.once('close', () => timeout.stop());
+    this.socket.once('close', listener);
+  }
+
+  private observeConnection(waiting: HeadWaiting): void {
+    const {socket} = this;
+    // When the process resumes after a suspension, pending socket events are
+    // handled before the timeout expires.
+    const timeout = new ReadTimeout(() => socket.destroy(), CONNECT_TIMEOUT_MS);
+    const failUnsent = (cause?: Error) => {
+      if (this.request !== undefined) return;
+      waiting.reject(new ExchangeError(this.findFault(cause), false, cause));
+      // A request that counts as not sent must not be sent later.
+      socket.destroy();
+    };
+    socket.once('connect', () => {
+      timeout.stop();
+      void this.sendWhenRead(waiting);
     });
+    socket.on('error', failUnsent);
+    socket.once('close', () => {
+      timeout.stop();
+      failUnsent();
+    });
+  }
+
+  /** Sends the request, after what has arrived if the connection took long. */
+  private async sendWhenRead(waiting: HeadWaiting): Promise<void> {
+    const {sendCheck} = this.options;
+    if (sendCheck?.isLate) await sendCheck.waitForReads();
+    if (this.socket.destroyed) return;
+    if (sendCheck === undefined || sendCheck.isWanted())
+      return this.sendRequest(waiting);
+    waiting.reject(new ExchangeError('withheld', false));
+    this.socket.destroy();
   }
 
-  private waitForHead(request: ClientRequest): Promise<ResponseHead> {
-    return new Promise((resolve, reject) => {
-      let hasHead = false;
-      request.once('response', message => {
-        hasHead = true;
-        const {statusCode: status = 0} = message;
-        if (status >= MIN_FINAL_STATUS) return resolve({status, message});
-        reject(new ExchangeError('malformed', true));
-        request.destroy();
-      });
-      // Bytes after a complete response raise errors too, but the response
-      // remains valid.
-      request.on('error', cause => {
-        this.hasFailed = true;
-        if (hasHead) return;
-        reject(
-          new ExchangeError(this.findFault(cause), this.isConnected, cause),
-        );
-      });
-      request.once('close', () => {
-        if (hasHead) return;
-        reject(new ExchangeError(this.findFault(), this.isConnected));
-      });
+  private sendRequest(waiting: HeadWaiting): void {
+    const {body} = this.options;
+    const opened = openRequest(this.options, this.socket);
+    if (opened instanceof ExchangeError) {
+      waiting.reject(opened);
+      this.socket.destroy();
+      return;
+    }
+    this.request = opened;
+    this.waitForHead(opened, waiting);
+    opened.end(body.length > 0 ? body : undefined);
+  }
+
+  private waitForHead(
+    request: ClientRequest,
+    {resolve, reject}: HeadWaiting,
+  ): void {
+    let hasHead = false;
+    request.once('response', message => {
+      hasHead = true;
+      const {statusCode: status = 0} = message;
+      if (status >= MIN_FINAL_STATUS) return resolve({status, message});
+      reject(new ExchangeError('malformed', true));
+      request.destroy();
+    });
+    // Bytes after a complete response raise errors too, but the response
+    // remains valid.
+    request.on('error', cause => {
+      this.hasFailed = true;
+      if (hasHead) return;
+      reject(new ExchangeError(this.findFault(cause), true, cause));
+    });
+    request.once('close', () => {
+      if (hasHead) return;
+      reject(new ExchangeError(this.findFault(), true));
     });
   }
 
@@ -182,26 +219,27 @@
 
   private findFault(cause?: Error): ExchangeFault {
     if (this.isCancelled) return 'cancelled';
-    if (!this.isConnected) return 'connect';
+    if (!this.wasSent) return 'connect';
     const code = (cause as NodeJS.ErrnoException | undefined)?.code ?? '';
     return code.startsWith('HPE_') ? 'malformed' : 'reset';
   }
 }
 
 /**
- * Starts a request. Returns an error if Node.js rejects the head, for example
- * because a header value contains invalid characters.
+ * Starts a request on a connection. Returns an error if Node.js rejects the
+ * head, for example because a header value contains invalid characters.
  */
-function openRequest(options: ExchangeOptions): ClientRequest | ExchangeError {
+function openRequest(
+  {method, path, headers}: ExchangeOptions,
+  socket: Socket,
+): ClientRequest | ExchangeError {
   try {
     return sendRequest({
-      host: options.target.host,
-      port: options.target.port,
-      method: options.method,
-      path: options.path,
-      headers: options.headers,
+      method,
+      path,
+      headers,
       setHost: false,
-      agent: false,
+      createConnection: () => socket,
     });
   } catch (cause) {
     return new ExchangeError('unwritable', false, cause as Error);
--- a/packages/direct/src/forward/stream-attempt.ts
+++ b/packages/direct/src/forward/stream-attempt.ts
@@ -11,6 +11,7 @@
 import {findFraming} from './exchange.js';
 import {readVerdict, recordAnswerFacts} from './judge-answer.js';
 import {openKvLease} from './kv-lease.js';
+import {RequestSendCheck} from './send-check.js';
 import {
   LIVENESS_WINDOW_MS,
   StallTimer,
@@ -250,6 +251,7 @@
         lastEventId: progress.lastEventId,
       }),
       body: request.body,
+      sendCheck: new RequestSendCheck(context, request, placed.target),
     });
   }
 
