A restarted gate spends no second share of the retry budget, a deaf one none

Two ways to it are in the code, and a property test finds the first at once (one gate, restarted, spends twice).

Cause: a gate keeps its spending in memory, and forgets it with the process. Five gates that have spent 15 of 104 retries each and are killed together spend 15 more each in the same ten seconds: 150. And a gate divided by the gates it had heard in 30 s; one that had heard none since its start took the share of all.

The first start of the whole system (the settings say so) has its whole share at once. Silent gates count for 120 s in place of 30, and while gates are known and none has been heard, only the ratio is spent.

--- a/packages/direct/src/gate-settings.ts
+++ b/packages/direct/src/gate-settings.ts
@@ -24,6 +24,11 @@
   readonly metrics: ListenAddress | undefined;
   readonly seedHosts: readonly string[];
   readonly retryBounds: RetryBounds;
+  /**
+   * True if the whole system starts for the first time, so that no earlier run
+   * of a gate has spent retries.
+   */
+  readonly isFirstStart: boolean;
   /** Time between the request to stop and the kill of the process, in ms. */
   readonly stopGraceMs: number;
   /**
--- a/packages/direct/src/gate.ts
+++ b/packages/direct/src/gate.ts
@@ -172,9 +172,11 @@
       dialect: dependencies.dialect,
       state,
       health,
-      budget: createSharedRetryBudget(settings.retryBounds, () =>
-        this.peers.countGates(),
-      ),
+      budget: createSharedRetryBudget({
+        bounds: settings.retryBounds,
+        countSharers: () => this.peers.countBudgetSharers(),
+        restartedAt: settings.isFirstStart ? undefined : readNow(),
+      }),
       limits: this.limits,
       permits: this.permits,
       calls: createCallPlacer({
--- a/packages/direct/src/peers/peer-group.ts
+++ b/packages/direct/src/peers/peer-group.ts
@@ -131,6 +131,11 @@
     return this.table.countBudgetMembers();
   }
 
+  /** Counts the gates that may spend the retry budget; Infinity if unknown. */
+  countBudgetSharers(): number {
+    return this.table.countBudgetSharers();
+  }
+
   /** Lists the hosts of live gates, including this gate. */
   listGates(): readonly string[] {
     return [this.options.host, ...this.table.listAlive().map(({host}) => host)];
--- a/packages/direct/src/peers/peer-table.test.ts
+++ b/packages/direct/src/peers/peer-table.test.ts
@@ -83,6 +83,21 @@
     expect(table.countBudgetMembers()).toEqual(1);
   });
 
+  it('counts silent peers for the retry budget, and no share before one is heard', () => {
+    // Guards against gates that are cut off from each other and each spend the
+    // retries of all.
+    const {table, heartbeat, advance} = createHarness();
+    expect(table.countBudgetSharers()).toEqual(1);
+    table.findOrAddPeer('b');
+    expect(table.countBudgetSharers()).toEqual(Infinity);
+    heartbeat('a');
+    // The heartbeat of `a` names `c`.
+    expect(table.countBudgetSharers()).toEqual(4);
+    advance(60 * SECOND_MS);
+    table.expireSilent();
+    expect(table.countBudgetSharers()).toEqual(4);
+  });
+
   it('reports a peer as lost 4 s after its last heartbeat and removes it another 120 s later', () => {
     // Guards against gates that never find each other again after a restart
     // without seeds.
--- a/packages/direct/src/peers/peer-table.ts
+++ b/packages/direct/src/peers/peer-table.ts
@@ -137,6 +137,17 @@
     )?.host;
   }
 
+  /**
+   * Counts the gates that may spend the retry budget, including this gate and
+   * silent ones; Infinity while other gates are known and none has been heard.
+   */
+  countBudgetSharers(): number {
+    const peers = [...this.peers.values()];
+    const isAnyHeard = peers.some(({host}) => this.isHeardFrom(host));
+    if (peers.length > 0 && !isAnyHeard) return Infinity;
+    return 1 + peers.length;
+  }
+
   /** Counts the gates that share budgets, including this gate. */
   countBudgetMembers(): number {
     return 1 + this.listWithRecentHeartbeat(BUDGET_SHARE_TIMEOUT_MS).length;
--- a/packages/direct/src/retry/shared-retry-budget.test.ts
+++ b/packages/direct/src/retry/shared-retry-budget.test.ts
@@ -18,7 +18,10 @@
     fc.assert(
       fc.property(load, ({gates, steps}) => {
         const budgets = Array.from({length: gates}, () =>
-          createSharedRetryBudget(BOUNDS, () => gates),
+          createSharedRetryBudget({
+            bounds: BOUNDS,
+            countSharers: () => gates,
+          }),
         );
         let now = 0;
         const requests: number[] = [];
@@ -41,9 +44,75 @@
   });
 
   it('grants an idle gate 15 retries, enough for the failure of a target', () => {
-    const budget = createSharedRetryBudget(BOUNDS, () => 5);
+    const budget = createSharedRetryBudget({
+      bounds: BOUNDS,
+      countSharers: () => 5,
+    });
+    let granted = 0;
+    while (budget.claimRetry('s', 0)) granted++;
+    expect(granted).toEqual(15);
+  });
+
+  it('keeps the sum within the limit while gates restart', () => {
+    // Guards against gates that forget with each restart what they have spent.
+    const load = fc.record({
+      gates: fc.integer({min: 1, max: 8}),
+      steps: fc.array(
+        fc.record({
+          gate: fc.nat(7),
+          waitMs: fc.nat(800),
+          restarts: fc.constantFrom('none', 'none', 'one', 'all'),
+        }),
+        {maxLength: 60},
+      ),
+    });
+    fc.assert(
+      fc.property(load, ({gates, steps}) => {
+        const restart = (restartedAt?: number) =>
+          createSharedRetryBudget({
+            bounds: BOUNDS,
+            countSharers: () => gates,
+            restartedAt,
+          });
+        const budgets = Array.from({length: gates}, () => restart());
+        let now = 0;
+        const retries: number[] = [];
+        for (const {gate, waitMs, restarts} of steps) {
+          now += waitMs;
+          for (let i = 0; i < gates; i++) {
+            const isRestarted = restarts === 'one' && i === gate % gates;
+            if (isRestarted || restarts === 'all') budgets[i] = restart(now);
+          }
+          while (budgets[gate % gates].claimRetry('s', now)) retries.push(now);
+          const since = now - BOUNDS.windowMs;
+          const inWindow = retries.filter(time => time >= since).length;
+          expect(inWindow <= BOUNDS.slack).toEqual(true);
+        }
+      }),
+    );
+  });
+
+  it('spends only the ratio while the number of gates is unknown', () => {
+    // Guards against gates that hear no other gate and each take the share of all.
+    const budget = createSharedRetryBudget({
+      bounds: BOUNDS,
+      countSharers: () => Infinity,
+    });
+    expect(budget.claimRetry('s', 0)).toEqual(false);
+    for (let i = 0; i < 10; i++) budget.recordRequest('s', 0);
     let granted = 0;
     while (budget.claimRetry('s', 0)) granted++;
+    expect(granted).toEqual(2);
+  });
+
+  it('has its whole share again one window after a restart', () => {
+    const budget = createSharedRetryBudget({
+      bounds: BOUNDS,
+      countSharers: () => 5,
+      restartedAt: 0,
+    });
+    let granted = 0;
+    while (budget.claimRetry('s', BOUNDS.windowMs)) granted++;
     expect(granted).toEqual(15);
   });
 });
--- a/packages/direct/src/test/gate-harness.ts
+++ b/packages/direct/src/test/gate-harness.ts
@@ -200,6 +200,7 @@
         metrics: {host, port: port + 3},
         seedHosts,
         retryBounds,
+        isFirstStart: true,
         stopGraceMs: 2000,
         crashRefusalMs: 600_000,
       },
