A retry is counted against the budget when it is sent, not only when it is decided

Cause: a retry claims its place in the window when its attempt fails. A begun stream whose engine has gone waits, up to many seconds, until another one has free KV cache; its claim leaves the window meanwhile, later retries take its place, and all of them arrive together once there is room.

Now a claim is renewed when the engine is found, right before the send. If the budget of the present window is spent, the stream ends as it does when no retry can be claimed. Calls claim right before they are sent and were not affected.

--- a/packages/direct/src/forward/attempt-chain.ts
+++ b/packages/direct/src/forward/attempt-chain.ts
@@ -20,6 +20,11 @@
   attempt: StreamAttempt | undefined;
   /** Placement of the newest attempt. */
   placed: PlacedPrompt | undefined;
+  /**
+   * Time at which the retry of the next attempt was claimed, in ms; absent for a
+   * first attempt.
+   */
+  retryClaimedAt: number | undefined;
   /** True while the engine of the newest attempt is stalled. */
   isStalled = false;
   private readonly abortController = new AbortController();
--- a/packages/direct/src/forward/stream-forwarder.ts
+++ b/packages/direct/src/forward/stream-forwarder.ts
@@ -78,8 +78,9 @@
     if (!this.isSettled) void this.runChain();
   }
 
-  private async runChain(): Promise<void> {
+  private async runChain(retryClaimedAt?: number): Promise<void> {
     const chain = new AttemptChain();
+    chain.retryClaimedAt = retryClaimedAt;
     this.chains.add(chain);
     while (!chain.isClosed) {
       const placed = await this.place(chain);
@@ -149,7 +150,7 @@
     placed: PlacedPrompt,
   ): PlacedPrompt | undefined {
     const lateMs = placed.choice.predictedTtftMs - this.readLeftMs();
-    if (lateMs <= 0 && !chain.isClosed) return placed;
+    if (lateMs <= 0 && !chain.isClosed) return this.renewRetry(chain, placed);
     placed.release();
     if (!chain.isClosed) this.refuse(chain, 'too_late', lateMs);
     return undefined;
@@ -236,11 +237,12 @@
     if (this.readLeftMs() < neededMs) return;
     const {health, readNow} = this.context;
     health.recordStall(placed.target.id, readNow());
-    if (!this.claimRetry()) return;
+    const retryClaimedAt = this.claimRetry();
+    if (retryClaimedAt === undefined) return;
     this.tried.add(placed.target.id);
     silent.isStalled = true;
     this.record.addStall(placed);
-    void this.runChain();
+    void this.runChain(retryClaimedAt);
   }
 
   /**
@@ -276,9 +278,33 @@
     return holdMs;
   }
 
-  private claimRetry(): boolean {
+  /** Claims a retry; returns the time of the claim, or undefined. */
+  private claimRetry(): number | undefined {
     const {context, request} = this;
-    return context.budget.claimRetry(request.service, context.readNow());
+    const now = context.readNow();
+    const isClaimed = context.budget.claimRetry(request.service, now);
+    return isClaimed ? now : undefined;
+  }
+
+  /**
+   * Renews the claim of a retry that has waited for its engine; releases the slot
+   * if the retry budget is spent by now.
+   */
+  private renewRetry(
+    chain: AttemptChain,
+    placed: PlacedPrompt,
+  ): PlacedPrompt | undefined {
+    const {context, request} = this;
+    const {retryClaimedAt} = chain;
+    if (retryClaimedAt === undefined) return placed;
+    const now = context.readNow();
+    if (context.budget.renewRetry(request.service, retryClaimedAt, now)) {
+      chain.retryClaimedAt = now;
+      return placed;
+    }
+    placed.release();
+    this.giveUp(chain, 'retry_budget_spent');
+    return undefined;
   }
 
   private handleEnd(
@@ -325,7 +351,9 @@
       return this.giveUp(chain, 'not_repeatable');
     if (this.sentAttempts >= maxAttempts)
       return this.giveUp(chain, 'attempts_spent');
-    if (!this.claimRetry()) this.giveUp(chain, 'retry_budget_spent');
+    chain.retryClaimedAt = this.claimRetry();
+    if (chain.retryClaimedAt === undefined)
+      this.giveUp(chain, 'retry_budget_spent');
   }
 
   /** Marks the target that failed, so that later attempts avoid it. */
--- a/packages/direct/src/retry/shared-retry-budget.ts
+++ b/packages/direct/src/retry/shared-retry-budget.ts
@@ -71,6 +71,17 @@
     return true;
   }
 
+  /**
+   * Renews the claim of a retry that has waited since `claimedAt`, right before it
+   * is sent; returns false if the budget of the present window is spent.
+   */
+  renewRetry(service: string, claimedAt: number, now: number): boolean {
+    const {retries} = this.readWindow(service, now);
+    const at = retries.indexOf(claimedAt);
+    if (at !== -1) retries.splice(at, 1);
+    return this.claimRetry(service, now);
+  }
+
   /**
    * Chooses the share of the fixed number of retries that may be spent. During
    * the first window after a restart it grows from nothing to what is left
