Failing test: targets that turn requests away and ask for rest

On this code it gets more than two further requests in that time, requests are sent from one resting target to the next, and all of those that come at the end of the time arrive together.

--- a/packages/direct/src/test/gate-harness.ts
+++ b/packages/direct/src/test/gate-harness.ts
@@ -115,6 +115,8 @@
   readonly held = new Map<string, number>();
   /** Times of reservations and renewals on the monotonic clock, in ms. */
   readonly reservedAt: number[] = [];
+  /** Targets of these reservations. */
+  readonly reservedOn: string[] = [];
   outcome: ReservationOutcome = 'granted';
 
   override async reserve(
@@ -123,6 +125,7 @@
     tokens: number,
   ): Promise<ReservationOutcome> {
     this.reservedAt.push(performance.now());
+    this.reservedOn.push(target.id);
     if (this.outcome !== 'granted') return this.outcome;
     this.held.set(`${target.id}/${ticket}`, tokens);
     return this.outcome;
