--- /dev/null
+++ b/packages/direct/src/fleet/fleet-facts.ts
@@ -0,0 +1,81 @@
+/** What a gate reads of the facts that it knows. */
+import type {
+  ClientAccount,
+  EngineCostModel,
+  FleetConfig,
+  ServiceConfig,
+  Target,
+} from '../types.js';
+import type {ConfigIndex} from './config-index.js';
+import type {RouteTable} from './route-table.js';
+import type {TargetTable} from './target-table.js';
+
+/** Read access to the configuration and the targets that a gate knows. */
+export abstract class FleetFacts {
+  protected abstract readonly index: ConfigIndex;
+  protected abstract readonly table: TargetTable;
+
+  /** Newest known configuration; absent until the first one is known. */
+  get config(): FleetConfig | undefined {
+    return this.index.config;
+  }
+
+  /** Routes of the current configuration; absent until one is known. */
+  get routeTable(): RouteTable | undefined {
+    return this.index.routeTable;
+  }
+
+  /** Whether a configuration and at least one target are known. */
+  get isServing(): boolean {
+    return this.config !== undefined && this.table.size > 0;
+  }
+
+  /** Finds the client account that holds `key`. */
+  findAccount(key: string): ClientAccount | undefined {
+    return this.index.findAccount(key);
+  }
+
+  /** Finds a service of the configuration. */
+  findService(name: string): ServiceConfig | undefined {
+    return this.index.findService(name);
+  }
+
+  /** Finds a target by its name. */
+  findTarget(name: string): Target | undefined {
+    return this.table.find(name);
+  }
+
+  /** Finds a target by its incarnation id. */
+  findIncarnation(id: string): Target | undefined {
+    return this.table.list().find(target => target.id === id);
+  }
+
+  /** Finds the cost model of an engine by its incarnation id. */
+  findEngine(id: string): EngineCostModel | undefined {
+    const service = this.table.findService(id);
+    return service === undefined
+      ? undefined
+      : this.index.findService(service)?.engine;
+  }
+
+  /** Lists targets of a service that accept new requests. */
+  listUsable(service: string): readonly Target[] {
+    return this.table
+      .list()
+      .filter(target => target.service === service && !target.isDraining);
+  }
+
+  /** Lists every target whose service is a model engine. */
+  listEngines(): readonly Target[] {
+    return this.table
+      .list()
+      .filter(
+        ({service}) => this.index.findService(service)?.engine !== undefined,
+      );
+  }
+
+  /** Number of known targets. */
+  get targetCount(): number {
+    return this.table.size;
+  }
+}
--- a/packages/direct/src/fleet/fleet-state.ts
+++ b/packages/direct/src/fleet/fleet-state.ts
@@ -9,66 +9,25 @@
   isNewer,
   pickNewest,
 } from './fact-position.js';
-import {createRouteTable} from './route-table.js';
+import {ConfigIndex} from './config-index.js';
+import {FleetFacts} from './fleet-facts.js';
 import {TargetTable} from './target-table.js';
 import type {FactChange, FactSnapshot} from '../ports.js';
-import type {
-  ClientAccount,
-  EngineCostModel,
-  FleetConfig,
-  ServiceConfig,
-  Target,
-} from '../types.js';
+import type {FleetConfig, Target} from '../types.js';
 import type {FactPosition} from './fact-position.js';
-import type {RouteTable} from './route-table.js';
+import type {
+  FactVersions,
+  FleetEvent,
+  FleetListener,
+  RestoreEvent,
+  SharedFacts,
+} from './fleet-types.js';
 import type {
   FactSource,
-  RestoreCounts,
   SharedSuspectEntry,
-  TargetEvent,
   TargetSnapshot,
-  ExpiringName,
 } from './target-table.js';
 
-/** Versions of the facts that a gate knows. */
-export interface FactVersions {
-  /** Version of the configuration; 0 if none is known. */
-  readonly configVersion: number;
-  /** Position of the newest target entry. */
-  readonly position: FactPosition;
-}
-
-/** Facts that a gate sends to a peer. */
-export interface SharedFacts {
-  readonly position: FactPosition;
-  /** Absent if the peer's configuration is at least as new. */
-  readonly config: FleetConfig | undefined;
-  /** Empty if the peer's position is at least as new. */
-  readonly targets: readonly Target[];
-  /** Targets that are kept although their entry is missing from the store. */
-  readonly held: readonly ExpiringName[];
-  /** Entries that are ignored as suspect until they are written again. */
-  readonly doubts: readonly SharedSuspectEntry[];
-}
-
-/** Listener that is called after each change of the known facts. */
-export type FleetListener = (event: FleetEvent) => void;
-
-/** A change of the known facts. */
-export interface FleetEvent {
-  readonly event: 'config_applied' | TargetEvent;
-  readonly source: FactSource;
-  readonly id: string;
-  readonly revision: number;
-}
-
-/** A restore of the store from an older copy. */
-export interface RestoreEvent extends RestoreCounts {
-  readonly source: 'store' | 'peer';
-  readonly before: FactPosition;
-  readonly after: FactPosition;
-}
-
 /**
  * The configuration and targets that this gate knows.
  *
@@ -76,9 +35,7 @@
  * const state = createFleetState(() => performance.now());
  * state.applySnapshot(await store.readSnapshot(1000));
  */
-export class FleetState {
-  /** Newest known configuration; absent until the first one is known. */
-  config: FleetConfig | undefined;
+export class FleetState extends FleetFacts {
   /**
    * Position of the newest applied fact. Gates compare their positions to find
    * out which of them has newer facts.
@@ -86,15 +43,14 @@
   position = NO_POSITION;
   /** Position up to which this gate itself has read the store. */
   private readPosition = NO_POSITION;
-  private routes: RouteTable | undefined;
-  private accounts = new Map<string, ClientAccount>();
-  private services = new Map<string, ServiceConfig>();
-  private readonly table: TargetTable;
+  protected override readonly index = new ConfigIndex();
+  protected override readonly table: TargetTable;
   private latestOutageStartedAt = -Infinity;
   private readonly listeners = new Set<FleetListener>();
   private readonly restoreListeners: Array<(event: RestoreEvent) => void> = [];
 
   constructor(readNow: () => number) {
+    super();
     this.table = new TargetTable({
       readNow,
       onChange: (event, {id, position}, source) =>
@@ -116,63 +72,6 @@
     this.restoreListeners.push(listener);
   }
 
-  /** Routes of the current configuration; absent until one is known. */
-  get routeTable(): RouteTable | undefined {
-    return this.routes;
-  }
-
-  /** Whether a configuration and at least one target are known. */
-  get isServing(): boolean {
-    return this.config !== undefined && this.table.size > 0;
-  }
-
-  /** Finds the client account that holds `key`. */
-  findAccount(key: string): ClientAccount | undefined {
-    return this.accounts.get(key);
-  }
-
-  /** Finds a service of the configuration. */
-  findService(name: string): ServiceConfig | undefined {
-    return this.services.get(name);
-  }
-
-  /** Finds a target by its name. */
-  findTarget(name: string): Target | undefined {
-    return this.table.find(name);
-  }
-
-  /** Finds a target by its incarnation id. */
-  findIncarnation(id: string): Target | undefined {
-    return this.table.list().find(target => target.id === id);
-  }
-
-  /** Finds the cost model of an engine by its incarnation id. */
-  findEngine(id: string): EngineCostModel | undefined {
-    const service = this.table.findService(id);
-    return service === undefined
-      ? undefined
-      : this.services.get(service)?.engine;
-  }
-
-  /** Lists targets of a service that accept new requests. */
-  listUsable(service: string): readonly Target[] {
-    return this.table
-      .list()
-      .filter(target => target.service === service && !target.isDraining);
-  }
-
-  /** Lists every target whose service is a model engine. */
-  listEngines(): readonly Target[] {
-    return this.table
-      .list()
-      .filter(({service}) => this.services.get(service)?.engine !== undefined);
-  }
-
-  /** Number of known targets. */
-  get targetCount(): number {
-    return this.table.size;
-  }
-
   /**
    * Start of the latest outage of the store, on the monotonic clock, in ms;
    * -Infinity if there was none or its start is unknown.
@@ -333,18 +232,7 @@
   }
 
   private applyConfig(config: FleetConfig, source: 'store' | 'peer'): void {
-    if (this.config !== undefined && config.version <= this.config.version)
-      return;
-    this.config = config;
-    this.routes = createRouteTable(config.routes);
-    this.accounts = new Map(
-      config.accounts.flatMap(account =>
-        account.keys.map(key => [key, account] as const),
-      ),
-    );
-    this.services = new Map(
-      config.services.map(service => [service.name, service]),
-    );
+    if (!this.index.apply(config)) return;
     this.notify(
       'config_applied',
       source,
--- a/packages/direct/src/peers/facts-exchange.test.ts
+++ b/packages/direct/src/peers/facts-exchange.test.ts
@@ -9,7 +9,7 @@
 import {buildLargeConfig} from '../test/gate-harness.js';
 import {openFactsServer} from './facts-exchange.js';
 import type {AddressInfo, Server, Socket} from 'node:net';
-import type {SharedFacts} from '../fleet/fleet-state.js';
+import type {SharedFacts} from '../fleet/fleet-types.js';
 
 /** Number of routes that makes a configuration larger than socket buffers. */
 const ROUTE_COUNT = 30_000;
--- a/packages/direct/src/peers/facts-exchange.ts
+++ b/packages/direct/src/peers/facts-exchange.ts
@@ -15,11 +15,8 @@
 import {decodeSharedFacts, toKnownFacts} from './shared-facts.js';
 import type {Server, Socket} from 'node:net';
 import type {ListenAddress, RpcLink} from '@nutmeggauge/core';
-import type {
-  FleetState,
-  SharedFacts,
-  FactVersions,
-} from '../fleet/fleet-state.js';
+import type {FleetState} from '../fleet/fleet-state.js';
+import type {SharedFacts, FactVersions} from '../fleet/fleet-types.js';
 import type {DecisionLog} from '../observe/decision-log.js';
 
 /** Connect timeout, in ms; well above the round-trip time within a region. */
--- a/packages/direct/src/peers/facts-fetcher.test.ts
+++ b/packages/direct/src/peers/facts-fetcher.test.ts
@@ -8,7 +8,7 @@
 import {createDecisionLog} from '../observe/decision-log.js';
 import {buildConfig} from '../test/gate-harness.js';
 import {createFactsFetcher} from './facts-fetcher.js';
-import type {SharedFacts} from '../fleet/fleet-state.js';
+import type {SharedFacts} from '../fleet/fleet-types.js';
 
 /** Longest time until all gates apply a new configuration, in ms. */
 const PROPAGATION_LIMIT_MS = 2000;
--- a/packages/direct/src/peers/facts-fetcher.ts
+++ b/packages/direct/src/peers/facts-fetcher.ts
@@ -4,11 +4,8 @@
  */
 import {DecodeError, FactsBusyError} from '../errors.js';
 import {waitUnref} from './wait-unref.js';
-import type {
-  FleetState,
-  SharedFacts,
-  FactVersions,
-} from '../fleet/fleet-state.js';
+import type {FleetState} from '../fleet/fleet-state.js';
+import type {SharedFacts, FactVersions} from '../fleet/fleet-types.js';
 import type {DecisionLog} from '../observe/decision-log.js';
 
 /**
--- a/packages/direct/src/peers/facts-hand-over.test.ts
+++ b/packages/direct/src/peers/facts-hand-over.test.ts
@@ -11,7 +11,8 @@
 import {fetchSharedFacts, openFactsServer} from './facts-exchange.js';
 import {createFactsFetcher} from './facts-fetcher.js';
 import type {AddressInfo, Server, Socket} from 'node:net';
-import type {FleetState, SharedFacts} from '../fleet/fleet-state.js';
+import type {FleetState} from '../fleet/fleet-state.js';
+import type {SharedFacts} from '../fleet/fleet-types.js';
 
 /**
  * Number of routes that makes a configuration larger than any socket buffer.
--- a/packages/direct/src/peers/peer-group.ts
+++ b/packages/direct/src/peers/peer-group.ts
@@ -19,7 +19,7 @@
 import {ZoneRelay} from './zone-relay.js';
 import {ZodError} from 'zod';
 import type {CrashReport, TurnMonitor} from '@nutmeggauge/core';
-import type {FactVersions} from '../fleet/fleet-state.js';
+import type {FactVersions} from '../fleet/fleet-types.js';
 import type {DecisionLog} from '../observe/decision-log.js';
 import type {PermitAnswer, PermitQuestion} from '../limits/permits.js';
 import type {LimitReport} from '../limits/request-limits.js';
--- a/packages/direct/src/peers/shared-facts.ts
+++ b/packages/direct/src/peers/shared-facts.ts
@@ -5,7 +5,7 @@
 import {z} from 'zod';
 import {DecodeError} from '../errors.js';
 import {NO_POSITION} from '../fleet/fact-position.js';
-import type {SharedFacts, FactVersions} from '../fleet/fleet-state.js';
+import type {SharedFacts, FactVersions} from '../fleet/fleet-types.js';
 
 const PositionSchema = z.object({era: z.number(), revision: z.number()});
 
--- a/packages/direct/src/peers/startup-sync.test.ts
+++ b/packages/direct/src/peers/startup-sync.test.ts
@@ -7,7 +7,7 @@
 import {buildPosition, buildTarget} from '../test/build-target.js';
 import {buildConfig} from '../test/gate-harness.js';
 import {StartupSync} from './startup-sync.js';
-import type {SharedFacts} from '../fleet/fleet-state.js';
+import type {SharedFacts} from '../fleet/fleet-types.js';
 
 const PEER_FACTS: SharedFacts = {
   position: buildPosition(9, 2),
--- a/packages/direct/src/peers/startup-sync.ts
+++ b/packages/direct/src/peers/startup-sync.ts
@@ -6,11 +6,8 @@
 import {FactsBusyError} from '../errors.js';
 import {NO_POSITION} from '../fleet/fact-position.js';
 import {waitUnref} from './wait-unref.js';
-import type {
-  FactVersions,
-  FleetState,
-  SharedFacts,
-} from '../fleet/fleet-state.js';
+import type {FleetState} from '../fleet/fleet-state.js';
+import type {FactVersions, SharedFacts} from '../fleet/fleet-types.js';
 import type {DecisionLog} from '../observe/decision-log.js';
 
 /**
--- a/packages/direct/src/test/model-gate.ts
+++ b/packages/direct/src/test/model-gate.ts
@@ -12,7 +12,7 @@
 import {createIdleLimits} from './idle-limits.js';
 import {createQuietTurns} from './quiet-turns.js';
 import type {SuspectRequests} from '@nutmeggauge/core';
-import type {SharedFacts} from '../fleet/fleet-state.js';
+import type {SharedFacts} from '../fleet/fleet-types.js';
 import type {DatagramTransport} from '../peers/datagram-transport.js';
 import type {LoadTracker} from '../placement/load-tracker.js';
 import type {FleetConfig, Target} from '../types.js';
