A target that says in an answer that it leaves gets no further request

It holds for that incarnation: a new process under the name or address is a new target; an entry that expires and comes back within 60 s is still known to leave. Peers hear of it within 100 ms, and by each heartbeat as long as the store doesn't know (some 15 bytes a target), so a restarted gate learns it too. A 421 comes from another server and says nothing of this one; values other than 1 and 0 are counted and ignored.

--- a/packages/direct/src/fleet/fleet-facts.ts
+++ b/packages/direct/src/fleet/fleet-facts.ts
@@ -6,6 +6,7 @@
   ServiceConfig,
   Target,
 } from '../types.js';
+import {LeavingTargets} from './leaving-targets.js';
 import type {ConfigIndex} from './config-index.js';
 import type {RouteTable} from './route-table.js';
 import type {TargetTable} from './target-table.js';
@@ -14,6 +15,7 @@
 export abstract class FleetFacts {
   protected abstract readonly index: ConfigIndex;
   protected abstract readonly table: TargetTable;
+  protected readonly leaving = new LeavingTargets();
 
   /** Newest known configuration; absent until the first one is known. */
   get config(): FleetConfig | undefined {
@@ -62,7 +64,24 @@
   listUsable(service: string): readonly Target[] {
     return this.table
       .list()
-      .filter(target => target.service === service && !target.isDraining);
+      .filter(target => target.service === service && this.isStaying(target));
+  }
+
+  /** Returns whether a target still accepts new requests. */
+  isUsable({name, id}: Target): boolean {
+    const known = this.table.find(name);
+    return known?.id === id && this.isStaying(known);
+  }
+
+  /**
+   * Lists the targets that have said in an answer that they leave while the store
+   * still lists them as accepting.
+   */
+  listLeaving(): readonly string[] {
+    return this.table
+      .list()
+      .filter(({id, isDraining}) => !isDraining && this.leaving.isLeaving(id))
+      .map(({id}) => id);
   }
 
   /** Lists every target whose service is a model engine. */
@@ -78,4 +97,8 @@
   get targetCount(): number {
     return this.table.size;
   }
+
+  private isStaying({id, isDraining}: Target): boolean {
+    return !isDraining && !this.leaving.isLeaving(id);
+  }
 }
--- a/packages/direct/src/fleet/fleet-state.ts
+++ b/packages/direct/src/fleet/fleet-state.ts
@@ -22,11 +22,7 @@
   RestoreEvent,
   SharedFacts,
 } from './fleet-types.js';
-import type {
-  FactSource,
-  SharedSuspectEntry,
-  TargetSnapshot,
-} from './target-table.js';
+import type {SharedSuspectEntry, TargetSnapshot} from './target-table.js';
 
 /**
  * The configuration and targets that this gate knows.
@@ -49,7 +45,7 @@
   private readonly listeners = new Set<FleetListener>();
   private readonly restoreListeners: Array<(event: RestoreEvent) => void> = [];
 
-  constructor(readNow: () => number) {
+  constructor(private readonly readNow: () => number) {
     super();
     this.table = new TargetTable({
       readNow,
@@ -188,9 +184,21 @@
     };
   }
 
+  /**
+   * Records that a target has said that it leaves, to this gate (`answer`) or to a
+   * peer. It holds until the process of the target ends.
+   */
+  recordLeaving(id: string, source: 'answer' | 'peer'): void {
+    if (!this.leaving.add(id, this.readNow())) return;
+    const revision = this.findIncarnation(id)?.position.revision ?? 0;
+    this.notify('target_leaving', source, id, revision);
+  }
+
   /** Drops held targets whose entry has not been written again in time. */
   expireHeld(): void {
     this.table.expire();
+    const ids = new Set(this.table.list().map(({id}) => id));
+    this.leaving.expire(id => ids.has(id), this.readNow());
   }
 
   /**
@@ -243,7 +251,7 @@
 
   private notify(
     event: FleetEvent['event'],
-    source: FactSource,
+    source: FleetEvent['source'],
     id: string,
     revision: number,
   ): void {
--- a/packages/direct/src/fleet/fleet-types.ts
+++ b/packages/direct/src/fleet/fleet-types.ts
@@ -35,8 +35,9 @@
 
 /** A change of the known facts. */
 export interface FleetEvent {
-  readonly event: 'config_applied' | TargetEvent;
-  readonly source: FactSource;
+  readonly event: 'config_applied' | 'target_leaving' | TargetEvent;
+  /** Where the gate learned of it; `answer` is an answer of the target. */
+  readonly source: FactSource | 'answer';
   readonly id: string;
   readonly revision: number;
 }
--- a/packages/direct/src/forward/call-forwarder.ts
+++ b/packages/direct/src/forward/call-forwarder.ts
@@ -168,7 +168,8 @@
         context.dialect,
         request.facts.requestId,
       );
-      if (verdict !== 'foreign') recordAnswerFacts(context, target, facts);
+      if (verdict !== 'foreign')
+        recordAnswerFacts(context, target, head, facts);
       if (verdict === 'foreign') {
         exchange.cancel();
         const error = new ExchangeError('foreign-answer', true);
--- a/packages/direct/src/forward/send-check.ts
+++ b/packages/direct/src/forward/send-check.ts
@@ -15,7 +15,7 @@
 const LATE_SEND_MS = 100;
 
 /** Reason for which a request is not sent although it has a connection. */
-export type WithholdReason = 'caller_left' | 'deadline_passed';
+export type WithholdReason = 'caller_left' | 'deadline_passed' | 'target_left';
 
 /** Decides whether an exchange sends its request once it is connected. */
 export abstract class SendCheck {
@@ -74,6 +74,7 @@
     const {caller, expiresAt} = this.request;
     if (caller.isDisconnected) return 'caller_left';
     if (this.context.readNow() >= expiresAt) return 'deadline_passed';
+    if (!this.context.state.isUsable(this.target)) return 'target_left';
     return undefined;
   }
 
--- a/packages/direct/src/forward/stream-attempt.ts
+++ b/packages/direct/src/forward/stream-attempt.ts
@@ -308,7 +308,7 @@
       request.facts.requestId,
     );
     if (verdict !== 'foreign')
-      recordAnswerFacts(context, this.options.placed.target, facts);
+      recordAnswerFacts(context, this.options.placed.target, head, facts);
     if (verdict === 'not-run')
       return {kind: 'not-run', faultyAddress: facts.faultyAddress};
     if (verdict === 'foreign') throw new ExchangeError('foreign-answer', true);
--- a/packages/direct/src/peers/heartbeat-builder.ts
+++ b/packages/direct/src/peers/heartbeat-builder.ts
@@ -95,6 +95,7 @@
     slowdowns: toOptional(slowdowns.listAssigned()),
     crashes: toOptional(crashes),
     limits: toOptional(limits.listAll()),
+    leaving: toOptional(state.listLeaving()),
     refusedHash: suspects.hashRefused(),
     lagMs: Math.round(sources.readLagMs()),
     wantsReply: wantsReply || undefined,
--- a/packages/direct/src/peers/membership.ts
+++ b/packages/direct/src/peers/membership.ts
@@ -113,7 +113,7 @@
 
   /** Applies the heartbeat of a peer, and answers it if that is due. */
   applyHeartbeat(heartbeat: Heartbeat): void {
-    const {host, table, placements, slowdowns, suspects, limits, log} =
+    const {host, table, placements, slowdowns, suspects, limits, state, log} =
       this.options;
     if (heartbeat.from === host) return;
     const peer = table.findOrAddPeer(heartbeat.from);
@@ -127,6 +127,7 @@
     for (const slowdown of heartbeat.slowdowns) slowdowns.apply(slowdown);
     suspects.merge(heartbeat.crashes ?? []);
     limits.merge(heartbeat.limits ?? []);
+    for (const id of heartbeat.leaving) state.recordLeaving(id, 'peer');
     if (isNew) log.info('peer_joined', {peer: peer.host});
     const isIncomplete = placements.isIncomplete(heartbeat);
     const isReplyDue = heartbeat.wantsReply || isNew;
--- a/packages/direct/src/peers/messages.ts
+++ b/packages/direct/src/peers/messages.ts
@@ -80,6 +80,8 @@
   crashes: z.array(CrashReportSchema).optional(),
   /** Limits that targets have named; absent if there are none. */
   limits: z.array(LimitReportSchema).optional(),
+  /** Targets that have said in an answer that they leave; absent if none. */
+  leaving: z.array(z.string()).default([]),
   /** Hash of the contents that the sender refuses; absent if there are none. */
   refusedHash: z.string().optional(),
   /** Largest recent delay of the sender's event loop, in ms. */
--- a/packages/direct/src/peers/peer-group.ts
+++ b/packages/direct/src/peers/peer-group.ts
@@ -110,7 +110,8 @@
     state.onChange(({source, event}) => {
       // A configuration from a peer is announced too, so that other peers can
       // fetch it from this gate.
-      if (source === 'store' || event === 'config_applied')
+      const isOwn = source === 'store' || source === 'answer';
+      if (isOwn || event === 'config_applied')
         this.membership.scheduleChangeHeartbeat();
       if (event === 'target_held') this.confirmRemovals();
     });
--- a/packages/direct/src/peers/peer-table.test.ts
+++ b/packages/direct/src/peers/peer-table.test.ts
@@ -28,6 +28,7 @@
     wantsReply: false,
     wantsNames: false,
     known: 1,
+    leaving: [],
     leaves: false,
   };
 }
--- a/packages/direct/src/test/test-dialect.ts
+++ b/packages/direct/src/test/test-dialect.ts
@@ -18,6 +18,11 @@
   return value === undefined ? [] : String(value).split(',');
 }
 
+function readFlag(value: string | string[] | undefined): boolean | 'malformed' {
+  if (value === undefined || value === '0') return false;
+  return value === '1' || 'malformed';
+}
+
 /** Reads the fields `x-other-…`, which this dialect doesn't know. */
 function readUnknownFields(
   headers: ParsedHeaders,
@@ -73,6 +78,7 @@
       isSigned: headers['x-test-signature'] !== undefined,
       isNotRun: headers['x-test-not-run'] !== undefined,
       requestsPerSecond: readNumber(headers['x-test-limit']),
+      isLeaving: readFlag(headers['x-test-leaving']),
       unknownFields: readUnknownFields(headers),
       faultyAddress: headers['x-test-fault'] as string | undefined,
     };
--- a/packages/direct/src/types.ts
+++ b/packages/direct/src/types.ts
@@ -171,6 +171,8 @@
    * if it names no limit.
    */
   readonly requestsPerSecond: number | 'malformed' | undefined;
+  /** Whether the target says that it leaves and wants no further requests. */
+  readonly isLeaving: boolean | 'malformed';
   /** Fields that the adapter doesn't know, by their lower-case names. */
   readonly unknownFields: ReadonlyMap<string, string>;
 }
