A target that turns a request away and asks for rest gets nothing until it is over

Cause: Retry-After of an answer was a known field that nothing read.

Where all targets of a service rest, a request is refused at once, Retry-After the earliest end with jitter, a third of the caller's time at most. After a rest one request at a time tries the target until it answers otherwise, so a rest ends with one request and not with all that have come back. A rest outlasts an expired entry. Dates, negative and other values count as none (rest.malformed), as does the field on other statuses.

No new arrivals beyond the first: a refusal takes its target out of the choices, so a service whose targets all rest gets one request a target and rest.

Its number of requests was 20 and is 10, as one engine of eleven slots refuses the rest; the bound (two) is unchanged.

--- a/packages/direct/src/forward/call-forwarder.ts
+++ b/packages/direct/src/forward/call-forwarder.ts
@@ -79,11 +79,10 @@
   }
 
   private async waitAndSend(why: string): Promise<void> {
-    const {reads, permits} = this.context;
+    const {reads, access} = this.context;
     await reads.wait();
     const target = this.isSettled ? undefined : this.chooseTarget();
-    const isPermitted =
-      target === undefined || (await permits.claim(target.id));
+    const isPermitted = target === undefined || (await access.claim(target.id));
     this.pendingSends--;
     if (this.isSettled) return;
     // Another target may be free if the limit of this one is reached, or if a
@@ -274,11 +273,11 @@
       tried: [...this.tried],
     });
     if (this.mayHaveRun) return this.refuse(502, 'outcome_unknown');
-    const limitMs = this.context.calls.readLimitWaitMs(
-      this.request.service,
-      this.tried,
-    );
-    if (limitMs > 0) return this.refuse(503, 'overloaded', limitMs);
+    const waitMs = this.context.calls.readWaitMs(this.request.service);
+    if (waitMs > 0) {
+      const leftMs = this.request.expiresAt - this.context.readNow();
+      return this.refuse(503, 'overloaded', chooseRetryAfterMs(waitMs, leftMs));
+    }
     this.refuse(503, this.tried.size === 0 ? 'no_target' : 'not_run');
   }
 
--- a/packages/direct/src/forward/context.ts
+++ b/packages/direct/src/forward/context.ts
@@ -13,8 +13,9 @@
 import type {DecisionLog} from '../observe/decision-log.js';
 import type {ChoiceScheduler} from '../placement/choice-scheduler.js';
 import type {UnknownFields} from '../observe/unknown-fields.js';
-import type {Permits} from '../limits/permits.js';
 import type {RequestLimits} from '../limits/request-limits.js';
+import type {TargetAccess} from '../limits/target-access.js';
+import type {TargetRests} from '../limits/target-rests.js';
 import type {CallPlacer} from '../placement/place-call.js';
 import type {PromptPlacer} from '../placement/prompt-placer.js';
 import type {EngineReports, HeaderDialect, KvReservations} from '../ports.js';
@@ -30,7 +31,8 @@
   readonly calls: CallPlacer;
   readonly prompts: PromptPlacer;
   readonly limits: RequestLimits;
-  readonly permits: Permits;
+  readonly rests: TargetRests;
+  readonly access: TargetAccess;
   readonly choices: ChoiceScheduler;
   /** Waits until what has arrived has been read. */
   readonly reads: PendingReads;
--- a/packages/direct/src/forward/judge-answer.ts
+++ b/packages/direct/src/forward/judge-answer.ts
@@ -64,7 +64,7 @@
  * recordAnswerFacts(context, target, head, facts);
  */
 export function recordAnswerFacts(
-  {limits, state, counters, unknownFields}: ForwardContext,
+  {limits, rests, state, counters, unknownFields}: ForwardContext,
   {id}: Target,
   {status}: ResponseHead,
   facts: AnswerMetadata,
@@ -73,6 +73,7 @@
   unknownFields.record(id, facts.unknownFields);
   // It comes from another server that has taken over the address.
   if (status === MISDIRECTED_STATUS) return;
+  rests.recordAnswer(id, status, facts.restMs);
   if (facts.isLeaving === true) state.recordLeaving(id, 'answer');
   if (facts.isLeaving === 'malformed') counters.add('leaving.malformed');
 }
--- a/packages/direct/src/forward/send-check.ts
+++ b/packages/direct/src/forward/send-check.ts
@@ -15,7 +15,8 @@
 const LATE_SEND_MS = 100;
 
 /** Reason for which a request is not sent although it has a connection. */
-export type WithholdReason = 'caller_left' | 'deadline_passed' | 'target_left';
+export type WithholdReason =
+  'caller_left' | 'deadline_passed' | 'target_left' | 'target_rests';
 
 /** Decides whether an exchange sends its request once it is connected. */
 export abstract class SendCheck {
@@ -74,7 +75,9 @@
     const {caller, expiresAt} = this.request;
     if (caller.isDisconnected) return 'caller_left';
     if (this.context.readNow() >= expiresAt) return 'deadline_passed';
-    if (!this.context.state.isUsable(this.target)) return 'target_left';
+    const {state, access} = this.context;
+    if (!state.isUsable(this.target)) return 'target_left';
+    if (access.isResting(this.target.id)) return 'target_rests';
     return undefined;
   }
 
--- a/packages/direct/src/forward/slot-finder.ts
+++ b/packages/direct/src/forward/slot-finder.ts
@@ -64,8 +64,8 @@
   }
 
   /**
-   * Finds engines for the next attempt, with a permit if the decoding engine has
-   * a limit.
+   * Finds engines for the next attempt, with access if the decoding engine has
+   * a limit or has rested.
    *
    * @param mayExceedSlots - True to use an engine even if all its slots are
    *   taken.
@@ -83,10 +83,10 @@
     for (;;) {
       const result = await this.findFreeSlot(mayExceedSlots, signal, hasBegun);
       if (!(result instanceof PlacedPrompt)) return result;
-      const {permits} = this.context;
+      const {access} = this.context;
       const isUsable =
         (await this.claimTrial(result)) &&
-        (await permits.claim(result.target.id));
+        (await access.claim(result.target.id));
       if (isUsable && !signal.aborted) return result;
       result.release();
       if (signal.aborted) return 'left';
@@ -117,7 +117,7 @@
     }
     if (result === 'full' && !signal.aborted) {
       const {service, route} = this.request;
-      const limitMs = this.context.prompts.readLimitWaitMs(service, this.tried);
+      const limitMs = this.context.prompts.readWaitMs(service, this.tried);
       if (limitMs > route.objectiveMs) return 'full';
       result = await this.waitForSlot(signal);
     }
--- a/packages/direct/src/forward/stream-forwarder.ts
+++ b/packages/direct/src/forward/stream-forwarder.ts
@@ -31,6 +31,8 @@
 /** Maximum number of attempts that fail before the request is sent. */
 const MAX_UNSENT_ATTEMPTS = 4;
 
+const NONE_TRIED: ReadonlySet<string> = new Set();
+
 /** Result of an attempt after which the response is still incomplete. */
 type FailedEnd = Exclude<AttemptEnd, {kind: 'done' | 'passed-on'}>;
 
@@ -137,8 +139,8 @@
   /** Estimates the time until an engine may have a slot, in ms. */
   private estimateOverloadMs(): number {
     const {context, request, tried} = this;
-    const limitMs = context.prompts.readLimitWaitMs(request.service, tried);
-    return Math.max(OVERLOAD_RETRY_AFTER_MS, limitMs);
+    const waitMs = context.prompts.readWaitMs(request.service, tried);
+    return Math.max(OVERLOAD_RETRY_AFTER_MS, waitMs);
   }
 
   /**
@@ -400,8 +402,14 @@
     // A refusal with 503 is allowed only for a request that has not run.
     if (this.progress.hasHead || this.mayHaveRun)
       return this.endWithError(502, 'outcome_unknown');
-    const retryDelayMs = chooseRetryAfterMs(queueMs, this.readLeftMs());
-    this.request.caller.refuse(503, reason, retryDelayMs);
+    const {context, request} = this;
+    // No engine takes a request before that, whichever this stream has tried.
+    const waitMs = context.prompts.readWaitMs(request.service, NONE_TRIED);
+    const retryDelayMs = chooseRetryAfterMs(
+      Math.max(queueMs, waitMs),
+      this.readLeftMs(),
+    );
+    request.caller.refuse(503, reason, retryDelayMs);
     this.settle(reason);
   }
 
--- a/packages/direct/src/gate.ts
+++ b/packages/direct/src/gate.ts
@@ -3,40 +3,29 @@
  * directly to targets.
  */
 import {
-  ConnectionCheck,
   HomeTable,
   PendingReads,
   SuspectRequests,
   TurnMonitor,
   createCounters,
-  createLatencyHistogram,
 } from '@nutmeggauge/core';
-import {
-  AdmissionQueues,
-  createAdmissionQueue,
-} from './admission/admission-queue.js';
-import {CrashWatch} from './crashes/crash-watch.js';
 import {runDrain} from './drain.js';
-import {OpenExchanges} from './forward/open-exchanges.js';
+import {createForwardContext} from './forward/create-context.js';
 import {createFleetState} from './fleet/fleet-state.js';
 import {createStoreWatcher} from './fleet/store-watcher.js';
 import {EngineSlowdowns} from './health/engine-slowdowns.js';
 import {createTargetHealth} from './health/target-health.js';
 import {ConnectionShedder} from './ingress/connection-shedder.js';
 import {createIngress} from './ingress/ingress.js';
+import {readGateMetrics} from './observe/gate-metrics.js';
+import {observeFacts} from './observe/fact-log.js';
 import {formatSlowTurn} from './observe/slow-turn.js';
 import {StatusServer} from './observe/status-server.js';
-import {Permits} from './limits/permits.js';
-import {RequestLimits} from './limits/request-limits.js';
-import {UnknownFields} from './observe/unknown-fields.js';
+import {TargetLimits} from './limits/target-limits.js';
 import {UdpTransport} from './peers/datagram-transport.js';
 import {RpcFactsExchange} from './peers/facts-exchange.js';
 import {PeerGroup} from './peers/peer-group.js';
 import {createLoadTracker} from './placement/load-tracker.js';
-import {ChoiceScheduler} from './placement/choice-scheduler.js';
-import {createCallPlacer} from './placement/place-call.js';
-import {PromptPlacer} from './placement/prompt-placer.js';
-import {createSharedRetryBudget} from './retry/shared-retry-budget.js';
 import type {ForwardContext} from './forward/context.js';
 import type {
   DirectGateDependencies,
@@ -64,21 +53,18 @@
   private readonly health = createTargetHealth();
   private readonly slowdowns: EngineSlowdowns;
   private readonly suspects: SuspectRequests;
-  private readonly limits: RequestLimits;
-  private readonly permits: Permits;
+  private readonly limits: TargetLimits;
   private readonly watcher;
   private readonly peers: PeerGroup;
   private readonly ingress: Ingress;
   private readonly context: ForwardContext;
   private readonly status = new StatusServer();
   private readonly turns: TurnMonitor;
-  private readonly reads = new PendingReads();
   private readonly shedder = new ConnectionShedder({
     readNow: this.readNow,
     listPeerLags: () => this.peers.listLags(),
     counters: this.counters,
   });
-  private readonly choices = new ChoiceScheduler(this.reads, this.readNow);
   /** Gate that polls each engine. */
   private readonly engineHomes = new HomeTable();
   private expiryTimer: NodeJS.Timeout | undefined;
@@ -123,22 +109,18 @@
       listEnded: () => this.context.crashes.listEnded(),
       onPeerCrash: target => void this.context.crashes.confirmEnd(target),
     });
-    this.limits = new RequestLimits({
-      readNow,
-      log,
-      counters: this.counters,
-      announce: report => this.peers.announceLimit(report),
-    });
-    this.permits = new Permits({
+    this.limits = new TargetLimits({
       host: settings.peers.host,
-      limits: this.limits,
       listGates: () => this.peers.listGates(),
       messenger: {
         askPermit: (host, question) => this.peers.askPermit(host, question),
       },
+      announce: report => this.peers.announceLimit(report),
       counters: this.counters,
+      log,
       readNow,
     });
+    const {requests, permits} = this.limits;
     this.peers = new PeerGroup({
       host: settings.peers.host,
       zone: settings.zone,
@@ -158,9 +140,9 @@
       slowdowns: this.slowdowns,
       suspects: this.suspects,
       readLagMs: () => this.shedder.readLagMs(),
-      limits: this.limits,
-      answerPermit: question => this.permits.answer(question),
-      onPermitAnswer: answer => this.permits.receive(answer),
+      limits: requests,
+      answerPermit: question => permits.answer(question),
+      onPermitAnswer: answer => permits.receive(answer),
       onTargetEnd: target => void this.context.crashes.confirmEnd(target),
       turns,
       log,
@@ -168,74 +150,21 @@
       readStoreAgeMs: () => this.watcher.ageMs,
       readContactMs: () => this.watcher.contactMs,
     });
-    this.context = {
-      dialect: dependencies.dialect,
+    this.context = createForwardContext({
+      settings,
+      dependencies,
       state,
       health,
-      budget: createSharedRetryBudget({
-        bounds: settings.retryBounds,
-        countSharers: () => this.peers.countBudgetSharers(),
-        restartedAt: settings.isFirstStart ? undefined : readNow(),
-      }),
-      limits: this.limits,
-      permits: this.permits,
-      calls: createCallPlacer({
-        state,
-        health,
-        permits: this.permits,
-        zone: settings.zone,
-        readNow,
-      }),
-      prompts: new PromptPlacer({
-        owner: this.peers.owner,
-        zone: settings.zone,
-        state,
-        health,
-        slowdowns: this.slowdowns,
-        permits: this.permits,
-        tracker,
-        announcer: this.peers,
-        measureHeardShare: () => this.peers.measureHeardShare(),
-        readNow,
-      }),
-      queues: new AdmissionQueues(service =>
-        createAdmissionQueue({
-          countSlots: () => this.countSlots(service),
-          countGates: () => this.peers.countGates(),
-          readNow,
-          schedule: ({dueAt, run}) =>
-            void this.choices.schedule({
-              isRepeated: true,
-              dueAt,
-              choose: run,
-            }),
-        }),
-      ),
-      choices: this.choices,
-      reads: this.reads,
-      exchanges: new OpenExchanges(),
-      crashes: new CrashWatch({
-        state,
-        serverCheck: new ConnectionCheck(),
-        suspects: this.suspects,
-        log,
-        counters: this.counters,
-        readNow,
-        onEnd: target => health.recordEnd(target, readNow()),
-        announceEnd: target => this.peers.announceTargetEnd(target),
-      }),
+      tracker,
+      slowdowns: this.slowdowns,
       suspects: this.suspects,
-      reservations: dependencies.reservations,
-      reports: dependencies.reports,
+      limits: this.limits,
+      peers: this.peers,
+      reads: new PendingReads(),
       turns,
-      unknownFields: new UnknownFields(log),
-      log,
       counters: this.counters,
-      ttftMs: createLatencyHistogram(),
-      answerMs: createLatencyHistogram(),
       readNow,
-      readFactsAgeMs: () => this.peers.readFactsAgeMs(),
-    };
+    });
     this.ingress = createIngress(this.context, this.shedder);
     tracker.onRemove(() => this.context.queues.advance());
     this.observeChanges();
@@ -323,26 +252,18 @@
   }
 
   private readMetrics(): MetricValues {
-    return {
-      counters: {...this.counters.read(), ...this.turns.readTotals()},
-      latencies: {
-        ttft: this.context.ttftMs.summarize(),
-        answer: this.context.answerMs.summarize(),
-        turn: this.turns.summarizeLengths(),
-      },
-      gauges: {
-        requests_in_flight: this.ingress.inFlight,
-        calls_in_flight: this.context.calls.countInFlight(),
-        streams_in_flight: this.tracker.listOwnedBy(this.peers.owner).length,
-        targets_known: this.state.targetCount,
-        config_version: this.state.config?.version ?? 0,
-        facts_age_ms: Math.round(this.peers.readFactsAgeMs()),
-        gates_known: this.peers.countGates(),
-        limited_targets: this.limits.size,
-        suspect_contents: this.suspects.size,
-        refused_contents: this.suspects.countRefused(),
-      },
-    };
+    const {context, state, tracker, ingress, peers} = this;
+    const {limits, suspects, turns} = this;
+    return readGateMetrics({
+      context,
+      state,
+      tracker,
+      ingress,
+      peers,
+      limits,
+      suspects,
+      turns,
+    });
   }
 
   /** Lists the engines that this gate, and no peer, polls. */
@@ -351,54 +272,29 @@
     const {host} = this.settings.peers;
     return engines.filter(
       ({id}) =>
-        // A target in need is not asked for reports.
-        !this.permits.isLimited(id) && this.engineHomes.findHome(id) === host,
+        !this.limits.access.isSpared(id) &&
+        this.engineHomes.findHome(id) === host,
     );
   }
 
-  /** Counts the slots of all usable engines of a service. */
-  private countSlots(service: string): number {
-    const slots = this.state.findService(service)?.engine?.slots ?? 0;
-    const free = this.state
-      .listUsable(service)
-      .filter(({id}) => !this.permits.isLimited(id));
-    return free.length * slots;
-  }
-
   private handleNewTarget(id: string): void {
     const target = this.state.findIncarnation(id);
     if (target !== undefined) this.context.exchanges.endReplaced(target);
   }
 
   private observeChanges(): void {
-    this.state.onRestore(({source, before, after, held, doubted}) =>
-      this.dependencies.log.warn('store_restored', {
-        source,
-        era: after.era,
-        revision: after.revision,
-        earlierEra: before.era,
-        earlierRevision: before.revision,
-        held,
-        doubted,
-        configVersion: this.state.config?.version,
-      }),
-    );
     this.state.onChange(event => {
       if (event.event === 'target_removed') {
         this.health.drop(event.id);
         this.engineHomes.remove(event.id);
         this.context.prompts.drop(event.id);
         this.limits.drop(event.id);
-        this.permits.drop(event.id);
       }
       if (event.event === 'target_added') this.handleNewTarget(event.id);
-      this.dependencies.log.info(event.event, {
-        id: event.id,
-        source: event.source,
-        revision: event.revision,
-        factsAgeMs: Math.round(this.peers.readFactsAgeMs()),
-      });
     });
+    observeFacts(this.state, this.dependencies.log, () =>
+      this.peers.readFactsAgeMs(),
+    );
   }
 }
 
--- a/packages/direct/src/limits/permits.ts
+++ b/packages/direct/src/limits/permits.ts
@@ -6,7 +6,6 @@
 import {HomeTable} from '@nutmeggauge/core';
 import {PermitBucket} from './permit-bucket.js';
 import type {Counters} from '@nutmeggauge/core';
-import type {Target} from '../types.js';
 import type {RequestLimits} from './request-limits.js';
 
 /**
@@ -89,15 +88,6 @@
     return Math.max(0, until - this.options.readNow());
   }
 
-  /**
-   * Returns the time until one of some targets may take a request, in ms; 0 if
-   * one may now or there are none.
-   */
-  readShortestWaitMs(targets: readonly Target[]): number {
-    const waits = targets.map(({id}) => this.readWaitMs(id));
-    return waits.length === 0 ? 0 : Math.min(...waits);
-  }
-
   /**
    * Claims a permit for one request; every request to a target without a limit
    * has one. After a refusal, the target is blocked until the next permit.
--- a/packages/direct/src/limits/resting-target.test.ts
+++ b/packages/direct/src/limits/resting-target.test.ts
@@ -2,12 +2,13 @@
 import {describe, it} from 'node:test';
 import {expect} from 'earl';
 import {addAnnouncingTarget} from '../test/announcing-target.js';
-import {openGateHarness} from '../test/gate-harness.js';
+import {ENGINE, buildConfig, openGateHarness} from '../test/gate-harness.js';
 import type {AnnouncingTarget} from '../test/announcing-target.js';
 import type {GateHarness, ReceivedResponse} from '../test/gate-harness.js';
+import type {FleetConfig} from '../types.js';
 
-/** Number of requests while a target rests. */
-const REQUEST_COUNT = 20;
+/** Number of requests while a target rests; they fit one engine. */
+const REQUEST_COUNT = 10;
 
 /** Rest that a target asks for, in s. */
 const REST_S = 30;
@@ -42,8 +43,9 @@
 
 async function runGate(
   test: (gate: GateHarness) => Promise<void>,
+  config?: FleetConfig,
 ): Promise<void> {
-  const gate = await openGateHarness();
+  const gate = await openGateHarness({config});
   try {
     await test(gate);
   } finally {
@@ -141,16 +143,26 @@
       }));
   }
 
-  it('is no helper of a long prompt in that time', () =>
+  it('is no helper of a long prompt in that time', () => {
     // Guards against orders to an engine that has asked for rest.
-    runGate(async gate => {
-      const resting = await addAnnouncingTarget([gate], 't1', 'chat');
-      await callUntilRefused(gate, '/stream/', resting, String(REST_S));
-      await addAnnouncingTarget([gate], 't2', 'chat');
-      gate.reservations.reservedOn.length = 0;
-      await gate.call('/stream/long', {id: 'long', tokens: 500_000});
-      expect(gate.reservations.reservedOn.includes('t1')).toEqual(false);
-    }));
+    const engine = {...ENGINE, prefillTokensPerMs: 10_000};
+    const services = [
+      {name: 'chat', engine: {...engine, attentionMsPerMillionPairs: 0}},
+    ];
+    return runGate(
+      async gate => {
+        const resting = await addAnnouncingTarget([gate], 't1', 'chat');
+        await callUntilRefused(gate, '/stream/', resting, String(REST_S));
+        await addAnnouncingTarget([gate], 't2', 'chat');
+        await addAnnouncingTarget([gate], 't3', 'chat');
+        await gate.call('/stream/long', {id: 'long', tokens: 500_000});
+        const {reservedOn} = gate.reservations;
+        expect(reservedOn.length > 0).toEqual(true);
+        expect(reservedOn.includes('t1')).toEqual(false);
+      },
+      buildConfig(1, {services}),
+    );
+  });
 
   it('rests for a refusal that does not say whether it has run the request', () =>
     runGate(async gate => {
--- a/packages/direct/src/peers/peer-group.test.ts
+++ b/packages/direct/src/peers/peer-group.test.ts
@@ -54,7 +54,7 @@
     slowdowns: createIdleSlowdowns(log, readNow),
     suspects: createSuspectRequests(),
     readLagMs: () => 0,
-    limits: createIdleLimits(log, readNow),
+    limits: createIdleLimits(log, readNow).requests,
     answerPermit: ({number}) => ({number, waitMs: 0}),
     onPermitAnswer: () => undefined,
     onTargetEnd: () => undefined,
--- a/packages/direct/src/placement/place-call.ts
+++ b/packages/direct/src/placement/place-call.ts
@@ -5,7 +5,7 @@
 import {DEGRADED_FAILURE_SHARE} from '../health/target-health.js';
 import type {TargetHealth} from '../health/target-health.js';
 import type {FleetState} from '../fleet/fleet-state.js';
-import type {Permits} from '../limits/permits.js';
+import type {TargetAccess} from '../limits/target-access.js';
 import type {Target} from '../types.js';
 
 /**
@@ -27,7 +27,7 @@
 export interface CallPlacerOptions {
   readonly state: FleetState;
   readonly health: TargetHealth;
-  readonly permits: Permits;
+  readonly access: TargetAccess;
   readonly zone: string;
   readonly readNow: () => number;
 }
@@ -45,11 +45,11 @@
 
   /** Chooses a target that is not in `tried`; undefined if there is none. */
   choose(service: string, tried: ReadonlySet<string>): Target | undefined {
-    const {state, health, permits, readNow} = this.options;
+    const {state, health, access, readNow} = this.options;
     const now = readNow();
     const left = state
       .listUsable(service)
-      .filter(({id}) => !tried.has(id) && !permits.isBlocked(id));
+      .filter(({id}) => !tried.has(id) && !access.isBlocked(id));
     const sound = left.filter(target => !health.isSuspended(target.id, now));
     // If every target is suspended, trying one is better than failing the call.
     const usable = sound.length > 0 ? sound : left;
@@ -66,13 +66,11 @@
 
   /**
    * Returns the time until a target may take a call, in ms, if the limits of all
-   * targets that are not in `tried` are reached; else 0.
+   * are reached or they rest; else 0.
    */
-  readLimitWaitMs(service: string, tried: ReadonlySet<string>): number {
-    const {state, permits} = this.options;
-    return permits.readShortestWaitMs(
-      state.listUsable(service).filter(({id}) => !tried.has(id)),
-    );
+  readWaitMs(service: string): number {
+    const {state, access} = this.options;
+    return access.readShortestWaitMs(state.listUsable(service));
   }
 
   /** Records that a call to the target `id` has started. */
@@ -95,12 +93,12 @@
   }
 
   private estimateScore(target: Target): number {
-    const {health, permits} = this.options;
+    const {health, access} = this.options;
     const share = health.readFailureShare(target.id);
     const failures =
       share > DEGRADED_FAILURE_SHARE ? share * FAILURE_PENALTY : 0;
     const zone = target.zone === this.options.zone ? 0 : REMOTE_ZONE_PENALTY;
-    const limit = permits.isLimited(target.id) ? LIMITED_PENALTY : 0;
+    const limit = access.isSpared(target.id) ? LIMITED_PENALTY : 0;
     // The random part breaks ties; it weighs less than one outstanding call.
     return (
       (this.inFlight.get(target.id) ?? 0) +
@@ -116,7 +114,7 @@
  * Creates a call placer.
  *
  * @example
- * const placer = createCallPlacer({state, health, permits, zone: 'az-1', readNow});
+ * const placer = createCallPlacer({state, health, access, zone: 'az-1', readNow});
  */
 export function createCallPlacer(options: CallPlacerOptions): CallPlacer {
   return new CallPlacer(options);
--- a/packages/direct/src/placement/prompt-placer.ts
+++ b/packages/direct/src/placement/prompt-placer.ts
@@ -14,7 +14,7 @@
 import type {FleetState} from '../fleet/fleet-state.js';
 import type {EngineSlowdowns} from '../health/engine-slowdowns.js';
 import type {TargetHealth} from '../health/target-health.js';
-import type {Permits} from '../limits/permits.js';
+import type {TargetAccess} from '../limits/target-access.js';
 import type {EngineCostModel, Target} from '../types.js';
 import type {TimedChoice} from './choose-send-time.js';
 import type {LoadTracker} from './load-tracker.js';
@@ -67,7 +67,7 @@
   readonly state: FleetState;
   readonly health: TargetHealth;
   readonly slowdowns: EngineSlowdowns;
-  readonly permits: Permits;
+  readonly access: TargetAccess;
   readonly tracker: LoadTracker;
   readonly announcer: PlacementAnnouncer;
   /** Measures the share of the other gates whose placements are known. */
@@ -113,10 +113,7 @@
     if (tracker.trials.isRunning(suspects, now))
       return {waitMs: TRIAL_POLL_MS, predictedTtftMs: 0};
     const targets = this.ranking.rank(this.listTargets(request.service, tried));
-    if (
-      targets.length === 0 &&
-      this.readLimitWaitMs(request.service, tried) > 0
-    )
+    if (targets.length === 0 && this.readWaitMs(request.service, tried) > 0)
       return 'full';
     const demand: PromptDemand = {
       ...request,
@@ -178,11 +175,11 @@
 
   /**
    * Returns the time until an engine may take a request, in ms, if the limits of
-   * all engines that are not in `tried` are reached; else 0.
+   * all engines that are not in `tried` are reached or they rest; else 0.
    */
-  readLimitWaitMs(service: string, tried: ReadonlySet<string>): number {
-    const {state, permits} = this.options;
-    return permits.readShortestWaitMs(
+  readWaitMs(service: string, tried: ReadonlySet<string>): number {
+    const {state, access} = this.options;
+    return access.readShortestWaitMs(
       state.listUsable(service).filter(({id}) => !tried.has(id)),
     );
   }
@@ -209,11 +206,11 @@
     service: string,
     tried: ReadonlySet<string>,
   ): readonly Target[] {
-    const {state, health, permits, readNow} = this.options;
+    const {state, health, access, readNow} = this.options;
     const now = readNow();
     const left = state
       .listUsable(service)
-      .filter(({id}) => !tried.has(id) && !permits.isBlocked(id));
+      .filter(({id}) => !tried.has(id) && !access.isBlocked(id));
     const sound = left.filter(target => !health.isSuspended(target.id, now));
     const reachable = sound.length > 0 ? sound : left;
     const safe = reachable.filter(
@@ -239,8 +236,8 @@
     const {id, zone} = target;
     const slowdown = this.options.slowdowns.read(id);
     const described = this.options.tracker.describe(id, now);
-    // A helper is sent orders, for which a limited engine gives no permit.
-    const load = this.options.permits.isLimited(id)
+    // A helper is sent orders, which a limited or resting engine does not want.
+    const load = this.options.access.isSpared(id)
       ? {...described, helpedPrompts: Infinity}
       : described;
     const isRemote = zone !== this.options.zone;
--- a/packages/direct/src/test/idle-limits.ts
+++ b/packages/direct/src/test/idle-limits.ts
@@ -1,14 +1,17 @@
-/** Request limits for tests in which no target names one. */
+/** Limits for tests in which no target names one or wants rest. */
 import {createCounters} from '@nutmeggauge/core';
-import {RequestLimits} from '../limits/request-limits.js';
+import {TargetLimits} from '../limits/target-limits.js';
 import type {DecisionLog} from '../observe/decision-log.js';
 
-/** Creates request limits that are announced to nobody. */
+/** Creates the limits of a gate without peers; they are announced to nobody. */
 export function createIdleLimits(
   log: DecisionLog,
   readNow: () => number,
-): RequestLimits {
-  return new RequestLimits({
+): TargetLimits {
+  return new TargetLimits({
+    host: '127.0.0.1',
+    listGates: () => ['127.0.0.1'],
+    messenger: {askPermit: () => undefined},
     readNow,
     log,
     counters: createCounters(),
--- a/packages/direct/src/test/model-gate.ts
+++ b/packages/direct/src/test/model-gate.ts
@@ -1,8 +1,7 @@
 /** Gate without sockets: its peer group and its placement of prompts. */
-import {createCounters, createSuspectRequests} from '@nutmeggauge/core';
+import {createSuspectRequests} from '@nutmeggauge/core';
 import {createFleetState} from '../fleet/fleet-state.js';
 import {createTargetHealth} from '../health/target-health.js';
-import {Permits} from '../limits/permits.js';
 import {createDecisionLog} from '../observe/decision-log.js';
 import {FactsExchange} from '../peers/facts-exchange.js';
 import {PeerGroup} from '../peers/peer-group.js';
@@ -83,7 +82,7 @@
     slowdowns,
     suspects,
     readLagMs: () => 0,
-    limits,
+    limits: limits.requests,
     answerPermit: ({number}) => ({number, waitMs: 0}),
     onPermitAnswer: () => undefined,
     onTargetEnd: () => undefined,
@@ -99,14 +98,7 @@
     state,
     health: createTargetHealth(),
     slowdowns,
-    permits: new Permits({
-      host,
-      limits,
-      listGates: () => group.listGates(),
-      messenger: {askPermit: () => undefined},
-      counters: createCounters(),
-      readNow,
-    }),
+    access: limits.access,
     tracker,
     announcer: group,
     measureHeardShare: () => group.measureHeardShare(),
--- a/packages/direct/src/test/test-dialect.ts
+++ b/packages/direct/src/test/test-dialect.ts
@@ -18,6 +18,15 @@
   return value === undefined ? [] : String(value).split(',');
 }
 
+function readSeconds(
+  value: string | string[] | undefined,
+): number | 'malformed' | undefined {
+  if (value === undefined) return undefined;
+  return /^\d+(\.\d+)?$/.test(String(value))
+    ? Number(value) * 1000
+    : 'malformed';
+}
+
 function readFlag(value: string | string[] | undefined): boolean | 'malformed' {
   if (value === undefined || value === '0') return false;
   return value === '1' || 'malformed';
@@ -78,6 +87,7 @@
       isSigned: headers['x-test-signature'] !== undefined,
       isNotRun: headers['x-test-not-run'] !== undefined,
       requestsPerSecond: readNumber(headers['x-test-limit']),
+      restMs: readSeconds(headers['x-test-rest']),
       isLeaving: readFlag(headers['x-test-leaving']),
       unknownFields: readUnknownFields(headers),
       faultyAddress: headers['x-test-fault'] as string | undefined,
--- a/packages/direct/src/types.ts
+++ b/packages/direct/src/types.ts
@@ -171,6 +171,11 @@
    * if it names no limit.
    */
   readonly requestsPerSecond: number | 'malformed' | undefined;
+  /**
+   * Time in which a target that turns a request away wants nothing of this gate, in
+   * ms; absent if it asks for none.
+   */
+  readonly restMs: number | 'malformed' | undefined;
   /** Whether the target says that it leaves and wants no further requests. */
   readonly isLeaving: boolean | 'malformed';
   /** Fields that the adapter doesn't know, by their lower-case names. */
