--- a/packages/nutmeggauge/src/cli/flags.ts
+++ b/packages/nutmeggauge/src/cli/flags.ts
@@ -27,6 +27,8 @@
   crashing: {type: 'number', default: 0},
   impatient: {type: 'number', default: 0},
   limit: {type: 'number', default: 0},
+  leaving: {type: 'number', default: 0},
+  resting: {type: 'number', default: 0},
   timing: {type: 'boolean', default: true},
   agents: {type: 'boolean', default: false},
   routing: {type: 'string', default: 'class-load', choices: ROUTING_POLICIES},
@@ -54,7 +56,8 @@
     $ nutmeggauge capacity <folder with measured.json>
     $ nutmeggauge soak [--seed N] [--seeds COUNT] [--jobs N] [--gates N]
       [--targets N] [--length-ms N] [--restores N] [--gate-stops N] [--crashing N]
-      [--impatient N] [--limit N] [--no-timing] [--run-dir DIR]
+      [--impatient N] [--limit N] [--leaving N] [--resting N] [--no-timing]
+      [--run-dir DIR]
     $ nutmeggauge soak --agents [--seed N] [--seeds COUNT] [--jobs N] [--gates N]
       [--length-ms N] [--run-dir DIR]
     $ nutmeggauge timeline <run-dir or .log files…>
@@ -83,6 +86,10 @@
                   within a second (default 0)
     --limit       Soak: requests per second that a plain service names as its
                   limit, and an engine for half of the time (default 0: none)
+    --leaving     Soak: number of targets that say in their answers that they
+                  leave long before the store knows (default 0)
+    --resting     Soak: number of times that a target refuses most requests and
+                  asks for rest (default 0)
     --agents      Soak: use gates with an agent for each target instead of direct
                   gates
     --no-timing   Soak: skip checks with a bound on time, for busy machines
--- a/packages/nutmeggauge/src/soak/history.ts
+++ b/packages/nutmeggauge/src/soak/history.ts
@@ -2,7 +2,11 @@
  * Types of a soak run's history, as observed by callers, targets and the
  * driver.
  */
-import type {StandinKind, TargetRun} from '@nutmeggauge/platform';
+import type {
+  StandinKind,
+  TargetRefusal,
+  TargetRun,
+} from '@nutmeggauge/platform';
 import type {GateOutage, UnexpectedExit} from './gate-process.js';
 import type {FaultAction} from './schedule.js';
 
@@ -73,6 +77,8 @@
   readonly limits: ReadonlyMap<string, NamedLimit>;
   readonly crashes: readonly TargetCrash[];
   readonly runs: readonly TargetRun[];
+  /** Requests that targets refused because they wanted rest. */
+  readonly refusals: readonly TargetRefusal[];
   readonly faults: readonly InjectedFault[];
   readonly published: readonly PublishedFact[];
   readonly exits: readonly UnexpectedExit[];
--- a/packages/nutmeggauge/src/soak/run-soaks.ts
+++ b/packages/nutmeggauge/src/soak/run-soaks.ts
@@ -54,6 +54,8 @@
     ...['--crashing', String(series.crashing)],
     ...['--impatient', String(series.impatient)],
     ...['--limit', String(series.limit)],
+    ...['--leaving', String(series.leaving)],
+    ...['--resting', String(series.resting)],
     ...(series.hasTiming ? [] : ['--no-timing']),
     ...(series.hasAgents ? ['--agents'] : []),
   ];
--- a/packages/nutmeggauge/src/soak/schedule.ts
+++ b/packages/nutmeggauge/src/soak/schedule.ts
@@ -41,6 +41,14 @@
       readonly target: number;
       readonly mode: TargetMode;
     }
+  /** The target says in its answers that it leaves; the store learns it later. */
+  | {readonly kind: 'target-announce'; readonly target: number}
+  /** The target refuses most requests and asks for rest. */
+  | {
+      readonly kind: 'target-rest';
+      readonly target: number;
+      readonly restMs: number;
+    }
   | {readonly kind: 'config-change'}
   | {readonly kind: 'key-revoke'};
 
@@ -65,6 +73,10 @@
   readonly restores: number;
   /** Number of gates stopped or killed around a suspension of their process. */
   readonly gateStops: number;
+  /** Number of targets that announce their leave long before the store knows. */
+  readonly leaving?: number;
+  /** Number of times that a target asks for rest. */
+  readonly resting?: number;
 }
 
 /** Time without faults at the end, in ms: above every timeout of the gates. */
@@ -106,6 +118,16 @@
  */
 const GATE_STOP_SEED_OFFSET = 0x570b;
 
+/** Added to a seed, so that announcements leave its other faults unchanged. */
+const ANNOUNCEMENT_SEED_OFFSET = 0xa220;
+
+/** Time until the store learns of a leave that a target announces, in ms. */
+const UNKNOWN_LEAVE_MS = 5500;
+
+/** Shortest and longest rest that a target asks for, in ms. */
+const MIN_REST_MS = 700;
+const MAX_REST_MS = 3000;
+
 const STORE_MODES: readonly StoreMode[] = ['busy', 'silent', 'reset'];
 const LINK_MODES: readonly LinkMode[] = [
   'delay',
@@ -169,6 +191,7 @@
     ...faults,
     ...buildRestores(seed, sizes.restores, end),
     ...buildGateStops(seed, sizes, end),
+    ...buildAnnouncements(seed, sizes, end),
   ];
 }
 
@@ -204,6 +227,31 @@
   }).flat();
 }
 
+/** Builds the announcements of targets that leave or want rest. */
+function buildAnnouncements(
+  seed: number,
+  {targets, leaving = 0, resting = 0}: SoakSizes,
+  end: number,
+): readonly ScheduledFault[] {
+  const random = xoroshiro128plus(seed + ANNOUNCEMENT_SEED_OFFSET);
+  const draw = (least: number, most: number) => uniformInt(random, least, most);
+  const leaves = Array.from({length: leaving}, () => {
+    const target = draw(0, targets - 1);
+    const atMs = draw(0, Math.max(0, end - UNKNOWN_LEAVE_MS));
+    const action = {kind: 'target-announce' as const, target};
+    return {atMs, forMs: Math.min(UNKNOWN_LEAVE_MS, end - atMs), action};
+  });
+  const rests = Array.from({length: resting}, () => {
+    const target = draw(0, targets - 1);
+    const atMs = draw(0, end - 1);
+    const restMs = draw(MIN_REST_MS, MAX_REST_MS);
+    const forMs = Math.min(draw(MIN_REST_MS, MAX_FAULT_MS), end - atMs);
+    const action = {kind: 'target-rest' as const, target, restMs};
+    return {atMs, forMs, action};
+  });
+  return [...leaves, ...rests];
+}
+
 function buildRestores(
   seed: number,
   count: number,
--- a/packages/nutmeggauge/src/soak/soak-harness.ts
+++ b/packages/nutmeggauge/src/soak/soak-harness.ts
@@ -5,48 +5,26 @@
  */
 import {mkdirSync} from 'node:fs';
 import {buildLoopbackHost} from '@nutmeggauge/core';
-import {
-  StoreStandin,
-  TargetStandin,
-  buildConfigDocument,
-} from '@nutmeggauge/platform';
+import {StoreStandin, buildConfigDocument} from '@nutmeggauge/platform';
 import {startCpuLoad} from '../faults/busy.js';
 import {FaultyLink} from './faulty-link.js';
 import {GateProcess} from './gate-process.js';
-import type {TargetRun} from '@nutmeggauge/platform';
+import {SoakTargets} from './soak-targets.js';
 import type {GateEndpoint} from './callers.js';
 import type {GateOutage, UnexpectedExit} from './gate-process.js';
-import type {NamedLimit, PublishedFact, TargetCrash} from './history.js';
+import type {PublishedFact} from './history.js';
 import type {FaultAction} from './schedule.js';
 
 const INGRESS_PORT = 24_100;
 const READY_PORT = 24_101;
 const PEER_PORT = 24_110;
 
-/** Index of the first plain service; targets with a lower index are engines. */
-const FIRST_PLAIN_TARGET = 4;
-
-/** Index of the engine that names a limit for a while. */
-const LIMITED_ENGINE = 0;
-
-/** Time until the store entry of a killed target expires, in ms. */
-const ENTRY_EXPIRY_MS = 1500;
-
 /**
  * Duration of the outage before the store is restored from an older copy, in
  * ms.
  */
 const RESTORE_OUTAGE_MS = 300;
 
-/** Time for which a draining target still serves requests, in ms. */
-const DRAIN_MS = 3500;
-
-/** Current target at one index; a replacement target takes the same index. */
-interface TargetSlot {
-  standin: TargetStandin;
-  link: FaultyLink;
-}
-
 /** One gate process and the links in front of it and of its store. */
 interface GateSlot {
   readonly process: GateProcess;
@@ -64,28 +42,23 @@
  */
 export class SoakHarness {
   readonly store = new StoreStandin();
-  readonly runs: TargetRun[] = [];
   readonly published: PublishedFact[] = [];
   readonly exits: UnexpectedExit[] = [];
-  readonly crashes: TargetCrash[] = [];
-  readonly limits = new Map<string, NamedLimit>();
+  readonly targets: SoakTargets;
   /** API key in force; earlier keys are revoked. */
   key = 'key-1';
-  private readonly slots: TargetSlot[] = [];
-  private readonly replacedTargets: TargetStandin[] = [];
   private readonly gates: GateSlot[] = [];
   private version = 1;
-  private lastTargetNumber = 0;
-  private isEngineLimitOver = false;
-  private isClosed = false;
 
   constructor(
     private readonly folder: string,
     private readonly gateCount: number,
     private readonly targetCount: number,
     private readonly idleTimeoutMs: number,
-    private readonly limit = 0,
-  ) {}
+    limit = 0,
+  ) {
+    this.targets = new SoakTargets(this.store, this.published, limit);
+  }
 
   get endpoints(): readonly GateEndpoint[] {
     return this.gates.map(gate => gate.endpoint);
@@ -106,56 +79,28 @@
     mkdirSync(this.folder, {recursive: true});
     const storePort = await this.store.start();
     this.publishConfig();
-    for (let i = 0; i < this.targetCount; i++)
-      this.slots.push(await this.startTarget(i));
+    await this.targets.start(this.targetCount);
     for (let i = 0; i < this.gateCount; i++)
       this.gates.push(await this.startGate(i, storePort));
   }
 
   /** Ends every process and closes every listener. */
   async close(): Promise<void> {
-    this.isClosed = true;
+    this.targets.markClosed();
     await Promise.all(this.gates.map(gate => gate.process.close()));
     for (const {storeLink, callerLink} of this.gates) {
       storeLink.stop();
       callerLink.stop();
     }
-    for (const {standin, link} of this.slots) {
-      link.stop();
-      await standin.stop();
-    }
+    await this.targets.stop();
     await this.store.stop();
   }
 
-  /** Ends the limit of the engine that names one; the plain service keeps its. */
-  endEngineLimit(): void {
-    this.isEngineLimitOver = true;
-    const {standin} = this.slots[LIMITED_ENGINE];
-    const limit = this.limits.get(standin.id);
-    if (limit === undefined) return;
-    standin.limit = undefined;
-    this.limits.set(standin.id, {...limit, endedAt: performance.now()});
-  }
-
   /** Samples the resident memory of every gate. */
   async sampleMemory(): Promise<void> {
     await Promise.all(this.gates.map(gate => gate.process.sampleMemory()));
   }
 
-  /**
-   * Lists KV cache reservations held at any target, including replaced targets.
-   */
-  listHeldReservations(): readonly string[] {
-    return [
-      ...this.slots.map(({standin}) => standin),
-      ...this.replacedTargets,
-    ].flatMap(standin =>
-      standin
-        .listHeldReservations()
-        .map(reservation => `${standin.id}/${reservation}`),
-    );
-  }
-
   /** Starts a fault and returns a function that ends it. */
   beginFault(action: FaultAction): () => void {
     switch (action.kind) {
@@ -200,17 +145,24 @@
           action.mode,
         );
       case 'target-link':
-        return this.setLinkMode(this.slots[action.target].link, action.mode);
+        return this.setLinkMode(
+          this.targets.findLink(action.target),
+          action.mode,
+        );
       case 'link-reset':
         return this.applyInstantFault(() =>
-          this.slots[action.target].link.dropConnections(),
+          this.targets.findLink(action.target).dropConnections(),
         );
       case 'target-crash':
-        return this.applyInstantFault(() => this.killTarget(action.target));
+        return this.applyInstantFault(() => this.targets.kill(action.target));
       case 'target-leave':
-        return this.applyInstantFault(() => this.drainTarget(action.target));
+        return this.applyInstantFault(() => this.targets.drain(action.target));
       case 'target-mode':
-        return this.setTargetMode(this.slots[action.target], action.mode);
+        return this.targets.setMode(action.target, action.mode);
+      case 'target-announce':
+        return this.targets.announceLeave(action.target);
+      case 'target-rest':
+        return this.targets.setRest(action.target, action.restMs);
       case 'config-change':
         return this.applyInstantFault(() => this.publishConfig());
       case 'key-revoke':
@@ -233,14 +185,6 @@
     };
   }
 
-  private setTargetMode(
-    {standin}: TargetSlot,
-    mode: TargetStandin['mode'],
-  ): () => void {
-    standin.mode = mode;
-    return () => (standin.mode = 'sound');
-  }
-
   private publishConfig(): void {
     const keys = [this.key];
     this.store.publishConfig(
@@ -260,77 +204,6 @@
     });
   }
 
-  private async startTarget(index: number): Promise<TargetSlot> {
-    const id = `t${index}-${++this.lastTargetNumber}`;
-    const standin = new TargetStandin(id, this.runs, content =>
-      this.endTarget(index, id, content),
-    );
-    const isLimited =
-      index === FIRST_PLAIN_TARGET ||
-      (index === LIMITED_ENGINE && !this.isEngineLimitOver);
-    if (this.limit > 0 && isLimited) {
-      standin.limit = String(this.limit);
-      this.limits.set(id, {
-        perSecond: this.limit,
-        knownAt: performance.now(),
-      });
-    }
-    const link = new FaultyLink(await standin.start());
-    const port = await link.start();
-    if (!this.isClosed)
-      this.store.publishServer(id, {
-        service: index < FIRST_PLAIN_TARGET ? 'chat' : 'orders',
-        address: `127.0.0.1:${port}`,
-        zone: 'z',
-        state: 'ready',
-      });
-    return {standin, link};
-  }
-
-  /** Ends a target under a request and replaces it. */
-  private endTarget(index: number, id: string, content: string): void {
-    if (this.isClosed || this.slots[index].standin.id !== id) return;
-    this.crashes.push({content, at: performance.now()});
-    this.killTarget(index);
-  }
-
-  /** Kills a target without a drain and replaces it. */
-  private killTarget(index: number): void {
-    const {standin, link} = this.slots[index];
-    this.replacedTargets.push(standin);
-    link.stop();
-    void standin.stop();
-    setTimeout(() => this.store.dropServer(standin.id), ENTRY_EXPIRY_MS);
-    void this.replaceTarget(index);
-  }
-
-  /** Drains a target and replaces it. */
-  private drainTarget(index: number): void {
-    const {standin, link} = this.slots[index];
-    this.replacedTargets.push(standin);
-    this.store.publishServer(standin.id, {
-      service: index < FIRST_PLAIN_TARGET ? 'chat' : 'orders',
-      address: '127.0.0.1:1',
-      zone: 'z',
-      state: 'draining',
-    });
-    this.published.push({
-      kind: 'target-draining',
-      id: standin.id,
-      at: performance.now(),
-    });
-    setTimeout(() => {
-      this.store.dropServer(standin.id);
-      link.stop();
-      void standin.stop();
-    }, DRAIN_MS);
-    void this.replaceTarget(index);
-  }
-
-  private async replaceTarget(index: number): Promise<void> {
-    this.slots[index] = await this.startTarget(index);
-  }
-
   private listHosts(): string[] {
     return Array.from({length: this.gateCount}, (_, i) => buildLoopbackHost(i));
   }
--- a/packages/nutmeggauge/src/soak/soak.test.ts
+++ b/packages/nutmeggauge/src/soak/soak.test.ts
@@ -29,6 +29,10 @@
   readonly impatient?: number;
   /** Limit that two targets name, in requests per second. */
   readonly limit?: number;
+  /** Number of targets that announce their leave before the store knows. */
+  readonly leaving?: number;
+  /** Number of times that a target asks for rest. */
+  readonly resting?: number;
 }
 
 /** Runs for CI whose seeds have revealed no fault. */
@@ -38,6 +42,7 @@
   {seed: 3, restores: 0, gateStops: 3},
   {seed: 4, restores: 0, gateStops: 0, crashing: 2},
   {seed: 5, restores: 0, gateStops: 0, impatient: 3, limit: 1.4},
+  {seed: 702, restores: 0, gateStops: 0, leaving: 4, resting: 8},
 ];
 
 describe('fault schedule of the soak', () => {
@@ -90,6 +95,8 @@
           ...['--crashing', String(others.crashing ?? 0)],
           ...['--impatient', String(others.impatient ?? 0)],
           ...['--limit', String(others.limit ?? 0)],
+          ...['--leaving', String(others.leaving ?? 0)],
+          ...['--resting', String(others.resting ?? 0)],
         ]);
         expect(stdout).toInclude('"violations":0');
       } finally {
--- a/packages/nutmeggauge/src/soak/soak.ts
+++ b/packages/nutmeggauge/src/soak/soak.ts
@@ -63,6 +63,10 @@
    * for the first half of the load; 0 for none.
    */
   readonly limit: number;
+  /** Number of targets that announce their leave long before the store knows. */
+  readonly leaving: number;
+  /** Number of times that a target asks for rest. */
+  readonly resting: number;
   /** Whether invariants with a time bound are checked too. */
   readonly hasTiming: boolean;
   /** Folder for the settings and logs of the gates. */
@@ -84,7 +88,7 @@
  * Runs the soak with one seed and returns the violated invariants.
  *
  * @example
- * const {violations} = await runSoak({seed: 7, gates: 3, targets: 6, lengthMs: 12_000, restores: 2, gateStops: 2, crashing: 1, impatient: 1, limit: 0, hasTiming: true, runDir: 'runs/soak-7'});
+ * const {violations} = await runSoak({seed: 7, gates: 3, targets: 6, lengthMs: 12_000, restores: 2, gateStops: 2, crashing: 1, impatient: 1, limit: 0, leaving: 1, resting: 1, hasTiming: true, runDir: 'runs/soak-7'});
  */
 export async function runSoak(options: SoakOptions): Promise<SoakResult> {
   const idleTimeoutMs =
@@ -138,7 +142,7 @@
     endsAt,
     idleTimeoutMs,
   });
-  setTimeout(() => harness.endEngineLimit(), options.lengthMs / 2);
+  setTimeout(() => harness.targets.endEngineLimit(), options.lengthMs / 2);
   const impatient = runImpatientCallers(harness, {
     seed: options.seed,
     count: options.impatient,
@@ -160,14 +164,15 @@
     records: records.flat(),
     crashing: await crashing,
     impatient: await impatient,
-    limits: harness.limits,
-    crashes: harness.crashes,
-    runs: harness.runs,
+    limits: harness.targets.limits,
+    crashes: harness.targets.crashes,
+    runs: harness.targets.runs,
+    refusals: harness.targets.refusals,
     faults: await faults,
     published: harness.published,
     exits: harness.exits,
     outages: harness.outages,
-    heldTickets: harness.listHeldReservations(),
+    heldTickets: harness.targets.listHeldReservations(),
     peakBytes: harness.peakBytes,
   };
 }
--- a/packages/nutmeggauge/src/soak/test-history.ts
+++ b/packages/nutmeggauge/src/soak/test-history.ts
@@ -13,6 +13,7 @@
     limits: new Map(),
     crashes: [],
     runs: [],
+    refusals: [],
     faults: [],
     published: [],
     exits: [],
--- a/packages/nutmeggauge/src/soak/violation.ts
+++ b/packages/nutmeggauge/src/soak/violation.ts
@@ -21,7 +21,9 @@
     | 'crashing-request'
     | 'innocent-refused'
     | 'caller-gone'
-    | 'target-limit';
+    | 'target-limit'
+    | 'target-leaving'
+    | 'target-rest';
   readonly requestId: string | undefined;
   readonly detail: string;
 }
