--- a/packages/direct/src/forward/stream-attempt.ts
+++ b/packages/direct/src/forward/stream-attempt.ts
@@ -60,6 +60,9 @@
   | {readonly kind: 'not-run'; readonly faultyAddress: string | undefined}
   | {readonly kind: 'failed'; readonly error: ExchangeError};
 
+/** Result of an attempt after which the response is still incomplete. */
+export type FailedEnd = Exclude<AttemptEnd, {kind: 'done' | 'passed-on'}>;
+
 /** Options of an attempt. */
 export interface StreamAttemptOptions {
   readonly context: ForwardContext;
