--- /dev/null
+++ b/packages/direct/src/forward/send-prompt.ts
@@ -0,0 +1,100 @@
+/** Sends a prompt to its decoding engine, after its helpers have reserved memory. */
+import {openKvLease} from './kv-lease.js';
+import {RequestSendCheck} from './send-check.js';
+import type {PlacedPrompt} from '../placement/placed-prompt.js';
+import type {ForwardContext} from './context.js';
+import type {Exchange} from './exchange.js';
+import type {KvLease, LivenessCheck} from './kv-lease.js';
+import type {GateRequest} from './request.js';
+
+/** Period within which bytes of an engine show that it is alive, in ms. */
+const ACTIVITY_WINDOW_MS = 400;
+
+/**
+ * Engine priority by maximum prompt size in tokens; short prompts go first.
+ */
+const PRIORITY_BY_TOKENS: ReadonlyArray<readonly [number, number]> = [
+  [16_000, 2],
+  [80_000, 4],
+  [Infinity, 5],
+];
+
+/** Prompt that has engines. */
+export interface SendablePrompt {
+  readonly context: ForwardContext;
+  readonly request: GateRequest;
+  readonly placed: PlacedPrompt;
+}
+
+/**
+ * Reserves KV cache on the helpers of a prompt.
+ *
+ * @param name - Unique name of the attempt, used as the ticket.
+ * @returns Undefined if no helper reserves any, `refused` if one has too little.
+ * @example
+ * const lease = await openHelperLease({context, request, placed}, 'q1-1-0');
+ */
+export async function openHelperLease(
+  {context, placed}: SendablePrompt,
+  name: string,
+): Promise<KvLease | undefined | 'refused'> {
+  const {reservations} = placed.choice;
+  if (reservations.length === 0) return undefined;
+  const kvRequests = reservations.flatMap(({target, tokens}) => {
+    const helper = placed.helpers.find(({id}) => id === target);
+    return helper === undefined ? [] : [{target: helper, tokens}];
+  });
+  const lease = await openKvLease(
+    context.reservations,
+    name,
+    kvRequests,
+    createLivenessCheck(context, placed),
+  );
+  return lease ?? 'refused';
+}
+
+function createLivenessCheck(
+  {health, readNow, reports}: ForwardContext,
+  {target}: PlacedPrompt,
+): LivenessCheck {
+  return {
+    isActive: () =>
+      health.isActiveSince(target.id, readNow() - ACTIVITY_WINDOW_MS),
+    ask: async () => (await reports.read(target)) !== undefined,
+  };
+}
+
+/**
+ * Sends a prompt to its decoding engine.
+ *
+ * @param lastEventId - Id of the last event that the caller has received.
+ * @param lease - Reservations on its helpers.
+ * @example
+ * const exchange = sendPrompt({context, request, placed}, undefined, lease);
+ */
+export function sendPrompt(
+  {context, request, placed}: SendablePrompt,
+  lastEventId: string | undefined,
+  lease: KvLease | undefined,
+): Exchange {
+  const tokens = request.facts.promptTokens ?? 0;
+  const priority = PRIORITY_BY_TOKENS.find(([most]) => tokens <= most)?.[1];
+  return context.exchanges.open({
+    target: placed.target,
+    method: request.method,
+    path: request.path,
+    headers: context.dialect.buildForTarget(request.headers, {
+      deadlineLeftMs: request.expiresAt - context.readNow(),
+      target: placed.target,
+      account: request.account,
+      priority,
+      helpers: placed.helpers.map(target => ({
+        target,
+        ticket: lease?.findTicket(target.id),
+      })),
+      lastEventId,
+    }),
+    body: request.body,
+    sendCheck: new RequestSendCheck(context, request, placed.target),
+  });
+}
