--- a/packages/direct/src/forward/call-forwarder.ts
+++ b/packages/direct/src/forward/call-forwarder.ts
@@ -4,13 +4,12 @@
  * certain that the target did not run it.
  */
 import {ReadTimeout} from '@nutmeggauge/core';
-import {ExchangeError} from '../errors.js';
-import {findFraming} from './exchange.js';
-import {readVerdict, recordAnswerFacts} from './judge-answer.js';
+import {CallFaults, readCallResult} from './call-result.js';
 import {chooseRetryAfterMs} from './retry-after.js';
 import {RequestSendCheck} from './send-check.js';
 import type {Target} from '../types.js';
-import type {ResponseFraming, GateErrorReason} from './caller-response.js';
+import type {CallResult, CompleteResponse} from './call-result.js';
+import type {GateErrorReason} from './caller-response.js';
 import type {ForwardContext} from './context.js';
 import type {Exchange} from './exchange.js';
 import type {GateRequest} from './request.js';
@@ -21,20 +20,6 @@
 /** Maximum number of attempts that fail before the request is sent. */
 const MAX_UNSENT_ATTEMPTS = 4;
 
-/** A target's complete response. */
-interface CompleteResponse {
-  readonly status: number;
-  readonly headers: readonly string[];
-  readonly body: Buffer;
-  readonly framing: ResponseFraming;
-}
-
-type AttemptResult =
-  | {readonly kind: 'answer'; readonly answer: CompleteResponse}
-  | {readonly kind: 'target-failure'; readonly answer: CompleteResponse}
-  | {readonly kind: 'not-run'}
-  | {readonly kind: 'failed'; readonly error: ExchangeError};
-
 /** State of one forwarded call and its attempts. */
 class CallRun {
   private readonly tried = new Set<string>();
@@ -49,11 +34,14 @@
   private deadlineTimer: NodeJS.Timeout | undefined;
   private hedgeTimeout: ReadTimeout | undefined;
   private stopListening: (() => void) | undefined;
+  private readonly faults: CallFaults;
 
   constructor(
     private readonly context: ForwardContext,
     private readonly request: GateRequest,
-  ) {}
+  ) {
+    this.faults = new CallFaults(context, request);
+  }
 
   start(): void {
     const {request, context} = this;
@@ -138,9 +126,9 @@
       sendCheck: new RequestSendCheck(context, request, target),
     });
     this.open.add(exchange);
-    let result: AttemptResult;
+    let result: CallResult;
     try {
-      result = await this.readResult(target, exchange);
+      result = await readCallResult(context, request, target, exchange);
     } finally {
       this.open.delete(exchange);
       context.calls.recordEnd(target.id);
@@ -148,85 +136,14 @@
     if (result.kind === 'failed') {
       // A crash may refuse this call, which must not deny that it has run.
       this.mayHaveRun ||= result.error.wasSent;
-      await this.checkCrash(target, exchange, result.error, sentAt);
+      await this.faults.checkCrash(target, exchange, result.error, sentAt);
     }
     if (this.isSettled) return;
-    this.recordHealth(target, result);
+    this.faults.recordHealth(target, result);
     this.handleResult(target, result, why);
   }
 
-  private async readResult(
-    target: Target,
-    exchange: Exchange,
-  ): Promise<AttemptResult> {
-    const {context, request} = this;
-    try {
-      const head = await exchange.head;
-      const {verdict, facts} = readVerdict(
-        head,
-        context.dialect,
-        request.facts.requestId,
-      );
-      if (verdict !== 'foreign')
-        recordAnswerFacts(context, target, head, facts);
-      if (verdict === 'foreign') {
-        exchange.cancel();
-        const error = new ExchangeError('foreign-answer', true);
-        return {kind: 'failed', error};
-      }
-      if (verdict === 'not-run') {
-        exchange.cancel();
-        return {kind: 'not-run'};
-      }
-      const body = await exchange.readWholeBody(head);
-      const framing = findFraming(head.message);
-      if (framing === 'by-close' && (await context.crashes.isCrashEnd(target)))
-        throw new ExchangeError('truncated', true);
-      const answer = {
-        status: head.status,
-        headers: head.message.rawHeaders,
-        body,
-        framing,
-      };
-      return {kind: verdict, answer};
-    } catch (error) {
-      if (error instanceof ExchangeError) return {kind: 'failed', error};
-      throw error;
-    }
-  }
-
-  /** Finds out whether the target has crashed that broke off an attempt. */
-  private async checkCrash(
-    target: Target,
-    exchange: Exchange,
-    error: ExchangeError,
-    sentAt: number,
-  ): Promise<void> {
-    const {crashes} = this.context;
-    if (error.isRefusedConnection) return crashes.recordRefusal(target);
-    if (!error.isConnectionEnd || exchange.isReplaced) return;
-    await crashes.waitForVerdict({
-      request: this.request,
-      target,
-      firstEventAt: undefined,
-      sentAt,
-    });
-  }
-
-  private recordHealth(target: Target, result: AttemptResult): void {
-    const {health, readNow} = this.context;
-    if (result.kind === 'answer') health.recordSuccess(target.id);
-    else if (result.kind !== 'failed')
-      health.recordFailure(target.id, readNow(), false);
-    else if (result.error.isTargetFault)
-      health.recordFailure(target.id, readNow(), !result.error.wasSent);
-  }
-
-  private handleResult(
-    target: Target,
-    result: AttemptResult,
-    why: string,
-  ): void {
+  private handleResult(target: Target, result: CallResult, why: string): void {
     if (result.kind === 'answer') {
       this.context.suspects.recordAnswer(this.request.fingerprint);
       return this.sendResponse(result.answer, target);
