A target is told the time that is left when the request is sent

Same cause as the late sends: the head of a request, with the caller's deadline, was built before the connection was opened.

--- a/packages/direct/src/forward/call-forwarder.ts
+++ b/packages/direct/src/forward/call-forwarder.ts
@@ -114,14 +114,15 @@
       target,
       method: request.method,
       path: request.path,
-      headers: context.dialect.buildForTarget(request.headers, {
-        deadlineLeftMs: request.expiresAt - context.readNow(),
-        target,
-        account: request.account,
-        priority: undefined,
-        helpers: [],
-        lastEventId: undefined,
-      }),
+      buildHeaders: () =>
+        context.dialect.buildForTarget(request.headers, {
+          deadlineLeftMs: request.expiresAt - context.readNow(),
+          target,
+          account: request.account,
+          priority: undefined,
+          helpers: [],
+          lastEventId: undefined,
+        }),
       body: request.body,
       sendCheck: new RequestSendCheck(context, request, target),
     });
--- a/packages/direct/src/forward/exchange.test.ts
+++ b/packages/direct/src/forward/exchange.test.ts
@@ -21,7 +21,7 @@
         target: server.entry,
         method: 'GET',
         path: '/',
-        headers: ['host', 'site', 'x-test-id', 'q1'],
+        buildHeaders: () => ['host', 'site', 'x-test-id', 'q1'],
         body: Buffer.alloc(0),
       });
       const head = await exchange.head;
--- a/packages/direct/src/forward/exchange.ts
+++ b/packages/direct/src/forward/exchange.ts
@@ -34,7 +34,8 @@
   readonly target: Target;
   readonly method: string;
   readonly path: string;
-  readonly headers: RawHeaders;
+  /** Builds the head when the request is sent, as it tells the time left. */
+  readonly buildHeaders: () => RawHeaders;
   readonly body: Buffer;
   /**
    * Decides whether the request is sent once the connection is open.
@@ -230,14 +231,14 @@
  * head, for example because a header value contains invalid characters.
  */
 function openRequest(
-  {method, path, headers}: ExchangeOptions,
+  {method, path, buildHeaders}: ExchangeOptions,
   socket: Socket,
 ): ClientRequest | ExchangeError {
   try {
     return sendRequest({
       method,
       path,
-      headers,
+      headers: buildHeaders(),
       setHost: false,
       createConnection: () => socket,
     });
--- a/packages/direct/src/forward/late-send.test.ts
+++ b/packages/direct/src/forward/late-send.test.ts
@@ -16,6 +16,9 @@
 /** Time after which nothing is left to do, in ms. */
 const SETTLE_MS = 1500;
 
+/** Time for which a caller waits that outlasts the hold, in ms. */
+const DEADLINE_MS = 2000;
+
 const PATHS = ['/safe/x', '/unsafe/x', '/stream/x'];
 
 interface Bed {
@@ -86,4 +89,18 @@
       await callers.advance(SETTLE_MS);
       expect(new Set(listReceived(targets)).size).toEqual(CALLER_COUNT);
     }));
+
+  it('tells the target the time that is left when it is sent', () =>
+    // Guards against a target that works on after the caller's deadline.
+    runBed(async ({callers, targets}) => {
+      callers.holdAfterSend(HELD_MS);
+      connectAll(callers, DEADLINE_MS);
+      await callers.advance(SETTLE_MS);
+      const heads = targets.flatMap(target => target.heads);
+      expect(heads.length >= CALLER_COUNT).toEqual(true);
+      for (const head of heads)
+        expect(Number(head['x-test-left']) <= DEADLINE_MS - HELD_MS).toEqual(
+          true,
+        );
+    }));
 });
--- a/packages/direct/src/forward/open-exchanges.test.ts
+++ b/packages/direct/src/forward/open-exchanges.test.ts
@@ -15,7 +15,7 @@
     target,
     method: 'GET',
     path: '/',
-    headers: ['host', 'site', 'x-test-id', 'q1'],
+    buildHeaders: () => ['host', 'site', 'x-test-id', 'q1'],
     body: Buffer.alloc(0),
   });
   let fault: string | undefined;
--- a/packages/direct/src/forward/send-prompt.ts
+++ b/packages/direct/src/forward/send-prompt.ts
@@ -83,17 +83,18 @@
     target: placed.target,
     method: request.method,
     path: request.path,
-    headers: context.dialect.buildForTarget(request.headers, {
-      deadlineLeftMs: request.expiresAt - context.readNow(),
-      target: placed.target,
-      account: request.account,
-      priority,
-      helpers: placed.helpers.map(target => ({
-        target,
-        ticket: lease?.findTicket(target.id),
-      })),
-      lastEventId,
-    }),
+    buildHeaders: () =>
+      context.dialect.buildForTarget(request.headers, {
+        deadlineLeftMs: request.expiresAt - context.readNow(),
+        target: placed.target,
+        account: request.account,
+        priority,
+        helpers: placed.helpers.map(target => ({
+          target,
+          ticket: lease?.findTicket(target.id),
+        })),
+        lastEventId,
+      }),
     body: request.body,
     sendCheck: new RequestSendCheck(context, request, placed.target),
   });
--- a/packages/direct/src/test/impatient-callers.ts
+++ b/packages/direct/src/test/impatient-callers.ts
@@ -50,8 +50,9 @@
       OpenExchanges.prototype,
       'open',
       function (this: OpenExchanges, options: ExchangeOptions) {
-        const at = options.headers.indexOf('x-test-id');
-        sends.push({id: options.headers[at + 1], at: clock.now});
+        const headers = options.buildHeaders();
+        const id = headers[headers.indexOf('x-test-id') + 1];
+        sends.push({id, at: clock.now});
         const exchange = open.call(this, options);
         holdOnce();
         return exchange;
