--- a/packages/direct/src/gate.ts
+++ b/packages/direct/src/gate.ts
@@ -3,7 +3,6 @@
  * directly to targets.
  */
 import {
-  HomeTable,
   PendingReads,
   SuspectRequests,
   TurnMonitor,
@@ -13,6 +12,7 @@
 import {createForwardContext} from './forward/create-context.js';
 import {createFleetState} from './fleet/fleet-state.js';
 import {createStoreWatcher} from './fleet/store-watcher.js';
+import {EngineHomes} from './health/engine-homes.js';
 import {EngineSlowdowns} from './health/engine-slowdowns.js';
 import {createTargetHealth} from './health/target-health.js';
 import {ConnectionShedder} from './ingress/connection-shedder.js';
@@ -33,7 +33,6 @@
 } from './gate-settings.js';
 import type {Ingress} from './ingress/ingress.js';
 import type {MetricValues} from './observe/metrics-text.js';
-import type {Target} from './types.js';
 
 /** Interval at which held targets and suspect requests expire, in ms. */
 const EXPIRY_CHECK_INTERVAL_MS = 100;
@@ -65,8 +64,7 @@
     listPeerLags: () => this.peers.listLags(),
     counters: this.counters,
   });
-  /** Gate that polls each engine. */
-  private readonly engineHomes = new HomeTable();
+  private readonly engineHomes: EngineHomes;
   private expiryTimer: NodeJS.Timeout | undefined;
   private draining: Promise<void> | undefined;
 
@@ -93,7 +91,7 @@
       reports: dependencies.reports,
       // Polling has a cost, so engines are polled only while streams are open.
       listEngines: () => (tracker.isEmpty ? [] : state.listEngines()),
-      listAssigned: engines => this.listAssigned(engines),
+      listAssigned: engines => this.engineHomes.listAssigned(engines),
       onSlowdown: ({target, slowdown}) =>
         tracker.setSlowdown(target, slowdown, readNow()),
       turns,
@@ -120,7 +118,12 @@
       log,
       readNow,
     });
-    const {requests, permits} = this.limits;
+    const {requests, permits, access} = this.limits;
+    this.engineHomes = new EngineHomes({
+      host: settings.peers.host,
+      listGates: () => this.peers.listGates(),
+      access,
+    });
     this.peers = new PeerGroup({
       host: settings.peers.host,
       zone: settings.zone,
@@ -230,10 +233,6 @@
     return this.draining;
   }
 
-  private get isStopping(): boolean {
-    return this.draining !== undefined;
-  }
-
   /** Closes all listeners and connections at once, without a drain. */
   close(): void {
     clearInterval(this.expiryTimer);
@@ -247,7 +246,7 @@
   }
 
   private get isReady(): boolean {
-    if (this.isStopping || !this.state.isServing) return false;
+    if (this.draining !== undefined || !this.state.isServing) return false;
     return this.peers.isSynchronized;
   }
 
@@ -266,31 +265,19 @@
     });
   }
 
-  /** Lists the engines that this gate, and no peer, polls. */
-  private listAssigned(engines: readonly Target[]): readonly Target[] {
-    this.engineHomes.setIds(this.peers.listGates());
-    const {host} = this.settings.peers;
-    return engines.filter(
-      ({id}) =>
-        !this.limits.access.isSpared(id) &&
-        this.engineHomes.findHome(id) === host,
-    );
-  }
-
-  private handleNewTarget(id: string): void {
-    const target = this.state.findIncarnation(id);
-    if (target !== undefined) this.context.exchanges.endReplaced(target);
-  }
-
   private observeChanges(): void {
     this.state.onChange(event => {
       if (event.event === 'target_removed') {
         this.health.drop(event.id);
-        this.engineHomes.remove(event.id);
+        this.engineHomes.drop(event.id);
         this.context.prompts.drop(event.id);
         this.limits.drop(event.id);
       }
-      if (event.event === 'target_added') this.handleNewTarget(event.id);
+      const added =
+        event.event === 'target_added'
+          ? this.state.findIncarnation(event.id)
+          : undefined;
+      if (added !== undefined) this.context.exchanges.endReplaced(added);
     });
     observeFacts(this.state, this.dependencies.log, () =>
       this.peers.readFactsAgeMs(),
--- a/packages/direct/src/peers/peer-group.ts
+++ b/packages/direct/src/peers/peer-group.ts
@@ -4,20 +4,16 @@
  */
 import {PlacementAnnouncer} from '../placement/placed-prompt.js';
 import {HOLD_AFTER_OUTAGE_MS} from '../fleet/target-table.js';
+import {DatagramReceiver} from './datagram-receiver.js';
 import {createFactsFetcher} from './facts-fetcher.js';
 import {parsePlacementNumber} from './heartbeat-builder.js';
 import {Membership} from './membership.js';
-import {formatDatagram, parseDatagram, toWirePlacement} from './messages.js';
-import {
-  decodePlacementMessage,
-  formatPlacementMessage,
-  isPlacementMessage,
-} from './placement-codec.js';
+import {formatDatagram, toWirePlacement} from './messages.js';
+import {formatPlacementMessage} from './placement-codec.js';
 import {PeerPlacements} from './peer-placements.js';
 import {PeerTable} from './peer-table.js';
 import {StartupSync} from './startup-sync.js';
 import {ZoneRelay} from './zone-relay.js';
-import {ZodError} from 'zod';
 import type {CrashReport, TurnMonitor} from '@nutmeggauge/core';
 import type {FactVersions} from '../fleet/fleet-types.js';
 import type {DecisionLog} from '../observe/decision-log.js';
@@ -38,9 +34,6 @@
  */
 const STORE_SILENT_MS = 3000;
 
-/** Largest length of the logged reason why a datagram is malformed. */
-const MAX_REASON_LENGTH = 200;
-
 /** Dependencies of a peer group. */
 export interface PeerGroupOptions extends HeartbeatSources {
   readonly transport: DatagramTransport;
@@ -68,6 +61,7 @@
   private readonly placements: PeerPlacements;
   private readonly membership: Membership;
   private readonly relay: ZoneRelay;
+  private readonly receiver: DatagramReceiver;
   private readonly fetcher: FactsFetcher;
   private readonly startupSync: StartupSync;
 
@@ -90,6 +84,12 @@
       relay: this.relay,
       onHeartbeat: peer => this.handleHeartbeat(peer),
     });
+    this.receiver = new DatagramReceiver({
+      ...options,
+      relay: this.relay,
+      placements: this.placements,
+      onHeartbeat: heartbeat => this.membership.applyHeartbeat(heartbeat),
+    });
     this.startupSync = new StartupSync({
       state,
       listPeers: () => this.listGates().filter(host => host !== ownHost),
@@ -162,7 +162,7 @@
   async start(): Promise<void> {
     const {transport, facts, turns} = this.options;
     await transport.open(bytes =>
-      turns.run('peer_message', () => this.receive(bytes)),
+      turns.run('peer_message', () => this.receiver.receive(bytes)),
     );
     await facts.open();
     this.membership.start();
@@ -245,41 +245,6 @@
       this.options.transport.send(host, bytes);
   }
 
-  private receive(bytes: Buffer): void {
-    const datagram = this.relay.receive(bytes);
-    try {
-      if (isPlacementMessage(datagram))
-        this.placements.apply(decodePlacementMessage(datagram));
-      else this.apply(parseDatagram(datagram));
-    } catch (error) {
-      if (!(error instanceof SyntaxError || error instanceof ZodError))
-        throw error;
-      this.options.log.warn('peer_message_malformed', {
-        bytes: bytes.length,
-        reason: error.message.slice(0, MAX_REASON_LENGTH),
-      });
-    }
-  }
-
-  private apply(message: Datagram): void {
-    if (message.method === 'heartbeat')
-      this.membership.applyHeartbeat(message.params);
-    if (message.method === 'target-ended')
-      this.options.onTargetEnd(message.params.target);
-    if (message.method === 'limited')
-      this.options.limits.merge([message.params]);
-    if (message.method === 'permit-asked')
-      this.send(message.params.from, {
-        jsonrpc: '2.0',
-        method: 'permit-answered',
-        params: this.options.answerPermit(message.params),
-      });
-    if (message.method === 'permit-answered')
-      this.options.onPermitAnswer(message.params);
-    if (message.method === 'crashed')
-      this.options.suspects.merge(message.params);
-  }
-
   private handleHeartbeat(peer: Peer): void {
     if (this.isUpdateSource(peer)) this.fetcher.schedule();
     this.confirmRemovals();
