A gate that was suspended twice does not close new connections as if it were behind

The gate had been suspended for 0.5 s, had run for 40 ms and been suspended for 1.3 s: two late samples of its event loop, 1.3 s apart, without one between, since it samples each 50 ms. That counted as behind for 1.2 s, until the drain 9 ms later ended it.

--- a/packages/direct/src/ingress/connection-shedder.test.ts
+++ b/packages/direct/src/ingress/connection-shedder.test.ts
@@ -104,4 +104,14 @@
       shedder.recordLag(20);
       expect(shedder.readLagMs()).toEqual(80);
     }));
+
+  it('takes connections when its process has been suspended twice', () =>
+    // Guards against requests that are cut when a suspended gate goes on, although
+    // it is not behind.
+    runWithShedder([0, 0], async (shedder, ask, clock) => {
+      shedder.recordLag(520);
+      clock.now += 1340;
+      shedder.recordLag(1300);
+      expect(await ask()).toInclude('served');
+    }));
 });
--- a/packages/direct/src/ingress/connection-shedder.ts
+++ b/packages/direct/src/ingress/connection-shedder.ts
@@ -18,6 +18,12 @@
  */
 const BEHIND_TIME_MS = 1200;
 
+/**
+ * Number of late samples in a row from which a gate is behind: a suspension of its
+ * process gives one.
+ */
+const MIN_LATE_SAMPLES = 4;
+
 /** Delay below which a gate that was behind has caught up, in ms. */
 const CAUGHT_UP_LAG_MS = 40;
 
@@ -52,6 +58,7 @@
   private dueAt = Infinity;
   /** Time since which the gate is behind, in ms; Infinity if it is not. */
   private behindSince = Infinity;
+  private lateSamples = 0;
   private isSheddingNow = false;
   private largestLagMs = 0;
   private largestLagAt = -Infinity;
@@ -104,9 +111,12 @@
       this.largestLagAt = now;
     }
     const limitMs = this.isSheddingNow ? CAUGHT_UP_LAG_MS : BEHIND_LAG_MS;
-    if (lagMs < limitMs) this.behindSince = Infinity;
-    else this.behindSince = Math.min(this.behindSince, now);
-    const isBehind = now - this.behindSince >= BEHIND_TIME_MS;
+    const isLate = lagMs >= limitMs;
+    this.lateSamples = isLate ? this.lateSamples + 1 : 0;
+    this.behindSince = isLate ? Math.min(this.behindSince, now) : Infinity;
+    const isBehind =
+      this.lateSamples >= MIN_LATE_SAMPLES &&
+      now - this.behindSince >= BEHIND_TIME_MS;
     this.setShedding(isBehind && this.isPeerShareFree());
   }
 
