The soak excuses a gate that a faulty link has kept from a refusal

Trace: the refusal of c6-32 (11,323.6 ms) never reached its gate, which logs run_broken_off and reset for it 529 ms later, on a target whose link was faulty; the rule speaks of what a server has answered, and a cut excuses. A fault of the target's link within a second of the refusal is allowed now; a fault of another target's link is not.

--- a/packages/nutmeggauge/src/soak/check-announcements.test.ts
+++ b/packages/nutmeggauge/src/soak/check-announcements.test.ts
@@ -79,6 +79,16 @@
     expect(findCount(3)).toEqual(['target-rest']);
   });
 
+  it('excuses a gate that a faulty link has kept from the refusal', () => {
+    const fault = (target: number): InjectedFault => ({
+      action: {kind: 'link-reset', target},
+      beganAt: 1500,
+      endedAt: 1500,
+    });
+    expect(findCount(3, [fault(4)])).toEqual([]);
+    expect(findCount(3, [fault(1)])).toEqual(['target-rest']);
+  });
+
   it('excuses a gate with a fault in that time', () => {
     expect(findCount(3, [PAUSE])).toEqual([]);
   });
--- a/packages/nutmeggauge/src/soak/check-announcements.ts
+++ b/packages/nutmeggauge/src/soak/check-announcements.ts
@@ -9,6 +9,9 @@
 /** Time after a refusal from which requests count, in ms. */
 const REST_SLACK_MS = 500;
 
+/** Time in which a faulty link of a target may lose an answer, in ms. */
+const LINK_FAULT_MS = 1000;
+
 /** Requests that a gate may send to a target while it rests. */
 const MAX_REST_REQUESTS = 2;
 
@@ -90,6 +93,7 @@
     const gate = records.get(requestId)?.gate;
     if (gate === undefined || !isGateCalm(history, gate, at, at + restMs))
       return [];
+    if (isAnswerLost(history, target, at)) return [];
     const count = arrivals.filter(
       other =>
         other.target === target &&
@@ -102,3 +106,18 @@
     return [{promise: 'target-rest' as const, requestId, detail}];
   });
 }
+
+/** Returns whether a fault of a target's link may have lost an answer. */
+function isAnswerLost(
+  {faults}: SoakHistory,
+  target: string,
+  at: number,
+): boolean {
+  return faults.some(
+    ({action, beganAt, endedAt}) =>
+      (action.kind === 'target-link' || action.kind === 'link-reset') &&
+      target.startsWith(`t${action.target}-`) &&
+      beganAt <= at + LINK_FAULT_MS &&
+      endedAt >= at - LINK_FAULT_MS,
+  );
+}
