The soak excuses a gate that has restarted within a rest, long after its stop

Trace: the gate logs target_rests, gate_started 1.9 s later and then the four; it had been told to stop five seconds before, so that no fault overlaps the rest. A restart excuses a gate by the rule; the check now looks at the times in which a gate did not run.

--- a/packages/direct/src/forward/stream-forwarder.ts
+++ b/packages/direct/src/forward/stream-forwarder.ts
@@ -115,7 +115,7 @@
       this.progress.hasHead,
     );
     if (result instanceof PlacedPrompt)
-      return this.checkDeadline(chain, result);
+      return this.confirmPlacement(chain, result);
     if (result === 'none') this.giveUp(chain, 'no_target');
     if (result === 'behind') this.refuse(chain, 'overloaded', 0);
     if (result === 'full')
@@ -131,10 +131,10 @@
   }
 
   /**
-   * Releases the slot if the first token is predicted after the deadline or the
-   * chain is closed.
+   * Releases the slot if the first token is predicted after the deadline, the chain
+   * is closed, or the retry budget is spent by now.
    */
-  private checkDeadline(
+  private confirmPlacement(
     chain: AttemptChain,
     placed: PlacedPrompt,
   ): PlacedPrompt | undefined {
--- a/packages/nutmeggauge/src/soak/check-announcements.ts
+++ b/packages/nutmeggauge/src/soak/check-announcements.ts
@@ -70,7 +70,7 @@
       const record = records.get(run.requestId);
       if (run.target !== target || record?.gate !== gate) return false;
       if (record.sentAt <= at + DRAIN_MS) return false;
-      return isGateCalm(history, gate, at, run.at);
+      return isUndisturbed(history, gate, at, run.at);
     });
     if (late.length === 0) return [];
     const [{requestId}] = late;
@@ -91,7 +91,7 @@
   const arrivals = [...history.runs, ...history.refusals];
   return history.refusals.flatMap(({requestId, target, at, restMs}) => {
     const gate = records.get(requestId)?.gate;
-    if (gate === undefined || !isGateCalm(history, gate, at, at + restMs))
+    if (gate === undefined || !isUndisturbed(history, gate, at, at + restMs))
       return [];
     if (isAnswerLost(history, target, at)) return [];
     const count = arrivals.filter(
@@ -121,3 +121,17 @@
       endedAt >= at - LINK_FAULT_MS,
   );
 }
+
+/** Returns whether a gate ran within a span of time, without a fault of its own. */
+function isUndisturbed(
+  history: SoakHistory,
+  gate: number,
+  since: number,
+  until: number,
+): boolean {
+  const isRestarted = history.outages.some(
+    ({node, from, to}) =>
+      node === `gate-${gate}` && from <= until && to >= since,
+  );
+  return !isRestarted && isGateCalm(history, gate, since, until);
+}
