--- a/packages/direct/src/forward/call-forwarder.ts
+++ b/packages/direct/src/forward/call-forwarder.ts
@@ -6,7 +6,7 @@
 import {ReadTimeout} from '@nutmeggauge/core';
 import {CallFaults, readCallResult} from './call-result.js';
 import {chooseRetryAfterMs} from './retry-after.js';
-import {RequestSendCheck} from './send-check.js';
+import {RequestSendCheck} from './request-send-check.js';
 import type {Target} from '../types.js';
 import type {CallResult, CompleteResponse} from './call-result.js';
 import type {GateErrorReason} from './caller-response.js';
--- a/packages/direct/src/forward/send-prompt.ts
+++ b/packages/direct/src/forward/send-prompt.ts
@@ -1,6 +1,6 @@
 /** Sends a prompt to its decoding engine, after its helpers have reserved memory. */
 import {openKvLease} from './kv-lease.js';
-import {RequestSendCheck} from './send-check.js';
+import {RequestSendCheck} from './request-send-check.js';
 import type {PlacedPrompt} from '../placement/placed-prompt.js';
 import type {ForwardContext} from './context.js';
 import type {Exchange} from './exchange.js';
