A rest that follows another at once is kept

The log line is written first now.

target-rests.test.js: its first test red before, green 3 of 3 with the thirteen of resting-target.test.js.

--- a/packages/direct/src/limits/target-rests.ts
+++ b/packages/direct/src/limits/target-rests.ts
@@ -115,6 +115,8 @@
     const known = this.rests.get(target);
     const endsAt = Math.max(known?.endsAt ?? 0, now + ms);
     const isRunning = known !== undefined && now < known.endsAt;
+    if (known !== undefined && !isRunning) this.recordEnd(target, known);
+    if (!isRunning) log.info('target_rests', {target, ms: Math.round(ms)});
     this.rests.set(target, {
       beganAt: isRunning ? known.beganAt : now,
       endsAt,
@@ -122,9 +124,6 @@
       isOverLogged: false,
     });
     counters.add('rest.refusals');
-    if (isRunning) return;
-    if (known !== undefined) this.recordEnd(target, known);
-    log.info('target_rests', {target, ms: Math.round(ms)});
   }
 
   private recordEnd(target: string, rest: Rest): void {
