Test of bad values of a leave says what it plays

Its name and line also spoke of answers that belong to no request, which it does not send (judge-answer.ts leaves them out before facts are recorded; by reading). The check is unchanged.

--- a/packages/direct/src/health/leaving-target.test.ts
+++ b/packages/direct/src/health/leaving-target.test.ts
@@ -140,8 +140,8 @@
       expect(leaving.received.length).toEqual(count + REQUEST_COUNT);
     }));
 
-  it('keeps its requests if the answer belongs to no request of the gate, or says otherwise', () =>
-    // Guards against a leave that is taken from a foreign answer or a bad value.
+  it('keeps its requests if the field has another value', () =>
+    // Guards against a leave that is taken from a bad value.
     runGates(1, async ([gate]) => {
       const staying = await addAnnouncingTarget([gate], 't1', 'orders');
       for (const value of ['0', '', 'no', '2']) {
