--- a/packages/direct/src/forward/kv-lease.test.ts
+++ b/packages/direct/src/forward/kv-lease.test.ts
@@ -4,11 +4,8 @@
 import {KvReservations} from '../ports.js';
 import {buildTarget} from '../test/build-target.js';
 import {buildSignedHead, formatEvents} from '../test/fake-target.js';
-import {
-  FakeReservations,
-  buildConfig,
-  openGateHarness,
-} from '../test/gate-harness.js';
+import {FakeReservations} from '../test/fake-reservations.js';
+import {buildConfig, openGateHarness} from '../test/gate-harness.js';
 import {openKvLease} from './kv-lease.js';
 import type {ReservationOutcome} from '../ports.js';
 import type {TargetScript} from '../test/fake-target.js';
--- a/packages/direct/src/test/gate-harness.ts
+++ b/packages/direct/src/test/gate-harness.ts
@@ -5,140 +5,21 @@
 import {findFraming} from '../forward/exchange.js';
 import {createDirectGate} from '../gate.js';
 import {createDecisionLog} from '../observe/decision-log.js';
-import {KvReservations} from '../ports.js';
 import {FakeReports} from './fake-reports.js';
+import {FakeReservations} from './fake-reservations.js';
 import {FakeStore} from './fake-store.js';
 import {openFakeTarget} from './fake-target.js';
+import {buildConfig} from './test-config.js';
 import {TestDialect} from './test-dialect.js';
 import type {DirectGate} from '../gate.js';
-import type {ReservationOutcome} from '../ports.js';
 import type {RetryBounds} from '../retry/shared-retry-budget.js';
-import type {EngineCostModel, FleetConfig, Route} from '../types.js';
+import type {FleetConfig} from '../types.js';
 import type {FakeTarget, TargetScript} from './fake-target.js';
 
-/** Cost model of a typical engine. */
-export const ENGINE: EngineCostModel = {
-  slots: 11,
-  kvCapacityTokens: 315_000,
-  stepMs: 0.85,
-  stepMsPerSequence: 0.006,
-  stepMsPerContextK: 0.00285,
-  prefillTokensPerMs: 177,
-  attentionMsPerMillionPairs: 0.184,
-  stepsPerIteration: 51,
-  chunkTokens: 2048,
-};
+export {ENGINE, buildConfig, buildLargeConfig} from './test-config.js';
 
 const RETRY_BOUNDS: RetryBounds = {ratio: 0.2, slack: 100, windowMs: 10_000};
 
-const BASE_ROUTE: Route = {
-  name: 'r',
-  host: 'site',
-  prefix: '/',
-  kind: 'safe',
-  timeoutMs: 2000,
-  objectiveMs: 300,
-  itlObjectiveMs: undefined,
-  splits: [{service: 'orders', weight: 1}],
-  maxAttempts: 2,
-  isPublic: false,
-  isResumable: false,
-};
-
-/**
- * Builds the default configuration, with routes of each kind and one client
- * account.
- */
-export function buildConfig(
-  version: number,
-  changes: Partial<FleetConfig> = {},
-): FleetConfig {
-  return {
-    version,
-    routes: [
-      {...BASE_ROUTE, name: 'safe', prefix: '/safe/'},
-      {
-        ...BASE_ROUTE,
-        name: 'unsafe',
-        prefix: '/unsafe/',
-        kind: 'unsafe',
-        maxAttempts: 1,
-      },
-      {
-        ...BASE_ROUTE,
-        name: 'unsafe2',
-        prefix: '/unsafe2/',
-        kind: 'unsafe',
-        maxAttempts: 2,
-      },
-      {
-        ...BASE_ROUTE,
-        name: 'stream',
-        prefix: '/stream/',
-        kind: 'stream',
-        itlObjectiveMs: 250,
-        timeoutMs: 5000,
-        splits: [{service: 'chat', weight: 1}],
-        isResumable: true,
-      },
-    ],
-    services: [
-      {name: 'orders', engine: undefined},
-      {name: 'chat', engine: ENGINE},
-    ],
-    limits: {
-      maxBodyBytes: 100_000,
-      headerTimeoutMs: 3000,
-      idleTimeoutMs: 15_000,
-    },
-    accounts: [{name: 'acme', keys: ['k1']}],
-    ...changes,
-  };
-}
-
-/** Builds a configuration with many routes of about 250 bytes each. */
-export function buildLargeConfig(
-  version: number,
-  routeCount: number,
-): FleetConfig {
-  const [route] = buildConfig(version).routes;
-  const routes = Array.from({length: routeCount}, (_, i) => ({
-    ...route,
-    name: `route-${i}`,
-    prefix: `/route-${i}/`,
-  }));
-  return buildConfig(version, {routes});
-}
-
-/** Records reservations and answers each with the outcome that a test sets. */
-export class FakeReservations extends KvReservations {
-  readonly held = new Map<string, number>();
-  /** Times of reservations and renewals on the monotonic clock, in ms. */
-  readonly reservedAt: number[] = [];
-  /** Targets of these reservations. */
-  readonly reservedOn: string[] = [];
-  outcome: ReservationOutcome = 'granted';
-
-  override async reserve(
-    target: {readonly id: string},
-    ticket: string,
-    tokens: number,
-  ): Promise<ReservationOutcome> {
-    this.reservedAt.push(performance.now());
-    this.reservedOn.push(target.id);
-    if (this.outcome !== 'granted') return this.outcome;
-    this.held.set(`${target.id}/${ticket}`, tokens);
-    return this.outcome;
-  }
-
-  override async release(
-    target: {readonly id: string},
-    ticket: string,
-  ): Promise<void> {
-    this.held.delete(`${target.id}/${ticket}`);
-  }
-}
-
 /** Answer that a caller received from the gate. */
 export interface ReceivedResponse {
   readonly status: number;
