Priorities, regions and cold starts are decoded; one list of eligible targets

Cause: the configuration's priorities, regions and cold figures, the cold time of a server's entry and the bounds for both were dropped when they were decoded, and calls and prompts filtered their targets in two places.

Change: types, settings, decoding and the validation between gates hold them; nothing acts on them yet. EligibleTargets is the one place that lists the targets of a request; scripts/measure-choices.mjs builds its placer again (it named an option that is gone).

--- a/packages/direct/src/forward/create-context.ts
+++ b/packages/direct/src/forward/create-context.ts
@@ -7,6 +7,7 @@
 import {CrashWatch} from '../crashes/crash-watch.js';
 import {UnknownFields} from '../observe/unknown-fields.js';
 import {ChoiceScheduler} from '../placement/choice-scheduler.js';
+import {EligibleTargets} from '../placement/eligible-targets.js';
 import {createCallPlacer} from '../placement/place-call.js';
 import {PromptPlacer} from '../placement/prompt-placer.js';
 import {createSharedRetryBudget} from '../retry/shared-retry-budget.js';
@@ -56,6 +57,12 @@
   const {dependencies, state, health, limits, peers, readNow} = parts;
   const {log} = dependencies;
   const choices = new ChoiceScheduler(parts.reads, readNow);
+  const eligible = new EligibleTargets({
+    state,
+    health,
+    access: limits.access,
+    readNow,
+  });
   return {
     dialect: dependencies.dialect,
     state,
@@ -65,13 +72,12 @@
     rests: limits.rests,
     access: limits.access,
     calls: createCallPlacer({
-      state,
+      eligible,
       health,
       access: limits.access,
       zone: parts.settings.zone,
-      readNow,
     }),
-    prompts: createPlacer(parts),
+    prompts: createPlacer(parts, eligible),
     queues: createQueues(parts, choices),
     choices,
     reads: parts.reads,
@@ -108,13 +114,15 @@
   });
 }
 
-function createPlacer(parts: ForwardParts): PromptPlacer {
+function createPlacer(
+  parts: ForwardParts,
+  eligible: EligibleTargets,
+): PromptPlacer {
   const {peers} = parts;
   return new PromptPlacer({
     owner: peers.owner,
     zone: parts.settings.zone,
-    state: parts.state,
-    health: parts.health,
+    eligible,
     slowdowns: parts.slowdowns,
     access: parts.limits.access,
     tracker: parts.tracker,
--- a/packages/direct/src/gate-settings.ts
+++ b/packages/direct/src/gate-settings.ts
@@ -10,10 +10,40 @@
 } from './ports.js';
 import type {RetryBounds} from './retry/shared-retry-budget.js';
 
+/**
+ * Bounds on the requests that a cold target gets from all gates together: in any
+ * second at most the requests per second that it is built to take times `overage`,
+ * plus `slack`.
+ */
+export interface ColdBounds {
+  readonly overage: number;
+  /** Requests. */
+  readonly slack: number;
+}
+
 /** Settings of a direct gate. */
 export interface DirectGateSettings {
   readonly node: string;
   readonly zone: string;
+  /**
+   * Region of each availability zone.
+   *
+   * @default no zone has a known region
+   */
+  readonly regionByZone?: ReadonlyMap<string, string>;
+  /**
+   * Bounds on the requests to cold targets.
+   *
+   * @default cold targets are not limited
+   */
+  readonly coldBounds?: ColdBounds;
+  /**
+   * Time after its acknowledgement by which the evacuation of a zone must be in
+   * force, in ms.
+   *
+   * @default no bound is known
+   */
+  readonly evacuationMs?: number;
   /** Address that callers connect to. */
   readonly ingress: ListenAddress;
   /** Address where the load balancer checks readiness. */
--- a/packages/direct/src/peers/shared-facts.ts
+++ b/packages/direct/src/peers/shared-facts.ts
@@ -39,20 +39,38 @@
   maxAttempts: z.number(),
   isPublic: z.boolean(),
   isResumable: z.boolean(),
+  priority: z.number().optional(),
+  allowedRegions: z.array(z.string()).optional(),
+});
+
+const ColdStartSchema = z.object({
+  durationMs: z.number(),
+  requestsPerSecond: z.number(),
 });
 
 const ConfigSchema = z.object({
   version: z.number(),
   routes: z.array(RouteSchema),
   services: z.array(
-    z.object({name: z.string(), engine: EngineSchema.optional()}),
+    z.object({
+      name: z.string(),
+      engine: EngineSchema.optional(),
+      coldStart: ColdStartSchema.optional(),
+    }),
   ),
   limits: z.object({
     maxBodyBytes: z.number(),
     headerTimeoutMs: z.number(),
     idleTimeoutMs: z.number(),
   }),
-  accounts: z.array(z.object({name: z.string(), keys: z.array(z.string())})),
+  accounts: z.array(
+    z.object({
+      name: z.string(),
+      keys: z.array(z.string()),
+      priority: z.number().optional(),
+      allowedRegions: z.array(z.string()).optional(),
+    }),
+  ),
 });
 
 const TargetSchema = z.object({
@@ -64,6 +82,7 @@
   port: z.number(),
   zone: z.string(),
   isDraining: z.boolean(),
+  coldLeftMs: z.number().nonnegative().optional(),
   position: PositionSchema,
 });
 
--- /dev/null
+++ b/packages/direct/src/placement/eligible-targets.ts
@@ -0,0 +1,58 @@
+/** Lists the targets that a request may be sent to. */
+import type {FleetState} from '../fleet/fleet-state.js';
+import type {TargetHealth} from '../health/target-health.js';
+import type {TargetAccess} from '../limits/target-access.js';
+import type {Target} from '../types.js';
+
+/** Dependencies of {@link EligibleTargets}. */
+export interface EligibleTargetsOptions {
+  readonly state: FleetState;
+  readonly health: TargetHealth;
+  readonly access: TargetAccess;
+  readonly readNow: () => number;
+}
+
+/**
+ * The targets of one gate that take a request at present.
+ *
+ * @example
+ * const targets = eligible.list('chat', new Set(['i-1']));
+ */
+export class EligibleTargets {
+  constructor(private readonly options: EligibleTargetsOptions) {}
+
+  /**
+   * Lists the targets of a service that accept new requests, that are not in
+   * `tried`, whose limits are not reached, and that are not suspended for
+   * failures. If all are suspended, it lists them, as trying one is better than
+   * failing the request.
+   */
+  list(service: string, tried: ReadonlySet<string>): readonly Target[] {
+    const {health, access, readNow} = this.options;
+    const now = readNow();
+    const left = this.listUntried(service, tried).filter(
+      ({id}) => !access.isBlocked(id),
+    );
+    const sound = left.filter(({id}) => !health.isSuspended(id, now));
+    return sound.length > 0 ? sound : left;
+  }
+
+  /**
+   * Returns the time until a target that is not in `tried` may take a request, in
+   * ms, if the limits of all are reached or they rest; else 0.
+   */
+  readWaitMs(service: string, tried: ReadonlySet<string>): number {
+    return this.options.access.readShortestWaitMs(
+      this.listUntried(service, tried),
+    );
+  }
+
+  private listUntried(
+    service: string,
+    tried: ReadonlySet<string>,
+  ): readonly Target[] {
+    return this.options.state
+      .listUsable(service)
+      .filter(({id}) => !tried.has(id));
+  }
+}
--- a/packages/direct/src/placement/place-call.ts
+++ b/packages/direct/src/placement/place-call.ts
@@ -4,8 +4,8 @@
  */
 import {DEGRADED_FAILURE_SHARE} from '../health/target-health.js';
 import type {TargetHealth} from '../health/target-health.js';
-import type {FleetState} from '../fleet/fleet-state.js';
 import type {TargetAccess} from '../limits/target-access.js';
+import type {EligibleTargets} from './eligible-targets.js';
 import type {Target} from '../types.js';
 
 /**
@@ -25,13 +25,14 @@
 
 /** Dependencies of a call placer. */
 export interface CallPlacerOptions {
-  readonly state: FleetState;
+  readonly eligible: EligibleTargets;
   readonly health: TargetHealth;
   readonly access: TargetAccess;
   readonly zone: string;
-  readonly readNow: () => number;
 }
 
+const NONE_TRIED: ReadonlySet<string> = new Set();
+
 /**
  * Counts the outstanding calls of one gate and chooses targets for new calls.
  *
@@ -45,17 +46,9 @@
 
   /** Chooses a target that is not in `tried`; undefined if there is none. */
   choose(service: string, tried: ReadonlySet<string>): Target | undefined {
-    const {state, health, access, readNow} = this.options;
-    const now = readNow();
-    const left = state
-      .listUsable(service)
-      .filter(({id}) => !tried.has(id) && !access.isBlocked(id));
-    const sound = left.filter(target => !health.isSuspended(target.id, now));
-    // If every target is suspended, trying one is better than failing the call.
-    const usable = sound.length > 0 ? sound : left;
     let best: Target | undefined;
     let bestScore = Infinity;
-    for (const target of usable) {
+    for (const target of this.options.eligible.list(service, tried)) {
       const score = this.estimateScore(target);
       if (score >= bestScore) continue;
       best = target;
@@ -69,8 +62,7 @@
    * are reached or they rest; else 0.
    */
   readWaitMs(service: string): number {
-    const {state, access} = this.options;
-    return access.readShortestWaitMs(state.listUsable(service));
+    return this.options.eligible.readWaitMs(service, NONE_TRIED);
   }
 
   /** Records that a call to the target `id` has started. */
@@ -114,7 +106,7 @@
  * Creates a call placer.
  *
  * @example
- * const placer = createCallPlacer({state, health, access, zone: 'az-1', readNow});
+ * const placer = createCallPlacer({eligible, health, access, zone: 'az-1'});
  */
 export function createCallPlacer(options: CallPlacerOptions): CallPlacer {
   return new CallPlacer(options);
--- a/packages/direct/src/placement/prompt-placer.ts
+++ b/packages/direct/src/placement/prompt-placer.ts
@@ -11,12 +11,11 @@
   buildPlacement,
   estimateValue,
 } from './place-prompt.js';
-import type {FleetState} from '../fleet/fleet-state.js';
 import type {EngineSlowdowns} from '../health/engine-slowdowns.js';
-import type {TargetHealth} from '../health/target-health.js';
 import type {TargetAccess} from '../limits/target-access.js';
 import type {EngineCostModel, Target} from '../types.js';
 import type {TimedChoice} from './choose-send-time.js';
+import type {EligibleTargets} from './eligible-targets.js';
 import type {LoadTracker} from './load-tracker.js';
 import type {PlacementAnnouncer} from './placed-prompt.js';
 import type {PromptDemand} from './prompt-types.js';
@@ -64,8 +63,7 @@
   /** Host and incarnation of this gate, as used in placement keys. */
   readonly owner: string;
   readonly zone: string;
-  readonly state: FleetState;
-  readonly health: TargetHealth;
+  readonly eligible: EligibleTargets;
   readonly slowdowns: EngineSlowdowns;
   readonly access: TargetAccess;
   readonly tracker: LoadTracker;
@@ -178,10 +176,7 @@
    * all engines that are not in `tried` are reached or they rest; else 0.
    */
   readWaitMs(service: string, tried: ReadonlySet<string>): number {
-    const {state, access} = this.options;
-    return access.readShortestWaitMs(
-      state.listUsable(service).filter(({id}) => !tried.has(id)),
-    );
+    return this.options.eligible.readWaitMs(service, tried);
   }
 
   /** Forgets an engine that was removed. */
@@ -206,15 +201,11 @@
     service: string,
     tried: ReadonlySet<string>,
   ): readonly Target[] {
-    const {state, health, access, readNow} = this.options;
+    const {eligible, tracker, readNow} = this.options;
     const now = readNow();
-    const left = state
-      .listUsable(service)
-      .filter(({id}) => !tried.has(id) && !access.isBlocked(id));
-    const sound = left.filter(target => !health.isSuspended(target.id, now));
-    const reachable = sound.length > 0 ? sound : left;
+    const reachable = eligible.list(service, tried);
     const safe = reachable.filter(
-      ({id}) => !this.options.tracker.trials.isEngineAtRisk(id, now),
+      ({id}) => !tracker.trials.isEngineAtRisk(id, now),
     );
     return safe.length > 0 ? safe : reachable;
   }
--- a/packages/direct/src/test/model-gate.ts
+++ b/packages/direct/src/test/model-gate.ts
@@ -6,6 +6,7 @@
 import {FactsExchange} from '../peers/facts-exchange.js';
 import {PeerGroup} from '../peers/peer-group.js';
 import {createLoadTracker} from '../placement/load-tracker.js';
+import {EligibleTargets} from '../placement/eligible-targets.js';
 import {PromptPlacer} from '../placement/prompt-placer.js';
 import {createIdleSlowdowns} from './fake-reports.js';
 import {createIdleLimits} from './idle-limits.js';
@@ -95,8 +96,12 @@
   const placer = new PromptPlacer({
     owner: group.owner,
     zone,
-    state,
-    health: createTargetHealth(),
+    eligible: new EligibleTargets({
+      state,
+      health: createTargetHealth(),
+      access: limits.access,
+      readNow,
+    }),
     slowdowns,
     access: limits.access,
     tracker,
--- a/packages/direct/src/types.ts
+++ b/packages/direct/src/types.ts
@@ -41,6 +41,19 @@
   readonly isPublic: boolean;
   /** Whether another target can resume an interrupted stream. */
   readonly isResumable: boolean;
+  /**
+   * Priority from 0 (most urgent) to 9. The priority of the caller's account goes
+   * before it.
+   *
+   * @default none
+   */
+  readonly priority?: number;
+  /**
+   * Regions whose targets may serve the route.
+   *
+   * @default every region
+   */
+  readonly allowedRegions?: readonly string[];
 }
 
 /** Cost model of a model engine. */
@@ -65,11 +78,25 @@
   readonly chunkTokens: number;
 }
 
+/** Behaviour of the targets of a service after a start. */
+export interface ColdStart {
+  /** Time for which a target is cold after it has started, in ms. */
+  readonly durationMs: number;
+  /** Requests per second that a cold target is built to take. */
+  readonly requestsPerSecond: number;
+}
+
 /** One service of the configuration. */
 export interface ServiceConfig {
   readonly name: string;
   /** Present for model engines, absent for plain services. */
   readonly engine: EngineCostModel | undefined;
+  /**
+   * Present if the targets are cold after a start.
+   *
+   * @default targets are never cold
+   */
+  readonly coldStart?: ColdStart;
 }
 
 /** Limits on requests and connections of callers. */
@@ -85,6 +112,18 @@
 export interface ClientAccount {
   readonly name: string;
   readonly keys: readonly string[];
+  /**
+   * Priority of its requests from 0 (most urgent) to 9, instead of the route's.
+   *
+   * @default the priority of the route
+   */
+  readonly priority?: number;
+  /**
+   * Regions whose targets may serve its requests.
+   *
+   * @default every region
+   */
+  readonly allowedRegions?: readonly string[];
 }
 
 /** One accepted configuration. */
@@ -115,6 +154,13 @@
   readonly port: number;
   readonly zone: string;
   readonly isDraining: boolean;
+  /**
+   * Time for which the target stays cold, in ms, as its entry said when it was
+   * written.
+   *
+   * @default 0
+   */
+  readonly coldLeftMs?: number;
   /** Position of the target's entry in the store. */
   readonly position: FactPosition;
 }
--- a/scripts/measure-choices.mjs
+++ b/scripts/measure-choices.mjs
@@ -91,10 +91,9 @@
   return new PromptPlacer({
     owner: 'b',
     zone: 'az-0',
-    state: {listUsable: () => targets},
-    health: {isSuspended: () => false},
+    eligible: {list: () => targets, readWaitMs: () => 0},
     slowdowns: {read: () => 1},
-    permits: {isBlocked: () => false, isLimited: () => false},
+    access: {isSpared: () => false},
     tracker,
     announcer,
     measureHeardShare: () => 1,
