Evacuated zones get no new requests

Cause: gates ignored the entries under op/evacuate/ in the store. Change: the adapter decodes evacuations; a gate keeps, per zone, the newest statement with its position, hands it to peers with its other facts, and treats targets of evacuated zones as not usable. Queued streams of a service whose zones are all evacuated are refused at once.

--- a/packages/direct/src/fleet/fleet-facts.ts
+++ b/packages/direct/src/fleet/fleet-facts.ts
@@ -6,6 +6,7 @@
   ServiceConfig,
   Target,
 } from '../types.js';
+import {EvacuatedZones} from './evacuated-zones.js';
 import {LeavingTargets} from './leaving-targets.js';
 import type {ConfigIndex} from './config-index.js';
 import type {RouteTable} from './route-table.js';
@@ -16,6 +17,7 @@
   protected abstract readonly index: ConfigIndex;
   protected abstract readonly table: TargetTable;
   protected readonly leaving = new LeavingTargets();
+  protected readonly zones = new EvacuatedZones();
 
   /** Newest known configuration; absent until the first one is known. */
   get config(): FleetConfig | undefined {
@@ -84,21 +86,48 @@
       .map(({id}) => id);
   }
 
-  /** Lists every target whose service is a model engine. */
+  /** Lists every target outside evacuated zones whose service is an engine. */
   listEngines(): readonly Target[] {
     return this.table
       .list()
       .filter(
-        ({service}) => this.index.findService(service)?.engine !== undefined,
+        ({service, zone}) =>
+          this.index.findService(service)?.engine !== undefined &&
+          !this.zones.isEvacuated(zone),
       );
   }
 
+  /** Returns whether new requests to a zone are withheld. */
+  isEvacuated(zone: string): boolean {
+    return this.zones.isEvacuated(zone);
+  }
+
+  /** Returns whether a service has targets, all of them in evacuated zones. */
+  isWhollyEvacuated(service: string): boolean {
+    if (this.zones.count === 0) return false;
+    const targets = this.table.list().filter(one => one.service === service);
+    return (
+      targets.length > 0 && targets.every(one => this.isEvacuated(one.zone))
+    );
+  }
+
+  /** Counts the known targets in a zone. */
+  countInZone(zone: string): number {
+    return this.table.list().filter(target => target.zone === zone).length;
+  }
+
+  /** Number of evacuated zones. */
+  get evacuatedCount(): number {
+    return this.zones.count;
+  }
+
   /** Number of known targets. */
   get targetCount(): number {
     return this.table.size;
   }
 
-  private isStaying({id, isDraining}: Target): boolean {
+  private isStaying({id, isDraining, zone}: Target): boolean {
+    if (this.zones.isEvacuated(zone)) return false;
     return !isDraining && !this.leaving.isLeaving(id);
   }
 }
--- a/packages/direct/src/fleet/fleet-state.ts
+++ b/packages/direct/src/fleet/fleet-state.ts
@@ -11,13 +11,13 @@
 } from './fact-position.js';
 import {ConfigIndex} from './config-index.js';
 import {FleetFacts} from './fleet-facts.js';
+import {FleetListeners} from './fleet-listeners.js';
 import {TargetTable} from './target-table.js';
 import type {FactChange, FactSnapshot} from '../ports.js';
 import type {FleetConfig, Target} from '../types.js';
 import type {FactPosition} from './fact-position.js';
 import type {
   FactVersions,
-  FleetEvent,
   FleetListener,
   RestoreEvent,
   SharedFacts,
@@ -42,15 +42,14 @@
   protected override readonly index = new ConfigIndex();
   protected override readonly table: TargetTable;
   private latestOutageStartedAt = -Infinity;
-  private readonly listeners = new Set<FleetListener>();
-  private readonly restoreListeners: Array<(event: RestoreEvent) => void> = [];
+  private readonly listeners = new FleetListeners();
 
   constructor(private readonly readNow: () => number) {
     super();
     this.table = new TargetTable({
       readNow,
       onChange: (event, {id, position}, source) =>
-        this.notify(event, source, id, position.revision),
+        this.listeners.notify(event, source, id, position.revision),
     });
   }
 
@@ -59,13 +58,12 @@
    * removes it.
    */
   onChange(listener: FleetListener): () => void {
-    this.listeners.add(listener);
-    return () => void this.listeners.delete(listener);
+    return this.listeners.add(listener);
   }
 
   /** Registers a listener for restores of the store from an older copy. */
   onRestore(listener: (event: RestoreEvent) => void): void {
-    this.restoreListeners.push(listener);
+    this.listeners.addForRestore(listener);
   }
 
   /**
@@ -104,20 +102,26 @@
     const position =
       change.kind === 'target' ? change.target.position : change.position;
     if (position.era < this.position.era) return;
-    if (change.kind === 'target') this.table.apply(change.target, 'store');
-    else this.table.applyRemoval(change.name, position, change.isMalformed);
+    this.applyFact(change, position);
     this.position = pickNewest([this.position, position]);
   }
 
   /** Applies a full snapshot of the store. */
   applySnapshot(snapshot: FactSnapshot): void {
+    const {targets, position, evacuations = []} = snapshot;
+    // Evacuations are applied first, as the gate serves once it knows targets.
+    const changedZones = this.zones.applySnapshot({
+      position,
+      entries: evacuations,
+      malformed: snapshot.malformedZones ?? [],
+    });
     if (snapshot.config !== undefined)
       this.applyConfig(snapshot.config, 'store');
-    const {targets, position} = snapshot;
     const malformed = new Set(snapshot.malformed);
-    const targetPositions = targets.map(target => target.position);
-    const newest = pickNewest([{...position, revision: 0}, ...targetPositions]);
+    const positions = [...targets, ...evacuations].map(fact => fact.position);
+    const newest = pickNewest([{...position, revision: 0}, ...positions]);
     this.applyTargetSnapshot({targets, position, malformed}, newest, 'store');
+    this.listeners.notifyZones(changedZones, 'store');
     this.markRead(position);
   }
 
@@ -126,6 +130,7 @@
    */
   markRead(position: FactPosition): void {
     this.readPosition = pickNewest([this.readPosition, position]);
+    this.zones.markRead(position);
     this.table.markRead();
   }
 
@@ -139,18 +144,14 @@
     );
   }
 
-  /** Applies facts from a peer; ignores those that are not newer. */
+  /**
+   * Applies facts from a peer; ignores those that are not newer. Evacuations are
+   * newer than the known ones or not regardless of the targets.
+   */
   applyShared(shared: SharedFacts): void {
-    if (shared.config !== undefined) this.applyConfig(shared.config, 'peer');
-    const {targets, position, held, doubts} = shared;
-    if (!this.isBehind(position)) return;
-    this.applyTargetSnapshot(
-      {targets, position, malformed: new Set()},
-      position,
-      'peer',
-    );
-    this.table.addHeld(held, position);
-    this.addSuspectEntries(doubts, targets);
+    const changedZones = this.zones.merge(shared.evacuations);
+    this.applySharedTargets(shared);
+    this.listeners.notifyZones(changedZones, 'peer');
   }
 
   /**
@@ -181,6 +182,7 @@
       targets: isTargetListNewer ? this.table.list() : [],
       held: this.table.listHeld(),
       doubts: this.table.listSuspectEntries(),
+      evacuations: this.zones.describeShared(),
     };
   }
 
@@ -191,7 +193,7 @@
   recordLeaving(id: string, source: 'answer' | 'peer'): void {
     if (!this.leaving.add(id, this.readNow())) return;
     const revision = this.findIncarnation(id)?.position.revision ?? 0;
-    this.notify('target_leaving', source, id, revision);
+    this.listeners.notify('target_leaving', source, id, revision);
   }
 
   /** Drops held targets whose entry has not been written again in time. */
@@ -210,6 +212,41 @@
     this.table.confirmRemovals(position);
   }
 
+  private applyFact(
+    change: Exclude<FactChange, {kind: 'config'}>,
+    position: FactPosition,
+  ): void {
+    switch (change.kind) {
+      case 'target':
+        return this.table.apply(change.target, 'store');
+      case 'target-gone':
+        return this.table.applyRemoval(
+          change.name,
+          position,
+          change.isMalformed,
+        );
+      default: {
+        const {zone, kind} = change;
+        const isEvacuated = kind === 'zone-evacuated';
+        const changed = this.zones.apply({zone, isEvacuated, position});
+        this.listeners.notifyZones(changed, 'store');
+      }
+    }
+  }
+
+  private applySharedTargets(shared: SharedFacts): void {
+    if (shared.config !== undefined) this.applyConfig(shared.config, 'peer');
+    const {targets, position, held, doubts} = shared;
+    if (!this.isBehind(position)) return;
+    this.applyTargetSnapshot(
+      {targets, position, malformed: new Set()},
+      position,
+      'peer',
+    );
+    this.table.addHeld(held, position);
+    this.addSuspectEntries(doubts, targets);
+  }
+
   private applyTargetSnapshot(
     snapshot: TargetSnapshot,
     newest: FactPosition,
@@ -227,8 +264,7 @@
     const counts = this.table.restore(snapshot, source);
     // A restore is an outage for every gate, so no peer can confirm removals.
     this.latestOutageStartedAt = -Infinity;
-    const event = {source, before, after: newest, ...counts};
-    for (const listener of this.restoreListeners) listener(event);
+    this.listeners.notifyRestore({source, before, after: newest, ...counts});
   }
 
   private addSuspectEntries(
@@ -241,23 +277,13 @@
 
   private applyConfig(config: FleetConfig, source: 'store' | 'peer'): void {
     if (!this.index.apply(config)) return;
-    this.notify(
+    this.listeners.notify(
       'config_applied',
       source,
       String(config.version),
       config.version,
     );
   }
-
-  private notify(
-    event: FleetEvent['event'],
-    source: FleetEvent['source'],
-    id: string,
-    revision: number,
-  ): void {
-    for (const listener of this.listeners)
-      listener({event, source, id, revision});
-  }
 }
 
 /**
--- a/packages/direct/src/fleet/fleet-types.ts
+++ b/packages/direct/src/fleet/fleet-types.ts
@@ -1,5 +1,6 @@
 /** Types of the facts that gates exchange, and of their changes. */
 import type {FleetConfig, Target} from '../types.js';
+import type {SharedEvacuations} from './evacuated-zones.js';
 import type {FactPosition} from './fact-position.js';
 import type {
   ExpiringName,
@@ -28,6 +29,8 @@
   readonly held: readonly ExpiringName[];
   /** Entries that are ignored as suspect until they are written again. */
   readonly doubts: readonly SharedSuspectEntry[];
+  /** Absent from gates of earlier versions, which know no evacuations. */
+  readonly evacuations?: SharedEvacuations;
 }
 
 /** Listener that is called after each change of the known facts. */
@@ -35,9 +38,15 @@
 
 /** A change of the known facts. */
 export interface FleetEvent {
-  readonly event: 'config_applied' | 'target_leaving' | TargetEvent;
+  readonly event:
+    | 'config_applied'
+    | 'target_leaving'
+    | 'zone_evacuated'
+    | 'zone_restored'
+    | TargetEvent;
   /** Where the gate learned of it; `answer` is an answer of the target. */
   readonly source: FactSource | 'answer';
+  /** Id of the target, version of the configuration, or name of the zone. */
   readonly id: string;
   readonly revision: number;
 }
--- a/packages/direct/src/forward/request-send-check.ts
+++ b/packages/direct/src/forward/request-send-check.ts
@@ -17,10 +17,14 @@
 
 /** Reason for which a request is not sent although it has a connection. */
 export type WithholdReason =
-  'caller_left' | 'deadline_passed' | 'target_left' | 'target_rests';
+  | 'caller_left'
+  | 'deadline_passed'
+  | 'zone_evacuated'
+  | 'target_left'
+  | 'target_rests';
 
 /**
- * Checks one attempt at a request of a caller.
+ * Checks one attempt at a request of a caller, with the engines that would help.
  *
  * @example
  * context.exchanges.open({target, sendCheck: new RequestSendCheck(context, request, target), …});
@@ -32,6 +36,7 @@
     private readonly context: ForwardContext,
     private readonly request: GateRequest,
     private readonly target: Target,
+    private readonly helpers: readonly Target[] = [],
   ) {
     super();
     this.createdAt = context.readNow();
@@ -54,6 +59,7 @@
     log.info('send_withheld', {
       requestId: this.request.facts.requestId,
       target: this.target.id,
+      helpers: this.helpers.map(({id}) => id),
       reason,
       ms: Math.round(this.readAgeMs()),
     });
@@ -65,7 +71,13 @@
     if (caller.isDisconnected) return 'caller_left';
     if (this.context.readNow() >= expiresAt) return 'deadline_passed';
     const {state, access} = this.context;
-    if (!state.isUsable(this.target)) return 'target_left';
+    const unusable = [this.target, ...this.helpers].find(
+      target => !state.isUsable(target),
+    );
+    if (unusable !== undefined)
+      return state.isEvacuated(unusable.zone)
+        ? 'zone_evacuated'
+        : 'target_left';
     if (access.isResting(this.target.id)) return 'target_rests';
     return undefined;
   }
--- a/packages/direct/src/forward/send-prompt.ts
+++ b/packages/direct/src/forward/send-prompt.ts
@@ -1,4 +1,5 @@
 /** Sends a prompt to its decoding engine, after its helpers have reserved memory. */
+import {ExchangeError} from '../errors.js';
 import {openKvLease} from './kv-lease.js';
 import {RequestSendCheck} from './request-send-check.js';
 import type {PlacedPrompt} from '../placement/placed-prompt.js';
@@ -27,19 +28,24 @@
 }
 
 /**
- * Reserves KV cache on the helpers of a prompt.
+ * Reserves KV cache on the helpers of a prompt, if the prompt may still be sent to
+ * all of its engines.
  *
  * @param name - Unique name of the attempt, used as the ticket.
  * @returns Undefined if no helper reserves any, `refused` if one has too little.
+ * @throws ExchangeError if the prompt may not be sent any more.
  * @example
  * const lease = await openHelperLease({context, request, placed}, 'q1-1-0');
  */
 export async function openHelperLease(
-  {context, placed}: SendablePrompt,
+  {context, request, placed}: SendablePrompt,
   name: string,
 ): Promise<KvLease | undefined | 'refused'> {
   const {reservations} = placed.choice;
   if (reservations.length === 0) return undefined;
+  const {target, helpers} = placed;
+  const sendCheck = new RequestSendCheck(context, request, target, helpers);
+  if (!sendCheck.isWanted()) throw new ExchangeError('withheld', false);
   const kvRequests = reservations.flatMap(({target, tokens}) => {
     const helper = placed.helpers.find(({id}) => id === target);
     return helper === undefined ? [] : [{target: helper, tokens}];
@@ -96,6 +102,11 @@
         lastEventId,
       }),
     body: request.body,
-    sendCheck: new RequestSendCheck(context, request, placed.target),
+    sendCheck: new RequestSendCheck(
+      context,
+      request,
+      placed.target,
+      placed.helpers,
+    ),
   });
 }
--- a/packages/direct/src/forward/slot-finder.ts
+++ b/packages/direct/src/forward/slot-finder.ts
@@ -234,7 +234,12 @@
         objectiveMs: request.route.objectiveMs,
         promptTokens: request.facts.promptTokens ?? 0,
         tryPlace: () => {
-          const {prompts} = context;
+          const {prompts, state} = context;
+          // No engine comes back before the caller leaves.
+          if (state.isWhollyEvacuated(request.service)) {
+            result = 'none';
+            return true;
+          }
           if (!prompts.isSlotFree(request.service, this.engine, this.tried))
             return false;
           const outcome = this.tryPlace('queued', false);
--- a/packages/direct/src/forward/stream-attempt.ts
+++ b/packages/direct/src/forward/stream-attempt.ts
@@ -81,9 +81,10 @@
 
   /** Runs the attempt; resolves, not rejects, if a target fails. */
   async run(): Promise<AttemptEnd> {
-    const lease = await openHelperLease(this.options, this.options.name);
-    if (lease === 'refused') return {kind: 'no-memory'};
+    let lease: KvLease | undefined | 'refused';
     try {
+      lease = await openHelperLease(this.options, this.options.name);
+      if (lease === 'refused') return {kind: 'no-memory'};
       return await this.runExchange(lease);
     } catch (error) {
       if (!(error instanceof ExchangeError)) throw error;
@@ -92,7 +93,7 @@
       this.hasEnded = true;
       this.writer.stop();
       this.exchange?.cancel();
-      lease?.close();
+      if (lease !== 'refused') lease?.close();
     }
   }
 
--- a/packages/direct/src/forward/stream-faults.ts
+++ b/packages/direct/src/forward/stream-faults.ts
@@ -24,7 +24,10 @@
 
   /** Marks the target that failed, so that later attempts avoid it. */
   recordFault(placed: PlacedPrompt, end: FailedEnd): void {
-    const {health, readNow} = this.context;
+    const {health, readNow, state} = this.context;
+    // A withheld prompt whose helpers left says nothing of its decoding engine.
+    if (isWithheld(end) && !placed.helpers.every(one => state.isUsable(one)))
+      return;
     if (end.kind === 'no-memory') {
       // A helper without free KV cache is healthy; only this stream avoids it.
       for (const {target} of placed.choice.reservations) this.tried.add(target);
@@ -63,6 +66,10 @@
   }
 }
 
+function isWithheld(end: FailedEnd): boolean {
+  return end.kind === 'failed' && end.error.fault === 'withheld';
+}
+
 /**
  * Names the fault of an attempt, as logged.
  *
--- a/packages/direct/src/index.ts
+++ b/packages/direct/src/index.ts
@@ -2,6 +2,7 @@
 export * from './types.js';
 export * from './ports.js';
 export * from './errors.js';
+export type {EvacuationEntry} from './fleet/evacuated-zones.js';
 export * from './fleet/fact-position.js';
 export * from './gate.js';
 export type * from './gate-settings.js';
--- a/packages/direct/src/observe/fact-log.ts
+++ b/packages/direct/src/observe/fact-log.ts
@@ -1,5 +1,6 @@
 /** Logs the changes of the facts that a gate knows. */
 import type {FleetState} from '../fleet/fleet-state.js';
+import type {FleetEvent} from '../fleet/fleet-types.js';
 import type {DecisionLog} from './decision-log.js';
 
 /**
@@ -33,6 +34,12 @@
       source,
       revision,
       factsAgeMs: Math.round(readFactsAgeMs()),
+      // 0 shows an evacuation of a zone that no target names.
+      targets: isZoneEvent(event) ? state.countInZone(id) : undefined,
     }),
   );
 }
+
+function isZoneEvent(event: FleetEvent['event']): boolean {
+  return event === 'zone_evacuated' || event === 'zone_restored';
+}
--- a/packages/direct/src/observe/gate-metrics.ts
+++ b/packages/direct/src/observe/gate-metrics.ts
@@ -47,6 +47,7 @@
       limited_targets: limits.requests.size,
       resting_targets: limits.rests.size,
       leaving_targets: state.listLeaving().length,
+      evacuated_zones: state.evacuatedCount,
       suspect_contents: suspects.size,
       refused_contents: suspects.countRefused(),
     },
--- a/packages/direct/src/peers/shared-facts.ts
+++ b/packages/direct/src/peers/shared-facts.ts
@@ -86,12 +86,26 @@
   position: PositionSchema,
 });
 
+const EvacuationsSchema = z.object({
+  position: PositionSchema,
+  zones: z.array(
+    z.object({
+      zone: z.string(),
+      isEvacuated: z.boolean(),
+      position: PositionSchema,
+      origin: PositionSchema,
+    }),
+  ),
+  undecided: z.array(z.string()),
+});
+
 const SharedFactsSchema = z.object({
   position: PositionSchema,
   config: ConfigSchema.optional(),
   targets: z.array(TargetSchema),
   held: z.array(z.tuple([z.string(), z.number()])),
   doubts: z.array(z.tuple([z.string(), z.number(), z.number()])),
+  evacuations: EvacuationsSchema.optional(),
 });
 
 /**
--- a/packages/direct/src/ports.ts
+++ b/packages/direct/src/ports.ts
@@ -3,6 +3,7 @@
  * facts (the configuration and the targets), reports of engines, and
  * reservations of KV cache.
  */
+import type {EvacuationEntry} from './fleet/evacuated-zones.js';
 import type {FactPosition} from './fleet/fact-position.js';
 import type {
   AnswerMetadata,
@@ -46,6 +47,11 @@
       readonly position: FactPosition;
       /** Whether the entry still exists but cannot be decoded. */
       readonly isMalformed: boolean;
+    }
+  | {
+      readonly kind: 'zone-evacuated' | 'zone-restored';
+      readonly zone: string;
+      readonly position: FactPosition;
     };
 
 /** All facts in the store, from one full read. */
@@ -56,6 +62,19 @@
   readonly targets: readonly Target[];
   /** Names of targets whose entry exists but cannot be decoded. */
   readonly malformed: readonly string[];
+  /**
+   * Evacuated zones.
+   *
+   * @default none
+   */
+  readonly evacuations?: readonly EvacuationEntry[];
+  /**
+   * Zones whose evacuation exists but cannot be decoded; what is known of them
+   * holds.
+   *
+   * @default none
+   */
+  readonly malformedZones?: readonly string[];
 }
 
 /** Changes of the store after a position. */
--- a/packages/direct/src/test/fake-store.ts
+++ b/packages/direct/src/test/fake-store.ts
@@ -25,6 +25,7 @@
   private revision = 1;
   private config: FleetConfig | undefined;
   private readonly targets = new Map<string, Target>();
+  private readonly evacuations = new Map<string, FactPosition>();
   private history: LoggedChange[] = [];
   private readonly waiters = new Set<() => void>();
 
@@ -58,6 +59,20 @@
     });
   }
 
+  /** Writes the evacuation of a zone. */
+  publishEvacuation(zone: string): void {
+    const position = buildPosition(this.revision + 1);
+    this.evacuations.set(zone, position);
+    this.record({kind: 'zone-evacuated', zone, position});
+  }
+
+  /** Deletes the evacuation of a zone. */
+  dropEvacuation(zone: string): void {
+    const position = buildPosition(this.revision + 1);
+    this.evacuations.delete(zone);
+    this.record({kind: 'zone-restored', zone, position});
+  }
+
   /** Drops the history, so that watchers must read a full snapshot again. */
   dropHistory(): void {
     this.history = [];
@@ -72,6 +87,10 @@
       config: this.config,
       targets: [...this.targets.values()],
       malformed: [],
+      evacuations: [...this.evacuations].map(([zone, position]) => ({
+        zone,
+        position,
+      })),
     };
   }
 
--- a/packages/direct/src/test/gate-harness.ts
+++ b/packages/direct/src/test/gate-harness.ts
@@ -107,10 +107,11 @@
     id: string,
     service: string,
     script: TargetScript,
+    zone = 'az-1',
   ): Promise<FakeTarget> {
     const target = await openFakeTarget(id, service, script);
     this.targets.push(target);
-    this.store.publishTarget(target.entry);
+    this.store.publishTarget({...target.entry, zone});
     return target;
   }
 
