Requests stay in the regions that their route and account allow

Cause: allowedRegions of routes and accounts were decoded and not used. Nothing changes where no region is named.

--- a/packages/direct/src/fleet/fleet-facts.ts
+++ b/packages/direct/src/fleet/fleet-facts.ts
@@ -102,10 +102,21 @@
     return this.zones.isEvacuated(zone);
   }
 
-  /** Returns whether a service has targets, all of them in evacuated zones. */
-  isWhollyEvacuated(service: string): boolean {
+  /**
+   * Returns whether a service has targets, all of them in evacuated zones.
+   *
+   * @param allowedZones - Zones whose targets count; undefined for all.
+   */
+  isWhollyEvacuated(
+    service: string,
+    allowedZones?: ReadonlySet<string>,
+  ): boolean {
     if (this.zones.count === 0) return false;
-    const targets = this.table.list().filter(one => one.service === service);
+    const targets = this.table
+      .list()
+      .filter(
+        one => one.service === service && (allowedZones?.has(one.zone) ?? true),
+      );
     return (
       targets.length > 0 && targets.every(one => this.isEvacuated(one.zone))
     );
--- a/packages/direct/src/forward/call-forwarder.ts
+++ b/packages/direct/src/forward/call-forwarder.ts
@@ -84,7 +84,11 @@
   private chooseTarget(): Target | undefined {
     const {context, request} = this;
     if (this.sentAttempts >= request.route.maxAttempts) return undefined;
-    return context.calls.choose(request.service, this.tried);
+    return context.calls.choose(
+      request.service,
+      this.tried,
+      request.allowedZones,
+    );
   }
 
   private sendTo(target: Target | undefined, why: string): void {
@@ -191,7 +195,10 @@
       tried: [...this.tried],
     });
     if (this.mayHaveRun) return this.refuse(502, 'outcome_unknown');
-    const waitMs = this.context.calls.readWaitMs(this.request.service);
+    const waitMs = this.context.calls.readWaitMs(
+      this.request.service,
+      this.request.allowedZones,
+    );
     if (waitMs > 0) {
       const leftMs = this.request.expiresAt - this.context.readNow();
       return this.refuse(503, 'overloaded', chooseRetryAfterMs(waitMs, leftMs));
--- a/packages/direct/src/forward/context.ts
+++ b/packages/direct/src/forward/context.ts
@@ -26,6 +26,8 @@
 export interface ForwardContext {
   readonly dialect: HeaderDialect;
   readonly state: FleetState;
+  /** Region of each zone. */
+  readonly regionByZone: ReadonlyMap<string, string>;
   readonly health: TargetHealth;
   readonly budget: SharedRetryBudget;
   readonly calls: CallPlacer;
--- a/packages/direct/src/forward/create-context.ts
+++ b/packages/direct/src/forward/create-context.ts
@@ -66,6 +66,7 @@
   return {
     dialect: dependencies.dialect,
     state,
+    regionByZone: parts.settings.regionByZone ?? new Map(),
     health,
     budget: createBudget(parts),
     limits: limits.requests,
--- a/packages/direct/src/forward/evacuated-zone.test.ts
+++ b/packages/direct/src/forward/evacuated-zone.test.ts
@@ -71,7 +71,7 @@
   }
 
   /** Evacuates a zone at once, as if the store had just told the gate. */
-  evacuate(zone: string): void {
+  applyEvacuation(zone: string): void {
     const position = {...this.state.position};
     position.revision++;
     this.state.applyChange({kind: 'zone-evacuated', zone, position});
@@ -173,7 +173,7 @@
           function (this: OpenExchanges, ...args: Parameters<typeof open>) {
             const exchange = open.apply(this, args);
             const {zone} = args[0].target;
-            if (evacuated.length === 0) bed.evacuate(zone);
+            if (evacuated.length === 0) bed.applyEvacuation(zone);
             evacuated.push(zone);
             return exchange;
           },
@@ -188,7 +188,7 @@
     // Guards against a second send of a slow call into the zone.
     runBed(async bed => {
       await bed.addTargets(ZONES, ['orders'], req =>
-        bed.evacuate(pickOther(readZone(req.headers['x-test-target']))),
+        bed.applyEvacuation(pickOther(readZone(req.headers['x-test-target']))),
       );
       const answer = await bed.harness.call('/safe/x', {deadlineMs: 600});
       expect(answer.status).toEqual(504);
@@ -200,7 +200,9 @@
       // Guards against a second attempt into the zone.
       runBed(async bed => {
         await bed.addTargets(ZONES, ['orders', 'chat'], (req, res) => {
-          bed.evacuate(pickOther(readZone(req.headers['x-test-target'])));
+          bed.applyEvacuation(
+            pickOther(readZone(req.headers['x-test-target'])),
+          );
           answerNotRun(req, res);
         });
         const answer = await bed.harness.call(`${path}x`, {tokens: 1000});
@@ -218,7 +220,9 @@
       // Guards against an interrupted stream that goes on in the zone.
       runBed(async bed => {
         await bed.addTargets(ZONES, ['chat'], (req, res) => {
-          bed.evacuate(pickOther(readZone(req.headers['x-test-target'])));
+          bed.applyEvacuation(
+            pickOther(readZone(req.headers['x-test-target'])),
+          );
           res.writeHead(200, buildSignedHead(req));
           res.write(formatEvents(1, 2));
           setTimeout(() => end(res), 50);
@@ -236,7 +240,7 @@
       const zones = ['az-1', 'az-2', 'az-3'];
       await bed.addTargets(zones, ['chat'], (req, res) => {
         res.writeHead(200, buildSignedHead(req));
-        for (const zone of zones) bed.evacuate(zone);
+        for (const zone of zones) bed.applyEvacuation(zone);
         const timer = setInterval(() => res.write(formatEvents(1, 1)), 100);
         setTimeout(() => {
           clearInterval(timer);
@@ -269,7 +273,7 @@
           if (typeof placed !== 'object' || !('helpers' in placed))
             return placed;
           evacuated ??= placed.helpers[0]?.zone;
-          if (bed.state.evacuatedCount === 0) bed.evacuate(evacuated);
+          if (bed.state.evacuatedCount === 0) bed.applyEvacuation(evacuated);
           return placed;
         },
       );
@@ -297,7 +301,7 @@
         'reserve',
         (...args: Parameters<typeof reserve>) => {
           if (bed.state.evacuatedCount === 0)
-            bed.evacuate(readZone(args[0].id));
+            bed.applyEvacuation(readZone(args[0].id));
           return reserve(...args);
         },
       );
@@ -345,7 +349,7 @@
         await bed.harness.waitUntil(() => bed.countReceived('az-1') === 1);
         const waiting = bed.harness.call('/stream/y', {id: 'q2', tokens: 1000});
         await sleep(300);
-        bed.evacuate('az-1');
+        bed.applyEvacuation('az-1');
         const answer = await waiting;
         expect([answer.status, answer.body]).toEqual([
           503,
--- a/packages/direct/src/forward/judge-stall.ts
+++ b/packages/direct/src/forward/judge-stall.ts
@@ -36,7 +36,10 @@
   const {health, readNow, prompts} = context;
   if (placed.isPrefilling()) return 'wait';
   const others = new Set([placed.target.id]);
-  if (!prompts.isSlotFree(request.service, engine, others)) return 'wait';
+  if (
+    !prompts.isSlotFree(request.service, engine, others, request.allowedZones)
+  )
+    return 'wait';
   if (health.isActiveSince(placed.target.id, readNow() - LIVENESS_WINDOW_MS))
     return 'wait';
   const waitMs = chooseIterationWaitMs(attempt);
--- a/packages/direct/src/forward/request.ts
+++ b/packages/direct/src/forward/request.ts
@@ -18,6 +18,12 @@
   readonly service: string;
   /** Name of the client account; absent on public routes. */
   readonly account: string | undefined;
+  /**
+   * Zones in which the request may run.
+   *
+   * @default all
+   */
+  readonly allowedZones?: ReadonlySet<string>;
   /** Arrival time of the request head on the monotonic clock, in ms. */
   readonly arrivedAt: number;
   /**
--- a/packages/direct/src/forward/slot-finder.ts
+++ b/packages/direct/src/forward/slot-finder.ts
@@ -116,8 +116,12 @@
       result = await this.waitForSendTime(cause, mayExceedSlots, signal);
     }
     if (result === 'full' && !signal.aborted) {
-      const {service, route} = this.request;
-      const limitMs = this.context.prompts.readWaitMs(service, this.tried);
+      const {service, route, allowedZones} = this.request;
+      const limitMs = this.context.prompts.readWaitMs(
+        service,
+        this.tried,
+        allowedZones,
+      );
       if (limitMs > route.objectiveMs) return 'full';
       result = await this.waitForSlot(signal);
     }
@@ -214,6 +218,7 @@
         objectiveLeftMs: route.objectiveMs - elapsedMs,
         itlObjectiveMs: route.itlObjectiveMs ?? route.objectiveMs,
         suspects: context.suspects.listTrialIds(fingerprint),
+        allowedZones: request.allowedZones,
       },
       this.engine,
       this.tried,
@@ -224,8 +229,9 @@
   private async waitForSlot(
     signal: AbortSignal,
   ): Promise<PlacedPrompt | NoSlotReason> {
-    const {request, context} = this;
-    const queue = context.queues.find(request.service);
+    const {request, context, engine, tried} = this;
+    const {service, allowedZones} = request;
+    const queue = context.queues.find(service);
     let result: PlacedPrompt | NoSlotReason = 'full';
     const predictedMs = queue.estimateWaitMs();
     const outcome = await queue.enter(
@@ -236,11 +242,11 @@
         tryPlace: () => {
           const {prompts, state} = context;
           // No engine comes back before the caller leaves.
-          if (state.isWhollyEvacuated(request.service)) {
+          if (state.isWhollyEvacuated(service, allowedZones)) {
             result = 'none';
             return true;
           }
-          if (!prompts.isSlotFree(request.service, this.engine, this.tried))
+          if (!prompts.isSlotFree(service, engine, tried, allowedZones))
             return false;
           const outcome = this.tryPlace('queued', false);
           result = isDeferral(outcome) ? 'full' : outcome;
--- a/packages/direct/src/forward/stream-ending.ts
+++ b/packages/direct/src/forward/stream-ending.ts
@@ -72,7 +72,11 @@
     // A refusal with 503 is allowed only for a request that has not run.
     if (this.hasOutcome) return this.endWithError(502, 'outcome_unknown');
     // No engine takes a request before that, whichever this stream has tried.
-    const waitMs = context.prompts.readWaitMs(request.service, NONE_TRIED);
+    const waitMs = context.prompts.readWaitMs(
+      request.service,
+      NONE_TRIED,
+      request.allowedZones,
+    );
     const leftMs = request.expiresAt - context.readNow();
     const retryDelayMs = chooseRetryAfterMs(Math.max(queueMs, waitMs), leftMs);
     request.caller.refuse(503, reason, retryDelayMs);
--- a/packages/direct/src/forward/stream-forwarder.ts
+++ b/packages/direct/src/forward/stream-forwarder.ts
@@ -126,7 +126,11 @@
   /** Estimates the time until an engine may have a slot, in ms. */
   private estimateOverloadMs(): number {
     const {context, request, tried} = this;
-    const waitMs = context.prompts.readWaitMs(request.service, tried);
+    const waitMs = context.prompts.readWaitMs(
+      request.service,
+      tried,
+      request.allowedZones,
+    );
     return Math.max(OVERLOAD_RETRY_AFTER_MS, waitMs);
   }
 
--- a/packages/direct/src/ingress/ingress.ts
+++ b/packages/direct/src/ingress/ingress.ts
@@ -15,6 +15,7 @@
 import {CallerResponse} from '../forward/caller-response.js';
 import {forwardCall} from '../forward/call-forwarder.js';
 import {forwardStream} from '../forward/stream-forwarder.js';
+import {listAllowedZones} from '../placement/allowed-regions.js';
 import {DEFAULT_DEADLINE_MS, EarlyRefusals} from './early-refusals.js';
 import {StartupHold} from './startup-hold.js';
 import type {
@@ -222,6 +223,10 @@
       route,
       service,
       account: account?.name,
+      allowedZones: listAllowedZones(
+        [route.allowedRegions, account?.allowedRegions],
+        this.context.regionByZone,
+      ),
       arrivedAt,
       expiresAt: arrivedAt + leftMs,
       configVersion: config.version,
--- a/packages/direct/src/placement/eligible-targets.ts
+++ b/packages/direct/src/placement/eligible-targets.ts
@@ -26,11 +26,17 @@
    * `tried`, whose limits are not reached, and that are not suspended for
    * failures. If all are suspended, it lists them, as trying one is better than
    * failing the request.
+   *
+   * @param allowedZones - Zones in which the request may run; undefined for all.
    */
-  list(service: string, tried: ReadonlySet<string>): readonly Target[] {
+  list(
+    service: string,
+    tried: ReadonlySet<string>,
+    allowedZones?: ReadonlySet<string>,
+  ): readonly Target[] {
     const {health, access, readNow} = this.options;
     const now = readNow();
-    const left = this.listUntried(service, tried).filter(
+    const left = this.listUntried(service, tried, allowedZones).filter(
       ({id}) => !access.isBlocked(id),
     );
     const sound = left.filter(({id}) => !health.isSuspended(id, now));
@@ -41,18 +47,25 @@
    * Returns the time until a target that is not in `tried` may take a request, in
    * ms, if the limits of all are reached or they rest; else 0.
    */
-  readWaitMs(service: string, tried: ReadonlySet<string>): number {
+  readWaitMs(
+    service: string,
+    tried: ReadonlySet<string>,
+    allowedZones?: ReadonlySet<string>,
+  ): number {
     return this.options.access.readShortestWaitMs(
-      this.listUntried(service, tried),
+      this.listUntried(service, tried, allowedZones),
     );
   }
 
   private listUntried(
     service: string,
     tried: ReadonlySet<string>,
+    allowedZones: ReadonlySet<string> | undefined,
   ): readonly Target[] {
     return this.options.state
       .listUsable(service)
-      .filter(({id}) => !tried.has(id));
+      .filter(
+        ({id, zone}) => !tried.has(id) && (allowedZones?.has(zone) ?? true),
+      );
   }
 }
--- a/packages/direct/src/placement/place-call.ts
+++ b/packages/direct/src/placement/place-call.ts
@@ -45,10 +45,15 @@
   constructor(private readonly options: CallPlacerOptions) {}
 
   /** Chooses a target that is not in `tried`; undefined if there is none. */
-  choose(service: string, tried: ReadonlySet<string>): Target | undefined {
+  choose(
+    service: string,
+    tried: ReadonlySet<string>,
+    allowedZones?: ReadonlySet<string>,
+  ): Target | undefined {
     let best: Target | undefined;
     let bestScore = Infinity;
-    for (const target of this.options.eligible.list(service, tried)) {
+    const {eligible} = this.options;
+    for (const target of eligible.list(service, tried, allowedZones)) {
       const score = this.estimateScore(target);
       if (score >= bestScore) continue;
       best = target;
@@ -61,8 +66,9 @@
    * Returns the time until a target may take a call, in ms, if the limits of all
    * are reached or they rest; else 0.
    */
-  readWaitMs(service: string): number {
-    return this.options.eligible.readWaitMs(service, NONE_TRIED);
+  readWaitMs(service: string, allowedZones?: ReadonlySet<string>): number {
+    const {eligible} = this.options;
+    return eligible.readWaitMs(service, NONE_TRIED, allowedZones);
   }
 
   /** Records that a call to the target `id` has started. */
--- a/packages/direct/src/placement/prompt-placer.ts
+++ b/packages/direct/src/placement/prompt-placer.ts
@@ -56,6 +56,12 @@
    * @default none
    */
   readonly suspects?: readonly string[];
+  /**
+   * Zones in which the prompt may run.
+   *
+   * @default all
+   */
+  readonly allowedZones?: ReadonlySet<string>;
 }
 
 /** Dependencies of a prompt placer. */
@@ -107,11 +113,16 @@
   ): PlacementOutcome {
     const {tracker, announcer, owner, readNow} = this.options;
     const now = readNow();
-    const {suspects = []} = request;
+    const {service, suspects = [], allowedZones} = request;
     if (tracker.trials.isRunning(suspects, now))
       return {waitMs: TRIAL_POLL_MS, predictedTtftMs: 0};
-    const targets = this.ranking.rank(this.listTargets(request.service, tried));
-    if (targets.length === 0 && this.readWaitMs(request.service, tried) > 0)
+    const targets = this.ranking.rank(
+      this.listTargets(service, tried, allowedZones),
+    );
+    if (
+      targets.length === 0 &&
+      this.readWaitMs(service, tried, allowedZones) > 0
+    )
       return 'full';
     const demand: PromptDemand = {
       ...request,
@@ -175,8 +186,12 @@
    * Returns the time until an engine may take a request, in ms, if the limits of
    * all engines that are not in `tried` are reached or they rest; else 0.
    */
-  readWaitMs(service: string, tried: ReadonlySet<string>): number {
-    return this.options.eligible.readWaitMs(service, tried);
+  readWaitMs(
+    service: string,
+    tried: ReadonlySet<string>,
+    allowedZones?: ReadonlySet<string>,
+  ): number {
+    return this.options.eligible.readWaitMs(service, tried, allowedZones);
   }
 
   /** Forgets an engine that was removed. */
@@ -190,9 +205,10 @@
     service: string,
     engine: EngineCostModel,
     tried: ReadonlySet<string>,
+    allowedZones?: ReadonlySet<string>,
   ): boolean {
     const {tracker} = this.options;
-    return this.listTargets(service, tried).some(
+    return this.listTargets(service, tried, allowedZones).some(
       ({id}) => tracker.countActive(id) < engine.slots,
     );
   }
@@ -200,10 +216,11 @@
   private listTargets(
     service: string,
     tried: ReadonlySet<string>,
+    allowedZones: ReadonlySet<string> | undefined,
   ): readonly Target[] {
     const {eligible, tracker, readNow} = this.options;
     const now = readNow();
-    const reachable = eligible.list(service, tried);
+    const reachable = eligible.list(service, tried, allowedZones);
     const safe = reachable.filter(
       ({id}) => !tracker.trials.isEngineAtRisk(id, now),
     );
--- a/packages/direct/src/test/gate-harness.ts
+++ b/packages/direct/src/test/gate-harness.ts
@@ -67,6 +67,7 @@
     readonly port: number,
     seedHosts: readonly string[],
     retryBounds: RetryBounds = RETRY_BOUNDS,
+    regionByZone?: ReadonlyMap<string, string>,
   ) {
     const output = new Writable({
       write: (chunk, _, done) => {
@@ -78,6 +79,7 @@
       {
         node: `gate-${host}`,
         zone: 'az-1',
+        regionByZone,
         ingress: {host, port},
         ready: {host, port: port + 1},
         peers: {host, port: port + 2},
@@ -227,6 +229,7 @@
     readonly seedHosts?: readonly string[];
     readonly config?: FleetConfig | 'none';
     readonly retryBounds?: RetryBounds;
+    readonly regionByZone?: ReadonlyMap<string, string>;
   } = {},
 ): Promise<GateHarness> {
   const port = options.port ?? (lastPort += 10);
@@ -235,6 +238,7 @@
     port,
     options.seedHosts ?? [],
     options.retryBounds,
+    options.regionByZone,
   );
   if (options.config !== 'none')
     harness.store.publishConfig(options.config ?? buildConfig(1));
