Prefill ends of one shard are looked up without copying the plan of its engine

Cause: describing an engine that prefills asked each engine of each of its prompts for all prefill ends and copied them into a new map, once for each shard. Change: EngineIterations.estimatePrefillEndMs looks up one shard in the plan that is kept; placements on one engine are listed without a set, and empty queues aren't filtered.

--- a/packages/direct/src/placement/engine-iterations.ts
+++ b/packages/direct/src/placement/engine-iterations.ts
@@ -119,10 +119,12 @@
   removeShard(key: string, now: number): void {
     this.advance(now);
     this.prefillEnds = undefined;
-    this.shards = this.shards.filter(shard => shard.key !== key);
-    this.completingShards = this.completingShards.filter(
-      shard => shard.key !== key,
-    );
+    if (this.shards.length > 0)
+      this.shards = this.shards.filter(shard => shard.key !== key);
+    if (this.completingShards.length > 0)
+      this.completingShards = this.completingShards.filter(
+        shard => shard.key !== key,
+      );
   }
 
   /** Adds a sequence that the engine decodes from `now` on. */
@@ -204,6 +206,17 @@
     return new Map([...this.prefillEnds].map(([key, at]) => [key, at - now]));
   }
 
+  /**
+   * Estimates the time from `now` until the prefill of a shard ends, in ms; 0 if
+   * the shard is not queued.
+   */
+  estimatePrefillEndMs(key: string, now: number): number {
+    this.advance(now);
+    this.prefillEnds ??= this.planPrefillEnds();
+    const endsAt = this.prefillEnds.get(key);
+    return endsAt === undefined ? 0 : endsAt - now;
+  }
+
   /** Lists the shards that wait for the coming iterations, newest first. */
   listWaitingShards(now: number): readonly WaitingShard[] {
     this.advance(now);
--- a/packages/direct/src/placement/load-tracker.ts
+++ b/packages/direct/src/placement/load-tracker.ts
@@ -280,11 +280,9 @@
   private estimatePrefillDoneMs({key, shards}: Placement, now: number): number {
     let lastMs = 0;
     for (const {target} of shards) {
-      const ends = this.engines
-        .get(target)
-        ?.readIterations()
-        ?.listPrefillEnds(now);
-      lastMs = Math.max(lastMs, ends?.get(key) ?? 0);
+      const iterations = this.engines.get(target)?.readIterations();
+      const endMs = iterations?.estimatePrefillEndMs(key, now) ?? 0;
+      lastMs = Math.max(lastMs, endMs);
     }
     return lastMs;
   }
@@ -320,11 +318,10 @@
   return Math.min(MAX_LAG_MS, Math.max(0, now - dueAt));
 }
 
-function listTargets(placement: Placement): ReadonlySet<string> {
-  return new Set([
-    placement.decoder,
-    ...placement.shards.map(shard => shard.target),
-  ]);
+/** Lists the engines of a placement; most placements are on one engine. */
+function listTargets({decoder, shards}: Placement): Iterable<string> {
+  if (shards.length === 1 && shards[0].target === decoder) return [decoder];
+  return new Set([decoder, ...shards.map(shard => shard.target)]);
 }
 
 /**
