Choices keep the rank order of their targets; addresses of peers aren't resolved

Cause: each choice sorted all targets of its service by the rank of this gate, and each datagram took a further turn through the resolver although its host is an address. Change: TargetRanking returns its latest order for an equal list; EligibleTargets filters in one pass; the UDP socket has a lookup of its own that resolves names only.

--- a/packages/direct/src/peers/datagram-transport.ts
+++ b/packages/direct/src/peers/datagram-transport.ts
@@ -1,12 +1,27 @@
 /** Sends and receives the datagrams of a gate. */
 import {createSocket} from 'node:dgram';
+import {lookup} from 'node:dns';
+import {isIPv4} from 'node:net';
 import {setTimeout as sleep} from 'node:timers/promises';
-import type {Socket} from 'node:dgram';
+import type {Socket, SocketOptions} from 'node:dgram';
 import type {ListenAddress} from '@nutmeggauge/core';
 
 /** Time for the last datagrams to be sent before the socket closes, in ms. */
 const FLUSH_MS = 30;
 
+/**
+ * Finds the address of a host. The resolver of Node takes a further turn of its
+ * queue for each datagram, also if the host is an address already.
+ */
+const findAddress: NonNullable<SocketOptions['lookup']> = (
+  host,
+  options,
+  done,
+) => {
+  if (isIPv4(host)) done(null, host, 4);
+  else lookup(host, options, done);
+};
+
 /** Called with the bytes of each datagram that arrives. */
 export type DatagramListener = (bytes: Buffer) => void;
 
@@ -44,7 +59,7 @@
 
   override async open(listener: DatagramListener): Promise<void> {
     const {host, port} = this.address;
-    const socket = createSocket('udp4');
+    const socket = createSocket({type: 'udp4', lookup: findAddress});
     this.socket = socket;
     socket.on('message', listener);
     socket.on('error', error => this.onError(error));
--- a/packages/direct/src/placement/eligible-targets.ts
+++ b/packages/direct/src/placement/eligible-targets.ts
@@ -30,10 +30,14 @@
   list(service: string, tried: ReadonlySet<string>): readonly Target[] {
     const {health, access, readNow} = this.options;
     const now = readNow();
-    const left = this.listUntried(service, tried).filter(
-      ({id}) => !access.isBlocked(id),
-    );
-    const sound = left.filter(({id}) => !health.isSuspended(id, now));
+    const left: Target[] = [];
+    const sound: Target[] = [];
+    // One pass: a choice asks this of each of up to hundreds of targets.
+    for (const target of this.listUntried(service, tried)) {
+      if (access.isBlocked(target.id)) continue;
+      left.push(target);
+      if (!health.isSuspended(target.id, now)) sound.push(target);
+    }
     return sound.length > 0 ? sound : left;
   }
 
@@ -51,8 +55,7 @@
     service: string,
     tried: ReadonlySet<string>,
   ): readonly Target[] {
-    return this.options.state
-      .listUsable(service)
-      .filter(({id}) => !tried.has(id));
+    const usable = this.options.state.listUsable(service);
+    return tried.size === 0 ? usable : usable.filter(({id}) => !tried.has(id));
   }
 }
--- a/packages/direct/src/placement/target-ranking.ts
+++ b/packages/direct/src/placement/target-ranking.ts
@@ -15,20 +15,28 @@
  */
 export class TargetRanking {
   private readonly ranks = new Map<string, number>();
+  /** Latest list and its order; most choices are among the same targets. */
+  private listed: readonly Target[] = [];
+  private ranked: readonly Target[] = [];
 
   constructor(private readonly gate: string) {}
 
   /** Sorts targets in the order of this gate. */
   rank(targets: readonly Target[]): readonly Target[] {
-    return targets
+    if (isSameList(targets, this.listed)) return this.ranked;
+    this.listed = targets;
+    this.ranked = targets
       .map(target => ({target, rank: this.findRank(target.id)}))
       .sort((a, b) => a.rank - b.rank)
       .map(({target}) => target);
+    return this.ranked;
   }
 
   /** Forgets a target that was removed. */
   drop(target: string): void {
     this.ranks.delete(target);
+    this.listed = [];
+    this.ranked = [];
   }
 
   private findRank(id: string): number {
@@ -41,3 +49,13 @@
     return rank;
   }
 }
+
+function isSameList(
+  targets: readonly Target[],
+  others: readonly Target[],
+): boolean {
+  return (
+    targets.length === others.length &&
+    targets.every((target, i) => target === others[i])
+  );
+}
