--- a/packages/direct/src/placement/eligible-targets.ts
+++ b/packages/direct/src/placement/eligible-targets.ts
@@ -36,10 +36,14 @@
   ): readonly Target[] {
     const {health, access, readNow} = this.options;
     const now = readNow();
-    const left = this.listUntried(service, tried, allowedZones).filter(
-      ({id}) => !access.isBlocked(id),
-    );
-    const sound = left.filter(({id}) => !health.isSuspended(id, now));
+    const left: Target[] = [];
+    const sound: Target[] = [];
+    // One pass: a choice asks this of each of up to hundreds of targets.
+    for (const target of this.listUntried(service, tried, allowedZones)) {
+      if (access.isBlocked(target.id)) continue;
+      left.push(target);
+      if (!health.isSuspended(target.id, now)) sound.push(target);
+    }
     return sound.length > 0 ? sound : left;
   }
 
@@ -62,10 +66,10 @@
     tried: ReadonlySet<string>,
     allowedZones: ReadonlySet<string> | undefined,
   ): readonly Target[] {
-    return this.options.state
-      .listUsable(service)
-      .filter(
-        ({id, zone}) => !tried.has(id) && (allowedZones?.has(zone) ?? true),
-      );
+    const usable = this.options.state.listUsable(service);
+    if (tried.size === 0 && allowedZones === undefined) return usable;
+    return usable.filter(
+      ({id, zone}) => !tried.has(id) && (allowedZones?.has(zone) ?? true),
+    );
   }
 }
