Requests wait, give way and reach engines by their urgency

Cause: the priorities of routes and accounts were decoded and then dropped. Streams waited for a slot by their deadline alone, and a newcomer was refused when the whole queue was too long, whoever waited in it.

Change: where the requests of a service can differ in priority, its streams are ordered by priority, then by deadline; a waiting stream that can no longer be placed in time gives way to a more urgent newcomer at once. Engines are told a priority by urgency, then by size. Elsewhere the order and the priorities by size stay as they are.

--- a/packages/direct/src/admission/admission-queue.ts
+++ b/packages/direct/src/admission/admission-queue.ts
@@ -3,6 +3,8 @@
  * of short streams above the capacity. An unbounded queue would stay filled
  * after the burst and make every answer late.
  */
+import {DeadlineOrder, compareRanks, findRankCause} from './admission-order.js';
+import type {AdmissionOrder, OrderDecision} from './admission-order.js';
 
 /**
  * Share of its objective that a stream may wait in the queue; the rest is
@@ -35,6 +37,18 @@
   readonly objectiveMs: number;
   /** Tokens of the prompt, for which KV cache is needed besides a slot. */
   readonly promptTokens: number;
+  /**
+   * Rank among the urgencies of the service; 0 is the most urgent.
+   *
+   * @default 0
+   */
+  readonly urgency?: number;
+  /**
+   * Id of the request, for the log.
+   *
+   * @default none
+   */
+  readonly requestId?: string;
   /** Places the stream; returns false if no slot or KV cache is free. */
   tryPlace(): boolean;
 }
@@ -52,6 +66,14 @@
    * @default at once
    */
   readonly schedule?: (attempt: PlacementAttempt) => void;
+  /**
+   * Ranks the streams.
+   *
+   * @default all streams have the same rank
+   */
+  readonly order?: AdmissionOrder;
+  /** Called for each decision that the deadlines alone would not have led to. */
+  readonly onDecision?: (decision: OrderDecision) => void;
 }
 
 /** Attempt to place a stream that waits in the queue. */
@@ -79,20 +101,30 @@
   private timer: NodeJS.Timeout | undefined;
   /** True while the streams of the queue are tried one after the other. */
   private isPassing = false;
+  private readonly order: AdmissionOrder;
 
-  constructor(private readonly options: AdmissionQueueOptions) {}
+  constructor(private readonly options: AdmissionQueueOptions) {
+    this.order = options.order ?? new DeadlineOrder();
+  }
 
   /** Number of streams in the queue. */
   get length(): number {
     return this.waiting.length;
   }
 
-  /** Estimates the wait of one more stream, in ms. */
-  estimateWaitMs(): number {
-    const slots = Math.max(1, this.options.countSlots());
-    const competingStreams =
-      (this.waiting.length + 1) * this.options.countGates();
-    return (competingStreams * this.averageSlotTimeMs) / slots;
+  /**
+   * Estimates the wait of one more stream, in ms.
+   *
+   * @param entry - The stream; streams that go after it don't count.
+   * @default a stream that goes after all others
+   */
+  estimateWaitMs(entry?: QueueEntry): number {
+    if (entry === undefined) return this.estimateTurnMs(this.waiting.length);
+    const rank = this.order.rank(entry);
+    const ahead = this.waiting.filter(
+      other => compareRanks(this.order.rank(other.entry), rank) <= 0,
+    );
+    return this.estimateTurnMs(ahead.length);
   }
 
   /** Records the time that a stream held its slot, in ms. */
@@ -109,23 +141,25 @@
   enter(entry: QueueEntry, signal: AbortSignal): Promise<QueueOutcome> {
     const now = this.options.readNow();
     const refuseAt = entry.arrivedAt + entry.objectiveMs * WAIT_SHARE;
-    if (now + this.estimateWaitMs() > refuseAt)
+    const isTooLate = now + this.estimateWaitMs(entry) > refuseAt;
+    if (isTooLate || this.isHeldBack(entry)) {
+      this.order.record(entry, 'refused', now);
       return Promise.resolve('refused');
+    }
     return new Promise(resolve => {
       const waiting: QueuedStream = {
         entry,
         refuseAt,
         settle: outcome => {
-          this.remove(waiting);
+          if (!this.remove(waiting)) return;
+          this.order.record(entry, outcome, this.options.readNow());
           resolve(outcome);
         },
       };
-      // Earliest deadline first: short streams overtake long ones until the
-      // deadline of the long ones is earlier.
-      this.waiting.push(waiting);
-      this.waiting.sort((a, b) => a.refuseAt - b.refuseAt);
+      this.waiting = this.rankStreams([...this.waiting, waiting]);
       signal.addEventListener('abort', () => waiting.settle('left'));
       this.timer ??= setInterval(() => this.advance(), POLL_MS);
+      this.refuseOvertaken(entry, now);
     });
   }
 
@@ -136,7 +170,7 @@
       if (waiting.refuseAt <= now) waiting.settle('refused');
     if (this.isPassing || this.waiting.length === 0) return;
     this.isPassing = true;
-    this.tryNext([...this.waiting], Infinity);
+    this.tryNext(this.rankStreams(this.waiting), Infinity);
   }
 
   /**
@@ -161,48 +195,93 @@
       if (!this.waiting.includes(next))
         return this.tryNext(others, blockedPromptTokens);
       if (!entry.tryPlace()) return this.tryNext(others, entry.promptTokens);
+      this.notifyOvertaken(next);
       next.settle('placed');
-      this.tryNext(others, blockedPromptTokens);
+      this.tryNext(this.rankStreams(others), blockedPromptTokens);
     };
     if (this.options.schedule === undefined) run();
     else this.options.schedule({dueAt: refuseAt, run});
   }
 
-  private remove(waiting: QueuedStream): void {
-    this.waiting = this.waiting.filter(other => other !== waiting);
-    if (this.waiting.length > 0 || this.timer === undefined) return;
-    clearInterval(this.timer);
-    this.timer = undefined;
+  /** Estimates the time until the next slot after those of other streams, in ms. */
+  private estimateTurnMs(ahead: number): number {
+    const slots = Math.max(1, this.options.countSlots());
+    const competingStreams = (ahead + 1) * this.options.countGates();
+    return (competingStreams * this.averageSlotTimeMs) / slots;
   }
-}
 
-/**
- * Admission queues of one gate, one for each service of engines.
- *
- * @example
- * queues.find('chat').enter(entry, signal);
- */
-export class AdmissionQueues {
-  private readonly queues = new Map<string, AdmissionQueue>();
-
-  constructor(
-    private readonly createQueue: (service: string) => AdmissionQueue,
-  ) {}
-
-  /** Finds the queue of a service; creates it on first use. */
-  find(service: string): AdmissionQueue {
-    let queue = this.queues.get(service);
-    if (queue === undefined) {
-      queue = this.createQueue(service);
-      this.queues.set(service, queue);
+  /**
+   * Sorts streams by rank, and those of equal rank by their deadline: short
+   * streams overtake long ones until the deadline of the long ones is earlier.
+   */
+  private rankStreams(streams: readonly QueuedStream[]): QueuedStream[] {
+    const ranked = streams.map(stream => ({
+      stream,
+      rank: this.order.rank(stream.entry),
+    }));
+    ranked.sort(
+      (a, b) =>
+        compareRanks(a.rank, b.rank) || a.stream.refuseAt - b.stream.refuseAt,
+    );
+    return ranked.map(({stream}) => stream);
+  }
+
+  /**
+   * Refuses the streams that go after a newcomer and can't be placed in time any
+   * more, the last one first.
+   */
+  private refuseOvertaken(newcomer: QueueEntry, now: number): void {
+    const rank = this.order.rank(newcomer);
+    for (let i = this.waiting.length - 1; i >= 0; i--) {
+      const {entry, refuseAt, settle} = this.waiting[i];
+      if (compareRanks(rank, this.order.rank(entry)) >= 0) return;
+      if (now + this.estimateTurnMs(i) <= refuseAt) continue;
+      this.notify('gave_way', entry, newcomer);
+      settle('refused');
     }
-    return queue;
   }
 
-  /** Advances every queue that is not empty. */
-  advance(): void {
-    for (const queue of this.queues.values())
-      if (queue.length > 0) queue.advance();
+  private isHeldBack(stream: QueueEntry): boolean {
+    const cause = this.order.findHoldCause(stream);
+    if (cause === undefined) return false;
+    const rank = this.order.rank(stream);
+    this.options.onDecision?.({kind: 'held_back', cause, stream, rank});
+    return true;
+  }
+
+  /** Reports that a stream goes before one with an earlier deadline. */
+  private notifyOvertaken({entry, refuseAt}: QueuedStream): void {
+    const rank = this.order.rank(entry);
+    const overtaken = this.waiting.find(
+      other =>
+        other.refuseAt < refuseAt &&
+        compareRanks(rank, this.order.rank(other.entry)) < 0,
+    );
+    if (overtaken !== undefined)
+      this.notify('overtook', entry, overtaken.entry);
+  }
+
+  private notify(
+    kind: OrderDecision['kind'],
+    stream: QueueEntry,
+    other: QueueEntry,
+  ): void {
+    const rank = this.order.rank(stream);
+    const otherRank = this.order.rank(other);
+    const cause = findRankCause(rank, otherRank);
+    if (cause === undefined) return;
+    this.options.onDecision?.({kind, cause, stream, rank, other, otherRank});
+  }
+
+  /** Removes a stream; returns false if it no longer waits. */
+  private remove(waiting: QueuedStream): boolean {
+    const length = this.waiting.length;
+    this.waiting = this.waiting.filter(other => other !== waiting);
+    if (this.waiting.length === 0 && this.timer !== undefined) {
+      clearInterval(this.timer);
+      this.timer = undefined;
+    }
+    return this.waiting.length < length;
   }
 }
 
--- a/packages/direct/src/forward/context.ts
+++ b/packages/direct/src/forward/context.ts
@@ -6,7 +6,8 @@
   SuspectRequests,
   TurnMonitor,
 } from '@nutmeggauge/core';
-import type {AdmissionQueues} from '../admission/admission-queue.js';
+import type {AdmissionQueues} from '../admission/admission-queues.js';
+import type {Urgencies} from '../admission/urgency.js';
 import type {CrashWatch} from '../crashes/crash-watch.js';
 import type {FleetState} from '../fleet/fleet-state.js';
 import type {TargetHealth} from '../health/target-health.js';
@@ -37,6 +38,7 @@
   /** Waits until what has arrived has been read. */
   readonly reads: PendingReads;
   readonly queues: AdmissionQueues;
+  readonly urgencies: Urgencies;
   readonly exchanges: OpenExchanges;
   readonly crashes: CrashWatch;
   readonly suspects: SuspectRequests;
--- a/packages/direct/src/forward/create-context.ts
+++ b/packages/direct/src/forward/create-context.ts
@@ -1,9 +1,10 @@
 /** Creates what all forwarded requests of one gate share. */
 import {ConnectionCheck, createLatencyHistogram} from '@nutmeggauge/core';
-import {
-  AdmissionQueues,
-  createAdmissionQueue,
-} from '../admission/admission-queue.js';
+import {createAdmissionQueue} from '../admission/admission-queue.js';
+import {AdmissionQueues} from '../admission/admission-queues.js';
+import {UrgencyOrder} from '../admission/admission-order.js';
+import {observeOrder} from '../admission/observe-order.js';
+import {Urgencies} from '../admission/urgency.js';
 import {CrashWatch} from '../crashes/crash-watch.js';
 import {UnknownFields} from '../observe/unknown-fields.js';
 import {ChoiceScheduler} from '../placement/choice-scheduler.js';
@@ -79,6 +80,7 @@
     }),
     prompts: createPlacer(parts, eligible),
     queues: createQueues(parts, choices),
+    urgencies: new Urgencies(() => state.config),
     choices,
     reads: parts.reads,
     exchanges: new OpenExchanges(),
@@ -133,9 +135,11 @@
 }
 
 function createQueues(
-  {state, limits, peers, readNow}: ForwardParts,
+  parts: ForwardParts,
   choices: ChoiceScheduler,
 ): AdmissionQueues {
+  const {state, limits, peers, readNow} = parts;
+  const onDecision = observeOrder(parts.dependencies.log, parts.counters);
   /** Counts the slots of all engines of a service that take requests. */
   const countSlots = (service: string) => {
     const slots = state.findService(service)?.engine?.slots ?? 0;
@@ -149,6 +153,8 @@
       countSlots: () => countSlots(service),
       countGates: () => peers.countGates(),
       readNow,
+      order: new UrgencyOrder(),
+      onDecision,
       schedule: ({dueAt, run}) =>
         void choices.schedule({isRepeated: true, dueAt, choose: run}),
     }),
--- a/packages/direct/src/forward/send-prompt.ts
+++ b/packages/direct/src/forward/send-prompt.ts
@@ -10,15 +10,6 @@
 /** Period within which bytes of an engine show that it is alive, in ms. */
 const ACTIVITY_WINDOW_MS = 400;
 
-/**
- * Engine priority by maximum prompt size in tokens; short prompts go first.
- */
-const PRIORITY_BY_TOKENS: ReadonlyArray<readonly [number, number]> = [
-  [16_000, 2],
-  [80_000, 4],
-  [Infinity, 5],
-];
-
 /** Prompt that has engines. */
 export interface SendablePrompt {
   readonly context: ForwardContext;
@@ -78,7 +69,6 @@
   lease: KvLease | undefined,
 ): Exchange {
   const tokens = request.facts.promptTokens ?? 0;
-  const priority = PRIORITY_BY_TOKENS.find(([most]) => tokens <= most)?.[1];
   return context.exchanges.open({
     target: placed.target,
     method: request.method,
@@ -88,7 +78,7 @@
         deadlineLeftMs: request.expiresAt - context.readNow(),
         target: placed.target,
         account: request.account,
-        priority,
+        priority: context.urgencies.choosePriority(request, tokens),
         helpers: placed.helpers.map(target => ({
           target,
           ticket: lease?.findTicket(target.id),
--- a/packages/direct/src/forward/slot-finder.ts
+++ b/packages/direct/src/forward/slot-finder.ts
@@ -4,6 +4,7 @@
  */
 import {setTimeout as sleep} from 'node:timers/promises';
 import {PlacedPrompt} from '../placement/placed-prompt.js';
+import type {QueueEntry} from '../admission/admission-queue.js';
 import type {Deferral, PlacementOutcome} from '../placement/prompt-placer.js';
 import type {EngineCostModel} from '../types.js';
 import type {ForwardContext} from './context.js';
@@ -227,23 +228,23 @@
     const {request, context} = this;
     const queue = context.queues.find(request.service);
     let result: PlacedPrompt | NoSlotReason = 'full';
-    const predictedMs = queue.estimateWaitMs();
-    const outcome = await queue.enter(
-      {
-        arrivedAt: request.arrivedAt,
-        objectiveMs: request.route.objectiveMs,
-        promptTokens: request.facts.promptTokens ?? 0,
-        tryPlace: () => {
-          const {prompts} = context;
-          if (!prompts.isSlotFree(request.service, this.engine, this.tried))
-            return false;
-          const outcome = this.tryPlace('queued', false);
-          result = isDeferral(outcome) ? 'full' : outcome;
-          return result !== 'full';
-        },
+    const entry: QueueEntry = {
+      arrivedAt: request.arrivedAt,
+      objectiveMs: request.route.objectiveMs,
+      promptTokens: request.facts.promptTokens ?? 0,
+      urgency: context.urgencies.rank(request),
+      requestId: request.facts.requestId,
+      tryPlace: () => {
+        const {prompts} = context;
+        if (!prompts.isSlotFree(request.service, this.engine, this.tried))
+          return false;
+        const outcome = this.tryPlace('queued', false);
+        result = isDeferral(outcome) ? 'full' : outcome;
+        return result !== 'full';
       },
-      signal,
-    );
+    };
+    const predictedMs = queue.estimateWaitMs(entry);
+    const outcome = await queue.enter(entry, signal);
     context.counters.add(`queue.${outcome}`);
     context.log.info('waited_for_slot', {
       requestId: request.facts.requestId,
--- a/packages/direct/src/test/test-dialect.ts
+++ b/packages/direct/src/test/test-dialect.ts
@@ -75,6 +75,8 @@
     headers.push('x-test-left', String(metadata.deadlineLeftMs));
     if (metadata.account !== undefined)
       headers.push('x-test-account', metadata.account);
+    if (metadata.priority !== undefined)
+      headers.push('x-test-priority', String(metadata.priority));
     if (metadata.lastEventId !== undefined)
       headers.push('x-test-after', metadata.lastEventId);
     headers.push('Connection', 'close');
