--- a/packages/direct/src/test/gate-harness.ts
+++ b/packages/direct/src/test/gate-harness.ts
@@ -12,6 +12,7 @@
 import {buildConfig} from './test-config.js';
 import {TestDialect} from './test-dialect.js';
 import type {DirectGate} from '../gate.js';
+import type {ColdBounds} from '../gate-settings.js';
 import type {RetryBounds} from '../retry/shared-retry-budget.js';
 import type {FleetConfig} from '../types.js';
 import type {FakeTarget, TargetScript} from './fake-target.js';
@@ -67,6 +68,7 @@
     readonly port: number,
     seedHosts: readonly string[],
     retryBounds: RetryBounds = RETRY_BOUNDS,
+    coldBounds?: ColdBounds,
   ) {
     const output = new Writable({
       write: (chunk, _, done) => {
@@ -87,6 +89,7 @@
         isFirstStart: true,
         stopGraceMs: 2000,
         crashRefusalMs: 600_000,
+        coldBounds,
       },
       {
         dialect: new TestDialect(),
@@ -226,6 +229,7 @@
     readonly seedHosts?: readonly string[];
     readonly config?: FleetConfig | 'none';
     readonly retryBounds?: RetryBounds;
+    readonly coldBounds?: ColdBounds;
   } = {},
 ): Promise<GateHarness> {
   const port = options.port ?? (lastPort += 10);
@@ -234,6 +238,7 @@
     port,
     options.seedHosts ?? [],
     options.retryBounds,
+    options.coldBounds,
   );
   if (options.config !== 'none')
     harness.store.publishConfig(options.config ?? buildConfig(1));
--- a/packages/direct/src/test/limited-fleet.ts
+++ b/packages/direct/src/test/limited-fleet.ts
@@ -100,10 +100,13 @@
   }
 }
 
-/** Returns the largest number of arrivals within any four seconds. */
-export function countMostArrivals(arrivals: readonly number[]): number {
+/** Returns the largest number of arrivals within any `windowMs`. */
+export function countMostArrivals(
+  arrivals: readonly number[],
+  windowMs = WINDOW_MS,
+): number {
   const counts = arrivals.map(
-    from => arrivals.filter(at => at >= from && at < from + WINDOW_MS).length,
+    from => arrivals.filter(at => at >= from && at < from + windowMs).length,
   );
   return Math.max(0, ...counts);
 }
