Permits for cold targets hold the bound over all gates

Cause: nothing limited the requests to a target that has just started; one gate sent 92 calls and 88 streams in a second where 20 are allowed. Change: a gate knows which targets are cold from their entries, from answers and from new incarnations during traffic. The home of a cold target grants permits over a sliding window, for as large a share of the bound as gates agree with it on the live gates (GrantShare), so that two homes never grant the same share. Cold engines take a number of streams that grows with the time.

--- a/packages/direct/src/fleet/fleet-state.ts
+++ b/packages/direct/src/fleet/fleet-state.ts
@@ -37,6 +37,8 @@
    * out which of them has newer facts.
    */
   position = NO_POSITION;
+  /** Whether the targets of a first read have been applied. */
+  hasTargets = false;
   /** Position up to which this gate itself has read the store. */
   private readPosition = NO_POSITION;
   protected override readonly index = new ConfigIndex();
@@ -221,6 +223,7 @@
     if (snapshot.position.era === before.era || isFirst) {
       this.position = pickNewest([before, newest]);
       this.table.replace(snapshot, source);
+      this.hasTargets = true;
       return;
     }
     this.position = newest;
--- a/packages/direct/src/fleet/target-table.ts
+++ b/packages/direct/src/fleet/target-table.ts
@@ -338,7 +338,10 @@
     this.left.delete(target.id);
     if (known === undefined || isRestarted)
       this.options.onChange('target_added', target, source);
-    else if (known.isDraining !== target.isDraining)
+    else if (
+      known.isDraining !== target.isDraining ||
+      isStatedCold(target, known)
+    )
       this.options.onChange('target_changed', target, source);
   }
 
@@ -386,6 +389,13 @@
   }
 }
 
+/** Returns whether a newer entry of a known target says that it is cold. */
+function isStatedCold(target: Target, known: Target): boolean {
+  return (
+    (target.coldLeftMs ?? 0) > 0 && isNewer(target.position, known.position)
+  );
+}
+
 /**
  * Returns whether an entry belongs to an earlier incarnation than the known
  * target.
--- a/packages/direct/src/forward/create-context.ts
+++ b/packages/direct/src/forward/create-context.ts
@@ -128,6 +128,7 @@
     tracker: parts.tracker,
     announcer: peers,
     measureHeardShare: () => peers.measureHeardShare(),
+    counters: parts.counters,
     readNow: parts.readNow,
   });
 }
--- a/packages/direct/src/forward/judge-answer.ts
+++ b/packages/direct/src/forward/judge-answer.ts
@@ -64,16 +64,18 @@
  * recordAnswerFacts(context, target, head, facts);
  */
 export function recordAnswerFacts(
-  {limits, rests, state, counters, unknownFields}: ForwardContext,
-  {id}: Target,
+  {limits, rests, access, state, counters, unknownFields}: ForwardContext,
+  target: Target,
   {status}: ResponseHead,
   facts: AnswerMetadata,
 ): void {
+  const {id} = target;
   limits.recordAnswer(id, facts.requestsPerSecond);
   unknownFields.record(id, facts.unknownFields);
   // It comes from another server that has taken over the address.
   if (status === MISDIRECTED_STATUS) return;
   rests.recordAnswer(id, status, facts.restMs);
+  access.recordCold(target, facts.coldLeftMs);
   if (facts.isLeaving === true) state.recordLeaving(id, 'answer');
   if (facts.isLeaving === 'malformed') counters.add('leaving.malformed');
 }
--- a/packages/direct/src/forward/request-send-check.ts
+++ b/packages/direct/src/forward/request-send-check.ts
@@ -17,7 +17,11 @@
 
 /** Reason for which a request is not sent although it has a connection. */
 export type WithholdReason =
-  'caller_left' | 'deadline_passed' | 'target_left' | 'target_rests';
+  | 'caller_left'
+  | 'deadline_passed'
+  | 'target_left'
+  | 'target_rests'
+  | 'no_permit';
 
 /**
  * Checks one attempt at a request of a caller.
@@ -67,6 +71,7 @@
     const {state, access} = this.context;
     if (!state.isUsable(this.target)) return 'target_left';
     if (access.isResting(this.target.id)) return 'target_rests';
+    if (!access.settlePermit(this.target.id)) return 'no_permit';
     return undefined;
   }
 
--- a/packages/direct/src/gate.ts
+++ b/packages/direct/src/gate.ts
@@ -21,7 +21,7 @@
 import {observeFacts} from './observe/fact-log.js';
 import {formatSlowTurn} from './observe/slow-turn.js';
 import {StatusServer} from './observe/status-server.js';
-import {TargetLimits} from './limits/target-limits.js';
+import {createTargetLimits} from './limits/create-target-limits.js';
 import {UdpTransport} from './peers/datagram-transport.js';
 import {RpcFactsExchange} from './peers/facts-exchange.js';
 import {PeerGroup} from './peers/peer-group.js';
@@ -32,6 +32,7 @@
   DirectGateSettings,
 } from './gate-settings.js';
 import type {Ingress} from './ingress/ingress.js';
+import type {TargetLimits} from './limits/target-limits.js';
 import type {MetricValues} from './observe/metrics-text.js';
 
 /** Interval at which held targets and suspect requests expire, in ms. */
@@ -94,6 +95,8 @@
       listAssigned: engines => this.engineHomes.listAssigned(engines),
       onSlowdown: ({target, slowdown}) =>
         tracker.setSlowdown(target, slowdown, readNow()),
+      isCold: id => this.limits.access.isCold(id),
+      findService: id => state.findIncarnation(id)?.service,
       turns,
       log,
       readNow,
@@ -107,13 +110,11 @@
       listEnded: () => this.context.crashes.listEnded(),
       onPeerCrash: target => void this.context.crashes.confirmEnd(target),
     });
-    this.limits = new TargetLimits({
-      host: settings.peers.host,
-      listGates: () => this.peers.listGates(),
-      messenger: {
-        askPermit: (host, question) => this.peers.askPermit(host, question),
-      },
-      announce: report => this.peers.announceLimit(report),
+    this.limits = createTargetLimits({
+      settings,
+      state,
+      findPeers: () => this.peers,
+      onColdEngine: target => this.slowdowns.askIfAssigned(target),
       counters: this.counters,
       log,
       readNow,
--- a/packages/direct/src/health/engine-slowdowns.ts
+++ b/packages/direct/src/health/engine-slowdowns.ts
@@ -5,10 +5,12 @@
  * Polling has a cost, so only one gate polls each engine and announces the
  * slowdown to its peers.
  */
+import {ColdSlowdowns} from './cold-slowdowns.js';
 import type {TurnMonitor} from '@nutmeggauge/core';
 import type {EngineReports} from '../ports.js';
 import type {DecisionLog} from '../observe/decision-log.js';
 import type {Target} from '../types.js';
+import type {ColdSlowdownsOptions} from './cold-slowdowns.js';
 
 /** Interval at which an engine is polled, in ms. */
 const POLL_INTERVAL_MS = 1000;
@@ -36,6 +38,14 @@
   readonly listAssigned: (engines: readonly Target[]) => readonly Target[];
   /** Called when the slowdown of an engine changes. */
   readonly onSlowdown: (slowdown: EngineSlowdown) => void;
+  /**
+   * Returns whether an engine is cold.
+   *
+   * @default none is
+   */
+  readonly isCold?: ColdSlowdownsOptions['isCold'];
+  /** Finds the service of an engine; needed to know cold ones. */
+  readonly findService?: ColdSlowdownsOptions['findService'];
   readonly turns: TurnMonitor;
   readonly log: DecisionLog;
   readonly readNow: () => number;
@@ -55,9 +65,14 @@
  */
 export class EngineSlowdowns {
   private readonly reportByTarget = new Map<string, ReportedSlowdown>();
+  private readonly cold: ColdSlowdowns | undefined;
   private timer: NodeJS.Timeout | undefined;
 
-  constructor(private readonly options: EngineSlowdownsOptions) {}
+  constructor(private readonly options: EngineSlowdownsOptions) {
+    const {isCold, findService} = options;
+    if (isCold !== undefined && findService !== undefined)
+      this.cold = new ColdSlowdowns({isCold, findService});
+  }
 
   /** Starts to poll the assigned engines periodically. */
   start(): void {
@@ -73,9 +88,14 @@
     clearInterval(this.timer);
   }
 
-  /** Reads the slowdown of an engine; 1 without an unexpired report. */
+  /**
+   * Reads the slowdown of an engine. Without an unexpired report, it is 1, or that
+   * of other cold engines of its service if it is cold.
+   */
   read(target: string): number {
-    return this.reportByTarget.get(target)?.slowdown ?? 1;
+    return (
+      this.reportByTarget.get(target)?.slowdown ?? this.cold?.read(target) ?? 1
+    );
   }
 
   /** Lists the slow engines that this gate polls, to be sent to its peers. */
@@ -90,7 +110,8 @@
   /** Applies a slowdown that this gate polled or a peer announced. */
   apply({target, slowdown}: EngineSlowdown): void {
     const {log, onSlowdown, readNow} = this.options;
-    const before = this.read(target);
+    const before = this.reportByTarget.get(target)?.slowdown ?? 1;
+    this.cold?.record(target, slowdown);
     const effectiveSlowdown = slowdown < MIN_SLOWDOWN ? 1 : slowdown;
     if (effectiveSlowdown === 1) this.reportByTarget.delete(target);
     else
@@ -111,6 +132,12 @@
       void this.askEngine(target);
   }
 
+  /** Polls an engine at once if this gate, and no peer, polls it. */
+  askIfAssigned(target: Target): void {
+    for (const engine of this.options.listAssigned([target]))
+      void this.askEngine(engine);
+  }
+
   private async askEngine(target: Target): Promise<void> {
     const report = await this.options.reports.read(target);
     if (report === undefined) return;
--- a/packages/direct/src/observe/gate-metrics.ts
+++ b/packages/direct/src/observe/gate-metrics.ts
@@ -45,6 +45,7 @@
       facts_age_ms: Math.round(peers.readFactsAgeMs()),
       gates_known: peers.countGates(),
       limited_targets: limits.requests.size,
+      cold_targets: limits.cold.size,
       resting_targets: limits.rests.size,
       leaving_targets: state.listLeaving().length,
       suspect_contents: suspects.size,
--- a/packages/direct/src/peers/messages.ts
+++ b/packages/direct/src/peers/messages.ts
@@ -101,7 +101,9 @@
   from: z.string(),
   number: z.number(),
   target: z.string(),
-  perSecond: z.number().nonnegative(),
+  /** Null if the target is only cold, which earlier versions refuse. */
+  perSecond: z.number().nonnegative().nullable(),
+  coldBound: z.number().nonnegative().optional(),
 });
 
 export const PermitAnswerSchema = z.object({
--- a/packages/direct/src/peers/peer-group.ts
+++ b/packages/direct/src/peers/peer-group.ts
@@ -142,6 +142,11 @@
     return [this.options.host, ...this.table.listAlive().map(({host}) => host)];
   }
 
+  /** Measures the share of all gates for which this gate may grant permits. */
+  measureGrantShare(): number {
+    return this.table.measureGrantShare();
+  }
+
   /** Measures the share of the other gates whose placements are known. */
   measureHeardShare(): number {
     return this.table.measureHeardShare();
--- a/packages/direct/src/peers/peer-table.ts
+++ b/packages/direct/src/peers/peer-table.ts
@@ -1,5 +1,6 @@
 /** Tracks the peers of a gate by host, and drops those that stay silent. */
 import {NO_POSITION, isNewer, pickNewest} from '../fleet/fact-position.js';
+import {GrantShare} from './grant-share.js';
 import type {FactPosition} from '../fleet/fact-position.js';
 import type {Heartbeat} from './messages.js';
 import type {RelayPeer} from './zone-relay.js';
@@ -67,6 +68,7 @@
  */
 export class PeerTable {
   private readonly peers = new Map<string, Peer>();
+  private readonly grantShare = new GrantShare(PEER_TIMEOUT_MS);
 
   constructor(
     private readonly ownHost: string,
@@ -111,7 +113,19 @@
   hashMembers(): number {
     let sum = hashHost(this.ownHost);
     for (const {host} of this.listAlive()) sum += hashHost(host);
-    return sum % HASH_RANGE;
+    const hash = sum % HASH_RANGE;
+    this.grantShare.recordOwn(hash, this.readNow());
+    return hash;
+  }
+
+  /** Measures the share of all gates for which this gate may grant permits. */
+  measureGrantShare(): number {
+    return this.grantShare.measure({
+      alive: this.listAlive().map(({host}) => host),
+      known: 1 + this.peers.size,
+      ownMembers: this.hashMembers(),
+      now: this.readNow(),
+    });
   }
 
   /**
@@ -203,6 +217,8 @@
     peer.lagMs = heartbeat.lagMs;
     peer.members = heartbeat.members;
     peer.hasLeft = heartbeat.leaves;
+    const {known} = heartbeat;
+    this.grantShare.recordPeer(peer.host, peer.members, known, this.readNow());
     for (const host of heartbeat.peers) this.findOrAddPeer(host);
     return isFirst;
   }
--- a/packages/direct/src/placement/place-call.ts
+++ b/packages/direct/src/placement/place-call.ts
@@ -23,6 +23,12 @@
  */
 const LIMITED_PENALTY = 2;
 
+/**
+ * Score penalty of a cold target, in outstanding calls: below one, so that it is
+ * used as soon as the warm targets are busier, and above the random part.
+ */
+const COLD_PENALTY = 0.75;
+
 /** Dependencies of a call placer. */
 export interface CallPlacerOptions {
   readonly eligible: EligibleTargets;
@@ -91,12 +97,14 @@
       share > DEGRADED_FAILURE_SHARE ? share * FAILURE_PENALTY : 0;
     const zone = target.zone === this.options.zone ? 0 : REMOTE_ZONE_PENALTY;
     const limit = access.isSpared(target.id) ? LIMITED_PENALTY : 0;
+    const cold = access.isCold(target.id) ? COLD_PENALTY : 0;
     // The random part breaks ties; it weighs less than one outstanding call.
     return (
       (this.inFlight.get(target.id) ?? 0) +
       failures +
       zone +
       limit +
+      cold +
       Math.random() / 2
     );
   }
--- a/packages/direct/src/placement/prompt-placer.ts
+++ b/packages/direct/src/placement/prompt-placer.ts
@@ -5,12 +5,14 @@
 import {isWithinIdleKvCapacity} from './kv-cache.js';
 import {chooseSendTime} from './choose-send-time.js';
 import {PlacedPrompt} from './placed-prompt.js';
+import {isColdSlotFree} from './slow-start.js';
 import {TargetRanking} from './target-ranking.js';
 import {
   MAX_PREFILL_ENGINES,
   buildPlacement,
   estimateValue,
 } from './place-prompt.js';
+import type {Counters} from '@nutmeggauge/core';
 import type {EngineSlowdowns} from '../health/engine-slowdowns.js';
 import type {TargetAccess} from '../limits/target-access.js';
 import type {EngineCostModel, Target} from '../types.js';
@@ -70,6 +72,7 @@
   readonly announcer: PlacementAnnouncer;
   /** Measures the share of the other gates whose placements are known. */
   readonly measureHeardShare: () => number;
+  readonly counters?: Counters;
   readonly readNow: () => number;
 }
 
@@ -110,7 +113,10 @@
     const {suspects = []} = request;
     if (tracker.trials.isRunning(suspects, now))
       return {waitMs: TRIAL_POLL_MS, predictedTtftMs: 0};
-    const targets = this.ranking.rank(this.listTargets(request.service, tried));
+    const listed = this.listTargets(request.service, tried);
+    const targets = this.ranking.rank(this.listTakers(listed, engine));
+    const keptCount = listed.length - targets.length;
+    if (keptCount > 0) this.options.counters?.add('cold.streams_kept');
     if (targets.length === 0 && this.readWaitMs(request.service, tried) > 0)
       return 'full';
     const demand: PromptDemand = {
@@ -192,7 +198,8 @@
     tried: ReadonlySet<string>,
   ): boolean {
     const {tracker} = this.options;
-    return this.listTargets(service, tried).some(
+    const listed = this.listTargets(service, tried);
+    return this.listTakers(listed, engine).some(
       ({id}) => tracker.countActive(id) < engine.slots,
     );
   }
@@ -210,6 +217,27 @@
     return safe.length > 0 ? safe : reachable;
   }
 
+  /**
+   * Lists the engines without the cold ones that hold as many streams as they may
+   * at present. If there are only such ones, it lists them: their permits bound
+   * what they get.
+   */
+  private listTakers(
+    targets: readonly Target[],
+    {slots}: EngineCostModel,
+  ): readonly Target[] {
+    const {access, tracker, measureHeardShare} = this.options;
+    if (!targets.some(({id}) => access.isCold(id))) return targets;
+    const heardShare = measureHeardShare();
+    const takers = targets.filter(({id}) => {
+      if (!access.isCold(id)) return true;
+      const active = tracker.countActive(id);
+      const progress = access.readColdProgress(id);
+      return isColdSlotFree({slots, progress, active, heardShare});
+    });
+    return takers.length > 0 ? takers : targets;
+  }
+
   /** Lists the engines with the fewest streams, which a crash would end. */
   private listEmptiest(
     targets: readonly Target[],
--- a/packages/direct/src/test/test-dialect.ts
+++ b/packages/direct/src/test/test-dialect.ts
@@ -89,6 +89,7 @@
       requestsPerSecond: readNumber(headers['x-test-limit']),
       restMs: readSeconds(headers['x-test-rest']),
       isLeaving: readFlag(headers['x-test-leaving']),
+      coldLeftMs: readNumber(headers['x-test-cold']),
       unknownFields: readUnknownFields(headers),
       faultyAddress: headers['x-test-fault'] as string | undefined,
     };
--- a/packages/direct/src/types.ts
+++ b/packages/direct/src/types.ts
@@ -222,6 +222,11 @@
    * ms; absent if it asks for none.
    */
   readonly restMs: number | 'malformed' | undefined;
+  /**
+   * Time for which the target stays cold, in ms; 0 if it is warm, absent if it
+   * doesn't say.
+   */
+  readonly coldLeftMs?: number | 'malformed';
   /** Whether the target says that it leaves and wants no further requests. */
   readonly isLeaving: boolean | 'malformed';
   /** Fields that the adapter doesn't know, by their lower-case names. */
