--- /dev/null
+++ b/packages/direct/src/health/cold-slowdowns.test.ts
@@ -0,0 +1,24 @@
+import {describe, it} from 'node:test';
+import {expect} from 'earl';
+import {ColdSlowdowns} from './cold-slowdowns.js';
+
+describe('slowdown of a cold engine without a report', () => {
+  it('is the last one that a cold engine of its service has reported', () => {
+    // Guards against cold engines that are predicted as fast as warm ones.
+    const cold = new Set(['i-1', 'i-2', 'j-1']);
+    const slowdowns = new ColdSlowdowns({
+      isCold: id => cold.has(id),
+      findService: id => (id.startsWith('i') ? 'chat' : 'other'),
+    });
+    slowdowns.record('i-3', 9);
+    expect(slowdowns.read('i-2')).toEqual(1);
+    slowdowns.record('i-1', 2.5);
+    expect(slowdowns.read('i-2')).toEqual(2.5);
+    expect(slowdowns.read('j-1')).toEqual(1);
+    expect(slowdowns.read('i-3')).toEqual(1);
+    // An engine that has reported its configured speed is not taken for slower.
+    slowdowns.record('i-2', 1);
+    slowdowns.record('i-1', 2.5);
+    expect(slowdowns.read('i-2')).toEqual(1);
+  });
+});
