--- a/packages/direct/src/gate.ts
+++ b/packages/direct/src/gate.ts
@@ -95,7 +95,7 @@
       listAssigned: engines => this.engineHomes.listAssigned(engines),
       onSlowdown: ({target, slowdown}) =>
         tracker.setSlowdown(target, slowdown, readNow()),
-      isCold: id => this.limits.access.isCold(id),
+      findAccess: () => this.limits.access,
       findService: id => state.findIncarnation(id)?.service,
       turns,
       log,
--- a/packages/direct/src/health/engine-slowdowns.ts
+++ b/packages/direct/src/health/engine-slowdowns.ts
@@ -10,6 +10,7 @@
 import type {EngineReports} from '../ports.js';
 import type {DecisionLog} from '../observe/decision-log.js';
 import type {Target} from '../types.js';
+import type {TargetAccess} from '../limits/target-access.js';
 import type {ColdSlowdownsOptions} from './cold-slowdowns.js';
 
 /** Interval at which an engine is polled, in ms. */
@@ -39,11 +40,11 @@
   /** Called when the slowdown of an engine changes. */
   readonly onSlowdown: (slowdown: EngineSlowdown) => void;
   /**
-   * Returns whether an engine is cold.
+   * Finds what is known of cold engines.
    *
-   * @default none is
+   * @default no engine is cold
    */
-  readonly isCold?: ColdSlowdownsOptions['isCold'];
+  readonly findAccess?: () => TargetAccess;
   /** Finds the service of an engine; needed to know cold ones. */
   readonly findService?: ColdSlowdownsOptions['findService'];
   readonly turns: TurnMonitor;
@@ -69,9 +70,10 @@
   private timer: NodeJS.Timeout | undefined;
 
   constructor(private readonly options: EngineSlowdownsOptions) {
-    const {isCold, findService} = options;
-    if (isCold !== undefined && findService !== undefined)
-      this.cold = new ColdSlowdowns({isCold, findService});
+    const {findAccess, findService} = options;
+    if (findAccess === undefined || findService === undefined) return;
+    const isCold = (id: string) => findAccess().isCold(id);
+    this.cold = new ColdSlowdowns({isCold, findService});
   }
 
   /** Starts to poll the assigned engines periodically. */
@@ -141,6 +143,7 @@
   private async askEngine(target: Target): Promise<void> {
     const report = await this.options.reports.read(target);
     if (report === undefined) return;
+    this.options.findAccess?.().recordCold(target, report.coldLeftMs);
     this.apply({target: target.id, slowdown: report.slowdown});
   }
 
--- a/packages/direct/src/placement/prompt-placer.ts
+++ b/packages/direct/src/placement/prompt-placer.ts
@@ -219,8 +219,8 @@
 
   /**
    * Lists the engines without the cold ones that hold as many streams as they may
-   * at present. If there are only such ones, it lists them: their permits bound
-   * what they get.
+   * at present. If no other one has a free slot, it lists them too: their permits
+   * bound what they get.
    */
   private listTakers(
     targets: readonly Target[],
@@ -235,7 +235,8 @@
       const progress = access.readColdProgress(id);
       return isColdSlotFree({slots, progress, active, heardShare});
     });
-    return takers.length > 0 ? takers : targets;
+    const isAnyFree = takers.some(({id}) => tracker.countActive(id) < slots);
+    return isAnyFree ? takers : targets;
   }
 
   /** Lists the engines with the fewest streams, which a crash would end. */
--- a/packages/direct/src/ports.ts
+++ b/packages/direct/src/ports.ts
@@ -96,6 +96,11 @@
    * configured, 3 is three times as slow.
    */
   readonly slowdown: number;
+  /**
+   * Time for which the engine stays cold, in ms; 0 if it is warm, absent if it
+   * doesn't say.
+   */
+  readonly coldLeftMs?: number | 'malformed';
 }
 
 /** Polls engines for their reports. */
