--- a/packages/direct/src/limits/cold-target.test.ts
+++ b/packages/direct/src/limits/cold-target.test.ts
@@ -4,7 +4,7 @@
 import {answerCompletely, formatEvents} from '../test/fake-target.js';
 import {buildSignedHead} from '../test/fake-target.js';
 import {ENGINE, buildConfig, openGateHarness} from '../test/gate-harness.js';
-import {countMostArrivals} from '../test/limited-fleet.js';
+import {countMostArrivals, openLimitedFleet} from '../test/limited-fleet.js';
 import type {GateHarness} from '../test/gate-harness.js';
 import type {FakeTarget, TargetScript} from '../test/fake-target.js';
 
@@ -22,6 +22,9 @@
 /** Time between two requests of a burst, in ms. */
 const CALL_INTERVAL_MS = 10;
 
+/** Time until gates that have just started agree on their homes, in ms. */
+const SETTLE_MS = 8000;
+
 const CONFIG = buildConfig(1, {
   services: [
     {name: 'orders', engine: undefined, coldStart: COLD_START},
@@ -105,3 +108,27 @@
       expect(arrivals.length).toBeGreaterThan(BOUND);
     }));
 });
+
+describe('cold target of three gates', () => {
+  it('gets no more calls and streams in any second than the bound, and some of all', async () => {
+    // Guards against permits that never pass between gates, and against gates that
+    // each grant the bound. Load: 200 requests in a second, one gate after the other.
+    const fleet = await openLimitedFleet(3, {
+      config: CONFIG,
+      coldBounds: COLD_BOUNDS,
+    });
+    try {
+      await sleep(SETTLE_MS);
+      const call = await fleet.addTarget('t1', 'orders');
+      const engine = await fleet.addTarget('t2', 'chat');
+      await fleet.callOften(BURST_COUNT, '/safe/x');
+      await fleet.callOften(BURST_COUNT, '/stream/x');
+      for (const {arrivals} of [call, engine]) {
+        expect(countMostArrivals(arrivals, 1000)).toBeLessThanOrEqual(BOUND);
+        expect(arrivals.length).toBeGreaterThan(BOUND / 2);
+      }
+    } finally {
+      fleet.close();
+    }
+  });
+});
--- a/packages/direct/src/test/limited-fleet.ts
+++ b/packages/direct/src/test/limited-fleet.ts
@@ -4,6 +4,8 @@
 import {buildSignedHead, formatEvents, openFakeTarget} from './fake-target.js';
 import {openGateHarness} from './gate-harness.js';
 import type {ServerResponse} from 'node:http';
+import type {ColdBounds} from '../gate-settings.js';
+import type {FleetConfig} from '../types.js';
 import type {FakeTarget} from './fake-target.js';
 import type {GateHarness, ReceivedResponse} from './gate-harness.js';
 
@@ -16,6 +18,12 @@
 /** Port of the first fleet's gates; each fleet uses the next ones. */
 let lastPort = 26_000;
 
+/** What the gates of a fleet are started with. */
+export interface FleetGateOptions {
+  readonly config?: FleetConfig;
+  readonly coldBounds?: ColdBounds;
+}
+
 /** Target that names a limit in its answers, or none. */
 export interface LimitedTarget {
   readonly target: FakeTarget;
@@ -39,7 +47,7 @@
   private lastRequestNumber = 0;
 
   /** Starts the gates and waits until they know each other. */
-  async start(count: number): Promise<void> {
+  async start(count: number, options: FleetGateOptions = {}): Promise<void> {
     const port = (lastPort += 10);
     for (let i = 0; i < count; i++)
       this.gates.push(
@@ -47,6 +55,7 @@
           host: buildLoopbackHost(i),
           port,
           seedHosts: [buildLoopbackHost(0)],
+          ...options,
         }),
       );
     for (const gate of this.gates)
@@ -118,8 +127,11 @@
 }
 
 /** Starts gates that know each other. */
-export async function openLimitedFleet(gates: number): Promise<LimitedFleet> {
+export async function openLimitedFleet(
+  gates: number,
+  options: FleetGateOptions = {},
+): Promise<LimitedFleet> {
   const fleet = new LimitedFleet();
-  await fleet.start(gates);
+  await fleet.start(gates, options);
   return fleet;
 }
