--- a/packages/direct/src/forward/request-send-check.ts
+++ b/packages/direct/src/forward/request-send-check.ts
@@ -21,7 +21,8 @@
   | 'deadline_passed'
   | 'zone_evacuated'
   | 'target_left'
-  | 'target_rests';
+  | 'target_rests'
+  | 'no_permit';
 
 /**
  * Checks one attempt at a request of a caller, with the engines that would help.
@@ -52,7 +53,18 @@
   }
 
   override isWanted(): boolean {
-    const reason = this.findReason();
+    return this.judge(this.findReason() ?? this.findMissingPermit());
+  }
+
+  /**
+   * Returns whether the request may still be sent, for instance before memory is
+   * reserved for it. Unlike {@link isWanted}, it uses up no permit.
+   */
+  isCurrent(): boolean {
+    return this.judge(this.findReason());
+  }
+
+  private judge(reason: WithholdReason | undefined): boolean {
     if (reason === undefined) return true;
     const {counters, log} = this.context;
     counters.add(`send.withheld_${reason}`);
@@ -82,6 +94,12 @@
     return undefined;
   }
 
+  /** Uses up the permit of a target that needs one. */
+  private findMissingPermit(): WithholdReason | undefined {
+    const {access} = this.context;
+    return access.settlePermit(this.target.id) ? undefined : 'no_permit';
+  }
+
   private readAgeMs(): number {
     return this.context.readNow() - this.createdAt;
   }
--- a/packages/direct/src/forward/send-prompt.ts
+++ b/packages/direct/src/forward/send-prompt.ts
@@ -36,7 +36,7 @@
   if (reservations.length === 0) return undefined;
   const {target, helpers} = placed;
   const sendCheck = new RequestSendCheck(context, request, target, helpers);
-  if (!sendCheck.isWanted()) throw new ExchangeError('withheld', false);
+  if (!sendCheck.isCurrent()) throw new ExchangeError('withheld', false);
   const kvRequests = reservations.flatMap(({target, tokens}) => {
     const helper = placed.helpers.find(({id}) => id === target);
     return helper === undefined ? [] : [{target: helper, tokens}];
--- a/packages/direct/src/test/gate-harness.ts
+++ b/packages/direct/src/test/gate-harness.ts
@@ -12,6 +12,7 @@
 import {buildConfig} from './test-config.js';
 import {TestDialect} from './test-dialect.js';
 import type {DirectGate} from '../gate.js';
+import type {ColdBounds} from '../gate-settings.js';
 import type {RetryBounds} from '../retry/shared-retry-budget.js';
 import type {FleetConfig} from '../types.js';
 import type {FakeTarget, TargetScript} from './fake-target.js';
@@ -68,6 +69,7 @@
     seedHosts: readonly string[],
     retryBounds: RetryBounds = RETRY_BOUNDS,
     regionByZone?: ReadonlyMap<string, string>,
+    coldBounds?: ColdBounds,
   ) {
     const output = new Writable({
       write: (chunk, _, done) => {
@@ -89,6 +91,7 @@
         isFirstStart: true,
         stopGraceMs: 2000,
         crashRefusalMs: 600_000,
+        coldBounds,
       },
       {
         dialect: new TestDialect(),
@@ -230,6 +233,7 @@
     readonly config?: FleetConfig | 'none';
     readonly retryBounds?: RetryBounds;
     readonly regionByZone?: ReadonlyMap<string, string>;
+    readonly coldBounds?: ColdBounds;
   } = {},
 ): Promise<GateHarness> {
   const port = options.port ?? (lastPort += 10);
@@ -239,6 +243,7 @@
     options.seedHosts ?? [],
     options.retryBounds,
     options.regionByZone,
+    options.coldBounds,
   );
   if (options.config !== 'none')
     harness.store.publishConfig(options.config ?? buildConfig(1));
