Choices for prompts that can be in time go before those for late ones

Cause: choices were made in the order in which prompts are due. When hundreds of callers return at once to a gate of a quarter of a core, the first prompt that is late goes first, and all that follow become late as well. Change: ChoiceQueue takes the earliest due among the first choices that can end in time; one in four is for the earliest late prompt, so that none starves. Repeated choices still come last. Without late prompts the order is as before.

--- a/packages/direct/src/placement/choice-scheduler.ts
+++ b/packages/direct/src/placement/choice-scheduler.ts
@@ -3,6 +3,7 @@
  * in between. A choice takes milliseconds of processor time; however many
  * prompts need one at once, callers, peers and the store are read first.
  */
+import {ChoiceQueue} from './choice-queue.js';
 import type {PendingReads} from '@nutmeggauge/core';
 
 /** Time of choices after which the event loop reads again, in ms. */
@@ -18,19 +19,16 @@
    * the first choices of other prompts go before it.
    */
   readonly isRepeated: boolean;
-  /** Time at which the prompt is due; among equals, the earliest goes first. */
+  /**
+   * Time at which the prompt is due; the earliest goes first among those that can
+   * be in time.
+   */
   readonly dueAt: number;
   /** Aborted when the choice is not needed any more; absent if it always is. */
   readonly signal?: AbortSignal;
   readonly choose: () => T;
 }
 
-interface WaitingChoice {
-  readonly isRepeated: boolean;
-  readonly dueAt: number;
-  readonly run: () => void;
-}
-
 /**
  * Schedules the choices of engines of one gate.
  *
@@ -39,7 +37,7 @@
  * const placed = await scheduler.schedule({isRepeated: false, dueAt, signal, choose});
  */
 export class ChoiceScheduler {
-  private readonly waiting: WaitingChoice[] = [];
+  private readonly waiting = new ChoiceQueue();
   private averageMs = 0;
   private isRunning = false;
 
@@ -50,10 +48,7 @@
 
   /** Estimates the time until one more first choice has been made, in ms. */
   estimateWaitMs(dueAt: number): number {
-    const ahead = this.waiting.filter(
-      other => !other.isRepeated && other.dueAt <= dueAt,
-    );
-    return (ahead.length + 1) * this.averageMs;
+    return (this.waiting.countDueBy(dueAt) + 1) * this.averageMs;
   }
 
   /**
@@ -74,29 +69,19 @@
         const ms = this.readNow() - startedAt;
         this.averageMs += (ms - this.averageMs) * CHOICE_TIME_WEIGHT;
       };
-      this.add({isRepeated, dueAt, run});
+      this.waiting.add({isRepeated, dueAt, run});
       if (!this.isRunning) void this.runWaiting();
     });
   }
 
-  private add(choice: WaitingChoice): void {
-    const at = this.waiting.findIndex(other => isBefore(choice, other));
-    this.waiting.splice(at === -1 ? this.waiting.length : at, 0, choice);
-  }
-
   private async runWaiting(): Promise<void> {
     this.isRunning = true;
     while (this.waiting.length > 0) {
       await this.reads.wait();
       const endsAt = this.readNow() + TURN_BUDGET_MS;
-      do this.waiting.shift()?.run();
+      do this.waiting.pickNext(this.readNow(), this.averageMs)?.run();
       while (this.waiting.length > 0 && this.readNow() < endsAt);
     }
     this.isRunning = false;
   }
 }
-
-function isBefore(choice: WaitingChoice, other: WaitingChoice): boolean {
-  if (choice.isRepeated !== other.isRepeated) return other.isRepeated;
-  return choice.dueAt < other.dueAt;
-}
