Accounts share the engines fairly while streams wait for a slot

Cause: streams waited by deadline alone, so a burst of one account took the slots of all others, and no gate knew what an account used at the other gates.

Change: each gate sums the engine time of the placed requests of each account (memory 4 s) and tells its peers the 32 largest sums in its heartbeats while streams wait for room. In a configuration with two accounts or more, waiting streams of accounts above their fair share go after the others of their urgency, give way to them, and take a released slot only every 20 ms, as the other gates may have streams that go first. An account of which far too few streams are placed counts as within its share, up to four equal shares.

A newcomer waits where streams that go before it and need no more KV cache wait already. Engine priorities and heartbeats are unchanged while nothing waits.

--- a/packages/direct/src/admission/admission-order.ts
+++ b/packages/direct/src/admission/admission-order.ts
@@ -3,19 +3,25 @@
  * of equal rank are ordered by their deadline.
  */
 import {ServedShares} from './served-shares.js';
-import type {QueueEntry, QueueOutcome} from './admission-queue.js';
+import type {QueueEntry, QueueOutcome} from './queue-entry.js';
 
 /** Rank of a stream whose urgency is owed a slot; it goes before all others. */
 const OWED_RANK = -1;
 
+/**
+ * Lead of the placed share of an urgency over that of a more urgent one above which
+ * it is held back. A lead of 0.05 is tolerated.
+ */
+const TOLERATED_LEAD = 0.03;
+
 /** What ranks two streams differently. */
 export type RankCause = 'urgency' | 'account';
 
 /** Rank of a waiting stream; the lowest goes first. */
 export interface AdmissionRank {
   readonly urgency: number;
-  /** Engine time of its account above the account's fair share, in ms. */
-  readonly excessMs: number;
+  /** Rank of its account; 0 if the account is within its fair share. */
+  readonly account: number;
 }
 
 /** A decision that the deadlines alone would not have led to. */
@@ -38,30 +44,30 @@
 }
 
 /** Rank of all streams where nothing but the deadline orders them. */
-const EQUAL_RANK: AdmissionRank = {urgency: 0, excessMs: 0};
+const EQUAL_RANK: AdmissionRank = {urgency: 0, account: 0};
 
 /**
  * Compares two ranks; negative if `a` goes first.
  *
  * @example
- * compareRanks({urgency: 0, excessMs: 90}, {urgency: 1, excessMs: 0}); // -1
+ * compareRanks({urgency: 0, account: 1}, {urgency: 1, account: 0}); // -1
  */
 export function compareRanks(a: AdmissionRank, b: AdmissionRank): number {
-  return a.urgency - b.urgency || a.excessMs - b.excessMs;
+  return a.urgency - b.urgency || a.account - b.account;
 }
 
 /**
  * Finds what ranks two streams differently; undefined for equal ranks.
  *
  * @example
- * findRankCause({urgency: 0, excessMs: 0}, {urgency: 1, excessMs: 0}); // 'urgency'
+ * findRankCause({urgency: 0, account: 0}, {urgency: 1, account: 0}); // 'urgency'
  */
 export function findRankCause(
   a: AdmissionRank,
   b: AdmissionRank,
 ): RankCause | undefined {
   if (a.urgency !== b.urgency) return 'urgency';
-  return a.excessMs === b.excessMs ? undefined : 'account';
+  return a.account === b.account ? undefined : 'account';
 }
 
 /** Ranks the streams of one admission queue. */
@@ -96,16 +102,22 @@
  */
 export class UrgencyOrder extends AdmissionOrder {
   private readonly shares = new ServedShares();
+  /** Urgencies of the streams that have been offered. */
+  private readonly known = new Set<number>();
 
   override rank({urgency = 0}: QueueEntry): AdmissionRank {
-    return {
-      urgency: this.shares.isOwed(urgency) ? OWED_RANK : urgency,
-      excessMs: 0,
-    };
+    const isOwed = this.known.size > 1 && this.shares.isOwed(String(urgency));
+    return {urgency: isOwed ? OWED_RANK : urgency, account: 0};
   }
 
   override findHoldCause({urgency = 0}: QueueEntry): RankCause | undefined {
-    return this.shares.isAhead(urgency) ? 'urgency' : undefined;
+    const share = this.shares.measureShare(String(urgency));
+    const isAhead = [...this.known].some(
+      other =>
+        other < urgency &&
+        this.shares.measureShare(String(other)) < share - TOLERATED_LEAD,
+    );
+    return isAhead ? 'urgency' : undefined;
   }
 
   override record(
@@ -113,6 +125,8 @@
     outcome: QueueOutcome,
     now: number,
   ): void {
-    if (outcome !== 'left') this.shares.record(urgency, outcome, now);
+    if (outcome === 'left') return;
+    this.known.add(urgency);
+    this.shares.record(String(urgency), outcome, now);
   }
 }
--- a/packages/direct/src/admission/admission-queue.ts
+++ b/packages/direct/src/admission/admission-queue.ts
@@ -5,6 +5,9 @@
  */
 import {DeadlineOrder, compareRanks, findRankCause} from './admission-order.js';
 import type {AdmissionOrder, OrderDecision} from './admission-order.js';
+import type {QueueEntry, QueueOutcome} from './queue-entry.js';
+
+export type {QueueEntry, QueueOutcome} from './queue-entry.js';
 
 /**
  * Share of its objective that a stream may wait in the queue; the rest is
@@ -21,38 +24,12 @@
  */
 const SLOT_TIME_WEIGHT = 0.05;
 
+/** Ratio of prompt sizes up to which both need about as much KV cache. */
+const COMPARABLE_SIZE = 2;
+
 /** Assumed slot holding time until the first streams have ended, in ms. */
 const INITIAL_SLOT_TIME_MS = 2000;
 
-/**
- * Outcome of waiting in the queue: the stream got a slot, was refused, or its
- * caller left.
- */
-export type QueueOutcome = 'placed' | 'refused' | 'left';
-
-/** A stream that needs a slot. */
-export interface QueueEntry {
-  /** Time of arrival on the monotonic clock, in ms. */
-  readonly arrivedAt: number;
-  readonly objectiveMs: number;
-  /** Tokens of the prompt, for which KV cache is needed besides a slot. */
-  readonly promptTokens: number;
-  /**
-   * Rank among the urgencies of the service; 0 is the most urgent.
-   *
-   * @default 0
-   */
-  readonly urgency?: number;
-  /**
-   * Id of the request, for the log.
-   *
-   * @default none
-   */
-  readonly requestId?: string;
-  /** Places the stream; returns false if no slot or KV cache is free. */
-  tryPlace(): boolean;
-}
-
 /** Dependencies of an admission queue. */
 export interface AdmissionQueueOptions {
   /** Counts the slots of all engines of the service. */
@@ -158,19 +135,42 @@
       };
       this.waiting = this.rankStreams([...this.waiting, waiting]);
       signal.addEventListener('abort', () => waiting.settle('left'));
-      this.timer ??= setInterval(() => this.advance(), POLL_MS);
+      this.timer ??= setInterval(() => this.advance(true), POLL_MS);
       this.refuseOvertaken(entry, now);
     });
   }
 
-  /** Refuses streams that have waited too long and places the next streams. */
-  advance(): void {
+  /** Returns whether a newcomer has to wait even if a slot is free. */
+  isOutranked(entry: QueueEntry): boolean {
+    // Much larger prompts may wait for KV cache that the newcomer does not need.
+    const comparable = this.waiting.filter(
+      other => other.entry.promptTokens <= entry.promptTokens * COMPARABLE_SIZE,
+    );
+    if (comparable.length === 0) return false;
+    const rank = this.order.rank(entry);
+    return (
+      rank.account > 0 ||
+      comparable.some(
+        other => compareRanks(this.order.rank(other.entry), rank) < 0,
+      )
+    );
+  }
+
+  /**
+   * Refuses streams that have waited too long and places the next streams. Those of
+   * accounts above their fair share are placed only at an interval, which leaves
+   * a released slot to the other gates for a moment.
+   */
+  advance(isAtInterval = false): void {
     const now = this.options.readNow();
     for (const waiting of [...this.waiting])
       if (waiting.refuseAt <= now) waiting.settle('refused');
     if (this.isPassing || this.waiting.length === 0) return;
     this.isPassing = true;
-    this.tryNext(this.rankStreams(this.waiting), Infinity);
+    const streams = this.rankStreams(this.waiting);
+    const isDue = ({entry}: QueuedStream) =>
+      isAtInterval || this.order.rank(entry).account === 0;
+    this.tryNext(streams.filter(isDue), Infinity);
   }
 
   /**
--- a/packages/direct/src/admission/observe-order.ts
+++ b/packages/direct/src/admission/observe-order.ts
@@ -20,11 +20,13 @@
       cause,
       urgency: stream.urgency,
       rank: rank.urgency,
-      excessMs: Math.round(rank.excessMs),
+      account: stream.account,
+      accountRank: rank.account,
       otherId: other?.requestId,
       otherUrgency: other?.urgency,
       otherRank: otherRank?.urgency,
-      otherExcessMs: Math.round(otherRank?.excessMs ?? 0),
+      otherAccount: other?.account,
+      otherAccountRank: otherRank?.account,
     });
   };
 }
--- a/packages/direct/src/admission/served-shares.ts
+++ b/packages/direct/src/admission/served-shares.ts
@@ -1,88 +1,61 @@
 /**
- * Shares of the streams of each urgency that were placed after a wait for a slot,
- * over the last seconds. The least urgent streams must not starve.
+ * Shares of the streams of each kind that were placed after a wait for a slot, over
+ * the last seconds. No kind must starve.
  */
+import {DecayingSums} from '../accounts/decaying-sums.js';
 
-/** Time after which an outcome counts 1/e, in ms. */
+/** Time in which the weight of an outcome decays to 1/e, in ms. */
 const MEMORY_MS = 10_000;
 
 /**
- * Part of the share that is served of all streams below which an urgency is owed
- * the next slot. A quarter is required; the margin covers the streams that are
- * placed without a wait, which are not counted here.
+ * Part of the share that is served of all streams below which a kind is owed the
+ * next slot. A quarter is required; the margin covers the streams that are placed
+ * without a wait, which are not counted here.
  */
 const OWED_PART = 0.4;
 
 /**
- * Lead of the share of an urgency over that of a more urgent one above which it
- * gives way. A lead of 0.05 is tolerated.
- */
-const TOLERATED_LEAD = 0.03;
-
-interface Outcomes {
-  placed: number;
-  refused: number;
-}
-
-/**
- * Counts the outcomes of waiting streams by urgency.
+ * Counts the outcomes of waiting streams by kind.
  *
  * @example
- * shares.record(2, 'refused', performance.now());
- * shares.isOwed(2);
+ * shares.record('acme', 'refused', performance.now());
+ * shares.isOwed('acme');
  */
 export class ServedShares {
-  private readonly byRank = new Map<number, Outcomes>();
-  private decayedAt = 0;
+  private readonly placed = new DecayingSums(MEMORY_MS);
+  private readonly offered = new DecayingSums(MEMORY_MS);
+  private allPlaced = 0;
+  private allOffered = 0;
+  /** Time of the latest outcome, at which all shares are read, in ms. */
+  private recordedAt = 0;
 
   /** Records the outcome of a stream. */
-  record(rank: number, outcome: 'placed' | 'refused', now: number): void {
-    this.expire(now);
-    const outcomes = this.byRank.get(rank) ?? {placed: 0, refused: 0};
-    outcomes[outcome]++;
-    this.byRank.set(rank, outcomes);
+  record(kind: string, outcome: 'placed' | 'refused', now: number): void {
+    const kept = this.offered.measureKept(now - this.recordedAt);
+    const placed = outcome === 'placed' ? 1 : 0;
+    this.allPlaced = this.allPlaced * kept + placed;
+    this.allOffered = this.allOffered * kept + 1;
+    this.placed.add(kind, placed, now);
+    this.offered.add(kind, 1, now);
+    this.recordedAt = now;
   }
 
-  /** Returns whether far fewer streams of an urgency are placed than of all. */
-  isOwed(rank: number): boolean {
-    const all = this.measureAll();
-    return this.measureShare(rank, all) < OWED_PART * all;
-  }
-
-  /** Returns whether fewer streams of a more urgent rank are placed. */
-  isAhead(rank: number): boolean {
-    const all = this.measureAll();
-    const most = this.measureShare(rank, all) - TOLERATED_LEAD;
-    return [...this.byRank.keys()].some(
-      other => other < rank && this.measureShare(other, all) < most,
-    );
-  }
-
-  private measureAll(): number {
-    let placed = 0;
-    let refused = 0;
-    for (const outcomes of this.byRank.values()) {
-      placed += outcomes.placed;
-      refused += outcomes.refused;
-    }
-    return (placed + 1) / (placed + refused + 1);
+  /** Returns whether far fewer streams of a kind are placed than of all. */
+  isOwed(kind: string): boolean {
+    return this.measureShare(kind) < OWED_PART * this.measureAll();
   }
 
   /**
-   * Measures the share of the streams of a rank that were placed; that of all
+   * Measures the share of the streams of a kind that were placed; that of all
    * streams counts as one stream more, so that few outcomes weigh little.
    */
-  private measureShare(rank: number, all: number): number {
-    const {placed = 0, refused = 0} = this.byRank.get(rank) ?? {};
-    return (placed + all) / (placed + refused + 1);
+  measureShare(kind: string): number {
+    const placed = this.placed.read(kind, this.recordedAt);
+    const offered = this.offered.read(kind, this.recordedAt);
+    return (placed + this.measureAll()) / (offered + 1);
   }
 
-  private expire(now: number): void {
-    const kept = Math.exp((this.decayedAt - now) / MEMORY_MS);
-    this.decayedAt = now;
-    for (const outcomes of this.byRank.values()) {
-      outcomes.placed *= kept;
-      outcomes.refused *= kept;
-    }
+  private measureAll(): number {
+    return (this.allPlaced + 1) / (this.allOffered + 1);
   }
 }
--- a/packages/direct/src/admission/urgent-load.test.ts
+++ b/packages/direct/src/admission/urgent-load.test.ts
@@ -118,6 +118,30 @@
     expect(decisions).toEqual(['w3,gave_way,u1,urgency']);
   });
 
+  it('places a small newcomer past a large urgent prompt that waits', () => {
+    // Guards against small prompts that wait for a large one which finds too
+    // little KV cache while slots are free.
+    const queue = createAdmissionQueue({
+      countSlots: () => 80,
+      countGates: () => 1,
+      readNow: () => 0,
+      order: new UrgencyOrder(),
+    });
+    const caller = new AbortController();
+    const build = (urgency: number, promptTokens: number) => ({
+      urgency,
+      promptTokens,
+      arrivedAt: 0,
+      objectiveMs: 1000,
+      tryPlace: () => false,
+    });
+    void queue.enter(build(0, 220_000), caller.signal);
+    expect(queue.isOutranked(build(1, 5000))).toEqual(false);
+    expect(queue.isOutranked(build(1, 200_000))).toEqual(true);
+    expect(queue.isOutranked(build(0, 200_000))).toEqual(false);
+    caller.abort();
+  });
+
   it('serves many less urgent streams at least a quarter as often as all', async () => {
     const other = {...URGENT, name: 'other', urgency: 3, perSecond: 300};
     const load = await runLoad([URGENT, other], true);
--- a/packages/direct/src/forward/context.ts
+++ b/packages/direct/src/forward/context.ts
@@ -7,6 +7,7 @@
   TurnMonitor,
 } from '@nutmeggauge/core';
 import type {AdmissionQueues} from '../admission/admission-queues.js';
+import type {AccountUsage} from '../accounts/account-usage.js';
 import type {Urgencies} from '../admission/urgency.js';
 import type {CrashWatch} from '../crashes/crash-watch.js';
 import type {FleetState} from '../fleet/fleet-state.js';
@@ -39,6 +40,7 @@
   readonly reads: PendingReads;
   readonly queues: AdmissionQueues;
   readonly urgencies: Urgencies;
+  readonly usage: AccountUsage;
   readonly exchanges: OpenExchanges;
   readonly crashes: CrashWatch;
   readonly suspects: SuspectRequests;
--- a/packages/direct/src/forward/create-context.ts
+++ b/packages/direct/src/forward/create-context.ts
@@ -2,7 +2,7 @@
 import {ConnectionCheck, createLatencyHistogram} from '@nutmeggauge/core';
 import {createAdmissionQueue} from '../admission/admission-queue.js';
 import {AdmissionQueues} from '../admission/admission-queues.js';
-import {UrgencyOrder} from '../admission/admission-order.js';
+import {SharedRoomOrder} from '../accounts/shared-room-order.js';
 import {observeOrder} from '../admission/observe-order.js';
 import {Urgencies} from '../admission/urgency.js';
 import {CrashWatch} from '../crashes/crash-watch.js';
@@ -19,6 +19,7 @@
   SuspectRequests,
   TurnMonitor,
 } from '@nutmeggauge/core';
+import type {AccountUsage} from '../accounts/account-usage.js';
 import type {FleetState} from '../fleet/fleet-state.js';
 import type {
   DirectGateDependencies,
@@ -41,6 +42,7 @@
   readonly slowdowns: EngineSlowdowns;
   readonly suspects: SuspectRequests;
   readonly limits: TargetLimits;
+  readonly usage: AccountUsage;
   readonly peers: PeerGroup;
   readonly reads: PendingReads;
   readonly turns: TurnMonitor;
@@ -80,6 +82,7 @@
     }),
     prompts: createPlacer(parts, eligible),
     queues: createQueues(parts, choices),
+    usage: parts.usage,
     urgencies: new Urgencies(() => state.config),
     choices,
     reads: parts.reads,
@@ -138,7 +141,7 @@
   parts: ForwardParts,
   choices: ChoiceScheduler,
 ): AdmissionQueues {
-  const {state, limits, peers, readNow} = parts;
+  const {state, limits, usage, peers, readNow} = parts;
   const onDecision = observeOrder(parts.dependencies.log, parts.counters);
   /** Counts the slots of all engines of a service that take requests. */
   const countSlots = (service: string) => {
@@ -153,7 +156,7 @@
       countSlots: () => countSlots(service),
       countGates: () => peers.countGates(),
       readNow,
-      order: new UrgencyOrder(),
+      order: new SharedRoomOrder(usage),
       onDecision,
       schedule: ({dueAt, run}) =>
         void choices.schedule({isRepeated: true, dueAt, choose: run}),
--- a/packages/direct/src/forward/slot-finder.ts
+++ b/packages/direct/src/forward/slot-finder.ts
@@ -110,7 +110,9 @@
     hasBegun: boolean,
   ): Promise<PlacedPrompt | NoSlotReason> {
     let cause: ChoiceCause = mayExceedSlots ? 'retry' : 'arrival';
-    let result = await this.waitForSendTime(cause, mayExceedSlots, signal);
+    let result: PlacedPrompt | NoSlotReason = 'full';
+    if (mayExceedSlots || hasBegun || !this.isOutranked())
+      result = await this.waitForSendTime(cause, mayExceedSlots, signal);
     while (result === 'full' && hasBegun && !signal.aborted) {
       await this.waitForChange(BEGUN_RETRY_MS, signal);
       cause = 'deferred';
@@ -228,21 +230,14 @@
     const {request, context} = this;
     const queue = context.queues.find(request.service);
     let result: PlacedPrompt | NoSlotReason = 'full';
-    const entry: QueueEntry = {
-      arrivedAt: request.arrivedAt,
-      objectiveMs: request.route.objectiveMs,
-      promptTokens: request.facts.promptTokens ?? 0,
-      urgency: context.urgencies.rank(request),
-      requestId: request.facts.requestId,
-      tryPlace: () => {
-        const {prompts} = context;
-        if (!prompts.isSlotFree(request.service, this.engine, this.tried))
-          return false;
-        const outcome = this.tryPlace('queued', false);
-        result = isDeferral(outcome) ? 'full' : outcome;
-        return result !== 'full';
-      },
-    };
+    const entry = this.buildEntry(() => {
+      const {prompts} = context;
+      if (!prompts.isSlotFree(request.service, this.engine, this.tried))
+        return false;
+      const outcome = this.tryPlace('queued', false);
+      result = isDeferral(outcome) ? 'full' : outcome;
+      return result !== 'full';
+    });
     const predictedMs = queue.estimateWaitMs(entry);
     const outcome = await queue.enter(entry, signal);
     context.counters.add(`queue.${outcome}`);
@@ -256,6 +251,25 @@
     return result;
   }
 
+  /** Returns whether streams wait in the queue that go before this one. */
+  private isOutranked(): boolean {
+    const queue = this.context.queues.find(this.request.service);
+    return queue.length > 0 && queue.isOutranked(this.buildEntry(() => false));
+  }
+
+  private buildEntry(tryPlace: () => boolean): QueueEntry {
+    const {request, context} = this;
+    return {
+      arrivedAt: request.arrivedAt,
+      objectiveMs: request.route.objectiveMs,
+      promptTokens: request.facts.promptTokens ?? 0,
+      urgency: context.urgencies.rank(request),
+      account: request.account,
+      requestId: request.facts.requestId,
+      tryPlace,
+    };
+  }
+
   private recordDeferral({waitMs, predictedTtftMs}: Deferral): void {
     const {context, request} = this;
     context.counters.add('stream.deferred');
--- a/packages/direct/src/forward/stream-record.ts
+++ b/packages/direct/src/forward/stream-record.ts
@@ -1,4 +1,5 @@
 /** Writes the log events and counters of streams. */
+import {estimateEngineTimeMs} from '../accounts/engine-time.js';
 import type {ExchangeFault} from '../errors.js';
 import type {PlacedPrompt} from '../placement/placed-prompt.js';
 import type {Target} from '../types.js';
@@ -50,6 +51,7 @@
   addPlacement({choice}: PlacedPrompt, attempt: number): void {
     const {context, request} = this;
     this.progress.recordChoice(choice);
+    this.recordUsage();
     context.counters.add('stream.placed');
     context.counters.add('stream.prefill_engines', choice.shards.length);
     context.log.info('stream_placed', {
@@ -68,6 +70,19 @@
     });
   }
 
+  /** Charges the account for the engine time that the attempt takes. */
+  private recordUsage(): void {
+    const {state, usage} = this.context;
+    const {service, account, facts} = this.request;
+    const engine = state.findService(service)?.engine;
+    if (engine === undefined) return;
+    const {promptTokens = 0, maxOutputTokens = 0} = facts;
+    usage.recordPlacement(
+      account,
+      estimateEngineTimeMs(promptTokens, maxOutputTokens, engine),
+    );
+  }
+
   /** Records that an engine has stalled and a backup is started. */
   addStall({target}: PlacedPrompt): void {
     const {context, request} = this;
--- a/packages/direct/src/gate.ts
+++ b/packages/direct/src/gate.ts
@@ -8,6 +8,7 @@
   TurnMonitor,
   createCounters,
 } from '@nutmeggauge/core';
+import {createAccountUsage} from './accounts/account-usage.js';
 import {runDrain} from './drain.js';
 import {createForwardContext} from './forward/create-context.js';
 import {createFleetState} from './fleet/fleet-state.js';
@@ -50,6 +51,7 @@
   private readonly state = createFleetState(this.readNow);
   private readonly tracker = createLoadTracker(id => this.state.findEngine(id));
   private readonly health = createTargetHealth();
+  private readonly usage = createAccountUsage(this.state, this.readNow);
   private readonly slowdowns: EngineSlowdowns;
   private readonly suspects: SuspectRequests;
   private readonly limits: TargetLimits;
@@ -144,6 +146,7 @@
       suspects: this.suspects,
       readLagMs: () => this.shedder.readLagMs(),
       limits: requests,
+      usage: this.usage,
       answerPermit: question => permits.answer(question),
       onPermitAnswer: answer => permits.receive(answer),
       onTargetEnd: target => void this.context.crashes.confirmEnd(target),
@@ -162,6 +165,7 @@
       slowdowns: this.slowdowns,
       suspects: this.suspects,
       limits: this.limits,
+      usage: this.usage,
       peers: this.peers,
       reads: new PendingReads(),
       turns,
@@ -253,16 +257,8 @@
   private readMetrics(): MetricValues {
     const {context, state, tracker, ingress, peers} = this;
     const {limits, suspects, turns} = this;
-    return readGateMetrics({
-      context,
-      state,
-      tracker,
-      ingress,
-      peers,
-      limits,
-      suspects,
-      turns,
-    });
+    const serving = {context, state, tracker, ingress, peers};
+    return readGateMetrics({...serving, limits, suspects, turns});
   }
 
   private observeChanges(): void {
--- a/packages/direct/src/observe/gate-metrics.ts
+++ b/packages/direct/src/observe/gate-metrics.ts
@@ -8,6 +8,9 @@
 import type {LoadTracker} from '../placement/load-tracker.js';
 import type {MetricValues} from './metrics-text.js';
 
+/** Number of accounts of which the usage is shown. */
+const LARGEST_ACCOUNTS = 3;
+
 /** Parts of a gate that metrics are read from. */
 export interface MetricSources {
   readonly context: ForwardContext;
@@ -29,6 +32,7 @@
 export function readGateMetrics(sources: MetricSources): MetricValues {
   const {context, state, tracker, ingress, peers, limits, suspects, turns} =
     sources;
+  const usage = context.usage.listLargest(LARGEST_ACCOUNTS);
   return {
     counters: {...context.counters.read(), ...turns.readTotals()},
     latencies: {
@@ -47,6 +51,9 @@
       limited_targets: limits.requests.size,
       resting_targets: limits.rests.size,
       leaving_targets: state.listLeaving().length,
+      ...Object.fromEntries(
+        usage.map(([, ms], i) => [`account_usage_${i + 1}_ms`, Math.round(ms)]),
+      ),
       suspect_contents: suspects.size,
       refused_contents: suspects.countRefused(),
     },
--- a/packages/direct/src/peers/heartbeat-builder.ts
+++ b/packages/direct/src/peers/heartbeat-builder.ts
@@ -1,6 +1,7 @@
 /** Builds the heartbeats of a gate from its state. */
 import {toWirePlacement} from './messages.js';
 import type {SuspectRequests} from '@nutmeggauge/core';
+import type {AccountUsage, UsageReport} from '../accounts/account-usage.js';
 import type {EngineSlowdowns} from '../health/engine-slowdowns.js';
 import type {FleetState} from '../fleet/fleet-state.js';
 import type {RequestLimits} from '../limits/request-limits.js';
@@ -21,6 +22,12 @@
   readonly slowdowns: EngineSlowdowns;
   readonly suspects: SuspectRequests;
   readonly limits: RequestLimits;
+  /**
+   * Usage of the accounts.
+   *
+   * @default none is told or heard
+   */
+  readonly usage?: AccountUsage;
   /** Returns the largest recent delay of the event loop, in ms. */
   readonly readLagMs: () => number;
   readonly readNow: () => number;
@@ -96,6 +103,7 @@
     crashes: toOptional(crashes),
     limits: toOptional(limits.listAll()),
     leaving: toOptional(state.listLeaving()),
+    usage: toSentUsage(sources.usage?.buildReport()),
     refusedHash: suspects.hashRefused(),
     lagMs: Math.round(sources.readLagMs()),
     wantsReply: wantsReply || undefined,
@@ -104,6 +112,14 @@
   };
 }
 
+function toSentUsage(report: UsageReport | undefined): SentHeartbeat['usage'] {
+  if (report === undefined) return undefined;
+  return {
+    isShort: report.isShort || undefined,
+    sums: report.sums.map(([name, ms]) => [name, ms]),
+  };
+}
+
 function listNumbers(
   placements: ReadonlyArray<{readonly placement: Placement}>,
 ): readonly number[] {
--- a/packages/direct/src/peers/membership.ts
+++ b/packages/direct/src/peers/membership.ts
@@ -127,6 +127,7 @@
     for (const slowdown of heartbeat.slowdowns) slowdowns.apply(slowdown);
     suspects.merge(heartbeat.crashes ?? []);
     limits.merge(heartbeat.limits ?? []);
+    this.options.usage?.applyReport(heartbeat.from, heartbeat.usage);
     for (const id of heartbeat.leaving) state.recordLeaving(id, 'peer');
     if (isNew) log.info('peer_joined', {peer: peer.host});
     const isIncomplete = placements.isIncomplete(heartbeat);
--- a/packages/direct/src/peers/messages.ts
+++ b/packages/direct/src/peers/messages.ts
@@ -5,6 +5,10 @@
  */
 import {CrashReportSchema, CrashReportsSchema} from '@nutmeggauge/core';
 import {z} from 'zod';
+import {
+  MAX_TOLD_ACCOUNTS,
+  MAX_TOLD_NAME_LENGTH,
+} from '../accounts/account-usage.js';
 import type {Placement} from '../placement/placement.js';
 
 /**
@@ -38,6 +42,23 @@
   ageMs: z.number().nonnegative(),
 });
 
+/** Engine time that the accounts use, as a gate tells its peers. */
+export const UsageReportSchema = z.object({
+  isShort: z.boolean().default(false),
+  /**
+   * Names and sums at the time of sending, in ms. A sum has no time of its own,
+   * because the clocks of gates differ.
+   */
+  sums: z
+    .array(
+      z.tuple([
+        z.string().max(MAX_TOLD_NAME_LENGTH),
+        z.number().finite().nonnegative(),
+      ]),
+    )
+    .max(MAX_TOLD_ACCOUNTS),
+});
+
 /** Heartbeat, by which a gate tells its peers its state and open placements. */
 export const HeartbeatSchema = z.object({
   from: z.string(),
@@ -82,6 +103,11 @@
   limits: z.array(LimitReportSchema).optional(),
   /** Targets that have said in an answer that they leave; absent if none. */
   leaving: z.array(z.string()).default([]),
+  /**
+   * Largest accounts by the engine time that they use at the sender; absent while no
+   * room is short.
+   */
+  usage: UsageReportSchema.optional(),
   /** Hash of the contents that the sender refuses; absent if there are none. */
   refusedHash: z.string().optional(),
   /** Largest recent delay of the sender's event loop, in ms. */
--- a/packages/direct/src/test/admission-load.ts
+++ b/packages/direct/src/test/admission-load.ts
@@ -17,8 +17,8 @@
   readonly account?: string;
   /** Time from which the streams arrive, in ms; 0 unless given. */
   readonly startsAt?: number;
-  /** Whether the caller sends a refused stream again at once. */
-  readonly isRepeated?: boolean;
+  /** Number of times that a caller sends a refused stream again; 0 unless given. */
+  readonly repeats?: number;
 }
 
 /** What became of the streams of one kind. */
@@ -36,11 +36,20 @@
   readonly placedAt: number[];
 }
 
+/** Time after a refusal at which a caller sends its stream again, in ms. */
+const REPEAT_MS = 10;
+
+/** Interval at which a queue places streams of all ranks, in ms. */
+const INTERVAL_MS = 20;
+
 /** Options of a load. */
 export interface AdmissionLoadOptions {
   readonly slots: number;
   /** Creates the order of each queue; the deadline alone unless given. */
-  readonly createOrder?: (readNow: () => number) => AdmissionOrder;
+  readonly createOrder?: (
+    readNow: () => number,
+    gate: number,
+  ) => AdmissionOrder;
   /** Number of gates, among which the streams are spread at random. */
   readonly gates?: number;
   /** Called when a stream is placed by a gate. */
@@ -63,6 +72,7 @@
   private readonly random = createRandom(11);
   private readonly queues: AdmissionQueue[];
   private readonly releases = new Map<number, number>();
+  private readonly repeated = new Map<number, Array<() => void>>();
   private readonly abort = new AbortController();
   private freeSlots: number;
 
@@ -74,12 +84,12 @@
     this.freeSlots = slots;
     setMaxListeners(0, this.abort.signal);
     const readNow = () => this.now;
-    this.queues = Array.from({length: gates}, () =>
+    this.queues = Array.from({length: gates}, (_, gate) =>
       createAdmissionQueue({
         countSlots: () => slots,
         countGates: () => gates,
         readNow,
-        order: createOrder?.(readNow),
+        order: createOrder?.(readNow, gate),
       }),
     );
     for (const {name} of kinds)
@@ -100,13 +110,15 @@
       this.freeSlots += this.releases.get(this.now) ?? 0;
       this.releases.delete(this.now);
       // No gate is always the first to see a slot that was released.
-      const first = Math.floor(this.random() * this.queues.length);
+      const first = this.pickGate();
       for (let i = 0; i < this.queues.length; i++)
-        this.queues[(first + i) % this.queues.length].advance();
+        this.advance((first + i) % this.queues.length);
+      for (const repeat of this.repeated.get(this.now) ?? []) repeat();
+      this.repeated.delete(this.now);
       for (const kind of this.kinds) {
         const isRunning = this.now >= (kind.startsAt ?? 0);
         if (isRunning && this.random() < kind.perSecond / 1000)
-          this.offer(kind, Math.floor(this.random() * this.queues.length));
+          this.offer(kind, this.pickGate(), kind.repeats ?? 0);
       }
       await Promise.resolve();
       this.options.onTick?.(this.now);
@@ -127,7 +139,7 @@
     return placed / (placed + refused);
   }
 
-  private offer(kind: LoadKind, gate: number): void {
+  private offer(kind: LoadKind, gate: number, repeats: number): void {
     const outcome = this.find(kind.name);
     const arrivedAt = this.now;
     const queue = this.queues[gate];
@@ -137,17 +149,29 @@
       arrivedAt,
       tryPlace: () => this.tryPlace(kind, gate, arrivedAt),
     };
-    if (queue.length === 0 && entry.tryPlace()) return;
+    if (!queue.isOutranked(entry) && entry.tryPlace()) return;
     void queue.enter(entry, this.abort.signal).then(end => {
       if (end !== 'refused') return;
       outcome.refused++;
       const ms = this.now - arrivedAt;
       outcome.slowestRefusalMs = Math.max(outcome.slowestRefusalMs, ms);
-      if (kind.isRepeated === true && this.now > arrivedAt)
-        this.offer(kind, gate);
+      if (repeats === 0) return;
+      const again = this.repeated.get(this.now + REPEAT_MS) ?? [];
+      again.push(() => this.offer(kind, this.pickGate(), repeats - 1));
+      this.repeated.set(this.now + REPEAT_MS, again);
     });
   }
 
+  private advance(gate: number): void {
+    // The intervals of the gates do not begin at the same time.
+    const isAtInterval = (this.now + 7 * gate) % INTERVAL_MS === 0;
+    this.queues[gate].advance(isAtInterval);
+  }
+
+  private pickGate(): number {
+    return Math.floor(this.random() * this.queues.length);
+  }
+
   private tryPlace(kind: LoadKind, gate: number, arrivedAt: number): boolean {
     if (this.freeSlots === 0) return false;
     this.freeSlots--;
