--- a/packages/direct/src/test/model-gate.ts
+++ b/packages/direct/src/test/model-gate.ts
@@ -12,6 +12,7 @@
 import {createIdleLimits} from './idle-limits.js';
 import {createQuietTurns} from './quiet-turns.js';
 import type {SuspectRequests} from '@nutmeggauge/core';
+import type {AccountUsage} from '../accounts/account-usage.js';
 import type {SharedFacts} from '../fleet/fleet-types.js';
 import type {DatagramTransport} from '../peers/datagram-transport.js';
 import type {LoadTracker} from '../placement/load-tracker.js';
@@ -27,6 +28,8 @@
   readonly config: FleetConfig;
   readonly targets: readonly Target[];
   readonly readNow: () => number;
+  /** Usage of the accounts; none is told unless given. */
+  readonly usage?: AccountUsage;
 }
 
 /** Facts exchange of gates that all know the same facts. */
@@ -84,6 +87,7 @@
     suspects,
     readLagMs: () => 0,
     limits: limits.requests,
+    usage: settings.usage,
     answerPermit: ({number}) => ({number, waitMs: 0}),
     onPermitAnswer: () => undefined,
     onTargetEnd: () => undefined,
