Long prompts in large fleets wait for engines without prefill, planned over all gates

Cause: engines prefill the newest prompt first, and in fleets of more than 32 engines no later send time was compared.

Change: each gate keeps a calendar of when engines are free of prefill, and tells its peers which long prompts wait. Every gate computes the same plan: the prompts that are due first take the engines that are free first, and those that are late in any case come last. Fleets of 32 engines or fewer and short prompts are placed as before.

--- a/packages/direct/src/forward/create-context.ts
+++ b/packages/direct/src/forward/create-context.ts
@@ -128,6 +128,7 @@
     tracker: parts.tracker,
     announcer: peers,
     measureHeardShare: () => peers.measureHeardShare(),
+    announceWait: report => peers.announceWait(report),
     readNow: parts.readNow,
   });
 }
--- a/packages/direct/src/forward/slot-finder.ts
+++ b/packages/direct/src/forward/slot-finder.ts
@@ -4,7 +4,10 @@
  */
 import {setTimeout as sleep} from 'node:timers/promises';
 import {PlacedPrompt} from '../placement/placed-prompt.js';
+import {NoRoom} from '../placement/prompt-placer.js';
+import {recordPlannedStream} from './record-planned.js';
 import type {Deferral, PlacementOutcome} from '../placement/prompt-placer.js';
+import type {PromptWait} from '../placement/prompt-wait.js';
 import type {EngineCostModel} from '../types.js';
 import type {ForwardContext} from './context.js';
 import type {GateRequest} from './request.js';
@@ -29,16 +32,21 @@
 
 /**
  * Reason for which no engine was found: no slot is free (`full`), no engine can
- * run the prompt (`none`), the search was aborted (`left`), or the choices of
- * earlier prompts take longer than the caller waits (`behind`).
+ * run the prompt (`none`), the search was aborted (`left`), the choices of
+ * earlier prompts take longer than the caller waits (`behind`), or the caller
+ * leaves before engines can begin the prompt ({@link NoRoom}).
  */
-export type NoSlotReason = 'full' | 'none' | 'left' | 'behind';
+export type NoSlotReason = 'full' | 'none' | 'left' | 'behind' | NoRoom;
 
 /** Reason for which engines are chosen for a prompt, as measured. */
 type ChoiceCause = 'arrival' | 'retry' | 'deferred' | 'queued';
 
 function isDeferral(outcome: PlacementOutcome | 'left'): outcome is Deferral {
-  return typeof outcome === 'object' && !(outcome instanceof PlacedPrompt);
+  return (
+    typeof outcome === 'object' &&
+    !(outcome instanceof PlacedPrompt) &&
+    !(outcome instanceof NoRoom)
+  );
 }
 
 /**
@@ -49,6 +57,7 @@
  */
 export class SlotFinder {
   private choiceCount = 0;
+  private wait: PromptWait | undefined;
 
   /** @param tried - Ids of the engines to avoid. */
   constructor(
@@ -81,7 +90,7 @@
   ): Promise<PlacedPrompt | NoSlotReason> {
     if (!mayExceedSlots && this.isTooFarBehind()) return 'behind';
     for (;;) {
-      const result = await this.findFreeSlot(mayExceedSlots, signal, hasBegun);
+      const result = await this.findPlanned(mayExceedSlots, signal, hasBegun);
       if (!(result instanceof PlacedPrompt)) return result;
       const {access} = this.context;
       const isUsable =
@@ -103,6 +112,30 @@
     return !placed.isTrialLost();
   }
 
+  /** Finds a slot; a long prompt is planned over all gates meanwhile. */
+  private async findPlanned(
+    mayExceedSlots: boolean,
+    signal: AbortSignal,
+    hasBegun: boolean,
+  ): Promise<PlacedPrompt | NoSlotReason> {
+    const {context, request} = this;
+    const wait = context.prompts.createWait();
+    const startedAt = context.readNow();
+    this.wait = wait;
+    try {
+      const result = await this.findFreeSlot(mayExceedSlots, signal, hasBegun);
+      recordPlannedStream(context, request, {
+        wait,
+        result,
+        waitedMs: context.readNow() - startedAt,
+      });
+      return result;
+    } finally {
+      context.prompts.endWait(request.service, wait);
+      this.wait = undefined;
+    }
+  }
+
   private async findFreeSlot(
     mayExceedSlots: boolean,
     signal: AbortSignal,
@@ -214,6 +247,8 @@
         objectiveLeftMs: route.objectiveMs - elapsedMs,
         itlObjectiveMs: route.itlObjectiveMs ?? route.objectiveMs,
         suspects: context.suspects.listTrialIds(fingerprint),
+        leftMs: request.expiresAt - context.readNow(),
+        wait: this.wait,
       },
       this.engine,
       this.tried,
@@ -255,8 +290,11 @@
     return result;
   }
 
-  private recordDeferral({waitMs, predictedTtftMs}: Deferral): void {
-    const {context, request} = this;
+  private recordDeferral({waitMs, predictedTtftMs, planned}: Deferral): void {
+    const {context, request, wait} = this;
+    // A planned prompt is planned anew every few ms; the end of its wait is logged.
+    if (planned !== undefined && wait !== undefined)
+      return wait.recordPlan(planned);
     context.counters.add('stream.deferred');
     context.log.info('stream_deferred', {
       requestId: request.facts.requestId,
--- a/packages/direct/src/forward/stream-forwarder.ts
+++ b/packages/direct/src/forward/stream-forwarder.ts
@@ -4,6 +4,7 @@
  * same response, if the route allows it.
  */
 import {PlacedPrompt} from '../placement/placed-prompt.js';
+import {NoRoom} from '../placement/prompt-placer.js';
 import {SlotFinder} from './slot-finder.js';
 import {StreamAttempt} from './stream-attempt.js';
 import {MIN_RETRY_LEFT_MS, StreamBackup} from './stream-backup.js';
@@ -116,6 +117,8 @@
     );
     if (result instanceof PlacedPrompt)
       return this.confirmPlacement(chain, result);
+    if (result instanceof NoRoom)
+      this.refuse(chain, 'overloaded', result.roomMs);
     if (result === 'none') this.giveUp(chain, 'no_target');
     if (result === 'behind') this.refuse(chain, 'overloaded', 0);
     if (result === 'full')
--- a/packages/direct/src/gate.ts
+++ b/packages/direct/src/gate.ts
@@ -147,6 +147,7 @@
       answerPermit: question => permits.answer(question),
       onPermitAnswer: answer => permits.receive(answer),
       onTargetEnd: target => void this.context.crashes.confirmEnd(target),
+      onPromptWait: report => this.context.prompts.receiveWait(report),
       turns,
       log,
       readNow,
--- a/packages/direct/src/observe/gate-metrics.ts
+++ b/packages/direct/src/observe/gate-metrics.ts
@@ -47,6 +47,7 @@
       limited_targets: limits.requests.size,
       resting_targets: limits.rests.size,
       leaving_targets: state.listLeaving().length,
+      prompts_waiting: context.prompts.waitingCount,
       suspect_contents: suspects.size,
       refused_contents: suspects.countRefused(),
     },
--- a/packages/direct/src/peers/datagram-receiver.ts
+++ b/packages/direct/src/peers/datagram-receiver.ts
@@ -6,6 +6,7 @@
 import type {PermitAnswer, PermitQuestion} from '../limits/permits.js';
 import type {RequestLimits} from '../limits/request-limits.js';
 import type {DecisionLog} from '../observe/decision-log.js';
+import type {WaitReport} from '../placement/waiting-prompts.js';
 import type {DatagramTransport} from './datagram-transport.js';
 import type {Datagram, Heartbeat} from './messages.js';
 import type {PeerPlacements} from './peer-placements.js';
@@ -29,6 +30,12 @@
   readonly answerPermit: (question: PermitQuestion) => PermitAnswer;
   /** Called with the answer of a peer to a question of this gate. */
   readonly onPermitAnswer: (answer: PermitAnswer) => void;
+  /**
+   * Called with what a peer announces about a waiting prompt.
+   *
+   * @default ignored
+   */
+  readonly onPromptWait?: (report: WaitReport) => void;
 }
 
 /**
@@ -68,6 +75,8 @@
     if (message.method === 'permit-answered')
       options.onPermitAnswer(message.params);
     if (message.method === 'crashed') options.suspects.merge(message.params);
+    if (message.method === 'prompt-waits')
+      options.onPromptWait?.(message.params);
   }
 
   private answer(question: PermitQuestion): void {
--- a/packages/direct/src/peers/messages.ts
+++ b/packages/direct/src/peers/messages.ts
@@ -109,6 +109,15 @@
   waitMs: z.number().nonnegative(),
 });
 
+/** Long prompt that waits at a gate; the wait has ended if `validMs` is 0. */
+export const WaitReportSchema = z.object({
+  key: z.string(),
+  service: z.string(),
+  prefillMs: z.number().nonnegative(),
+  dueMs: z.number(),
+  validMs: z.number().nonnegative(),
+});
+
 const JSON_RPC = z.literal('2.0');
 
 /** All datagrams that a gate accepts, apart from those about placements. */
@@ -143,6 +152,11 @@
     method: z.literal('crashed'),
     params: CrashReportsSchema,
   }),
+  z.object({
+    jsonrpc: JSON_RPC,
+    method: z.literal('prompt-waits'),
+    params: WaitReportSchema,
+  }),
 ]);
 export type Datagram = z.output<typeof DatagramSchema>;
 /** Datagram as it is sent. */
--- a/packages/direct/src/peers/peer-group.ts
+++ b/packages/direct/src/peers/peer-group.ts
@@ -20,6 +20,7 @@
 import type {PermitAnswer, PermitQuestion} from '../limits/permits.js';
 import type {LimitReport} from '../limits/request-limits.js';
 import type {Placement} from '../placement/placement.js';
+import type {WaitReport} from '../placement/waiting-prompts.js';
 import type {DatagramTransport} from './datagram-transport.js';
 import type {FactsExchange} from './facts-exchange.js';
 import type {FactsFetcher} from './facts-fetcher.js';
@@ -45,6 +46,12 @@
   readonly onPermitAnswer: (answer: PermitAnswer) => void;
   /** Called when a peer reports that a target has ended. */
   readonly onTargetEnd: (target: string) => void;
+  /**
+   * Called with what a peer announces about a waiting prompt.
+   *
+   * @default ignored
+   */
+  readonly onPromptWait?: (report: WaitReport) => void;
   readonly turns: TurnMonitor;
   readonly log: DecisionLog;
 }
@@ -221,6 +228,19 @@
     this.broadcast({jsonrpc: '2.0', method: 'limited', params: report});
   }
 
+  /**
+   * Announces that a long prompt waits, or that it no longer does. A datagram
+   * that is lost is made up for by the next one or by the end of its validity.
+   */
+  announceWait(report: WaitReport): void {
+    const bytes = formatDatagram({
+      jsonrpc: '2.0',
+      method: 'prompt-waits',
+      params: report,
+    });
+    this.relay.broadcast(bytes, parsePlacementNumber(report.key));
+  }
+
   /** Asks the home of a target for a permit. */
   askPermit(host: string, question: PermitQuestion): void {
     this.send(host, {
--- a/packages/direct/src/placement/choose-send-time.ts
+++ b/packages/direct/src/placement/choose-send-time.ts
@@ -26,7 +26,7 @@
  * if it costs more than it is worth: limits the CPU time of a choice to what a
  * small host can spare.
  */
-const MAX_ENGINES_FOR_DELAYS = 32;
+export const MAX_ENGINES_FOR_DELAYS = 32;
 
 /**
  * Delay of a prompt that costs too much, in ms: a few iterations, in which some
@@ -35,7 +35,7 @@
 const TOO_COSTLY_DELAY_MS = 120;
 
 /** Prefill time above which a prompt counts as long, in ms. */
-const LONG_PREFILL_MIN_MS = 400;
+export const LONG_PREFILL_MIN_MS = 400;
 
 /** Engines chosen for a prompt, and the delay before choosing again. */
 export interface TimedChoice {
--- /dev/null
+++ b/packages/direct/src/placement/planned-sends.test.ts
@@ -0,0 +1,78 @@
+import {describe, it} from 'node:test';
+import {expect} from 'earl';
+import {BurstFleet, countResults} from '../test/burst-fleet.js';
+import {startFakeClock} from '../test/fake-clock.js';
+import type {BurstOptions, BurstStream} from '../test/burst-fleet.js';
+
+/** Burst that asks for more prefill than the engines provide while it lasts. */
+const BURST: BurstOptions = {
+  seed: 1,
+  gates: 5,
+  engines: 36,
+  longPrompts: 45,
+  burstMs: 3200,
+  shortsPerSecond: 60,
+  longTokens: [110_000, 300_000],
+  isPlanned: true,
+};
+
+async function runBurst(
+  options: Partial<BurstOptions> = {},
+): Promise<readonly BurstStream[]> {
+  const clock = startFakeClock(1);
+  try {
+    return await new BurstFleet(clock, {...BURST, ...options}).run();
+  } finally {
+    clock.stop();
+  }
+}
+
+describe('PlannedSends', () => {
+  it('lets more long prompts of a burst begin in time, and no fewer short ones', async () => {
+    // Guards against long prompts that push back those before them.
+    const planned = await runBurst();
+    const atOnce = await runBurst({isPlanned: false});
+    const long = countResults(planned, 'long');
+    const longAtOnce = countResults(atOnce, 'long');
+    expect(long.unanswered).toEqual(0);
+    expect(long.inTime).toBeGreaterThanOrEqual(longAtOnce.inTime + 8);
+    expect(countResults(planned, 'short').inTime).toBeGreaterThanOrEqual(
+      countResults(atOnce, 'short').inTime,
+    );
+  });
+
+  it('sends each prompt at once while the engines are idle', async () => {
+    // Guards against prompts that wait although waiting gains nothing.
+    const streams = await runBurst({
+      longPrompts: 4,
+      burstMs: 8000,
+      shortsPerSecond: 0,
+    });
+    for (const {at, placedAt} of streams)
+      expect((placedAt ?? Infinity) - at).toEqual(0);
+  });
+
+  it('answers every prompt although a tenth of the datagrams is lost', async () => {
+    // Guards against prompts that wait for one whose end was not heard of.
+    const long = countResults(await runBurst({lostShare: 0.1}), 'long');
+    expect(long.unanswered).toEqual(0);
+  });
+
+  it('holds nothing for a gate that dies with waiting prompts', async () => {
+    let hasKilled = false;
+    const streams = await runBurst({
+      onTick: (fleet, sinceMs) => {
+        if (hasKilled || sinceMs < 1800) return;
+        hasKilled = true;
+        const waiting = fleet.streams.find(
+          ({kind, placed, isGone}) =>
+            kind === 'long' && placed === undefined && !isGone,
+        );
+        if (waiting !== undefined) fleet.kill(waiting.gate);
+      },
+    });
+    const left = streams.filter(({isGone}) => !isGone);
+    expect(countResults(left, 'long').unanswered).toEqual(0);
+    expect(left.length < streams.length).toEqual(true);
+  });
+});
--- a/packages/direct/src/placement/prompt-placer.ts
+++ b/packages/direct/src/placement/prompt-placer.ts
@@ -5,7 +5,11 @@
 import {isWithinIdleKvCapacity} from './kv-cache.js';
 import {chooseSendTime} from './choose-send-time.js';
 import {PlacedPrompt} from './placed-prompt.js';
+import {PlannedSends} from './planned-sends.js';
+import {NoRoom} from './prompt-request.js';
+import {PromptWait} from './prompt-wait.js';
 import {TargetRanking} from './target-ranking.js';
+import {WaitingPrompts} from './waiting-prompts.js';
 import {
   MAX_PREFILL_ENGINES,
   buildPlacement,
@@ -18,46 +22,22 @@
 import type {EligibleTargets} from './eligible-targets.js';
 import type {LoadTracker} from './load-tracker.js';
 import type {PlacementAnnouncer} from './placed-prompt.js';
+import type {PlacementOutcome, PromptRequest} from './prompt-request.js';
 import type {PromptDemand} from './prompt-types.js';
 import type {Candidate} from './price-prefill.js';
+import type {SendDecision} from './planned-sends.js';
+import type {WaitReport} from './waiting-prompts.js';
+
+export {NoRoom} from './prompt-request.js';
+export type {
+  Deferral,
+  PlacementOutcome,
+  PromptRequest,
+} from './prompt-request.js';
 
 /** Delay until the placement of a suspect that runs elsewhere is tried, in ms. */
 const TRIAL_POLL_MS = 40;
 
-/** Decision to send a prompt later. */
-export interface Deferral {
-  /** Delay until engines are to be chosen again, in ms. */
-  readonly waitMs: number;
-  /** Predicted time to first token, in ms from now. */
-  readonly predictedTtftMs: number;
-}
-
-/**
- * Result of an attempt to place a prompt; {@link PromptPlacer.place} describes
- * `full` and `none`.
- */
-export type PlacementOutcome = PlacedPrompt | Deferral | 'full' | 'none';
-
-/** Request to place a prompt on engines of a service. */
-export interface PromptRequest {
-  readonly service: string;
-  readonly promptTokens: number;
-  readonly maxOutputTokens: number;
-  /** Objective for the time to first token, in ms. */
-  readonly objectiveMs: number;
-  /** Time left of that objective, in ms; negative once it is missed. */
-  readonly objectiveLeftMs: number;
-  readonly itlObjectiveMs: number;
-  /**
-   * Features of the prompt under which servers have crashed. Such a prompt is
-   * placed apart from other streams, and those that share one are placed once at a
-   * time among all gates.
-   *
-   * @default none
-   */
-  readonly suspects?: readonly string[];
-}
-
 /** Dependencies of a prompt placer. */
 export interface PromptPlacerOptions {
   /** Host and incarnation of this gate, as used in placement keys. */
@@ -70,6 +50,12 @@
   readonly announcer: PlacementAnnouncer;
   /** Measures the share of the other gates whose placements are known. */
   readonly measureHeardShare: () => number;
+  /**
+   * Announces a prompt that waits, or the end of its wait, to the peers.
+   *
+   * @default peers are not told
+   */
+  readonly announceWait?: (report: WaitReport) => void;
   readonly readNow: () => number;
 }
 
@@ -81,13 +67,43 @@
  */
 export class PromptPlacer {
   private lastPlacementNumber = 0;
+  private lastWaitNumber = 0;
   /** Latest candidate for each engine; kept while nothing about it changes. */
   private readonly candidates = new Map<string, Candidate>();
 
   private readonly ranking: TargetRanking;
+  private readonly waiting: WaitingPrompts;
+  private readonly sends: PlannedSends;
 
   constructor(private readonly options: PromptPlacerOptions) {
     this.ranking = new TargetRanking(options.owner);
+    const {readNow, announceWait = () => undefined} = options;
+    this.waiting = new WaitingPrompts(readNow);
+    this.sends = new PlannedSends({
+      waiting: this.waiting,
+      announce: announceWait,
+      readNow,
+    });
+  }
+
+  /** Creates the wait of a stream that may be planned. */
+  createWait(): PromptWait {
+    return new PromptWait(`${this.options.owner}#${++this.lastWaitNumber}`);
+  }
+
+  /** Ends the wait of a stream that was placed, refused or left. */
+  endWait(service: string, wait: PromptWait): void {
+    this.sends.end(service, wait);
+  }
+
+  /** Applies what a peer has announced about a waiting prompt. */
+  receiveWait(report: WaitReport): void {
+    this.waiting.receive(report);
+  }
+
+  /** Number of long prompts that are known to wait at all gates. */
+  get waitingCount(): number {
+    return this.waiting.size;
   }
 
   /**
@@ -118,6 +134,18 @@
       value: estimateValue(request.promptTokens),
       heardShare: this.options.measureHeardShare(),
     };
+    const decision = this.planSend(
+      request,
+      demand,
+      engine,
+      targets,
+      mayExceedSlots,
+    );
+    if (decision.kind === 'refuse') return new NoRoom(decision.roomMs);
+    if (decision.kind === 'wait') {
+      const {waitMs, planned} = decision;
+      return {waitMs, predictedTtftMs: planned.endMs, planned};
+    }
     const choose = (candidates: readonly Target[]) =>
       chooseSendTime(
         candidates.map(target => this.describeCandidate(target, now)),
@@ -127,7 +155,10 @@
         // The caller of a stream that has been attempted has waited already.
         mayExceedSlots,
       );
-    const anywhere = choose(targets);
+    const anywhere =
+      decision.kind === 'send'
+        ? {choice: decision.choice, waitMs: 0}
+        : choose(targets);
     const apart =
       suspects.length === 0
         ? undefined
@@ -197,6 +228,32 @@
     );
   }
 
+  /** Plans a long prompt of a large fleet that has not been attempted before. */
+  private planSend(
+    {service, suspects = [], wait, leftMs = Infinity}: PromptRequest,
+    demand: PromptDemand,
+    engine: EngineCostModel,
+    targets: readonly Target[],
+    mayExceedSlots: boolean,
+  ): SendDecision {
+    if (wait === undefined || mayExceedSlots || suspects.length > 0)
+      return {kind: 'unplanned'};
+    const now = this.options.readNow();
+    const listCandidates = () =>
+      targets.map(target => this.describeCandidate(target, now));
+    return this.sends.judge(
+      {
+        service,
+        demand,
+        engine,
+        engines: targets.length,
+        listCandidates,
+        leftMs,
+      },
+      wait,
+    );
+  }
+
   private listTargets(
     service: string,
     tried: ReadonlySet<string>,
--- a/packages/direct/src/test/model-gate.ts
+++ b/packages/direct/src/test/model-gate.ts
@@ -87,6 +87,7 @@
     answerPermit: ({number}) => ({number, waitMs: 0}),
     onPermitAnswer: () => undefined,
     onTargetEnd: () => undefined,
+    onPromptWait: report => placer.receiveWait(report),
     turns: createQuietTurns(),
     log,
     readNow,
@@ -107,6 +108,7 @@
     tracker,
     announcer: group,
     measureHeardShare: () => group.measureHeardShare(),
+    announceWait: report => group.announceWait(report),
     readNow,
   });
   state.applySnapshot({
