--- a/packages/direct/src/forward/slot-finder.ts
+++ b/packages/direct/src/forward/slot-finder.ts
@@ -4,7 +4,7 @@
  */
 import {setTimeout as sleep} from 'node:timers/promises';
 import {PlacedPrompt} from '../placement/placed-prompt.js';
-import {NoRoom} from '../placement/prompt-placer.js';
+import {NoRoom, isDeferral} from '../placement/prompt-request.js';
 import {recordPlannedStream} from './record-planned.js';
 import type {Deferral, PlacementOutcome} from '../placement/prompt-placer.js';
 import type {PromptWait} from '../placement/prompt-wait.js';
@@ -41,14 +41,6 @@
 /** Reason for which engines are chosen for a prompt, as measured. */
 type ChoiceCause = 'arrival' | 'retry' | 'deferred' | 'queued';
 
-function isDeferral(outcome: PlacementOutcome | 'left'): outcome is Deferral {
-  return (
-    typeof outcome === 'object' &&
-    !(outcome instanceof PlacedPrompt) &&
-    !(outcome instanceof NoRoom)
-  );
-}
-
 /**
  * Finds the engines for each attempt at one stream.
  *
--- a/packages/direct/src/placement/planned-sends.test.ts
+++ b/packages/direct/src/placement/planned-sends.test.ts
@@ -1,6 +1,7 @@
 import {describe, it, mock} from 'node:test';
 import {expect} from 'earl';
-import {BurstFleet, countResults, sumValue} from '../test/burst-fleet.js';
+import {BurstFleet} from '../test/burst-fleet.js';
+import {countResults, sumValue} from '../test/burst-results.js';
 import {createRandom} from '../test/create-random.js';
 import {startFakeClock} from '../test/fake-clock.js';
 import type {BurstOptions, BurstStream} from '../test/burst-fleet.js';
@@ -77,4 +78,13 @@
     expect(countResults(left, 'long').unanswered).toEqual(0);
     expect(left.length < streams.length).toEqual(true);
   });
+
+  it('sends every prompt while no gate hears of another, and earns no less', async () => {
+    // Guards against prompts that wait for news of gates that are cut off.
+    const planned = await runBurst({lostShare: 1});
+    for (const {placedAt} of planned)
+      expect(placedAt !== undefined).toEqual(true);
+    const atOnce = await runBurst({lostShare: 1, isPlanned: false});
+    expect(sumValue(planned)).toBeGreaterThanOrEqual(0.95 * sumValue(atOnce));
+  });
 });
--- a/packages/direct/src/placement/prompt-placer.ts
+++ b/packages/direct/src/placement/prompt-placer.ts
@@ -15,19 +15,16 @@
   buildPlacement,
   estimateValue,
 } from './place-prompt.js';
-import type {EngineSlowdowns} from '../health/engine-slowdowns.js';
-import type {TargetAccess} from '../limits/target-access.js';
 import type {EngineCostModel, Target} from '../types.js';
 import type {TimedChoice} from './choose-send-time.js';
-import type {EligibleTargets} from './eligible-targets.js';
-import type {LoadTracker} from './load-tracker.js';
-import type {PlacementAnnouncer} from './placed-prompt.js';
 import type {PlacementOutcome, PromptRequest} from './prompt-request.js';
+import type {PromptPlacerOptions} from './prompt-placer-options.js';
+import type {WaitReport} from './waiting-prompts.js';
 import type {PromptDemand} from './prompt-types.js';
 import type {Candidate} from './price-prefill.js';
 import type {SendDecision} from './planned-sends.js';
-import type {WaitReport} from './waiting-prompts.js';
 
+export type {PromptPlacerOptions} from './prompt-placer-options.js';
 export {NoRoom} from './prompt-request.js';
 export type {
   Deferral,
@@ -38,27 +35,6 @@
 /** Delay until the placement of a suspect that runs elsewhere is tried, in ms. */
 const TRIAL_POLL_MS = 40;
 
-/** Dependencies of a prompt placer. */
-export interface PromptPlacerOptions {
-  /** Host and incarnation of this gate, as used in placement keys. */
-  readonly owner: string;
-  readonly zone: string;
-  readonly eligible: EligibleTargets;
-  readonly slowdowns: EngineSlowdowns;
-  readonly access: TargetAccess;
-  readonly tracker: LoadTracker;
-  readonly announcer: PlacementAnnouncer;
-  /** Measures the share of the other gates whose placements are known. */
-  readonly measureHeardShare: () => number;
-  /**
-   * Announces a prompt that waits, or the end of its wait, to the peers.
-   *
-   * @default peers are not told
-   */
-  readonly announceWait?: (report: WaitReport) => void;
-  readonly readNow: () => number;
-}
-
 /**
  * Places the prompts of one gate on engines.
  *
--- a/packages/direct/src/placement/prompt-request.ts
+++ b/packages/direct/src/placement/prompt-request.ts
@@ -1,5 +1,5 @@
 /** Request to place a prompt, and what the placement may lead to. */
-import type {PlacedPrompt} from './placed-prompt.js';
+import {PlacedPrompt} from './placed-prompt.js';
 import type {QueuedPrefill} from './prefill-calendar.js';
 import type {PromptWait} from './prompt-wait.js';
 
@@ -58,3 +58,19 @@
    */
   readonly wait?: PromptWait;
 }
+
+/**
+ * Checks whether a prompt is to be placed later.
+ *
+ * @example
+ * isDeferral({waitMs: 60, predictedTtftMs: 900}); // true
+ */
+export function isDeferral(
+  outcome: PlacementOutcome | 'left',
+): outcome is Deferral {
+  return (
+    typeof outcome === 'object' &&
+    !(outcome instanceof PlacedPrompt) &&
+    !(outcome instanceof NoRoom)
+  );
+}
--- a/packages/direct/src/test/burst-fleet.ts
+++ b/packages/direct/src/test/burst-fleet.ts
@@ -46,7 +46,8 @@
 /** Prompts of one length class. */
 export type PromptClass = 'short' | 'long';
 
-const CLASSES = {
+/** Objectives and answer lengths of the length classes. */
+export const CLASSES = {
   short: {objectiveMs: 309, itlObjectiveMs: 250, events: 32},
   long: {objectiveMs: 3024, itlObjectiveMs: 1000, events: 16},
 };
@@ -291,59 +292,6 @@
   }
 }
 
-/** Counts what the callers of one class got. */
-export interface BurstCounts {
-  readonly all: number;
-  readonly inTime: number;
-  readonly late: number;
-  readonly refused: number;
-  readonly unanswered: number;
-  /** Longest time until a caller was refused, in ms. */
-  readonly longestRefusalMs: number;
-}
-
-/**
- * Counts what the callers of one class got.
- *
- * @example
- * countResults(streams, 'long').inTime;
- */
-export function countResults(
-  streams: readonly BurstStream[],
-  kind: PromptClass,
-): BurstCounts {
-  const own = streams.filter(stream => stream.kind === kind);
-  const {objectiveMs} = CLASSES[kind];
-  const begun = own.flatMap(({at, firstTokenAt}) =>
-    firstTokenAt === undefined ? [] : [firstTokenAt - at],
-  );
-  const refused = own.flatMap(({at, refusedAt}) =>
-    refusedAt === undefined ? [] : [refusedAt - at],
-  );
-  const inTime = begun.filter(ms => ms <= objectiveMs).length;
-  return {
-    all: own.length,
-    inTime,
-    late: begun.length - inTime,
-    refused: refused.length,
-    unanswered: own.length - begun.length - refused.length,
-    longestRefusalMs: Math.max(0, ...refused),
-  };
-}
-
-/**
- * Sums the value of all answers, in units of a short answer in time: a long one
- * is worth 15 times as much, a late one a quarter.
- *
- * @example
- * sumValue(streams);
- */
-export function sumValue(streams: readonly BurstStream[]): number {
-  const long = countResults(streams, 'long');
-  const short = countResults(streams, 'short');
-  return 15 * (long.inTime + long.late / 4) + short.inTime + short.late / 4;
-}
-
 function formatHost(index: number): string {
   return `10.1.0.${index + 1}`;
 }
