--- a/packages/direct/src/forward/create-context.ts
+++ b/packages/direct/src/forward/create-context.ts
@@ -135,6 +135,7 @@
     announcer: peers,
     measureHeardShare: () => peers.measureHeardShare(),
     counters: parts.counters,
+    announceWait: report => peers.announceWait(report),
     readNow: parts.readNow,
   });
 }
