--- a/packages/nutmeggauge/src/cli/flags.ts
+++ b/packages/nutmeggauge/src/cli/flags.ts
@@ -29,6 +29,7 @@
   limit: {type: 'number', default: 0},
   leaving: {type: 'number', default: 0},
   resting: {type: 'number', default: 0},
+  evacuations: {type: 'number', default: 0},
   timing: {type: 'boolean', default: true},
   agents: {type: 'boolean', default: false},
   routing: {type: 'string', default: 'class-load', choices: ROUTING_POLICIES},
@@ -56,8 +57,8 @@
     $ nutmeggauge capacity <folder with measured.json>
     $ nutmeggauge soak [--seed N] [--seeds COUNT] [--jobs N] [--gates N]
       [--targets N] [--length-ms N] [--restores N] [--gate-stops N] [--crashing N]
-      [--impatient N] [--limit N] [--leaving N] [--resting N] [--no-timing]
-      [--run-dir DIR]
+      [--impatient N] [--limit N] [--leaving N] [--resting N]
+      [--evacuations N] [--no-timing] [--run-dir DIR]
     $ nutmeggauge soak --agents [--seed N] [--seeds COUNT] [--jobs N] [--gates N]
       [--length-ms N] [--run-dir DIR]
     $ nutmeggauge timeline <run-dir or .log files…>
@@ -90,6 +91,8 @@
                   leave long before the store knows (default 0)
     --resting     Soak: number of times that a target refuses most requests and
                   asks for rest (default 0)
+    --evacuations  Soak: number of times that zones of the targets are evacuated
+                  and taken back (default 0)
     --agents      Soak: use gates with an agent for each target instead of direct
                   gates
     --no-timing   Soak: skip checks with a bound on time, for busy machines
--- a/packages/nutmeggauge/src/soak/check.ts
+++ b/packages/nutmeggauge/src/soak/check.ts
@@ -6,6 +6,11 @@
 import {findSendsToLeaving, findSendsToResting} from './check-announcements.js';
 import {findUnanswered} from './check-answered.js';
 import {findCrashingViolations} from './check-crashing.js';
+import {
+  findNotRefused,
+  findSendsToEvacuated,
+  findUnusedRestored,
+} from './check-evacuations.js';
 import {findExceededLimits, findLateRuns} from './check-limits.js';
 import {TimedChecks} from './check-timed.js';
 import type {TargetRun} from '@nutmeggauge/platform';
@@ -52,6 +57,9 @@
     ...findCrashingViolations(history),
     ...findExceededLimits(history),
     ...findSendsToLeaving(history),
+    ...findSendsToEvacuated(history),
+    ...findNotRefused(history),
+    ...findUnusedRestored(history),
     ...checkTargets(history),
     ...checkProcesses(history),
   );
--- a/packages/nutmeggauge/src/soak/history.ts
+++ b/packages/nutmeggauge/src/soak/history.ts
@@ -9,6 +9,7 @@
 } from '@nutmeggauge/platform';
 import type {GateOutage, UnexpectedExit} from './gate-process.js';
 import type {FaultAction} from './schedule.js';
+import type {EvacuationSpan} from './soak-zones.js';
 
 /** One request as observed by its caller. */
 export interface CallerRecord {
@@ -79,6 +80,8 @@
   readonly runs: readonly TargetRun[];
   /** Requests that targets refused because they wanted rest. */
   readonly refusals: readonly TargetRefusal[];
+  /** Periods in which a zone was evacuated. */
+  readonly evacuations: readonly EvacuationSpan[];
   readonly faults: readonly InjectedFault[];
   readonly published: readonly PublishedFact[];
   readonly exits: readonly UnexpectedExit[];
--- a/packages/nutmeggauge/src/soak/run-soaks.ts
+++ b/packages/nutmeggauge/src/soak/run-soaks.ts
@@ -56,6 +56,7 @@
     ...['--limit', String(series.limit)],
     ...['--leaving', String(series.leaving)],
     ...['--resting', String(series.resting)],
+    ...['--evacuations', String(series.evacuations)],
     ...(series.hasTiming ? [] : ['--no-timing']),
     ...(series.hasAgents ? ['--agents'] : []),
   ];
--- a/packages/nutmeggauge/src/soak/schedule.ts
+++ b/packages/nutmeggauge/src/soak/schedule.ts
@@ -5,7 +5,9 @@
 import {uniformInt} from 'pure-rand/distribution/uniformInt';
 import {xoroshiro128plus} from 'pure-rand/generator/xoroshiro128plus';
 import type {StoreMode, TargetMode} from '@nutmeggauge/platform';
+import {buildEvacuations} from './schedule-evacuations.js';
 import type {LinkMode} from './faulty-link.js';
+import type {EvacuationCompanion} from './soak-zones.js';
 
 /** Kind of a fault and the gate, target or link that it affects. */
 export type FaultAction =
@@ -49,6 +51,12 @@
       readonly target: number;
       readonly restMs: number;
     }
+  /** The operator evacuates zones and takes them back at the end. */
+  | {
+      readonly kind: 'zone-evacuation';
+      readonly zones: readonly string[];
+      readonly companion?: EvacuationCompanion;
+    }
   | {readonly kind: 'config-change'}
   | {readonly kind: 'key-revoke'};
 
@@ -77,6 +85,8 @@
   readonly leaving?: number;
   /** Number of times that a target asks for rest. */
   readonly resting?: number;
+  /** Number of times that the operator evacuates zones. */
+  readonly evacuations?: number;
 }
 
 /** Time without faults at the end, in ms: above every timeout of the gates. */
@@ -192,6 +202,7 @@
     ...buildRestores(seed, sizes.restores, end),
     ...buildGateStops(seed, sizes, end),
     ...buildAnnouncements(seed, sizes, end),
+    ...buildEvacuations(seed, sizes.evacuations ?? 0, end),
   ];
 }
 
--- a/packages/nutmeggauge/src/soak/soak-harness.ts
+++ b/packages/nutmeggauge/src/soak/soak-harness.ts
@@ -10,6 +10,7 @@
 import {FaultyLink} from './faulty-link.js';
 import {GateProcess} from './gate-process.js';
 import {SoakTargets} from './soak-targets.js';
+import {SoakEvacuations} from './soak-zones.js';
 import type {GateEndpoint} from './callers.js';
 import type {GateOutage, UnexpectedExit} from './gate-process.js';
 import type {PublishedFact} from './history.js';
@@ -45,6 +46,7 @@
   readonly published: PublishedFact[] = [];
   readonly exits: UnexpectedExit[] = [];
   readonly targets: SoakTargets;
+  readonly evacuations = new SoakEvacuations(this.store);
   /** API key in force; earlier keys are revoked. */
   key = 'key-1';
   private readonly gates: GateSlot[] = [];
@@ -56,8 +58,9 @@
     private readonly targetCount: number,
     private readonly idleTimeoutMs: number,
     limit = 0,
+    hasZones = false,
   ) {
-    this.targets = new SoakTargets(this.store, this.published, limit);
+    this.targets = new SoakTargets(this.store, this.published, limit, hasZones);
   }
 
   get endpoints(): readonly GateEndpoint[] {
@@ -163,6 +166,8 @@
         return this.targets.announceLeave(action.target);
       case 'target-rest':
         return this.targets.setRest(action.target, action.restMs);
+      case 'zone-evacuation':
+        return this.evacuations.begin(action.zones, action.companion);
       case 'config-change':
         return this.applyInstantFault(() => this.publishConfig());
       case 'key-revoke':
--- a/packages/nutmeggauge/src/soak/soak-targets.ts
+++ b/packages/nutmeggauge/src/soak/soak-targets.ts
@@ -1,6 +1,7 @@
 /** Targets of the soak: stand-ins, each behind a faulty link. */
 import {TargetStandin} from '@nutmeggauge/platform';
 import {FaultyLink} from './faulty-link.js';
+import {SOAK_ZONES, chooseZone} from './soak-zones.js';
 import type {
   StoreStandin,
   TargetRefusal,
@@ -47,11 +48,13 @@
   /**
    * @param published - List to which each drain that the store learns is added.
    * @param limit - Limit that two targets name, in requests per second; 0 for none.
+   * @param hasZones - Whether the targets are in several zones, not in one.
    */
   constructor(
     private readonly store: StoreStandin,
     private readonly published: PublishedFact[],
     private readonly limit: number,
+    private readonly hasZones = false,
   ) {}
 
   /** Starts all targets. */
@@ -151,7 +154,7 @@
       this.store.publishServer(id, {
         service: index < FIRST_PLAIN_TARGET ? 'chat' : 'orders',
         address: `127.0.0.1:${port}`,
-        zone: 'z',
+        zone: this.chooseZone(index),
         state: 'ready',
       });
     return {standin, link};
@@ -182,7 +185,7 @@
     this.store.publishServer(standin.id, {
       service: index < FIRST_PLAIN_TARGET ? 'chat' : 'orders',
       address: '127.0.0.1:1',
-      zone: 'z',
+      zone: this.chooseZone(index),
       state: 'draining',
     });
     this.published.push({
@@ -198,6 +201,10 @@
     void this.replaceTarget(index);
   }
 
+  private chooseZone(index: number): string {
+    return this.hasZones ? chooseZone(index) : SOAK_ZONES[0];
+  }
+
   private async replaceTarget(index: number): Promise<void> {
     this.slots[index] = await this.startTarget(index);
   }
--- a/packages/nutmeggauge/src/soak/soak.test.ts
+++ b/packages/nutmeggauge/src/soak/soak.test.ts
@@ -33,6 +33,10 @@
   readonly leaving?: number;
   /** Number of times that a target asks for rest. */
   readonly resting?: number;
+  /** Number of times that the operator evacuates zones. */
+  readonly evacuations?: number;
+  /** Length of the load, in ms. */
+  readonly lengthMs?: number;
 }
 
 /** Runs for CI whose seeds have revealed no fault. */
@@ -43,6 +47,7 @@
   {seed: 4, restores: 0, gateStops: 0, crashing: 2},
   {seed: 5, restores: 0, gateStops: 0, impatient: 3, limit: 1.4},
   {seed: 702, restores: 0, gateStops: 0, leaving: 4, resting: 8},
+  {seed: 9002, restores: 2, gateStops: 0, evacuations: 3, lengthMs: 20_000},
 ];
 
 describe('fault schedule of the soak', () => {
@@ -97,6 +102,8 @@
           ...['--limit', String(others.limit ?? 0)],
           ...['--leaving', String(others.leaving ?? 0)],
           ...['--resting', String(others.resting ?? 0)],
+          ...['--evacuations', String(others.evacuations ?? 0)],
+          ...['--length-ms', String(others.lengthMs ?? SIZES.lengthMs)],
         ]);
         expect(stdout).toInclude('"violations":0');
       } finally {
--- a/packages/nutmeggauge/src/soak/soak.ts
+++ b/packages/nutmeggauge/src/soak/soak.ts
@@ -67,6 +67,8 @@
   readonly leaving: number;
   /** Number of times that a target asks for rest. */
   readonly resting: number;
+  /** Number of times that the operator evacuates zones. */
+  readonly evacuations: number;
   /** Whether invariants with a time bound are checked too. */
   readonly hasTiming: boolean;
   /** Folder for the settings and logs of the gates. */
@@ -88,7 +90,7 @@
  * Runs the soak with one seed and returns the violated invariants.
  *
  * @example
- * const {violations} = await runSoak({seed: 7, gates: 3, targets: 6, lengthMs: 12_000, restores: 2, gateStops: 2, crashing: 1, impatient: 1, limit: 0, leaving: 1, resting: 1, hasTiming: true, runDir: 'runs/soak-7'});
+ * const {violations} = await runSoak({seed: 7, gates: 3, targets: 6, lengthMs: 12_000, restores: 2, gateStops: 2, crashing: 1, impatient: 1, limit: 0, leaving: 1, resting: 1, evacuations: 1, hasTiming: true, runDir: 'runs/soak-7'});
  */
 export async function runSoak(options: SoakOptions): Promise<SoakResult> {
   const idleTimeoutMs =
@@ -100,6 +102,7 @@
     targets,
     idleTimeoutMs,
     options.limit,
+    options.evacuations > 0,
   );
   await harness.start();
   try {
@@ -168,6 +171,7 @@
     crashes: harness.targets.crashes,
     runs: harness.targets.runs,
     refusals: harness.targets.refusals,
+    evacuations: harness.evacuations.listSpans(),
     faults: await faults,
     published: harness.published,
     exits: harness.exits,
--- a/packages/nutmeggauge/src/soak/violation.ts
+++ b/packages/nutmeggauge/src/soak/violation.ts
@@ -23,7 +23,10 @@
     | 'caller-gone'
     | 'target-limit'
     | 'target-leaving'
-    | 'target-rest';
+    | 'target-rest'
+    | 'zone-evacuated'
+    | 'all-zones-evacuated'
+    | 'zone-restored';
   readonly requestId: string | undefined;
   readonly detail: string;
 }
