A malformed evacuation is passed on by gates that did not read it

Cause: a gate that took the facts of a peer announced the peer's position, but not the zones whose entry the peer could not decode. The next gate concluded that the entry was gone and sent requests to the zone again. Change: the undecided zones are taken over with the position.

--- a/packages/direct/src/fleet/evacuated-zones.test.ts
+++ b/packages/direct/src/fleet/evacuated-zones.test.ts
@@ -204,6 +204,20 @@
     expect(state.isEvacuated('z')).toEqual(false);
   });
 
+  it('hold although a gate that passes on the facts of another never read the malformed entry', () => {
+    // Guards against a malformed entry that ends the evacuation of its zone by way
+    // of a gate that cannot reach the store.
+    const state = createState(5, {z: 4});
+    const reader = createFleetState(() => 0);
+    applyRead(reader, 9, {}, {malformedZones: ['z']});
+    const between = createState(3);
+    between.applyShared(describeOnWire(reader));
+    state.applyShared(describeOnWire(between));
+    expect(state.isEvacuated('z')).toEqual(true);
+    between.applyShared(describeOnWire(state));
+    expect(between.isEvacuated('z')).toEqual(true);
+  });
+
   it('are restored by a peer that has read later and missed the evacuation', () => {
     // Guards against an older deletion that hides that the entry is gone.
     const peer = createState(1);
--- a/packages/direct/src/fleet/evacuated-zones.ts
+++ b/packages/direct/src/fleet/evacuated-zones.ts
@@ -52,7 +52,10 @@
   /** A zone that is not listed as evacuated is not evacuated at this position. */
   readonly position: FactPosition;
   readonly zones: readonly ZoneEvacuation[];
-  /** Zones whose entry was malformed when the sender last read the whole store. */
+  /**
+   * Zones whose entry was malformed when the store was last read completely, by
+   * the sender or by a gate whose facts it has taken.
+   */
   readonly undecided: readonly string[];
 }
 
@@ -146,6 +149,8 @@
       isEvacuated ? [zone] : [],
     );
     changed.push(...this.restoreAbsent(position, [...present, ...undecided]));
+    // Without these, the next peer would conclude that their entries are gone.
+    if (isNewer(position, this.position)) this.undecided = new Set(undecided);
     this.markRead(position);
     return changed;
   }
