--- a/packages/nutmeggauge/src/soak/check.ts
+++ b/packages/nutmeggauge/src/soak/check.ts
@@ -5,6 +5,7 @@
 import {STREAM_EVENTS, buildCallBody, buildEvent} from '@nutmeggauge/platform';
 import {findSendsToLeaving, findSendsToResting} from './check-announcements.js';
 import {findUnanswered} from './check-answered.js';
+import {findColdOverloads} from './check-cold.js';
 import {findCrashingViolations} from './check-crashing.js';
 import {
   findNotRefused,
@@ -57,6 +58,7 @@
     ...findCrashingViolations(history),
     ...findExceededLimits(history),
     ...findSendsToLeaving(history),
+    ...findColdOverloads(history),
     ...findSendsToEvacuated(history),
     ...findNotRefused(history),
     ...findUnusedRestored(history),
--- a/packages/nutmeggauge/src/soak/history.ts
+++ b/packages/nutmeggauge/src/soak/history.ts
@@ -3,6 +3,7 @@
  * driver.
  */
 import type {
+  ColdPeak,
   StandinKind,
   TargetRefusal,
   TargetRun,
@@ -80,6 +81,8 @@
   readonly runs: readonly TargetRun[];
   /** Requests that targets refused because they wanted rest. */
   readonly refusals: readonly TargetRefusal[];
+  /** Most requests in one second of each target that started cold. */
+  readonly coldPeaks: readonly ColdPeak[];
   /** Periods in which a zone was evacuated. */
   readonly evacuations: readonly EvacuationSpan[];
   readonly faults: readonly InjectedFault[];
--- a/packages/nutmeggauge/src/soak/run-soaks.ts
+++ b/packages/nutmeggauge/src/soak/run-soaks.ts
@@ -57,6 +57,7 @@
     ...['--leaving', String(series.leaving)],
     ...['--resting', String(series.resting)],
     ...['--evacuations', String(series.evacuations)],
+    ...(series.coldStarts ? ['--cold-starts'] : []),
     ...(series.hasTiming ? [] : ['--no-timing']),
     ...(series.hasAgents ? ['--agents'] : []),
   ];
--- a/packages/nutmeggauge/src/soak/soak-harness.ts
+++ b/packages/nutmeggauge/src/soak/soak-harness.ts
@@ -7,6 +7,7 @@
 import {buildLoopbackHost} from '@nutmeggauge/core';
 import {StoreStandin, buildConfigDocument} from '@nutmeggauge/platform';
 import {startCpuLoad} from '../faults/busy.js';
+import {COLD_BOUNDS, COLD_START} from './cold-starts.js';
 import {FaultyLink} from './faulty-link.js';
 import {GateProcess} from './gate-process.js';
 import {SoakTargets} from './soak-targets.js';
@@ -15,6 +16,7 @@
 import type {GateOutage, UnexpectedExit} from './gate-process.js';
 import type {PublishedFact} from './history.js';
 import type {FaultAction} from './schedule.js';
+import type {SoakTargetOptions} from './soak-targets.js';
 
 const INGRESS_PORT = 24_100;
 const READY_PORT = 24_101;
@@ -57,10 +59,9 @@
     private readonly gateCount: number,
     private readonly targetCount: number,
     private readonly idleTimeoutMs: number,
-    limit = 0,
-    hasZones = false,
+    private readonly options: SoakTargetOptions = {limit: 0},
   ) {
-    this.targets = new SoakTargets(this.store, this.published, limit, hasZones);
+    this.targets = new SoakTargets(this.store, this.published, options);
   }
 
   get endpoints(): readonly GateEndpoint[] {
@@ -193,7 +194,12 @@
   private publishConfig(): void {
     const keys = [this.key];
     this.store.publishConfig(
-      buildConfigDocument(this.version, keys, this.idleTimeoutMs),
+      buildConfigDocument(
+        this.version,
+        keys,
+        this.idleTimeoutMs,
+        this.options.hasColdStarts ? COLD_START : undefined,
+      ),
     );
     this.version += 2;
   }
@@ -226,6 +232,7 @@
         peerPort: PEER_PORT,
         store: `127.0.0.1:${await storeLink.start()}`,
         seedHosts: this.listHosts(),
+        coldBounds: this.options.hasColdStarts ? COLD_BOUNDS : undefined,
       },
       this.folder,
       exit => this.exits.push(exit),
--- a/packages/nutmeggauge/src/soak/soak-targets.ts
+++ b/packages/nutmeggauge/src/soak/soak-targets.ts
@@ -1,8 +1,10 @@
 /** Targets of the soak: stand-ins, each behind a faulty link. */
-import {TargetStandin} from '@nutmeggauge/platform';
+import {ColdLoad, TargetStandin} from '@nutmeggauge/platform';
+import {COLD_START} from './cold-starts.js';
 import {FaultyLink} from './faulty-link.js';
 import {SOAK_ZONES, chooseZone} from './soak-zones.js';
 import type {
+  ColdPeak,
   StoreStandin,
   TargetRefusal,
   TargetRun,
@@ -21,6 +23,24 @@
 /** Time for which a draining target still serves requests, in ms. */
 const DRAIN_MS = 3500;
 
+/** What the targets of a soak have beside their services. */
+export interface SoakTargetOptions {
+  /** Limit that two targets name, in requests per second; 0 for none. */
+  readonly limit: number;
+  /**
+   * Whether the targets are in several zones, not in one.
+   *
+   * @default false
+   */
+  readonly hasZones?: boolean;
+  /**
+   * Whether targets that replace others are cold for a while.
+   *
+   * @default false
+   */
+  readonly hasColdStarts?: boolean;
+}
+
 /** Current target at one index; a replacement target takes the same index. */
 interface TargetSlot {
   standin: TargetStandin;
@@ -31,7 +51,7 @@
  * Starts, replaces and ends the targets of one soak.
  *
  * @example
- * const targets = new SoakTargets(store, published, 0);
+ * const targets = new SoakTargets(store, published, {limit: 0});
  * await targets.start(6);
  */
 export class SoakTargets {
@@ -41,20 +61,18 @@
   readonly limits = new Map<string, NamedLimit>();
   private readonly slots: TargetSlot[] = [];
   private readonly replacedTargets: TargetStandin[] = [];
+  private readonly coldLoads: ColdLoad[] = [];
   private lastTargetNumber = 0;
   private isEngineLimitOver = false;
   private isClosed = false;
 
   /**
    * @param published - List to which each drain that the store learns is added.
-   * @param limit - Limit that two targets name, in requests per second; 0 for none.
-   * @param hasZones - Whether the targets are in several zones, not in one.
    */
   constructor(
     private readonly store: StoreStandin,
     private readonly published: PublishedFact[],
-    private readonly limit: number,
-    private readonly hasZones = false,
+    private readonly options: SoakTargetOptions,
   ) {}
 
   /** Starts all targets. */
@@ -75,6 +93,11 @@
     }
   }
 
+  /** Lists the most requests in one second of each target that started cold. */
+  listColdPeaks(): readonly ColdPeak[] {
+    return this.coldLoads.map(({peak}) => peak);
+  }
+
   /** Finds the link in front of a target. */
   findLink(index: number): FaultyLink {
     return this.slots[index].link;
@@ -141,10 +164,11 @@
     const isLimited =
       index === FIRST_PLAIN_TARGET ||
       (index === LIMITED_ENGINE && !this.isEngineLimitOver);
-    if (this.limit > 0 && isLimited) {
-      standin.announced.limit = String(this.limit);
+    const {limit} = this.options;
+    if (limit > 0 && isLimited) {
+      standin.announced.limit = String(limit);
       this.limits.set(id, {
-        perSecond: this.limit,
+        perSecond: limit,
         knownAt: performance.now(),
       });
     }
@@ -156,10 +180,24 @@
         address: `127.0.0.1:${port}`,
         zone: this.chooseZone(index),
         state: 'ready',
+        coldRemainingMs: this.beginColdTime(index, standin),
       });
     return {standin, link};
   }
 
+  /** Makes a replacement cold; returns for how long, in ms, if it is. */
+  private beginColdTime(
+    index: number,
+    standin: TargetStandin,
+  ): number | undefined {
+    if (!this.options.hasColdStarts || this.slots[index] === undefined)
+      return undefined;
+    const ms = COLD_START.durationS * 1000;
+    standin.coldLoad = new ColdLoad(standin.id, performance.now() + ms);
+    this.coldLoads.push(standin.coldLoad);
+    return ms;
+  }
+
   /** Ends a target under a request and replaces it. */
   private endTarget(index: number, id: string, content: string): void {
     if (this.isClosed || this.slots[index].standin.id !== id) return;
@@ -202,7 +240,7 @@
   }
 
   private chooseZone(index: number): string {
-    return this.hasZones ? chooseZone(index) : SOAK_ZONES[0];
+    return this.options.hasZones ? chooseZone(index) : SOAK_ZONES[0];
   }
 
   private async replaceTarget(index: number): Promise<void> {
--- a/packages/nutmeggauge/src/soak/soak.ts
+++ b/packages/nutmeggauge/src/soak/soak.ts
@@ -69,6 +69,8 @@
   readonly resting: number;
   /** Number of times that the operator evacuates zones. */
   readonly evacuations: number;
+  /** Whether targets that replace others are cold for a while. */
+  readonly coldStarts: boolean;
   /** Whether invariants with a time bound are checked too. */
   readonly hasTiming: boolean;
   /** Folder for the settings and logs of the gates. */
@@ -90,20 +92,17 @@
  * Runs the soak with one seed and returns the violated invariants.
  *
  * @example
- * const {violations} = await runSoak({seed: 7, gates: 3, targets: 6, lengthMs: 12_000, restores: 2, gateStops: 2, crashing: 1, impatient: 1, limit: 0, leaving: 1, resting: 1, evacuations: 1, hasTiming: true, runDir: 'runs/soak-7'});
+ * const {violations} = await runSoak({seed: 7, gates: 3, targets: 6, lengthMs: 12_000, restores: 2, gateStops: 2, crashing: 1, impatient: 1, limit: 0, leaving: 1, resting: 1, evacuations: 1, coldStarts: true, hasTiming: true, runDir: 'runs/soak-7'});
  */
 export async function runSoak(options: SoakOptions): Promise<SoakResult> {
   const idleTimeoutMs =
     options.gateStops > 0 ? SHORT_IDLE_TIMEOUT_MS : IDLE_TIMEOUT_MS;
   const {runDir, gates, targets} = options;
-  const harness = new SoakHarness(
-    runDir,
-    gates,
-    targets,
-    idleTimeoutMs,
-    options.limit,
-    options.evacuations > 0,
-  );
+  const harness = new SoakHarness(runDir, gates, targets, idleTimeoutMs, {
+    limit: options.limit,
+    hasZones: options.evacuations > 0,
+    hasColdStarts: options.coldStarts,
+  });
   await harness.start();
   try {
     await sleep(GATE_START_MS);
@@ -171,6 +170,7 @@
     crashes: harness.targets.crashes,
     runs: harness.targets.runs,
     refusals: harness.targets.refusals,
+    coldPeaks: harness.targets.listColdPeaks(),
     evacuations: harness.evacuations.listSpans(),
     faults: await faults,
     published: harness.published,
--- a/packages/nutmeggauge/src/soak/violation.ts
+++ b/packages/nutmeggauge/src/soak/violation.ts
@@ -26,7 +26,8 @@
     | 'target-rest'
     | 'zone-evacuated'
     | 'all-zones-evacuated'
-    | 'zone-restored';
+    | 'zone-restored'
+    | 'cold-target';
   readonly requestId: string | undefined;
   readonly detail: string;
 }
