--- a/packages/direct/src/gate.ts
+++ b/packages/direct/src/gate.ts
@@ -8,6 +8,7 @@
   TurnMonitor,
   createCounters,
 } from '@nutmeggauge/core';
+import {createAccountUsage} from './accounts/account-usage.js';
 import {runDrain} from './drain.js';
 import {createForwardContext} from './forward/create-context.js';
 import {createFleetState} from './fleet/fleet-state.js';
@@ -21,7 +22,7 @@
 import {observeFacts} from './observe/fact-log.js';
 import {formatSlowTurn} from './observe/slow-turn.js';
 import {StatusServer} from './observe/status-server.js';
-import {TargetLimits} from './limits/target-limits.js';
+import {createTargetLimits} from './limits/create-target-limits.js';
 import {UdpTransport} from './peers/datagram-transport.js';
 import {RpcFactsExchange} from './peers/facts-exchange.js';
 import {PeerGroup} from './peers/peer-group.js';
@@ -32,6 +33,7 @@
   DirectGateSettings,
 } from './gate-settings.js';
 import type {Ingress} from './ingress/ingress.js';
+import type {TargetLimits} from './limits/target-limits.js';
 import type {MetricValues} from './observe/metrics-text.js';
 
 /** Interval at which held targets and suspect requests expire, in ms. */
@@ -50,6 +52,7 @@
   private readonly state = createFleetState(this.readNow);
   private readonly tracker = createLoadTracker(id => this.state.findEngine(id));
   private readonly health = createTargetHealth();
+  private readonly usage = createAccountUsage(this.state, this.readNow);
   private readonly slowdowns: EngineSlowdowns;
   private readonly suspects: SuspectRequests;
   private readonly limits: TargetLimits;
@@ -94,6 +97,8 @@
       listAssigned: engines => this.engineHomes.listAssigned(engines),
       onSlowdown: ({target, slowdown}) =>
         tracker.setSlowdown(target, slowdown, readNow()),
+      findAccess: () => this.limits.access,
+      findService: id => state.findIncarnation(id)?.service,
       turns,
       log,
       readNow,
@@ -107,13 +112,11 @@
       listEnded: () => this.context.crashes.listEnded(),
       onPeerCrash: target => void this.context.crashes.confirmEnd(target),
     });
-    this.limits = new TargetLimits({
-      host: settings.peers.host,
-      listGates: () => this.peers.listGates(),
-      messenger: {
-        askPermit: (host, question) => this.peers.askPermit(host, question),
-      },
-      announce: report => this.peers.announceLimit(report),
+    this.limits = createTargetLimits({
+      settings,
+      state,
+      findPeers: () => this.peers,
+      onColdEngine: target => this.slowdowns.askIfAssigned(target),
       counters: this.counters,
       log,
       readNow,
@@ -144,6 +147,7 @@
       suspects: this.suspects,
       readLagMs: () => this.shedder.readLagMs(),
       limits: requests,
+      usage: this.usage,
       answerPermit: question => permits.answer(question),
       onPermitAnswer: answer => permits.receive(answer),
       onTargetEnd: target => void this.context.crashes.confirmEnd(target),
@@ -162,6 +166,7 @@
       slowdowns: this.slowdowns,
       suspects: this.suspects,
       limits: this.limits,
+      usage: this.usage,
       peers: this.peers,
       reads: new PendingReads(),
       turns,
@@ -253,16 +258,8 @@
   private readMetrics(): MetricValues {
     const {context, state, tracker, ingress, peers} = this;
     const {limits, suspects, turns} = this;
-    return readGateMetrics({
-      context,
-      state,
-      tracker,
-      ingress,
-      peers,
-      limits,
-      suspects,
-      turns,
-    });
+    const serving = {context, state, tracker, ingress, peers};
+    return readGateMetrics({...serving, limits, suspects, turns});
   }
 
   private observeChanges(): void {
