Cold targets of the soak are cold for longer and sustain more

Cause: with 4 s and 2 requests a second the gates, which agree on a home for 5 s before they grant all, sent next to nothing to cold targets.

--- a/packages/nutmeggauge/src/cli/flags.ts
+++ b/packages/nutmeggauge/src/cli/flags.ts
@@ -94,7 +94,7 @@
                   asks for rest (default 0)
     --evacuations  Soak: number of times that zones of the targets are evacuated
                   and taken back (default 0)
-    --cold-starts  Soak: targets that replace others are cold for 4 s
+    --cold-starts  Soak: targets that replace others are cold for 8 s
     --agents      Soak: use gates with an agent for each target instead of direct
                   gates
     --no-timing   Soak: skip checks with a bound on time, for busy machines
--- a/packages/nutmeggauge/src/soak/cold-starts.ts
+++ b/packages/nutmeggauge/src/soak/cold-starts.ts
@@ -1,10 +1,10 @@
 /** Cold starts of the soak's targets. */
 
 /** Time for which a target that replaces another one is cold, in s. */
-const COLD_S = 4;
+const COLD_S = 8;
 
 /** Requests per second that a cold target sustains: fewer than it would get. */
-const COLD_PER_S = 2;
+const COLD_PER_S = 4;
 
 /** Cold start of every service. */
 export const COLD_START = {durationS: COLD_S, perSecond: COLD_PER_S} as const;
