--- a/packages/nutmeggauge/src/soak/soak-harness.ts
+++ b/packages/nutmeggauge/src/soak/soak-harness.ts
@@ -7,13 +7,16 @@
 import {buildLoopbackHost} from '@nutmeggauge/core';
 import {StoreStandin, buildConfigDocument} from '@nutmeggauge/platform';
 import {startCpuLoad} from '../faults/busy.js';
+import {COLD_BOUNDS, COLD_START} from './cold-starts.js';
 import {FaultyLink} from './faulty-link.js';
 import {GateProcess} from './gate-process.js';
 import {SoakTargets} from './soak-targets.js';
+import {SoakEvacuations} from './soak-zones.js';
 import type {GateEndpoint} from './callers.js';
 import type {GateOutage, UnexpectedExit} from './gate-process.js';
 import type {PublishedFact} from './history.js';
 import type {FaultAction} from './schedule.js';
+import type {SoakTargetOptions} from './soak-targets.js';
 
 const INGRESS_PORT = 24_100;
 const READY_PORT = 24_101;
@@ -45,6 +48,7 @@
   readonly published: PublishedFact[] = [];
   readonly exits: UnexpectedExit[] = [];
   readonly targets: SoakTargets;
+  readonly evacuations = new SoakEvacuations(this.store);
   /** API key in force; earlier keys are revoked. */
   key = 'key-1';
   private readonly gates: GateSlot[] = [];
@@ -55,9 +59,9 @@
     private readonly gateCount: number,
     private readonly targetCount: number,
     private readonly idleTimeoutMs: number,
-    limit = 0,
+    private readonly options: SoakTargetOptions = {limit: 0},
   ) {
-    this.targets = new SoakTargets(this.store, this.published, limit);
+    this.targets = new SoakTargets(this.store, this.published, options);
   }
 
   get endpoints(): readonly GateEndpoint[] {
@@ -163,6 +167,8 @@
         return this.targets.announceLeave(action.target);
       case 'target-rest':
         return this.targets.setRest(action.target, action.restMs);
+      case 'zone-evacuation':
+        return this.evacuations.begin(action.zones, action.companion);
       case 'config-change':
         return this.applyInstantFault(() => this.publishConfig());
       case 'key-revoke':
@@ -188,7 +194,12 @@
   private publishConfig(): void {
     const keys = [this.key];
     this.store.publishConfig(
-      buildConfigDocument(this.version, keys, this.idleTimeoutMs),
+      buildConfigDocument(
+        this.version,
+        keys,
+        this.idleTimeoutMs,
+        this.options.hasColdStarts ? COLD_START : undefined,
+      ),
     );
     this.version += 2;
   }
@@ -221,6 +232,7 @@
         peerPort: PEER_PORT,
         store: `127.0.0.1:${await storeLink.start()}`,
         seedHosts: this.listHosts(),
+        coldBounds: this.options.hasColdStarts ? COLD_BOUNDS : undefined,
       },
       this.folder,
       exit => this.exits.push(exit),
--- a/packages/nutmeggauge/src/soak/test-history.ts
+++ b/packages/nutmeggauge/src/soak/test-history.ts
@@ -14,6 +14,8 @@
     crashes: [],
     runs: [],
     refusals: [],
+    coldPeaks: [],
+    evacuations: [],
     faults: [],
     published: [],
     exits: [],
--- a/packages/nutmeggauge/src/soak/violation.ts
+++ b/packages/nutmeggauge/src/soak/violation.ts
@@ -23,7 +23,11 @@
     | 'caller-gone'
     | 'target-limit'
     | 'target-leaving'
-    | 'target-rest';
+    | 'target-rest'
+    | 'zone-evacuated'
+    | 'all-zones-evacuated'
+    | 'zone-restored'
+    | 'cold-target';
   readonly requestId: string | undefined;
   readonly detail: string;
 }
