--- a/packages/nutmeggauge/src/soak/check-evacuations.test.ts
+++ b/packages/nutmeggauge/src/soak/check-evacuations.test.ts
@@ -75,6 +75,12 @@
     expect(findAt(2000, {refusals: [refusal]})).toEqual(['zone-evacuated']);
   });
 
+  it('finds a new reservation for a long prompt', () => {
+    const ticket = 'a-1-0';
+    const reservations = [{ticket, target: 't2-1', at: 7000}];
+    expect(findAt(2000, {reservations})).toEqual(['zone-evacuated']);
+  });
+
   it('leaves requests to another zone alone', () => {
     expect(findAt(7000, {}, TARGET_Y)).toEqual([]);
   });
--- a/packages/nutmeggauge/src/soak/check-evacuations.ts
+++ b/packages/nutmeggauge/src/soak/check-evacuations.ts
@@ -1,5 +1,6 @@
 /** Checks on evacuated zones. */
 import {SOAK_ZONES, findTargetZone} from './soak-zones.js';
+import type {TargetRun} from '@nutmeggauge/platform';
 import type {CallerRecord, InjectedFault, SoakHistory} from './history.js';
 import type {EvacuationSpan} from './soak-zones.js';
 import type {Violation} from './violation.js';
@@ -19,6 +20,12 @@
 /** Number of served calls of a gate of which one must have run in each zone. */
 const MIN_SERVED_CALLS = 20;
 
+/** What the ticket of a reservation has behind the id of its request. */
+const ATTEMPT_SUFFIX = /-\d+-\d+$/;
+
+/** Arrival of a request, or of a reservation for it, at a target. */
+type Arrival = Pick<TargetRun, 'requestId' | 'target' | 'at'>;
+
 /** Status with which a gate refuses a request that no target may take. */
 const REFUSED_STATUS = 503;
 
@@ -26,7 +33,8 @@
 const REVOKED_KEY_STATUS = 401;
 
 /**
- * Finds requests that reached an evacuated zone later than gates may send them.
+ * Finds requests and new reservations that reached an evacuated zone later than
+ * gates may send them.
  *
  * @example
  * findSendsToEvacuated(history).length; // 0
@@ -36,7 +44,7 @@
 ): readonly Violation[] {
   const records = buildRecordIndex(history);
   return history.evacuations.flatMap(({zone, from, to}) => {
-    const late = [...history.runs, ...history.refusals].filter(run => {
+    const late = listArrivals(history).filter(run => {
       if (run.at <= from + EVACUATION_MS || run.at >= to) return false;
       if (findTargetZone(run.target) !== zone) return false;
       const gate = records.get(run.requestId)?.gate;
@@ -127,6 +135,16 @@
   );
 }
 
+/** Lists the requests that reached targets, and new reservations for them. */
+function listArrivals(history: SoakHistory): readonly Arrival[] {
+  const reserved = history.reservations.map(({target, ticket, at}) => ({
+    requestId: ticket.replace(ATTEMPT_SUFFIX, ''),
+    target,
+    at,
+  }));
+  return [...history.runs, ...history.refusals, ...reserved];
+}
+
 function isServedCall(record: CallerRecord, gate: number): boolean {
   const isCall = record.kind === 'safe' || record.kind === 'unsafe';
   return isCall && record.gate === gate && record.status === 200;
--- a/packages/nutmeggauge/src/soak/history.ts
+++ b/packages/nutmeggauge/src/soak/history.ts
@@ -6,6 +6,7 @@
   ColdPeak,
   StandinKind,
   TargetRefusal,
+  TargetReservation,
   TargetRun,
 } from '@nutmeggauge/platform';
 import type {GateOutage, UnexpectedExit} from './gate-process.js';
@@ -85,6 +86,8 @@
   readonly coldPeaks: readonly ColdPeak[];
   /** Periods in which a zone was evacuated. */
   readonly evacuations: readonly EvacuationSpan[];
+  /** Reservations of KV cache by helpers of long prompts. */
+  readonly reservations: readonly TargetReservation[];
   readonly faults: readonly InjectedFault[];
   readonly published: readonly PublishedFact[];
   readonly exits: readonly UnexpectedExit[];
--- a/packages/nutmeggauge/src/soak/soak-targets.ts
+++ b/packages/nutmeggauge/src/soak/soak-targets.ts
@@ -7,6 +7,7 @@
   ColdPeak,
   StoreStandin,
   TargetRefusal,
+  TargetReservation,
   TargetRun,
 } from '@nutmeggauge/platform';
 import type {NamedLimit, PublishedFact, TargetCrash} from './history.js';
@@ -117,16 +118,23 @@
    * Lists KV cache reservations held at any target, including replaced targets.
    */
   listHeldReservations(): readonly string[] {
-    return [
-      ...this.slots.map(({standin}) => standin),
-      ...this.replacedTargets,
-    ].flatMap(standin =>
-      standin
-        .listHeldReservations()
-        .map(reservation => `${standin.id}/${reservation}`),
+    const now = performance.now();
+    return this.listStandins().flatMap(({id, tickets}) =>
+      tickets.listHeld(now).map(ticket => `${id}/${ticket}`),
     );
   }
 
+  /** Lists the first order of every reservation at any target. */
+  listReservations(): readonly TargetReservation[] {
+    return this.listStandins().flatMap(({tickets}) =>
+      tickets.listReservations(),
+    );
+  }
+
+  private listStandins(): readonly TargetStandin[] {
+    return [...this.slots.map(({standin}) => standin), ...this.replacedTargets];
+  }
+
   /** Sets how a target responds; returns a function that makes it sound again. */
   setMode(index: number, mode: TargetStandin['mode']): () => void {
     const {standin} = this.slots[index];
--- a/packages/nutmeggauge/src/soak/soak.ts
+++ b/packages/nutmeggauge/src/soak/soak.ts
@@ -170,6 +170,7 @@
     crashes: harness.targets.crashes,
     runs: harness.targets.runs,
     refusals: harness.targets.refusals,
+    reservations: harness.targets.listReservations(),
     coldPeaks: harness.targets.listColdPeaks(),
     evacuations: harness.evacuations.listSpans(),
     faults: await faults,
--- a/packages/nutmeggauge/src/soak/test-history.ts
+++ b/packages/nutmeggauge/src/soak/test-history.ts
@@ -14,6 +14,7 @@
     crashes: [],
     runs: [],
     refusals: [],
+    reservations: [],
     coldPeaks: [],
     evacuations: [],
     faults: [],
