Keep the slowdown of cold engines when a report expires

Cause: an expired report was recorded as a report of full speed, so that all cold engines of the service were predicted as fast as warm ones; the set of engines that had reported grew by each one that left while it was cold. Change: only reports of polls and peers count, and the set is cleaned with them.

--- a/packages/direct/src/health/cold-slowdowns.test.ts
+++ b/packages/direct/src/health/cold-slowdowns.test.ts
@@ -21,4 +21,17 @@
     slowdowns.record('i-1', 2.5);
     expect(slowdowns.read('i-2')).toEqual(1);
   });
+
+  it('forgets who has reported once an engine is warm or gone', () => {
+    // Guards against a set that grows by each engine that leaves while it is cold.
+    const cold = new Set(['i-1']);
+    const isCold = (id: string) => cold.has(id);
+    const slowdowns = new ColdSlowdowns({isCold, findService: () => 'chat'});
+    slowdowns.record('i-1', 2.5);
+    expect(slowdowns.read('i-1')).toEqual(1);
+    cold.delete('i-1');
+    slowdowns.expire();
+    cold.add('i-1');
+    expect(slowdowns.read('i-1')).toEqual(2.5);
+  });
 });
--- a/packages/direct/src/health/cold-slowdowns.ts
+++ b/packages/direct/src/health/cold-slowdowns.ts
@@ -32,11 +32,13 @@
   /** Reads the slowdown of an engine without a report; 1 if it is warm. */
   read(target: string): number {
     const {isCold, findService} = this.options;
-    if (!isCold(target)) {
-      this.reported.delete(target);
-      return 1;
-    }
-    if (this.reported.has(target)) return 1;
+    if (!isCold(target) || this.reported.has(target)) return 1;
     return this.lastByService.get(findService(target) ?? '') ?? 1;
   }
+
+  /** Forgets the reports of engines that are warm or were removed. */
+  expire(): void {
+    for (const target of this.reported)
+      if (!this.options.isCold(target)) this.reported.delete(target);
+  }
 }
--- a/packages/direct/src/health/engine-slowdowns.test.ts
+++ b/packages/direct/src/health/engine-slowdowns.test.ts
@@ -6,9 +6,13 @@
 import {FakeReports} from '../test/fake-reports.js';
 import {createQuietTurns} from '../test/quiet-turns.js';
 import {EngineSlowdowns} from './engine-slowdowns.js';
+import type {TargetAccess} from '../limits/target-access.js';
 import type {EngineSlowdown} from './engine-slowdowns.js';
 
-function createSlowdowns(assignedIds: readonly string[] = ['e1', 'e2']) {
+function createSlowdowns(
+  assignedIds: readonly string[] = ['e1', 'e2'],
+  coldIds: readonly string[] = [],
+) {
   const reports = new FakeReports();
   const changes: EngineSlowdown[] = [];
   let now = 0;
@@ -18,6 +22,12 @@
     listEngines: () => ['e1', 'e2', 'e3'].map(id => buildTarget(id, 1)),
     listAssigned: engines => engines.filter(({id}) => assignedIds.includes(id)),
     onSlowdown: slowdown => changes.push(slowdown),
+    findAccess: () =>
+      ({
+        isCold: (id: string) => coldIds.includes(id),
+        recordCold: () => undefined,
+      }) as unknown as TargetAccess,
+    findService: () => 'chat',
     turns: createQuietTurns(),
     log: createDecisionLog({proc: 'g', output, readWallMs: () => now}),
     readNow: () => now,
@@ -64,4 +74,14 @@
     await runFor(1000);
     expect(slowdowns.read('e3')).toEqual(1);
   });
+
+  it('does not take an expired report for a report of full speed', async () => {
+    // Guards against other cold engines that are predicted as fast as warm ones
+    // as soon as one cold engine has stopped answering.
+    const {slowdowns, runFor} = createSlowdowns([], ['e2', 'e3']);
+    slowdowns.apply({target: 'e3', slowdown: 5});
+    expect(slowdowns.read('e2')).toEqual(5);
+    await runFor(4000);
+    expect(slowdowns.read('e2')).toEqual(5);
+  });
 });
--- a/packages/direct/src/health/engine-slowdowns.ts
+++ b/packages/direct/src/health/engine-slowdowns.ts
@@ -110,10 +110,14 @@
   }
 
   /** Applies a slowdown that this gate polled or a peer announced. */
-  apply({target, slowdown}: EngineSlowdown): void {
+  apply(report: EngineSlowdown): void {
+    this.cold?.record(report.target, report.slowdown);
+    this.setSlowdown(report);
+  }
+
+  private setSlowdown({target, slowdown}: EngineSlowdown): void {
     const {log, onSlowdown, readNow} = this.options;
     const before = this.reportByTarget.get(target)?.slowdown ?? 1;
-    this.cold?.record(target, slowdown);
     const effectiveSlowdown = slowdown < MIN_SLOWDOWN ? 1 : slowdown;
     if (effectiveSlowdown === 1) this.reportByTarget.delete(target);
     else
@@ -150,6 +154,7 @@
   private dropExpired(): void {
     const oldestAt = this.options.readNow() - REPORT_TTL_MS;
     for (const [target, {at}] of this.reportByTarget)
-      if (at < oldestAt) this.apply({target, slowdown: 1});
+      if (at < oldestAt) this.setSlowdown({target, slowdown: 1});
+    this.cold?.expire();
   }
 }
