The planned burst plays alike each time, and is compared over three seeds

With a fixed start, three runs were equal stream by stream. The test now compares three seeds: at least three more long prompts in time for each seed, more value for each, and no fewer short streams in time in all, so that no kind pays for the other.

--- a/packages/direct/src/placement/planned-sends.test.ts
+++ b/packages/direct/src/placement/planned-sends.test.ts
@@ -18,10 +18,16 @@
   isPlanned: true,
 };
 
+/** Seeds of the compared bursts; the outcome of one burst varies with its seed. */
+const SEEDS = [1, 2, 3];
+
+/** Time at which the clock of each run starts, in ms; a fixed one makes runs equal. */
+const STARTS_AT_MS = 100_000;
+
 async function runBurst(
   options: Partial<BurstOptions> = {},
 ): Promise<readonly BurstStream[]> {
-  const clock = startFakeClock(1);
+  const clock = startFakeClock(1, STARTS_AT_MS);
   // Gates pick the peers that they greet at random.
   const random = mock.method(Math, 'random', createRandom(BURST.seed));
   try {
@@ -32,16 +38,39 @@
   }
 }
 
+function listTimes(streams: readonly BurstStream[]) {
+  return streams.map(({key, placedAt, firstTokenAt}) => [
+    key,
+    placedAt,
+    firstTokenAt,
+  ]);
+}
+
 describe('PlannedSends', () => {
   it('lets more long prompts of a burst begin in time, and earns more with all streams', async () => {
-    // Guards against long prompts that push back those before them.
-    const planned = await runBurst();
-    const atOnce = await runBurst({isPlanned: false});
-    const long = countResults(planned, 'long');
-    const longAtOnce = countResults(atOnce, 'long');
-    expect(long.unanswered).toEqual(0);
-    expect(long.inTime).toBeGreaterThanOrEqual(longAtOnce.inTime + 3);
-    expect(sumValue(planned)).toBeGreaterThanOrEqual(sumValue(atOnce));
+    // Guards against long prompts that push back those before them, and against
+    // long prompts in time at the expense of short streams.
+    let shortInTime = 0;
+    let shortInTimeAtOnce = 0;
+    for (const seed of SEEDS) {
+      const planned = await runBurst({seed});
+      const atOnce = await runBurst({seed, isPlanned: false});
+      const long = countResults(planned, 'long');
+      const longAtOnce = countResults(atOnce, 'long');
+      expect(long.unanswered).toEqual(0);
+      expect(long.inTime).toBeGreaterThanOrEqual(longAtOnce.inTime + 3);
+      expect(sumValue(planned)).toBeGreaterThan(sumValue(atOnce));
+      shortInTime += countResults(planned, 'short').inTime;
+      shortInTimeAtOnce += countResults(atOnce, 'short').inTime;
+    }
+    expect(shortInTime).toBeGreaterThanOrEqual(shortInTimeAtOnce);
+  });
+
+  it('plays the same burst alike each time', async () => {
+    // Guards against comparisons of runs that differ by chance.
+    const options = {longPrompts: 15, burstMs: 1000};
+    const first = listTimes(await runBurst(options));
+    expect(listTimes(await runBurst(options))).toEqual(first);
   });
 
   it('sends each prompt at once while the engines are idle', async () => {
--- a/packages/direct/src/test/fake-clock.ts
+++ b/packages/direct/src/test/fake-clock.ts
@@ -62,11 +62,19 @@
  * clock.stop();
  */
 export class FakeClock {
-  now = performance.now();
+  now: number;
   private readonly timers = new Set<FakeTimer>();
 
-  /** @param stepMs - Step of the clock, in ms. */
-  constructor(private readonly stepMs: number) {
+  /**
+   * @param stepMs - Step of the clock, in ms.
+   * @param startsAt - Time at the start, in ms. A fixed one makes runs equal:
+   *   times are rounded differently after each start.
+   */
+  constructor(
+    private readonly stepMs: number,
+    startsAt: number,
+  ) {
+    this.now = startsAt;
     mock.method(performance, 'now', () => this.now);
     const start = (run: () => void, ms = 0) => this.startTimer(run, ms, false);
     const startInterval = (run: () => void, ms = 0) =>
@@ -161,7 +169,11 @@
  * Starts a fake clock.
  *
  * @param stepMs - Step of the clock, in ms.
+ * @param startsAt - Time at the start, in ms; the present one unless given.
  */
-export function startFakeClock(stepMs = STEP_MS): FakeClock {
-  return new FakeClock(stepMs);
+export function startFakeClock(
+  stepMs = STEP_MS,
+  startsAt = performance.now(),
+): FakeClock {
+  return new FakeClock(stepMs, startsAt);
 }
