--- a/packages/direct/src/forward/slot-finder.ts
+++ b/packages/direct/src/forward/slot-finder.ts
@@ -4,8 +4,8 @@
  */
 import {setTimeout as sleep} from 'node:timers/promises';
 import {PlacedPrompt} from '../placement/placed-prompt.js';
-import type {QueueEntry} from '../admission/admission-queue.js';
 import {NoRoom, isDeferral} from '../placement/prompt-request.js';
+import {QueuedStream} from './queued-stream.js';
 import {recordPlannedStream} from './record-planned.js';
 import type {Deferral, PlacementOutcome} from '../placement/prompt-placer.js';
 import type {PromptWait} from '../placement/prompt-wait.js';
@@ -51,6 +51,7 @@
 export class SlotFinder {
   private choiceCount = 0;
   private wait: PromptWait | undefined;
+  private readonly queued: QueuedStream;
 
   /** @param tried - Ids of the engines to avoid. */
   constructor(
@@ -58,7 +59,10 @@
     private readonly request: GateRequest,
     private readonly engine: EngineCostModel,
     private readonly tried: ReadonlySet<string>,
-  ) {}
+  ) {
+    const place = () => this.tryPlace('queued', false);
+    this.queued = new QueuedStream({context, request, engine, tried, place});
+  }
 
   /** Number of times that engines were chosen for the stream. */
   get choices(): number {
@@ -136,7 +140,7 @@
   ): Promise<PlacedPrompt | NoSlotReason> {
     let cause: ChoiceCause = mayExceedSlots ? 'retry' : 'arrival';
     let result: PlacedPrompt | NoSlotReason = 'full';
-    if (mayExceedSlots || hasBegun || !this.isOutranked())
+    if (mayExceedSlots || hasBegun || !this.queued.isOutranked())
       result = await this.waitForSendTime(cause, mayExceedSlots, signal);
     while (result === 'full' && hasBegun && !signal.aborted) {
       await this.waitForChange(BEGUN_RETRY_MS, signal);
@@ -151,7 +155,7 @@
         allowedZones,
       );
       if (limitMs > route.objectiveMs) return 'full';
-      result = await this.waitForSlot(signal);
+      result = await this.queued.wait(signal);
     }
     if (!signal.aborted) return result;
     if (result instanceof PlacedPrompt) result.release();
@@ -256,58 +260,6 @@
     );
   }
 
-  private async waitForSlot(
-    signal: AbortSignal,
-  ): Promise<PlacedPrompt | NoSlotReason> {
-    const {request, context, engine, tried} = this;
-    const {service, allowedZones} = request;
-    const queue = context.queues.find(service);
-    let result: PlacedPrompt | NoSlotReason = 'full';
-    const entry = this.buildEntry(() => {
-      const {prompts, state} = context;
-      // No engine comes back before the caller leaves.
-      if (state.isWhollyEvacuated(service, allowedZones)) {
-        result = 'none';
-        return true;
-      }
-      if (!prompts.isSlotFree(service, engine, tried, allowedZones))
-        return false;
-      const outcome = this.tryPlace('queued', false);
-      result = isDeferral(outcome) ? 'full' : outcome;
-      return result !== 'full';
-    });
-    const predictedMs = queue.estimateWaitMs(entry);
-    const outcome = await queue.enter(entry, signal);
-    context.counters.add(`queue.${outcome}`);
-    context.log.info('waited_for_slot', {
-      requestId: request.facts.requestId,
-      outcome,
-      predictedMs: Math.round(predictedMs),
-      queued: queue.length,
-      ms: Math.round(context.readNow() - request.arrivedAt),
-    });
-    return result;
-  }
-
-  /** Returns whether streams wait in the queue that go before this one. */
-  private isOutranked(): boolean {
-    const queue = this.context.queues.find(this.request.service);
-    return queue.length > 0 && queue.isOutranked(this.buildEntry(() => false));
-  }
-
-  private buildEntry(tryPlace: () => boolean): QueueEntry {
-    const {request, context} = this;
-    return {
-      arrivedAt: request.arrivedAt,
-      objectiveMs: request.route.objectiveMs,
-      promptTokens: request.facts.promptTokens ?? 0,
-      urgency: context.urgencies.rank(request),
-      account: request.account,
-      requestId: request.facts.requestId,
-      tryPlace,
-    };
-  }
-
   private recordDeferral({waitMs, predictedTtftMs, planned}: Deferral): void {
     const {context, request, wait} = this;
     // A planned prompt is planned anew every few ms; the end of its wait is logged.
--- a/packages/direct/src/placement/prompt-placer.ts
+++ b/packages/direct/src/placement/prompt-placer.ts
@@ -2,10 +2,10 @@
  * Places streams on engines: collects the candidate engines, chooses among
  * them, and informs the load tracker and the peers.
  */
+import {CandidateEngines} from './candidate-engines.js';
 import {isWithinIdleKvCapacity} from './kv-cache.js';
 import {chooseSendTime} from './choose-send-time.js';
 import {PlacedPrompt} from './placed-prompt.js';
-import {isColdSlotFree} from './slow-start.js';
 import {PlannedSends} from './planned-sends.js';
 import {NoRoom} from './prompt-request.js';
 import {PromptWait} from './prompt-wait.js';
@@ -22,7 +22,6 @@
 import type {PromptPlacerOptions} from './prompt-placer-options.js';
 import type {WaitReport} from './waiting-prompts.js';
 import type {PromptDemand} from './prompt-types.js';
-import type {Candidate} from './price-prefill.js';
 import type {SendDecision} from './planned-sends.js';
 
 export type {PromptPlacerOptions} from './prompt-placer-options.js';
@@ -45,14 +44,13 @@
 export class PromptPlacer {
   private lastPlacementNumber = 0;
   private lastWaitNumber = 0;
-  /** Latest candidate for each engine; kept while nothing about it changes. */
-  private readonly candidates = new Map<string, Candidate>();
-
+  private readonly engines: CandidateEngines;
   private readonly ranking: TargetRanking;
   private readonly waiting: WaitingPrompts;
   private readonly sends: PlannedSends;
 
   constructor(private readonly options: PromptPlacerOptions) {
+    this.engines = new CandidateEngines(options);
     this.ranking = new TargetRanking(options.owner);
     const {readNow, announceWait = () => undefined} = options;
     this.waiting = new WaitingPrompts(readNow);
@@ -103,8 +101,8 @@
     const {service, suspects = [], allowedZones} = request;
     if (tracker.trials.isRunning(suspects, now))
       return {waitMs: TRIAL_POLL_MS, predictedTtftMs: 0};
-    const listed = this.listTargets(service, tried, allowedZones);
-    const targets = this.ranking.rank(this.listTakers(listed, engine));
+    const listed = this.engines.listTargets(service, tried, allowedZones);
+    const targets = this.ranking.rank(this.engines.listTakers(listed, engine));
     const keptCount = listed.length - targets.length;
     if (keptCount > 0) this.options.counters?.add('cold.streams_kept');
     if (
@@ -131,7 +129,7 @@
     }
     const choose = (candidates: readonly Target[]) =>
       chooseSendTime(
-        candidates.map(target => this.describeCandidate(target, now)),
+        candidates.map(target => this.engines.describe(target, now)),
         demand,
         engine,
         now,
@@ -145,7 +143,7 @@
     const apart =
       suspects.length === 0
         ? undefined
-        : choose(this.listEmptiest(targets, now));
+        : choose(this.engines.listEmptiest(targets, now));
     const timed = pickInTime(apart, anywhere, request.objectiveLeftMs);
     if (timed === undefined)
       return isWithinIdleKvCapacity(
@@ -199,7 +197,7 @@
 
   /** Forgets an engine that was removed. */
   drop(target: string): void {
-    this.candidates.delete(target);
+    this.engines.drop(target);
     this.ranking.drop(target);
   }
 
@@ -211,10 +209,10 @@
     allowedZones?: ReadonlySet<string>,
   ): boolean {
     const {tracker} = this.options;
-    const listed = this.listTargets(service, tried, allowedZones);
-    return this.listTakers(listed, engine).some(
-      ({id}) => tracker.countActive(id) < engine.slots,
-    );
+    const listed = this.engines.listTargets(service, tried, allowedZones);
+    return this.engines
+      .listTakers(listed, engine)
+      .some(({id}) => tracker.countActive(id) < engine.slots);
   }
 
   /** Plans a long prompt of a large fleet that has not been attempted before. */
@@ -229,7 +227,7 @@
       return {kind: 'unplanned'};
     const now = this.options.readNow();
     const listCandidates = () =>
-      targets.map(target => this.describeCandidate(target, now));
+      targets.map(target => this.engines.describe(target, now));
     return this.sends.judge(
       {
         service,
@@ -242,76 +240,6 @@
       wait,
     );
   }
-
-  private listTargets(
-    service: string,
-    tried: ReadonlySet<string>,
-    allowedZones: ReadonlySet<string> | undefined,
-  ): readonly Target[] {
-    const {eligible, tracker, readNow} = this.options;
-    const now = readNow();
-    const reachable = eligible.list(service, tried, allowedZones);
-    const safe = reachable.filter(
-      ({id}) => !tracker.trials.isEngineAtRisk(id, now),
-    );
-    return safe.length > 0 ? safe : reachable;
-  }
-
-  /**
-   * Lists the engines without the cold ones that hold as many streams as they may
-   * at present. If no other one has a free slot, it lists them too: their permits
-   * bound what they get.
-   */
-  private listTakers(
-    targets: readonly Target[],
-    {slots}: EngineCostModel,
-  ): readonly Target[] {
-    const {access, tracker, measureHeardShare} = this.options;
-    if (!targets.some(({id}) => access.isCold(id))) return targets;
-    const heardShare = measureHeardShare();
-    const takers = targets.filter(({id}) => {
-      if (!access.isCold(id)) return true;
-      const active = tracker.countActive(id);
-      const progress = access.readColdProgress(id);
-      return isColdSlotFree({slots, progress, active, heardShare});
-    });
-    const isAnyFree = takers.some(({id}) => tracker.countActive(id) < slots);
-    return isAnyFree ? takers : targets;
-  }
-
-  /** Lists the engines with the fewest streams, which a crash would end. */
-  private listEmptiest(
-    targets: readonly Target[],
-    now: number,
-  ): readonly Target[] {
-    const counts = targets.map(({id}) => {
-      const {active, helpedPrompts} = this.options.tracker.describe(id, now);
-      return active + helpedPrompts;
-    });
-    const fewest = Math.min(...counts);
-    return targets.filter((_, i) => counts[i] === fewest);
-  }
-
-  private describeCandidate(target: Target, now: number): Candidate {
-    const {id, zone} = target;
-    const slowdown = this.options.slowdowns.read(id);
-    const described = this.options.tracker.describe(id, now);
-    // A helper is sent orders, which a limited or resting engine does not want.
-    const load = this.options.access.isSpared(id)
-      ? {...described, helpedPrompts: Infinity}
-      : described;
-    const isRemote = zone !== this.options.zone;
-    const known = this.candidates.get(id);
-    if (
-      known?.load === load &&
-      known.slowdown === slowdown &&
-      known.isRemote === isRemote
-    )
-      return known;
-    const candidate = {id, isRemote, slowdown, load};
-    this.candidates.set(id, candidate);
-    return candidate;
-  }
 }
 
 /**
