A stream waits only behind streams that may run wherever it may

Cause: with regions, an urgent stream that waits for a full zone made every less urgent newcomer of its size wait, or be refused, although engines of other zones were free. Only streams that could use each slot that the newcomer may use go before it now; tested on the queue.

--- a/packages/direct/src/admission/admission-queue.ts
+++ b/packages/direct/src/admission/admission-queue.ts
@@ -4,6 +4,7 @@
  * after the burst and make every answer late.
  */
 import {DeadlineOrder, compareRanks, findRankCause} from './admission-order.js';
+import {mayRunWherever} from './queue-entry.js';
 import type {AdmissionOrder, OrderDecision} from './admission-order.js';
 import type {QueueEntry, QueueOutcome} from './queue-entry.js';
 
@@ -142,9 +143,11 @@
 
   /** Returns whether a newcomer has to wait even if a slot is free. */
   isOutranked(entry: QueueEntry): boolean {
-    // Much larger prompts may wait for KV cache that the newcomer does not need.
+    // Others may wait for KV cache, or for zones, that the newcomer does not need.
     const comparable = this.waiting.filter(
-      other => other.entry.promptTokens <= entry.promptTokens * COMPARABLE_SIZE,
+      other =>
+        other.entry.promptTokens <= entry.promptTokens * COMPARABLE_SIZE &&
+        mayRunWherever(other.entry, entry),
     );
     if (comparable.length === 0) return false;
     const rank = this.order.rank(entry);
--- a/packages/direct/src/admission/queue-entry.ts
+++ b/packages/direct/src/admission/queue-entry.ts
@@ -25,6 +25,12 @@
    * @default none
    */
   readonly account?: string;
+  /**
+   * Zones in which the stream may run.
+   *
+   * @default all
+   */
+  readonly allowedZones?: ReadonlySet<string>;
   /**
    * Id of the request, for the log.
    *
@@ -34,3 +40,16 @@
   /** Places the stream; returns false if no slot or KV cache is free. */
   tryPlace(): boolean;
 }
+
+/**
+ * Checks whether a stream may run in every zone in which another one may.
+ *
+ * @example
+ * mayRunWherever(waiting, newcomer);
+ */
+export function mayRunWherever(stream: QueueEntry, other: QueueEntry): boolean {
+  const {allowedZones} = stream;
+  if (allowedZones === undefined) return true;
+  if (other.allowedZones === undefined) return false;
+  return [...other.allowedZones].every(zone => allowedZones.has(zone));
+}
--- a/packages/direct/src/admission/urgent-load.test.ts
+++ b/packages/direct/src/admission/urgent-load.test.ts
@@ -142,6 +142,31 @@
     caller.abort();
   });
 
+  it('places a newcomer past an urgent stream that waits for other zones', () => {
+    // Guards against streams that wait, or are refused, in an idle zone because
+    // an urgent stream may run in a full one only.
+    const queue = createAdmissionQueue({
+      countSlots: () => 80,
+      countGates: () => 1,
+      readNow: () => 0,
+      order: new UrgencyOrder(),
+    });
+    const caller = new AbortController();
+    const build = (urgency: number, zones?: readonly string[]) => ({
+      urgency,
+      allowedZones: zones && new Set(zones),
+      promptTokens: 5000,
+      arrivedAt: 0,
+      objectiveMs: 1000,
+      tryPlace: () => false,
+    });
+    void queue.enter(build(0, ['az-1']), caller.signal);
+    expect(queue.isOutranked(build(1))).toEqual(false);
+    expect(queue.isOutranked(build(1, ['az-1', 'az-2']))).toEqual(false);
+    expect(queue.isOutranked(build(1, ['az-1']))).toEqual(true);
+    caller.abort();
+  });
+
   it('serves many less urgent streams at least a quarter as often as all', async () => {
     const other = {...URGENT, name: 'other', urgency: 3, perSecond: 300};
     const load = await runLoad([URGENT, other], true);
--- a/packages/direct/src/forward/queued-stream.ts
+++ b/packages/direct/src/forward/queued-stream.ts
@@ -75,6 +75,7 @@
       promptTokens: request.facts.promptTokens ?? 0,
       urgency: context.urgencies.rank(request),
       account: request.account,
+      allowedZones: request.allowedZones,
       requestId: request.facts.requestId,
       tryPlace,
     };
