--- a/packages/direct/src/admission/admission-order.ts
+++ b/packages/direct/src/admission/admission-order.ts
@@ -14,6 +14,12 @@
  */
 const TOLERATED_LEAD = 0.03;
 
+/**
+ * Time after the refusal of a more urgent stream for which others are held back, in
+ * ms. Without such refusals, nobody needs the slots that holding back leaves free.
+ */
+const HOLD_MS = 1000;
+
 /** What ranks two streams differently. */
 export type RankCause = 'urgency' | 'account';
 
@@ -76,7 +82,7 @@
   abstract rank(entry: QueueEntry): AdmissionRank;
 
   /** Finds why a stream is to be refused in favour of later ones, if it is. */
-  abstract findHoldCause(entry: QueueEntry): RankCause | undefined;
+  abstract findHoldCause(entry: QueueEntry, now: number): RankCause | undefined;
 
   /** Records the outcome of a stream that was offered to the queue. */
   abstract record(entry: QueueEntry, outcome: QueueOutcome, now: number): void;
@@ -104,17 +110,23 @@
   private readonly shares = new ServedShares();
   /** Urgencies of the streams that have been offered. */
   private readonly known = new Set<number>();
+  /** Time of the latest refusal of each urgency, in ms. */
+  private readonly refusedAt = new Map<number, number>();
 
   override rank({urgency = 0}: QueueEntry): AdmissionRank {
     const isOwed = this.known.size > 1 && this.shares.isOwed(String(urgency));
     return {urgency: isOwed ? OWED_RANK : urgency, account: 0};
   }
 
-  override findHoldCause({urgency = 0}: QueueEntry): RankCause | undefined {
+  override findHoldCause(
+    {urgency = 0}: QueueEntry,
+    now: number,
+  ): RankCause | undefined {
     const share = this.shares.measureShare(String(urgency));
     const isAhead = [...this.known].some(
       other =>
         other < urgency &&
+        now - (this.refusedAt.get(other) ?? -Infinity) < HOLD_MS &&
         this.shares.measureShare(String(other)) < share - TOLERATED_LEAD,
     );
     return isAhead ? 'urgency' : undefined;
@@ -127,6 +139,7 @@
   ): void {
     if (outcome === 'left') return;
     this.known.add(urgency);
+    if (outcome === 'refused') this.refusedAt.set(urgency, now);
     this.shares.record(String(urgency), outcome, now);
   }
 }
--- a/packages/direct/src/admission/admission-queue.ts
+++ b/packages/direct/src/admission/admission-queue.ts
@@ -120,7 +120,7 @@
     const now = this.options.readNow();
     const refuseAt = entry.arrivedAt + entry.objectiveMs * WAIT_SHARE;
     const isTooLate = now + this.estimateWaitMs(entry) > refuseAt;
-    if (isTooLate || this.isHeldBack(entry)) {
+    if (isTooLate || this.isHeldBack(entry, now)) {
       this.order.record(entry, 'refused', now);
       return Promise.resolve('refused');
     }
@@ -151,12 +151,9 @@
     );
     if (comparable.length === 0) return false;
     const rank = this.order.rank(entry);
-    return (
-      rank.account > 0 ||
-      comparable.some(
-        other => compareRanks(this.order.rank(other.entry), rank) < 0,
-      )
-    );
+    const goesFirst = ({entry: other}: QueuedStream) =>
+      compareRanks(this.order.rank(other), rank) < 0;
+    return rank.account > 0 || comparable.some(goesFirst);
   }
 
   /**
@@ -244,8 +241,8 @@
     }
   }
 
-  private isHeldBack(stream: QueueEntry): boolean {
-    const cause = this.order.findHoldCause(stream);
+  private isHeldBack(stream: QueueEntry, now: number): boolean {
+    const cause = this.order.findHoldCause(stream, now);
     if (cause === undefined) return false;
     const rank = this.order.rank(stream);
     this.options.onDecision?.({kind: 'held_back', cause, stream, rank});
--- a/packages/direct/src/admission/urgent-load.test.ts
+++ b/packages/direct/src/admission/urgent-load.test.ts
@@ -167,6 +167,26 @@
     caller.abort();
   });
 
+  it('holds nobody back once no urgent stream is refused any more', () => {
+    // Guards against less urgent streams that are refused although no urgent one
+    // takes the slots.
+    const order = new UrgencyOrder();
+    const build = (urgency: number) => ({
+      urgency,
+      promptTokens: 5000,
+      arrivedAt: 0,
+      objectiveMs: 1000,
+      tryPlace: () => false,
+    });
+    for (let i = 0; i < 100; i++) {
+      order.record(build(0), i % 2 === 0 ? 'refused' : 'placed', 0);
+      order.record(build(1), 'placed', 0);
+    }
+    expect(order.findHoldCause(build(1), 500)).toEqual('urgency');
+    expect(order.findHoldCause(build(0), 500)).toEqual(undefined);
+    expect(order.findHoldCause(build(1), 1500)).toEqual(undefined);
+  });
+
   it('serves many less urgent streams at least a quarter as often as all', async () => {
     const other = {...URGENT, name: 'other', urgency: 3, perSecond: 300};
     const load = await runLoad([URGENT, other], true);
