A queued stream that can't be planned or run counts as refused

Cause: a waiting stream whose choice ended in no room or no engine was recorded as placed, which raised the placed share of its urgency and account, and counted as queue.placed. Its outcome is refused now; the caller's answer is unchanged.

--- a/packages/direct/src/admission/admission-queue.ts
+++ b/packages/direct/src/admission/admission-queue.ts
@@ -194,9 +194,10 @@
     const run = () => {
       if (!this.waiting.includes(next))
         return this.tryNext(others, blockedPromptTokens);
-      if (!entry.tryPlace()) return this.tryNext(others, entry.promptTokens);
-      this.notifyOvertaken(next);
-      next.settle('placed');
+      const result = entry.tryPlace();
+      if (!result) return this.tryNext(others, entry.promptTokens);
+      if (result === true) this.notifyOvertaken(next);
+      next.settle(result === true ? 'placed' : 'refused');
       this.tryNext(this.rankStreams(others), blockedPromptTokens);
     };
     if (this.options.schedule === undefined) run();
--- a/packages/direct/src/admission/queue-entry.ts
+++ b/packages/direct/src/admission/queue-entry.ts
@@ -37,8 +37,11 @@
    * @default none
    */
   readonly requestId?: string;
-  /** Places the stream; returns false if no slot or KV cache is free. */
-  tryPlace(): boolean;
+  /**
+   * Places the stream; returns false if no slot or KV cache is free, and `refused`
+   * if waiting longer is of no use.
+   */
+  tryPlace(): boolean | 'refused';
 }
 
 /**
--- a/packages/direct/src/admission/urgent-load.test.ts
+++ b/packages/direct/src/admission/urgent-load.test.ts
@@ -187,6 +187,21 @@
     expect(order.findHoldCause(build(1), 1500)).toEqual(undefined);
   });
 
+  it('counts a stream that gives up its wait as refused', async () => {
+    // Guards against refused streams that raise the placed share of their kind,
+    // for which later ones would be held back.
+    const queue = createAdmissionQueue({
+      countSlots: () => 80,
+      countGates: () => 1,
+      readNow: () => 0,
+    });
+    const {signal} = new AbortController();
+    const stream = {arrivedAt: 0, objectiveMs: 1000, promptTokens: 5000};
+    const outcome = queue.enter({...stream, tryPlace: () => 'refused'}, signal);
+    queue.advance();
+    expect(await outcome).toEqual('refused');
+  });
+
   it('serves many less urgent streams at least a quarter as often as all', async () => {
     const other = {...URGENT, name: 'other', urgency: 3, perSecond: 300};
     const load = await runLoad([URGENT, other], true);
--- a/packages/direct/src/forward/queued-stream.ts
+++ b/packages/direct/src/forward/queued-stream.ts
@@ -1,7 +1,7 @@
 /** Wait of one stream for a slot in the admission queue of its service. */
 import {isDeferral} from '../placement/prompt-request.js';
 import type {QueueEntry} from '../admission/admission-queue.js';
-import type {PlacedPrompt} from '../placement/placed-prompt.js';
+import {PlacedPrompt} from '../placement/placed-prompt.js';
 import type {PlacementOutcome} from '../placement/prompt-placer.js';
 import type {EngineCostModel} from '../types.js';
 import type {ForwardContext} from './context.js';
@@ -39,13 +39,14 @@
       // No engine comes back before the caller leaves.
       if (state.isWhollyEvacuated(service, allowedZones)) {
         result = 'none';
-        return true;
+        return 'refused';
       }
       if (!prompts.isSlotFree(service, engine, tried, allowedZones))
         return false;
       const outcome = place();
       result = isDeferral(outcome) ? 'full' : outcome;
-      return result !== 'full';
+      if (result === 'full') return false;
+      return result instanceof PlacedPrompt || 'refused';
     });
     const predictedMs = queue.estimateWaitMs(entry);
     const outcome = await queue.enter(entry, signal);
@@ -67,7 +68,7 @@
     return queue.length > 0 && queue.isOutranked(this.buildEntry(() => false));
   }
 
-  private buildEntry(tryPlace: () => boolean): QueueEntry {
+  private buildEntry(tryPlace: QueueEntry['tryPlace']): QueueEntry {
     const {request, context} = this.options;
     return {
       arrivedAt: request.arrivedAt,
