--- a/packages/direct/src/admission/admission-queue.ts
+++ b/packages/direct/src/admission/admission-queue.ts
@@ -4,7 +4,7 @@
  * after the burst and make every answer late.
  */
 import {DeadlineOrder, compareRanks, findRankCause} from './admission-order.js';
-import {mayRunWherever} from './queue-entry.js';
+import {isAllowedWherever} from './queue-entry.js';
 import type {AdmissionOrder, OrderDecision} from './admission-order.js';
 import type {QueueEntry, QueueOutcome} from './queue-entry.js';
 
@@ -147,7 +147,7 @@
     const comparable = this.waiting.filter(
       other =>
         other.entry.promptTokens <= entry.promptTokens * COMPARABLE_SIZE &&
-        mayRunWherever(other.entry, entry),
+        isAllowedWherever(other.entry, entry),
     );
     if (comparable.length === 0) return false;
     const rank = this.order.rank(entry);
--- a/packages/direct/src/admission/queue-entry.ts
+++ b/packages/direct/src/admission/queue-entry.ts
@@ -48,9 +48,12 @@
  * Checks whether a stream may run in every zone in which another one may.
  *
  * @example
- * mayRunWherever(waiting, newcomer);
+ * isAllowedWherever(waiting, newcomer);
  */
-export function mayRunWherever(stream: QueueEntry, other: QueueEntry): boolean {
+export function isAllowedWherever(
+  stream: QueueEntry,
+  other: QueueEntry,
+): boolean {
   const {allowedZones} = stream;
   if (allowedZones === undefined) return true;
   if (other.allowedZones === undefined) return false;
