--- a/packages/direct/src/admission/admission-queue.ts
+++ b/packages/direct/src/admission/admission-queue.ts
@@ -4,6 +4,7 @@
  * after the burst and make every answer late.
  */
 import {DeadlineOrder, compareRanks, findRankCause} from './admission-order.js';
+import {isAllowedWherever} from './queue-entry.js';
 import type {AdmissionOrder, OrderDecision} from './admission-order.js';
 import type {QueueEntry, QueueOutcome} from './queue-entry.js';
 
@@ -119,7 +120,7 @@
     const now = this.options.readNow();
     const refuseAt = entry.arrivedAt + entry.objectiveMs * WAIT_SHARE;
     const isTooLate = now + this.estimateWaitMs(entry) > refuseAt;
-    if (isTooLate || this.isHeldBack(entry)) {
+    if (isTooLate || this.isHeldBack(entry, now)) {
       this.order.record(entry, 'refused', now);
       return Promise.resolve('refused');
     }
@@ -142,18 +143,17 @@
 
   /** Returns whether a newcomer has to wait even if a slot is free. */
   isOutranked(entry: QueueEntry): boolean {
-    // Much larger prompts may wait for KV cache that the newcomer does not need.
+    // Others may wait for KV cache, or for zones, that the newcomer does not need.
     const comparable = this.waiting.filter(
-      other => other.entry.promptTokens <= entry.promptTokens * COMPARABLE_SIZE,
+      other =>
+        other.entry.promptTokens <= entry.promptTokens * COMPARABLE_SIZE &&
+        isAllowedWherever(other.entry, entry),
     );
     if (comparable.length === 0) return false;
     const rank = this.order.rank(entry);
-    return (
-      rank.account > 0 ||
-      comparable.some(
-        other => compareRanks(this.order.rank(other.entry), rank) < 0,
-      )
-    );
+    const goesFirst = ({entry: other}: QueuedStream) =>
+      compareRanks(this.order.rank(other), rank) < 0;
+    return rank.account > 0 || comparable.some(goesFirst);
   }
 
   /**
@@ -194,9 +194,10 @@
     const run = () => {
       if (!this.waiting.includes(next))
         return this.tryNext(others, blockedPromptTokens);
-      if (!entry.tryPlace()) return this.tryNext(others, entry.promptTokens);
-      this.notifyOvertaken(next);
-      next.settle('placed');
+      const result = entry.tryPlace();
+      if (!result) return this.tryNext(others, entry.promptTokens);
+      if (result === true) this.notifyOvertaken(next);
+      next.settle(result === true ? 'placed' : 'refused');
       this.tryNext(this.rankStreams(others), blockedPromptTokens);
     };
     if (this.options.schedule === undefined) run();
@@ -241,8 +242,8 @@
     }
   }
 
-  private isHeldBack(stream: QueueEntry): boolean {
-    const cause = this.order.findHoldCause(stream);
+  private isHeldBack(stream: QueueEntry, now: number): boolean {
+    const cause = this.order.findHoldCause(stream, now);
     if (cause === undefined) return false;
     const rank = this.order.rank(stream);
     this.options.onDecision?.({kind: 'held_back', cause, stream, rank});
--- a/packages/direct/src/admission/queue-entry.ts
+++ b/packages/direct/src/admission/queue-entry.ts
@@ -25,12 +25,37 @@
    * @default none
    */
   readonly account?: string;
+  /**
+   * Zones in which the stream may run.
+   *
+   * @default all
+   */
+  readonly allowedZones?: ReadonlySet<string>;
   /**
    * Id of the request, for the log.
    *
    * @default none
    */
   readonly requestId?: string;
-  /** Places the stream; returns false if no slot or KV cache is free. */
-  tryPlace(): boolean;
+  /**
+   * Places the stream; returns false if no slot or KV cache is free, and `refused`
+   * if waiting longer is of no use.
+   */
+  tryPlace(): boolean | 'refused';
+}
+
+/**
+ * Checks whether a stream may run in every zone in which another one may.
+ *
+ * @example
+ * isAllowedWherever(waiting, newcomer);
+ */
+export function isAllowedWherever(
+  stream: QueueEntry,
+  other: QueueEntry,
+): boolean {
+  const {allowedZones} = stream;
+  if (allowedZones === undefined) return true;
+  if (other.allowedZones === undefined) return false;
+  return [...other.allowedZones].every(zone => allowedZones.has(zone));
 }
--- a/packages/direct/src/admission/urgent-load.test.ts
+++ b/packages/direct/src/admission/urgent-load.test.ts
@@ -142,6 +142,66 @@
     caller.abort();
   });
 
+  it('places a newcomer past an urgent stream that waits for other zones', () => {
+    // Guards against streams that wait, or are refused, in an idle zone because
+    // an urgent stream may run in a full one only.
+    const queue = createAdmissionQueue({
+      countSlots: () => 80,
+      countGates: () => 1,
+      readNow: () => 0,
+      order: new UrgencyOrder(),
+    });
+    const caller = new AbortController();
+    const build = (urgency: number, zones?: readonly string[]) => ({
+      urgency,
+      allowedZones: zones && new Set(zones),
+      promptTokens: 5000,
+      arrivedAt: 0,
+      objectiveMs: 1000,
+      tryPlace: () => false,
+    });
+    void queue.enter(build(0, ['az-1']), caller.signal);
+    expect(queue.isOutranked(build(1))).toEqual(false);
+    expect(queue.isOutranked(build(1, ['az-1', 'az-2']))).toEqual(false);
+    expect(queue.isOutranked(build(1, ['az-1']))).toEqual(true);
+    caller.abort();
+  });
+
+  it('holds nobody back once no urgent stream is refused any more', () => {
+    // Guards against less urgent streams that are refused although no urgent one
+    // takes the slots.
+    const order = new UrgencyOrder();
+    const build = (urgency: number) => ({
+      urgency,
+      promptTokens: 5000,
+      arrivedAt: 0,
+      objectiveMs: 1000,
+      tryPlace: () => false,
+    });
+    for (let i = 0; i < 100; i++) {
+      order.record(build(0), i % 2 === 0 ? 'refused' : 'placed', 0);
+      order.record(build(1), 'placed', 0);
+    }
+    expect(order.findHoldCause(build(1), 500)).toEqual('urgency');
+    expect(order.findHoldCause(build(0), 500)).toEqual(undefined);
+    expect(order.findHoldCause(build(1), 1500)).toEqual(undefined);
+  });
+
+  it('counts a stream that gives up its wait as refused', async () => {
+    // Guards against refused streams that raise the placed share of their kind,
+    // for which later ones would be held back.
+    const queue = createAdmissionQueue({
+      countSlots: () => 80,
+      countGates: () => 1,
+      readNow: () => 0,
+    });
+    const {signal} = new AbortController();
+    const stream = {arrivedAt: 0, objectiveMs: 1000, promptTokens: 5000};
+    const outcome = queue.enter({...stream, tryPlace: () => 'refused'}, signal);
+    queue.advance();
+    expect(await outcome).toEqual('refused');
+  });
+
   it('serves many less urgent streams at least a quarter as often as all', async () => {
     const other = {...URGENT, name: 'other', urgency: 3, perSecond: 300};
     const load = await runLoad([URGENT, other], true);
