--- a/packages/direct/src/placement/prompt-wait.ts
+++ b/packages/direct/src/placement/prompt-wait.ts
@@ -14,7 +14,7 @@
  *
  * @example
  * const wait = new PromptWait('10.1.0.4/1#7');
- * if (wait.isAnnouncementDue(now)) announce(wait.key);
+ * if (wait.claimAnnouncement(now)) announce(wait.key);
  */
 export class PromptWait {
   private announcedAt: number | undefined;
