Types of slot reasons and of soak faults have modules of their own

Both came with splits of files: the new module took a type from the one that uses it.

Change: no-slot-reason.ts and scheduled-fault.ts hold the types. No behaviour changes.

--- a/packages/direct/src/forward/queued-stream.ts
+++ b/packages/direct/src/forward/queued-stream.ts
@@ -6,7 +6,7 @@
 import type {EngineCostModel} from '../types.js';
 import type {ForwardContext} from './context.js';
 import type {GateRequest} from './request.js';
-import type {NoSlotReason} from './slot-finder.js';
+import type {NoSlotReason} from './no-slot-reason.js';
 
 /** What the wait of a stream needs. */
 export interface QueuedStreamOptions {
--- a/packages/direct/src/forward/record-planned.ts
+++ b/packages/direct/src/forward/record-planned.ts
@@ -4,7 +4,7 @@
 import type {PromptWait} from '../placement/prompt-wait.js';
 import type {ForwardContext} from './context.js';
 import type {GateRequest} from './request.js';
-import type {NoSlotReason} from './slot-finder.js';
+import type {NoSlotReason} from './no-slot-reason.js';
 
 /** End of the wait of a stream. */
 export interface PlannedEnd {
--- a/packages/direct/src/forward/slot-finder.ts
+++ b/packages/direct/src/forward/slot-finder.ts
@@ -4,13 +4,14 @@
  */
 import {setTimeout as sleep} from 'node:timers/promises';
 import {PlacedPrompt} from '../placement/placed-prompt.js';
-import {NoRoom, isDeferral} from '../placement/prompt-request.js';
+import {isDeferral} from '../placement/prompt-request.js';
 import {QueuedStream} from './queued-stream.js';
 import {recordPlannedStream} from './record-planned.js';
 import type {Deferral, PlacementOutcome} from '../placement/prompt-placer.js';
 import type {PromptWait} from '../placement/prompt-wait.js';
 import type {EngineCostModel} from '../types.js';
 import type {ForwardContext} from './context.js';
+import type {NoSlotReason} from './no-slot-reason.js';
 import type {GateRequest} from './request.js';
 
 /**
@@ -31,14 +32,6 @@
  */
 const TRIAL_SETTLE_MS = 25;
 
-/**
- * Reason for which no engine was found: no slot is free (`full`), no engine can
- * run the prompt (`none`), the search was aborted (`left`), the choices of
- * earlier prompts take longer than the caller waits (`behind`), or the caller
- * leaves before engines can begin the prompt ({@link NoRoom}).
- */
-export type NoSlotReason = 'full' | 'none' | 'left' | 'behind' | NoRoom;
-
 /** Reason for which engines are chosen for a prompt, as measured. */
 type ChoiceCause = 'arrival' | 'retry' | 'deferred' | 'queued';
 
--- a/packages/nutmeggauge/src/soak/schedule-evacuations.ts
+++ b/packages/nutmeggauge/src/soak/schedule-evacuations.ts
@@ -2,7 +2,7 @@
 import {uniformInt} from 'pure-rand/distribution/uniformInt';
 import {xoroshiro128plus} from 'pure-rand/generator/xoroshiro128plus';
 import {SOAK_ZONES} from './soak-zones.js';
-import type {ScheduledFault} from './schedule.js';
+import type {ScheduledFault} from './scheduled-fault.js';
 
 /** Added to a seed, so that evacuations leave its other faults unchanged. */
 const EVACUATION_SEED_OFFSET = 0xe7ac;
