Exchange: the body of every request is delimited as its caller did it

Node's client, given the head as a list, writes a length or chunks only for methods that usually have a body; the adapter had dropped the caller's length, and Transfer-Encoding is hop-by-hop. So the body lay on the connection after the head, as bytes of no request (a raw TCP target shows it), which is request smuggling if the server reads on. Ruled out: the gate does not lose the body before the send, and no single path is at fault: calls, retries, hedges, resumes and backups all sent it so.

The ingress now records how the caller delimited the body (a length, chunks, none), and the exchange, which every path uses, writes that itself for every method. A POST without a body stays without one, a length stays a length.

--- a/packages/direct/src/forward/exchange.test.ts
+++ b/packages/direct/src/forward/exchange.test.ts
@@ -22,7 +22,7 @@
         method: 'GET',
         path: '/',
         buildHeaders: () => ['host', 'site', 'x-test-id', 'q1'],
-        body: Buffer.alloc(0),
+        body: {bytes: Buffer.alloc(0), framing: 'none'},
       });
       const head = await exchange.head;
       const read = exchange.readWholeBody(head);
--- a/packages/direct/src/forward/exchange.ts
+++ b/packages/direct/src/forward/exchange.ts
@@ -7,11 +7,13 @@
 import {connect} from 'node:net';
 import {ReadTimeout} from '@nutmeggauge/core';
 import {ExchangeError} from '../errors.js';
+import {buildFramedHeaders} from './request-body.js';
 import type {ClientRequest, IncomingMessage} from 'node:http';
 import type {Socket} from 'node:net';
 import type {ExchangeFault} from '../errors.js';
 import type {RawHeaders, Target} from '../types.js';
 import type {ResponseFraming} from './caller-response.js';
+import type {RequestBody} from './request-body.js';
 import type {SendCheck} from './send-check.js';
 
 /**
@@ -34,9 +36,12 @@
   readonly target: Target;
   readonly method: string;
   readonly path: string;
-  /** Builds the head when the request is sent, as it tells the time left. */
+  /**
+   * Builds the head when the request is sent, as it tells the time left. Fields
+   * that delimit the body are added by the exchange.
+   */
   readonly buildHeaders: () => RawHeaders;
-  readonly body: Buffer;
+  readonly body: RequestBody;
   /**
    * Decides whether the request is sent once the connection is open.
    *
@@ -176,7 +181,7 @@
   }
 
   private sendRequest(waiting: HeadWaiting): void {
-    const {body} = this.options;
+    const {bytes} = this.options.body;
     const opened = openRequest(this.options, this.socket);
     if (opened instanceof ExchangeError) {
       waiting.reject(opened);
@@ -185,7 +190,7 @@
     }
     this.request = opened;
     this.waitForHead(opened, waiting);
-    opened.end(body.length > 0 ? body : undefined);
+    opened.end(bytes.length > 0 ? bytes : undefined);
   }
 
   private waitForHead(
@@ -231,17 +236,20 @@
  * head, for example because a header value contains invalid characters.
  */
 function openRequest(
-  {method, path, buildHeaders}: ExchangeOptions,
+  {method, path, buildHeaders, body}: ExchangeOptions,
   socket: Socket,
 ): ClientRequest | ExchangeError {
   try {
-    return sendRequest({
+    const request = sendRequest({
       method,
       path,
-      headers: buildHeaders(),
+      headers: buildFramedHeaders(buildHeaders(), body),
       setHost: false,
       createConnection: () => socket,
     });
+    // Otherwise Node.js adds chunks to a POST without a body.
+    request.useChunkedEncodingByDefault = false;
+    return request;
   } catch (cause) {
     return new ExchangeError('unwritable', false, cause as Error);
   }
--- a/packages/direct/src/forward/open-exchanges.test.ts
+++ b/packages/direct/src/forward/open-exchanges.test.ts
@@ -16,7 +16,7 @@
     method: 'GET',
     path: '/',
     buildHeaders: () => ['host', 'site', 'x-test-id', 'q1'],
-    body: Buffer.alloc(0),
+    body: {bytes: Buffer.alloc(0), framing: 'none'},
   });
   let fault: string | undefined;
   const ended = exchange.head.catch((error: {fault: string}) => {
--- a/packages/direct/src/forward/request.ts
+++ b/packages/direct/src/forward/request.ts
@@ -1,6 +1,7 @@
 /** Request type that is passed from the ingress to the forwarders. */
 import type {Fingerprint} from '@nutmeggauge/core';
 import type {CallerResponse} from './caller-response.js';
+import type {RequestBody} from './request-body.js';
 import type {RawHeaders, RequestMetadata, Route} from '../types.js';
 
 /** Request that has passed the checks of the ingress. */
@@ -9,7 +10,7 @@
   /** Path and query string as sent by the caller. */
   readonly path: string;
   readonly headers: RawHeaders;
-  readonly body: Buffer;
+  readonly body: RequestBody;
   /** Identifies the content, which a retry of the caller has in common. */
   readonly fingerprint: Fingerprint;
   readonly facts: RequestMetadata;
--- a/packages/direct/src/ingress/ingress.ts
+++ b/packages/direct/src/ingress/ingress.ts
@@ -14,6 +14,7 @@
 } from '@nutmeggauge/core';
 import {CallerResponse} from '../forward/caller-response.js';
 import {forwardCall} from '../forward/call-forwarder.js';
+import {findRequestFraming} from '../forward/request-body.js';
 import {forwardStream} from '../forward/stream-forwarder.js';
 import {listAllowedZones} from '../placement/allowed-regions.js';
 import {DEFAULT_DEADLINE_MS, EarlyRefusals} from './early-refusals.js';
@@ -166,7 +167,7 @@
 
   private dispatch(
     req: IncomingMessage,
-    body: Buffer,
+    bytes: Buffer,
     caller: CallerResponse,
     arrivedAt: number,
   ): void {
@@ -208,7 +209,7 @@
       host,
       path,
       account: account?.name,
-      body,
+      body: bytes,
       listParts: () => facts.sharedParts.map(id => `${service}/${id}`),
     });
     if (this.context.suspects.judge(fingerprint) === 'refused')
@@ -217,7 +218,7 @@
       method,
       path,
       headers: req.rawHeaders,
-      body,
+      body: {bytes, framing: findRequestFraming(req.headers)},
       fingerprint,
       facts,
       route,
--- a/packages/direct/src/ports.ts
+++ b/packages/direct/src/ports.ts
@@ -21,7 +21,10 @@
     headers: Readonly<Record<string, string | string[] | undefined>>,
   ): RequestMetadata;
 
-  /** Builds the request head for a target from the caller's request head. */
+  /**
+   * Builds the request head for a target from the caller's request head. The gate
+   * itself adds the fields that delimit the body.
+   */
   abstract buildForTarget(
     callerHeaders: RawHeaders,
     metadata: ForwardMetadata,
--- a/packages/direct/src/test/test-dialect.ts
+++ b/packages/direct/src/test/test-dialect.ts
@@ -10,6 +10,12 @@
 
 type ParsedHeaders = Readonly<Record<string, string | string[] | undefined>>;
 
+/** Caller's fields that targets don't get. */
+const NOT_FORWARDED_FIELDS: ReadonlySet<string> = new Set([
+  'x-test-key',
+  'content-length',
+]);
+
 function readNumber(value: string | string[] | undefined): number | undefined {
   return value === undefined ? undefined : Number(value);
 }
@@ -69,7 +75,7 @@
   ): string[] {
     const headers = stripHopByHop(callerHeaders).filter(
       (_, i, headerFields) =>
-        headerFields[i - (i % 2)].toLowerCase() !== 'x-test-key',
+        !NOT_FORWARDED_FIELDS.has(headerFields[i - (i % 2)].toLowerCase()),
     );
     headers.push('x-test-target', metadata.target.id);
     headers.push('x-test-left', String(metadata.deadlineLeftMs));
--- /dev/null
+++ b/packages/direct/src/test/wire-caller.ts
@@ -0,0 +1,65 @@
+/** Raw TCP caller, which chooses how its request body is framed. */
+import {connect} from 'node:net';
+import type {WireFraming} from './wire-target.js';
+
+/** Request that is sent byte by byte as given. */
+export interface WireCall {
+  readonly method: string;
+  readonly path: string;
+  readonly id: string;
+  readonly framing: WireFraming;
+  readonly body: string;
+  /** Further header fields. */
+  readonly fields?: readonly string[];
+}
+
+function formatBody({framing, body}: WireCall): string {
+  if (framing !== 'chunked') return body;
+  // Two chunks, so that the target doesn't get them as they were sent.
+  const half = Math.ceil(body.length / 2);
+  const chunks = [body.slice(0, half), body.slice(half)]
+    .filter(chunk => chunk.length > 0)
+    .map(chunk => `${chunk.length.toString(16)}\r\n${chunk}\r\n`);
+  return `${chunks.join('')}0\r\n\r\n`;
+}
+
+function formatCall(call: WireCall): string {
+  const framingFields = {
+    none: [],
+    length: [`Content-Length: ${call.body.length}`],
+    chunked: ['Transfer-Encoding: chunked'],
+  }[call.framing];
+  const fields = call.fields ?? ['Connection: close'];
+  const lines = [
+    `${call.method} ${call.path} HTTP/1.1`,
+    'Host: site',
+    `x-test-id: ${call.id}`,
+    'x-test-key: k1',
+    'x-test-deadline: 4000',
+    'x-test-tokens: 100',
+    ...fields,
+    ...framingFields,
+  ];
+  return `${lines.join('\r\n')}\r\n\r\n${formatBody(call)}`;
+}
+
+/**
+ * Sends a request to a gate; resolves with all bytes of the answer once the
+ * connection has ended.
+ *
+ * @example
+ * await callOnWire({host, port}, {method: 'GET', path: '/safe/x', id: 'q1', framing: 'none', body: ''});
+ */
+export function callOnWire(
+  address: {readonly host: string; readonly port: number},
+  call: WireCall,
+): Promise<string> {
+  return new Promise(resolve => {
+    let answer = '';
+    const socket = connect(address);
+    socket.on('data', part => (answer += part.toString('latin1')));
+    socket.once('error', () => resolve(answer));
+    socket.once('close', () => resolve(answer));
+    socket.write(formatCall(call), 'latin1');
+  });
+}
