Answers without end are cut off at bounds on bytes

A server in trouble may send bytes until its caller closes.

- An answer of a call over 1 MiB is passed on as it arrives, no faster than its caller reads; one that gives no length is cut at 128 MiB, and broken off so that it does not look whole.
An error over 1 MiB, an event over 1 MiB or 1,000 interim heads fail the attempt as `oversized`: the server is counted against, another one is tried where that is allowed, a log line (answer_oversized) and counters name server and bound.
- Events wait for callers that read slowly; the engine is not taken for silent meanwhile.

--- a/packages/agent/src/orders/engine-orders.ts
+++ b/packages/agent/src/orders/engine-orders.ts
@@ -10,7 +10,7 @@
  * between the confirmation and the order can still send an old order; the next
  * reconciliation by an agent with the newest record corrects it.
  */
-import {createLogger} from '@nutmeggauge/core';
+import {createLogger, readBoundedText} from '@nutmeggauge/core';
 import {request} from 'undici';
 import type {ConfigRecord, Counters, EngineState} from '@nutmeggauge/core';
 
@@ -45,6 +45,9 @@
 
 const REQUEST_TIMEOUT_MS = 2000;
 
+/** Largest state of an engine, in bytes. */
+const MAX_STATE_BYTES = 1024 * 1024;
+
 /** Lists the orders that change the engine's `setting` to `desired`. */
 function planOrders(desired: EngineState, setting: Setting): readonly Order[] {
   const wanted = [
@@ -146,7 +149,8 @@
       headersTimeout: REQUEST_TIMEOUT_MS,
       bodyTimeout: REQUEST_TIMEOUT_MS,
     });
-    return (await response.body.json()) as {
+    const text = await readBoundedText(response.body, MAX_STATE_BYTES);
+    return JSON.parse(text) as {
       setting: Setting;
       highestFence?: number;
     };
--- a/packages/agent/src/target/engine-target.ts
+++ b/packages/agent/src/target/engine-target.ts
@@ -1,7 +1,12 @@
 /**
  * Client of an engine's `POST /v1/generate`, which streams the answer as SSE.
  */
-import {countTokens, findLengthClass, readSseEvents} from '@nutmeggauge/core';
+import {
+  OversizedBodyError,
+  countTokens,
+  findLengthClass,
+  readSseEvents,
+} from '@nutmeggauge/core';
 import {request} from 'undici';
 import {z} from 'zod';
 import {TargetClient, isConnectFailure} from './target.js';
@@ -103,8 +108,14 @@
         sink(token.seq, token.text);
         chunks = token.seq + 1;
       }
-    } catch {
-      return {status: 'unknown', reason: 'target_stream_broken'};
+    } catch (error) {
+      const isOversized = error instanceof OversizedBodyError;
+      return {
+        status: 'unknown',
+        reason: isOversized
+          ? 'target_answer_oversized'
+          : 'target_stream_broken',
+      };
     }
     return {status: 'unknown', reason: 'target_stream_ended'};
   }
--- a/packages/agent/src/target/plain-target.ts
+++ b/packages/agent/src/target/plain-target.ts
@@ -1,6 +1,11 @@
 /**
  * Client of a plain service's `POST /v1/call`.
  */
+import {
+  MAX_BODY_BYTES,
+  OversizedBodyError,
+  readBoundedText,
+} from '@nutmeggauge/core';
 import {request} from 'undici';
 import {TargetClient, isConnectFailure} from './target.js';
 import type {DispatchOutcome, DispatchRequest} from '@nutmeggauge/core';
@@ -68,7 +73,7 @@
  */
 async function readOutcome(response: {
   readonly statusCode: number;
-  readonly body: {dump(): Promise<void>; json(): Promise<unknown>};
+  readonly body: AsyncIterable<Buffer> & {dump(): Promise<void>};
 }): Promise<DispatchOutcome> {
   const {statusCode, body} = response;
   const isFinalAnswer = statusCode < 300 || FINAL_REFUSALS.has(statusCode);
@@ -79,7 +84,9 @@
         ? {status: 'not-run', reason: 'target_rejected'}
         : {status: 'unknown', reason: 'target_failed'};
     }
-    const answer = await body.json();
+    const answer: unknown = JSON.parse(
+      await readBoundedText(body, MAX_BODY_BYTES),
+    );
     return {
       status: 'done',
       chunks: 0,
@@ -88,7 +95,11 @@
       body: answer,
       httpStatus: statusCode,
     };
-  } catch {
-    return {status: 'unknown', reason: 'target_stream_broken'};
+  } catch (error) {
+    const isOversized = error instanceof OversizedBodyError;
+    return {
+      status: 'unknown',
+      reason: isOversized ? 'target_answer_oversized' : 'target_stream_broken',
+    };
   }
 }
--- a/packages/core/src/config/watch.ts
+++ b/packages/core/src/config/watch.ts
@@ -5,7 +5,9 @@
  * service is unavailable, so an accepted configuration never reverts.
  */
 import {request} from 'undici';
+import {readBoundedText} from '../bounded-body.js';
 import {waitMs} from '../clock.js';
+import {MAX_BODY_BYTES} from '../http.js';
 import {createLogger} from '../log.js';
 import {ConfigDeltaSchema, applyDelta} from './delta.js';
 import {SUPPORTED_SCHEMA_VERSIONS, resolveConfigRecord} from './record.js';
@@ -194,7 +196,7 @@
         counters.add('config.read_failed');
         return 'failed';
       }
-      const text = await response.body.text();
+      const text = await readBoundedText(response.body, MAX_BODY_BYTES);
       counters.add('config.bytes', text.length);
       return this.offer(JSON.parse(text)) ? 'accepted' : 'ignored';
     } catch {
--- a/packages/core/src/errors.ts
+++ b/packages/core/src/errors.ts
@@ -12,7 +12,8 @@
   | 'rpc_failed'
   | 'target_unreachable'
   | 'cluster_failed'
-  | 'unknown_stand_in';
+  | 'unknown_stand_in'
+  | 'body_oversized';
 
 /**
  * Base class of errors raised by nutmeggauge.
@@ -81,3 +82,17 @@
   readonly code = 'unknown_stand_in';
   override name = 'UnknownStandInError';
 }
+
+/** A received body or event is larger than accepted, as it may have no end. */
+export class OversizedBodyError extends NutmeggaugeError {
+  readonly code = 'body_oversized';
+  override name = 'OversizedBodyError';
+
+  /** @param limit - Largest accepted size, in bytes or characters. */
+  constructor(
+    readonly bound: 'body' | 'event',
+    readonly limit: number,
+  ) {
+    super({info: {bound, limit}}, `${bound} is larger than ${limit}`);
+  }
+}
--- a/packages/core/src/index.ts
+++ b/packages/core/src/index.ts
@@ -1,3 +1,4 @@
+export * from './bounded-body.js';
 export * from './clock.js';
 export * from './config/delta.js';
 export * from './config/record.js';
--- a/packages/core/src/rpc.test.ts
+++ b/packages/core/src/rpc.test.ts
@@ -89,6 +89,29 @@
     }
   });
 
+  it('closes when a message passes its bound, and at no sooner one', async () => {
+    // Guards against a line without end that is held until the memory is spent.
+    const server = createServer();
+    const port = await openListener(server, {host: '127.0.0.1', port: 0});
+    const far = connect(port, '127.0.0.1');
+    far.on('error', () => undefined);
+    const [near] = (await once(server, 'connection')) as [Socket];
+    const counters = createCounters();
+    const link = createRpcLink(near, counters, 1000);
+    let received = 0;
+    link.handle('x', () => void received++);
+    const message = '{"jsonrpc":"2.0","method":"x"}\n';
+    far.write(message.repeat(100));
+    far.write('a'.repeat(500));
+    while (received < 100) await new Promise(setImmediate);
+    expect(link.isClosed).toEqual(false);
+    far.write('a'.repeat(501));
+    await waitForClose(link);
+    expect(counters.read()['rpc.oversized']).toEqual(1);
+    far.destroy();
+    server.close();
+  });
+
   it('closes when it receives a message whose method is not a string', async () => {
     // Guards against a method without a string form ending the process by an
     // uncaught error.
--- a/packages/core/src/rpc.ts
+++ b/packages/core/src/rpc.ts
@@ -13,13 +13,21 @@
   createJSONRPCErrorResponse,
 } from 'json-rpc-2.0';
 import {RpcClosedError, RpcFailedError} from './errors.js';
+import {createLogger} from './log.js';
 import {ReadTimeout} from './read-timeout.js';
 import type {Socket} from 'node:net';
 import type {Counters} from './metrics.js';
 
+/** Largest message of a peer unless a link sets another bound, in bytes. */
+const MAX_MESSAGE_BYTES = 128 * 1024 * 1024;
+
+const LINE_END = '\n'.charCodeAt(0);
+
 /** Error code of a call that fails without an answer of the peer. */
 const DEFAULT_ERROR_CODE = 0;
 
+const log = createLogger('rpc');
+
 /** Handler of a method or notification; receives the params unvalidated. */
 export type RpcHandler = (params: unknown) => unknown;
 
@@ -36,10 +44,13 @@
   private readonly closeListeners: Array<() => void> = [];
   private closed = false;
   private lastCallId = 0;
+  /** Bytes of the message that is arriving. */
+  private partialBytes = 0;
 
   constructor(
     private readonly socket: Socket,
     private readonly counters?: Counters,
+    private readonly maxMessageBytes = MAX_MESSAGE_BYTES,
   ) {
     this.peer = new JSONRPCServerAndClient(
       new JSONRPCServer({errorListener: warnUnexpectedError}),
@@ -51,6 +62,7 @@
     socket.setNoDelay(true);
     const lines = createInterface({input: socket, crlfDelay: Infinity});
     lines.on('line', line => this.receive(line));
+    socket.on('data', part => this.checkLength(part));
     // The line reader also emits the errors of its socket.
     lines.on('error', () => socket.destroy());
     socket.on('error', () => socket.destroy());
@@ -172,6 +184,20 @@
     this.socket.destroy();
   }
 
+  /** Closes the link if a message passes its bound, as it may have no end. */
+  private checkLength(part: Buffer): void {
+    const end = part.lastIndexOf(LINE_END);
+    this.partialBytes =
+      end < 0 ? this.partialBytes + part.length : part.length - end - 1;
+    if (this.partialBytes <= this.maxMessageBytes || this.closed) return;
+    this.counters?.add('rpc.oversized');
+    log.warn('rpc_message_oversized', {
+      peer: this.socket.remoteAddress,
+      limit: this.maxMessageBytes,
+    });
+    this.close();
+  }
+
   private send(message: unknown): void {
     if (this.closed) return;
     const line = JSON.stringify(message) + '\n';
@@ -258,11 +284,17 @@
  *
  * @param counters - Receives the `rpc.*` counters of bytes and messages by
  *   method.
+ * @param maxMessageBytes - Largest message of the peer, in bytes; the link closes
+ *   above it. By default 128 MiB.
  * @example
  * const link = createRpcLink(net.connect(7001, '127.0.0.1'));
  */
-export function createRpcLink(socket: Socket, counters?: Counters): RpcLink {
-  return new RpcLink(socket, counters);
+export function createRpcLink(
+  socket: Socket,
+  counters?: Counters,
+  maxMessageBytes?: number,
+): RpcLink {
+  return new RpcLink(socket, counters, maxMessageBytes);
 }
 
 /**
@@ -271,6 +303,7 @@
  * @param address - Address of the listener, `host:port`.
  * @param timeoutMs - Longest time to connect, in ms. When absent, the system's
  *   timeout applies, which is minutes for an unreachable host.
+ * @param maxMessageBytes - As for `createRpcLink`.
  * @throws The system's error (ECONNREFUSED, EHOSTUNREACH) when the connection
  *   fails; RpcFailedError when the timeout expires.
  * @example
@@ -280,6 +313,7 @@
   address: string,
   counters?: Counters,
   timeoutMs = 0,
+  maxMessageBytes?: number,
 ): Promise<RpcLink> {
   const [host, port] = address.split(':');
   return new Promise((resolve, reject) => {
@@ -301,7 +335,7 @@
     socket.once('close', () => timeout?.stop());
     socket.once('connect', () => {
       timeout?.stop();
-      resolve(createRpcLink(socket, counters));
+      resolve(createRpcLink(socket, counters, maxMessageBytes));
     });
   });
 }
--- a/packages/core/src/sse.ts
+++ b/packages/core/src/sse.ts
@@ -3,6 +3,11 @@
  * engine, the load generator to read from a gate.
  */
 
+import {OversizedBodyError} from './errors.js';
+
+/** Largest event, in characters: it may have no end. */
+const MAX_EVENT_LENGTH = 1024 * 1024;
+
 /** One parsed server-sent event. */
 export interface SseEvent {
   readonly event: string;
@@ -38,7 +43,8 @@
 /**
  * Reads a byte stream and yields its events one at a time.
  *
- * @throws The error of `body` when the stream fails.
+ * @throws OversizedBodyError when an event passes `MAX_EVENT_LENGTH`, or the error
+ *   of `body` when the stream fails.
  * @example
  * for await (const event of readSseEvents(response.body)) handle(event);
  */
@@ -53,6 +59,8 @@
       buffer + decoder.decode(part, {stream: true}),
     );
     buffer = parsed.rest;
+    if (buffer.length > MAX_EVENT_LENGTH)
+      throw new OversizedBodyError('event', MAX_EVENT_LENGTH);
     yield* parsed.events;
   }
 }
--- a/packages/direct/src/errors.ts
+++ b/packages/direct/src/errors.ts
@@ -46,6 +46,10 @@
   | 'malformed'
   | 'foreign-answer'
   | 'truncated'
+  /** The answer passes a bound on its size. */
+  | 'oversized'
+  /** The gate holds too many bytes of other answers. */
+  | 'no-buffer'
   | 'stalled'
   | 'cancelled';
 
@@ -54,6 +58,7 @@
   'cancelled',
   'unwritable',
   'withheld',
+  'no-buffer',
 ]);
 
 /** An exchange with a target failed before a complete answer was received. */
@@ -93,3 +98,22 @@
     return !GATE_FAULTS.has(this.fault);
   }
 }
+
+/**
+ * What is bounded of an answer: the number of interim heads before it, the bytes
+ * of one event, of an error's body, or of a body without a length.
+ */
+export type AnswerBound = 'interim-heads' | 'event' | 'error-body' | 'body';
+
+/** An answer passes a bound, as it may have no end. */
+export class OversizedAnswerError extends ExchangeError {
+  override name = 'OversizedAnswerError';
+
+  /** @param limit - Largest accepted size, in bytes or heads. */
+  constructor(
+    readonly bound: AnswerBound,
+    readonly limit: number,
+  ) {
+    super('oversized', true);
+  }
+}
--- a/packages/direct/src/forward/call-forwarder.ts
+++ b/packages/direct/src/forward/call-forwarder.ts
@@ -4,11 +4,14 @@
  * certain that the target did not run it.
  */
 import {ReadTimeout} from '@nutmeggauge/core';
-import {CallFaults, readCallResult} from './call-result.js';
+import {ExchangeError} from '../errors.js';
+import {CallRecord} from './call-record.js';
+import {CallFaults, readCallResult, releaseResult} from './call-result.js';
+import {forwardLargeResult} from './large-answer.js';
 import {chooseRetryAfterMs} from './retry-after.js';
-import {RequestSendCheck} from './request-send-check.js';
+import {sendCall} from './send-call.js';
 import type {Target} from '../types.js';
-import type {CallResult, CompleteResponse} from './call-result.js';
+import type {CallResult, CompleteResponse, LargeResult} from './call-result.js';
 import type {GateErrorReason} from './caller-response.js';
 import type {ForwardContext} from './context.js';
 import type {Exchange} from './exchange.js';
@@ -30,17 +33,26 @@
   private pendingSends = 0;
   private mayHaveRun = false;
   private fallbackResponse: CompleteResponse | undefined;
+  /** Exchange whose answer is passed on as it arrives. */
+  private forwarded: Exchange | undefined;
   private isSettled = false;
   private deadlineTimer: NodeJS.Timeout | undefined;
   private hedgeTimeout: ReadTimeout | undefined;
   private stopListening: (() => void) | undefined;
   private readonly faults: CallFaults;
+  private readonly record: CallRecord;
 
   constructor(
     private readonly context: ForwardContext,
     private readonly request: GateRequest,
   ) {
     this.faults = new CallFaults(context, request);
+    this.record = new CallRecord(context, request);
+  }
+
+  /** Whether the caller has got the head of an answer. */
+  private get hasHead(): boolean {
+    return this.forwarded !== undefined;
   }
 
   start(): void {
@@ -50,7 +62,7 @@
     });
     request.caller.onDisconnect(() => this.settle('caller_left'));
     const leftMs = request.expiresAt - context.readNow();
-    this.deadlineTimer = setTimeout(() => this.expire(), leftMs);
+    this.deadlineTimer = setTimeout(() => this.refuse(504, 'timeout'), leftMs);
     if (request.route.kind === 'safe')
       this.hedgeTimeout = new ReadTimeout(
         () => this.tryNext('slow'),
@@ -61,7 +73,7 @@
 
   /** Sends the call to a target once the gate has read what has arrived. */
   private tryNext(why: string): void {
-    if (this.isSettled) return;
+    if (this.isSettled || this.hasHead) return;
     this.pendingSends++;
     void this.waitAndSend(why);
   }
@@ -69,10 +81,11 @@
   private async waitAndSend(why: string): Promise<void> {
     const {reads, access} = this.context;
     await reads.wait();
-    const target = this.isSettled ? undefined : this.chooseTarget();
+    const isOver = () => this.isSettled || this.hasHead;
+    const target = isOver() ? undefined : this.chooseTarget();
     const isPermitted = target === undefined || (await access.claim(target.id));
     this.pendingSends--;
-    if (this.isSettled) return;
+    if (isOver()) return;
     // Another target may be free if the limit of this one is reached, or if a
     // hedge has just been sent there.
     const isTaken = target !== undefined && this.tried.has(target.id);
@@ -114,26 +127,13 @@
     const {context, request} = this;
     context.calls.recordStart(target.id);
     const sentAt = context.readNow();
-    const exchange = context.exchanges.open({
-      target,
-      method: request.method,
-      path: request.path,
-      buildHeaders: () =>
-        context.dialect.buildForTarget(request.headers, {
-          deadlineLeftMs: request.expiresAt - context.readNow(),
-          target,
-          account: request.account,
-          priority: undefined,
-          helpers: [],
-          lastEventId: undefined,
-        }),
-      body: request.body,
-      sendCheck: new RequestSendCheck(context, request, target),
-    });
+    const exchange = sendCall(context, request, target);
     this.open.add(exchange);
     let result: CallResult;
     try {
       result = await readCallResult(context, request, target, exchange);
+      if (result.kind === 'large')
+        result = await this.forwardLarge(result, target, exchange);
     } finally {
       this.open.delete(exchange);
       context.calls.recordEnd(target.id);
@@ -143,30 +143,51 @@
       this.mayHaveRun ||= result.error.wasSent;
       await this.faults.checkCrash(target, exchange, result.error, sentAt);
     }
-    if (this.isSettled) return;
+    if (this.isSettled) return releaseResult(result);
     this.faults.recordHealth(target, result);
+    if (this.hasHead && this.forwarded !== exchange)
+      return releaseResult(result);
     this.handleResult(target, result, why);
   }
 
+  /** Passes a large answer on unless another was first; cancels the others. */
+  private async forwardLarge(
+    result: LargeResult,
+    target: Target,
+    exchange: Exchange,
+  ): Promise<CallResult> {
+    if (this.isSettled || this.hasHead) {
+      exchange.cancel();
+      releaseResult(result);
+      return {kind: 'failed', error: new ExchangeError('cancelled', true)};
+    }
+    this.forwarded = exchange;
+    this.hedgeTimeout?.stop();
+    for (const other of this.open) if (other !== exchange) other.cancel();
+    const {context, request} = this;
+    return forwardLargeResult(context, request, target, exchange, result);
+  }
+
   private handleResult(target: Target, result: CallResult, why: string): void {
+    if (result.kind === 'large') {
+      this.context.suspects.recordAnswer(this.request.fingerprint);
+      this.request.caller.finish();
+      return this.settle('answered', target);
+    }
     if (result.kind === 'answer') {
       this.context.suspects.recordAnswer(this.request.fingerprint);
       return this.sendResponse(result.answer, target);
     }
-    this.context.counters.add(`call.attempt_${result.kind}`);
-    this.context.log.warn('attempt_failed', {
-      requestId: this.request.facts.requestId,
-      target: target.id,
-      attempt: this.sentAttempts,
-      why,
-      outcome: result.kind === 'failed' ? result.error.fault : result.kind,
-    });
+    const attempt = this.sentAttempts;
+    this.record.addFailure({target, result, attempt, why});
     if (result.kind === 'not-run') return this.tryNext('not_run');
     if (result.kind === 'target-failure') {
+      this.fallbackResponse?.held.release();
       this.fallbackResponse = result.answer;
       if (this.request.route.kind === 'safe') return this.tryNext('failure');
       return this.sendResponse(result.answer, target);
     }
+    if (this.hasHead) return this.refuse(502, 'outcome_unknown');
     if (!result.error.wasSent) return this.tryUnsentAgain();
     if (this.request.route.kind === 'safe') return this.tryNext('broken');
     this.refuse(502, 'outcome_unknown');
@@ -189,11 +210,7 @@
     if (isBusy || this.isSettled) return;
     if (this.fallbackResponse !== undefined)
       return this.sendResponse(this.fallbackResponse, undefined);
-    this.context.log.warn('request_given_up', {
-      requestId: this.request.facts.requestId,
-      why,
-      tried: [...this.tried],
-    });
+    this.record.addGivenUp(why, [...this.tried]);
     if (this.mayHaveRun) return this.refuse(502, 'outcome_unknown');
     const waitMs = this.context.calls.readWaitMs(
       this.request.service,
@@ -212,7 +229,7 @@
    * awaited.
    */
   private refuseSuspect(): void {
-    if (this.isSettled) return;
+    if (this.isSettled || this.hasHead) return;
     const {context, request} = this;
     if (request.route.kind === 'unsafe' && this.open.size > 0) return;
     this.mayHaveRun ||= [...this.open].some(({wasSent}) => wasSent);
@@ -221,17 +238,17 @@
     this.refuse(503, 'crashes_servers', leftMs);
   }
 
-  private expire(): void {
-    this.refuse(504, 'timeout');
-  }
-
   private sendResponse(
     answer: CompleteResponse,
     target: Target | undefined,
   ): void {
     if (this.isSettled) return;
-    const {status, headers, body, framing} = answer;
-    this.request.caller.sendComplete(status, headers, body, framing);
+    const {status, headers, held, framing} = answer;
+    const {caller} = this.request;
+    if (this.fallbackResponse !== answer) this.fallbackResponse?.held.release();
+    this.fallbackResponse = undefined;
+    caller.onClose(() => held.release());
+    caller.sendComplete(status, headers, held.bytes, framing);
     this.settle('answered', target);
   }
 
@@ -262,23 +279,8 @@
     this.hedgeTimeout?.stop();
     this.stopListening?.();
     for (const exchange of this.open) exchange.cancel();
-    const {context, request} = this;
-    const ms = context.readNow() - request.arrivedAt;
-    if (outcome === 'answered') context.answerMs.recordMs(ms);
-    context.counters.add(`call.${outcome}`);
-    context.log[outcome === 'answered' ? 'info' : 'warn']('request_ended', {
-      requestId: request.facts.requestId,
-      route: request.route.name,
-      kind: request.route.kind,
-      account: request.account,
-      outcome,
-      status: request.caller.status,
-      target: target?.id,
-      tried: [...this.tried],
-      ms: Math.round(ms),
-      configVersion: request.configVersion,
-      factsAgeMs: Math.round(context.readFactsAgeMs()),
-    });
+    this.fallbackResponse?.held.release();
+    this.record.addEnd({outcome, target, tried: [...this.tried]});
   }
 }
 
--- a/packages/direct/src/forward/call-result.ts
+++ b/packages/direct/src/forward/call-result.ts
@@ -1,25 +1,42 @@
 /** Reads the answer to one attempt at a call, and records what it shows. */
-import {ExchangeError} from '../errors.js';
+import {HeldBytes} from '../buffers/held-bytes.js';
+import {ExchangeError, OversizedAnswerError} from '../errors.js';
 import {findFraming} from './exchange.js';
 import {readVerdict, recordAnswerFacts} from './judge-answer.js';
 import type {Target} from '../types.js';
 import type {ResponseFraming} from './caller-response.js';
 import type {ForwardContext} from './context.js';
-import type {Exchange} from './exchange.js';
+import type {Exchange, ResponseHead} from './exchange.js';
+import type {LargeAnswer} from './large-answer.js';
 import type {GateRequest} from './request.js';
 
+/**
+ * Largest answer that is held until it is complete, in bytes, so that another
+ * target can be tried if it is broken off.
+ */
+export const MAX_HELD_ANSWER_BYTES = 1024 * 1024;
+
 /** A target's complete response. */
 export interface CompleteResponse {
   readonly status: number;
   readonly headers: readonly string[];
-  readonly body: Buffer;
+  /** The whole body; released once it is not needed any more. */
+  readonly held: HeldBytes;
   readonly framing: ResponseFraming;
 }
 
+/** Answer that doesn't fit into what is held. */
+export interface LargeResult {
+  readonly kind: 'large';
+  readonly large: LargeAnswer;
+}
+
 /** Result of one attempt at a call. */
 export type CallResult =
   | {readonly kind: 'answer'; readonly answer: CompleteResponse}
   | {readonly kind: 'target-failure'; readonly answer: CompleteResponse}
+  /** The answer is too large to be held; its rest is still to be read. */
+  | LargeResult
   | {readonly kind: 'not-run'}
   | {readonly kind: 'failed'; readonly error: ExchangeError};
 
@@ -64,13 +81,65 @@
     exchange.cancel();
     return {kind: 'not-run'};
   }
-  const body = await exchange.readWholeBody(head);
-  const framing = findFraming(head.message);
+  const held = new HeldBytes({
+    budget: context.heldBytes,
+    maxBytes: MAX_HELD_ANSWER_BYTES,
+  });
+  try {
+    const large = await holdBody(exchange, head, held);
+    if (large === undefined) {
+      const answer = await finishAnswer(context, target, head, held);
+      return {kind: verdict, answer};
+    }
+    if (verdict === 'answer' || request.route.kind !== 'safe')
+      return {kind: 'large', large};
+    exchange.cancel();
+    if (held.length + large.nextPart.length <= MAX_HELD_ANSWER_BYTES)
+      throw new ExchangeError('no-buffer', true);
+    throw new OversizedAnswerError('error-body', MAX_HELD_ANSWER_BYTES);
+  } catch (error) {
+    held.release();
+    throw error;
+  }
+}
+
+/** Holds the body; returns what is left if it doesn't fit. */
+async function holdBody(
+  exchange: Exchange,
+  head: ResponseHead,
+  held: HeldBytes,
+): Promise<LargeAnswer | undefined> {
+  const rest = exchange.readBody(head);
+  for (;;) {
+    const {done, value} = await rest.next();
+    if (done === true) return undefined;
+    if (held.offer(value) !== undefined)
+      return {head, held, nextPart: value, rest};
+  }
+}
+
+async function finishAnswer(
+  context: ForwardContext,
+  target: Target,
+  {status, message}: ResponseHead,
+  held: HeldBytes,
+): Promise<CompleteResponse> {
+  const framing = findFraming(message);
   if (framing === 'by-close' && (await context.crashes.isCrashEnd(target)))
     throw new ExchangeError('truncated', true);
-  const {status, message} = head;
-  const answer = {status, headers: message.rawHeaders, body, framing};
-  return {kind: verdict, answer};
+  return {status, headers: message.rawHeaders, held, framing};
+}
+
+/**
+ * Drops what an answer holds that is not sent.
+ *
+ * @example
+ * releaseResult(result);
+ */
+export function releaseResult(result: CallResult): void {
+  if (result.kind === 'large') result.large.held.release();
+  if (result.kind === 'answer' || result.kind === 'target-failure')
+    result.answer.held.release();
 }
 
 /**
@@ -106,7 +175,8 @@
   /** Records whether the target has answered. */
   recordHealth(target: Target, result: CallResult): void {
     const {health, readNow} = this.context;
-    if (result.kind === 'answer') health.recordSuccess(target.id);
+    const isAnswer = result.kind === 'answer' || result.kind === 'large';
+    if (isAnswer) health.recordSuccess(target.id);
     else if (result.kind !== 'failed')
       health.recordFailure(target.id, readNow(), false);
     else if (result.error.isTargetFault)
--- a/packages/direct/src/forward/caller-response.ts
+++ b/packages/direct/src/forward/caller-response.ts
@@ -20,6 +20,9 @@
   'upgrade',
 ]);
 
+/** Bytes that may wait for a caller before no more is read for it. */
+const MAX_UNREAD_BYTES = 64 * 1024;
+
 /**
  * Removes hop-by-hop header fields, including those that `Connection` lists.
  *
@@ -113,14 +116,46 @@
     else this.disconnectListeners.push(listener);
   }
 
+  /** Registers a listener that runs once the response has been sent or dropped. */
+  onClose(listener: () => void): void {
+    if (this.response.closed) listener();
+    else this.response.once('close', listener);
+  }
+
+  /** Whether the caller reads fast enough for more to be written. */
+  get hasRoom(): boolean {
+    const {closed, writableLength} = this.response;
+    return closed || writableLength < MAX_UNREAD_BYTES;
+  }
+
+  /** Waits until the caller has read what was written, or has disconnected. */
+  async waitForRoom(): Promise<void> {
+    if (this.hasRoom) return;
+    const {response} = this;
+    await new Promise<void>(resolve => {
+      const finish = () => {
+        response.off('drain', finish);
+        response.off('close', finish);
+        resolve();
+      };
+      response.once('drain', finish);
+      response.once('close', finish);
+    });
+  }
+
   /**
-   * Sends the head of a stream; `write` sends its events, in chunks even if the
+   * Sends the head of a response whose body `write` sends, in chunks even if the
    * target's response has none: the end of the gate's connection must not look like
-   * the end of the stream.
+   * the end of the response.
+   *
+   * @param keepsLength - Whether the length that the target gives is passed on.
    */
-  start(status: number, headers: RawHeaders): void {
+  start(status: number, headers: RawHeaders, keepsLength: boolean): void {
     this.status = status;
-    const kept = stripHopByHop(headers);
+    const kept = stripHopByHop(headers).filter(
+      (_, i, fields) =>
+        keepsLength || fields[i - (i % 2)].toLowerCase() !== 'content-length',
+    );
     this.response.sendDate = false;
     this.response.writeHead(status, kept);
     this.response.flushHeaders();
@@ -131,6 +166,13 @@
     this.response.write(bytes);
   }
 
+  /** Sends parts of the response body, in one chunk. */
+  writeAll(parts: readonly Buffer[]): void {
+    this.response.cork();
+    for (const part of parts) this.response.write(part);
+    this.response.uncork();
+  }
+
   /** Ends a complete response. */
   finish(): void {
     this.response.end();
--- a/packages/direct/src/forward/context.ts
+++ b/packages/direct/src/forward/context.ts
@@ -9,6 +9,7 @@
 import type {AdmissionQueues} from '../admission/admission-queues.js';
 import type {AccountUsage} from '../accounts/account-usage.js';
 import type {Urgencies} from '../admission/urgency.js';
+import type {ByteBudget} from '../buffers/byte-budget.js';
 import type {CrashWatch} from '../crashes/crash-watch.js';
 import type {FleetState} from '../fleet/fleet-state.js';
 import type {TargetHealth} from '../health/target-health.js';
@@ -44,6 +45,8 @@
   readonly urgencies: Urgencies;
   readonly usage: AccountUsage;
   readonly exchanges: OpenExchanges;
+  /** Bytes of answers that all requests may hold. */
+  readonly heldBytes: ByteBudget;
   readonly crashes: CrashWatch;
   readonly suspects: SuspectRequests;
   readonly reservations: KvReservations;
--- a/packages/direct/src/forward/create-context.ts
+++ b/packages/direct/src/forward/create-context.ts
@@ -5,6 +5,7 @@
 import {SharedRoomOrder} from '../accounts/shared-room-order.js';
 import {observeOrder} from '../admission/observe-order.js';
 import {Urgencies} from '../admission/urgency.js';
+import {ByteBudget} from '../buffers/byte-budget.js';
 import {CrashWatch} from '../crashes/crash-watch.js';
 import {UnknownFields} from '../observe/unknown-fields.js';
 import {ChoiceScheduler} from '../placement/choice-scheduler.js';
@@ -32,6 +33,9 @@
 import type {LoadTracker} from '../placement/load-tracker.js';
 import type {ForwardContext} from './context.js';
 
+/** Most bytes of answers that all requests hold together. */
+const MAX_HELD_BYTES = 32 * 1024 * 1024;
+
 /** Parts of a gate that forwarding builds on. */
 export interface ForwardParts {
   readonly settings: DirectGateSettings;
@@ -88,6 +92,7 @@
     choices,
     reads: parts.reads,
     exchanges: new OpenExchanges(),
+    heldBytes: new ByteBudget(MAX_HELD_BYTES),
     crashes: new CrashWatch({
       state,
       serverCheck: new ConnectionCheck(),
--- a/packages/direct/src/forward/event-splitter.test.ts
+++ b/packages/direct/src/forward/event-splitter.test.ts
@@ -1,7 +1,9 @@
 import {describe, it} from 'node:test';
 import {expect} from 'earl';
 import fc from 'fast-check';
-import {createEventSplitter} from './event-splitter.js';
+import {ByteBudget} from '../buffers/byte-budget.js';
+import {OversizedAnswerError} from '../errors.js';
+import {MAX_EVENT_BYTES, createEventSplitter} from './event-splitter.js';
 
 describe('event splitter', () => {
   it('returns the same events however the bytes are divided into chunks', () => {
@@ -41,4 +43,28 @@
     expect(splitter.push(Buffer.from('id: 1\ndata: x\n')).length).toEqual(0);
     expect(splitter.hasPartialEvent).toEqual(true);
   });
+
+  it('accepts an event of the largest size in any parts, and none above it', () => {
+    // Guards against an event without end that is held without a bound.
+    for (const partBytes of [1, 1000, 65_536, MAX_EVENT_BYTES]) {
+      const budget = new ByteBudget(MAX_EVENT_BYTES);
+      const splitter = createEventSplitter(budget);
+      const event = Buffer.alloc(MAX_EVENT_BYTES, 'a');
+      event.write('\n\n', MAX_EVENT_BYTES - 2);
+      const sizes: number[] = [];
+      for (let i = 0; i < event.length; i += partBytes)
+        for (const {bytes} of splitter.push(event.subarray(i, i + partBytes)))
+          sizes.push(bytes.length);
+      expect(sizes).toEqual([MAX_EVENT_BYTES]);
+      expect(budget.claimedBytes).toEqual(0);
+      const endless = Buffer.alloc(partBytes, 'a');
+      const pushEndless = () => {
+        for (let i = 0; i <= MAX_EVENT_BYTES; i += partBytes)
+          splitter.push(endless);
+      };
+      expect(pushEndless).toThrow(OversizedAnswerError);
+      splitter.close();
+      expect(budget.claimedBytes).toEqual(0);
+    }
+  });
 });
--- a/packages/direct/src/forward/event-writer.ts
+++ b/packages/direct/src/forward/event-writer.ts
@@ -78,8 +78,9 @@
     const {context, request, progress} = this.options;
     clearTimeout(this.holdTimer);
     const now = context.readNow();
-    for (const event of this.heldEvents.splice(0)) {
-      request.caller.write(event.bytes);
+    const events = this.heldEvents.splice(0);
+    request.caller.writeAll(events.map(({bytes}) => bytes));
+    for (const event of events) {
       const ttftMs = progress.recordEvent(event.id, now);
       if (ttftMs !== undefined) context.ttftMs.recordMs(ttftMs);
     }
--- a/packages/direct/src/forward/exchange.ts
+++ b/packages/direct/src/forward/exchange.ts
@@ -6,12 +6,13 @@
 import {request as sendRequest} from 'node:http';
 import {connect} from 'node:net';
 import {ReadTimeout} from '@nutmeggauge/core';
-import {ExchangeError} from '../errors.js';
+import {ExchangeError, OversizedAnswerError} from '../errors.js';
 import {buildFramedHeaders} from './request-body.js';
 import type {ClientRequest, IncomingMessage} from 'node:http';
 import type {Socket} from 'node:net';
 import type {ExchangeFault} from '../errors.js';
 import type {RawHeaders, Target} from '../types.js';
+import type {HeldBytes} from '../buffers/held-bytes.js';
 import type {ResponseFraming} from './caller-response.js';
 import type {RequestBody} from './request-body.js';
 import type {SendCheck} from './send-check.js';
@@ -28,6 +29,12 @@
  */
 const MIN_FINAL_STATUS = 200;
 
+/**
+ * Most interim heads (1xx) before a response; a server that works for long may
+ * send one each second.
+ */
+const MAX_INTERIM_HEADS = 1000;
+
 /** Statuses of responses that have no body. */
 const BODILESS_STATUSES: ReadonlySet<number> = new Set([204, 304]);
 
@@ -120,11 +127,13 @@
     if (!this.isWhole(message)) throw this.createBodyError();
   }
 
-  /** Reads the whole body; rejects with an ExchangeError if it is truncated. */
-  async readWholeBody(head: ResponseHead): Promise<Buffer> {
-    const parts: Buffer[] = [];
-    for await (const part of this.readBody(head)) parts.push(part);
-    return Buffer.concat(parts);
+  /**
+   * Reads the whole body of an error.
+   *
+   * @throws ExchangeError if it is truncated or doesn't fit.
+   */
+  async readWholeBody(head: ResponseHead, held: HeldBytes): Promise<void> {
+    for await (const part of this.readBody(head)) held.add(part, 'error-body');
   }
 
   /** Closes the connection, so that the target drops the request. */
@@ -198,6 +207,12 @@
     {resolve, reject}: HeadWaiting,
   ): void {
     let hasHead = false;
+    let interimHeads = 0;
+    request.on('information', () => {
+      if (++interimHeads <= MAX_INTERIM_HEADS) return;
+      reject(new OversizedAnswerError('interim-heads', MAX_INTERIM_HEADS));
+      request.destroy();
+    });
     request.once('response', message => {
       hasHead = true;
       const {statusCode: status = 0} = message;
--- /dev/null
+++ b/packages/direct/src/forward/large-answer.ts
@@ -0,0 +1,77 @@
+/** Passes an answer that is too large to be held on to the caller as it arrives. */
+import {ExchangeError, OversizedAnswerError} from '../errors.js';
+import {findFraming} from './exchange.js';
+import type {HeldBytes} from '../buffers/held-bytes.js';
+import type {Target} from '../types.js';
+import type {CallerResponse} from './caller-response.js';
+import type {CallResult, LargeResult} from './call-result.js';
+import type {ForwardContext} from './context.js';
+import type {Exchange, ResponseHead} from './exchange.js';
+import type {GateRequest} from './request.js';
+
+/** Largest body that gives no length, in bytes: it may have no end. */
+const MAX_UNSIZED_BYTES = 128 * 1024 * 1024;
+
+/** Answer of which a part has been read. */
+export interface LargeAnswer {
+  readonly head: ResponseHead;
+  /** Begin of the body. */
+  readonly held: HeldBytes;
+  /** Part of the body after what is held. */
+  readonly nextPart: Buffer;
+  /** The rest of the body. */
+  readonly rest: AsyncIterator<Buffer>;
+}
+
+/**
+ * Passes an answer on, no faster than the caller reads. Its end is not sent.
+ *
+ * @returns `result`, or the error if the target breaks the answer off, or if a body
+ *   without a length passes a bound; the caller has then got a part of it.
+ * @example
+ * await forwardLargeResult(context, request, target, exchange, result);
+ */
+export async function forwardLargeResult(
+  context: ForwardContext,
+  {caller}: GateRequest,
+  target: Target,
+  exchange: Exchange,
+  result: LargeResult,
+): Promise<CallResult> {
+  try {
+    await forwardLargeAnswer(context, target, caller, result.large);
+    return result;
+  } catch (error) {
+    exchange.cancel();
+    if (!(error instanceof ExchangeError)) throw error;
+    return {kind: 'failed', error};
+  } finally {
+    result.large.held.release();
+  }
+}
+
+async function forwardLargeAnswer(
+  context: ForwardContext,
+  target: Target,
+  caller: CallerResponse,
+  {head, held, nextPart, rest}: LargeAnswer,
+): Promise<void> {
+  const {status, message} = head;
+  const isSized = message.headers['content-length'] !== undefined;
+  caller.start(status, message.rawHeaders, isSized);
+  let sentBytes = held.length;
+  caller.write(held.removeAll());
+  let part: Buffer | undefined = nextPart;
+  while (part !== undefined) {
+    sentBytes += part.length;
+    if (!isSized && sentBytes > MAX_UNSIZED_BYTES)
+      throw new OversizedAnswerError('body', MAX_UNSIZED_BYTES);
+    caller.write(part);
+    await caller.waitForRoom();
+    const next = await rest.next();
+    part = next.done === true ? undefined : next.value;
+  }
+  const isUnframed = findFraming(message) === 'by-close';
+  if (isUnframed && (await context.crashes.isCrashEnd(target)))
+    throw new ExchangeError('truncated', true);
+}
--- a/packages/direct/src/forward/stream-attempt.ts
+++ b/packages/direct/src/forward/stream-attempt.ts
@@ -6,6 +6,7 @@
 import {ExchangeError} from '../errors.js';
 import {estimatePrefillMs} from '../placement/engine-model.js';
 import {createEventSplitter} from './event-splitter.js';
+import {forwardErrorAnswer} from './error-answer.js';
 import {EventWriter} from './event-writer.js';
 import {findFraming} from './exchange.js';
 import {readVerdict, recordAnswerFacts} from './judge-answer.js';
@@ -15,6 +16,7 @@
 import type {PlacedPrompt} from '../placement/placed-prompt.js';
 import type {EngineCostModel} from '../types.js';
 import type {EventWriterOptions} from './event-writer.js';
+import type {StreamEvent} from './event-splitter.js';
 import type {ResponseHead, Exchange} from './exchange.js';
 import type {KvLease} from './kv-lease.js';
 import type {StallVerdict} from './stall-timer.js';
@@ -188,7 +190,7 @@
     exchange: Exchange,
     stallTimer: StallTimer,
   ): Promise<AttemptEnd> {
-    const {context, request} = this.options;
+    const {context, request, progress, isBackupPossible} = this.options;
     const head = await exchange.head;
     const {verdict, facts} = readVerdict(
       head,
@@ -200,7 +202,12 @@
     if (verdict === 'not-run')
       return {kind: 'not-run', faultyAddress: facts.faultyAddress};
     if (verdict === 'foreign') throw new ExchangeError('foreign-answer', true);
-    if (head.status !== 200) return this.forwardFailure(exchange, head);
+    if (head.status !== 200) {
+      const hasAlternative = () => progress.hasHead || isBackupPossible();
+      const options = {context, request, hasAlternative};
+      await forwardErrorAnswer(options, exchange, head);
+      return {kind: 'passed-on'};
+    }
     this.startResponse(head);
     await this.forwardEvents(exchange, head, stallTimer);
     this.writer.finish();
@@ -212,7 +219,7 @@
     const {request, progress} = this.options;
     // A resumed stream keeps the response head of its first engine.
     if (progress.hasHead) return;
-    request.caller.start(head.status, head.message.rawHeaders);
+    request.caller.start(head.status, head.message.rawHeaders, true);
     progress.hasHead = true;
   }
 
@@ -221,27 +228,46 @@
     head: ResponseHead,
     stallTimer: StallTimer,
   ): Promise<void> {
-    const {context, request, placed} = this.options;
+    const {context, request} = this.options;
     const {route} = request;
     const itlObjectiveMs = route.itlObjectiveMs ?? route.objectiveMs;
     const stallMs = Math.max(STALL_MIN_MS, STALL_ITL_FACTOR * itlObjectiveMs);
-    const splitter = createEventSplitter();
-    for await (const bytes of exchange.readBody(head)) {
-      const events = splitter.push(bytes);
-      if (events.length === 0) continue;
-      if (this.isCancelled) throw new ExchangeError('cancelled', true);
-      if (this.firstEventReceivedAt === undefined) placed.markFirstToken();
-      stallTimer.restart(stallMs);
-      const now = context.readNow();
-      this.lastEventAt = now;
-      this.recordProgress(now);
-      context.health.markActive(placed.target.id, now);
-      this.writer.push(events);
+    const splitter = createEventSplitter(context.heldBytes);
+    try {
+      for await (const bytes of exchange.readBody(head)) {
+        const events = splitter.push(bytes);
+        if (events.length === 0) continue;
+        await this.forwardPart(events, stallTimer, stallMs);
+      }
+      if (splitter.hasPartialEvent) throw new ExchangeError('truncated', true);
+    } finally {
+      splitter.close();
     }
-    if (splitter.hasPartialEvent) throw new ExchangeError('truncated', true);
     if (findFraming(head.message) === 'by-close') await this.checkUnframedEnd();
   }
 
+  /** Forwards events, and waits while the caller reads too slowly. */
+  private async forwardPart(
+    events: readonly StreamEvent[],
+    stallTimer: StallTimer,
+    stallMs: number,
+  ): Promise<void> {
+    const {context, request, placed} = this.options;
+    if (this.isCancelled) throw new ExchangeError('cancelled', true);
+    if (this.firstEventReceivedAt === undefined) placed.markFirstToken();
+    stallTimer.restart(stallMs);
+    const now = context.readNow();
+    this.lastEventAt = now;
+    this.recordProgress(now);
+    context.health.markActive(placed.target.id, now);
+    this.writer.push(events);
+    if (request.caller.hasRoom) return;
+    // The engine is not silent while nothing is read of it.
+    stallTimer.stop();
+    await request.caller.waitForRoom();
+    stallTimer.restart(stallMs);
+  }
+
   /**
    * Checks the end of an answer without a length, which a crash looks like.
    *
@@ -266,25 +292,4 @@
     this.hasLasted = true;
     context.suspects.recordLasting(fingerprint, this.firstEventReceivedAt);
   }
-
-  /**
-   * Forwards an error response of the target if no event has been sent and no
-   * other attempt is possible.
-   */
-  private async forwardFailure(
-    exchange: Exchange,
-    head: ResponseHead,
-  ): Promise<AttemptEnd> {
-    const {request, progress, isBackupPossible} = this.options;
-    const body = await exchange.readWholeBody(head);
-    if (progress.hasHead || isBackupPossible())
-      throw new ExchangeError('malformed', true);
-    request.caller.sendComplete(
-      head.status,
-      head.message.rawHeaders,
-      body,
-      findFraming(head.message),
-    );
-    return {kind: 'passed-on'};
-  }
 }
--- a/packages/direct/src/forward/stream-forwarder.ts
+++ b/packages/direct/src/forward/stream-forwarder.ts
@@ -5,6 +5,7 @@
  */
 import {PlacedPrompt} from '../placement/placed-prompt.js';
 import {NoRoom} from '../placement/prompt-placer.js';
+import {recordOversized} from './record-oversized.js';
 import {SlotFinder} from './slot-finder.js';
 import {StreamAttempt} from './stream-attempt.js';
 import {MIN_RETRY_LEFT_MS, StreamBackup} from './stream-backup.js';
@@ -86,8 +87,10 @@
       const placed = await this.place(chain);
       if (placed === undefined) break;
       const end = await this.runAttempt(chain, placed);
-      if (end.kind === 'failed')
+      if (end.kind === 'failed') {
+        recordOversized(this.context, this.request, placed.target, end.error);
         await this.faults.checkCrash(chain, placed.target, end.error);
+      }
       if (this.ending.isOver) break;
       this.handleEnd(chain, placed, end);
     }
--- a/packages/direct/src/observe/gate-metrics.ts
+++ b/packages/direct/src/observe/gate-metrics.ts
@@ -56,6 +56,7 @@
       ...Object.fromEntries(
         usage.map(([, ms], i) => [`account_usage_${i + 1}_ms`, Math.round(ms)]),
       ),
+      answer_bytes_held: context.heldBytes.claimedBytes,
       prompts_waiting: context.prompts.waitingCount,
       suspect_contents: suspects.size,
       refused_contents: suspects.countRefused(),
--- a/packages/direct/src/peers/facts-exchange.ts
+++ b/packages/direct/src/peers/facts-exchange.ts
@@ -32,6 +32,10 @@
 /** Timeout of a transfer, in ms, after which another gate can be asked. */
 const FETCH_TIMEOUT_MS = 5000;
 
+/** Largest request of a peer, and largest answer of one, in bytes. */
+const MAX_REQUEST_BYTES = 64 * 1024;
+const MAX_FACTS_BYTES = 16 * 1024 * 1024;
+
 /** JSON-RPC method that returns facts. */
 const READ_FACTS = 'read-facts';
 
@@ -117,7 +121,7 @@
   const server = createServer(connection => {
     observeTransfer(connection, options);
     connection.on('close', () => transfers.delete(connection));
-    const link = createRpcLink(connection);
+    const link = createRpcLink(connection, undefined, MAX_REQUEST_BYTES);
     link.closeWhenIdle(idleMs);
     link.handle(READ_FACTS, params => {
       const known = toKnownFacts(params);
@@ -171,7 +175,12 @@
   address: string,
   known: FactVersions,
 ): Promise<SharedFacts> {
-  const link = await openRpcLink(address, undefined, CONNECT_TIMEOUT_MS);
+  const link = await openRpcLink(
+    address,
+    undefined,
+    CONNECT_TIMEOUT_MS,
+    MAX_FACTS_BYTES,
+  );
   link.closeWhenIdle(IDLE_TIMEOUT_MS);
   try {
     return decodeSharedFacts(await callForFacts(link, address, known));
--- a/packages/direct/src/test/wire-caller.ts
+++ b/packages/direct/src/test/wire-caller.ts
@@ -47,19 +47,27 @@
  * Sends a request to a gate; resolves with all bytes of the answer once the
  * connection has ended.
  *
+ * @param waitMs - Time for which nothing is read after the first bytes, in ms.
  * @example
  * await callOnWire({host, port}, {method: 'GET', path: '/safe/x', id: 'q1', framing: 'none', body: ''});
  */
 export function callOnWire(
   address: {readonly host: string; readonly port: number},
   call: WireCall,
+  waitMs = 0,
 ): Promise<string> {
   return new Promise(resolve => {
-    let answer = '';
+    const parts: Buffer[] = [];
+    const finish = () => resolve(Buffer.concat(parts).toString('latin1'));
     const socket = connect(address);
-    socket.on('data', part => (answer += part.toString('latin1')));
-    socket.once('error', () => resolve(answer));
-    socket.once('close', () => resolve(answer));
+    socket.on('data', part => parts.push(part));
+    socket.once('error', finish);
+    socket.once('close', finish);
     socket.write(formatCall(call), 'latin1');
+    if (waitMs === 0) return;
+    socket.once('data', () => {
+      socket.pause();
+      setTimeout(() => socket.resume(), waitMs);
+    });
   });
 }
--- a/packages/gate/src/membership/membership.ts
+++ b/packages/gate/src/membership/membership.ts
@@ -5,7 +5,12 @@
  */
 import {request} from 'undici';
 import {z} from 'zod';
-import {createLogger, findHome} from '@nutmeggauge/core';
+import {
+  MAX_BODY_BYTES,
+  createLogger,
+  findHome,
+  readBoundedText,
+} from '@nutmeggauge/core';
 import {AgentConnection} from './agent-connection.js';
 import {pickSubset} from './subset.js';
 import type {
@@ -173,7 +178,8 @@
         headersTimeout: HOST_LIST_TIMEOUT_MS,
         bodyTimeout: HOST_LIST_TIMEOUT_MS,
       });
-      const {hosts} = HostListSchema.parse(await response.body.json());
+      const text = await readBoundedText(response.body, MAX_BODY_BYTES);
+      const {hosts} = HostListSchema.parse(JSON.parse(text));
       if (response.statusCode !== 200)
         throw new Error(`GET ${url}/v1/hosts: ${response.statusCode}`);
       this.applyLeaving(
