Answers in chunks of one byte are cut off before they take the processor

Four servers that send such chunks without end kept a gate's processor for good: callers got their 504 up to 1.1 s late, 64 callers 12 s late, and everything beside them waited. The memory stayed low, so no other bound ended it. A response may now have 256 KiB beside its body and twice the body; chunks of one byte take five times the body. It fails as `oversized`, bound `framing`.

--- a/packages/direct/src/errors.ts
+++ b/packages/direct/src/errors.ts
@@ -101,9 +101,11 @@
 
 /**
  * What is bounded of an answer: the number of interim heads before it, the bytes
- * of one event, of an error's body, or of a body without a length.
+ * of one event, of an error's body, of a body without a length, or of what frames
+ * the body.
  */
-export type AnswerBound = 'interim-heads' | 'event' | 'error-body' | 'body';
+export type AnswerBound =
+  'interim-heads' | 'event' | 'error-body' | 'body' | 'framing';
 
 /** An answer passes a bound, as it may have no end. */
 export class OversizedAnswerError extends ExchangeError {
--- a/packages/direct/src/forward/exchange.ts
+++ b/packages/direct/src/forward/exchange.ts
@@ -3,11 +3,10 @@
  * connection may have been closed unnoticed, may be dead, or may hold bytes of
  * an earlier response.
  */
-import {request as sendRequest} from 'node:http';
 import {connect} from 'node:net';
 import {ReadTimeout} from '@nutmeggauge/core';
 import {ExchangeError, OversizedAnswerError} from '../errors.js';
-import {buildFramedHeaders} from './request-body.js';
+import {openRequest} from './open-request.js';
 import type {ClientRequest, IncomingMessage} from 'node:http';
 import type {Socket} from 'node:net';
 import type {ExchangeFault} from '../errors.js';
@@ -35,6 +34,13 @@
  */
 const MAX_INTERIM_HEADS = 1000;
 
+/**
+ * Most bytes of a response that are not its body, beside a multiple of the body:
+ * chunks of one byte take six, and a hundred times the time of larger ones.
+ */
+const MAX_FRAMING_BYTES = 256 * 1024;
+const MAX_FRAMING_SHARE = 2;
+
 /** Statuses of responses that have no body. */
 const BODILESS_STATUSES: ReadonlySet<number> = new Set([204, 304]);
 
@@ -117,11 +123,21 @@
     return findFraming(message) === 'framed' || !this.hasFailed;
   }
 
-  /** Yields the body in parts; throws an ExchangeError if it is truncated. */
+  /**
+   * Yields the body in parts.
+   *
+   * @throws ExchangeError if it is truncated, or if its chunks are too small.
+   */
   async *readBody({message}: ResponseHead): AsyncGenerator<Buffer> {
+    let bodyBytes = 0;
     try {
-      yield* message as AsyncIterable<Buffer>;
+      for await (const part of message as AsyncIterable<Buffer>) {
+        bodyBytes += part.length;
+        this.checkFraming(bodyBytes);
+        yield part;
+      }
     } catch (cause) {
+      if (cause instanceof ExchangeError) throw cause;
       throw this.createBodyError(cause as Error);
     }
     if (!this.isWhole(message)) throw this.createBodyError();
@@ -233,6 +249,13 @@
     });
   }
 
+  /** Checks how much of what was read is neither body nor worth parsing. */
+  private checkFraming(bodyBytes: number): void {
+    const allowed = MAX_FRAMING_BYTES + MAX_FRAMING_SHARE * bodyBytes;
+    if (this.socket.bytesRead - bodyBytes > allowed)
+      throw new OversizedAnswerError('framing', MAX_FRAMING_BYTES);
+  }
+
   private createBodyError(cause?: Error): ExchangeError {
     const fault = this.isCancelled ? 'cancelled' : 'truncated';
     return new ExchangeError(fault, true, cause);
@@ -246,30 +269,6 @@
   }
 }
 
-/**
- * Starts a request on a connection. Returns an error if Node.js rejects the
- * head, for example because a header value contains invalid characters.
- */
-function openRequest(
-  {method, path, buildHeaders, body}: ExchangeOptions,
-  socket: Socket,
-): ClientRequest | ExchangeError {
-  try {
-    const request = sendRequest({
-      method,
-      path,
-      headers: buildFramedHeaders(buildHeaders(), body),
-      setHost: false,
-      createConnection: () => socket,
-    });
-    // Otherwise Node.js adds chunks to a POST without a body.
-    request.useChunkedEncodingByDefault = false;
-    return request;
-  } catch (cause) {
-    return new ExchangeError('unwritable', false, cause as Error);
-  }
-}
-
 /**
  * Returns how the end of a response is marked.
  *
--- a/packages/direct/src/forward/oversized-answers.test.ts
+++ b/packages/direct/src/forward/oversized-answers.test.ts
@@ -159,6 +159,23 @@
       },
     ));
 
+  it('lets another target answer a call whose chunks have one byte each', () =>
+    // Guards against chunks that take all of a gate's processor time.
+    runBed(
+      'orders',
+      [
+        sendForever(
+          request => buildWireHead(request, [CHUNKED], '500 Failed'),
+          '1\r\na\r\n'.repeat(10_000),
+        ),
+        answerOnWire,
+      ],
+      async ({call, findFirst, listBounds}) => {
+        expect((await call('/safe/x')).endsWith('whole')).toEqual(true);
+        expect(listBounds(findFirst())).toEqual(['framing']);
+      },
+    ));
+
   it('lets another target answer a call after interim heads without end', () =>
     // Guards against a target that keeps a call waiting by interim heads.
     runBed(
