--- a/packages/direct/src/forward/stream-attempt.ts
+++ b/packages/direct/src/forward/stream-attempt.ts
@@ -219,7 +219,7 @@
     const {request, progress} = this.options;
     // A resumed stream keeps the response head of its first engine.
     if (progress.hasHead) return;
-    request.caller.start(head.status, head.message.rawHeaders, true);
+    request.caller.start(head.status, head.message.rawHeaders, false);
     progress.hasHead = true;
   }
 
