An entry without the start of its server's process ends nothing there

The start is part of a target's id, so the same server had another id at its address, and a newer entry with another id at an address fails the exchanges there as with a replaced server. Ruled out: the removal of a target breaks nothing off.

--- a/packages/direct/src/forward/open-exchanges.test.ts
+++ b/packages/direct/src/forward/open-exchanges.test.ts
@@ -69,6 +69,13 @@
       position: buildPosition(8),
     });
     exchanges.endReplaced({...target, position: buildPosition(8)});
+    // The same name with a start that was not known before.
+    exchanges.endReplaced({
+      ...target,
+      id: 'e1@7',
+      bornAt: 7,
+      position: buildPosition(9),
+    });
     expect(await readFault()).toEqual(undefined);
     exchange.cancel();
     server.close();
--- a/packages/direct/src/forward/open-exchanges.ts
+++ b/packages/direct/src/forward/open-exchanges.ts
@@ -50,12 +50,19 @@
       const isReplaced =
         earlier.id !== target.id &&
         isNewer(target.position, earlier.position) &&
+        !isUncertain(target, earlier) &&
         !isBornBefore(target, earlier);
       if (isReplaced) exchange.markBroken();
     }
   }
 }
 
+/** Whether two entries of one name may describe the same process. */
+function isUncertain(target: Target, other: Target): boolean {
+  const isUnknown = target.bornAt === undefined || other.bornAt === undefined;
+  return isUnknown && target.name === other.name;
+}
+
 function isBornBefore(target: Target, other: Target): boolean {
   if (target.bornAt === undefined || other.bornAt === undefined) return false;
   return target.bornAt < other.bornAt;
