--- a/packages/direct/src/forward/caller-response.ts
+++ b/packages/direct/src/forward/caller-response.ts
@@ -166,7 +166,7 @@
     this.response.write(bytes);
   }
 
-  /** Sends parts of the response body, in one chunk. */
+  /** Sends parts of the response body together. */
   writeAll(parts: readonly Buffer[]): void {
     this.response.cork();
     for (const part of parts) this.response.write(part);
--- a/packages/direct/src/forward/oversized-answers.test.ts
+++ b/packages/direct/src/forward/oversized-answers.test.ts
@@ -279,6 +279,31 @@
         expect(runs.length).toEqual(1);
       },
     ));
+
+  it('get a whole stream of which little arrives at a time', () =>
+    // Guards against a wait for a caller that goes on after it has read all.
+    runBed(
+      'chat',
+      [
+        (request, socket) => {
+          socket.write(buildWireHead(request, [EVENT_STREAM]));
+          const event = `data: ${'a'.repeat(8000)}\n\n`;
+          let left = 1500;
+          const sendNext = () => {
+            if (left-- === 0) return void socket.end(formatEvents(1, 1));
+            socket.write(event);
+            setTimeout(sendNext, 1);
+          };
+          sendNext();
+        },
+        sendEvents,
+      ],
+      async ({call}) => {
+        const answer = await call('/stream/x', 3000);
+        expect(answer.includes('data: piece-1\n\n')).toEqual(true);
+        expect(answer.endsWith('0\r\n\r\n')).toEqual(true);
+      },
+    ));
 });
 
 /** Joins the chunks of a body. */
--- a/packages/direct/src/test/build-target.ts
+++ b/packages/direct/src/test/build-target.ts
@@ -1,4 +1,7 @@
 /** Builders of positions and targets for tests. */
+import {readPort} from '@nutmeggauge/core';
+import {NO_POSITION} from '../fleet/fact-position.js';
+import type {Server} from 'node:net';
 import type {FactPosition} from '../fleet/fact-position.js';
 import type {Target} from '../types.js';
 
@@ -32,3 +35,18 @@
     position: buildPosition(revision),
   };
 }
+
+/** Builds the entry of a target that listens on this machine. */
+export function buildListeningTarget(
+  id: string,
+  service: string,
+  server: Server,
+): Target {
+  return {
+    ...buildTarget(id, 0),
+    service,
+    host: '127.0.0.1',
+    port: readPort(server),
+    position: NO_POSITION,
+  };
+}
--- a/packages/direct/src/test/fake-target.ts
+++ b/packages/direct/src/test/fake-target.ts
@@ -1,7 +1,7 @@
 /** HTTP target whose answers are scripted by a test. */
 import {createServer} from 'node:http';
-import {NO_POSITION} from '../fleet/fact-position.js';
-import {openListener, readPort} from '@nutmeggauge/core';
+import {openListener} from '@nutmeggauge/core';
+import {buildListeningTarget} from './build-target.js';
 import type {IncomingMessage, Server, ServerResponse} from 'node:http';
 import type {Target} from '../types.js';
 
@@ -76,17 +76,7 @@
 
   /** Entry of the target for the store. */
   get entry(): Target {
-    return {
-      id: this.id,
-      name: this.id,
-      bornAt: undefined,
-      service: this.service,
-      host: '127.0.0.1',
-      port: readPort(this.server),
-      zone: 'az-1',
-      isDraining: false,
-      position: NO_POSITION,
-    };
+    return buildListeningTarget(this.id, this.service, this.server);
   }
 
   /** Starts listening. */
--- a/packages/direct/src/test/wire-target.ts
+++ b/packages/direct/src/test/wire-target.ts
@@ -1,7 +1,7 @@
 /** Raw TCP target that records the bytes of each request that it gets. */
 import {createServer} from 'node:net';
-import {openListener, readPort} from '@nutmeggauge/core';
-import {NO_POSITION} from '../fleet/fact-position.js';
+import {openListener} from '@nutmeggauge/core';
+import {buildListeningTarget} from './build-target.js';
 import type {Server, Socket} from 'node:net';
 import type {Target} from '../types.js';
 
@@ -135,17 +135,7 @@
 
   /** Entry of the target for the store. */
   get entry(): Target {
-    return {
-      id: this.id,
-      name: this.id,
-      bornAt: undefined,
-      service: this.service,
-      host: '127.0.0.1',
-      port: readPort(this.server),
-      zone: 'az-1',
-      isDraining: false,
-      position: NO_POSITION,
-    };
+    return buildListeningTarget(this.id, this.service, this.server);
   }
 
   /** Starts listening. */
