Bodies of requests are joined as they arrive, whatever their chunks

Found while reading the change, by a probe; no limit of the configuration is passed. Ruled out: the answers' side, the target got none of them. readBody now uses BoundedBody, as the other readers do.

--- a/packages/core/src/bounded-body.ts
+++ b/packages/core/src/bounded-body.ts
@@ -31,6 +31,11 @@
     return true;
   }
 
+  /** Returns the body in a buffer of its size. */
+  readBytes(): Buffer {
+    return Buffer.from(this.buffer.subarray(0, this.size));
+  }
+
   /** Returns the body as UTF-8 text. */
   readText(): string {
     return this.buffer.toString('utf8', 0, this.size);
--- a/packages/core/src/http.ts
+++ b/packages/core/src/http.ts
@@ -2,6 +2,7 @@
  * Request and response helpers for Node's `http` servers.
  */
 import {finished} from 'node:stream';
+import {BoundedBody} from './bounded-body.js';
 import {ReadTimeout} from './read-timeout.js';
 import type {IncomingMessage, ServerResponse} from 'node:http';
 
@@ -45,16 +46,12 @@
   req: IncomingMessage,
   limitBytes: number,
 ): Promise<Buffer | undefined> {
-  const parts: Buffer[] = [];
-  let size = 0;
+  const body = new BoundedBody(limitBytes);
   // Destroying the request would close its connection before the response.
   const iterator = req.iterator({destroyOnReturn: false});
-  for await (const part of iterator as AsyncIterable<Buffer>) {
-    size += part.length;
-    if (size > limitBytes) return undefined;
-    parts.push(part);
-  }
-  return Buffer.concat(parts);
+  for await (const part of iterator as AsyncIterable<Buffer>)
+    if (!body.add(part)) return undefined;
+  return body.readBytes();
 }
 
 /**
