--- a/packages/direct/src/forward/call-forwarder.ts
+++ b/packages/direct/src/forward/call-forwarder.ts
@@ -11,7 +11,7 @@
 import {chooseRetryAfterMs} from './retry-after.js';
 import {sendCall} from './send-call.js';
 import type {Target} from '../types.js';
-import type {CallResult, CompleteResponse, LargeResult} from './call-result.js';
+import type {CallResult, CompleteResponse, LargeResult} from './call-types.js';
 import type {GateErrorReason} from './caller-response.js';
 import type {ForwardContext} from './context.js';
 import type {Exchange} from './exchange.js';
--- a/packages/direct/src/forward/call-record.ts
+++ b/packages/direct/src/forward/call-record.ts
@@ -1,7 +1,7 @@
 /** Log lines and counters of one call. */
 import {recordOversized} from './record-oversized.js';
 import type {Target} from '../types.js';
-import type {CallResult} from './call-result.js';
+import type {CallResult} from './call-types.js';
 import type {ForwardContext} from './context.js';
 import type {GateRequest} from './request.js';
 
--- a/packages/direct/src/forward/call-result.ts
+++ b/packages/direct/src/forward/call-result.ts
@@ -4,10 +4,9 @@
 import {findFraming} from './exchange.js';
 import {readVerdict, recordAnswerFacts} from './judge-answer.js';
 import type {Target} from '../types.js';
-import type {ResponseFraming} from './caller-response.js';
+import type {CallResult, CompleteResponse, LargeAnswer} from './call-types.js';
 import type {ForwardContext} from './context.js';
 import type {Exchange, ResponseHead} from './exchange.js';
-import type {LargeAnswer} from './large-answer.js';
 import type {GateRequest} from './request.js';
 
 /**
@@ -16,30 +15,6 @@
  */
 export const MAX_HELD_ANSWER_BYTES = 1024 * 1024;
 
-/** A target's complete response. */
-export interface CompleteResponse {
-  readonly status: number;
-  readonly headers: readonly string[];
-  /** The whole body; released once it is not needed any more. */
-  readonly held: HeldBytes;
-  readonly framing: ResponseFraming;
-}
-
-/** Answer that doesn't fit into what is held. */
-export interface LargeResult {
-  readonly kind: 'large';
-  readonly large: LargeAnswer;
-}
-
-/** Result of one attempt at a call. */
-export type CallResult =
-  | {readonly kind: 'answer'; readonly answer: CompleteResponse}
-  | {readonly kind: 'target-failure'; readonly answer: CompleteResponse}
-  /** The answer is too large to be held; its rest is still to be read. */
-  | LargeResult
-  | {readonly kind: 'not-run'}
-  | {readonly kind: 'failed'; readonly error: ExchangeError};
-
 /**
  * Reads the whole answer of a target; resolves, not rejects, if it fails.
  *
--- a/packages/direct/src/forward/exchange.ts
+++ b/packages/direct/src/forward/exchange.ts
@@ -10,11 +10,9 @@
 import type {ClientRequest, IncomingMessage} from 'node:http';
 import type {Socket} from 'node:net';
 import type {ExchangeFault} from '../errors.js';
-import type {RawHeaders, Target} from '../types.js';
 import type {HeldBytes} from '../buffers/held-bytes.js';
 import type {ResponseFraming} from './caller-response.js';
-import type {RequestBody} from './request-body.js';
-import type {SendCheck} from './send-check.js';
+import type {ExchangeOptions} from './exchange-options.js';
 
 /**
  * Connection timeout, in ms: longer than a round trip within a region, shorter
@@ -44,25 +42,6 @@
 /** Statuses of responses that have no body. */
 const BODILESS_STATUSES: ReadonlySet<number> = new Set([204, 304]);
 
-/** Request to send to a target. */
-export interface ExchangeOptions {
-  readonly target: Target;
-  readonly method: string;
-  readonly path: string;
-  /**
-   * Builds the head when the request is sent, as it tells the time left. Fields
-   * that delimit the body are added by the exchange.
-   */
-  readonly buildHeaders: () => RawHeaders;
-  readonly body: RequestBody;
-  /**
-   * Decides whether the request is sent once the connection is open.
-   *
-   * @default always
-   */
-  readonly sendCheck?: SendCheck;
-}
-
 /** Head of a target's response; the body is still to be read. */
 export interface ResponseHead {
   readonly status: number;
--- a/packages/direct/src/forward/large-answer.ts
+++ b/packages/direct/src/forward/large-answer.ts
@@ -1,28 +1,16 @@
 /** Passes an answer that is too large to be held on to the caller as it arrives. */
 import {ExchangeError, OversizedAnswerError} from '../errors.js';
 import {findFraming} from './exchange.js';
-import type {HeldBytes} from '../buffers/held-bytes.js';
 import type {Target} from '../types.js';
 import type {CallerResponse} from './caller-response.js';
-import type {CallResult, LargeResult} from './call-result.js';
+import type {CallResult, LargeAnswer, LargeResult} from './call-types.js';
 import type {ForwardContext} from './context.js';
-import type {Exchange, ResponseHead} from './exchange.js';
+import type {Exchange} from './exchange.js';
 import type {GateRequest} from './request.js';
 
 /** Largest body that gives no length, in bytes: it may have no end. */
 const MAX_UNSIZED_BYTES = 128 * 1024 * 1024;
 
-/** Answer of which a part has been read. */
-export interface LargeAnswer {
-  readonly head: ResponseHead;
-  /** Begin of the body. */
-  readonly held: HeldBytes;
-  /** Part of the body after what is held. */
-  readonly nextPart: Buffer;
-  /** The rest of the body. */
-  readonly rest: AsyncIterator<Buffer>;
-}
-
 /**
  * Passes an answer on, no faster than the caller reads. Its end is not sent.
  *
--- a/packages/direct/src/forward/open-exchanges.ts
+++ b/packages/direct/src/forward/open-exchanges.ts
@@ -6,7 +6,8 @@
 import {isNewer} from '../fleet/fact-position.js';
 import {openExchange} from './exchange.js';
 import type {Target} from '../types.js';
-import type {Exchange, ExchangeOptions} from './exchange.js';
+import type {Exchange} from './exchange.js';
+import type {ExchangeOptions} from './exchange-options.js';
 
 interface OpenExchange {
   readonly exchange: Exchange;
--- a/packages/direct/src/forward/open-request.ts
+++ b/packages/direct/src/forward/open-request.ts
@@ -4,7 +4,7 @@
 import {buildFramedHeaders} from './request-body.js';
 import type {ClientRequest} from 'node:http';
 import type {Socket} from 'node:net';
-import type {ExchangeOptions} from './exchange.js';
+import type {ExchangeOptions} from './exchange-options.js';
 
 /**
  * Starts a request on a connection. Returns an error if Node.js rejects the
--- a/packages/direct/src/test/impatient-callers.ts
+++ b/packages/direct/src/test/impatient-callers.ts
@@ -4,7 +4,7 @@
 import {OpenExchanges} from '../forward/open-exchanges.js';
 import {PromptPlacer} from '../placement/prompt-placer.js';
 import type {Socket} from 'node:net';
-import type {ExchangeOptions} from '../forward/exchange.js';
+import type {ExchangeOptions} from '../forward/exchange-options.js';
 import type {FakeClock} from './fake-clock.js';
 
 /** Request of an impatient caller. */
