Observability: where each request waits when a gate stops

What the log lacked to tell the hypotheses apart: the requests that are open when a stop begins and when it ends, and where each waits. Every request is in a table from its head on; a stop writes request_at_stop with place, age, predicted end and what is left of the grace for each one that it keeps and each one that ends with the process. The lines have a budget of their own in the decision log, since hundreds come together.

Before: drain_finished left: N and nothing of the N. After: one line each.

--- a/packages/direct/src/drain.ts
+++ b/packages/direct/src/drain.ts
@@ -1,6 +1,7 @@
 /** Graceful shutdown of a gate. */
 import {setTimeout as sleep} from 'node:timers/promises';
 import type {Ingress} from './ingress/ingress.js';
+import type {GateStop} from './stop/gate-stop.js';
 import type {DecisionLog} from './observe/decision-log.js';
 
 /**
@@ -18,6 +19,7 @@
 /** Dependencies of a drain. */
 export interface DrainOptions {
   readonly ingress: Ingress;
+  readonly stop: GateStop;
   /** Time between the request to stop and the kill of the process, in ms. */
   readonly stopGraceMs: number;
   /** Ends the closing of new connections by a gate that is behind. */
@@ -36,17 +38,19 @@
  * await runDrain(options);
  */
 export async function runDrain(options: DrainOptions): Promise<void> {
-  const {ingress, stopGraceMs, log, readNow} = options;
+  const {ingress, stop, stopGraceMs, log, readNow} = options;
   log.info('drain_started', {inFlight: ingress.inFlight});
   options.stopShedding();
   ingress.closeConnectionsAfterAnswers();
   const giveUpAt = readNow() + stopGraceMs - DRAIN_EXIT_RESERVE_MS;
+  stop.begin(giveUpAt);
   await sleep(Math.min(DRAIN_NOTICE_MS, stopGraceMs / 2));
   await ingress.stopAccepting();
   await waitForOpenRequests(options, giveUpAt);
   await ingress.closeIdle();
   // Waits for the requests that were read before idle connections were closed.
   await waitForOpenRequests(options, giveUpAt);
+  stop.recordCut();
   log.info('drain_finished', {left: ingress.inFlight});
   await options.leavePeers();
 }
--- a/packages/direct/src/forward/call-forwarder.ts
+++ b/packages/direct/src/forward/call-forwarder.ts
@@ -6,6 +6,7 @@
 import {ReadTimeout} from '@nutmeggauge/core';
 import {ExchangeError} from '../errors.js';
 import {CallRecord} from './call-record.js';
+import {CallStop} from './call-stop.js';
 import {CallFaults, readCallResult, releaseResult} from './call-result.js';
 import {forwardLargeResult} from './large-answer.js';
 import {chooseRetryAfterMs} from './retry-after.js';
@@ -48,6 +49,11 @@
   ) {
     this.faults = new CallFaults(context, request);
     this.record = new CallRecord(context, request);
+    request.open.forwarded = new CallStop(context, request, {
+      hasHead: () => this.hasHead,
+      listOpen: () => [...this.open],
+      isSending: () => this.pendingSends > 0,
+    });
   }
 
   /** Whether the caller has got the head of an answer. */
--- a/packages/direct/src/forward/caller-response.ts
+++ b/packages/direct/src/forward/caller-response.ts
@@ -107,6 +107,11 @@
     return !writableFinished && socket?.readableEnded === true;
   }
 
+  /** Whether the whole answer has been written; the caller may still read it. */
+  get isEnded(): boolean {
+    return this.response.writableEnded;
+  }
+
   /**
    * Registers a listener for the caller's disconnect; calls it at once if the
    * caller has already disconnected.
--- a/packages/direct/src/forward/create-context.ts
+++ b/packages/direct/src/forward/create-context.ts
@@ -13,6 +13,7 @@
 import {createCallPlacer} from '../placement/place-call.js';
 import {PromptPlacer} from '../placement/prompt-placer.js';
 import {createSharedRetryBudget} from '../retry/shared-retry-budget.js';
+import {GateStop} from '../stop/gate-stop.js';
 import {OpenExchanges} from './open-exchanges.js';
 import type {
   Counters,
@@ -92,6 +93,7 @@
     choices,
     reads: parts.reads,
     exchanges: new OpenExchanges(),
+    stop: new GateStop({log, counters: parts.counters, readNow}),
     heldBytes: new ByteBudget(MAX_HELD_BYTES),
     crashes: new CrashWatch({
       state,
--- a/packages/direct/src/forward/queued-stream.ts
+++ b/packages/direct/src/forward/queued-stream.ts
@@ -61,6 +61,13 @@
     return result;
   }
 
+  /** Estimates the time until the stream has a slot, in ms. */
+  estimateWaitMs(): number {
+    const {request, context} = this.options;
+    const entry = this.buildEntry(() => false);
+    return context.queues.find(request.service).estimateWaitMs(entry);
+  }
+
   /** Returns whether streams wait in the queue that go before this one. */
   isOutranked(): boolean {
     const {context, request} = this.options;
--- a/packages/direct/src/forward/request.ts
+++ b/packages/direct/src/forward/request.ts
@@ -1,5 +1,6 @@
 /** Request type that is passed from the ingress to the forwarders. */
 import type {Fingerprint} from '@nutmeggauge/core';
+import type {OpenRequest} from '../stop/open-request.js';
 import type {CallerResponse} from './caller-response.js';
 import type {RequestBody} from './request-body.js';
 import type {RawHeaders, RequestMetadata, Route} from '../types.js';
@@ -37,4 +38,6 @@
   /** Id of the last event that the caller received before it reconnected. */
   readonly lastEventId: string | undefined;
   readonly caller: CallerResponse;
+  /** The request as a stop of the gate sees it. */
+  readonly open: OpenRequest;
 }
--- a/packages/direct/src/forward/slot-finder.ts
+++ b/packages/direct/src/forward/slot-finder.ts
@@ -9,6 +9,7 @@
 import {recordPlannedStream} from './record-planned.js';
 import type {Deferral, PlacementOutcome} from '../placement/prompt-placer.js';
 import type {PromptWait} from '../placement/prompt-wait.js';
+import type {RequestPlace} from '../stop/open-request.js';
 import type {EngineCostModel} from '../types.js';
 import type {ForwardContext} from './context.js';
 import type {NoSlotReason} from './no-slot-reason.js';
@@ -44,6 +45,10 @@
 export class SlotFinder {
   private choiceCount = 0;
   private wait: PromptWait | undefined;
+  /** Where the stream waits for its engines. */
+  private waitsIn: RequestPlace = 'choice';
+  /** Time at which a deferred stream is expected to be sent, in ms. */
+  private deferredUntil = -Infinity;
   private readonly queued: QueuedStream;
 
   /** @param tried - Ids of the engines to avoid. */
@@ -62,6 +67,17 @@
     return this.choiceCount;
   }
 
+  /** Where the stream waits for its engines. */
+  get place(): RequestPlace {
+    return this.waitsIn;
+  }
+
+  /** Estimates the time until engines are chosen, in ms. */
+  estimateWaitMs(): number {
+    if (this.waitsIn === 'queue') return this.queued.estimateWaitMs();
+    return Math.max(0, this.deferredUntil - this.context.readNow());
+  }
+
   /**
    * Finds engines for the next attempt, with access if the decoding engine has
    * a limit or has rested.
@@ -83,6 +99,7 @@
       const result = await this.findPlanned(mayExceedSlots, signal, hasBegun);
       if (!(result instanceof PlacedPrompt)) return result;
       const {access} = this.context;
+      this.waitsIn = 'permit';
       const isUsable =
         (await this.claimTrial(result)) &&
         (await access.claim(result.target.id));
@@ -148,6 +165,7 @@
         allowedZones,
       );
       if (limitMs > route.objectiveMs) return 'full';
+      this.waitsIn = 'queue';
       result = await this.queued.wait(signal);
     }
     if (!signal.aborted) return result;
@@ -181,6 +199,7 @@
     mayExceedSlots: boolean,
     signal: AbortSignal,
   ): Promise<PlacementOutcome | 'left'> {
+    this.waitsIn = 'choice';
     const outcome = await this.context.choices.schedule({
       isRepeated: cause === 'deferred',
       dueAt: this.dueAt,
@@ -200,6 +219,8 @@
   ): Promise<void> {
     const {prompts, readNow} = this.context;
     const endsAt = readNow() + waitMs;
+    this.waitsIn = 'deferred';
+    this.deferredUntil = endsAt;
     const version = prompts.loadVersion;
     do await sleep(Math.min(endsAt - readNow(), REEVALUATE_MS));
     while (
--- a/packages/direct/src/forward/stream-chains.ts
+++ b/packages/direct/src/forward/stream-chains.ts
@@ -18,6 +18,19 @@
     return [...this.chains].flatMap(({attempt}) => attempt ?? []);
   }
 
+  /**
+   * Estimates the time until an attempt that runs has its first token, in ms;
+   * undefined if none runs.
+   */
+  estimateFirstTokenMs(): number | undefined {
+    const waits = [...this.chains].flatMap(({attempt, placed}) =>
+      attempt === undefined || placed === undefined
+        ? []
+        : placed.estimateRemainingPrefillMs(),
+    );
+    return waits.length === 0 ? undefined : Math.min(...waits);
+  }
+
   /**
    * Opens a chain.
    *
--- a/packages/direct/src/forward/stream-forwarder.ts
+++ b/packages/direct/src/forward/stream-forwarder.ts
@@ -15,6 +15,7 @@
 import {StreamProgress} from './stream-progress.js';
 import {StreamRecord} from './stream-record.js';
 import {StreamRetries} from './stream-retries.js';
+import {StreamStop} from './stream-stop.js';
 import type {EngineCostModel} from '../types.js';
 import type {ForwardContext} from './context.js';
 import type {GateRequest} from './request.js';
@@ -77,6 +78,14 @@
   }
 
   run(): void {
+    const {request, engine, progress, chains, finder} = this;
+    request.open.forwarded = new StreamStop({
+      request,
+      engine,
+      progress,
+      chains,
+      finder,
+    });
     this.ending.start();
     if (!this.ending.isOver) void this.runChain();
   }
@@ -93,6 +102,8 @@
       }
       if (this.ending.isOver) break;
       this.handleEnd(chain, placed, end);
+      // What the attempt has sent is known from its end.
+      chain.attempt = undefined;
     }
     this.chains.close(chain);
   }
--- a/packages/direct/src/gate.ts
+++ b/packages/direct/src/gate.ts
@@ -230,6 +230,7 @@
   drain(): Promise<void> {
     this.draining ??= runDrain({
       ingress: this.ingress,
+      stop: this.context.stop,
       stopGraceMs: this.settings.stopGraceMs,
       stopShedding: () => this.shedder.stop(),
       leavePeers: () => this.peers.stop(),
--- a/packages/direct/src/ingress/ingress.ts
+++ b/packages/direct/src/ingress/ingress.ts
@@ -16,6 +16,7 @@
 import {forwardCall} from '../forward/call-forwarder.js';
 import {findRequestFraming} from '../forward/request-body.js';
 import {forwardStream} from '../forward/stream-forwarder.js';
+import {OpenRequest} from '../stop/open-request.js';
 import {listAllowedZones} from '../placement/allowed-regions.js';
 import {DEFAULT_DEADLINE_MS, EarlyRefusals} from './early-refusals.js';
 import {StartupHold} from './startup-hold.js';
@@ -145,6 +146,9 @@
     // Kept connections would stay with this gate after most new ones went to it.
     if (this.shedder.isShedding) res.shouldKeepAlive = false;
     const caller = new CallerResponse(res, this.server.keepAliveTimeout);
+    const open = new OpenRequest(caller, arrivedAt);
+    this.context.stop.observe(open);
+    open.requestId = this.context.dialect.parseRequest(req.headers).requestId;
     let body: Buffer | undefined;
     try {
       body = await readBody(req, this.readBodyLimit());
@@ -157,20 +161,19 @@
     if (caller.isDisconnected) return;
     if (body === undefined)
       return this.refusals.refuse(caller, 413, 'body_too_large');
+    open.hasBody = true;
     if (!this.hold.isOver) await this.hold.wait();
     if (caller.isDisconnected) return;
     const whole = body;
-    this.context.turns.run('request', () =>
-      this.dispatch(req, whole, caller, arrivedAt),
-    );
+    this.context.turns.run('request', () => this.dispatch(req, whole, open));
   }
 
   private dispatch(
     req: IncomingMessage,
     bytes: Buffer,
-    caller: CallerResponse,
-    arrivedAt: number,
+    open: OpenRequest,
   ): void {
+    const {caller, arrivedAt} = open;
     const {state, dialect, readNow} = this.context;
     const facts = dialect.parseRequest(req.headers);
     if (this.isClosing)
@@ -233,6 +236,7 @@
       configVersion: config.version,
       lastEventId: readFirstValue(req.headers['last-event-id']),
       caller,
+      open,
     });
   }
 
--- a/packages/direct/src/observe/decision-log.ts
+++ b/packages/direct/src/observe/decision-log.ts
@@ -14,6 +14,9 @@
  */
 const LINES_PER_SECOND = 120;
 
+/** Maximum number of lines per second on the outcomes of single requests. */
+const OUTCOMES_PER_SECOND = 2000;
+
 /** Number of buffered output bytes above which every line is dropped. */
 const MAX_BUFFERED_BYTES = 256 * 1024;
 
@@ -28,6 +31,9 @@
 
 type Level = 'info' | 'warn' | 'error';
 
+/** Budgets of lines per second; each is counted on its own. */
+type Budget = Level | 'outcome';
+
 /**
  * Decision log of one process.
  *
@@ -38,6 +44,7 @@
   private second = 0;
   private infoLines = 0;
   private failureLines = 0;
+  private outcomeLines = 0;
   private dropped = 0;
 
   constructor(private readonly options: DecisionLogOptions) {}
@@ -57,20 +64,34 @@
     this.write('error', event, fields);
   }
 
-  private write(level: Level, event: string, fields: DecisionFields): void {
+  /**
+   * Logs the outcome of one of many requests that end together, as at a stop. A
+   * budget of its own keeps a line for each.
+   */
+  recordOutcome(event: string, fields: DecisionFields): void {
+    this.write('info', event, fields, 'outcome');
+  }
+
+  private write(
+    level: Level,
+    event: string,
+    fields: DecisionFields,
+    budget: Budget = level,
+  ): void {
     const wallMs = this.options.readWallMs();
     this.startSecond(Math.floor(wallMs / 1000));
-    if (!this.admit(level)) {
+    if (!this.admit(budget)) {
       this.dropped++;
       return;
     }
     this.print(level, event, fields, wallMs);
   }
 
-  private admit(level: Level): boolean {
+  private admit(budget: Budget): boolean {
     if (this.options.output.writableLength > MAX_BUFFERED_BYTES) return false;
+    if (budget === 'outcome') return ++this.outcomeLines <= OUTCOMES_PER_SECOND;
     // A separate budget keeps `info` lines from displacing failures.
-    if (level === 'info') return ++this.infoLines <= LINES_PER_SECOND;
+    if (budget === 'info') return ++this.infoLines <= LINES_PER_SECOND;
     return ++this.failureLines <= LINES_PER_SECOND;
   }
 
@@ -79,6 +100,7 @@
     this.second = second;
     this.infoLines = 0;
     this.failureLines = 0;
+    this.outcomeLines = 0;
     if (this.dropped === 0) return;
     const lines = this.dropped;
     this.dropped = 0;
