--- a/packages/direct/src/test/gate-harness.ts
+++ b/packages/direct/src/test/gate-harness.ts
@@ -39,6 +39,12 @@
   readonly key?: string;
   readonly deadlineMs?: number;
   readonly tokens?: number;
+  /**
+   * Largest number of tokens to generate.
+   *
+   * @default 100
+   */
+  readonly maxOutputTokens?: number;
   /** Ids of the parts of the prompt; the last one is the request's own. */
   readonly parts?: readonly string[];
   readonly method?: string;
@@ -193,6 +199,8 @@
     };
     if (options.tokens !== undefined)
       headers['x-test-tokens'] = String(options.tokens);
+    if (options.maxOutputTokens !== undefined)
+      headers['x-test-output'] = String(options.maxOutputTokens);
     if (options.parts !== undefined)
       headers['x-test-parts'] = options.parts.join();
     const req = request({
--- a/packages/direct/src/test/test-dialect.ts
+++ b/packages/direct/src/test/test-dialect.ts
@@ -64,7 +64,7 @@
       deadlineMs: readNumber(headers['x-test-deadline']),
       apiKey: headers['x-test-key'] as string | undefined,
       promptTokens: readNumber(headers['x-test-tokens']),
-      maxOutputTokens: 100,
+      maxOutputTokens: readNumber(headers['x-test-output']) ?? 100,
       sharedParts: readList(headers['x-test-parts']).slice(0, -1),
     };
   }
