A stopping gate leaves no request without an answer

Cause: every wait of a request was bounded by its own deadline only. A stop waited until its grace was nearly over, and the process ended with whatever was open. Requests were taken in, and streams begun, whether or not they could end in time. Class: work is accepted without a look at the end of the one who does it.

Change: one table of open requests, each with a handler that knows where it waits, when it may end, and how it is handed back. A stop judges each request at its begin, at arrival, at placement and every 250 ms while it waits: one that no target has and that can't end in time is answered 503 at once with a short Retry-After, after its search and its unsent connections are cancelled. Before the process ends, requests at a target that has not answered get 502 (outcome unknown), begun streams are broken off, and answers that only their callers delay go on until 200 ms before the kill.

The test 'is whole if the gate drains' let a stream end after the process would have been gone (pause of 1.9 s beside a grace of 2 s, of which the gate uses 1.5 s): its gate has the platform's grace of 8 s now, its assertions are unchanged.

--- a/packages/direct/src/admission/admission-queue.ts
+++ b/packages/direct/src/admission/admission-queue.ts
@@ -105,6 +105,12 @@
     return this.estimateTurnMs(ahead.length);
   }
 
+  /** Estimates how much longer a stream of the queue waits, in ms. */
+  estimateLeftMs(entry: QueueEntry): number {
+    const ahead = this.waiting.findIndex(other => other.entry === entry);
+    return this.estimateTurnMs(Math.max(0, ahead));
+  }
+
   /** Records the time that a stream held its slot, in ms. */
   recordSlotTime(ms: number): void {
     this.averageSlotTimeMs += (ms - this.averageSlotTimeMs) * SLOT_TIME_WEIGHT;
--- a/packages/direct/src/drain.ts
+++ b/packages/direct/src/drain.ts
@@ -10,8 +10,11 @@
  */
 const DRAIN_NOTICE_MS = 2900;
 
-/** Part of the stop grace period reserved for the process exit, in ms. */
-const DRAIN_EXIT_RESERVE_MS = 500;
+/** Part of the grace period in which only callers delay their answers, in ms. */
+const ANSWER_RESERVE_MS = 500;
+
+/** Part of the grace period reserved for the process exit, in ms. */
+const EXIT_RESERVE_MS = 200;
 
 /** Interval at which a drain checks for open requests, in ms. */
 const DRAIN_POLL_MS = 50;
@@ -20,6 +23,11 @@
 export interface DrainOptions {
   readonly ingress: Ingress;
   readonly stop: GateStop;
+  /**
+   * Time of the request to stop, in ms on the monotonic clock; the earliest possible
+   * one if it was noticed late.
+   */
+  readonly signalledAt: number;
   /** Time between the request to stop and the kill of the process, in ms. */
   readonly stopGraceMs: number;
   /** Ends the closing of new connections by a gate that is behind. */
@@ -32,33 +40,46 @@
 
 /**
  * Refuses requests once the load balancer has noticed that the gate is not ready,
- * and resolves when the open ones have ended.
+ * and those that can't end in time at once. Resolves when every request has an
+ * answer, or the process has to exit.
  *
  * @example
  * await runDrain(options);
  */
 export async function runDrain(options: DrainOptions): Promise<void> {
-  const {ingress, stop, stopGraceMs, log, readNow} = options;
-  log.info('drain_started', {inFlight: ingress.inFlight});
+  const {ingress, stop, signalledAt, stopGraceMs, log, readNow} = options;
+  log.info('drain_started', {
+    inFlight: ingress.inFlight,
+    lateMs: Math.round(readNow() - signalledAt),
+  });
   options.stopShedding();
   ingress.closeConnectionsAfterAnswers();
-  const giveUpAt = readNow() + stopGraceMs - DRAIN_EXIT_RESERVE_MS;
-  stop.begin(giveUpAt);
-  await sleep(Math.min(DRAIN_NOTICE_MS, stopGraceMs / 2));
+  const killedAt = signalledAt + stopGraceMs;
+  stop.begin(killedAt - ANSWER_RESERVE_MS);
+  await waitUntil(
+    options,
+    signalledAt + Math.min(DRAIN_NOTICE_MS, stopGraceMs / 2),
+  );
+  const hasNone = () => ingress.inFlight === 0;
   await ingress.stopAccepting();
-  await waitForOpenRequests(options, giveUpAt);
-  await ingress.closeIdle();
-  // Waits for the requests that were read before idle connections were closed.
-  await waitForOpenRequests(options, giveUpAt);
-  stop.recordCut();
-  log.info('drain_finished', {left: ingress.inFlight});
+  await waitUntil(options, killedAt - ANSWER_RESERVE_MS, hasNone);
+  stop.endOpen();
+  const exitAt = killedAt - EXIT_RESERVE_MS;
+  // Callers that keep connecting prolong the wait for what has arrived.
+  await Promise.race([ingress.closeIdle(), waitUntil(options, exitAt)]);
+  await waitUntil(options, exitAt, hasNone);
+  log.info('drain_finished', {left: stop.dropOpen()});
   await options.leavePeers();
 }
 
-async function waitForOpenRequests(
-  {ingress, readNow}: DrainOptions,
-  giveUpAt: number,
+/** Waits until a time on the monotonic clock, or until `isDone` returns true. */
+async function waitUntil(
+  {stop, readNow}: DrainOptions,
+  endsAt: number,
+  isDone: () => boolean = () => false,
 ): Promise<void> {
-  while (ingress.inFlight > 0 && readNow() < giveUpAt)
-    await sleep(DRAIN_POLL_MS);
+  while (!isDone() && readNow() < endsAt) {
+    await sleep(Math.min(DRAIN_POLL_MS, endsAt - readNow()));
+    stop.advance();
+  }
 }
--- a/packages/direct/src/forward/call-forwarder.ts
+++ b/packages/direct/src/forward/call-forwarder.ts
@@ -49,11 +49,6 @@
   ) {
     this.faults = new CallFaults(context, request);
     this.record = new CallRecord(context, request);
-    request.open.forwarded = new CallStop(context, request, {
-      hasHead: () => this.hasHead,
-      listOpen: () => [...this.open],
-      isSending: () => this.pendingSends > 0,
-    });
   }
 
   /** Whether the caller has got the head of an answer. */
@@ -74,7 +69,28 @@
         () => this.tryNext('slow'),
         request.route.objectiveMs * HEDGE_DELAY_SHARE,
       );
-    this.tryNext('first');
+    request.open.handler = this.createStop();
+    if (!context.stop.judge(request.open)) this.tryNext('first');
+  }
+
+  private createStop(): CallStop {
+    return new CallStop(this.context, this.request, {
+      hasHead: () => this.hasHead,
+      listOpen: () => [...this.open],
+      isSending: () => this.pendingSends > 0,
+      isOver: () => this.isSettled,
+      mayHaveRun: () => this.mayHaveRun || this.fallbackResponse !== undefined,
+      refuse: (status, reason, retryAfterMs) =>
+        this.refuse(status, reason, retryAfterMs),
+      sendFallback: () => this.sendFallback(),
+    });
+  }
+
+  /** Sends the failure of a target that is kept; returns false if there is none. */
+  private sendFallback(): boolean {
+    if (this.fallbackResponse === undefined) return false;
+    this.sendResponse(this.fallbackResponse, undefined);
+    return true;
   }
 
   /** Sends the call to a target once the gate has read what has arrived. */
@@ -214,8 +230,7 @@
   private giveUpIfIdle(why: string): void {
     const isBusy = this.open.size > 0 || this.pendingSends > 0;
     if (isBusy || this.isSettled) return;
-    if (this.fallbackResponse !== undefined)
-      return this.sendResponse(this.fallbackResponse, undefined);
+    if (this.sendFallback()) return;
     this.record.addGivenUp(why, [...this.tried]);
     if (this.mayHaveRun) return this.refuse(502, 'outcome_unknown');
     const waitMs = this.context.calls.readWaitMs(
--- a/packages/direct/src/forward/call-stop.ts
+++ b/packages/direct/src/forward/call-stop.ts
@@ -1,5 +1,6 @@
 /** One call, as a stop of the gate sees it. */
-import {ForwardedRequest} from '../stop/open-request.js';
+import {chooseOtherGateRetryMs} from './retry-after.js';
+import {StoppableRequest} from '../stop/open-request.js';
 import type {RequestPlace} from '../stop/open-request.js';
 import type {ForwardContext} from './context.js';
 import type {Exchange} from './exchange.js';
@@ -13,15 +14,27 @@
   readonly listOpen: () => readonly Exchange[];
   /** Whether a send waits for what has arrived, or for a permit. */
   readonly isSending: () => boolean;
+  /** Whether the call has ended. */
+  readonly isOver: () => boolean;
+  /** Whether a target may have run the call. */
+  readonly mayHaveRun: () => boolean;
+  /** Answers the call with an error of the gate. */
+  readonly refuse: (
+    status: number,
+    reason: 'stopping' | 'outcome_unknown',
+    retryAfterMs?: number,
+  ) => void;
+  /** Sends the failure of a target that is kept; returns false if there is none. */
+  readonly sendFallback: () => boolean;
 }
 
 /**
- * Tells a stop where a call waits and when it may end.
+ * Tells a stop where a call waits and when it may end, and ends it.
  *
  * @example
  * new CallStop(context, request, state).place; // 'permit'
  */
-export class CallStop extends ForwardedRequest {
+export class CallStop extends StoppableRequest {
   constructor(
     private readonly context: ForwardContext,
     private readonly request: GateRequest,
@@ -44,4 +57,21 @@
     const waitMs = this.context.calls.readWaitMs(service, allowedZones);
     return waitMs + route.objectiveMs;
   }
+
+  override handBack(): boolean {
+    const {isOver, mayHaveRun, hasHead, listOpen, refuse} = this.state;
+    if (isOver() || mayHaveRun() || hasHead()) return false;
+    const open = listOpen();
+    if (open.some(({wasSent}) => wasSent)) return false;
+    // Nothing may be sent after the refusal.
+    for (const exchange of open) exchange.cancel();
+    refuse(503, 'stopping', chooseOtherGateRetryMs());
+    return true;
+  }
+
+  override endUnfinished(): void {
+    const {isOver, hasHead, sendFallback, refuse} = this.state;
+    if (isOver() || hasHead() || sendFallback()) return;
+    refuse(502, 'outcome_unknown');
+  }
 }
--- a/packages/direct/src/forward/caller-response.ts
+++ b/packages/direct/src/forward/caller-response.ts
@@ -79,6 +79,7 @@
   status: number | undefined;
   private readonly disconnectListeners: Array<() => void> = [];
   private hasDisconnected = false;
+  private hasBeenDropped = false;
 
   /**
    * @param maxPauseMs - Longest pause within the rest of the body of a request
@@ -107,6 +108,21 @@
     return !writableFinished && socket?.readableEnded === true;
   }
 
+  /** Whether the caller has got an answer or its begin, or has disconnected. */
+  get isOver(): boolean {
+    return this.status !== undefined || this.isDisconnected;
+  }
+
+  /** Whether the gate has broken the answer off. */
+  get isDropped(): boolean {
+    return this.hasBeenDropped;
+  }
+
+  /** Whether the whole answer has been passed to the operating system. */
+  get isFlushed(): boolean {
+    return this.response.writableFinished;
+  }
+
   /** Whether the whole answer has been written; the caller may still read it. */
   get isEnded(): boolean {
     return this.response.writableEnded;
@@ -237,6 +253,7 @@
 
   /** Closes the connection to show that the response is incomplete. */
   drop(): void {
+    this.hasBeenDropped = true;
     // Callers of HTTP/1.0 take an ordinary close for the end of the response.
     if (!this.response.useChunkedEncodingByDefault)
       this.response.socket?.resetAndDestroy();
--- a/packages/direct/src/forward/queued-stream.ts
+++ b/packages/direct/src/forward/queued-stream.ts
@@ -26,6 +26,9 @@
  * const result = await new QueuedStream(options).wait(signal);
  */
 export class QueuedStream {
+  /** The stream in the queue; absent while it doesn't wait. */
+  private entry: QueueEntry | undefined;
+
   constructor(private readonly options: QueuedStreamOptions) {}
 
   /** Waits in the queue until the stream is placed, is refused, or its caller leaves. */
@@ -49,7 +52,9 @@
       return result instanceof PlacedPrompt || 'refused';
     });
     const predictedMs = queue.estimateWaitMs(entry);
+    this.entry = entry;
     const outcome = await queue.enter(entry, signal);
+    this.entry = undefined;
     context.counters.add(`queue.${outcome}`);
     context.log.info('waited_for_slot', {
       requestId: request.facts.requestId,
@@ -61,11 +66,11 @@
     return result;
   }
 
-  /** Estimates the time until the stream has a slot, in ms. */
-  estimateWaitMs(): number {
+  /** Estimates the time until the stream has a slot, in ms; 0 if it doesn't wait. */
+  estimateLeftMs(): number {
     const {request, context} = this.options;
-    const entry = this.buildEntry(() => false);
-    return context.queues.find(request.service).estimateWaitMs(entry);
+    if (this.entry === undefined) return 0;
+    return context.queues.find(request.service).estimateLeftMs(this.entry);
   }
 
   /** Returns whether streams wait in the queue that go before this one. */
--- a/packages/direct/src/forward/slot-finder.ts
+++ b/packages/direct/src/forward/slot-finder.ts
@@ -74,7 +74,7 @@
 
   /** Estimates the time until engines are chosen, in ms. */
   estimateWaitMs(): number {
-    if (this.waitsIn === 'queue') return this.queued.estimateWaitMs();
+    if (this.waitsIn === 'queue') return this.queued.estimateLeftMs();
     return Math.max(0, this.deferredUntil - this.context.readNow());
   }
 
--- a/packages/direct/src/forward/stream-ending.ts
+++ b/packages/direct/src/forward/stream-ending.ts
@@ -1,5 +1,5 @@
 /** Ends one stream: with a complete answer, a refusal or an error. */
-import {chooseRetryAfterMs} from './retry-after.js';
+import {chooseOtherGateRetryMs, chooseRetryAfterMs} from './retry-after.js';
 import type {Target} from '../types.js';
 import type {ForwardContext} from './context.js';
 import type {GateRequest} from './request.js';
@@ -99,6 +99,21 @@
     this.settle('crashes_servers');
   }
 
+  /**
+   * Refuses a stream that no engine has, so that another gate serves it; returns
+   * false if one may have it.
+   */
+  handBack(): boolean {
+    const {request, chains} = this.options;
+    if (this.isSettled || this.hasOutcome) return false;
+    if (chains.attempts.some(({wasSent}) => wasSent)) return false;
+    // Nothing may be sent after the refusal.
+    chains.closeAll();
+    request.caller.refuse(503, 'stopping', chooseOtherGateRetryMs());
+    this.settle('stopping');
+    return true;
+  }
+
   /** Ends the stream with an error, or breaks it off if it has begun. */
   endWithError(status: number, reason: 'timeout' | 'outcome_unknown'): void {
     if (this.isSettled) return;
--- a/packages/direct/src/forward/stream-forwarder.ts
+++ b/packages/direct/src/forward/stream-forwarder.ts
@@ -40,6 +40,7 @@
   private readonly finder: SlotFinder;
   private readonly ending: StreamEnding;
   private readonly backup: StreamBackup;
+  private readonly stop: StreamStop;
 
   constructor(
     private readonly context: ForwardContext,
@@ -75,18 +76,20 @@
       startChain: claimedAt => void this.runChain(claimedAt),
       giveUp: (chain, why) => this.giveUp(chain, why),
     });
-  }
-
-  run(): void {
-    const {request, engine, progress, chains, finder} = this;
-    request.open.forwarded = new StreamStop({
+    this.stop = new StreamStop({
       request,
       engine,
-      progress,
-      chains,
-      finder,
+      progress: this.progress,
+      chains: this.chains,
+      finder: this.finder,
+      ending: this.ending,
     });
+  }
+
+  run(): void {
+    this.request.open.handler = this.stop;
     this.ending.start();
+    this.context.stop.judge(this.request.open);
     if (!this.ending.isOver) void this.runChain();
   }
 
@@ -152,14 +155,21 @@
   }
 
   /**
-   * Releases the slot if the first token is predicted after the deadline, the chain
-   * is closed, or the retry budget is spent by now.
+   * Releases the slot if the gate ends before the answer or the first token is
+   * predicted after the deadline, if the chain is closed, or if the retry budget is
+   * spent by now.
    */
   private confirmPlacement(
     chain: AttemptChain,
     placed: PlacedPrompt,
   ): PlacedPrompt | undefined {
-    const lateMs = placed.choice.predictedTtftMs - this.readLeftMs();
+    const {predictedTtftMs} = placed.choice;
+    const lateMs = predictedTtftMs - this.readLeftMs();
+    const endMs = predictedTtftMs + this.stop.estimateOutputMs();
+    if (this.context.stop.judge(this.request.open, endMs)) {
+      placed.release();
+      return undefined;
+    }
     if (lateMs <= 0 && !chain.isClosed && this.retries.renew(chain))
       return placed;
     placed.release();
--- a/packages/direct/src/forward/stream-stop.ts
+++ b/packages/direct/src/forward/stream-stop.ts
@@ -1,5 +1,5 @@
 /** One stream, as a stop of the gate sees it. */
-import {ForwardedRequest} from '../stop/open-request.js';
+import {StoppableRequest} from '../stop/open-request.js';
 import {estimateOutputMs, estimateStreamMs} from '../stop/estimate-stream.js';
 import type {StreamSize} from '../stop/estimate-stream.js';
 import type {RequestPlace} from '../stop/open-request.js';
@@ -7,6 +7,7 @@
 import type {GateRequest} from './request.js';
 import type {SlotFinder} from './slot-finder.js';
 import type {StreamChains} from './stream-chains.js';
+import type {StreamEnding} from './stream-ending.js';
 import type {StreamProgress} from './stream-progress.js';
 
 /** Dependencies of {@link StreamStop}. */
@@ -16,15 +17,16 @@
   readonly progress: StreamProgress;
   readonly chains: StreamChains;
   readonly finder: SlotFinder;
+  readonly ending: StreamEnding;
 }
 
 /**
- * Tells a stop where a stream waits and when it may end.
+ * Tells a stop where a stream waits and when it may end, and ends it.
  *
  * @example
  * new StreamStop(options).place; // 'queue'
  */
-export class StreamStop extends ForwardedRequest {
+export class StreamStop extends StoppableRequest {
   constructor(private readonly options: StreamStopOptions) {
     super();
   }
@@ -39,11 +41,23 @@
   override estimateEndMs(): number {
     const {engine, chains, finder} = this.options;
     const waitMs = chains.estimateFirstTokenMs();
-    if (waitMs !== undefined)
-      return waitMs + estimateOutputMs(this.size, engine);
+    if (waitMs !== undefined) return waitMs + this.estimateOutputMs();
     return finder.estimateWaitMs() + estimateStreamMs(this.size, engine);
   }
 
+  /** Estimates the time that the engines generate the answer, in ms. */
+  estimateOutputMs(): number {
+    return estimateOutputMs(this.size, this.options.engine);
+  }
+
+  override handBack(): boolean {
+    return this.options.ending.handBack();
+  }
+
+  override endUnfinished(): void {
+    this.options.ending.endWithError(502, 'outcome_unknown');
+  }
+
   /** What is left to generate of the stream. */
   private get size(): StreamSize {
     const {request, engine, progress} = this.options;
--- a/packages/direct/src/gate.ts
+++ b/packages/direct/src/gate.ts
@@ -226,11 +226,15 @@
    * Shuts down gracefully. Readiness fails at once, and requests are still
    * accepted until the load balancer has noticed. Later requests are refused,
    * so that callers retry them at other gates.
+   *
+   * @param signalledAt - Time of the request to stop on the monotonic clock, in ms;
+   *   the earliest possible one if it was noticed late.
    */
-  drain(): Promise<void> {
+  drain(signalledAt = this.readNow()): Promise<void> {
     this.draining ??= runDrain({
       ingress: this.ingress,
       stop: this.context.stop,
+      signalledAt,
       stopGraceMs: this.settings.stopGraceMs,
       stopShedding: () => this.shedder.stop(),
       leavePeers: () => this.peers.stop(),
--- /dev/null
+++ b/packages/direct/src/ingress/arriving-request.ts
@@ -0,0 +1,48 @@
+/** A request that is not forwarded yet, as a stop of the gate sees it. */
+import {chooseOtherGateRetryMs} from '../forward/retry-after.js';
+import {StoppableRequest} from '../stop/open-request.js';
+import type {CallerResponse} from '../forward/caller-response.js';
+import type {RequestPlace} from '../stop/open-request.js';
+import type {RequestMetadata} from '../types.js';
+import type {EarlyRefusals} from './early-refusals.js';
+
+/**
+ * Request whose body arrives, or that waits for the first configuration.
+ *
+ * @example
+ * const arriving = new ArrivingRequest(caller, facts, refusals);
+ * arriving.handBack(); // the caller gets 503
+ */
+export class ArrivingRequest extends StoppableRequest {
+  /** Whether the whole body has arrived. */
+  hasBody = false;
+
+  constructor(
+    private readonly caller: CallerResponse,
+    private readonly facts: RequestMetadata,
+    private readonly refusals: EarlyRefusals,
+  ) {
+    super();
+  }
+
+  override get place(): RequestPlace {
+    return this.hasBody ? 'startup' : 'body';
+  }
+
+  override estimateEndMs(): undefined {
+    return undefined;
+  }
+
+  override handBack(): boolean {
+    const {caller, facts} = this;
+    if (caller.isOver) return false;
+    const retryDelayMs = chooseOtherGateRetryMs();
+    this.refusals.refuse(caller, 503, 'stopping', facts, retryDelayMs);
+    return true;
+  }
+
+  override endUnfinished(): void {
+    // An answer of the gate that is not complete yet only waits for the rest of
+    // the body.
+  }
+}
--- a/packages/direct/src/ingress/ingress.ts
+++ b/packages/direct/src/ingress/ingress.ts
@@ -16,6 +16,7 @@
 import {forwardCall} from '../forward/call-forwarder.js';
 import {findRequestFraming} from '../forward/request-body.js';
 import {forwardStream} from '../forward/stream-forwarder.js';
+import {ArrivingRequest} from './arriving-request.js';
 import {OpenRequest} from '../stop/open-request.js';
 import {listAllowedZones} from '../placement/allowed-regions.js';
 import {DEFAULT_DEADLINE_MS, EarlyRefusals} from './early-refusals.js';
@@ -30,7 +31,7 @@
 import type {ConnectionShedder} from './connection-shedder.js';
 import type {ForwardContext} from '../forward/context.js';
 import type {GateRequest} from '../forward/request.js';
-import type {Route} from '../types.js';
+import type {RequestMetadata, Route} from '../types.js';
 
 /** Maximum size of a request head, in bytes; Node.js answers 431 above it. */
 const MAX_HEAD_BYTES = 64 * 1024;
@@ -38,9 +39,6 @@
 /** Idle timeout of connections until a configuration is applied, in ms. */
 const DEFAULT_IDLE_MS = 15_000;
 
-/** Retry-After when another gate can serve the request at once, in ms. */
-const OTHER_GATE_RETRY_AFTER_MS = 20;
-
 /**
  * HTTP server for callers.
  *
@@ -146,9 +144,11 @@
     // Kept connections would stay with this gate after most new ones went to it.
     if (this.shedder.isShedding) res.shouldKeepAlive = false;
     const caller = new CallerResponse(res, this.server.keepAliveTimeout);
-    const open = new OpenRequest(caller, arrivedAt);
+    const facts = this.context.dialect.parseRequest(req.headers);
+    const arriving = new ArrivingRequest(caller, facts, this.refusals);
+    const {requestId} = facts;
+    const open = new OpenRequest(requestId, caller, arrivedAt, arriving);
     this.context.stop.observe(open);
-    open.requestId = this.context.dialect.parseRequest(req.headers).requestId;
     let body: Buffer | undefined;
     try {
       body = await readBody(req, this.readBodyLimit());
@@ -158,32 +158,30 @@
       this.context.counters.add('ingress.caller_left');
       return;
     }
-    if (caller.isDisconnected) return;
+    if (caller.isOver) return;
     if (body === undefined)
       return this.refusals.refuse(caller, 413, 'body_too_large');
-    open.hasBody = true;
+    arriving.hasBody = true;
     if (!this.hold.isOver) await this.hold.wait();
-    if (caller.isDisconnected) return;
+    if (caller.isOver) return;
     const whole = body;
-    this.context.turns.run('request', () => this.dispatch(req, whole, open));
+    this.context.turns.run('request', () =>
+      this.dispatch(req, whole, facts, open),
+    );
   }
 
   private dispatch(
     req: IncomingMessage,
     bytes: Buffer,
+    facts: RequestMetadata,
     open: OpenRequest,
   ): void {
     const {caller, arrivedAt} = open;
-    const {state, dialect, readNow} = this.context;
-    const facts = dialect.parseRequest(req.headers);
-    if (this.isClosing)
-      return this.refusals.refuse(
-        caller,
-        503,
-        'stopping',
-        facts,
-        OTHER_GATE_RETRY_AFTER_MS,
-      );
+    const {state, readNow, stop} = this.context;
+    if (this.isClosing) {
+      stop.handBack(open);
+      return;
+    }
     const config = state.config;
     if (config === undefined)
       return this.refusals.refuse(caller, 503, 'no_configuration', facts);
--- a/packages/direct/src/stop/gate-stop.ts
+++ b/packages/direct/src/stop/gate-stop.ts
@@ -1,9 +1,15 @@
-/** The stop of a gate, and the requests that are open meanwhile. */
+/**
+ * The stop of a gate: decides for each open request whether it can still end here,
+ * and sees to it that none is left without an answer.
+ */
 import {RequestTable} from './request-table.js';
 import {StopRecord} from './stop-record.js';
-import type {OpenRequest} from './open-request.js';
+import type {OpenRequest, RequestPlace} from './open-request.js';
 import type {StopAction, StopRecordOptions} from './stop-record.js';
 
+/** Interval at which requests that wait are looked at again, in ms. */
+const JUDGE_INTERVAL_MS = 250;
+
 /**
  * Stop of one gate. Until it begins, it only observes the requests.
  *
@@ -14,11 +20,15 @@
 export class GateStop {
   private readonly requests = new RequestTable();
   private readonly record: StopRecord;
-  /** Time at which open requests are broken off, in ms; Infinity before a stop. */
+  /** Requests that the stop has ended itself. */
+  private readonly ended = new WeakSet<OpenRequest>();
+  /** Time at which open requests are ended, in ms; Infinity before a stop. */
   private endsAt = Infinity;
+  private judgedAt = -Infinity;
 
   constructor(private readonly options: StopRecordOptions) {
     this.record = new StopRecord(options);
+    this.requests.onClose(request => this.recordEnd(request));
   }
 
   /** Observes a request that has just arrived until its answer is complete. */
@@ -27,26 +37,97 @@
   }
 
   /**
-   * Begins the stop.
+   * Begins the stop: requests that can't end in time are handed back at once.
    *
-   * @param endsAt - Time at which open requests are broken off, in ms.
+   * @param endsAt - Time at which open requests are ended, in ms.
    */
   begin(endsAt: number): void {
     this.endsAt = endsAt;
-    for (const request of this.requests.list()) this.add(request, 'kept');
+    this.judgedAt = this.options.readNow();
+    for (const request of this.requests.list())
+      if (!this.judge(request)) this.add(request, 'kept', request.place);
+  }
+
+  /** Looks again at the requests that wait, at an interval. */
+  advance(): void {
+    const now = this.options.readNow();
+    if (now - this.judgedAt < JUDGE_INTERVAL_MS) return;
+    this.judgedAt = now;
+    for (const request of this.requests.list()) this.judge(request);
+  }
+
+  /**
+   * Hands a request back if the gate stops before its predicted end; returns false
+   * if it goes on here.
+   *
+   * @param endMs - Time until the answer is complete, in ms.
+   * @default as its handler estimates
+   */
+  judge(request: OpenRequest, endMs?: number): boolean {
+    if (this.endsAt === Infinity) return false;
+    const predictedMs = endMs ?? request.handler.estimateEndMs();
+    if (predictedMs === undefined || predictedMs <= this.readLeftMs())
+      return false;
+    return this.handBack(request, predictedMs);
+  }
+
+  /**
+   * Refuses a request, so that another gate serves it; returns false if it may have
+   * run.
+   */
+  handBack(request: OpenRequest, predictedEndMs?: number): boolean {
+    const {place} = request;
+    if (!request.handler.handBack()) return false;
+    this.ended.add(request);
+    this.add(request, 'refused', place, predictedEndMs);
+    return true;
+  }
+
+  /**
+   * Answers all requests whose answers have not begun, and breaks begun streams
+   * off. What is left are answers that their callers read.
+   */
+  endOpen(): void {
+    for (const request of this.requests.list()) {
+      const {place} = request;
+      if (place === 'caller' || this.handBack(request)) continue;
+      request.handler.endUnfinished();
+      if (place === 'answer' && !request.caller.isDropped) continue;
+      this.ended.add(request);
+      this.add(request, place === 'answer' ? 'cut' : 'refused', place);
+    }
+  }
+
+  /**
+   * Breaks all answers off whose callers have not read them; returns their number.
+   */
+  dropOpen(): number {
+    const requests = this.requests.list();
+    for (const request of requests) {
+      if (!this.ended.has(request)) this.add(request, 'cut', request.place);
+      this.ended.add(request);
+      request.caller.drop();
+    }
+    return requests.length;
+  }
+
+  private readLeftMs(): number {
+    return this.endsAt - this.options.readNow();
   }
 
-  /** Records the requests that end with the process. */
-  recordCut(): void {
-    for (const request of this.requests.list()) this.add(request, 'cut');
+  private recordEnd(request: OpenRequest): void {
+    if (this.endsAt === Infinity || this.ended.has(request)) return;
+    if (request.caller.isFlushed)
+      this.add(request, 'finished', request.place, 0);
   }
 
-  private add(request: OpenRequest, action: StopAction): void {
-    this.record.add(request, {
-      action,
-      place: request.place,
-      predictedEndMs: request.forwarded?.estimateEndMs(),
-      graceLeftMs: this.endsAt - this.options.readNow(),
-    });
+  private add(
+    request: OpenRequest,
+    action: StopAction,
+    place: RequestPlace,
+    predictedEndMs = request.handler.estimateEndMs(),
+  ): void {
+    const graceLeftMs = this.readLeftMs();
+    this.record.add(request, {action, place, predictedEndMs, graceLeftMs});
   }
 }
--- a/packages/direct/src/stop/open-request.ts
+++ b/packages/direct/src/stop/open-request.ts
@@ -24,39 +24,49 @@
   /** Its whole answer waits for its caller. */
   | 'caller';
 
-/** A forwarded request, as a stop of the gate sees it. */
-export abstract class ForwardedRequest {
+/** What a stop of the gate may do with a request. */
+export abstract class StoppableRequest {
   /** Where the request waits. */
   abstract readonly place: RequestPlace;
-  /** Estimates the time until its answer is complete, in ms. */
-  abstract estimateEndMs(): number;
+  /**
+   * Estimates the time until its answer is complete, in ms; undefined if it is
+   * not known what the request needs.
+   */
+  abstract estimateEndMs(): number | undefined;
+  /**
+   * Refuses the request, so that another gate serves it; returns false if it may
+   * have run or is being sent, and changes nothing then.
+   */
+  abstract handBack(): boolean;
+  /**
+   * Ends a request that can't be handed back, as the process ends: with an answer
+   * that leaves its outcome open, or by breaking off what has begun. An answer that
+   * only its caller delays goes on.
+   */
+  abstract endUnfinished(): void;
 }
 
 /**
  * A request from the arrival of its head until its answer is complete.
  *
  * @example
- * const request = new OpenRequest(caller, performance.now());
+ * const request = new OpenRequest('q1', caller, performance.now(), handler);
  * request.place; // 'body'
  */
 export class OpenRequest {
-  /** Id of the request; absent until its head has been parsed. */
-  requestId: string | undefined;
-  /** Whether the whole body has arrived. */
-  hasBody = false;
-  /** What forwards the request; absent until its checks have passed. */
-  forwarded: ForwardedRequest | undefined;
-
-  /** @param arrivedAt - Arrival of the head on the monotonic clock, in ms. */
+  /**
+   * @param arrivedAt - Arrival of the head on the monotonic clock, in ms.
+   * @param handler - What handles the request at present.
+   */
   constructor(
+    readonly requestId: string | undefined,
     readonly caller: CallerResponse,
     readonly arrivedAt: number,
+    public handler: StoppableRequest,
   ) {}
 
   /** Where the request waits. */
   get place(): RequestPlace {
-    if (this.caller.isEnded) return 'caller';
-    if (this.forwarded !== undefined) return this.forwarded.place;
-    return this.hasBody ? 'startup' : 'body';
+    return this.caller.isEnded ? 'caller' : this.handler.place;
   }
 }
--- a/packages/direct/src/stop/request-table.ts
+++ b/packages/direct/src/stop/request-table.ts
@@ -5,7 +5,7 @@
  * Open requests of one gate.
  *
  * @example
- * requests.add(new OpenRequest(caller, performance.now()));
+ * requests.add(request);
  * requests.list().map(({place}) => place); // ['body']
  */
 export class RequestTable {
--- a/packages/direct/src/test/gate-harness.ts
+++ b/packages/direct/src/test/gate-harness.ts
@@ -76,6 +76,7 @@
     retryBounds: RetryBounds = RETRY_BOUNDS,
     regionByZone?: ReadonlyMap<string, string>,
     coldBounds?: ColdBounds,
+    stopGraceMs = 2000,
   ) {
     const output = new Writable({
       write: (chunk, _, done) => {
@@ -95,7 +96,7 @@
         seedHosts,
         retryBounds,
         isFirstStart: true,
-        stopGraceMs: 2000,
+        stopGraceMs,
         crashRefusalMs: 600_000,
         coldBounds,
       },
@@ -242,6 +243,7 @@
     readonly retryBounds?: RetryBounds;
     readonly regionByZone?: ReadonlyMap<string, string>;
     readonly coldBounds?: ColdBounds;
+    readonly stopGraceMs?: number;
   } = {},
 ): Promise<GateHarness> {
   const port = options.port ?? (lastPort += 10);
@@ -252,6 +254,7 @@
     options.retryBounds,
     options.regionByZone,
     options.coldBounds,
+    options.stopGraceMs,
   );
   if (options.config !== 'none')
     harness.store.publishConfig(options.config ?? buildConfig(1));
--- a/packages/direct/src/test/silent-engine.ts
+++ b/packages/direct/src/test/silent-engine.ts
@@ -14,6 +14,9 @@
 /** Number of events in a complete stream. */
 export const EVENT_COUNT = 6;
 
+/** Grace period of the gate, in ms; above the pauses of its engines. */
+const STOP_GRACE_MS = 8000;
+
 /** Pause after which the caller of a short stream cancels, in ms. */
 export const PATIENCE_MS = 2000;
 
@@ -266,6 +269,7 @@
   const harness = await openGateHarness({
     config: options.config ?? buildStreamConfig(1),
     retryBounds: options.retryBounds,
+    stopGraceMs: STOP_GRACE_MS,
   });
   // Timers that began before the fake clock would run in real time.
   await harness.waitUntil(() => harness.store.isWatched);
