Requests that the parser can't read get a typed answer, a log line and a counter

Before, Node's default answered: a bare 400, 408, 413 or 431 without length or body, no line in the log; CONNECT was closed unanswered. Two faults of it: a request before it on the same connection, whole and running at a target, got that 400 as its answer, although it may have run; and the connection was destroyed at once, so that a caller still sending a large head could lose the answer to a reset.

Now the statuses stay (400 also for an unknown method, so that operators see no change), CONNECT gets 400 unknown_method, the body is the gate's typed error. Earlier requests get their own answers first; no error is written after a head has been sent for the request that broke, nor after an answer that ends the connection, nor behind a running request whose caller has ended its bytes (that is a disconnect); the connection is then closed as before. After its answer the connection is read on for up to 500 ms. The agent path's gate uses the same module, with its error type bad_request.

Not covered: a request without Host (400) and an unknown Expect (417), which Node answers whole but with an empty body.

--- a/packages/core/src/index.ts
+++ b/packages/core/src/index.ts
@@ -17,6 +17,7 @@
 export * from './idempotency-key.js';
 export * from './turn-monitor.js';
 export * from './uncaught-errors.js';
+export * from './unreadable-requests.js';
 export * from './length-class.js';
 export * from './listen.js';
 export * from './log.js';
--- a/packages/direct/src/ingress/ingress.ts
+++ b/packages/direct/src/ingress/ingress.ts
@@ -6,6 +6,7 @@
 import {
   Fingerprint,
   OpenRequests,
+  UnreadableRequests,
   closeIdleAfterRead,
   openListener,
   readBody,
@@ -31,7 +32,7 @@
 import type {GateRequest} from '../forward/request.js';
 import type {Route} from '../types.js';
 
-/** Maximum size of a request head, in bytes; Node.js answers 431 above it. */
+/** Maximum size of a request head, in bytes; a larger one is answered with 431. */
 const MAX_HEAD_BYTES = 64 * 1024;
 
 /** Idle timeout of connections until a configuration is applied, in ms. */
@@ -69,6 +70,7 @@
       (req, res) => void this.serve(req, res),
     );
     closeIdleAfterRead(this.server);
+    createUnreadableRequests(context).observe(this.server);
     context.reads.observe(this.server);
     shedder.observe(this.server);
     this.server.on('connection', () =>
@@ -254,6 +256,19 @@
   return Array.isArray(value) ? value[0] : value;
 }
 
+function createUnreadableRequests({
+  counters,
+  log,
+}: ForwardContext): UnreadableRequests {
+  return new UnreadableRequests({
+    renderBody: reason => ({error: {reason}}),
+    record: ({status, reason, code}) => {
+      counters.add(`ingress.${reason}`);
+      log.warn('request_refused', {status, reason, code});
+    },
+  });
+}
+
 /**
  * Chooses a service of the route by weight; returns undefined if the route has
  * none.
--- a/packages/gate/src/gate.ts
+++ b/packages/gate/src/gate.ts
@@ -7,6 +7,7 @@
   OpenRequests,
   PendingReads,
   SuspectRequests,
+  UnreadableRequests,
   createConfigWatcher,
   createCounters,
   createLatencyHistogram,
@@ -176,6 +177,7 @@
     this.server = server;
     closeIdleAfterRead(server);
     observeConnections(this.log, server);
+    this.observeUnreadable(server);
     this.reads.observe(server);
     await openListener(server, this.settings.listen);
     this.log.info('gate_listening', {
@@ -282,6 +284,16 @@
     );
   }
 
+  private observeUnreadable(server: Server): void {
+    new UnreadableRequests({
+      renderBody: reason => renderError('bad_request', reason),
+      record: ({status, reason, code}) => {
+        this.counters.add(`api.${reason}`);
+        this.log.warn('request_refused', {status, reason, code});
+      },
+    }).observe(server);
+  }
+
   /**
    * Answers a request whose handler failed; other requests are not affected.
    */
--- a/packages/nutmeggauge/src/e2e/protocol-violations.test.ts
+++ b/packages/nutmeggauge/src/e2e/protocol-violations.test.ts
@@ -90,4 +90,23 @@
     }
     await checkServing();
   });
+
+  it('answers requests that it cannot read with a typed error', async () => {
+    // Guards against an error without a body.
+    const cases = [
+      ['FROBNICATE / HTTP/1.1\r\nHost: a\r\n\r\n', 400, 'unknown_method'],
+      ['POST / HTTP/1.1\r\nno colon\r\n\r\n', 400, 'malformed_request'],
+      [`POST / HTTP/1.1\r\nx: ${'a'.repeat(20_000)}`, 431, 'head_too_large'],
+    ] as const;
+    for (const [bytes, status, reason] of cases) {
+      const [head, body] = (await sendRaw(stack.gate.port, bytes)).split(
+        '\r\n\r\n',
+      );
+      expect(head.split(' ')[1]).toEqual(String(status));
+      expect(head.includes(`Content-Length: ${body.length}`)).toEqual(true);
+      expect(JSON.parse(body)).toEqual({error: {type: 'bad_request', reason}});
+      expect(stack.gate.counters.read()[`api.${reason}`]).toEqual(1);
+    }
+    await checkServing();
+  });
 });
