A stop that comes while a gate starts is a graceful one

A gate listens before its program is loaded, and registered its handler of SIGTERM some 0.15 s later, once the program had run. Between the two the signal's default action ended the process: all connected callers were reset.

The handler is now registered before the listener opens (early-stop.cjs), and records the signal. The program takes it over: a stop that came before is begun as soon as the gate exists, and the gate still starts, takes over the listener, reads the configuration and answers what is there. In gate.ts a start no longer turns the connection shedder on again after a drain has turned it off, and a drain that ends first waits for the start, which would join the peers again after the gate has left them.

What remains: until Node runs the first line of the program a signal ends the process. Nothing listens then; callers are refused and go to another gate.

The two changes of gate.ts have no test that was red before: the first needs a loop that is behind during a stop, the second a start that takes longer than the notice of a drain.

--- a/deploy/start-cached.cjs
+++ b/deploy/start-cached.cjs
@@ -15,6 +15,7 @@
 const {resolve} = require('node:path');
 const {Script} = require('node:vm');
 const {openEarlyListener} = require('../platform/early-listener.cjs');
+const {observeEarlyStop} = require('../platform/early-stop.cjs');
 
 /** Returns the path of a program's code cache. */
 function getCachePath(program) {
@@ -51,6 +52,7 @@
   // settings reload during a restart would terminate the process and cause
   // another restart. A SIGHUP while Node itself starts still does so.
   process.on('SIGHUP', () => undefined);
+  observeEarlyStop();
   // Removes the program's path from argv, so that the program finds its own
   // arguments at the usual positions.
   const [program] = process.argv.splice(2, 1);
--- a/packages/direct/src/gate.ts
+++ b/packages/direct/src/gate.ts
@@ -12,6 +12,7 @@
 import {runDrain} from './drain.js';
 import {createForwardContext} from './forward/create-context.js';
 import {createFleetState} from './fleet/fleet-state.js';
+import {observeTargets} from './fleet/observe-targets.js';
 import {createStoreWatcher} from './fleet/store-watcher.js';
 import {EngineHomes} from './health/engine-homes.js';
 import {EngineSlowdowns} from './health/engine-slowdowns.js';
@@ -69,6 +70,7 @@
   });
   private readonly engineHomes: EngineHomes;
   private expiryTimer: NodeJS.Timeout | undefined;
+  private starting: Promise<void> | undefined;
   private draining: Promise<void> | undefined;
 
   constructor(
@@ -179,8 +181,12 @@
     this.observeChanges();
   }
 
-  /** Opens all listeners and starts following the store. */
-  async start(): Promise<void> {
+  /** Opens all listeners and follows the store, also once a drain has begun. */
+  start(): Promise<void> {
+    return (this.starting ??= this.startParts());
+  }
+
+  private async startParts(): Promise<void> {
     const {settings, dependencies} = this;
     // Before anything is waited for: the gate reads no connection before it has
     // taken over the listener.
@@ -202,7 +208,7 @@
     if (settings.metrics !== undefined)
       await this.status.openMetrics(settings.metrics, () => this.readMetrics());
     await listening;
-    this.shedder.start();
+    if (this.draining === undefined) this.shedder.start();
     this.expiryTimer = setInterval(() => {
       this.state.expireHeld();
       this.suspects.expire();
@@ -215,11 +221,9 @@
   }
 
   /** Applies settings that were changed at run time. */
-  reload(settings: Pick<DirectGateSettings, 'seedHosts'>): void {
-    this.peers.setSeeds(settings.seedHosts);
-    this.dependencies.log.info('settings_reloaded', {
-      seeds: settings.seedHosts,
-    });
+  reload({seedHosts}: Pick<DirectGateSettings, 'seedHosts'>): void {
+    this.peers.setSeeds(seedHosts);
+    this.dependencies.log.info('settings_reloaded', {seeds: seedHosts});
   }
 
   /**
@@ -233,7 +237,11 @@
       stop: this.context.stop,
       stopGraceMs: this.settings.stopGraceMs,
       stopShedding: () => this.shedder.stop(),
-      leavePeers: () => this.peers.stop(),
+      leavePeers: async () => {
+        // A start would join them again; `start` reports its failure.
+        await this.starting?.catch(() => undefined);
+        await this.peers.stop();
+      },
       log: this.dependencies.log,
       readNow: this.readNow,
     });
@@ -265,18 +273,10 @@
   }
 
   private observeChanges(): void {
-    this.state.onChange(event => {
-      if (event.event === 'target_removed') {
-        this.health.drop(event.id);
-        this.engineHomes.drop(event.id);
-        this.context.prompts.drop(event.id);
-        this.limits.drop(event.id);
-      }
-      const added =
-        event.event === 'target_added'
-          ? this.state.findIncarnation(event.id)
-          : undefined;
-      if (added !== undefined) this.context.exchanges.endReplaced(added);
+    const {health, engineHomes, limits, context} = this;
+    observeTargets(this.state, {
+      holders: [health, engineHomes, context.prompts, limits],
+      onAdd: added => context.exchanges.endReplaced(added),
     });
     observeFacts(this.state, this.dependencies.log, () =>
       this.peers.readFactsAgeMs(),
