--- a/packages/nutmeggauge/src/test/stack.ts
+++ b/packages/nutmeggauge/src/test/stack.ts
@@ -51,6 +51,8 @@
   readonly engine?: (index: number) => Partial<EngineOptions>;
   /** Settings of every agent that override those of the stack. */
   readonly agent?: Readonly<Record<string, unknown>>;
+  /** Settings of the gate that override those of the stack. */
+  readonly gate?: Readonly<Record<string, unknown>>;
   readonly resumable?: boolean;
   /** Number of targets of each pool that the gate connects to; 0 for all. */
   readonly subsetSize?: number;
@@ -163,6 +165,7 @@
     routing: options.routing,
     subsetSize: options.subsetSize,
     hostListUrl: `http://127.0.0.1:${readPort(hostList.server)}`,
+    settings: options.gate,
   });
   const gateUrl = `http://127.0.0.1:${gate.port}`;
   return {
@@ -263,6 +266,7 @@
     readonly hostListUrl?: string;
     readonly subsetSize?: number;
     readonly peers?: readonly string[];
+    readonly settings?: Readonly<Record<string, unknown>>;
   } = {},
 ): Promise<Gate> {
   const gate = createGate(
@@ -285,6 +289,7 @@
       },
       drainNoticeMs: 0,
       drainTimeoutMs: 10_000,
+      ...options.settings,
     }),
   );
   await gate.start();
