The gate of the agent path answers every request before it stops

Cause: runDrain waited for open requests until drainTimeoutMs and then closed all connections; nothing ended a request that waited in the queue of an agent, for its home, for its body or at an engine. Callers saw a closed connection. Requests were also taken in during the notice, or held at SIGTERM, that could not end in time, and a reload during the notice moved the end.

One registry holds the requests with the place where each waits. A request whose predicted end (estimateFinishMs, at most the deadline) lies after the end of the gate is handed back at SIGTERM and on arrival: 503 not_run, Retry-After 1. 500 ms before the end (at most half of drainTimeoutMs) all that no target runs is handed back, 250 ms before it the rest is cancelled and answered: 502 outcome_unknown, or an SSE error in a begun stream. "Not run" is said only before a send or after the agent's verdict: the new notification cancel-queued takes a request out of the agent's queue unless it has been passed to the target; older agents ignore it and get a cancel 250 ms before the end. An answer that waits only for its caller is left alone until the end. The end is fixed at the signal. Each request at a stop is logged as request_at_stop.

--- a/packages/agent/src/agent.ts
+++ b/packages/agent/src/agent.ts
@@ -249,6 +249,11 @@
     link.handle(RpcMethod.cancel, params =>
       this.dispatchHandler.cancel((params as CancelNotification).requestId),
     );
+    link.handle(RpcMethod.cancelQueued, params =>
+      this.dispatchHandler.cancelQueued(
+        (params as CancelNotification).requestId,
+      ),
+    );
     link.handle(RpcMethod.crashed, params => this.receiveCrashes(params));
     const known = this.suspects.listAll();
     if (known.length > 0) link.notify(RpcMethod.crashed, known);
--- a/packages/agent/src/dispatch/dispatch-handler.ts
+++ b/packages/agent/src/dispatch/dispatch-handler.ts
@@ -133,6 +133,16 @@
     request.controller.abort();
   }
 
+  /** Cancels one request unless it has been passed to the target. */
+  cancelQueued(requestId: string): void {
+    if (this.active.get(requestId)?.started === false) this.cancel(requestId);
+  }
+
+  /** Cancels all requests that have not been passed to the target. */
+  cancelAllQueued(): void {
+    for (const requestId of this.active.keys()) this.cancelQueued(requestId);
+  }
+
   /**
    * Cancels the requests that arrived on a closed link, because their answers
    * can no longer be delivered.
--- a/packages/core/src/protocol.ts
+++ b/packages/core/src/protocol.ts
@@ -2,7 +2,7 @@
  * JSON-RPC messages between a gate and an agent. The gate calls `dispatch`; the
  * agent confirms with `accepted`, streams `chunk` notifications for the request
  * and sends `load` notifications on its own schedule. The gate may send
- * `cancel`.
+ * `cancel` and `cancel-queued`.
  */
 
 import {z} from 'zod';
@@ -13,6 +13,8 @@
   dispatch: 'dispatch',
   chunk: 'chunk',
   cancel: 'cancel',
+  /** Gate → agent: cancels a request unless it has been passed to the target. */
+  cancelQueued: 'cancel-queued',
   load: 'load',
   accepted: 'accepted',
   /** Gate ↔ agent: reports crashes of targets under requests. */
--- a/packages/gate/src/api/handler-context.ts
+++ b/packages/gate/src/api/handler-context.ts
@@ -9,6 +9,7 @@
 import type {AccountLimits} from '../admission/limits.js';
 import type {Dispatcher} from '../dispatch/dispatcher.js';
 import type {Membership} from '../membership/membership.js';
+import type {HeldRequests} from '../stop/held-requests.js';
 
 /** The gate's state and services that request handlers use. */
 export interface HandlerContext {
@@ -23,6 +24,8 @@
   readonly ttft: LatencyHistogram;
   readonly readRecord: () => ConfigRecord | undefined;
   readonly findAccount: (key: string) => Account | undefined;
+  /** Requests that the gate holds, for its stop. */
+  readonly held: HeldRequests;
   /** Returns true once the gate accepts no more requests. */
   readonly isClosed: () => boolean;
 }
--- a/packages/gate/src/api/handler.ts
+++ b/packages/gate/src/api/handler.ts
@@ -14,7 +14,7 @@
 import {parseCallerRequest} from './requests.js';
 import {observeRequest} from './request-log.js';
 import {renderError} from './responses.js';
-import {sendRefusal, toRetryAfter} from './results.js';
+import {sendHandBack, sendRefusal, toRetryAfter} from './results.js';
 import {serveAdmitted} from './serve-admitted.js';
 import type {IncomingMessage, ServerResponse} from 'node:http';
 import type {HandlerContext} from './handler-context.js';
@@ -64,6 +64,9 @@
     sendError(401, 'unauthorized', reason);
     return;
   }
+  const held = context.held.add(requestId, res);
+  const handBack = () => sendHandBack(res, held);
+  held.handedBack.addEventListener('abort', handBack, {once: true});
   let bytes: Buffer | undefined;
   try {
     bytes = await readBody(req, MAX_BODY_BYTES);
@@ -73,6 +76,12 @@
     context.counters.add('api.caller_left');
     return;
   }
+  held.handedBack.removeEventListener('abort', handBack);
+  if (held.handedBack.aborted) {
+    res.end();
+    return;
+  }
+  held.setPlace('gate');
   if (bytes === undefined) {
     sendError(413, 'bad_request', 'body_too_large');
     return;
@@ -104,6 +113,7 @@
       account,
       headers: req.headers,
       request,
+      held,
     });
   } finally {
     context.limits.leave(account.id);
--- a/packages/gate/src/api/results.ts
+++ b/packages/gate/src/api/results.ts
@@ -7,9 +7,13 @@
 import type {ServerResponse} from 'node:http';
 import type {Refusal} from '../admission/limits.js';
 import type {DispatchResult} from '../dispatch/dispatcher.js';
+import type {HeldRequest} from '../stop/held-request.js';
 import type {CallerRequest} from './requests.js';
 
-/** Retry-After for a request whose deadline passed before it ran, in ms. */
+/**
+ * Retry-After for a request whose deadline passed before it ran, or that a stop
+ * hands back, in ms.
+ */
 const RETRY_AFTER_MS = 1000;
 
 /** The collected text and the prompt length of a non-streamed answer. */
@@ -48,6 +52,28 @@
   );
 }
 
+/**
+ * Answers a request whose body is still arriving and that is handed back. The
+ * response is complete for the caller, but must be ended after the body has
+ * been read: closing a connection with unread data resets it.
+ *
+ * @example
+ * sendHandBack(res, held);
+ */
+export function sendHandBack(res: ServerResponse, held: HeldRequest): void {
+  held.isRefused = true;
+  const text = JSON.stringify(
+    renderError('not_run', 'gate_draining', held.requestId),
+  );
+  res.writeHead(503, {
+    'content-type': 'application/json',
+    'content-length': Buffer.byteLength(text),
+    connection: 'close',
+    ...toRetryAfter(RETRY_AFTER_MS),
+  });
+  res.write(text);
+}
+
 /**
  * Answers an admitted request with the result of its dispatch.
  *
--- a/packages/gate/src/api/serve-admitted.ts
+++ b/packages/gate/src/api/serve-admitted.ts
@@ -24,6 +24,7 @@
 import type {Refusal} from '../admission/limits.js';
 import type {DispatchJob} from '../dispatch/dispatcher.js';
 import type {RouteRequest} from '../routing/router.js';
+import type {HeldRequest} from '../stop/held-request.js';
 import type {HandlerContext} from './handler-context.js';
 import type {CallerRequest} from './requests.js';
 
@@ -34,6 +35,7 @@
   readonly account: Account;
   readonly headers: IncomingHttpHeaders;
   readonly request: CallerRequest;
+  readonly held: HeldRequest;
 }
 
 /**
@@ -58,7 +60,7 @@
   res: ServerResponse,
   admitted: AdmittedRequest,
 ): Promise<void> {
-  const {requestId, request} = admitted;
+  const {requestId, request, held} = admitted;
   const startedAt = Date.now();
   const idempotency = readIdempotency(admitted);
   if ((idempotency.keyMintedAt ?? 0) > startedAt + CLOCK_SKEW_MS) {
@@ -85,6 +87,14 @@
     sendRefusal(res, refusal, requestId);
     return;
   }
+  const deadlineAt = startedAt + deadlineMs;
+  held.setPrediction(() =>
+    Math.min(
+      deadlineAt,
+      Date.now() + estimateShortestMs(context, request.pool, route),
+    ),
+  );
+  context.held.judge(held);
 
   const abort = new AbortController();
   res.on('close', () => {
@@ -104,19 +114,17 @@
     writeSse(res, renderStreamChunk(request, requestId, text));
   });
   const job: DispatchJob = {
-    request: buildDispatchRequest(
-      admitted,
-      idempotency,
-      startedAt + deadlineMs,
-    ),
+    request: buildDispatchRequest(admitted, idempotency, deadlineAt),
     route,
     resumable: findPool(admitted)?.resumable ?? false,
     chunks,
     signal: abort.signal,
+    held,
   };
   const result = await context.dispatcher.run(job);
   chunks.end();
   await streamEnd;
+  held.isRefused = held.handedBack.aborted && result.status === 'not-run';
   context.counters.add(`api.result.${result.status}`);
   sendResult(res, request, requestId, result, {
     text: texts.join(''),
@@ -165,14 +173,10 @@
   route: RouteRequest,
   deadlineMs: number,
 ): Refusal | undefined {
-  const candidates = context.membership.listUsable(pool);
-  if (candidates.length === 0)
+  if (context.membership.listUsable(pool).length === 0)
     return {status: 503, reason: 'no_target', retryAfterMs: 1000};
-  const figures = context.readFigures();
-  if (!figures.refusesLate) return undefined;
-  const shortestMs = Math.min(
-    ...candidates.map(c => estimateFinishMs(c, route, figures)),
-  );
+  if (!context.readFigures().refusesLate) return undefined;
+  const shortestMs = estimateShortestMs(context, pool, route);
   if (shortestMs <= deadlineMs) return undefined;
   return {
     status: 503,
@@ -181,6 +185,23 @@
   };
 }
 
+/**
+ * Estimates the time until a usable target finishes a request, in ms; infinite
+ * without one.
+ */
+function estimateShortestMs(
+  context: HandlerContext,
+  pool: string,
+  route: RouteRequest,
+): number {
+  const figures = context.readFigures();
+  return Math.min(
+    ...context.membership
+      .listUsable(pool)
+      .map(c => estimateFinishMs(c, route, figures)),
+  );
+}
+
 function buildDispatchRequest(
   admitted: AdmittedRequest,
   idempotency: Idempotency,
--- a/packages/gate/src/dispatch/dispatcher.test.ts
+++ b/packages/gate/src/dispatch/dispatcher.test.ts
@@ -7,6 +7,7 @@
   createSuspectRequests,
 } from '@nutmeggauge/core';
 import {RoundRobinRouter} from '../routing/router.js';
+import {HeldRequest} from '../stop/held-request.js';
 import {createChunkStream} from '../streaming/reassembly.js';
 import {createDispatcher} from './dispatcher.js';
 import {createRetryBudget} from './retry-budget.js';
@@ -43,6 +44,7 @@
       return end;
     },
     cancel: () => {},
+    cancelQueued: () => {},
   };
 }
 
@@ -87,6 +89,7 @@
     resumable,
     chunks,
     signal: caller.signal,
+    held: new HeldRequest('r', {headersSent: false, writableEnded: false}),
   });
   chunks.end();
   await streamEnd;
--- a/packages/gate/src/dispatch/dispatcher.ts
+++ b/packages/gate/src/dispatch/dispatcher.ts
@@ -25,8 +25,10 @@
   ResumePoint,
   SuspectRequests,
 } from '@nutmeggauge/core';
+import {waitVerdict} from '../stop/verdict.js';
 import type {TargetDirectory, TargetLink} from '../membership/target-link.js';
 import type {RouteRequest, Router} from '../routing/router.js';
+import type {HeldRequest} from '../stop/held-request.js';
 import type {ChunkStream} from '../streaming/reassembly.js';
 import type {RetryBudget} from './retry-budget.js';
 
@@ -69,6 +71,8 @@
   readonly chunks: ChunkStream;
   /** Aborted when the caller disconnects. */
   readonly signal: AbortSignal;
+  /** Tells when a stop of the gate ends the request. */
+  readonly held: HeldRequest;
 }
 
 /** Options of a dispatcher. */
@@ -122,10 +126,17 @@
       if (refusal !== undefined) return refusal;
       await this.options.waitForReads();
       if (job.signal.aborted) return this.endForCaller(progress);
+      if (job.held.handedBack.aborted) return this.endForStop(progress);
       if (attempt > 1 && !this.claimRetry()) break;
       if (Date.now() >= job.request.deadlineAt) break;
-      const target = await this.pickTarget(job, progress.tried);
-      if (target === undefined) break;
+      job.held.setPlace('gate');
+      const target = await Promise.race([
+        this.pickTarget(job, progress.tried),
+        job.held.waitHandedBack(),
+      ]);
+      if (job.held.handedBack.aborted) return this.endForStop(progress);
+      if (!target) break;
+      job.held.setPlace('agent');
       progress.tried.add(target.id);
       const outcome = await this.tryOnce(target, job, attempt);
       const result = this.judgeOutcome(outcome, target, job, progress);
@@ -169,6 +180,15 @@
       : {status: 'not-run', reason, retryAfterMs: RETRY_AFTER_MS};
   }
 
+  /** Ends a request that a stop of the gate hands back before it is sent. */
+  private endForStop({mayHaveRun}: DispatchProgress): DispatchResult {
+    this.options.counters.add('dispatch.handed_back');
+    const reason = 'gate_draining';
+    return mayHaveRun
+      ? {status: 'unknown', reason}
+      : {status: 'not-run', reason, retryAfterMs: RETRY_AFTER_MS};
+  }
+
   private claimRetry(): boolean {
     const {retryBudget, counters} = this.options;
     const isAllowed = retryBudget.claimRetry();
@@ -243,15 +263,18 @@
     job: DispatchJob,
     attempt: number,
   ): Promise<DispatchOutcome> {
-    const {request, route} = job;
+    const {request, route, held} = job;
     const {requestId} = request;
     const cancel = () => target.cancel(requestId);
+    const cancelQueued = () => target.cancelQueued(requestId);
+    held.handedBack.addEventListener('abort', cancelQueued, {once: true});
+    held.cut.addEventListener('abort', cancel, {once: true});
     job.signal.addEventListener('abort', cancel, {once: true});
     const remainingMs = Math.max(0, request.deadlineAt - Date.now());
     const timer = setTimeout(cancel, remainingMs);
     this.log.info('request_sent', {requestId, target: target.id, attempt});
     try {
-      return await target.dispatch(
+      const answer = target.dispatch(
         {...request, attempt, resume: readResumePoint(job.chunks)},
         notice => job.chunks.push(notice),
         {
@@ -262,6 +285,7 @@
           promptTokens: route.promptTokens,
         },
       );
+      return await waitVerdict(answer, held);
     } catch (error) {
       if (error instanceof TargetUnreachableError)
         return {status: 'not-run', reason: 'agent_unreachable'};
@@ -275,6 +299,8 @@
     } finally {
       clearTimeout(timer);
       job.signal.removeEventListener('abort', cancel);
+      held.handedBack.removeEventListener('abort', cancelQueued);
+      held.cut.removeEventListener('abort', cancel);
     }
   }
 }
--- a/packages/gate/src/dispatch/retry-budget.test.ts
+++ b/packages/gate/src/dispatch/retry-budget.test.ts
@@ -8,6 +8,7 @@
   createSuspectRequests,
 } from '@nutmeggauge/core';
 import {RoundRobinRouter} from '../routing/router.js';
+import {HeldRequest} from '../stop/held-request.js';
 import {createChunkStream} from '../streaming/reassembly.js';
 import {createDispatcher} from './dispatcher.js';
 import {createRetryBudget} from './retry-budget.js';
@@ -30,6 +31,7 @@
       throw new TargetUnreachableError({}, 'target unreachable');
     },
     cancel: () => {},
+    cancelQueued: () => {},
   };
 }
 
@@ -93,6 +95,7 @@
         resumable: true,
         chunks: createChunkStream(),
         signal: new AbortController().signal,
+        held: new HeldRequest('r', {headersSent: false, writableEnded: false}),
       });
       expect(result.status).toEqual('not-run');
     }
--- a/packages/gate/src/gate.ts
+++ b/packages/gate/src/gate.ts
@@ -29,6 +29,7 @@
 import {createMembership} from './membership/membership.js';
 import {PeerRelay} from './relay/peer-relay.js';
 import {resolveRouter} from './routing/policies.js';
+import {HeldRequests} from './stop/held-requests.js';
 import type {IncomingMessage, Server, ServerResponse} from 'node:http';
 import type {Account, ConfigRecord} from '@nutmeggauge/core';
 import type {HandlerContext} from './api/handler-context.js';
@@ -41,6 +42,12 @@
 /** Margin on the maximum drain time for late timers on a busy host, in ms. */
 const DRAIN_SLACK_MS = 2000;
 
+/**
+ * Time before the end of a drain at which requests that no target runs are
+ * handed back, in ms; at most a half of `drainTimeoutMs`.
+ */
+const HAND_BACK_LEAD_MS = 500;
+
 /** Interval at which suspect requests expire, in ms. */
 const EXPIRY_CHECK_INTERVAL_MS = 1000;
 
@@ -75,6 +82,9 @@
   private draining: Promise<void> | undefined;
   private closed = false;
   private readonly requests = new OpenRequests();
+  private readonly held = new HeldRequests(this.log);
+  /** Time at which a drain closes the gate, in epoch ms. */
+  private endAt: number | undefined;
   readonly reloadableKeys = RELOADABLE_KEYS;
 
   constructor(private settings: GateSettings) {
@@ -132,6 +142,7 @@
       ttft: this.ttft,
       readRecord,
       findAccount: key => this.keys.get(key),
+      held: this.held,
       isClosed: () => this.closed,
     };
     this.admin =
@@ -189,7 +200,8 @@
    * Shuts down gracefully. Reports "draining" on `/healthz` while still
    * serving, so that the load balancer stops sending first. Then answers the
    * requests that have arrived, stops accepting, waits for requests in flight
-   * (at most `drainTimeoutMs`), and closes the gate.
+   * (at most `drainTimeoutMs`), and closes the gate. Requests that cannot end by
+   * then are handed back at once; shortly before, all others get an answer.
    */
   drain(): Promise<void> {
     this.draining ??= this.runDrain();
@@ -203,6 +215,8 @@
 
   /** Maximum duration of a drain, in ms. */
   get drainLimitMs(): number {
+    if (this.endAt !== undefined)
+      return Math.max(0, this.endAt - Date.now()) + DRAIN_SLACK_MS;
     const {drainNoticeMs, drainTimeoutMs} = this.settings;
     return drainNoticeMs + drainTimeoutMs + DRAIN_SLACK_MS;
   }
@@ -212,21 +226,35 @@
   }
 
   private async runDrain(): Promise<void> {
+    const {drainNoticeMs, drainTimeoutMs} = this.settings;
+    const endAt = Date.now() + drainNoticeMs + drainTimeoutMs;
+    const leadMs = Math.min(HAND_BACK_LEAD_MS, drainTimeoutMs / 2);
+    this.endAt = endAt;
     this.log.info('drain_started', {inFlight: this.requests.count});
     this.requests.closeConnectionsAfterAnswers();
-    await waitMs(this.settings.drainNoticeMs);
+    this.held.beginStop(endAt);
+    await waitMs(drainNoticeMs);
     this.closed = true;
     await this.closeListener();
-    const drainDeadlineAt = Date.now() + this.settings.drainTimeoutMs;
-    await this.waitForOpenRequests(drainDeadlineAt);
+    await this.waitForOpenRequests(endAt - leadMs);
     // Connections of answers that were sent meanwhile are idle now, or have
     // another request.
     await this.closeListener();
-    await this.waitForOpenRequests(drainDeadlineAt);
+    await this.waitForOpenRequests(endAt - leadMs);
+    await this.endRequests(leadMs);
     this.log.info('drain_finished', {left: this.requests.count});
+    this.held.recordCut();
     this.close();
   }
 
+  /** Answers all requests within `leadMs`, also in a process that runs late. */
+  private async endRequests(leadMs: number): Promise<void> {
+    this.held.handBackAll();
+    await this.waitForOpenRequests(Date.now() + leadMs / 2);
+    this.held.endAll(leadMs / 4);
+    await this.waitForOpenRequests(Date.now() + leadMs / 2);
+  }
+
   private async waitForOpenRequests(drainDeadlineAt: number): Promise<void> {
     while (this.requests.count > 0 && Date.now() < drainDeadlineAt)
       await waitMs(DRAIN_POLL_MS);
--- a/packages/gate/src/index.ts
+++ b/packages/gate/src/index.ts
@@ -15,4 +15,5 @@
 export * from './routing/prefix-memory.js';
 export * from './routing/router.js';
 export * from './settings.js';
+export * from './stop/held-request.js';
 export * from './streaming/reassembly.js';
--- a/packages/gate/src/membership/agent-connection.ts
+++ b/packages/gate/src/membership/agent-connection.ts
@@ -212,6 +212,10 @@
     this.link?.notify(RpcMethod.cancel, {requestId});
   }
 
+  cancelQueued(requestId: string): void {
+    this.link?.notify(RpcMethod.cancelQueued, {requestId});
+  }
+
   /**
    * Starts the wait for an agent's ack. The returned `timedOut` rejects when no
    * ack arrives within `ackTimeoutMs`; without `ackTimeoutMs` it never rejects.
--- a/packages/gate/src/membership/target-link.ts
+++ b/packages/gate/src/membership/target-link.ts
@@ -57,6 +57,12 @@
 
   /** Asks the agent to cancel a request; has no effect without a connection. */
   cancel(requestId: string): void;
+
+  /**
+   * Asks the agent to cancel a request that it has not passed to its target;
+   * has no effect without a connection, or at an older agent.
+   */
+  cancelQueued(requestId: string): void;
 }
 
 /** The targets that a dispatcher may choose from. */
--- a/packages/nutmeggauge/src/test/protocol-harness.ts
+++ b/packages/nutmeggauge/src/test/protocol-harness.ts
@@ -28,6 +28,7 @@
   createChunkStream,
   createDispatcher,
   createRetryBudget,
+  HeldRequest,
 } from '@nutmeggauge/gate';
 import type {
   ChunkNotification,
@@ -279,6 +280,10 @@
   cancel(requestId: string): void {
     if (!this.host.isCut) this.host.dispatchHandler.cancel(requestId);
   }
+
+  cancelQueued(requestId: string): void {
+    if (!this.host.isCut) this.host.dispatchHandler.cancelQueued(requestId);
+  }
 }
 
 /** A gate with its dispatcher and the configuration record that it holds. */
@@ -400,6 +405,10 @@
       resumable: true,
       chunks,
       signal: new AbortController().signal,
+      held: new HeldRequest(requestId, {
+        headersSent: false,
+        writableEnded: false,
+      }),
     });
     void run.then(async result => {
       chunks.end();
