--- a/packages/gate/src/gate.ts
+++ b/packages/gate/src/gate.ts
@@ -30,6 +30,7 @@
 import {createMembership} from './membership/membership.js';
 import {PeerRelay} from './relay/peer-relay.js';
 import {resolveRouter} from './routing/policies.js';
+import {HeldRequests} from './stop/held-requests.js';
 import type {IncomingMessage, Server, ServerResponse} from 'node:http';
 import type {Account, ConfigRecord} from '@nutmeggauge/core';
 import type {HandlerContext} from './api/handler-context.js';
@@ -42,6 +43,12 @@
 /** Margin on the maximum drain time for late timers on a busy host, in ms. */
 const DRAIN_SLACK_MS = 2000;
 
+/**
+ * Time before the end of a drain at which requests that no target runs are
+ * handed back, in ms; at most a half of `drainTimeoutMs`.
+ */
+const HAND_BACK_LEAD_MS = 500;
+
 /** Interval at which suspect requests expire, in ms. */
 const EXPIRY_CHECK_INTERVAL_MS = 1000;
 
@@ -76,6 +83,10 @@
   private draining: Promise<void> | undefined;
   private closed = false;
   private readonly requests = new OpenRequests();
+  private readonly held = new HeldRequests(this.log);
+  private starting: Promise<void> | undefined;
+  /** Time at which a drain closes the gate, in epoch ms. */
+  private endAt: number | undefined;
   readonly reloadableKeys = RELOADABLE_KEYS;
 
   constructor(private settings: GateSettings) {
@@ -133,6 +144,7 @@
       ttft: this.ttft,
       readRecord,
       findAccount: key => this.keys.get(key),
+      held: this.held,
       isClosed: () => this.closed,
     };
     this.admin =
@@ -164,7 +176,13 @@
   }
 
   /** Starts watching the configuration and listening for callers. */
-  async start(): Promise<void> {
+  start(): Promise<void> {
+    this.starting = this.runStart();
+    return this.starting;
+  }
+
+  private async runStart(): Promise<void> {
+    if (this.isDraining) return;
     this.watcher.start();
     this.membership.start();
     this.expiryTimer = setInterval(
@@ -173,6 +191,7 @@
     );
     await this.relay?.start();
     await this.admin?.start();
+    if (this.isDraining) return;
     const server = createServer((req, res) => this.serve(req, res));
     this.server = server;
     closeIdleAfterRead(server);
@@ -191,7 +210,8 @@
    * Shuts down gracefully. Reports "draining" on `/healthz` while still
    * serving, so that the load balancer stops sending first. Then answers the
    * requests that have arrived, stops accepting, waits for requests in flight
-   * (at most `drainTimeoutMs`), and closes the gate.
+   * (at most `drainTimeoutMs`), and closes the gate. Requests that cannot end by
+   * then are handed back at once; shortly before, all others get an answer.
    */
   drain(): Promise<void> {
     this.draining ??= this.runDrain();
@@ -205,6 +225,8 @@
 
   /** Maximum duration of a drain, in ms. */
   get drainLimitMs(): number {
+    if (this.endAt !== undefined)
+      return Math.max(0, this.endAt - Date.now()) + DRAIN_SLACK_MS;
     const {drainNoticeMs, drainTimeoutMs} = this.settings;
     return drainNoticeMs + drainTimeoutMs + DRAIN_SLACK_MS;
   }
@@ -214,21 +236,39 @@
   }
 
   private async runDrain(): Promise<void> {
+    const {drainNoticeMs, drainTimeoutMs} = this.settings;
+    const endAt = Date.now() + drainNoticeMs + drainTimeoutMs;
+    const leadMs = Math.min(HAND_BACK_LEAD_MS, drainTimeoutMs / 2);
+    this.endAt = endAt;
     this.log.info('drain_started', {inFlight: this.requests.count});
     this.requests.closeConnectionsAfterAnswers();
-    await waitMs(this.settings.drainNoticeMs);
-    this.closed = true;
-    await this.closeListener();
-    const drainDeadlineAt = Date.now() + this.settings.drainTimeoutMs;
-    await this.waitForOpenRequests(drainDeadlineAt);
-    // Connections of answers that were sent meanwhile are idle now, or have
-    // another request.
-    await this.closeListener();
-    await this.waitForOpenRequests(drainDeadlineAt);
+    this.held.beginStop(endAt);
+    await this.starting?.catch(() => undefined);
+    // Without a listener there are no callers to notify.
+    if (this.server !== undefined) {
+      await waitMs(drainNoticeMs);
+      this.closed = true;
+      await this.closeListener();
+      await this.waitForOpenRequests(endAt - leadMs);
+      // Connections of answers that were sent meanwhile are idle now, or have
+      // another request.
+      await this.closeListener();
+      await this.waitForOpenRequests(endAt - leadMs);
+      await this.endRequests(leadMs);
+    }
     this.log.info('drain_finished', {left: this.requests.count});
+    this.held.recordCut();
     this.close();
   }
 
+  /** Answers all requests within `leadMs`, also in a process that runs late. */
+  private async endRequests(leadMs: number): Promise<void> {
+    this.held.handBackAll();
+    await this.waitForOpenRequests(Date.now() + leadMs / 2);
+    this.held.endAll(leadMs / 4);
+    await this.waitForOpenRequests(Date.now() + leadMs / 2);
+  }
+
   private async waitForOpenRequests(drainDeadlineAt: number): Promise<void> {
     while (this.requests.count > 0 && Date.now() < drainDeadlineAt)
       await waitMs(DRAIN_POLL_MS);
