--- a/packages/nutmeggauge/src/soak/callers.ts
+++ b/packages/nutmeggauge/src/soak/callers.ts
@@ -32,6 +32,9 @@
  */
 const MAX_IDLE_SHARE = 0.8;
 
+/** Connections of one caller, if not set. */
+const MAX_CONNECTIONS = 20;
+
 /** Port on which callers reach a gate. */
 export interface GateEndpoint {
   readonly gate: number;
@@ -54,6 +57,18 @@
    * @default differs from request to request
    */
   readonly promptTokens?: number;
+  /**
+   * Most output tokens of a long stream.
+   *
+   * @default none; the stream is short
+   */
+  readonly outputTokens?: number;
+  /**
+   * Time after which the caller has no use for a response, in ms.
+   *
+   * @default above every route's timeout but that of long streams
+   */
+  readonly deadlineMs?: number;
   /**
    * Ids of the parts of a prompt that it shares with others.
    *
@@ -78,13 +93,15 @@
 
   /**
    * @param idleTimeoutMs - Idle timeout of the gates' connections, in ms.
+   * @param maxSockets - Connections of this caller.
    */
   constructor(
     private readonly name: string,
     idleTimeoutMs: number,
+    maxSockets = MAX_CONNECTIONS,
   ) {
     const timeout = idleTimeoutMs * MAX_IDLE_SHARE;
-    this.agent = new Agent({keepAlive: true, maxSockets: 20, timeout});
+    this.agent = new Agent({keepAlive: true, maxSockets, timeout});
   }
 
   /**
@@ -106,8 +123,10 @@
       gate: endpoint.gate,
       key,
       sentAt: performance.now(),
+      outputTokens: options.outputTokens,
     });
     return exchange.run(
+      options.deadlineMs ?? DEADLINE_MS,
       endpoint.port,
       this.agent,
       isPrompt(kind)
@@ -137,7 +156,7 @@
 
 type SentRequestFields = Pick<
   CallerRecord,
-  'requestId' | 'kind' | 'gate' | 'key' | 'sentAt'
+  'requestId' | 'kind' | 'gate' | 'key' | 'sentAt' | 'outputTokens'
 >;
 
 /** Exchange of one request and its response. */
@@ -150,6 +169,7 @@
   constructor(private readonly sent: SentRequestFields) {}
 
   run(
+    deadlineMs: number,
     port: number,
     agent: Agent,
     promptTokens: number | undefined,
@@ -157,7 +177,7 @@
     patienceMs: number,
     parts: readonly string[] | undefined,
   ): Promise<CallerRecord> {
-    const {kind, requestId, key} = this.sent;
+    const {kind, requestId, key, outputTokens} = this.sent;
     return new Promise(resolve => {
       const req = request({
         host: '127.0.0.1',
@@ -168,8 +188,9 @@
         headers: buildCallHeaders({
           requestId,
           key,
-          deadlineMs: DEADLINE_MS,
+          deadlineMs,
           promptTokens,
+          outputTokens,
           parts,
         }),
       });
--- a/packages/nutmeggauge/src/soak/check-answered.ts
+++ b/packages/nutmeggauge/src/soak/check-answered.ts
@@ -1,31 +1,30 @@
 /**
  * Checks that every request is answered unless its gate was unable to answer.
  */
+import {
+  estimateCrossingMs,
+  findStop,
+  isStopExcuse,
+  listStops,
+  parseRuns,
+} from './gate-stops.js';
 import type {GateOutage} from './gate-process.js';
+import type {RunsByRequest} from './gate-stops.js';
 import type {CallerRecord, InjectedFault, SoakHistory} from './history.js';
 import type {Violation} from './violation.js';
 
-/**
- * Time for which a gate still serves requests after SIGTERM, in ms. Not checked
- * on a busy machine, where requests leave later than their `sentAt`.
- */
-const SERVED_AFTER_STOP_MS = 2500;
-
 /**
  * Time after the end of a link fault in which connections may still drop, in
  * ms.
  */
 const LINK_RECOVERY_MS = 500;
 
-/** Time from SIGTERM until a gate aborts open requests, in ms. */
-const ABORTED_AFTER_STOP_MS = 7500;
-
 /**
  * Finds requests whose connection ended without an answer. A missing answer is
- * excused if the gate was down, if the gate had received SIGTERM early enough,
- * or if the link between caller and gate was faulty.
+ * excused if the gate was down, if the platform's rules excuse it around a stop of
+ * the gate, or if the link between caller and gate was faulty.
  *
- * @param hasTiming - Whether to check requests to a stopping gate as well.
+ * @param hasTiming - Whether the machine is idle enough for bounds on time.
  * @example
  * findUnanswered(history, true).length; // 0
  */
@@ -33,57 +32,81 @@
   history: SoakHistory,
   hasTiming: boolean,
 ): readonly Violation[] {
-  const servedMs = hasTiming ? SERVED_AFTER_STOP_MS : 0;
-  return history.records
+  const runs = parseRuns(history.runs);
+  return [...history.records, ...history.lasting]
     .filter(({status, hasGivenUp}) => status === undefined && !hasGivenUp)
-    .filter(record => !isExcused(history, record, servedMs))
-    .map(({requestId, gate, sentAt, endedAt}) => ({
+    .filter(record => !isExcused(history, record, runs, hasTiming))
+    .map(record => ({
       promise: 'answered',
-      requestId,
-      detail: `gate-${gate}, cut after ${Math.round(endedAt - sentAt)} ms`,
+      requestId: record.requestId,
+      detail: describeCut(history, record, runs),
     }));
 }
 
+function describeCut(
+  history: SoakHistory,
+  record: CallerRecord,
+  runs: RunsByRequest,
+): string {
+  const {requestId, gate, kind, sentAt, endedAt} = record;
+  const cut = `gate-${gate}, ${kind}, cut after ${Math.round(endedAt - sentAt)} ms`;
+  const count = runs.get(requestId)?.length ?? 0;
+  const stopAt = findStop(history, record);
+  if (stopAt === undefined) return `${cut}, ${count} runs`;
+  const sentMs = Math.round(sentAt - stopAt);
+  return `${cut}, ${count} runs, sent ${sentMs} ms after SIGTERM`;
+}
+
 function isExcused(
-  {faults, outages}: SoakHistory,
+  history: SoakHistory,
   record: CallerRecord,
-  servedMs: number,
+  runs: RunsByRequest,
+  hasTiming: boolean,
 ): boolean {
+  if (history.faults.some(fault => isLinkExcuse(fault, record))) return true;
+  if (
+    history.outages.some(outage =>
+      isOutageExcuse(history, outage, record, hasTiming),
+    )
+  )
+    return true;
+  const stopAt = findStop(history, record);
+  const runsOfRequest = runs.get(record.requestId) ?? [];
   return (
-    faults.some(fault => isFaultExcuse(fault, record, servedMs)) ||
-    outages.some(outage => isOutageExcuse(outage, record))
+    stopAt !== undefined &&
+    isStopExcuse(history, record, runsOfRequest, stopAt, hasTiming)
   );
 }
 
 /**
  * Returns true if an outage of the gate excuses a missing answer. A gate that
- * exits after a graceful stop must answer requests sent before the outage.
+ * exits after a graceful stop must answer requests sent before the outage, and a
+ * gate that is stopped while it starts those that it holds.
  */
 function isOutageExcuse(
+  history: SoakHistory,
   {node, isStop, from, to}: GateOutage,
   {gate, sentAt, endedAt}: CallerRecord,
+  hasTiming: boolean,
 ): boolean {
   if (node !== `gate-${gate}` || to < sentAt) return false;
-  return isStop ? from <= sentAt : from <= endedAt;
+  if (!isStop) return from <= endedAt;
+  if (from > sentAt) return false;
+  const isStoppedAgain = listStops(history, gate).some(
+    at => at >= from && at <= endedAt,
+  );
+  return !isStoppedAgain || endedAt - sentAt <= estimateCrossingMs(hasTiming);
 }
 
-/**
- * Returns true if a fault of the caller's link or a gate stop excuses a missing
- * answer.
- */
-function isFaultExcuse(
+/** Returns true if a fault of the caller's link excuses a missing answer. */
+function isLinkExcuse(
   {action, beganAt, endedAt}: InjectedFault,
   record: CallerRecord,
-  servedMs: number,
 ): boolean {
-  if (!('gate' in action) || action.gate !== record.gate) return false;
-  if (action.kind === 'caller-link')
-    return (
-      beganAt <= record.endedAt && endedAt + LINK_RECOVERY_MS >= record.sentAt
-    );
-  if (action.kind !== 'gate-drain') return false;
   return (
-    record.sentAt > beganAt + servedMs ||
-    record.endedAt > beganAt + ABORTED_AFTER_STOP_MS
+    action.kind === 'caller-link' &&
+    action.gate === record.gate &&
+    beganAt <= record.endedAt &&
+    endedAt + LINK_RECOVERY_MS >= record.sentAt
   );
 }
--- a/packages/nutmeggauge/src/soak/check-timed.ts
+++ b/packages/nutmeggauge/src/soak/check-timed.ts
@@ -1,6 +1,7 @@
 /** Invariants of the soak with a bound on time, which a busy machine may exceed. */
 import {STANDIN_TIMEOUT_MS} from '@nutmeggauge/platform';
-import type {TargetRun} from '@nutmeggauge/platform';
+import {findCutByStop} from './check-stops.js';
+import type {RunsByRequest} from './gate-stops.js';
 import type {CallerRecord, InjectedFault, SoakHistory} from './history.js';
 import type {FaultAction} from './schedule.js';
 import type {Violation} from './violation.js';
@@ -31,7 +32,7 @@
 export class TimedChecks {
   constructor(
     private readonly history: SoakHistory,
-    private readonly runs: ReadonlyMap<string, readonly TargetRun[]>,
+    private readonly runs: RunsByRequest,
   ) {}
 
   /** Finds all violations. */
@@ -40,9 +41,9 @@
       ...this.history.records.flatMap(record => [
         ...this.checkAnswerTime(record),
         ...this.checkRevokedKey(record),
-        ...this.checkGracefulStop(record),
         ...this.checkDrain(record),
       ]),
+      ...findCutByStop(this.history, this.runs),
       ...this.checkRecovery(),
     ];
   }
@@ -83,31 +84,6 @@
     return [];
   }
 
-  /**
-   * Checks that a graceful stop cuts off no request that a healthy target runs.
-   */
-  private checkGracefulStop(record: CallerRecord): readonly Violation[] {
-    const {requestId, gate, sentAt, endedAt, status, isWhole} = record;
-    const runs = this.runs.get(requestId) ?? [];
-    if (isWhole || runs.length === 0 || record.hasGivenUp) return [];
-    const isPlanned = (action: FaultAction) =>
-      action.kind === 'gate-drain' ||
-      action.kind === 'config-change' ||
-      action.kind === 'key-revoke' ||
-      action.kind === 'gate-reload' ||
-      action.kind === 'target-leave';
-    const isExcused = (action: FaultAction) =>
-      !isPlanned(action) && isGateOrTargetFault(action, gate);
-    if (this.isAffected(sentAt, endedAt, isExcused)) return [];
-    const isDraining = this.isAffected(
-      sentAt,
-      endedAt,
-      action => action.kind === 'gate-drain' && action.gate === gate,
-    );
-    if (!isDraining) return [];
-    return [{promise: 'graceful-stop', requestId, detail: `${status}, cut`}];
-  }
-
   private checkRecovery(): readonly Violation[] {
     const {records, endedAt, published} = this.history;
     const finalRequests = records.filter(
@@ -156,10 +132,3 @@
   if (action.kind === 'gate-reload') return false;
   return 'gate' in action && action.gate === gate;
 }
-
-/**
- * Returns true for a fault of the given gate, one of its links or any target.
- */
-function isGateOrTargetFault(action: FaultAction, gate: number): boolean {
-  return isGateFault(action, gate) || 'target' in action;
-}
--- a/packages/nutmeggauge/src/soak/check.ts
+++ b/packages/nutmeggauge/src/soak/check.ts
@@ -2,7 +2,12 @@
  * Checks the invariants of the soak against the history of a run. Checks with
  * a time bound are optional, because a busy machine may exceed the bound.
  */
-import {STREAM_EVENTS, buildCallBody, buildEvent} from '@nutmeggauge/platform';
+import {
+  STREAM_EVENTS,
+  buildCallBody,
+  buildEvent,
+  countLongEvents,
+} from '@nutmeggauge/platform';
 import {findSendsToLeaving, findSendsToResting} from './check-announcements.js';
 import {findUnanswered} from './check-answered.js';
 import {findColdOverloads} from './check-cold.js';
@@ -14,6 +19,7 @@
 } from './check-evacuations.js';
 import {findExceededLimits, findLateRuns} from './check-limits.js';
 import {TimedChecks} from './check-timed.js';
+import {parseRuns} from './gate-stops.js';
 import type {TargetRun} from '@nutmeggauge/platform';
 import type {Violation} from './violation.js';
 import type {UnexpectedExit} from './gate-process.js';
@@ -41,13 +47,9 @@
   history: SoakHistory,
   hasTiming: boolean,
 ): readonly Violation[] {
-  const runs = new Map<string, TargetRun[]>();
-  for (const run of history.runs) {
-    const list = runs.get(run.requestId) ?? [];
-    list.push(run);
-    runs.set(run.requestId, list);
-  }
-  const found = history.records.flatMap(record => [
+  const runs = parseRuns(history.runs);
+  const answered = [...history.records, ...history.lasting];
+  const found = answered.flatMap(record => [
     ...checkRuns(record, runs.get(record.requestId) ?? []),
     ...checkAnswer(record),
   ]);
@@ -106,7 +108,7 @@
   const expectedBody =
     kind === 'safe' || kind === 'unsafe'
       ? buildCallBody(requestId)
-      : buildStreamBody(requestId);
+      : buildStreamBody(record);
   const isExpected = isWhole
     ? body === expectedBody
     : expectedBody.startsWith(body);
@@ -121,9 +123,11 @@
   ];
 }
 
-function buildStreamBody(requestId: string): string {
+function buildStreamBody({requestId, outputTokens}: CallerRecord): string {
+  const events =
+    outputTokens === undefined ? STREAM_EVENTS : countLongEvents(outputTokens);
   let text = '';
-  for (let eventNumber = 1; eventNumber <= STREAM_EVENTS; eventNumber++)
+  for (let eventNumber = 1; eventNumber <= events; eventNumber++)
     text += buildEvent(requestId, eventNumber);
   return text;
 }
--- a/packages/nutmeggauge/src/soak/gate-process.ts
+++ b/packages/nutmeggauge/src/soak/gate-process.ts
@@ -1,7 +1,7 @@
 /** A gate running as a child process, with faults injected by signals. */
 import {createWriteStream, writeFileSync} from 'node:fs';
 import {join} from 'node:path';
-import {readGateArgs, renderSettings} from '@nutmeggauge/platform';
+import {GRACE_MS, readGateArgs, renderSettings} from '@nutmeggauge/platform';
 import pidusage from 'pidusage';
 import {startOwnedProcess} from '../cluster/owned-process.js';
 import type {ChildProcess} from 'node:child_process';
@@ -13,9 +13,6 @@
 /** Delay between an exit and the restart, in ms. */
 const RESTART_DELAY_MS = 300;
 
-/** Longest graceful stop, in ms: the grace period plus the time to exit. */
-const MAX_GRACEFUL_STOP_MS = 8500;
-
 /** Text in the log line that a gate writes once it listens. */
 const STARTED_EVENT_TEXT = '"gate_started"';
 
@@ -24,7 +21,7 @@
  */
 export interface GateOutage {
   readonly node: string;
-  /** Whether the process exited with code 0, after a graceful stop. */
+  /** Whether the process ended after a SIGTERM and was not killed before. */
   readonly isStop: boolean;
   readonly from: number;
   /** End of the outage; Infinity until the gate listens again. */
@@ -61,7 +58,12 @@
    * undefined if the process was not killed.
    */
   private killedAt: number | undefined;
+  /** Times of the SIGTERMs that were sent to starting processes, in ms. */
+  readonly startStops: number[] = [];
   private isExitExpected = false;
+  private isStopping = false;
+  /** Delays after which the next processes are stopped, in ms. */
+  private readonly startStopDelays: number[] = [];
   private isClosed = false;
   private readonly settingsPath: string;
 
@@ -92,9 +94,12 @@
     this.observeOutage(child);
     this.child = child;
     this.isExitExpected = false;
+    this.isStopping = false;
     this.killedAt = undefined;
+    this.stopAtStart(child);
     child.once('exit', (code, signal) => {
-      if (!this.isExitExpected)
+      const hasFailed = code !== null && code !== 0;
+      if (!this.isExitExpected || hasFailed)
         this.onUnexpectedExit({node, code, signal, hadBegun});
       setTimeout(() => this.start(), RESTART_DELAY_MS);
     });
@@ -108,18 +113,34 @@
   }
 
   /**
-   * Sends SIGTERM, and SIGKILL if the process outlasts the longest graceful
-   * stop.
+   * Sends SIGTERM, and SIGKILL if the process outlasts the grace after the first
+   * one.
    */
   drain(): void {
-    this.isExitExpected = true;
     const {child} = this;
     child?.kill('SIGTERM');
-    const timer = setTimeout(
-      () => child?.kill('SIGKILL'),
-      MAX_GRACEFUL_STOP_MS,
-    );
-    child?.once('exit', () => clearTimeout(timer));
+    if (this.isStopping || child === undefined) return;
+    this.isExitExpected = true;
+    this.isStopping = true;
+    const timer = setTimeout(() => child.kill('SIGKILL'), GRACE_MS);
+    child.once('exit', () => clearTimeout(timer));
+  }
+
+  /** Stops the process, and the next one while it starts. */
+  drainAgainAtStart(delayMs: number): void {
+    this.startStopDelays.push(delayMs);
+    this.drain();
+  }
+
+  /** Stops a process that has just been started, if that is asked for. */
+  private stopAtStart(child: ChildProcess): void {
+    const delayMs = this.startStopDelays.shift();
+    if (delayMs === undefined) return;
+    setTimeout(() => {
+      if (this.child !== child || this.isClosed) return;
+      this.startStops.push(performance.now());
+      this.drain();
+    }, delayMs);
   }
 
   /** Suspends the process with SIGSTOP. */
@@ -154,9 +175,12 @@
         this.outages.push({...outage, to: performance.now()});
     };
     child.stdout?.on('data', read);
-    child.once('exit', code => {
-      const last = this.outages[this.outages.length - 1];
-      if (last?.to !== Infinity) this.openOutage(code === 0);
+    child.once('exit', () => {
+      child.stdout?.off('data', read);
+      const last = this.outages.at(-1);
+      if (last?.to === Infinity)
+        this.outages.splice(-1, 1, {...last, to: performance.now()});
+      this.openOutage(this.isStopping && this.killedAt === undefined);
     });
   }
 
--- a/packages/nutmeggauge/src/soak/history.ts
+++ b/packages/nutmeggauge/src/soak/history.ts
@@ -28,6 +28,8 @@
   /** Whether the response arrived completely. */
   readonly isWhole: boolean;
   readonly body: string;
+  /** Output tokens of a long stream; absent for other requests. */
+  readonly outputTokens?: number;
   /** Whether the caller disconnected after its deadline. */
   readonly hasGivenUp: boolean;
 }
@@ -76,6 +78,8 @@
   readonly crashing: readonly CallerRecord[];
   /** Requests whose callers may leave before a gate has read them. */
   readonly impatient: readonly CallerRecord[];
+  /** Requests that last longer than the grace of a stop. */
+  readonly lasting: readonly CallerRecord[];
   /** Limits that targets named, by target. */
   readonly limits: ReadonlyMap<string, NamedLimit>;
   readonly crashes: readonly TargetCrash[];
--- a/packages/nutmeggauge/src/soak/run-soaks.ts
+++ b/packages/nutmeggauge/src/soak/run-soaks.ts
@@ -57,6 +57,7 @@
     ...['--leaving', String(series.leaving)],
     ...['--resting', String(series.resting)],
     ...['--evacuations', String(series.evacuations)],
+    ...['--stop-series', String(series.stopSeries)],
     ...(series.coldStarts ? ['--cold-starts'] : []),
     ...(series.hasTiming ? [] : ['--no-timing']),
     ...(series.hasAgents ? ['--agents'] : []),
--- a/packages/nutmeggauge/src/soak/schedule.ts
+++ b/packages/nutmeggauge/src/soak/schedule.ts
@@ -6,9 +6,12 @@
 import {xoroshiro128plus} from 'pure-rand/generator/xoroshiro128plus';
 import type {StoreMode, TargetMode} from '@nutmeggauge/platform';
 import {buildEvacuations} from './schedule-evacuations.js';
+import {buildStopSeries} from './schedule-stops.js';
 import type {LinkMode} from './faulty-link.js';
+import {FAULT_FREE_TAIL_MS} from './scheduled-fault.js';
 import type {FaultAction, ScheduledFault} from './scheduled-fault.js';
 
+export {FAULT_FREE_TAIL_MS} from './scheduled-fault.js';
 export type {FaultAction, ScheduledFault} from './scheduled-fault.js';
 
 /**
@@ -30,11 +33,10 @@
   readonly resting?: number;
   /** Number of times that the operator evacuates zones. */
   readonly evacuations?: number;
+  /** Number of series of stops that overlap. */
+  readonly stopSeries?: number;
 }
 
-/** Time without faults at the end, in ms: above every timeout of the gates. */
-export const FAULT_FREE_TAIL_MS = 5000;
-
 /** Mean time between the starts of two faults, in ms. */
 const MEAN_FAULT_INTERVAL_MS = 450;
 
@@ -146,6 +148,7 @@
     ...buildGateStops(seed, sizes, end),
     ...buildAnnouncements(seed, sizes, end),
     ...buildEvacuations(seed, sizes.evacuations ?? 0, end),
+    ...buildStopSeries(seed, sizes.stopSeries ?? 0, sizes.gates, end),
   ];
 }
 
--- a/packages/nutmeggauge/src/soak/scheduled-fault.ts
+++ b/packages/nutmeggauge/src/soak/scheduled-fault.ts
@@ -3,10 +3,20 @@
 import type {LinkMode} from './faulty-link.js';
 import type {EvacuationCompanion} from './soak-zones.js';
 
+/** Time without faults at the end, in ms: above every timeout of the gates. */
+export const FAULT_FREE_TAIL_MS = 5000;
+
 /** Kind of a fault and the gate, target or link that it affects. */
 export type FaultAction =
   | {readonly kind: 'gate-kill'; readonly gate: number}
   | {readonly kind: 'gate-drain'; readonly gate: number}
+  /** SIGTERM to a gate, and to its next process while that one starts. */
+  | {
+      readonly kind: 'gate-drain-twice';
+      readonly gate: number;
+      /** Time after the start of the next process, in ms. */
+      readonly afterStartMs: number;
+    }
   | {readonly kind: 'gate-pause'; readonly gate: number}
   | {readonly kind: 'gate-reload'; readonly gate: number}
   | {readonly kind: 'all-gates-kill'}
--- a/packages/nutmeggauge/src/soak/seeded-callers.ts
+++ b/packages/nutmeggauge/src/soak/seeded-callers.ts
@@ -10,6 +10,12 @@
   readonly name: string;
   /** Added to a seed, so that the callers leave its faults unchanged. */
   readonly seedOffset: number;
+  /**
+   * Connections of one caller.
+   *
+   * @default 20
+   */
+  readonly maxConnections?: number;
 }
 
 /** Options of the callers of one run. */
@@ -39,13 +45,13 @@
  * const records = await runSeededCallers({name: 'hasty', seedOffset: 7}, options, sendBursts);
  */
 export async function runSeededCallers(
-  {name, seedOffset}: CallerKind,
+  {name, seedOffset, maxConnections}: CallerKind,
   {seed, count, idleTimeoutMs}: SeededCallersOptions,
   send: (caller: SeededCaller) => Promise<SentCalls>,
 ): Promise<readonly CallerRecord[]> {
   const runCaller = async (index: number) => {
     const random = xoroshiro128plus(seed + seedOffset + index);
-    const caller = new Caller(`${name}${index}`, idleTimeoutMs);
+    const caller = new Caller(`${name}${index}`, idleTimeoutMs, maxConnections);
     const draw = (limit: number) => uniformInt(random, 0, limit - 1);
     const records = await Promise.all(await send({index, caller, draw}));
     caller.close();
--- a/packages/nutmeggauge/src/soak/soak-harness.ts
+++ b/packages/nutmeggauge/src/soak/soak-harness.ts
@@ -14,7 +14,7 @@
 import {SoakEvacuations} from './soak-zones.js';
 import type {GateEndpoint} from './callers.js';
 import type {GateOutage, UnexpectedExit} from './gate-process.js';
-import type {PublishedFact} from './history.js';
+import type {InjectedFault, PublishedFact} from './history.js';
 import type {FaultAction} from './schedule.js';
 import type {SoakTargetOptions} from './soak-targets.js';
 
@@ -73,6 +73,17 @@
     return this.gates.flatMap(gate => gate.process.outages);
   }
 
+  /** SIGTERMs that gates got while they started. */
+  get startStops(): readonly InjectedFault[] {
+    return this.gates.flatMap(({process}, gate) =>
+      process.startStops.map(at => ({
+        action: {kind: 'gate-drain', gate},
+        beganAt: at,
+        endedAt: at,
+      })),
+    );
+  }
+
   /** Largest resident memory of any gate, in bytes. */
   get peakBytes(): number {
     return Math.max(...this.gates.map(gate => gate.process.peakBytes));
@@ -116,6 +127,12 @@
         return this.applyInstantFault(() =>
           this.gates[action.gate].process.drain(),
         );
+      case 'gate-drain-twice':
+        return this.applyInstantFault(() =>
+          this.gates[action.gate].process.drainAgainAtStart(
+            action.afterStartMs,
+          ),
+        );
       case 'gate-pause':
         this.gates[action.gate].process.freeze();
         return () => this.gates[action.gate].process.resume();
@@ -199,6 +216,7 @@
         keys,
         this.idleTimeoutMs,
         this.options.hasColdStarts ? COLD_START : undefined,
+        this.options.hasLongStreams,
       ),
     );
     this.version += 2;
--- a/packages/nutmeggauge/src/soak/soak-targets.ts
+++ b/packages/nutmeggauge/src/soak/soak-targets.ts
@@ -1,5 +1,5 @@
 /** Targets of the soak: stand-ins, each behind a faulty link. */
-import {ColdLoad, TargetStandin} from '@nutmeggauge/platform';
+import {ColdLoad, LONG_SERVICE, TargetStandin} from '@nutmeggauge/platform';
 import {COLD_START} from './cold-starts.js';
 import {FaultyLink} from './faulty-link.js';
 import {SOAK_ZONES, chooseZone} from './soak-zones.js';
@@ -15,6 +15,9 @@
 /** Index of the first plain service; targets with a lower index are engines. */
 const FIRST_PLAIN_TARGET = 4;
 
+/** Number of engines of long streams, after all other targets. */
+const LONG_ENGINES = 4;
+
 /** Index of the engine that names a limit for a while. */
 const LIMITED_ENGINE = 0;
 
@@ -40,6 +43,12 @@
    * @default false
    */
   readonly hasColdStarts?: boolean;
+  /**
+   * Whether there are engines of long streams.
+   *
+   * @default false
+   */
+  readonly hasLongStreams?: boolean;
 }
 
 /** Current target at one index; a replacement target takes the same index. */
@@ -66,6 +75,7 @@
   private lastTargetNumber = 0;
   private isEngineLimitOver = false;
   private isClosed = false;
+  private firstLongTarget = Infinity;
 
   /**
    * @param published - List to which each drain that the store learns is added.
@@ -78,7 +88,10 @@
 
   /** Starts all targets. */
   async start(count: number): Promise<void> {
-    for (let i = 0; i < count; i++) this.slots.push(await this.startTarget(i));
+    this.firstLongTarget = count;
+    const longEngines = this.options.hasLongStreams ? LONG_ENGINES : 0;
+    for (let i = 0; i < count + longEngines; i++)
+      this.slots.push(await this.startTarget(i));
   }
 
   /** Lets no further target appear in the store. */
@@ -184,7 +197,7 @@
     const port = await link.start();
     if (!this.isClosed)
       this.store.publishServer(id, {
-        service: index < FIRST_PLAIN_TARGET ? 'chat' : 'orders',
+        service: this.chooseService(index),
         address: `127.0.0.1:${port}`,
         zone: this.chooseZone(index),
         state: 'ready',
@@ -229,7 +242,7 @@
     standin.announced.isLeaving = true;
     this.replacedTargets.push(standin);
     this.store.publishServer(standin.id, {
-      service: index < FIRST_PLAIN_TARGET ? 'chat' : 'orders',
+      service: this.chooseService(index),
       address: '127.0.0.1:1',
       zone: this.chooseZone(index),
       state: 'draining',
@@ -247,6 +260,11 @@
     void this.replaceTarget(index);
   }
 
+  private chooseService(index: number): string {
+    if (index >= this.firstLongTarget) return LONG_SERVICE;
+    return index < FIRST_PLAIN_TARGET ? 'chat' : 'orders';
+  }
+
   private chooseZone(index: number): string {
     return this.options.hasZones ? chooseZone(index) : SOAK_ZONES[0];
   }
--- a/packages/nutmeggauge/src/soak/soak.test.ts
+++ b/packages/nutmeggauge/src/soak/soak.test.ts
@@ -35,6 +35,8 @@
   readonly resting?: number;
   /** Number of times that the operator evacuates zones. */
   readonly evacuations?: number;
+  /** Number of series of stops that overlap. */
+  readonly stopSeries?: number;
   /** Length of the load, in ms. */
   readonly lengthMs?: number;
 }
@@ -48,6 +50,7 @@
   {seed: 5, restores: 0, gateStops: 0, impatient: 3, limit: 1.4},
   {seed: 702, restores: 0, gateStops: 0, leaving: 4, resting: 8},
   {seed: 9109, restores: 0, gateStops: 0, evacuations: 3, lengthMs: 20_000},
+  {seed: 71001, restores: 0, gateStops: 0, stopSeries: 4},
 ];
 
 describe('fault schedule of the soak', () => {
@@ -65,6 +68,16 @@
     expect(faults.length >= others.length + 3 * SIZES.gateStops).toEqual(true);
   });
 
+  it('leaves the other faults of a seed unchanged when series of stops are added', () => {
+    const others = buildSchedule(7, SIZES);
+    const faults = buildSchedule(7, {...SIZES, stopSeries: 4});
+    expect(faults.slice(0, others.length)).toEqual([...others]);
+    const kinds = faults.slice(others.length).map(({action}) => action.kind);
+    for (const kind of ['gate-drain-twice', 'gate-reload', 'config-change'])
+      expect(kinds.filter(each => each === kind).length).toEqual(1);
+    expect(kinds.filter(kind => kind === 'gate-drain').length).toEqual(6);
+  });
+
   it('leaves the other faults of a seed unchanged when store restores are added', () => {
     const faults = buildSchedule(7, {...SIZES, gateStops: 0});
     const others = buildSchedule(7, {...SIZES, restores: 0, gateStops: 0});
@@ -103,6 +116,7 @@
           ...['--leaving', String(others.leaving ?? 0)],
           ...['--resting', String(others.resting ?? 0)],
           ...['--evacuations', String(others.evacuations ?? 0)],
+          ...['--stop-series', String(others.stopSeries ?? 0)],
           ...['--length-ms', String(others.lengthMs ?? SIZES.lengthMs)],
         ]);
         expect(stdout).toInclude('"violations":0');
--- a/packages/nutmeggauge/src/soak/soak.ts
+++ b/packages/nutmeggauge/src/soak/soak.ts
@@ -9,8 +9,10 @@
 import {Caller} from './callers.js';
 import {runCrashingCallers} from './crashing-callers.js';
 import {runImpatientCallers} from './impatient-callers.js';
+import {LASTING_CALLERS, runLastingCallers} from './lasting-callers.js';
 import {findViolations} from './check.js';
 import {buildSchedule} from './schedule.js';
+import {STOP_SERIES_MS} from './schedule-stops.js';
 import {SoakHarness} from './soak-harness.js';
 import type {Violation} from './violation.js';
 import type {CallerRecord, InjectedFault, SoakHistory} from './history.js';
@@ -69,6 +71,8 @@
   readonly resting: number;
   /** Number of times that the operator evacuates zones. */
   readonly evacuations: number;
+  /** Number of series of stops that overlap, under streams that last longer. */
+  readonly stopSeries: number;
   /** Whether targets that replace others are cold for a while. */
   readonly coldStarts: boolean;
   /** Whether invariants with a time bound are checked too. */
@@ -92,7 +96,7 @@
  * Runs the soak with one seed and returns the violated invariants.
  *
  * @example
- * const {violations} = await runSoak({seed: 7, gates: 3, targets: 6, lengthMs: 12_000, restores: 2, gateStops: 2, crashing: 1, impatient: 1, limit: 0, leaving: 1, resting: 1, evacuations: 1, coldStarts: true, hasTiming: true, runDir: 'runs/soak-7'});
+ * const {violations} = await runSoak({seed: 7, gates: 3, targets: 6, lengthMs: 12_000, restores: 2, gateStops: 2, crashing: 1, impatient: 1, limit: 0, leaving: 1, resting: 1, evacuations: 1, stopSeries: 2, coldStarts: true, hasTiming: true, runDir: 'runs/soak-7'});
  */
 export async function runSoak(options: SoakOptions): Promise<SoakResult> {
   const idleTimeoutMs =
@@ -102,6 +106,7 @@
     limit: options.limit,
     hasZones: options.evacuations > 0,
     hasColdStarts: options.coldStarts,
+    hasLongStreams: options.stopSeries > 0,
   });
   await harness.start();
   try {
@@ -128,7 +133,10 @@
   idleTimeoutMs: number,
 ): Promise<SoakHistory> {
   const startedAt = performance.now();
-  const endsAt = startedAt + options.lengthMs;
+  const endsAt =
+    startedAt +
+    options.lengthMs +
+    (options.stopSeries > 0 ? STOP_SERIES_MS : 0);
   const sampler = setInterval(
     () => void harness.sampleMemory(),
     MEMORY_SAMPLE_INTERVAL_MS,
@@ -151,6 +159,12 @@
     endsAt,
     idleTimeoutMs,
   });
+  const lasting = runLastingCallers(harness, {
+    seed: options.seed,
+    count: options.stopSeries > 0 ? LASTING_CALLERS : 0,
+    endsAt,
+    idleTimeoutMs,
+  });
   const records = await Promise.all(
     Array.from({length: CALLER_COUNT}, (_, i) =>
       runCaller(harness, i, endsAt, new Caller(`c${i}`, idleTimeoutMs)),
@@ -158,6 +172,7 @@
   );
   const endedAt = performance.now();
   clearInterval(sampler);
+  await lasting;
   await sleep(RESERVATION_SETTLE_MS);
   return {
     gateCount: options.gates,
@@ -166,6 +181,7 @@
     records: records.flat(),
     crashing: await crashing,
     impatient: await impatient,
+    lasting: await lasting,
     limits: harness.targets.limits,
     crashes: harness.targets.crashes,
     runs: harness.targets.runs,
@@ -173,7 +189,7 @@
     reservations: harness.targets.listReservations(),
     coldPeaks: harness.targets.listColdPeaks(),
     evacuations: harness.evacuations.listSpans(),
-    faults: await faults,
+    faults: [...(await faults), ...harness.startStops],
     published: harness.published,
     exits: harness.exits,
     outages: harness.outages,
--- a/packages/nutmeggauge/src/soak/test-history.ts
+++ b/packages/nutmeggauge/src/soak/test-history.ts
@@ -10,6 +10,7 @@
     records: [],
     crashing: [],
     impatient: [],
+    lasting: [],
     limits: new Map(),
     crashes: [],
     runs: [],
