--- a/packages/core/src/index.ts
+++ b/packages/core/src/index.ts
@@ -33,5 +33,6 @@
 export * from './settings-reload.js';
 export * from './settings-text.js';
 export * from './settings.js';
+export * from './signal-clock.js';
 export * from './sse.js';
 export * from './tokens.js';
