A gate that stops before it listens opens no listener

Cause: drain() ignored a start under way; start() opened the listeners of callers, administration and relay after the drain had closed the gate, and nothing closed them. The drain now waits for a start that is under way, a start after a drain opens nothing, and a gate without a listener ends without its notice.

--- a/packages/gate/src/gate.ts
+++ b/packages/gate/src/gate.ts
@@ -83,6 +83,7 @@
   private closed = false;
   private readonly requests = new OpenRequests();
   private readonly held = new HeldRequests(this.log);
+  private starting: Promise<void> | undefined;
   /** Time at which a drain closes the gate, in epoch ms. */
   private endAt: number | undefined;
   readonly reloadableKeys = RELOADABLE_KEYS;
@@ -174,7 +175,13 @@
   }
 
   /** Starts watching the configuration and listening for callers. */
-  async start(): Promise<void> {
+  start(): Promise<void> {
+    this.starting = this.runStart();
+    return this.starting;
+  }
+
+  private async runStart(): Promise<void> {
+    if (this.isDraining) return;
     this.watcher.start();
     this.membership.start();
     this.expiryTimer = setInterval(
@@ -183,6 +190,7 @@
     );
     await this.relay?.start();
     await this.admin?.start();
+    if (this.isDraining) return;
     const server = createServer((req, res) => this.serve(req, res));
     this.server = server;
     closeIdleAfterRead(server);
@@ -233,15 +241,21 @@
     this.log.info('drain_started', {inFlight: this.requests.count});
     this.requests.closeConnectionsAfterAnswers();
     this.held.beginStop(endAt);
-    await waitMs(drainNoticeMs);
-    this.closed = true;
-    await this.closeListener();
-    await this.waitForOpenRequests(endAt - leadMs);
-    // Connections of answers that were sent meanwhile are idle now, or have
-    // another request.
-    await this.closeListener();
-    await this.waitForOpenRequests(endAt - leadMs);
-    await this.endRequests(leadMs);
+    // The notice runs from the signal, also while the gate starts.
+    const notice = waitMs(drainNoticeMs);
+    await this.starting?.catch(() => undefined);
+    // Without a listener there are no callers to notify.
+    if (this.server !== undefined) {
+      await notice;
+      this.closed = true;
+      await this.closeListener();
+      await this.waitForOpenRequests(endAt - leadMs);
+      // Connections of answers that were sent meanwhile are idle now, or have
+      // another request.
+      await this.closeListener();
+      await this.waitForOpenRequests(endAt - leadMs);
+      await this.endRequests(leadMs);
+    }
     this.log.info('drain_finished', {left: this.requests.count});
     this.held.recordCut();
     this.close();
