--- a/packages/agent/bin/nutmeggauge-agent.js
+++ b/packages/agent/bin/nutmeggauge-agent.js
@@ -5,7 +5,10 @@
 import process from 'node:process';
 import {URL, fileURLToPath} from 'node:url';
 
-// Until the command handles SIGHUP itself, the signal must not end it.
+// Until the command handles the signals itself, it serves nobody: it ends at a
+// stop with the status of a stop, and SIGHUP must not end it.
+process.on('SIGTERM', () => process.exit(0));
+process.on('SIGINT', () => process.exit(0));
 process.on('SIGHUP', () => undefined);
 
 const compiled = new URL('../dist/bin.js', import.meta.url);
--- a/packages/core/src/daemon.ts
+++ b/packages/core/src/daemon.ts
@@ -90,8 +90,8 @@
   };
   // The signal handlers stay registered: a second signal would otherwise end
   // the process during the drain.
-  process.on('SIGTERM', () => stop('SIGTERM'));
-  process.on('SIGINT', () => stop('SIGINT'));
+  replaceSignalListeners('SIGTERM', () => stop('SIGTERM'));
+  replaceSignalListeners('SIGINT', () => stop('SIGINT'));
   const reloader = new SettingsReloader({settings, load, task, log});
   process.on('SIGHUP', () => reloader.reload());
   try {
@@ -102,6 +102,19 @@
   }
 }
 
+/**
+ * Replaces the listeners of a signal, such as those of the command's wrapper.
+ * The signal stays handled throughout.
+ */
+function replaceSignalListeners(
+  signal: NodeJS.Signals,
+  listener: () => void,
+): void {
+  const replaced = process.listeners(signal);
+  process.on(signal, listener);
+  for (const old of replaced) process.off(signal, old);
+}
+
 /**
  * Returns the path of the settings file from the command line.
  *
