--- a/packages/direct/src/drain.ts
+++ b/packages/direct/src/drain.ts
@@ -48,7 +48,7 @@
  */
 export async function runDrain(options: DrainOptions): Promise<void> {
   const {ingress, stop, signalledAt, stopGraceMs, log, readNow} = options;
-  log.info('drain_started', {
+  log.recordOutcome('drain_started', {
     inFlight: ingress.inFlight,
     lateMs: Math.round(readNow() - signalledAt),
   });
@@ -68,7 +68,7 @@
   // Callers that keep connecting prolong the wait for what has arrived.
   await Promise.race([ingress.closeIdle(), waitUntil(options, exitAt)]);
   await waitUntil(options, exitAt, hasNone);
-  log.info('drain_finished', {left: stop.dropOpen()});
+  log.recordOutcome('drain_finished', {left: stop.dropOpen()});
   await options.leavePeers();
 }
 
--- a/packages/direct/src/observe/decision-log.ts
+++ b/packages/direct/src/observe/decision-log.ts
@@ -65,8 +65,8 @@
   }
 
   /**
-   * Logs the outcome of one of many requests that end together, as at a stop. A
-   * budget of its own keeps a line for each.
+   * Logs a stop, or the outcome of one of the many requests that end with it. A
+   * budget of its own keeps these lines beside those of requests that wait.
    */
   recordOutcome(event: string, fields: DecisionFields): void {
     this.write('info', event, fields, 'outcome');
--- a/packages/gate/src/gate.ts
+++ b/packages/gate/src/gate.ts
@@ -243,10 +243,12 @@
     this.log.info('drain_started', {inFlight: this.requests.count});
     this.requests.closeConnectionsAfterAnswers();
     this.held.beginStop(endAt);
+    // The notice runs from the signal, also while the gate starts.
+    const notice = waitMs(drainNoticeMs);
     await this.starting?.catch(() => undefined);
     // Without a listener there are no callers to notify.
     if (this.server !== undefined) {
-      await waitMs(drainNoticeMs);
+      await notice;
       this.closed = true;
       await this.closeListener();
       await this.waitForOpenRequests(endAt - leadMs);
