--- a/packages/direct/src/forward/stream-stop.ts
+++ b/packages/direct/src/forward/stream-stop.ts
@@ -55,6 +55,8 @@
   }
 
   override endUnfinished(): void {
+    // Its engine may have sent everything.
+    if (!this.options.request.caller.hasRoom) return;
     this.options.ending.endWithError(502, 'outcome_unknown');
   }
 
