A stop answers what arrives after the others were ended, and keeps to its grace

The last look is repeated, one turn lies between it and the drop, and both waits are bounded. stop.test.ts has a request that arrives in that time.

--- a/packages/direct/src/drain.ts
+++ b/packages/direct/src/drain.ts
@@ -1,5 +1,8 @@
 /** Graceful shutdown of a gate. */
-import {setTimeout as sleep} from 'node:timers/promises';
+import {
+  setImmediate as nextTurn,
+  setTimeout as sleep,
+} from 'node:timers/promises';
 import type {Ingress} from './ingress/ingress.js';
 import type {GateStop} from './stop/gate-stop.js';
 import type {DecisionLog} from './observe/decision-log.js';
@@ -16,6 +19,9 @@
 /** Part of the grace period reserved for the process exit, in ms. */
 const EXIT_RESERVE_MS = 200;
 
+/** Longest time for which the peers are told that the gate leaves, in ms. */
+const LEAVE_LIMIT_MS = 100;
+
 /** Interval at which a drain checks for open requests, in ms. */
 const DRAIN_POLL_MS = 50;
 
@@ -61,15 +67,19 @@
     signalledAt + Math.min(DRAIN_NOTICE_MS, stopGraceMs / 2),
   );
   const hasNone = () => ingress.inFlight === 0;
-  await ingress.stopAccepting();
-  await waitUntil(options, killedAt - ANSWER_RESERVE_MS, hasNone);
+  const endsAt = killedAt - ANSWER_RESERVE_MS;
+  // Callers that keep connecting prolong the wait for what has arrived.
+  await Promise.race([ingress.stopAccepting(), waitUntil(options, endsAt)]);
+  await waitUntil(options, endsAt, hasNone);
   stop.endOpen();
   const exitAt = killedAt - EXIT_RESERVE_MS;
-  // Callers that keep connecting prolong the wait for what has arrived.
   await Promise.race([ingress.closeIdle(), waitUntil(options, exitAt)]);
   await waitUntil(options, exitAt, hasNone);
+  // Requests may have arrived since, or wait for the rest of their bodies.
+  stop.endOpen();
+  await nextTurn();
   log.recordOutcome('drain_finished', {left: stop.dropOpen()});
-  await options.leavePeers();
+  await Promise.race([options.leavePeers(), sleep(LEAVE_LIMIT_MS)]);
 }
 
 /** Waits until a time on the monotonic clock, or until `isDone` returns true. */
--- a/packages/direct/src/stop/gate-stop.ts
+++ b/packages/direct/src/stop/gate-stop.ts
@@ -90,7 +90,8 @@
   endOpen(): void {
     for (const request of this.requests.list()) {
       const {place} = request;
-      if (place === 'caller' || this.handBack(request)) continue;
+      if (place === 'caller' || this.ended.has(request)) continue;
+      if (this.handBack(request)) continue;
       request.handler.endUnfinished();
       if (place === 'answer' && !request.caller.isDropped) continue;
       this.ended.add(request);
--- a/packages/direct/src/stop/stop.test.ts
+++ b/packages/direct/src/stop/stop.test.ts
@@ -302,3 +302,33 @@
     });
   });
 });
+
+describe('gate that waits for slow callers before its process ends', () => {
+  it('answers a request whose body has begun to arrive meanwhile', async () => {
+    // Guards against requests that arrive after the others were ended and are cut.
+    await runBed(beginStream, async bed => {
+      const {harness} = bed;
+      void callStream(harness, 'holder');
+      await harness.waitUntil(() => bed.engine.received.includes('holder'));
+      const opened = await new Promise<ReturnType<typeof connect>>(resolve => {
+        const socket = connect(harness.port, harness.host, () =>
+          resolve(socket),
+        );
+      });
+      const answer = new Promise<string>(resolve => {
+        let text = '';
+        opened.on('data', part => (text += String(part)));
+        opened.on('error', () => undefined);
+        opened.on('close', () => resolve(text));
+      });
+      opened.write('POST /stream/x HTTP/1.1\r\nHost: site\r\n');
+      const stopped = stopGate(bed);
+      await sleep(GRACE_MS / 2 + 100);
+      opened.write(
+        'x-test-key: k1\r\nx-test-id: q1\r\nContent-Length: 9\r\n\r\n',
+      );
+      await stopped;
+      expect((await answer).slice(9, 12)).toEqual('503');
+    });
+  });
+});
