Test: answers that targets cut at any byte never look whole

A 103 with Connection: close makes Node drop the final head: the caller gets an error (safe), so that form has no whole control.

--- a/packages/direct/src/test/wire-caller.ts
+++ b/packages/direct/src/test/wire-caller.ts
@@ -9,6 +9,8 @@
   readonly id: string;
   readonly framing: WireFraming;
   readonly body: string;
+  /** HTTP version; 1.1 by default. */
+  readonly version?: '1.0' | '1.1';
   /** Further header fields. */
   readonly fields?: readonly string[];
 }
@@ -23,7 +25,13 @@
   return `${chunks.join('')}0\r\n\r\n`;
 }
 
-function formatCall(call: WireCall): string {
+/**
+ * Formats the bytes of a request.
+ *
+ * @example
+ * socket.write(formatCall(call), 'latin1');
+ */
+export function formatCall(call: WireCall): string {
   const framingFields = {
     none: [],
     length: [`Content-Length: ${call.body.length}`],
@@ -31,7 +39,7 @@
   }[call.framing];
   const fields = call.fields ?? ['Connection: close'];
   const lines = [
-    `${call.method} ${call.path} HTTP/1.1`,
+    `${call.method} ${call.path} HTTP/${call.version ?? '1.1'}`,
     'Host: site',
     `x-test-id: ${call.id}`,
     'x-test-key: k1',
