Agent: a number without length or chunks has an unknown outcome

Cause: the end of the connection, also a reset (undici), ends such a body, and each part of a number is a number. Objects, arrays, strings and words show by themselves that they are cut. Ruled out: interim heads, chunks cut with Connection: close, HTTP/1.0 with a length, streams (their done event ends them).

Change: a call whose answer is a number is 'unknown' (target_stream_broken) unless the service gives a length or chunks. A whole number without either is unknown too, as nothing tells it from a part; services behind Node or any HTTP/1.1 server that keeps connections give one of both.

--- a/packages/agent/src/target/plain-target.ts
+++ b/packages/agent/src/target/plain-target.ts
@@ -73,9 +73,10 @@
  */
 async function readOutcome(response: {
   readonly statusCode: number;
+  readonly headers: Readonly<Record<string, string | string[] | undefined>>;
   readonly body: AsyncIterable<Buffer> & {dump(): Promise<void>};
 }): Promise<DispatchOutcome> {
-  const {statusCode, body} = response;
+  const {statusCode, headers, body} = response;
   const isFinalAnswer = statusCode < 300 || FINAL_REFUSALS.has(statusCode);
   try {
     if (!isFinalAnswer) {
@@ -87,6 +88,10 @@
     const answer: unknown = JSON.parse(
       await readBoundedText(body, MAX_BODY_BYTES),
     );
+    // A part of a number is a number, and the end of a connection, even by a reset,
+    // ends a body without a length or chunks.
+    if (typeof answer === 'number' && !isFramed(headers))
+      return {status: 'unknown', reason: 'target_stream_broken'};
     return {
       status: 'done',
       chunks: 0,
@@ -103,3 +108,12 @@
     };
   }
 }
+
+function isFramed(
+  headers: Readonly<Record<string, string | string[] | undefined>>,
+): boolean {
+  return (
+    headers['content-length'] !== undefined ||
+    headers['transfer-encoding'] !== undefined
+  );
+}
