Test: a draining agent cuts the requests in its queue (red)

At the end of its drain an agent closes its links with requests in its lanes. The gate takes the lost link for an unknown outcome: 502 for a request that the agent never passed to its target.

--- a/packages/nutmeggauge/src/e2e/drain.test.ts
+++ b/packages/nutmeggauge/src/e2e/drain.test.ts
@@ -5,6 +5,7 @@
 import {
   TEST_KEY,
   postJson,
+  readAdmin,
   readTargetUsability,
   renderCompleteAnswer,
   startStack,
@@ -61,6 +62,47 @@
   });
 });
 
+describe('agent whose drain must end', () => {
+  let stack: Stack;
+  before(async () => {
+    stack = await startStack({
+      engines: 1,
+      agent: {lanes: {shortSlots: 1}, drainTimeoutMs: 800},
+    });
+  });
+  after(async () => {
+    await stack.close();
+  });
+
+  it('hands back a request that waits in its queue', async () => {
+    // Guards against a lost link, and so an unknown outcome, for a request
+    // that has not been passed to the target.
+    let count = 0;
+    const running = streamCompletion(
+      stack.gateUrl,
+      {...long, prompt: 's', max_tokens: 2000},
+      auth,
+      () => count++,
+    );
+    await waitUntil(() => count > 0);
+    const waiting = postJson(
+      `${stack.gateUrl}/v1/completions`,
+      {model: 'chat', prompt: 's', max_tokens: 2},
+      auth,
+    );
+    await waitUntil(async () => {
+      const {targets} = await readAdmin<{
+        targets: Array<{id: string; load?: {queued: number}}>;
+      }>(stack.gate, 'targets');
+      return targets.some(target => target.load?.queued === 1);
+    });
+    await stack.agents[0].drain();
+    const {status, body} = await waiting;
+    expect([status, body.error.type]).toEqual([503, 'not_run']);
+    await running;
+  });
+});
+
 describe('target that the host list marks as leaving', () => {
   let stack: Stack;
   before(async () => {
