A draining agent hands back its queue before it ends

Cause: runDrain closed the links with requests in the lanes, which the gate takes for an unknown outcome. Requests that have not been passed to the target are now cancelled 200 ms before the end (at most half of drainTimeoutMs), which answers them not run and releases their ledger keys.

--- a/packages/agent/src/agent.ts
+++ b/packages/agent/src/agent.ts
@@ -45,6 +45,12 @@
 /** Interval at which a drain checks for remaining requests, in ms. */
 const DRAIN_POLL_MS = 20;
 
+/**
+ * Time before the end of a drain at which queued requests are handed back, in
+ * ms; at most a half of `drainTimeoutMs`.
+ */
+const HAND_BACK_LEAD_MS = 200;
+
 /**
  * Time that a drain may take beyond `drainTimeoutMs`, in ms, because timers
  * fire late on a busy host.
@@ -141,8 +147,8 @@
 
   /**
    * Refuses new requests as "not run", reports the drain to every gate at
-   * once, waits at most `drainTimeoutMs` for the requests in flight, then
-   * closes the agent. Repeated calls return the same promise.
+   * once, waits at most `drainTimeoutMs` for the requests in flight, hands back
+   * those that are still queued shortly before, then closes the agent. Repeated calls return the same promise.
    */
   drain(): Promise<void> {
     this.draining ??= this.runDrain();
@@ -164,13 +170,20 @@
     this.log.info('drain_started', {inFlight: this.dispatchHandler.size});
     this.reporter.broadcast();
     this.server.close();
-    const drainDeadlineAt = Date.now() + this.settings.drainTimeoutMs;
-    while (this.dispatchHandler.size > 0 && Date.now() < drainDeadlineAt)
-      await waitMs(DRAIN_POLL_MS);
+    const {drainTimeoutMs} = this.settings;
+    const leadMs = Math.min(HAND_BACK_LEAD_MS, drainTimeoutMs / 2);
+    await this.waitForRequests(Date.now() + drainTimeoutMs - leadMs);
+    this.dispatchHandler.cancelAllQueued();
+    await this.waitForRequests(Date.now() + leadMs);
     this.log.info('drain_finished', {left: this.dispatchHandler.size});
     this.close();
   }
 
+  private async waitForRequests(giveUpAt: number): Promise<void> {
+    while (this.dispatchHandler.size > 0 && Date.now() < giveUpAt)
+      await waitMs(DRAIN_POLL_MS);
+  }
+
   /** Stops the background tasks and closes the listener and every link. */
   close(): void {
     this.reporter.stop();
