request_at_stop names the place and the end of a request truly

Found by reading the lines of gate-stop.test.ts: an answered request was logged at place caller wherever it had waited, a retry that got 502 because of the stop as finished, and a caller with half a body that had its whole 503 as cut. The place is now the one at which the stop ended the request, and the result decides the action.

--- a/packages/gate/src/api/results.ts
+++ b/packages/gate/src/api/results.ts
@@ -61,7 +61,7 @@
  * sendHandBack(res, held);
  */
 export function sendHandBack(res: ServerResponse, held: HeldRequest): void {
-  held.isRefused = true;
+  held.endedAs = 'refused';
   const text = JSON.stringify(
     renderError('not_run', 'gate_draining', held.requestId),
   );
--- a/packages/gate/src/api/serve-admitted.ts
+++ b/packages/gate/src/api/serve-admitted.ts
@@ -124,7 +124,8 @@
   const result = await context.dispatcher.run(job);
   chunks.end();
   await streamEnd;
-  held.isRefused = held.handedBack.aborted && result.status === 'not-run';
+  if (held.handedBack.aborted && result.status !== 'done')
+    held.endedAs = result.status === 'not-run' ? 'refused' : 'cut';
   context.counters.add(`api.result.${result.status}`);
   sendResult(res, request, requestId, result, {
     text: texts.join(''),
--- a/packages/gate/src/stop/held-request.ts
+++ b/packages/gate/src/stop/held-request.ts
@@ -27,8 +27,9 @@
   readonly arrivedAt = Date.now();
   /** Longest wait for an agent's verdict once the request is cut, in ms. */
   verdictWaitMs = 0;
-  /** Whether the stop refused the request as "not run". */
-  isRefused = false;
+  /** How the request ended, if the stop ended it. */
+  endedAs: StopAction | undefined;
+  private stoppedIn: RequestPlace | undefined;
   private waitsIn: 'body' | 'gate' | 'agent' = 'body';
   private readEndAt: (() => number | undefined) | undefined;
   private readonly handBackController = new AbortController();
@@ -44,6 +45,11 @@
     return this.res.headersSent ? 'stream' : this.waitsIn;
   }
 
+  /** Place at which the stop ended the request, else where it is now. */
+  get stopPlace(): RequestPlace {
+    return this.stoppedIn ?? this.place;
+  }
+
   /** Aborted when the request is handed back. */
   get handedBack(): AbortSignal {
     return this.handBackController.signal;
@@ -70,6 +76,7 @@
 
   /** Hands the request back unless its target runs it. */
   handBack(): void {
+    this.stoppedIn ??= this.place;
     this.handBackController.abort();
   }
 
--- a/packages/gate/src/stop/held-requests.ts
+++ b/packages/gate/src/stop/held-requests.ts
@@ -32,7 +32,7 @@
     res.once('close', () => {
       this.held.delete(held);
       if (this.endAt === undefined || !res.writableFinished) return;
-      this.record(held, describeEnd(held));
+      this.record(held, held.endedAs ?? 'finished');
     });
     return held;
   }
@@ -69,18 +69,21 @@
       if (held.place !== 'caller') held.end(verdictWaitMs);
   }
 
-  /** Logs the requests that are cut because the gate ends now. */
+  /**
+   * Logs the requests whose answers have not been sent completely because the
+   * gate ends now.
+   */
   recordCut(): void {
-    for (const held of this.held) this.record(held, 'cut');
+    for (const held of this.held) this.record(held, held.endedAs ?? 'cut');
   }
 
   private record(held: HeldRequest, action: StopAction): void {
     const now = Date.now();
-    const {requestId, place, arrivedAt, predictedEndAt} = held;
+    const {requestId, stopPlace, arrivedAt, predictedEndAt} = held;
     this.log.info('request_at_stop', {
       requestId,
       action,
-      place,
+      place: stopPlace,
       ageMs: now - arrivedAt,
       predictedEndMs:
         predictedEndAt === undefined
@@ -90,8 +93,3 @@
     });
   }
 }
-
-function describeEnd(held: HeldRequest): StopAction {
-  if (held.isRefused) return 'refused';
-  return held.cut.aborted ? 'cut' : 'finished';
-}
