--- a/spec/drain.pml
+++ b/spec/drain.pml
@@ -5,7 +5,8 @@
  * the wire when the notification arrives.
  *
  * Properties (assertions):
- *   - an accepted request is finished before the agent closes;
+ *   - an accepted request is finished, or handed back with NOTRUN if it has not
+ *     been passed to the target, before the agent closes;
  *   - a request that arrives after the drain began is not run;
  *   - every gate gets an answer to every request that it sent.
  *
@@ -45,6 +46,9 @@
      fi;
      if
      :: inFlight > 0 && !isClosed -> atomic { inFlight--; toGate[g]!DONE }
+     /* A queued request is handed back at the end of the drain. */
+     :: atomic { inFlight > 0 && !isClosed && isDraining ->
+        inFlight--; toGate[g]!NOTRUN }
      :: isClosed -> toGate[g]!LOST
      fi
   od
