--- a/packages/agent/src/target/request-framing.test.ts
+++ b/packages/agent/src/target/request-framing.test.ts
@@ -33,7 +33,7 @@
   const server = createServer(socket => {
     socket.on('error', () => undefined);
     socket.on('data', part => (text += part.toString('latin1')));
-    setTimeout(() => socket.destroy(), REST_WAIT_MS);
+    socket.once('data', () => setTimeout(() => socket.destroy(), REST_WAIT_MS));
   });
   const port = await openListener(server, {host: '127.0.0.1', port: 0});
   const target = createTarget(`http://127.0.0.1:${port}`);
