Soak: stops are counted from the SIGTERM that a process got

The driver now records the first SIGTERM of each process, and sends none to a process that has ended.

--- a/packages/nutmeggauge/src/cli/flags.ts
+++ b/packages/nutmeggauge/src/cli/flags.ts
@@ -30,7 +30,7 @@
   leaving: {type: 'number', default: 0},
   resting: {type: 'number', default: 0},
   evacuations: {type: 'number', default: 0},
-  stopSeries: {type: 'number', default: 0},
+  stopSeries: {type: 'number', default: 2},
   coldStarts: {type: 'boolean', default: false},
   timing: {type: 'boolean', default: true},
   agents: {type: 'boolean', default: false},
@@ -96,7 +96,7 @@
     --evacuations  Soak: number of times that zones of the targets are evacuated
                   and taken back (default 0)
     --stop-series  Soak: number of series of stops of gates that overlap, under
-                  streams that last longer than a stop (default 0)
+                  streams that last longer than a stop (default 2)
     --cold-starts  Soak: targets that replace others are cold for 8 s
     --agents      Soak: use gates with an agent for each target instead of direct
                   gates
--- a/packages/nutmeggauge/src/soak/check-answered.test.ts
+++ b/packages/nutmeggauge/src/soak/check-answered.test.ts
@@ -19,7 +19,7 @@
   return {action, beganAt, endedAt};
 }
 
-const STOP = buildFault({kind: 'gate-drain', gate: 0});
+const STOP = {node: 'gate-0', at: STOP_AT};
 
 /** Builds a stream without an answer; times in ms after the SIGTERM. */
 function buildCut(
@@ -65,7 +65,7 @@
   changes: Partial<SoakHistory> = {},
   hasTiming = true,
 ): number {
-  const history = buildHistory({lasting: [record], faults: [STOP], ...changes});
+  const history = buildHistory({lasting: [record], stops: [STOP], ...changes});
   return findUnanswered(history, hasTiming).length;
 }
 
@@ -73,7 +73,7 @@
   record: CallerRecord,
   changes: Partial<SoakHistory>,
 ): number {
-  const history = buildHistory({lasting: [record], faults: [STOP], ...changes});
+  const history = buildHistory({lasting: [record], stops: [STOP], ...changes});
   return findCutByStop(history, parseRuns(history.runs)).length;
 }
 
@@ -114,37 +114,33 @@
     expect(countUnanswered(buildCut(8950, 9600))).toEqual(1);
   });
 
-  // Guards against a second SIGTERM that prolongs what the first one excuses.
-  it('counts from the first SIGTERM to a process', () => {
-    const faults = [STOP, {...STOP, beganAt: STOP_AT + 2000}];
-    const runs = [buildRun(4000, 7500)];
-    const record = buildCut(3500, 7500);
-    expect(countUnanswered(record, {runs, faults})).toEqual(1);
-    const outages = [
-      {node: 'gate-0', isStop: true, from: STOP_AT + 900, to: STOP_AT + 1900},
-    ];
-    const late = {runs: [buildRun(4000, 9500)], faults, outages};
-    expect(countUnanswered(buildCut(3500, 9500), late)).toEqual(0);
+  // Guards against a stop of an earlier process that excuses what a later one does.
+  it('counts from the latest stop', () => {
+    const stops = [STOP, {...STOP, at: STOP_AT + 2000}];
+    const runs = [buildRun(4000, 9500)];
+    expect(countUnanswered(buildCut(3500, 9500), {runs, stops})).toEqual(0);
+    const early = {runs: [buildRun(4000, 7500)], stops};
+    expect(countUnanswered(buildCut(2500, 7500), early)).toEqual(1);
   });
 
   // Guards against losing what a starting gate holds when it is stopped.
   it('reports a request that a starting gate held when it was stopped', () => {
-    const faults = [STOP, {...STOP, beganAt: STOP_AT + 900}];
+    const stops = [STOP, {...STOP, at: STOP_AT + 900}];
     const outages = [
       {node: 'gate-0', isStop: true, from: STOP_AT + 500, to: STOP_AT + 901},
       {node: 'gate-0', isStop: true, from: STOP_AT + 901, to: Infinity},
     ];
-    expect(countUnanswered(buildCut(600, 901), {faults, outages})).toEqual(1);
-    expect(countUnanswered(buildCut(600, 602), {faults, outages})).toEqual(0);
+    expect(countUnanswered(buildCut(600, 901), {stops, outages})).toEqual(1);
+    expect(countUnanswered(buildCut(600, 602), {stops, outages})).toEqual(0);
   });
 
   it('excuses a gate that was disturbed only late or near the end of its grace', () => {
     const pause = {kind: 'gate-pause', gate: 0} as const;
-    const faults = [STOP, buildFault(pause, STOP_AT + 100, STOP_AT + 2000)];
+    const faults = [buildFault(pause, STOP_AT + 100, STOP_AT + 2000)];
     expect(countUnanswered(buildCut(2600, 6000), {faults})).toEqual(0);
     expect(countUnanswered(buildCut(1000, 7600), {faults})).toEqual(0);
     expect(countUnanswered(buildCut(1000, 7000), {faults})).toEqual(1);
-    const other = [STOP, buildFault({...pause, gate: 1})];
+    const other = [buildFault({...pause, gate: 1})];
     expect(countUnanswered(buildCut(1000, 7600), {faults: other})).toEqual(1);
   });
 });
@@ -170,7 +166,7 @@
     expect(countCutByStop(record, {runs: brokenOff})).toEqual(0);
     for (const target of [1, 2]) {
       const reset = buildFault({kind: 'link-reset', target}, STOP_AT + 2900);
-      expect(countCutByStop(record, {runs, faults: [STOP, reset]})).toEqual(
+      expect(countCutByStop(record, {runs, faults: [reset]})).toEqual(
         target - 1,
       );
     }
@@ -183,6 +179,6 @@
     const short = buildCut(-990, 3000, {...begun, kind: 'stream'});
     expect(countCutByStop(short, {runs})).toEqual(1);
     const pause = buildFault({kind: 'gate-pause', gate: 0}, STOP_AT - 3000);
-    expect(countCutByStop(short, {runs, faults: [STOP, pause]})).toEqual(0);
+    expect(countCutByStop(short, {runs, faults: [pause]})).toEqual(0);
   });
 });
--- a/packages/nutmeggauge/src/soak/check-evacuations.ts
+++ b/packages/nutmeggauge/src/soak/check-evacuations.ts
@@ -208,6 +208,7 @@
     const isStop =
       action.kind === 'gate-kill' ||
       action.kind === 'gate-drain' ||
+      action.kind === 'gate-drain-twice' ||
       action.kind === 'gate-pause';
     return isStop && action.gate === gate;
   });
--- a/packages/nutmeggauge/src/soak/check.test.ts
+++ b/packages/nutmeggauge/src/soak/check.test.ts
@@ -66,11 +66,7 @@
     };
     const records = [lost, ...Array<CallerRecord>(9).fill(SERVED_RECORD)];
     const outage = {node: 'gate-0', isStop: false, from: 9000, to: 10_010};
-    const stop = (beganAt: number): InjectedFault => ({
-      action: {kind: 'gate-drain', gate: 0},
-      beganAt,
-      endedAt: beganAt,
-    });
+    const stop = (at: number) => ({node: 'gate-0', at});
     expect(listViolatedInvariants({records})).toEqual(['answered']);
     expect(listViolatedInvariants({records, outages: [outage]})).toEqual([]);
     const stopped = {...outage, isStop: true, from: 10_005, to: Infinity};
@@ -83,10 +79,10 @@
     ]);
     const runs: readonly TargetRun[] = [];
     expect(
-      listViolatedInvariants({records, runs, faults: [stop(7000)]}),
+      listViolatedInvariants({records, runs, stops: [stop(7000)]}),
     ).toEqual([]);
     expect(
-      listViolatedInvariants({records, runs, faults: [stop(9990)]}),
+      listViolatedInvariants({records, runs, stops: [stop(9990)]}),
     ).toEqual(['answered']);
   });
 
@@ -172,10 +168,8 @@
     const records = [
       {...SERVED_RECORD, isWhole: false, status: undefined, body: ''},
     ];
-    const faults: InjectedFault[] = [
-      {action: {kind: 'gate-drain', gate: 0}, beganAt: 9900, endedAt: 10_010},
-    ];
-    expect(listViolatedInvariants({records, faults})).toEqual([
+    const stops = [{node: 'gate-0', at: 9900}];
+    expect(listViolatedInvariants({records, stops})).toEqual([
       'answered',
       'graceful-stop',
       'recovery',
--- a/packages/nutmeggauge/src/soak/gate-process.ts
+++ b/packages/nutmeggauge/src/soak/gate-process.ts
@@ -28,6 +28,12 @@
   readonly to: number;
 }
 
+/** First SIGTERM of a process; the time is on the monotonic clock, in ms. */
+export interface GateStop {
+  readonly node: string;
+  readonly at: number;
+}
+
 /** An exit that the driver did not request. */
 export interface UnexpectedExit {
   readonly node: string;
@@ -58,8 +64,8 @@
    * undefined if the process was not killed.
    */
   private killedAt: number | undefined;
-  /** Times of the SIGTERMs that were sent to starting processes, in ms. */
-  readonly startStops: number[] = [];
+  /** First SIGTERM of each process that got one, oldest first. */
+  readonly stops: GateStop[] = [];
   private isExitExpected = false;
   private isStopping = false;
   /** Delays after which the next processes are stopped, in ms. */
@@ -118,10 +124,14 @@
    */
   drain(): void {
     const {child} = this;
-    child?.kill('SIGTERM');
-    if (this.isStopping || child === undefined) return;
+    // Between an exit and the restart no process gets the signal.
+    if (child === undefined || !isAlive(child)) return;
+    const at = performance.now();
+    child.kill('SIGTERM');
+    if (this.isStopping) return;
     this.isExitExpected = true;
     this.isStopping = true;
+    this.stops.push({node: this.addresses.node, at});
     const timer = setTimeout(() => child.kill('SIGKILL'), GRACE_MS);
     child.once('exit', () => clearTimeout(timer));
   }
@@ -137,9 +147,7 @@
     const delayMs = this.startStopDelays.shift();
     if (delayMs === undefined) return;
     setTimeout(() => {
-      if (this.child !== child || this.isClosed) return;
-      this.startStops.push(performance.now());
-      this.drain();
+      if (this.child === child && !this.isClosed) this.drain();
     }, delayMs);
   }
 
@@ -205,11 +213,14 @@
   async close(): Promise<void> {
     this.isClosed = true;
     const {child} = this;
-    if (child === undefined || child.exitCode !== null) return;
-    if (child.signalCode !== null) return;
+    if (child === undefined || !isAlive(child)) return;
     const ended = new Promise(resolve => child.once('exit', resolve));
     this.resume();
     this.kill();
     await ended;
   }
 }
+
+function isAlive({exitCode, signalCode}: ChildProcess): boolean {
+  return exitCode === null && signalCode === null;
+}
--- a/packages/nutmeggauge/src/soak/gate-stops.ts
+++ b/packages/nutmeggauge/src/soak/gate-stops.ts
@@ -13,7 +13,6 @@
 } from '@nutmeggauge/platform';
 import type {TargetRun} from '@nutmeggauge/platform';
 import type {CallerRecord, SoakHistory} from './history.js';
-import type {FaultAction} from './scheduled-fault.js';
 
 /**
  * Delay of the driver and of links on a busy machine, in ms, added where bounds
@@ -54,39 +53,21 @@
   return hasTiming ? LOSS_SLACK_MS : LOSS_SLACK_MS + BUSY_SLACK_MS;
 }
 
-/** Returns whether a fault is a SIGTERM of a gate. */
-function isStop(
-  action: FaultAction,
-): action is Extract<FaultAction, {kind: 'gate-drain' | 'gate-drain-twice'}> {
-  return action.kind === 'gate-drain' || action.kind === 'gate-drain-twice';
-}
-
 /**
- * Lists the times of the SIGTERMs that began a stop of the gate, on the driver's
- * clock, in ms. A further SIGTERM to the same process begins no other stop.
+ * Lists the times at which processes of the gate got their first SIGTERM, on the
+ * driver's clock, in ms.
  *
  * @example
  * listStops(history, record.gate);
  */
 export function listStops(
-  {faults, outages}: SoakHistory,
+  {stops}: SoakHistory,
   gate: number,
 ): readonly number[] {
-  const times = faults
-    .filter(({action}) => isStop(action) && action.gate === gate)
-    .map(({beganAt}) => beganAt)
+  return stops
+    .filter(stop => stop.node === `gate-${gate}`)
+    .map(stop => stop.at)
     .sort((a, b) => a - b);
-  const stops: number[] = [];
-  for (const time of times) {
-    const last = stops.at(-1);
-    const hasEnded = outages.some(
-      ({node, from}) =>
-        node === `gate-${gate}` && from > (last ?? 0) && from <= time,
-    );
-    if (last === undefined || hasEnded || time > last + GRACE_MS)
-      stops.push(time);
-  }
-  return stops;
 }
 
 /**
@@ -142,7 +123,8 @@
     ({action, beganAt, endedAt: until}) =>
       (action.kind === 'busy' ||
         action.kind === 'all-gates-kill' ||
-        (!isStop(action) &&
+        (action.kind !== 'gate-drain' &&
+          action.kind !== 'gate-drain-twice' &&
           action.kind !== 'gate-reload' &&
           'gate' in action &&
           action.gate === gate)) &&
--- a/packages/nutmeggauge/src/soak/history.ts
+++ b/packages/nutmeggauge/src/soak/history.ts
@@ -9,7 +9,7 @@
   TargetReservation,
   TargetRun,
 } from '@nutmeggauge/platform';
-import type {GateOutage, UnexpectedExit} from './gate-process.js';
+import type {GateOutage, GateStop, UnexpectedExit} from './gate-process.js';
 import type {FaultAction} from './schedule.js';
 import type {EvacuationSpan} from './soak-zones.js';
 
@@ -95,6 +95,8 @@
   readonly faults: readonly InjectedFault[];
   readonly published: readonly PublishedFact[];
   readonly exits: readonly UnexpectedExit[];
+  /** First SIGTERM of each process that got one. */
+  readonly stops: readonly GateStop[];
   readonly outages: readonly GateOutage[];
   /** Reservations that were still held after every request had ended. */
   readonly heldTickets: readonly string[];
--- a/packages/nutmeggauge/src/soak/schedule-stops.ts
+++ b/packages/nutmeggauge/src/soak/schedule-stops.ts
@@ -21,7 +21,7 @@
 const CALM_STOPS_MS = 5000;
 
 /** Two graces, and the time to start and to serve again, in ms. */
-const LAST_STOPS_MS = 2 * GRACE_MS + 3000;
+const LAST_STOPS_MS = 2 * GRACE_MS + 4000;
 
 /**
  * Time by which series of stops prolong the load, in ms.
@@ -51,7 +51,7 @@
   (draw, gates, atMs) => [
     {
       atMs,
-      forMs: 0,
+      forMs: 2 * GRACE_MS,
       action: {
         kind: 'gate-drain-twice',
         gate: draw(gates),
--- a/packages/nutmeggauge/src/soak/soak-harness.ts
+++ b/packages/nutmeggauge/src/soak/soak-harness.ts
@@ -13,8 +13,8 @@
 import {SoakTargets} from './soak-targets.js';
 import {SoakEvacuations} from './soak-zones.js';
 import type {GateEndpoint} from './callers.js';
-import type {GateOutage, UnexpectedExit} from './gate-process.js';
-import type {InjectedFault, PublishedFact} from './history.js';
+import type {GateOutage, GateStop, UnexpectedExit} from './gate-process.js';
+import type {PublishedFact} from './history.js';
 import type {FaultAction} from './schedule.js';
 import type {SoakTargetOptions} from './soak-targets.js';
 
@@ -73,15 +73,9 @@
     return this.gates.flatMap(gate => gate.process.outages);
   }
 
-  /** SIGTERMs that gates got while they started. */
-  get startStops(): readonly InjectedFault[] {
-    return this.gates.flatMap(({process}, gate) =>
-      process.startStops.map(at => ({
-        action: {kind: 'gate-drain', gate},
-        beganAt: at,
-        endedAt: at,
-      })),
-    );
+  /** First SIGTERM of each gate process that got one. */
+  get stops(): readonly GateStop[] {
+    return this.gates.flatMap(gate => gate.process.stops);
   }
 
   /** Largest resident memory of any gate, in bytes. */
--- a/packages/nutmeggauge/src/soak/test-history.ts
+++ b/packages/nutmeggauge/src/soak/test-history.ts
@@ -21,6 +21,7 @@
     faults: [],
     published: [],
     exits: [],
+    stops: [],
     outages: [],
     heldTickets: [],
     peakBytes: 0,
