Soak: a gate is taken out from the start of a suspension amid which it is stopped

The platform misses two readiness checks meanwhile, so the 2.5 s until it opens no more connections begin at the suspension; the check began them at the SIGTERM. Only requests that no target has seen and that cross the close within lossSlackMs are excused by this; one that is held longer is not.

--- a/packages/nutmeggauge/src/soak/check-answered.test.ts
+++ b/packages/nutmeggauge/src/soak/check-answered.test.ts
@@ -108,6 +108,27 @@
     expect(countUnanswered(buildCut(2600, 2790), {runs})).toEqual(1);
   });
 
+  it('excuses a request that crosses the close of a gate taken out while suspended', () => {
+    const suspend = (fromMs: number, toMs: number) => [
+      buildFault(
+        {kind: 'gate-pause', gate: 0},
+        STOP_AT + fromMs,
+        STOP_AT + toMs,
+      ),
+    ];
+    const crossing = buildCut(1300, 1310);
+    const held = buildCut(1300, 1510);
+    for (const [faults, counts] of [
+      [suspend(-2000, 1100), [0, 1]],
+      [suspend(-1000, 1100), [1, 1]],
+      [suspend(-2000, -1), [1, 1]],
+    ] as const)
+      expect([
+        countUnanswered(crossing, {faults}),
+        countUnanswered(held, {faults}),
+      ]).toEqual([...counts]);
+  });
+
   // Guards against a stop that excuses whatever its gate loses afterwards.
   it('reports a request that is cut after the planned work', () => {
     expect(countUnanswered(buildCut(9500, 9600))).toEqual(1);
--- a/packages/nutmeggauge/src/soak/gate-stops.ts
+++ b/packages/nutmeggauge/src/soak/gate-stops.ts
@@ -133,6 +133,25 @@
   );
 }
 
+/**
+ * Finds the time from which a stopping gate answers no readiness check with 200:
+ * the SIGTERM, or the start of a suspension during which it came.
+ */
+function findUnreadyTime(
+  {faults}: SoakHistory,
+  gate: number,
+  stopAt: number,
+): number {
+  const suspensions = faults.filter(
+    ({action, beganAt, endedAt}) =>
+      action.kind === 'gate-pause' &&
+      action.gate === gate &&
+      beganAt <= stopAt &&
+      endedAt >= stopAt,
+  );
+  return Math.min(stopAt, ...suspensions.map(({beganAt}) => beganAt));
+}
+
 /**
  * Returns whether a stop excuses that a request got no answer.
  *
@@ -150,9 +169,10 @@
   const {sentAt, endedAt} = record;
   // Until the platform opens no more connections, none may be refused.
   const servedMs = hasTiming ? TAKEN_OUT_MS : 0;
+  const unreadyAt = findUnreadyTime(history, record.gate, stopAt);
   const isCrossing =
     runs.length === 0 &&
-    sentAt > stopAt + servedMs &&
+    sentAt > Math.max(stopAt, unreadyAt + servedMs) &&
     endedAt - sentAt <= estimateCrossingMs(hasTiming);
   if (isCrossing) return true;
   return (
