--- a/packages/direct/src/stop/request-table.ts
+++ b/packages/direct/src/stop/request-table.ts
@@ -12,11 +12,6 @@
   private readonly requests = new Set<OpenRequest>();
   private readonly listeners: Array<(request: OpenRequest) => void> = [];
 
-  /** Number of requests without a complete answer. */
-  get count(): number {
-    return this.requests.size;
-  }
-
   /** Adds a request until its answer has been sent or dropped. */
   add(request: OpenRequest): void {
     this.requests.add(request);
