Logs tell how answers end: framing, bytes, and whether the connection was reset

What the logs lacked: how a target's answer without a length ended (a reset is reported by Node.js as a regular end if it comes with bytes), how the answer was framed towards the caller, and its bytes.

Change: observeEnd (core) writes no bytes after the end of a connection, which fails on one that was reset; unframed_answer_ended (end, bytes) and answer.unframed_* for each answer whose end its connection marks; framing and bytes in request_ended. Bodies are read in one place (readAnswerBody). No decision uses any of it yet.

--- a/packages/core/src/index.ts
+++ b/packages/core/src/index.ts
@@ -3,6 +3,7 @@
 export * from './config/delta.js';
 export * from './config/record.js';
 export * from './config/watch.js';
+export * from './connection-end.js';
 export * from './crashes/check-server.js';
 export * from './crashes/crash-report.js';
 export * from './crashes/dispatch-fingerprint.js';
--- a/packages/direct/src/forward/call-record.ts
+++ b/packages/direct/src/forward/call-record.ts
@@ -65,6 +65,8 @@
       account: request.account,
       outcome,
       status: request.caller.status,
+      framing: request.caller.framing,
+      bytes: request.caller.bodyBytes,
       target: target?.id,
       tried,
       ms: Math.round(ms),
--- a/packages/direct/src/forward/call-result.ts
+++ b/packages/direct/src/forward/call-result.ts
@@ -1,6 +1,7 @@
 /** Reads the answer to one attempt at a call, and records what it shows. */
 import {HeldBytes} from '../buffers/held-bytes.js';
 import {ExchangeError, OversizedAnswerError} from '../errors.js';
+import {readAnswerBody} from './answer-body.js';
 import {findFraming} from './exchange.js';
 import {readVerdict, recordAnswerFacts} from './judge-answer.js';
 import type {Target} from '../types.js';
@@ -61,7 +62,8 @@
     maxBytes: MAX_HELD_ANSWER_BYTES,
   });
   try {
-    const large = await holdBody(exchange, head, held);
+    const source = {context, request, target, exchange};
+    const large = await holdBody(readAnswerBody(source, head), head, held);
     if (large === undefined) {
       const answer = await finishAnswer(context, target, head, held);
       return {kind: verdict, answer};
@@ -80,11 +82,10 @@
 
 /** Holds the body; returns what is left if it doesn't fit. */
 async function holdBody(
-  exchange: Exchange,
+  rest: AsyncGenerator<Buffer>,
   head: ResponseHead,
   held: HeldBytes,
 ): Promise<LargeAnswer | undefined> {
-  const rest = exchange.readBody(head);
   for (;;) {
     const {done, value} = await rest.next();
     if (done === true) return undefined;
--- a/packages/direct/src/forward/caller-response.ts
+++ b/packages/direct/src/forward/caller-response.ts
@@ -46,10 +46,10 @@
 }
 
 /**
- * How the end of a response is marked: by its length or chunked encoding
- * (`framed`), or by the end of the connection (`by-close`).
+ * How the end of a response is marked: by its length, by its last chunk, by a status
+ * that has no body, or by the end of the connection.
  */
-export type ResponseFraming = 'framed' | 'by-close';
+export type ResponseFraming = 'length' | 'chunked' | 'no-body' | 'by-close';
 
 /** Reason that the gate gives when it responds with an error of its own. */
 export type GateErrorReason =
@@ -77,6 +77,10 @@
 export class CallerResponse {
   /** Status sent to the caller; absent until the head is sent. */
   status: number | undefined;
+  /** How the end of a target's response is marked; absent until the head is sent. */
+  framing: ResponseFraming | undefined;
+  /** Number of bytes of the body that were written. */
+  bodyBytes = 0;
   private readonly disconnectListeners: Array<() => void> = [];
   private hasDisconnected = false;
   private hasBeenDropped = false;
@@ -177,6 +181,9 @@
       (_, i, fields) =>
         keepsLength || fields[i - (i % 2)].toLowerCase() !== 'content-length',
     );
+    const hasChunks = this.response.useChunkedEncodingByDefault;
+    if (keepsLength) this.framing = 'length';
+    else this.framing = hasChunks ? 'chunked' : 'by-close';
     this.response.sendDate = false;
     this.response.writeHead(status, kept);
     this.response.flushHeaders();
@@ -184,13 +191,14 @@
 
   /** Sends a part of the response body. */
   write(bytes: Buffer): void {
+    this.bodyBytes += bytes.length;
     this.response.write(bytes);
   }
 
   /** Sends parts of the response body together. */
   writeAll(parts: readonly Buffer[]): void {
     this.response.cork();
-    for (const part of parts) this.response.write(part);
+    for (const part of parts) this.write(part);
     this.response.uncork();
   }
 
@@ -210,11 +218,13 @@
     framing: ResponseFraming,
   ): void {
     this.status = status;
+    this.framing = framing === 'by-close' ? 'by-close' : 'length';
+    this.bodyBytes = body.length;
     const kept = stripHopByHop(headers);
     const hasLength = kept.some(
       (name, i) => i % 2 === 0 && name.toLowerCase() === 'content-length',
     );
-    if (!hasLength && framing === 'framed')
+    if (!hasLength && framing !== 'by-close')
       kept.push('Content-Length', String(body.length));
     if (framing === 'by-close') {
       this.response.useChunkedEncodingByDefault = false;
--- a/packages/direct/src/forward/error-answer.ts
+++ b/packages/direct/src/forward/error-answer.ts
@@ -2,40 +2,35 @@
 import {HeldBytes} from '../buffers/held-bytes.js';
 import {ExchangeError} from '../errors.js';
 import {MAX_HELD_ANSWER_BYTES} from './call-result.js';
+import {readAnswerBody} from './answer-body.js';
 import {findFraming} from './exchange.js';
-import type {ForwardContext} from './context.js';
-import type {Exchange, ResponseHead} from './exchange.js';
-import type {GateRequest} from './request.js';
-
-/** Dependencies of {@link forwardErrorAnswer}. */
-export interface ErrorAnswerOptions {
-  readonly context: ForwardContext;
-  readonly request: GateRequest;
-  /** Whether another attempt runs or may be started, or an event was sent. */
-  readonly hasAlternative: () => boolean;
-}
+import type {AnswerSource} from './answer-body.js';
+import type {ResponseHead} from './exchange.js';
 
 /**
  * Reads an error of an engine and sends it to the caller.
  *
+ * @param hasAlternative - Returns whether another attempt runs or may be started, or
+ *   an event was sent.
  * @throws ExchangeError if there is an alternative, or if the body is truncated or
  *   too large.
  * @example
- * await forwardErrorAnswer(options, exchange, head);
+ * await forwardErrorAnswer(source, head, hasAlternative);
  */
 export async function forwardErrorAnswer(
-  {context, request, hasAlternative}: ErrorAnswerOptions,
-  exchange: Exchange,
+  source: AnswerSource,
   head: ResponseHead,
+  hasAlternative: () => boolean,
 ): Promise<void> {
   const held = new HeldBytes({
-    budget: context.heldBytes,
+    budget: source.context.heldBytes,
     maxBytes: MAX_HELD_ANSWER_BYTES,
   });
   const {status, message} = head;
-  const {caller} = request;
+  const {caller} = source.request;
   try {
-    await exchange.readWholeBody(head, held);
+    for await (const part of readAnswerBody(source, head))
+      held.add(part, 'error-body');
     if (hasAlternative()) throw new ExchangeError('malformed', true);
   } catch (error) {
     held.release();
--- a/packages/direct/src/forward/exchange.test.ts
+++ b/packages/direct/src/forward/exchange.test.ts
@@ -1,7 +1,7 @@
+import {Readable} from 'node:stream';
+import {text} from 'node:stream/consumers';
 import {describe, it} from 'node:test';
 import {expect} from 'earl';
-import {ByteBudget} from '../buffers/byte-budget.js';
-import {HeldBytes} from '../buffers/held-bytes.js';
 import {
   buildSignedHead,
   formatEvents,
@@ -27,8 +27,7 @@
         body: {bytes: Buffer.alloc(0), framing: 'none'},
       });
       const head = await exchange.head;
-      const held = new HeldBytes({budget: new ByteBudget(0), maxBytes: 1000});
-      const read = exchange.readWholeBody(head, held);
+      const read = text(Readable.from(exchange.readBody(head)));
       exchange.cancel();
       const error = await read.catch((reason: ExchangeError) => reason);
       expect((error as ExchangeError).fault).toEqual('cancelled');
--- a/packages/direct/src/forward/exchange.ts
+++ b/packages/direct/src/forward/exchange.ts
@@ -4,13 +4,13 @@
  * an earlier response.
  */
 import {connect} from 'node:net';
-import {ReadTimeout} from '@nutmeggauge/core';
+import {ReadTimeout, observeEnd} from '@nutmeggauge/core';
 import {ExchangeError, OversizedAnswerError} from '../errors.js';
 import {openRequest} from './open-request.js';
 import type {ClientRequest, IncomingMessage} from 'node:http';
 import type {Socket} from 'node:net';
+import type {ConnectionEnd} from '@nutmeggauge/core';
 import type {ExchangeFault} from '../errors.js';
-import type {HeldBytes} from '../buffers/held-bytes.js';
 import type {ResponseFraming} from './caller-response.js';
 import type {ExchangeOptions} from './exchange-options.js';
 
@@ -65,6 +65,8 @@
 export class Exchange {
   /** Resolves with the response head; rejects with an ExchangeError. */
   readonly head: Promise<ResponseHead>;
+  /** Resolves with how the connection ended. */
+  readonly end: Promise<ConnectionEnd>;
   private readonly socket: Socket;
   /** Request being sent; absent until the connection is open. */
   private request: ClientRequest | undefined;
@@ -74,7 +76,8 @@
 
   constructor(private readonly options: ExchangeOptions) {
     const {host, port} = options.target;
-    this.socket = connect({host, port, noDelay: true});
+    this.socket = connect({host, port, noDelay: true, allowHalfOpen: true});
+    this.end = observeEnd(this.socket);
     this.head = new Promise((resolve, reject) => {
       this.observeConnection({resolve, reject});
     });
@@ -99,7 +102,7 @@
    */
   private isWhole(message: IncomingMessage): boolean {
     if (!message.complete) return false;
-    return findFraming(message) === 'framed' || !this.hasFailed;
+    return findFraming(message) !== 'by-close' || !this.hasFailed;
   }
 
   /**
@@ -122,15 +125,6 @@
     if (!this.isWhole(message)) throw this.createBodyError();
   }
 
-  /**
-   * Reads the whole body of an error.
-   *
-   * @throws ExchangeError if it is truncated or doesn't fit.
-   */
-  async readWholeBody(head: ResponseHead, held: HeldBytes): Promise<void> {
-    for await (const part of this.readBody(head)) held.add(part, 'error-body');
-  }
-
   /** Closes the connection, so that the target drops the request. */
   cancel(): void {
     this.isCancelled = true;
@@ -252,15 +246,13 @@
  * Returns how the end of a response is marked.
  *
  * @example
- * findFraming(message); // 'framed'
+ * findFraming(message); // 'length'
  */
 export function findFraming(message: IncomingMessage): ResponseFraming {
   const {headers, statusCode = 0} = message;
-  const isFramed =
-    BODILESS_STATUSES.has(statusCode) ||
-    headers['content-length'] !== undefined ||
-    headers['transfer-encoding'] !== undefined;
-  return isFramed ? 'framed' : 'by-close';
+  if (BODILESS_STATUSES.has(statusCode)) return 'no-body';
+  if (headers['transfer-encoding'] !== undefined) return 'chunked';
+  return headers['content-length'] === undefined ? 'by-close' : 'length';
 }
 
 /**
--- a/packages/direct/src/forward/stream-attempt.ts
+++ b/packages/direct/src/forward/stream-attempt.ts
@@ -5,6 +5,7 @@
 import {isEarlyCrash} from '@nutmeggauge/core';
 import {ExchangeError} from '../errors.js';
 import {estimatePrefillMs} from '../placement/engine-model.js';
+import {readAnswerBody} from './answer-body.js';
 import {createEventSplitter} from './event-splitter.js';
 import {forwardErrorAnswer} from './error-answer.js';
 import {EventWriter} from './event-writer.js';
@@ -15,6 +16,7 @@
 import {StallTimer, chooseTtftTimeoutMs} from './stall-timer.js';
 import type {PlacedPrompt} from '../placement/placed-prompt.js';
 import type {EngineCostModel} from '../types.js';
+import type {AnswerSource} from './answer-body.js';
 import type {EventWriterOptions} from './event-writer.js';
 import type {StreamEvent} from './event-splitter.js';
 import type {ResponseHead, Exchange} from './exchange.js';
@@ -190,7 +192,7 @@
     exchange: Exchange,
     stallTimer: StallTimer,
   ): Promise<AttemptEnd> {
-    const {context, request, progress, isBackupPossible} = this.options;
+    const {context, request, placed, progress, isBackupPossible} = this.options;
     const head = await exchange.head;
     const {verdict, facts} = readVerdict(
       head,
@@ -198,18 +200,18 @@
       request.facts.requestId,
     );
     if (verdict !== 'foreign')
-      recordAnswerFacts(context, this.options.placed.target, head, facts);
+      recordAnswerFacts(context, placed.target, head, facts);
     if (verdict === 'not-run')
       return {kind: 'not-run', faultyAddress: facts.faultyAddress};
     if (verdict === 'foreign') throw new ExchangeError('foreign-answer', true);
+    const source = {context, request, target: placed.target, exchange};
     if (head.status !== 200) {
       const hasAlternative = () => progress.hasHead || isBackupPossible();
-      const options = {context, request, hasAlternative};
-      await forwardErrorAnswer(options, exchange, head);
+      await forwardErrorAnswer(source, head, hasAlternative);
       return {kind: 'passed-on'};
     }
     this.startResponse(head);
-    await this.forwardEvents(exchange, head, stallTimer);
+    await this.forwardEvents(source, head, stallTimer);
     this.writer.finish();
     request.caller.finish();
     return {kind: 'done'};
@@ -224,7 +226,7 @@
   }
 
   private async forwardEvents(
-    exchange: Exchange,
+    source: AnswerSource,
     head: ResponseHead,
     stallTimer: StallTimer,
   ): Promise<void> {
@@ -234,7 +236,7 @@
     const stallMs = Math.max(STALL_MIN_MS, STALL_ITL_FACTOR * itlObjectiveMs);
     const splitter = createEventSplitter(context.heldBytes);
     try {
-      for await (const bytes of exchange.readBody(head)) {
+      for await (const bytes of readAnswerBody(source, head)) {
         const events = splitter.push(bytes);
         if (events.length === 0) continue;
         await this.forwardPart(events, stallTimer, stallMs);
--- a/packages/direct/src/forward/stream-record.ts
+++ b/packages/direct/src/forward/stream-record.ts
@@ -148,6 +148,8 @@
       account: request.account,
       outcome,
       status: request.caller.status,
+      framing: request.caller.framing,
+      bytes: request.caller.bodyBytes,
       target: target?.id,
       tried,
       sends,
--- a/packages/direct/src/test/gate-harness.ts
+++ b/packages/direct/src/test/gate-harness.ts
@@ -215,7 +215,7 @@
     req.once('response', res => {
       status = res.statusCode ?? 0;
       retryAfter = res.headers['retry-after'];
-      isFramed = findFraming(res) === 'framed';
+      isFramed = findFraming(res) !== 'by-close';
       res.on('data', chunk => (body += String(chunk)));
       res.once('error', () => finish(false));
       res.once('end', () => finish(res.complete));
