Tests of the end of a connection, told from a reset; wire callers tell them apart

The callers of our tests took a reset beside bytes for a close too (askOnWire); they judge more strictly now.

--- a/packages/direct/src/test/wire-answer.ts
+++ b/packages/direct/src/test/wire-answer.ts
@@ -1,6 +1,8 @@
 /** Reads the answers of a gate by their framing alone, as a strict caller does. */
 import {connect} from 'node:net';
+import {observeEnd} from '@nutmeggauge/core';
 import {formatCall} from './wire-caller.js';
+import type {ConnectionEnd} from '@nutmeggauge/core';
 import type {WireCall} from './wire-caller.js';
 
 const HEAD_END = '\r\n\r\n';
@@ -12,14 +14,18 @@
   readonly body: string;
   /** Whether the answer looks complete. */
   readonly isWhole: boolean;
+  /** Whether its head says where the body ends. */
+  readonly isFramed: boolean;
 }
 
-/** How a connection ended; `open` if it hasn't. */
-export type ConnectionEnd = 'open' | 'closed' | 'reset';
+const NO_ANSWER: WireAnswer = {
+  status: undefined,
+  body: '',
+  isWhole: false,
+  isFramed: false,
+};
 
-const NO_ANSWER: WireAnswer = {status: undefined, body: '', isWhole: false};
-
-function parseChunkedBody(text: string): Omit<WireAnswer, 'status'> {
+function parseChunkedBody(text: string): Pick<WireAnswer, 'body' | 'isWhole'> {
   let body = '';
   let left = text;
   for (;;) {
@@ -42,13 +48,14 @@
  * Parses the first final answer in bytes from a gate.
  *
  * @param method - Method of the request.
+ * @param end - How the connection ended; `open` if it hasn't.
  * @example
  * parseWireAnswer('HTTP/1.1 200 OK\r\nContent-Length: 1\r\n\r\na', 'GET', 'open').isWhole; // true
  */
 export function parseWireAnswer(
   text: string,
   method: string,
-  end: ConnectionEnd,
+  end: ConnectionEnd | 'open',
 ): WireAnswer {
   const headEnd = text.indexOf(HEAD_END);
   if (headEnd < 0) return NO_ANSWER;
@@ -57,14 +64,15 @@
   const status = Number(head.split(' ')[1]);
   if (status < 200) return parseWireAnswer(rest, method, end);
   if (method === 'HEAD' || status === 204 || status === 304)
-    return {status, body: '', isWhole: true};
+    return {status, body: '', isWhole: true, isFramed: true};
   if (/^transfer-encoding: *chunked/im.test(head))
-    return {status, ...parseChunkedBody(rest)};
+    return {status, ...parseChunkedBody(rest), isFramed: true};
   const length = /^content-length: *(\d+)/im.exec(head)?.[1];
   if (length === undefined)
-    return {status, body: rest, isWhole: end === 'closed'};
+    return {status, body: rest, isWhole: end === 'closed', isFramed: false};
   const body = rest.slice(0, Number(length));
-  return {status, body, isWhole: body.length === Number(length)};
+  const isWhole = body.length === Number(length);
+  return {status, body, isWhole, isFramed: true};
 }
 
 /**
@@ -80,10 +88,10 @@
 ): Promise<WireAnswer> {
   return new Promise(resolve => {
     let text = '';
-    let end: ConnectionEnd = 'closed';
     const left = [...calls];
     let call = left.shift();
-    const socket = connect(address);
+    const socket = connect({...address, allowHalfOpen: true});
+    const ended = observeEnd(socket);
     const sendCall = () => {
       if (call !== undefined) socket.write(formatCall(call), 'latin1');
     };
@@ -95,8 +103,9 @@
       call = left.shift();
       sendCall();
     });
-    socket.once('error', () => (end = 'reset'));
-    socket.once('close', () => {
+    socket.on('error', () => undefined);
+    void ended.then(end => {
+      socket.destroy();
       const isLast = left.length === 0 && call !== undefined;
       resolve(
         isLast ? parseWireAnswer(text, call?.method ?? '', end) : NO_ANSWER,
