An answer that ends with its connection is whole only if that wasn't reset

What callers saw: a call, a stream or an error without a length or chunks, cut by a reset right behind its bytes, as a whole 200 (calls over 1 MiB and streams with a last chunk). Cause: Node.js reports a reset that it finds together with bytes as a regular end, so the check of the socket's error saw nothing. It only caught resets that came alone. Ruled out: bytes written behind the request, which a server may take for one; waiting for a late error, which only lowers the odds; fewer, larger reads. The check of a crashed server is part of the same read of the body, so errors that are passed on have it too. A HEAD answer has no body whatever its head says. The stand-in's rest of a resumed stream has a length, as it may be empty, which is no stream.

--- a/packages/direct/src/forward/answer-body.ts
+++ b/packages/direct/src/forward/answer-body.ts
@@ -1,5 +1,7 @@
 /** Reads the body of a target's answer, whatever marks its end. */
+import {ExchangeError} from '../errors.js';
 import {findFraming} from './exchange.js';
+import type {ExchangeFault} from '../errors.js';
 import type {Target} from '../types.js';
 import type {ForwardContext} from './context.js';
 import type {Exchange, ResponseHead} from './exchange.js';
@@ -13,8 +15,12 @@
   readonly exchange: Exchange;
 }
 
+/** How a body ended whose end its connection marks. */
+type UnframedEnd = 'closed' | ExchangeFault;
+
 /**
- * Yields the body in parts.
+ * Yields the body in parts. A body whose end its connection marks is whole only if
+ * the target closed the connection in order and still accepts connections.
  *
  * @throws ExchangeError if the target breaks the answer off.
  * @example
@@ -24,26 +30,35 @@
   source: AnswerSource,
   head: ResponseHead,
 ): AsyncGenerator<Buffer> {
-  const {exchange} = source;
+  const {context, target, exchange} = source;
   if (findFraming(head.message) !== 'by-close') {
     yield* exchange.readBody(head);
     return;
   }
   let bytes = 0;
-  for await (const part of exchange.readBody(head)) {
-    bytes += part.length;
-    yield part;
+  let end: UnframedEnd = 'cancelled';
+  try {
+    for await (const part of exchange.readBody(head)) {
+      bytes += part.length;
+      yield part;
+    }
+    if (await context.crashes.isCrashEnd(target))
+      throw new ExchangeError('truncated', true);
+    end = 'closed';
+  } catch (error) {
+    if (error instanceof ExchangeError) end = error.fault;
+    throw error;
+  } finally {
+    recordUnframedEnd(source, head, end, bytes);
   }
-  await recordUnframedEnd(source, head, bytes);
 }
 
-/** Records how the end of the connection marked the end of a body. */
-async function recordUnframedEnd(
-  {context, request, target, exchange}: AnswerSource,
+function recordUnframedEnd(
+  {context, request, target}: AnswerSource,
   {status}: ResponseHead,
+  end: UnframedEnd,
   bytes: number,
-): Promise<void> {
-  const end = await exchange.end;
+): void {
   context.counters.add(`answer.unframed_${end}`);
   context.log.info('unframed_answer_ended', {
     requestId: request.facts.requestId,
--- a/packages/direct/src/forward/call-forwarder.ts
+++ b/packages/direct/src/forward/call-forwarder.ts
@@ -155,7 +155,7 @@
     try {
       result = await readCallResult(context, request, target, exchange);
       if (result.kind === 'large')
-        result = await this.forwardLarge(result, target, exchange);
+        result = await this.forwardLarge(result, exchange);
     } finally {
       this.open.delete(exchange);
       context.calls.recordEnd(target.id);
@@ -175,7 +175,6 @@
   /** Passes a large answer on unless another was first; cancels the others. */
   private async forwardLarge(
     result: LargeResult,
-    target: Target,
     exchange: Exchange,
   ): Promise<CallResult> {
     if (this.isSettled || this.hasHead) {
@@ -186,8 +185,7 @@
     this.forwarded = exchange;
     this.hedgeTimeout?.stop();
     for (const other of this.open) if (other !== exchange) other.cancel();
-    const {context, request} = this;
-    return forwardLargeResult(context, request, target, exchange, result);
+    return forwardLargeResult(this.request, exchange, result);
   }
 
   private handleResult(target: Target, result: CallResult, why: string): void {
--- a/packages/direct/src/forward/call-result.ts
+++ b/packages/direct/src/forward/call-result.ts
@@ -5,7 +5,7 @@
 import {findFraming} from './exchange.js';
 import {readVerdict, recordAnswerFacts} from './judge-answer.js';
 import type {Target} from '../types.js';
-import type {CallResult, CompleteResponse, LargeAnswer} from './call-types.js';
+import type {CallResult, LargeAnswer} from './call-types.js';
 import type {ForwardContext} from './context.js';
 import type {Exchange, ResponseHead} from './exchange.js';
 import type {GateRequest} from './request.js';
@@ -65,8 +65,10 @@
     const source = {context, request, target, exchange};
     const large = await holdBody(readAnswerBody(source, head), head, held);
     if (large === undefined) {
-      const answer = await finishAnswer(context, target, head, held);
-      return {kind: verdict, answer};
+      const {status, message} = head;
+      const framing = findFraming(message);
+      const headers = message.rawHeaders;
+      return {kind: verdict, answer: {status, headers, held, framing}};
     }
     if (verdict === 'answer' || request.route.kind !== 'safe')
       return {kind: 'large', large};
@@ -94,18 +96,6 @@
   }
 }
 
-async function finishAnswer(
-  context: ForwardContext,
-  target: Target,
-  {status, message}: ResponseHead,
-  held: HeldBytes,
-): Promise<CompleteResponse> {
-  const framing = findFraming(message);
-  if (framing === 'by-close' && (await context.crashes.isCrashEnd(target)))
-    throw new ExchangeError('truncated', true);
-  return {status, headers: message.rawHeaders, held, framing};
-}
-
 /**
  * Drops what an answer holds that is not sent.
  *
--- a/packages/direct/src/forward/caller-response.ts
+++ b/packages/direct/src/forward/caller-response.ts
@@ -46,8 +46,8 @@
 }
 
 /**
- * How the end of a response is marked: by its length, by its last chunk, by a status
- * that has no body, or by the end of the connection.
+ * How the end of a response is marked: by its length, by its last chunk, by a method
+ * or status without a body, or by the end of the connection.
  */
 export type ResponseFraming = 'length' | 'chunked' | 'no-body' | 'by-close';
 
@@ -218,14 +218,10 @@
     framing: ResponseFraming,
   ): void {
     this.status = status;
-    this.framing = framing === 'by-close' ? 'by-close' : 'length';
+    this.framing = framing === 'chunked' ? 'length' : framing;
     this.bodyBytes = body.length;
     const kept = stripHopByHop(headers);
-    const hasLength = kept.some(
-      (name, i) => i % 2 === 0 && name.toLowerCase() === 'content-length',
-    );
-    if (!hasLength && framing !== 'by-close')
-      kept.push('Content-Length', String(body.length));
+    if (framing === 'chunked') kept.push('Content-Length', String(body.length));
     if (framing === 'by-close') {
       this.response.useChunkedEncodingByDefault = false;
       kept.push('Connection', 'close');
--- a/packages/direct/src/forward/exchange.ts
+++ b/packages/direct/src/forward/exchange.ts
@@ -48,6 +48,9 @@
   readonly message: IncomingMessage;
 }
 
+/** Response with the request that it answers, which Node.js sets on clients. */
+type ClientMessage = IncomingMessage & {readonly req: ClientRequest};
+
 /** Settles the promise of a response head. */
 interface HeadWaiting {
   readonly resolve: (head: ResponseHead) => void;
@@ -71,7 +74,6 @@
   /** Request being sent; absent until the connection is open. */
   private request: ClientRequest | undefined;
   private isCancelled = false;
-  private hasFailed = false;
   private hasBeenReplaced = false;
 
   constructor(private readonly options: ExchangeOptions) {
@@ -95,16 +97,6 @@
     return this.hasBeenReplaced;
   }
 
-  /**
-   * Returns true if a body that has ended is complete. Node's parser takes a
-   * reset for the end of a body without a length, so only the socket error
-   * shows that such a body is truncated.
-   */
-  private isWhole(message: IncomingMessage): boolean {
-    if (!message.complete) return false;
-    return findFraming(message) !== 'by-close' || !this.hasFailed;
-  }
-
   /**
    * Yields the body in parts.
    *
@@ -122,7 +114,9 @@
       if (cause instanceof ExchangeError) throw cause;
       throw this.createBodyError(cause as Error);
     }
-    if (!this.isWhole(message)) throw this.createBodyError();
+    if (!message.complete) throw this.createBodyError();
+    if (findFraming(message) !== 'by-close') return;
+    if ((await this.end) === 'reset') throw this.createBodyError();
   }
 
   /** Closes the connection, so that the target drops the request. */
@@ -212,7 +206,6 @@
     // Bytes after a complete response raise errors too, but the response
     // remains valid.
     request.on('error', cause => {
-      this.hasFailed = true;
       if (hasHead) return;
       reject(new ExchangeError(this.findFault(cause), true, cause));
     });
@@ -249,8 +242,9 @@
  * findFraming(message); // 'length'
  */
 export function findFraming(message: IncomingMessage): ResponseFraming {
-  const {headers, statusCode = 0} = message;
+  const {headers, statusCode = 0, req} = message as ClientMessage;
   if (BODILESS_STATUSES.has(statusCode)) return 'no-body';
+  if (req.method === 'HEAD') return 'no-body';
   if (headers['transfer-encoding'] !== undefined) return 'chunked';
   return headers['content-length'] === undefined ? 'by-close' : 'length';
 }
--- a/packages/direct/src/forward/large-answer.ts
+++ b/packages/direct/src/forward/large-answer.ts
@@ -1,10 +1,7 @@
 /** Passes an answer that is too large to be held on to the caller as it arrives. */
 import {ExchangeError, OversizedAnswerError} from '../errors.js';
-import {findFraming} from './exchange.js';
-import type {Target} from '../types.js';
 import type {CallerResponse} from './caller-response.js';
 import type {CallResult, LargeAnswer, LargeResult} from './call-types.js';
-import type {ForwardContext} from './context.js';
 import type {Exchange} from './exchange.js';
 import type {GateRequest} from './request.js';
 
@@ -17,17 +14,15 @@
  * @returns `result`, or the error if the target breaks the answer off, or if a body
  *   without a length passes a bound; the caller has then got a part of it.
  * @example
- * await forwardLargeResult(context, request, target, exchange, result);
+ * await forwardLargeResult(request, exchange, result);
  */
 export async function forwardLargeResult(
-  context: ForwardContext,
   {caller}: GateRequest,
-  target: Target,
   exchange: Exchange,
   result: LargeResult,
 ): Promise<CallResult> {
   try {
-    await forwardLargeAnswer(context, target, caller, result.large);
+    await forwardLargeAnswer(caller, result.large);
     return result;
   } catch (error) {
     exchange.cancel();
@@ -39,8 +34,6 @@
 }
 
 async function forwardLargeAnswer(
-  context: ForwardContext,
-  target: Target,
   caller: CallerResponse,
   {head, held, nextPart, rest}: LargeAnswer,
 ): Promise<void> {
@@ -59,7 +52,4 @@
     const next = await rest.next();
     part = next.done === true ? undefined : next.value;
   }
-  const isUnframed = findFraming(message) === 'by-close';
-  if (isUnframed && (await context.crashes.isCrashEnd(target)))
-    throw new ExchangeError('truncated', true);
 }
--- a/packages/direct/src/forward/stream-attempt.ts
+++ b/packages/direct/src/forward/stream-attempt.ts
@@ -245,7 +245,9 @@
     } finally {
       splitter.close();
     }
-    if (findFraming(head.message) === 'by-close') await this.checkUnframedEnd();
+    const isEmpty = this.firstEventReceivedAt === undefined;
+    if (isEmpty && findFraming(head.message) === 'by-close')
+      throw new ExchangeError('truncated', true);
   }
 
   /** Forwards events, and waits while the caller reads too slowly. */
@@ -270,18 +272,6 @@
     stallTimer.restart(stallMs);
   }
 
-  /**
-   * Checks the end of an answer without a length, which a crash looks like.
-   *
-   * @throws ExchangeError if the answer has no event or its server has crashed.
-   */
-  private async checkUnframedEnd(): Promise<void> {
-    const {context, placed} = this.options;
-    const isEmpty = this.firstEventReceivedAt === undefined;
-    if (isEmpty || (await context.crashes.isCrashEnd(placed.target)))
-      throw new ExchangeError('truncated', true);
-  }
-
   /** Tells what the events show about the parts of the prompt. */
   private recordProgress(now: number): void {
     const {context, request} = this.options;
--- a/packages/direct/src/test/ending-targets.ts
+++ b/packages/direct/src/test/ending-targets.ts
@@ -123,7 +123,9 @@
     const {endings, body, status} = this.options;
     const ending = endings[Math.min(attempt, endings.length - 1)];
     const after = Number(request.headers['x-test-after'] ?? 0);
-    const whole = after > 0 ? formatEvents(after + 1, EVENTS) : body.whole;
+    if (after > 0 && ending === 'close')
+      return this.answerRest(request, socket, after);
+    const {whole} = body;
     const head = buildWireHead(request, body.fields, status);
     switch (ending) {
       case 'close':
@@ -142,6 +144,18 @@
         return void socket.end(head.replace(id, 'other') + whole);
     }
   }
+
+  /** Sends what is left of a stream, with a length, as it may be nothing. */
+  private answerRest(
+    request: WireRequest,
+    socket: Socket,
+    after: number,
+  ): void {
+    const rest = formatEvents(after + 1, EVENTS);
+    const length = `Content-Length: ${rest.length}`;
+    const fields = [...this.options.body.fields, length];
+    socket.end(buildWireHead(request, fields) + rest);
+  }
 }
 
 /**
