Callers are told no more of the end of a call's answer than its server told

What callers saw: a call over 1 MiB without a length or chunks that its server cut in order went out in chunks with a last chunk; smaller ones too while the gate held as much as it may. Cause: what was passed on as it arrived got chunks, so that a gate that ends midway leaves no whole answer, and at its end the gate asserted what it couldn't know. Ruled out: chunks without a last chunk (no such answer would ever be whole); more held bytes (a larger answer shows the same). Change: CallerResponse.start takes the framing of the target's answer; what the gate breaks off without chunks is reset, as for HTTP/1.0. A gate that is killed while such an answer is on the way still leaves one that ends in order.

--- a/packages/direct/src/forward/caller-response.ts
+++ b/packages/direct/src/forward/caller-response.ts
@@ -169,24 +169,26 @@
   }
 
   /**
-   * Sends the head of a response whose body `write` sends, in chunks even if the
-   * target's response has none: the end of the gate's connection must not look like
-   * the end of the response.
+   * Sends the head of a response whose body `write` sends.
    *
-   * @param keepsLength - Whether the length that the target gives is passed on.
+   * @param framing - How the end of the body is marked; callers of HTTP/1.0 get
+   *   no chunks.
    */
-  start(status: number, headers: RawHeaders, keepsLength: boolean): void {
+  start(status: number, headers: RawHeaders, framing: ResponseFraming): void {
     this.status = status;
+    const {response} = this;
     const kept = stripHopByHop(headers).filter(
       (_, i, fields) =>
-        keepsLength || fields[i - (i % 2)].toLowerCase() !== 'content-length',
+        framing === 'length' ||
+        fields[i - (i % 2)].toLowerCase() !== 'content-length',
     );
-    const hasChunks = this.response.useChunkedEncodingByDefault;
-    if (keepsLength) this.framing = 'length';
-    else this.framing = hasChunks ? 'chunked' : 'by-close';
-    this.response.sendDate = false;
-    this.response.writeHead(status, kept);
-    this.response.flushHeaders();
+    if (framing === 'by-close') response.useChunkedEncodingByDefault = false;
+    const hasChunks = response.useChunkedEncodingByDefault;
+    this.framing = framing === 'chunked' && !hasChunks ? 'by-close' : framing;
+    if (this.framing === 'by-close') kept.push('Connection', 'close');
+    response.sendDate = false;
+    response.writeHead(status, kept);
+    response.flushHeaders();
   }
 
   /** Sends a part of the response body. */
@@ -260,7 +262,7 @@
   /** Closes the connection to show that the response is incomplete. */
   drop(): void {
     this.hasBeenDropped = true;
-    // Callers of HTTP/1.0 take an ordinary close for the end of the response.
+    // Without chunks an ordinary close may mark the end of the response.
     if (!this.response.useChunkedEncodingByDefault)
       this.response.socket?.resetAndDestroy();
     this.response.destroy();
--- a/packages/direct/src/forward/large-answer.ts
+++ b/packages/direct/src/forward/large-answer.ts
@@ -1,5 +1,6 @@
 /** Passes an answer that is too large to be held on to the caller as it arrives. */
 import {ExchangeError, OversizedAnswerError} from '../errors.js';
+import {findFraming} from './exchange.js';
 import type {CallerResponse} from './caller-response.js';
 import type {CallResult, LargeAnswer, LargeResult} from './call-types.js';
 import type {Exchange} from './exchange.js';
@@ -38,14 +39,15 @@
   {head, held, nextPart, rest}: LargeAnswer,
 ): Promise<void> {
   const {status, message} = head;
-  const isSized = message.headers['content-length'] !== undefined;
-  caller.start(status, message.rawHeaders, isSized);
+  const framing = findFraming(message);
+  // The caller is told no more of the end than the target tells.
+  caller.start(status, message.rawHeaders, framing);
   let sentBytes = held.length;
   caller.write(held.removeAll());
   let part: Buffer | undefined = nextPart;
   while (part !== undefined) {
     sentBytes += part.length;
-    if (!isSized && sentBytes > MAX_UNSIZED_BYTES)
+    if (framing !== 'length' && sentBytes > MAX_UNSIZED_BYTES)
       throw new OversizedAnswerError('body', MAX_UNSIZED_BYTES);
     caller.write(part);
     await caller.waitForRoom();
--- a/packages/direct/src/forward/stream-attempt.ts
+++ b/packages/direct/src/forward/stream-attempt.ts
@@ -221,7 +221,8 @@
     const {request, progress} = this.options;
     // A resumed stream keeps the response head of its first engine.
     if (progress.hasHead) return;
-    request.caller.start(head.status, head.message.rawHeaders, false);
+    // With chunks, a gate that is killed in the middle of a stream leaves no whole one.
+    request.caller.start(head.status, head.message.rawHeaders, 'chunked');
     progress.hasHead = true;
   }
 
