A second answer behind one without a length or chunks fails the attempt

What callers saw: body, second head and second body as one answer or stream, as a whole 200. Cause: the end of the connection ends such a body, so all that a server sends until then is taken for it; a server that answers twice was not looked for there. Ruled out: cutting the body before the second head, which would change bodies that quote one; timing, as both may come in one read; event ids that go back, which calls have none of. Change: HeadScanner (core) finds a head of HTTP/1 that names a request in a body whose end its connection marks; what may be the begin of one is held until that is known, other bytes pass unchanged. The attempt fails as second-answer: a call that may be repeated and a stream that may be resumed go on at another server, others end as unknown. A body that quotes a whole head with a request's id can't be passed on without a length.

--- a/packages/core/src/index.ts
+++ b/packages/core/src/index.ts
@@ -14,6 +14,7 @@
 export * from './daemon.js';
 export * from './errors.js';
 export * from './freeze-process.js';
+export * from './head-scanner.js';
 export * from './http.js';
 export * from './idempotency-key.js';
 export * from './turn-monitor.js';
--- a/packages/direct/src/errors.ts
+++ b/packages/direct/src/errors.ts
@@ -45,6 +45,8 @@
   | 'reset'
   | 'malformed'
   | 'foreign-answer'
+  /** Another answer follows in a body whose end its connection marks. */
+  | 'second-answer'
   | 'truncated'
   /** The answer passes a bound on its size. */
   | 'oversized'
--- a/packages/direct/src/forward/answer-body.ts
+++ b/packages/direct/src/forward/answer-body.ts
@@ -1,6 +1,8 @@
 /** Reads the body of a target's answer, whatever marks its end. */
+import {HeadScanner} from '@nutmeggauge/core';
 import {ExchangeError} from '../errors.js';
 import {findFraming} from './exchange.js';
+import type {ScannedBytes} from '@nutmeggauge/core';
 import type {ExchangeFault} from '../errors.js';
 import type {Target} from '../types.js';
 import type {ForwardContext} from './context.js';
@@ -20,9 +22,10 @@
 
 /**
  * Yields the body in parts. A body whose end its connection marks is whole only if
- * the target closed the connection in order and still accepts connections.
+ * the target closed the connection in order, still accepts connections, and sent no
+ * second answer.
  *
- * @throws ExchangeError if the target breaks the answer off.
+ * @throws ExchangeError if the target breaks the answer off, or another one follows.
  * @example
  * for await (const part of readAnswerBody(source, head)) held.add(part, 'error-body');
  */
@@ -38,7 +41,7 @@
   let bytes = 0;
   let end: UnframedEnd = 'cancelled';
   try {
-    for await (const part of exchange.readBody(head)) {
+    for await (const part of readFirstAnswer(source, head)) {
       bytes += part.length;
       yield part;
     }
@@ -53,6 +56,30 @@
   }
 }
 
+/**
+ * Yields the body of an answer without a length or chunks, behind which a faulty
+ * target may send another answer.
+ *
+ * @throws ExchangeError if another answer follows.
+ */
+async function* readFirstAnswer(
+  {context, exchange}: AnswerSource,
+  head: ResponseHead,
+): AsyncGenerator<Buffer> {
+  const scanner = new HeadScanner(
+    fields => context.dialect.parseAnswer(fields).requestId !== undefined,
+  );
+  for await (const part of exchange.readBody(head))
+    yield* listBody(scanner.push(part));
+  yield* listBody(scanner.finish());
+}
+
+/** @throws ExchangeError if the head of another answer follows. */
+function* listBody({body, hasHead}: ScannedBytes): Generator<Buffer> {
+  if (body.length > 0) yield body;
+  if (hasHead) throw new ExchangeError('second-answer', true);
+}
+
 function recordUnframedEnd(
   {context, request, target}: AnswerSource,
   {status}: ResponseHead,
