--- a/packages/core/src/head-scanner.test.ts
+++ b/packages/core/src/head-scanner.test.ts
@@ -28,7 +28,7 @@
 }
 
 /** Scans a text in parts that end at the given places. */
-function scan(text: string, cuts: readonly number[] = []): Scan {
+function runScan(text: string, cuts: readonly number[] = []): Scan {
   const scanner = new HeadScanner(fields => fields['x-id'] !== undefined);
   const ends = [...cuts.map(cut => cut % (text.length + 1)), text.length];
   let body = '';
@@ -55,7 +55,7 @@
     // Guards against bytes that are lost or moved because they begin like a head.
     fc.assert(
       fc.property(anyBody, anyCuts, (text, cuts) => {
-        expect(scan(text, cuts)).toEqual({body: text, hasHead: false});
+        expect(runScan(text, cuts)).toEqual({body: text, hasHead: false});
       }),
     );
   });
@@ -64,7 +64,7 @@
     // Guards against a second answer that is hidden by text that begins like a head.
     fc.assert(
       fc.property(anyBody, anyCuts, (text, cuts) => {
-        const {body, hasHead} = scan(`${text}\n\n${HEAD}rest`, cuts);
+        const {body, hasHead} = runScan(`${text}\n\n${HEAD}rest`, cuts);
         expect(hasHead).toEqual(true);
         expect(text.startsWith(body) || body.startsWith(text)).toEqual(true);
       }),
@@ -74,7 +74,7 @@
   it('finds a head at every cut of it, and with bare line feeds', () => {
     for (const head of [HEAD, HEAD.replaceAll('\r', '')])
       for (let cut = 0; cut <= head.length; cut++)
-        expect(scan(`body${head}`, [4 + cut])).toEqual({
+        expect(runScan(`body${head}`, [4 + cut])).toEqual({
           body: 'body',
           hasHead: true,
         });
@@ -84,14 +84,14 @@
     // Guards against a second answer that is cut within its head.
     const named = HEAD.indexOf('X-Id:') + 'X-Id:'.length;
     for (let end = 1; end <= HEAD.length; end++) {
-      const {hasHead} = scan(`body${HEAD.slice(0, end)}`);
+      const {hasHead} = runScan(`body${HEAD.slice(0, end)}`);
       expect(hasHead).toEqual(end >= named);
     }
   });
 
   it('takes no fields of the body behind a head for those of the head', () => {
     const text = 'HTTP/1.1 200 OK\r\nServer: x\r\n\r\nX-Id: q1\r\n\r\n';
-    expect(scan(text)).toEqual({body: text, hasHead: false});
+    expect(runScan(text)).toEqual({body: text, hasHead: false});
   });
 
   it('ends soon, whatever a body holds', {timeout: 60_000}, () => {
@@ -99,7 +99,7 @@
     const bytes = 4 * 1024 * 1024;
     for (const piece of PIECES) {
       const text = piece.repeat(bytes / piece.length);
-      expect(scan(text, [bytes / 4, bytes / 2]).hasHead).toEqual(false);
+      expect(runScan(text, [bytes / 4, bytes / 2]).hasHead).toEqual(false);
     }
   });
 });
--- a/packages/core/src/head-scanner.ts
+++ b/packages/core/src/head-scanner.ts
@@ -111,7 +111,7 @@
 
   /** Adds a part of the body. */
   push(part: Buffer): ScannedBytes {
-    const bytes = this.joinHeld(part);
+    const bytes = this.mergeHeld(part);
     if (bytes === undefined) return {body: Buffer.alloc(0), hasHead: false};
     let start = findBegin(bytes, 0);
     while (start >= 0) {
@@ -136,7 +136,7 @@
   }
 
   /** Joins held bytes and a part; undefined if more is needed to tell them apart. */
-  private joinHeld(part: Buffer): Buffer | undefined {
+  private mergeHeld(part: Buffer): Buffer | undefined {
     if (this.heldBytes === 0) return part;
     this.hold(part);
     const isUndecided =
--- a/packages/direct/src/forward/unframed-answers.test.ts
+++ b/packages/direct/src/forward/unframed-answers.test.ts
@@ -50,7 +50,7 @@
 }
 
 /** Lets no answer hold more than a small one. */
-function spendBudget({harness}: EndingTargets): void {
+function claimBudget({harness}: EndingTargets): void {
   const {heldBytes} = harness.gate['context'];
   heldBytes.claim(heldBytes.limitBytes - heldBytes.claimedBytes);
 }
@@ -98,7 +98,7 @@
         const answers = await askTargets(
           {service: 'orders', body, endings: [ending]},
           {},
-          spendBudget,
+          claimBudget,
         );
         expect(countWhole(answers)).toEqual(0);
       }
@@ -206,7 +206,7 @@
     const answers = await askTargets(
       {service: 'orders', body: buildCallBody(20_000), endings: ['cut']},
       {},
-      spendBudget,
+      claimBudget,
     );
     for (const {status, isFramed} of answers)
       expect([status, isFramed]).toEqual([200, false]);
