--- a/packages/core/src/index.ts
+++ b/packages/core/src/index.ts
@@ -1,3 +1,4 @@
+export * from './answer-head.js';
 export * from './bounded-body.js';
 export * from './clock.js';
 export * from './config/delta.js';
