Streams of an agent's target are cut off where a second answer begins

The body of a stream without a length or chunks goes on to the end of its connection. The parser skipped the lines of a second head, so that the tokens and the end of the second answer went on with the first. An event that holds a status line now fails the stream; the outcome is unknown. Events before it stay valid, and a stream that has ended is not read on. parseSseEvents had no other user and is part of readSseEvents now, so that each event is checked when it is read.

--- a/packages/core/src/answer-head.test.ts
+++ b/packages/core/src/answer-head.test.ts
@@ -2,7 +2,10 @@
 import {expect} from 'earl';
 import {isAnsweredAgain} from './answer-head.js';
 
-const HEAD = 'HTTP/1.1 503 Too busy\r\nX-A: 1\r\n\r\n';
+const HEADS = [
+  'HTTP/1.1 503 Too busy\r\nX-A: 1\r\n\r\n',
+  'HTTP/1.0 200\nX-A: 1\n\n',
+];
 const TEXT = 'HTTP/1.1 200 OK\r\n\r\n';
 
 /** Bodies and events that are sound. */
@@ -11,6 +14,7 @@
   '{}',
   JSON.stringify(TEXT),
   `{"a": ${JSON.stringify(TEXT)},\r\n"b":\r\n["HTTP/1.0 200"\r\n]}\r\n`,
+  `{\n  "a": ${JSON.stringify(TEXT)},\n  "b": "HTTP/1.0 200"\n}\n`,
   `event: token\r\ndata: ${JSON.stringify({text: TEXT})}\r\n\r\n`,
 ];
 
@@ -26,9 +30,10 @@
 
   it('is found behind each part of a body', () => {
     // Guards against two answers that are read as one.
-    for (const body of SOUND)
-      for (let i = 0; i <= body.length; i++)
-        expect(isAnsweredAgain(body.slice(0, i) + HEAD)).toEqual(true);
+    for (const head of HEADS)
+      for (const body of SOUND)
+        for (let i = 0; i <= body.length; i++)
+          expect(isAnsweredAgain(body.slice(0, i) + head)).toEqual(true);
   });
 
   it('is searched for in linear time', () => {
--- a/packages/core/src/answer-head.ts
+++ b/packages/core/src/answer-head.ts
@@ -5,7 +5,7 @@
  * nowhere: it holds such text only in strings, which have no line break, and which
  * a quotation mark ends. The look-ahead keeps the search linear.
  */
-const STATUS_LINE = /HTTP\/1\.[01] \d{3}(?:(?!HTTP\/1)[^\r\n"])*\r\n/;
+const STATUS_LINE = /HTTP\/1\.[01] \d{3}(?:(?!HTTP\/1)[^\r\n"])*[\r\n]/;
 
 /**
  * Returns true if a JSON body, or an event with JSON data, holds the head of
--- a/packages/core/src/errors.ts
+++ b/packages/core/src/errors.ts
@@ -13,7 +13,8 @@
   | 'target_unreachable'
   | 'cluster_failed'
   | 'unknown_stand_in'
-  | 'body_oversized';
+  | 'body_oversized'
+  | 'answered_again';
 
 /**
  * Base class of errors raised by nutmeggauge.
@@ -96,3 +97,9 @@
     super({info: {bound, limit}}, `${bound} is larger than ${limit}`);
   }
 }
+
+/** A stream that holds the head of a second answer. */
+export class SecondAnswerError extends NutmeggaugeError {
+  readonly code = 'answered_again';
+  override name = 'SecondAnswerError';
+}
--- a/packages/core/src/sse.ts
+++ b/packages/core/src/sse.ts
@@ -3,7 +3,8 @@
  * engine, the load generator to read from a gate.
  */
 
-import {OversizedBodyError} from './errors.js';
+import {isAnsweredAgain} from './answer-head.js';
+import {OversizedBodyError, SecondAnswerError} from './errors.js';
 
 /** Largest event, in characters: it may have no end. */
 const MAX_EVENT_LENGTH = 1024 * 1024;
@@ -15,22 +16,14 @@
 }
 
 /**
- * Parses the complete events at the start of `buffer`; `rest` is the text after
- * them.
+ * Parses one event.
  *
- * @example
- * parseSseEvents('data: 1\n\nda'); // {events: [{event: 'message', data: '1'}], rest: 'da'}
+ * @throws SecondAnswerError
  */
-export function parseSseEvents(buffer: string): {
-  readonly events: readonly SseEvent[];
-  readonly rest: string;
-} {
-  const blocks = buffer.split('\n\n');
-  const rest = blocks.pop() ?? '';
-  return {events: blocks.map(parseBlock), rest};
-}
-
 function parseBlock(block: string): SseEvent {
+  // The head of an answer without fields ends with the event.
+  if (isAnsweredAgain(`${block}\n`))
+    throw new SecondAnswerError({}, 'the stream holds a second answer');
   let event = 'message';
   let data = '';
   for (const line of block.split('\n')) {
@@ -41,9 +34,10 @@
 }
 
 /**
- * Reads a byte stream and yields its events one at a time.
+ * Reads a byte stream and yields its events one at a time; their data is JSON.
  *
- * @throws OversizedBodyError when an event passes `MAX_EVENT_LENGTH`, or the error
+ * @throws OversizedBodyError when an event passes `MAX_EVENT_LENGTH`,
+ *   SecondAnswerError when an event holds the head of another answer, or the error
  *   of `body` when the stream fails.
  * @example
  * for await (const event of readSseEvents(response.body)) handle(event);
@@ -55,12 +49,11 @@
   const decoder = new TextDecoder();
   let buffer = '';
   for await (const part of body) {
-    const parsed = parseSseEvents(
-      buffer + decoder.decode(part, {stream: true}),
-    );
-    buffer = parsed.rest;
+    const text = buffer + decoder.decode(part, {stream: true});
+    const blocks = text.split('\n\n');
+    buffer = blocks.pop() ?? '';
     if (buffer.length > MAX_EVENT_LENGTH)
       throw new OversizedBodyError('event', MAX_EVENT_LENGTH);
-    yield* parsed.events;
+    for (const block of blocks) yield parseBlock(block);
   }
 }
--- a/packages/nutmeggauge/src/e2e/unframed-targets.test.ts
+++ b/packages/nutmeggauge/src/e2e/unframed-targets.test.ts
@@ -105,17 +105,21 @@
     }
   });
 
-  it('is not mixed for a stream that is answered again at once', async () => {
-    // Guards against tokens of a second answer that go on with the first.
-    const wrong: unknown[] = [];
-    for (const part of listParts(STREAM)) {
-      const second = buildUnframed(SECOND_STREAM, OTHER_FIELDS);
-      const parts = [buildUnframed(part, FIELDS) + second];
-      const {status, text} = await runStream({parts, end: 'FIN'});
-      if (status !== 'unknown' || /[xy]/.test(text)) wrong.push([part, text]);
-    }
-    expect(wrong).toEqual([]);
-  });
+  for (const [how, second] of [
+    ['at once', buildUnframed(SECOND_STREAM, OTHER_FIELDS)],
+    ['with line feeds', `HTTP/1.1 200 OK\nX-A: 1\n\n${SECOND_STREAM}`],
+    ['without a field', `HTTP/1.1 200 OK\n\n${SECOND_STREAM}`],
+  ])
+    it(`is not mixed for a stream that is answered again ${how}`, async () => {
+      // Guards against tokens of a second answer that go on with the first.
+      const wrong: unknown[] = [];
+      for (const part of listParts(STREAM)) {
+        const parts = [buildUnframed(part, FIELDS) + second];
+        const {status, text} = await runStream({parts, end: 'FIN'});
+        if (status !== 'unknown' || /[xy]/.test(text)) wrong.push([part, text]);
+      }
+      expect(wrong).toEqual([]);
+    });
 
   it('is not mixed for a stream that is answered again later', async () => {
     // Guards against tokens of a second answer that go on with the first.
