An agent sends each request to its target on a connection of its own

Cause: undici's pool keeps connections; answers of these targets name no request. Before: late-answer.test.ts 2 of 2 red (the third request); after: 2 of 2 green.

--- a/packages/agent/src/target/engine-target.ts
+++ b/packages/agent/src/target/engine-target.ts
@@ -60,6 +60,8 @@
     try {
       response = await request(`${this.url}/v1/generate`, {
         method: 'POST',
+        // A kept connection may bring the late second answer to an earlier request.
+        reset: true,
         headers: {'content-type': 'application/json'},
         body: JSON.stringify({
           requestId: dispatchRequest.requestId,
--- a/packages/agent/src/target/plain-target.ts
+++ b/packages/agent/src/target/plain-target.ts
@@ -44,6 +44,8 @@
     try {
       response = await request(`${this.url}/v1/call`, {
         method: 'POST',
+        // A kept connection may bring the late second answer to an earlier request.
+        reset: true,
         headers: {'content-type': 'application/json'},
         body: JSON.stringify({
           requestId: dispatchRequest.requestId,
