--- a/packages/direct/src/stop/stop.test.ts
+++ b/packages/direct/src/stop/stop.test.ts
@@ -9,7 +9,11 @@
 } from '../test/fake-target.js';
 import {ENGINE, buildConfig, openGateHarness} from '../test/gate-harness.js';
 import type {FakeTarget, TargetScript} from '../test/fake-target.js';
-import type {CallOptions, GateHarness} from '../test/gate-harness.js';
+import type {
+  CallOptions,
+  GateHarness,
+  ReceivedResponse,
+} from '../test/gate-harness.js';
 
 /** Grace period of the gate under test, in ms. */
 const GRACE_MS = 2000;
@@ -20,6 +24,9 @@
 /** Deadline above the grace period, in ms. */
 const DEADLINE_MS = 20_000;
 
+/** Time from the request to the begin of its answer, in ms. */
+const BEGIN_MS = 100;
+
 /** Objective by which a stream may wait for longer than the grace period, in ms. */
 const OBJECTIVE_MS = 20_000;
 
@@ -80,10 +87,21 @@
   });
 }
 
+/** Sends a stream; resolves once its caller has got the head of the answer. */
+async function openStream(
+  harness: GateHarness,
+  id: string,
+): Promise<{readonly answer: Promise<ReceivedResponse>}> {
+  let markBegun: () => void = () => undefined;
+  const hasBegun = new Promise<void>(resolve => (markBegun = resolve));
+  const answer = callStream(harness, id, {onHead: markBegun});
+  await hasBegun;
+  return {answer};
+}
+
 /** Fills the only slot, and then sends streams that wait for it. */
-async function holdStreams({harness, engine}: Bed, ids: readonly string[]) {
-  void callStream(harness, 'holder');
-  await harness.waitUntil(() => engine.received.includes('holder'));
+async function holdStreams({harness}: Bed, ids: readonly string[]) {
+  await openStream(harness, 'holder');
   const answers = ids.map(id => callStream(harness, id));
   await sleep(100);
   return answers;
@@ -219,9 +237,11 @@
 
   it('breaks a begun stream off, and not before the end of the grace period', async () => {
     // Guards against streams that are cut while their engine may still end them.
-    await runBed(beginStream, async bed => {
-      const answer = callStream(bed.harness, 'q1');
-      await bed.harness.waitUntil(() => bed.engine.received.includes('q1'));
+    // The engine begins its answer some time after it has got the request.
+    const beginLater: TargetScript = (req, res) =>
+      void setTimeout(() => beginStream(req, res), BEGIN_MS);
+    await runBed(beginLater, async bed => {
+      const {answer} = await openStream(bed.harness, 'q1');
       const stoppedAt = performance.now();
       const stopped = stopGate(bed);
       const {status, isWhole} = await answer;
--- a/packages/direct/src/test/gate-harness.ts
+++ b/packages/direct/src/test/gate-harness.ts
@@ -49,6 +49,8 @@
   readonly parts?: readonly string[];
   readonly method?: string;
   readonly body?: string;
+  /** Called when the head of the answer has arrived. */
+  readonly onHead?: () => void;
   /** Time after which the caller disconnects, in ms. */
   readonly disconnectAfterMs?: number;
 }
@@ -216,6 +218,7 @@
       status = res.statusCode ?? 0;
       retryAfter = res.headers['retry-after'];
       isFramed = findFraming(res) !== 'by-close';
+      options.onHead?.();
       res.on('data', chunk => (body += String(chunk)));
       res.once('error', () => finish(false));
       res.once('end', () => finish(res.complete));
