A stop goes on when one request raises an error

The stop called the handlers of all requests without a guard, so that an error of one ended the drain for all. Each step is now guarded by request: the error is logged as "stop_failed", and at the end the request gets 502, as its handler cannot tell whether a target has it.

--- a/packages/direct/src/stop/gate-stop.test.ts
+++ b/packages/direct/src/stop/gate-stop.test.ts
@@ -86,6 +86,8 @@
       now = 1000;
       stop.endOpen();
       expect(sound.asked.includes('endUnfinished')).toEqual(true);
+      // Its handler cannot tell whether a target has the request.
+      expect(bad.caller.status).toEqual(502);
       expect(stop.dropOpen()).toEqual(2);
       expect([bad.caller.isDropped, good.caller.isDropped]).toEqual([
         true,
--- a/packages/direct/src/stop/gate-stop.ts
+++ b/packages/direct/src/stop/gate-stop.ts
@@ -10,6 +10,9 @@
 /** Interval at which requests that wait are looked at again, in ms. */
 const JUDGE_INTERVAL_MS = 250;
 
+/** Maximum length of a stack trace in a log line, in characters. */
+const STACK_CHARS = 1500;
+
 /**
  * Stop of one gate. Until it begins, it only observes the requests.
  *
@@ -28,7 +31,9 @@
 
   constructor(private readonly options: StopRecordOptions) {
     this.record = new StopRecord(options);
-    this.requests.onClose(request => this.recordEnd(request));
+    this.requests.onClose(closed =>
+      this.tryStep(closed, request => this.recordEnd(request)),
+    );
   }
 
   /** Observes a request that has just arrived until its answer is complete. */
@@ -44,8 +49,9 @@
   begin(endsAt: number): void {
     this.endsAt = endsAt;
     this.judgedAt = this.options.readNow();
-    for (const request of this.requests.list())
+    this.runForEach(request => {
       if (!this.judge(request)) this.add(request, 'kept', request.place);
+    });
   }
 
   /** Looks again at the requests that wait, at an interval. */
@@ -53,7 +59,7 @@
     const now = this.options.readNow();
     if (now - this.judgedAt < JUDGE_INTERVAL_MS) return;
     this.judgedAt = now;
-    for (const request of this.requests.list()) this.judge(request);
+    this.runForEach(request => void this.judge(request));
   }
 
   /**
@@ -88,28 +94,72 @@
    * off. What is left are answers that their callers read.
    */
   endOpen(): void {
-    for (const request of this.requests.list()) {
-      const {place} = request;
-      if (place === 'caller' || this.ended.has(request)) continue;
-      if (this.handBack(request)) continue;
-      request.handler.endUnfinished();
-      if (place === 'answer' && !request.caller.isDropped) continue;
-      this.ended.add(request);
-      this.add(request, place === 'answer' ? 'cut' : 'refused', place);
-    }
+    this.runForEach(
+      request => this.endRequest(request),
+      ({caller}) => {
+        if (!caller.isOver) caller.refuse(502, 'outcome_unknown');
+      },
+    );
   }
 
   /**
    * Breaks all answers off whose callers have not read them; returns their number.
    */
   dropOpen(): number {
-    const requests = this.requests.list();
-    for (const request of requests) {
+    const {length} = this.requests.list();
+    this.runForEach(request => {
       if (!this.ended.has(request)) this.add(request, 'cut', request.place);
+    });
+    this.runForEach(request => {
       this.ended.add(request);
       request.caller.drop();
+    });
+    return length;
+  }
+
+  private endRequest(request: OpenRequest): void {
+    const {place} = request;
+    if (place === 'caller' || this.ended.has(request)) return;
+    if (this.handBack(request)) return;
+    request.handler.endUnfinished();
+    if (place === 'answer' && !request.caller.isDropped) return;
+    this.ended.add(request);
+    this.add(request, place === 'answer' ? 'cut' : 'refused', place);
+  }
+
+  /**
+   * Runs a step for each open request. An error of one request is logged, so that
+   * the others do not lose their answers.
+   *
+   * @param recover - What is left to do for a request that raised an error.
+   */
+  private runForEach(
+    step: (request: OpenRequest) => void,
+    recover: (request: OpenRequest) => void = () => undefined,
+  ): void {
+    for (const request of this.requests.list()) {
+      if (this.tryStep(request, step)) continue;
+      this.tryStep(request, recover);
+    }
+  }
+
+  /** Runs a step for one request; returns false if it raised an error. */
+  private tryStep(
+    request: OpenRequest,
+    step: (request: OpenRequest) => void,
+  ): boolean {
+    try {
+      step(request);
+      return true;
+    } catch (error) {
+      const {message, stack} = error as Error;
+      this.options.log.error('stop_failed', {
+        requestId: request.requestId,
+        reason: message,
+        stack: stack?.slice(0, STACK_CHARS),
+      });
+      return false;
     }
-    return requests.length;
   }
 
   private readLeftMs(): number {
