A call is judged by the stop again before each of its attempts

After a permit or an attempt that was not run, a call was sent without a look at the end of the process; only the look every 250 ms caught it. A call that no target had run was sent 100 ms before the end and got 502 in place of 503.

stop-places.test.ts: 20 of 25 before, 25 of 25 after; call-forwarder.test.ts and stop.test.ts pass.

--- a/packages/direct/src/forward/call-forwarder.ts
+++ b/packages/direct/src/forward/call-forwarder.ts
@@ -101,7 +101,8 @@
   }
 
   private async waitAndSend(why: string): Promise<void> {
-    const {reads, access} = this.context;
+    const {context, request} = this;
+    const {reads, access} = context;
     await reads.wait();
     const isOver = () => this.isSettled || this.hasHead;
     const target = isOver() ? undefined : this.chooseTarget();
@@ -112,7 +113,7 @@
     // hedge has just been sent there.
     const isTaken = target !== undefined && this.tried.has(target.id);
     if (!isPermitted || isTaken) return this.tryNext(why);
-    this.sendTo(target, why);
+    if (!context.stop.judge(request.open)) this.sendTo(target, why);
   }
 
   /** Chooses a target for the next attempt; undefined if there is none. */
