The last requests of a stop get their answers before connections are dropped

The last refusals were written one turn before their connections were dropped, so that unread bytes of a body reset the connection before the caller had read them, and what arrived while the peers were told was cut. The peers are told first now, callers get 50 ms to read, and a request that arrives after the open ones were ended is refused before its body.

--- a/packages/direct/src/drain.ts
+++ b/packages/direct/src/drain.ts
@@ -22,6 +22,9 @@
 /** Longest time for which the peers are told that the gate leaves, in ms. */
 const LEAVE_LIMIT_MS = 100;
 
+/** Time in which callers read the last answers, in ms. */
+const LAST_ANSWERS_MS = 50;
+
 /** Interval at which a drain checks for open requests, in ms. */
 const DRAIN_POLL_MS = 50;
 
@@ -75,11 +78,14 @@
   const exitAt = killedAt - EXIT_RESERVE_MS;
   await Promise.race([ingress.closeIdle(), waitUntil(options, exitAt)]);
   await waitUntil(options, exitAt, hasNone);
+  // Requests may arrive meanwhile.
+  await Promise.race([options.leavePeers(), sleep(LEAVE_LIMIT_MS)]);
   // Requests may have arrived since, or wait for the rest of their bodies.
   stop.endOpen();
   await nextTurn();
+  // A connection that is closed with unread bytes loses the answer.
+  if (!hasNone()) await sleep(LAST_ANSWERS_MS);
   log.recordOutcome('drain_finished', {left: stop.dropOpen()});
-  await Promise.race([options.leavePeers(), sleep(LEAVE_LIMIT_MS)]);
 }
 
 /** Waits until a time on the monotonic clock, or until `isDone` returns true. */
--- a/packages/direct/src/stop/gate-stop.ts
+++ b/packages/direct/src/stop/gate-stop.ts
@@ -28,6 +28,8 @@
   /** Time at which open requests are ended, in ms; Infinity before a stop. */
   private endsAt = Infinity;
   private judgedAt = -Infinity;
+  /** Whether open requests have been ended. */
+  private hasEnded = false;
 
   constructor(private readonly options: StopRecordOptions) {
     this.record = new StopRecord(options);
@@ -36,9 +38,13 @@
     );
   }
 
-  /** Observes a request that has just arrived until its answer is complete. */
+  /**
+   * Observes a request that has just arrived until its answer is complete. Refuses
+   * it if open requests have been ended, as the rest of its body may come too late.
+   */
   observe(request: OpenRequest): void {
     this.requests.add(request);
+    if (this.hasEnded) this.tryStep(request, () => this.handBack(request));
   }
 
   /**
@@ -94,6 +100,7 @@
    * off. What is left are answers that their callers read.
    */
   endOpen(): void {
+    this.hasEnded = true;
     this.runForEach(
       request => this.endRequest(request),
       ({caller}) => {
