A stop predicts the end of a call from what recent calls took

The prediction was the objective of the route, whatever its targets take: a call that may not be repeated was taken with less time left than its target needs, and got 502 at the end. The longest recent call of the route counts now, and the age of the oldest one that is open, at most up to the deadline; the objective stays the least.

--- a/packages/direct/src/forward/call-forwarder.ts
+++ b/packages/direct/src/forward/call-forwarder.ts
@@ -152,12 +152,15 @@
     const sentAt = context.readNow();
     const exchange = sendCall(context, request, target);
     this.open.add(exchange);
+    const time = context.callTimes.begin(request.route.name);
     let result: CallResult;
     try {
       result = await readCallResult(context, request, target, exchange);
       if (result.kind === 'large')
         result = await this.forwardLarge(result, target, exchange);
+      if (result.kind !== 'failed') time.finish();
     } finally {
+      time.drop();
       this.open.delete(exchange);
       context.calls.recordEnd(target.id);
     }
--- a/packages/direct/src/forward/call-stop.ts
+++ b/packages/direct/src/forward/call-stop.ts
@@ -53,9 +53,16 @@
   }
 
   override estimateEndMs(): number {
-    const {service, allowedZones, route} = this.request;
-    const waitMs = this.context.calls.readWaitMs(service, allowedZones);
-    return waitMs + route.objectiveMs;
+    const {context, request} = this;
+    const {service, allowedZones, route} = request;
+    const waitMs = context.calls.readWaitMs(service, allowedZones);
+    const leftMs = request.expiresAt - context.readNow();
+    // At its deadline it is answered whatever its target does.
+    const usualMs = Math.min(
+      context.callTimes.readLongestMs(route.name),
+      leftMs,
+    );
+    return waitMs + Math.max(route.objectiveMs, usualMs);
   }
 
   override handBack(): boolean {
--- a/packages/direct/src/forward/context.ts
+++ b/packages/direct/src/forward/context.ts
@@ -22,6 +22,7 @@
 import type {CallPlacer} from '../placement/place-call.js';
 import type {PromptPlacer} from '../placement/prompt-placer.js';
 import type {EngineReports, HeaderDialect, KvReservations} from '../ports.js';
+import type {CallTimes} from '../stop/call-times.js';
 import type {GateStop} from '../stop/gate-stop.js';
 import type {OpenExchanges} from './open-exchanges.js';
 import type {SharedRetryBudget} from '../retry/shared-retry-budget.js';
@@ -47,6 +48,7 @@
   readonly usage: AccountUsage;
   readonly exchanges: OpenExchanges;
   readonly stop: GateStop;
+  readonly callTimes: CallTimes;
   /** Bytes of answers that all requests may hold. */
   readonly heldBytes: ByteBudget;
   readonly crashes: CrashWatch;
--- a/packages/direct/src/forward/create-context.ts
+++ b/packages/direct/src/forward/create-context.ts
@@ -13,6 +13,7 @@
 import {createCallPlacer} from '../placement/place-call.js';
 import {PromptPlacer} from '../placement/prompt-placer.js';
 import {createSharedRetryBudget} from '../retry/shared-retry-budget.js';
+import {CallTimes} from '../stop/call-times.js';
 import {GateStop} from '../stop/gate-stop.js';
 import {OpenExchanges} from './open-exchanges.js';
 import type {
@@ -94,6 +95,7 @@
     reads: parts.reads,
     exchanges: new OpenExchanges(),
     stop: new GateStop({log, counters: parts.counters, readNow}),
+    callTimes: new CallTimes(readNow),
     heldBytes: new ByteBudget(MAX_HELD_BYTES),
     crashes: new CrashWatch({
       state,
