Placements of peers with numbers that no gate sends are malformed

Cause: a datagram of a placement could hold any finite number. With 1e308 tokens a gate plans iterations without end, as a step of 26,000 tokens changes nothing in such a number: it answers nobody and follows nothing any more. With 1e15 or -1e308 the engine counts as full, and callers get 503.

Change: at most 1e8 tokens and 2^31 ms or value units, in the compact form and in heartbeats; other datagrams are logged as malformed and dropped.

--- a/packages/direct/src/peers/messages.ts
+++ b/packages/direct/src/peers/messages.ts
@@ -11,6 +11,22 @@
 } from '../accounts/account-usage.js';
 import type {Placement} from '../placement/placement.js';
 
+/**
+ * Largest number of tokens and of ms that a peer may tell. Larger ones, which no
+ * sound gate sends, would make a gate plan iterations without end.
+ */
+export const MAX_TOLD_TOKENS = 1e8;
+export const MAX_TOLD_MS = 2 ** 31;
+
+/** Number of tokens that a peer tells. */
+export const TokensSchema = z
+  .number()
+  .min(-MAX_TOLD_TOKENS)
+  .max(MAX_TOLD_TOKENS);
+
+/** Time or value that a peer tells. */
+export const MsSchema = z.number().min(-MAX_TOLD_MS).max(MAX_TOLD_MS);
+
 /**
  * Wire form of a placement; holds an age instead of a time, because the clocks
  * of gates differ.
@@ -20,15 +36,15 @@
   decoder: z.string(),
   targets: z.array(z.string()),
   /** Prefill time of each target, or a single value if all are equal, in ms. */
-  prefillMs: z.array(z.number()),
-  promptTokens: z.number(),
-  kvTokens: z.number(),
-  reserved: z.array(z.object({target: z.string(), tokens: z.number()})),
-  objectiveMs: z.number(),
-  gapMs: z.number(),
-  value: z.number(),
-  predictedMs: z.number(),
-  ageMs: z.number(),
+  prefillMs: z.array(MsSchema),
+  promptTokens: TokensSchema,
+  kvTokens: TokensSchema,
+  reserved: z.array(z.object({target: z.string(), tokens: TokensSchema})),
+  objectiveMs: MsSchema,
+  gapMs: MsSchema,
+  value: MsSchema,
+  predictedMs: MsSchema,
+  ageMs: MsSchema,
   begun: z.boolean(),
   /** Features of a prompt under which servers have crashed; absent if none. */
   suspects: z.array(z.string()).optional(),
--- a/packages/direct/src/peers/placement-codec.ts
+++ b/packages/direct/src/peers/placement-codec.ts
@@ -3,6 +3,12 @@
  * arrays that begin with a code, without the names of the fields.
  */
 import {z} from 'zod';
+import {
+  MAX_TOLD_MS,
+  MAX_TOLD_TOKENS,
+  MsSchema,
+  TokensSchema,
+} from './messages.js';
 import type {WirePlacement} from './messages.js';
 
 /** A change of a placement that a gate announces. */
@@ -28,15 +34,15 @@
     z.string().describe('decoder'),
     // Empty if the decoding engine prefills the whole prompt.
     z.array(z.string()).describe('targets'),
-    z.array(z.number()).describe('prefillMs'),
-    z.number().describe('promptTokens'),
-    z.number().describe('kvTokens'),
-    z.array(z.tuple([z.string(), z.number()])).describe('reserved'),
-    z.number().describe('objectiveMs'),
-    z.number().describe('gapMs'),
-    z.number().describe('value'),
-    z.number().describe('predictedMs'),
-    z.number().describe('ageMs'),
+    z.array(MsSchema).describe('prefillMs'),
+    TokensSchema.describe('promptTokens'),
+    TokensSchema.describe('kvTokens'),
+    z.array(z.tuple([z.string(), TokensSchema])).describe('reserved'),
+    MsSchema.describe('objectiveMs'),
+    MsSchema.describe('gapMs'),
+    MsSchema.describe('value'),
+    MsSchema.describe('predictedMs'),
+    MsSchema.describe('ageMs'),
   ])
   .rest(z.string());
 
@@ -51,8 +57,12 @@
 /** Index of the first of the numbers that end a placement. */
 const FIRST_LAST_NUMBER = 8;
 
-function isNumber(value: unknown): value is number {
-  return Number.isFinite(value);
+function isMs(value: unknown): value is number {
+  return typeof value === 'number' && Math.abs(value) <= MAX_TOLD_MS;
+}
+
+function isTokens(value: unknown): value is number {
+  return typeof value === 'number' && Math.abs(value) <= MAX_TOLD_TOKENS;
 }
 
 function isText(value: unknown): value is string {
@@ -71,7 +81,7 @@
     Array.isArray(value) &&
     value.length === 2 &&
     isText(value[0]) &&
-    isNumber(value[1])
+    isTokens(value[1])
   );
 }
 
@@ -87,11 +97,11 @@
     isText(key) &&
     isText(decoder) &&
     isListOf(targets, isText) &&
-    isListOf(prefillMs, isNumber) &&
-    isNumber(tokens) &&
-    isNumber(kvTokens) &&
+    isListOf(prefillMs, isMs) &&
+    isTokens(tokens) &&
+    isTokens(kvTokens) &&
     isListOf(reserved, isReservation) &&
-    fields.slice(FIRST_LAST_NUMBER, PLACED_LENGTH).every(isNumber) &&
+    fields.slice(FIRST_LAST_NUMBER, PLACED_LENGTH).every(isMs) &&
     fields.slice(PLACED_LENGTH).every(isText)
   );
 }
