A target at an address of the gate itself gets no requests

Cause: an entry could name the front, ready, control or metrics address of a gate. At its front the gate took its own requests for those of callers and sent them on again, one hop a few ms, until their time was over; two gates did so with each other. Routes with keys ended in 401, and the ready address in 404, which callers may not try again, also beside a sound target.

Change: targets at own addresses are out of use, and a line names them. A request that expects a target whose entry names an address of the receiving gate is refused with 421, which promises that nothing ran; this ends rounds through other gates.

--- a/packages/direct/src/fleet/fleet-facts.ts
+++ b/packages/direct/src/fleet/fleet-facts.ts
@@ -1,4 +1,5 @@
 /** What a gate reads of the facts that it knows. */
+import type {ListenAddress} from '@nutmeggauge/core';
 import type {
   ClientAccount,
   EngineCostModel,
@@ -18,6 +19,20 @@
   protected abstract readonly table: TargetTable;
   protected readonly leaving = new LeavingTargets();
   protected readonly zones = new EvacuatedZones();
+  /** Addresses at which this gate listens, as host:port. */
+  private ownAddresses: ReadonlySet<string> = new Set();
+
+  /** Sets the addresses at which this gate listens, where no target can be. */
+  setOwnAddresses(addresses: readonly ListenAddress[]): void {
+    this.ownAddresses = new Set(
+      addresses.map(({host, port}) => `${host}:${port}`),
+    );
+  }
+
+  /** Returns whether the entry of a target names an address of this gate. */
+  isOwnAddress({host, port}: Target): boolean {
+    return this.ownAddresses.has(`${host}:${port}`);
+  }
 
   /** Newest known configuration; absent until the first one is known. */
   get config(): FleetConfig | undefined {
@@ -91,9 +106,10 @@
     return this.table
       .list()
       .filter(
-        ({service, zone}) =>
-          this.index.findService(service)?.engine !== undefined &&
-          !this.zones.isEvacuated(zone),
+        target =>
+          this.index.findService(target.service)?.engine !== undefined &&
+          !this.zones.isEvacuated(target.zone) &&
+          !this.isOwnAddress(target),
       );
   }
 
@@ -137,8 +153,9 @@
     return this.table.size;
   }
 
-  private isStaying({id, isDraining, zone}: Target): boolean {
-    if (this.zones.isEvacuated(zone)) return false;
+  private isStaying(target: Target): boolean {
+    const {id, isDraining, zone} = target;
+    if (this.zones.isEvacuated(zone) || this.isOwnAddress(target)) return false;
     return !isDraining && !this.leaving.isLeaving(id);
   }
 }
--- a/packages/direct/src/gate.ts
+++ b/packages/direct/src/gate.ts
@@ -13,6 +13,7 @@
 import {createForwardContext} from './forward/create-context.js';
 import {createFleetState} from './fleet/fleet-state.js';
 import {observeTargets} from './fleet/observe-targets.js';
+import {observeOwnAddresses} from './fleet/own-addresses.js';
 import {createStoreWatcher} from './fleet/store-watcher.js';
 import {EngineHomes} from './health/engine-homes.js';
 import {EngineSlowdowns} from './health/engine-slowdowns.js';
@@ -84,6 +85,7 @@
       onSlowTurn: turn => log.warn('slow_turn', formatSlowTurn(turn)),
     });
     const {turns} = this;
+    observeOwnAddresses(state, settings, log);
     this.watcher = createStoreWatcher({
       store: dependencies.store,
       state,
--- a/packages/direct/src/ingress/early-refusals.ts
+++ b/packages/direct/src/ingress/early-refusals.ts
@@ -48,6 +48,18 @@
     });
   }
 
+  /**
+   * Refuses a request that another gate has sent to this one as to a target, as
+   * an odd entry says; returns false for any other.
+   */
+  refuseAddressed(caller: CallerResponse, facts: RequestMetadata): boolean {
+    const {state} = this.context;
+    const target = state.findTarget(facts.expectedTarget ?? '');
+    if (target === undefined || !state.isOwnAddress(target)) return false;
+    this.refuse(caller, 421, 'not_run', facts);
+    return true;
+  }
+
   /**
    * Refuses a request with an unknown key or route. A gate with stale fleet
    * state responds with 503, as it cannot know whether the key or route exists.
--- a/packages/direct/src/ingress/ingress.ts
+++ b/packages/direct/src/ingress/ingress.ts
@@ -180,10 +180,8 @@
   ): void {
     const {caller, arrivedAt} = open;
     const {state, readNow, stop} = this.context;
-    if (this.isClosing) {
-      stop.handBack(open);
-      return;
-    }
+    if (this.isClosing) return void stop.handBack(open);
+    if (this.refusals.refuseAddressed(caller, facts)) return;
     const config = state.config;
     if (config === undefined)
       return this.refusals.refuse(caller, 503, 'no_configuration', facts);
--- a/packages/direct/src/types.ts
+++ b/packages/direct/src/types.ts
@@ -180,6 +180,12 @@
    * last part, which is the request's own.
    */
   readonly sharedParts: readonly string[];
+  /**
+   * Name of the only target that may run the request.
+   *
+   * @default any
+   */
+  readonly expectedTarget?: string;
 }
 
 /** An engine that prefills a part of a prompt for another engine. */
