Facts: one request a connection; links refuse batches and stop at their close

Cause: a peer that repeated read-facts and read nothing had the whole configuration queued for it each time, also by one batch of 600 requests; lines of a chunk were parsed after the link had been closed; a byte now and then kept a connection, and its transfer, for ever. Change: a connection that sends no request within the idle timeout, more than 64 KiB or anything behind its request is closed; a JSON-RPC batch closes its link; lines behind the close are dropped.

--- a/packages/core/src/rpc.ts
+++ b/packages/core/src/rpc.ts
@@ -206,6 +206,8 @@
   }
 
   private receive(line: string): void {
+    // The reader goes on with the lines that it has.
+    if (this.socket.destroyed) return;
     let message: unknown;
     try {
       message = JSON.parse(line);
@@ -245,8 +247,12 @@
   }
 }
 
-/** Returns whether the method is a string or, as in responses, absent. */
+/**
+ * Returns whether the method is a string or, as in responses, absent. Batches are
+ * refused: one line may ask for more than the memory holds.
+ */
 function isMethodValid(message: unknown): boolean {
+  if (Array.isArray(message)) return false;
   const method = (message as {method?: unknown} | null)?.method;
   return method === undefined || typeof method === 'string';
 }
--- a/packages/direct/src/peers/facts-exchange.ts
+++ b/packages/direct/src/peers/facts-exchange.ts
@@ -4,6 +4,7 @@
  */
 import {createServer} from 'node:net';
 import {
+  ReadTimeout,
   createRpcLink,
   createRpcError,
   findRpcErrorCode,
@@ -42,6 +43,9 @@
 /** Error code of a gate that already serves its maximum number of peers. */
 const BUSY_CODE = 1;
 
+/** Error code of a second request on a connection. */
+const REPEATED_CODE = 2;
+
 /**
  * Maximum number of peers that are sent a configuration at the same time. More
  * concurrent transfers would saturate a slow link, and each peer that has the
@@ -123,7 +127,9 @@
     connection.on('close', () => transfers.delete(connection));
     const link = createRpcLink(connection, undefined, MAX_REQUEST_BYTES);
     link.closeWhenIdle(idleMs);
+    const markAsked = closeUnlessAskedOnce(connection, link, idleMs);
     link.handle(READ_FACTS, params => {
+      markAsked();
       const known = toKnownFacts(params);
       const facts = state.describeShared(known);
       // The list of targets is small, so it does not count as a transfer.
@@ -141,6 +147,33 @@
   return server;
 }
 
+/**
+ * Closes a connection whose peer sends no request in time, or anything after its
+ * request: each answer may be as large as the configuration. The returned function
+ * marks a request; it throws if there was one before.
+ */
+function closeUnlessAskedOnce(
+  connection: Socket,
+  link: RpcLink,
+  waitMs: number,
+): () => void {
+  let wasAsked = false;
+  const timeout = new ReadTimeout(() => link.close(), waitMs);
+  connection.once('close', () => timeout.stop());
+  // Runs before the link reads the request out of the same bytes.
+  connection.prependListener('data', () => {
+    if (wasAsked || connection.bytesRead > MAX_REQUEST_BYTES) link.close();
+  });
+  return () => {
+    if (wasAsked) {
+      link.close();
+      throw createRpcError(REPEATED_CODE, 'one request a connection');
+    }
+    wasAsked = true;
+    timeout.stop();
+  };
+}
+
 /**
  * Logs the end of a connection: the peer, the bytes queued for it, and whether
  * the connection failed.
