Callers with more than 100 unanswered requests on a connection are cut off

Cause: Node's server takes any number of requests of one connection whose answers wait, so that a caller that sends without end fills the heap. Change: the connection that has 100 unanswered requests is closed, with a log line and the counter ingress.pipelined_closed; the readiness and metrics listeners do the same.

--- a/packages/core/src/index.ts
+++ b/packages/core/src/index.ts
@@ -26,6 +26,7 @@
 export * from './metrics.js';
 export * from './open-requests.js';
 export * from './pending-reads.js';
+export * from './pipelined-requests.js';
 export * from './prompt-prefixes.js';
 export * from './protocol.js';
 export * from './read-timeout.js';
--- a/packages/direct/src/gate.ts
+++ b/packages/direct/src/gate.ts
@@ -61,7 +61,7 @@
   private readonly peers: PeerGroup;
   private readonly ingress: Ingress;
   private readonly context: ForwardContext;
-  private readonly status = new StatusServer();
+  private readonly status: StatusServer;
   private readonly turns: TurnMonitor;
   private readonly shedder = new ConnectionShedder({
     readNow: this.readNow,
@@ -79,6 +79,7 @@
   ) {
     const {state, readNow, health, tracker} = this;
     const {log} = dependencies;
+    this.status = new StatusServer(log);
     this.turns = new TurnMonitor({
       readNow,
       onSlowTurn: turn => log.warn('slow_turn', formatSlowTurn(turn)),
--- a/packages/direct/src/ingress/ingress.ts
+++ b/packages/direct/src/ingress/ingress.ts
@@ -6,6 +6,7 @@
 import {
   Fingerprint,
   OpenRequests,
+  PipelinedRequests,
   UnreadableRequests,
   closeIdleAfterRead,
   openListener,
@@ -50,6 +51,7 @@
 export class Ingress {
   private readonly server: HttpServer;
   private readonly requests = new OpenRequests();
+  private readonly pipelined: PipelinedRequests;
   private readonly refusals: EarlyRefusals;
   private readonly hold: StartupHold;
   private isClosing = false;
@@ -59,6 +61,10 @@
     private readonly shedder: ConnectionShedder,
   ) {
     this.refusals = new EarlyRefusals(context);
+    this.pipelined = new PipelinedRequests(caller => {
+      context.counters.add('ingress.pipelined_closed');
+      context.log.warn('caller_pipelining_closed', {caller});
+    });
     this.hold = new StartupHold(context.state, context.readNow);
     this.server = createServer(
       {
@@ -139,6 +145,7 @@
     req: IncomingMessage,
     res: ServerResponse,
   ): Promise<void> {
+    if (!this.pipelined.admit(req, res)) return;
     const {readNow, turns} = this.context;
     // What was read in this turn may have arrived when the turn began.
     const arrivedAt = readNow() - turns.readTurnAgeMs();
--- a/packages/direct/src/observe/status-server.ts
+++ b/packages/direct/src/observe/status-server.ts
@@ -2,21 +2,27 @@
  * Answers readiness checks of the load balancer and serves metrics, over HTTP.
  */
 import {createServer} from 'node:http';
-import {openListener} from '@nutmeggauge/core';
+import {PipelinedRequests, openListener} from '@nutmeggauge/core';
 import {renderMetrics} from './metrics-text.js';
 import type {Server} from 'node:http';
 import type {ListenAddress} from '@nutmeggauge/core';
+import type {DecisionLog} from './decision-log.js';
 import type {MetricValues} from './metrics-text.js';
 
 /**
  * HTTP listeners for the readiness and the metrics of one gate.
  *
  * @example
- * const status = new StatusServer();
+ * const status = new StatusServer(log);
  * await status.openReady(address, '/ready', () => true);
  */
 export class StatusServer {
   private readonly servers: Server[] = [];
+  private readonly pipelined = new PipelinedRequests(client =>
+    this.log.warn('check_pipelining_closed', {client}),
+  );
+
+  constructor(private readonly log: DecisionLog) {}
 
   /**
    * Opens a listener that answers 200 on `path` while the gate is ready, 503
@@ -28,6 +34,7 @@
     isReady: () => boolean,
   ): Promise<void> {
     const server = createServer((req, res) => {
+      if (!this.pipelined.admit(req, res)) return;
       const status = req.url === path ? (isReady() ? 200 : 503) : 404;
       res.writeHead(status, {'Content-Length': 0});
       res.end();
@@ -41,7 +48,8 @@
     address: ListenAddress,
     readMetrics: () => MetricValues,
   ): Promise<void> {
-    const server = createServer((_, res) => {
+    const server = createServer((req, res) => {
+      if (!this.pipelined.admit(req, res)) return;
       res.writeHead(200, {'Content-Type': 'text/plain; version=0.0.4'});
       res.end(renderMetrics(readMetrics()));
     });
