Request bodies of too small chunks are refused, and not read to their end

Cause: a body in chunks of one byte took a hundred times the time of a larger one for up to 1 MB, and then for the 64 MiB of it that are dropped behind the 413; the readiness and metrics listeners let Node drop any body without a bound. Change: a body whose framing passes 64 KiB and twice the body gets 413 and is closed, also while it is dropped; both listeners end their answers in the same way.

--- a/packages/core/src/http.ts
+++ b/packages/core/src/http.ts
@@ -3,6 +3,7 @@
  */
 import {finished} from 'node:stream';
 import {BoundedBody} from './bounded-body.js';
+import {resolveFramingShare} from './framing-share.js';
 import {ReadTimeout} from './read-timeout.js';
 import type {IncomingMessage, ServerResponse} from 'node:http';
 
@@ -34,7 +35,7 @@
 
 /**
  * Reads a request body; resolves to undefined as soon as it is larger than
- * `limitBytes`. The rest is then unread, so the response must be sent by
+ * `limitBytes`, or its chunks are too small. The rest is then unread, so the response must be sent by
  * `sendJson` or `endResponse`.
  *
  * @throws The connection's error when the caller disconnects while sending the
@@ -49,8 +50,9 @@
   const body = new BoundedBody(limitBytes);
   // Destroying the request would close its connection before the response.
   const iterator = req.iterator({destroyOnReturn: false});
+  const framing = resolveFramingShare(req);
   for await (const part of iterator as AsyncIterable<Buffer>)
-    if (!body.add(part)) return undefined;
+    if (!body.add(part) || !framing.add(part)) return undefined;
   return body.readBytes();
 }
 
@@ -132,6 +134,7 @@
   finish: () => void,
 ): void {
   let droppedBytes = 0;
+  const framing = resolveFramingShare(req);
   const stopAndFinish = () => {
     timeout.stop();
     req.off('data', receive);
@@ -143,7 +146,7 @@
   const receive = (part: Buffer) => {
     timeout.stop();
     droppedBytes += part.length;
-    if (droppedBytes > MAX_DROPPED_BYTES) {
+    if (droppedBytes > MAX_DROPPED_BYTES || !framing.add(part)) {
       stopAndFinish();
       return;
     }
--- a/packages/direct/src/observe/status-server.ts
+++ b/packages/direct/src/observe/status-server.ts
@@ -2,7 +2,7 @@
  * Answers readiness checks of the load balancer and serves metrics, over HTTP.
  */
 import {createServer} from 'node:http';
-import {PipelinedRequests, openListener} from '@nutmeggauge/core';
+import {PipelinedRequests, endResponse, openListener} from '@nutmeggauge/core';
 import {renderMetrics} from './metrics-text.js';
 import type {Server} from 'node:http';
 import type {ListenAddress} from '@nutmeggauge/core';
@@ -37,7 +37,7 @@
       if (!this.pipelined.admit(req, res)) return;
       const status = req.url === path ? (isReady() ? 200 : 503) : 404;
       res.writeHead(status, {'Content-Length': 0});
-      res.end();
+      endResponse(res, '');
     });
     this.servers.push(server);
     await openListener(server, address);
@@ -51,7 +51,7 @@
     const server = createServer((req, res) => {
       if (!this.pipelined.admit(req, res)) return;
       res.writeHead(200, {'Content-Type': 'text/plain; version=0.0.4'});
-      res.end(renderMetrics(readMetrics()));
+      endResponse(res, renderMetrics(readMetrics()));
     });
     this.servers.push(server);
     await openListener(server, address);
