The soak plays answers that only the end of their connection marks

Change: TargetStandin has the mode `unframed` (whole, reset in the same turn, reset late, twice, another answer late; calls and streams; every eighth call 1.4 MB), `--unframed N` plays it (default 3, seeded apart from the other faults). Callers and FaultyLink use observeEnd; the link passes bytes and a reset that arrive together on together. The check of whole answers moves to check-whole.ts. It demands the body that the target sent (the large one where it sent that) and excuses one case, which cannot occur without these answers: one without framing, cut by the kill of its gate, whose connections the kernel closes. observeEnd writes nothing on a connection that this process has ended already; without that line its new test fails ("reset", not "closed"). The link's test waits for the end too.

--- a/packages/core/src/connection-end.test.ts
+++ b/packages/core/src/connection-end.test.ts
@@ -90,6 +90,24 @@
     expect(await countEnds(peer)).toEqual({closed: RUNS});
   });
 
+  it('is a close when the peer closes after this process has ended its side', async () => {
+    // Guards against a write after the end, which fails and is taken for a reset.
+    const server = createServer({allowHalfOpen: true}, accepted => {
+      accepted.resume();
+      accepted.once('end', () => accepted.end());
+    });
+    const port = await openListener(server, {host: '127.0.0.1', port: 0});
+    const socket = connect({host: '127.0.0.1', port, allowHalfOpen: true});
+    socket.on('error', () => undefined);
+    const ended = observeEnd(socket);
+    socket.resume();
+    socket.end('a');
+    const end = await ended;
+    server.close();
+    expect(end).toEqual('closed');
+    expect(socket.errored).toEqual(null);
+  });
+
   it('is a reset when this process destroys the connection', async () => {
     const server = createServer(socket => socket.on('error', () => undefined));
     const port = await openListener(server, {host: '127.0.0.1', port: 0});
--- a/packages/core/src/connection-end.ts
+++ b/packages/core/src/connection-end.ts
@@ -25,6 +25,8 @@
     socket.once('close', giveUp);
     socket.once('end', () => {
       socket.off('close', giveUp);
+      // Ended in both directions: a write would be one after the end.
+      if (socket.writableEnded) return resolve('closed');
       socket.write('');
       // This write may wait for earlier ones, which fail within the same turn of the
       // event loop as the end is reported.
--- a/packages/nutmeggauge/src/cli/flags.ts
+++ b/packages/nutmeggauge/src/cli/flags.ts
@@ -31,6 +31,7 @@
   resting: {type: 'number', default: 0},
   evacuations: {type: 'number', default: 0},
   stopSeries: {type: 'number', default: 2},
+  unframed: {type: 'number', default: 3},
   coldStarts: {type: 'boolean', default: false},
   timing: {type: 'boolean', default: true},
   agents: {type: 'boolean', default: false},
@@ -60,7 +61,8 @@
     $ nutmeggauge soak [--seed N] [--seeds COUNT] [--jobs N] [--gates N]
       [--targets N] [--length-ms N] [--restores N] [--gate-stops N] [--crashing N]
       [--impatient N] [--limit N] [--leaving N] [--resting N]
-      [--evacuations N] [--stop-series N] [--cold-starts] [--no-timing] [--run-dir DIR]
+      [--evacuations N] [--stop-series N] [--unframed N] [--cold-starts] [--no-timing]
+      [--run-dir DIR]
     $ nutmeggauge soak --agents [--seed N] [--seeds COUNT] [--jobs N] [--gates N]
       [--length-ms N] [--run-dir DIR]
     $ nutmeggauge timeline <run-dir or .log files…>
@@ -97,6 +99,8 @@
                   and taken back (default 0)
     --stop-series  Soak: number of series of stops of gates that overlap, under
                   streams that last longer than a stop (default 2)
+    --unframed    Soak: number of times that a target answers with neither a length
+                  nor chunks: whole, reset, or twice (default 3)
     --cold-starts  Soak: targets that replace others are cold for 8 s
     --agents      Soak: use gates with an agent for each target instead of direct
                   gates
--- a/packages/nutmeggauge/src/soak/callers.ts
+++ b/packages/nutmeggauge/src/soak/callers.ts
@@ -2,9 +2,11 @@
  * HTTP callers of the soak. Callers use keep-alive connections and reuse them
  * until the gate process at the other end exits.
  */
-import {Agent, request} from 'node:http';
+import {request} from 'node:http';
 import {buildCallHeaders, isSigned} from '@nutmeggauge/platform';
+import {ObservingAgent} from './observing-agent.js';
 import type {IncomingMessage} from 'node:http';
+import type {ConnectionEnd} from '@nutmeggauge/core';
 import type {StandinKind} from '@nutmeggauge/platform';
 import type {CallerRecord} from './history.js';
 
@@ -88,7 +90,7 @@
  * const record = await new Caller('c1', 15_000).call(endpoint, 'safe', 'k1');
  */
 export class Caller {
-  private readonly agent: Agent;
+  private readonly agent: ObservingAgent;
   private lastRequestNumber = 0;
 
   /**
@@ -101,7 +103,7 @@
     maxSockets = MAX_CONNECTIONS,
   ) {
     const timeout = idleTimeoutMs * MAX_IDLE_SHARE;
-    this.agent = new Agent({keepAlive: true, maxSockets, timeout});
+    this.agent = new ObservingAgent({keepAlive: true, maxSockets, timeout});
   }
 
   /**
@@ -165,13 +167,14 @@
   private hasSignature = false;
   private body = '';
   private hasGivenUp = false;
+  private isUnframed = false;
 
   constructor(private readonly sent: SentRequestFields) {}
 
   run(
     deadlineMs: number,
     port: number,
-    agent: Agent,
+    agent: ObservingAgent,
     promptTokens: number | undefined,
     content: string | undefined,
     patienceMs: number,
@@ -202,22 +205,31 @@
         clearTimeout(timer);
         resolve(this.buildRecord(isWhole));
       };
-      req.once('error', () => finish(false));
-      req.once('response', res => this.readResponse(res, finish));
+      req.on('error', () => finish(false));
+      req.once('response', res =>
+        this.readResponse(res, agent.waitForEnd(res.socket), finish),
+      );
       req.end(content);
     });
   }
 
   private readResponse(
     res: IncomingMessage,
+    connectionEnd: Promise<ConnectionEnd>,
     finish: (isWhole: boolean) => void,
   ): void {
     this.status = res.statusCode;
     this.hasSignature = isSigned(res.headers);
+    this.isUnframed =
+      res.headers['content-length'] === undefined &&
+      res.headers['transfer-encoding'] === undefined;
     res.setEncoding('utf8');
     res.on('data', (text: string) => (this.body += text));
     res.once('error', () => finish(false));
-    res.once('end', () => finish(res.complete));
+    res.once('end', () => {
+      if (!this.isUnframed) return finish(res.complete);
+      void connectionEnd.then(end => finish(res.complete && end === 'closed'));
+    });
   }
 
   private buildRecord(isWhole: boolean): CallerRecord {
@@ -227,6 +239,7 @@
       status: this.status,
       isSigned: this.hasSignature,
       isWhole,
+      ...(this.isUnframed ? {isUnframed: true} : {}),
       body: this.body,
       hasGivenUp: this.hasGivenUp,
     };
--- a/packages/nutmeggauge/src/soak/check.ts
+++ b/packages/nutmeggauge/src/soak/check.ts
@@ -2,12 +2,6 @@
  * Checks the invariants of the soak against the history of a run. Checks with
  * a time bound are optional, because a busy machine may exceed the bound.
  */
-import {
-  STREAM_EVENTS,
-  buildCallBody,
-  buildEvent,
-  countLongEvents,
-} from '@nutmeggauge/platform';
 import {findSendsToLeaving, findSendsToResting} from './check-announcements.js';
 import {findUnanswered} from './check-answered.js';
 import {findColdOverloads} from './check-cold.js';
@@ -19,6 +13,7 @@
 } from './check-evacuations.js';
 import {findExceededLimits, findLateRuns} from './check-limits.js';
 import {TimedChecks} from './check-timed.js';
+import {checkAnswer} from './check-whole.js';
 import {parseRuns} from './gate-stops.js';
 import type {TargetRun} from '@nutmeggauge/platform';
 import type {Violation} from './violation.js';
@@ -49,10 +44,13 @@
 ): readonly Violation[] {
   const runs = parseRuns(history.runs);
   const answered = [...history.records, ...history.lasting];
-  const found = answered.flatMap(record => [
-    ...checkRuns(record, runs.get(record.requestId) ?? []),
-    ...checkAnswer(record),
-  ]);
+  const found = answered.flatMap(record => {
+    const runsOfRequest = runs.get(record.requestId) ?? [];
+    return [
+      ...checkRuns(record, runsOfRequest),
+      ...checkAnswer(history, record, runsOfRequest),
+    ];
+  });
   for (const record of [...history.crashing, ...history.impatient])
     found.push(...checkRuns(record, runs.get(record.requestId) ?? []));
   found.push(
@@ -98,40 +96,6 @@
   return found;
 }
 
-/**
- * Checks that a success is signed and has the body that targets send for the
- * request.
- */
-function checkAnswer(record: CallerRecord): readonly Violation[] {
-  const {requestId, kind, status, body, isWhole, hasGivenUp} = record;
-  if (status !== 200) return [];
-  const expectedBody =
-    kind === 'safe' || kind === 'unsafe'
-      ? buildCallBody(requestId)
-      : buildStreamBody(record);
-  const isExpected = isWhole
-    ? body === expectedBody
-    : expectedBody.startsWith(body);
-  // A caller that disconnected has received only the start of the body.
-  if ((isExpected || hasGivenUp) && record.isSigned) return [];
-  return [
-    {
-      promise: 'whole-answer',
-      requestId,
-      detail: `${isWhole ? 'whole' : 'cut'}, ${body.length} of ${expectedBody.length} bytes`,
-    },
-  ];
-}
-
-function buildStreamBody({requestId, outputTokens}: CallerRecord): string {
-  const events =
-    outputTokens === undefined ? STREAM_EVENTS : countLongEvents(outputTokens);
-  let text = '';
-  for (let eventNumber = 1; eventNumber <= events; eventNumber++)
-    text += buildEvent(requestId, eventNumber);
-  return text;
-}
-
 function checkTargets(history: SoakHistory): readonly Violation[] {
   const found: Violation[] = [];
   for (const {requestId, hasKey, account} of history.runs) {
--- a/packages/nutmeggauge/src/soak/faulty-link.test.ts
+++ b/packages/nutmeggauge/src/soak/faulty-link.test.ts
@@ -1,10 +1,11 @@
 import {connect, createServer} from 'node:net';
 import {once} from 'node:events';
 import {afterEach, beforeEach, describe, it} from 'node:test';
-import {openListener} from '@nutmeggauge/core';
+import {observeEnd, openListener} from '@nutmeggauge/core';
 import {expect} from 'earl';
 import {FaultyLink} from './faulty-link.js';
 import type {Server, Socket} from 'node:net';
+import type {ConnectionEnd} from '@nutmeggauge/core';
 
 describe('faulty TCP link', () => {
   let target: Server;
@@ -26,13 +27,15 @@
     target.close();
   });
 
-  it('forwards bytes in both directions', async () => {
+  it('forwards bytes in both directions, and the end behind them', async () => {
     const caller = connect(port, '127.0.0.1');
     caller.write('ask');
     const served = await accepted;
     expect(String((await once(served, 'data'))[0])).toEqual('ask');
     served.end('answer');
+    const ended = once(caller, 'end');
     expect(String((await once(caller, 'data'))[0])).toEqual('answer');
+    await ended;
   });
 
   it('resets open connections, instead of closing them, when it drops connections', async () => {
@@ -44,6 +47,28 @@
     expect(error.code).toEqual('ECONNRESET');
   });
 
+  it('forwards a reset behind bytes as a reset', async () => {
+    // Guards against a reset that becomes a close, so that a cut answer looks whole.
+    const ends: ConnectionEnd[] = [];
+    target.on('connection', served => {
+      served.on('error', () => undefined);
+      served.once('data', () => {
+        served.write(Buffer.alloc(20_000, 'a'));
+        served.resetAndDestroy();
+      });
+    });
+    for (let i = 0; i < 40; i++) {
+      const caller = connect({port, host: '127.0.0.1', allowHalfOpen: true});
+      const ended = observeEnd(caller);
+      caller.on('error', () => undefined);
+      caller.resume();
+      caller.write('ask');
+      ends.push(await ended);
+      caller.destroy();
+    }
+    expect(ends).toEqual(Array<ConnectionEnd>(40).fill('reset'));
+  });
+
   it('forwards no reset while it is silent, and closes both sockets when stopped', async () => {
     // Guards against sockets to the target that a silent link leaves open after
     // the caller's reset and that keep the process alive.
--- a/packages/nutmeggauge/src/soak/faulty-link.ts
+++ b/packages/nutmeggauge/src/soak/faulty-link.ts
@@ -3,7 +3,7 @@
  * and loss of bytes in one direction or both.
  */
 import {connect, createServer} from 'node:net';
-import {openListener} from '@nutmeggauge/core';
+import {observeEnd, openListener} from '@nutmeggauge/core';
 import type {Server, Socket} from 'node:net';
 
 /** How a link treats connections and their bytes. */
@@ -52,15 +52,9 @@
     return openListener(this.server, {host: '127.0.0.1', port: 0});
   }
 
-  /**
-   * Resets every open connection. Half-closed connections are closed instead,
-   * because resetting such a socket makes Node 20 spin.
-   */
+  /** Resets every open connection; those that are half-closed are closed. */
   dropConnections(): void {
-    for (const socket of this.sockets) {
-      if (socket.writableEnded || socket.readableEnded) socket.destroy();
-      else socket.resetAndDestroy();
-    }
+    for (const socket of this.sockets) dropSocket(socket);
   }
 
   /** Closes every connection and stops listening. */
@@ -88,11 +82,11 @@
     from.on('data', bytes =>
       this.sendUnlessCut(cutMode, () => to.write(bytes)),
     );
-    from.on('end', () => this.sendUnlessCut(cutMode, () => to.end()));
+    void observeEnd(from).then(end => {
+      if (end === 'closed') this.sendUnlessCut(cutMode, () => to.end());
+    });
     // A reset is forwarded unless the mode drops this direction.
-    from.on('error', () =>
-      this.sendUnlessCut(cutMode, () => to.resetAndDestroy()),
-    );
+    from.on('error', () => this.sendUnlessCut(cutMode, () => dropSocket(to)));
     from.on('close', () => {
       this.sockets.delete(from);
       this.sendUnlessCut(cutMode, () => to.destroySoon());
@@ -102,6 +96,17 @@
   private sendUnlessCut(cutMode: LinkMode, send: () => void): void {
     if (this.mode === 'silent' || this.mode === cutMode) return;
     if (this.mode === 'delay') setTimeout(send, DELAY_MS);
-    else send();
+    // Bytes and a reset that arrive together go on together.
+    else setImmediate(send);
   }
 }
+
+/**
+ * Resets a connection. A half-closed one is closed instead, because resetting such a
+ * socket makes Node 20 spin.
+ */
+function dropSocket(socket: Socket): void {
+  const isHalfClosed = socket.writableFinished || socket.readableEnded;
+  if (isHalfClosed) socket.destroy();
+  else socket.resetAndDestroy();
+}
--- a/packages/nutmeggauge/src/soak/history.ts
+++ b/packages/nutmeggauge/src/soak/history.ts
@@ -25,8 +25,13 @@
   /** Status code; undefined if no response head arrived. */
   readonly status: number | undefined;
   readonly isSigned: boolean;
-  /** Whether the response arrived completely. */
+  /**
+   * Whether the response looks complete. One whose end only its connection marks
+   * does if the connection was closed, not if it was reset.
+   */
   readonly isWhole: boolean;
+  /** True if the response had neither a length nor chunks. */
+  readonly isUnframed?: true;
   readonly body: string;
   /** Output tokens of a long stream; absent for other requests. */
   readonly outputTokens?: number;
--- a/packages/nutmeggauge/src/soak/run-soaks.ts
+++ b/packages/nutmeggauge/src/soak/run-soaks.ts
@@ -58,6 +58,7 @@
     ...['--resting', String(series.resting)],
     ...['--evacuations', String(series.evacuations)],
     ...['--stop-series', String(series.stopSeries)],
+    ...['--unframed', String(series.unframed)],
     ...(series.coldStarts ? ['--cold-starts'] : []),
     ...(series.hasTiming ? [] : ['--no-timing']),
     ...(series.hasAgents ? ['--agents'] : []),
--- a/packages/nutmeggauge/src/soak/schedule.ts
+++ b/packages/nutmeggauge/src/soak/schedule.ts
@@ -7,6 +7,7 @@
 import type {StoreMode, TargetMode} from '@nutmeggauge/platform';
 import {buildEvacuations} from './schedule-evacuations.js';
 import {buildStopSeries} from './schedule-stops.js';
+import {buildUnframed} from './schedule-unframed.js';
 import type {LinkMode} from './faulty-link.js';
 import {FAULT_FREE_TAIL_MS} from './scheduled-fault.js';
 import type {FaultAction, ScheduledFault} from './scheduled-fault.js';
@@ -35,6 +36,8 @@
   readonly evacuations?: number;
   /** Number of series of stops that overlap. */
   readonly stopSeries?: number;
+  /** Number of times that a target answers with neither a length nor chunks. */
+  readonly unframed?: number;
 }
 
 /** Mean time between the starts of two faults, in ms. */
@@ -149,6 +152,7 @@
     ...buildAnnouncements(seed, sizes, end),
     ...buildEvacuations(seed, sizes.evacuations ?? 0, end),
     ...buildStopSeries(seed, sizes.stopSeries ?? 0, sizes.gates, end),
+    ...buildUnframed(seed, sizes.unframed ?? 0, sizes.targets, end),
   ];
 }
 
--- a/packages/nutmeggauge/src/soak/soak.test.ts
+++ b/packages/nutmeggauge/src/soak/soak.test.ts
@@ -37,11 +37,13 @@
   readonly evacuations?: number;
   /** Number of series of stops that overlap. */
   readonly stopSeries?: number;
+  /** Number of times that a target answers with neither a length nor chunks. */
+  readonly unframed?: number;
   /** Length of the load, in ms. */
   readonly lengthMs?: number;
 }
 
-/** Runs for CI whose seeds have revealed no fault. */
+/** Runs for CI, one or more of each kind of fault. */
 const CI_RUNS: readonly SoakRun[] = [
   {seed: 1, restores: 0, gateStops: 0},
   {seed: 2, restores: 3, gateStops: 0},
@@ -51,6 +53,7 @@
   {seed: 702, restores: 0, gateStops: 0, leaving: 4, resting: 8},
   {seed: 9109, restores: 0, gateStops: 0, evacuations: 3, lengthMs: 20_000},
   {seed: 71001, restores: 0, gateStops: 0, stopSeries: 4},
+  {seed: 75001, restores: 0, gateStops: 0, unframed: 3},
 ];
 
 describe('fault schedule of the soak', () => {
@@ -78,6 +81,16 @@
     expect(kinds.filter(kind => kind === 'gate-drain').length).toEqual(6);
   });
 
+  it('leaves the other faults of a seed unchanged when answers without framing are added', () => {
+    const others = buildSchedule(7, SIZES);
+    const faults = buildSchedule(7, {...SIZES, unframed: 3});
+    expect(faults.slice(0, others.length)).toEqual([...others]);
+    const added = faults.slice(others.length).map(({action}) => action);
+    expect(
+      added.map(action => action.kind === 'target-mode' && action.mode),
+    ).toEqual(['unframed', 'unframed', 'unframed']);
+  });
+
   it('leaves the other faults of a seed unchanged when store restores are added', () => {
     const faults = buildSchedule(7, {...SIZES, gateStops: 0});
     const others = buildSchedule(7, {...SIZES, restores: 0, gateStops: 0});
@@ -117,6 +130,7 @@
           ...['--resting', String(others.resting ?? 0)],
           ...['--evacuations', String(others.evacuations ?? 0)],
           ...['--stop-series', String(others.stopSeries ?? 0)],
+          ...['--unframed', String(others.unframed ?? 0)],
           ...['--length-ms', String(others.lengthMs ?? SIZES.lengthMs)],
         ]);
         expect(stdout).toInclude('"violations":0');
--- a/packages/nutmeggauge/src/soak/soak.ts
+++ b/packages/nutmeggauge/src/soak/soak.ts
@@ -45,6 +45,9 @@
  */
 const SHORT_IDLE_TIMEOUT_MS = 2000;
 
+/** Longest text in the written history, in characters. */
+const MAX_TEXT_LENGTH = 20_000;
+
 /** Options of a soak run. */
 export interface SoakOptions {
   readonly seed: number;
@@ -73,6 +76,8 @@
   readonly evacuations: number;
   /** Number of series of stops that overlap, under streams that last longer. */
   readonly stopSeries: number;
+  /** Number of times that a target answers with neither a length nor chunks. */
+  readonly unframed: number;
   /** Whether targets that replace others are cold for a while. */
   readonly coldStarts: boolean;
   /** Whether invariants with a time bound are checked too. */
@@ -96,7 +101,7 @@
  * Runs the soak with one seed and returns the violated invariants.
  *
  * @example
- * const {violations} = await runSoak({seed: 7, gates: 3, targets: 6, lengthMs: 12_000, restores: 2, gateStops: 2, crashing: 1, impatient: 1, limit: 0, leaving: 1, resting: 1, evacuations: 1, stopSeries: 2, coldStarts: true, hasTiming: true, runDir: 'runs/soak-7'});
+ * const {violations} = await runSoak({seed: 7, gates: 3, targets: 6, lengthMs: 12_000, restores: 2, gateStops: 2, crashing: 1, impatient: 1, limit: 0, leaving: 1, resting: 1, evacuations: 1, stopSeries: 2, unframed: 3, coldStarts: true, hasTiming: true, runDir: 'runs/soak-7'});
  */
 export async function runSoak(options: SoakOptions): Promise<SoakResult> {
   const idleTimeoutMs =
@@ -239,6 +244,13 @@
   return records;
 }
 
+/** Shortens a large body in the history. */
+function formatText(_key: string, value: unknown): unknown {
+  if (typeof value !== 'string' || value.length <= MAX_TEXT_LENGTH)
+    return value;
+  return `${value.slice(0, MAX_TEXT_LENGTH)}… (${value.length} in all)`;
+}
+
 /** Writes the violations and the history into the folder of the gates' logs. */
 function writeHistory(
   runDir: string,
@@ -247,7 +259,7 @@
 ): void {
   const text = JSON.stringify(
     {violations, ...history, limits: Object.fromEntries(history.limits)},
-    null,
+    formatText,
     1,
   );
   writeFileSync(join(runDir, 'history.json'), text);
