A faulty link passes nothing on behind bytes that it has dropped

Cause: FaultyLink judged each piece by the mode of the moment. When two faults of one link overlapped (cut-to-caller, then delay), it dropped bytes of an open connection and passed later ones on; when a delay gave way to another mode, later bytes overtook earlier ones. TCP can do neither.

--- a/packages/nutmeggauge/src/soak/faulty-link.test.ts
+++ b/packages/nutmeggauge/src/soak/faulty-link.test.ts
@@ -1,12 +1,15 @@
 import {connect, createServer} from 'node:net';
 import {once} from 'node:events';
 import {afterEach, beforeEach, describe, it} from 'node:test';
-import {observeEnd, openListener} from '@nutmeggauge/core';
+import {observeEnd, openListener, waitMs} from '@nutmeggauge/core';
 import {expect} from 'earl';
 import {FaultyLink} from './faulty-link.js';
 import type {Server, Socket} from 'node:net';
 import type {ConnectionEnd} from '@nutmeggauge/core';
 
+/** Time in which bytes cross the link, in ms. */
+const SETTLE_MS = 50;
+
 describe('faulty TCP link', () => {
   let target: Server;
   let accepted: Promise<Socket>;
@@ -69,6 +72,44 @@
     expect(ends).toEqual(Array<ConnectionEnd>(40).fill('reset'));
   });
 
+  it('forwards no byte behind bytes that it has dropped', async () => {
+    // Guards against streams that lack events in the middle, which TCP does not allow.
+    for (const mode of ['silent', 'cut-to-caller'] as const) {
+      const connected = once(target, 'connection');
+      const caller = connect(port, '127.0.0.1');
+      const [served] = (await connected) as [Socket];
+      let text = '';
+      caller.on('data', bytes => (text += String(bytes)));
+      caller.on('error', () => undefined);
+      served.on('error', () => undefined);
+      served.write('one,');
+      await once(caller, 'data');
+      link.mode = mode;
+      served.write('two,');
+      await waitMs(SETTLE_MS);
+      link.mode = 'pass';
+      served.write('three');
+      await waitMs(SETTLE_MS);
+      expect(text).toEqual('one,');
+      link.dropConnections();
+    }
+  });
+
+  it('keeps the order of bytes when a delay ends', async () => {
+    // Guards against events of a stream that change places, which TCP does not allow.
+    const caller = connect(port, '127.0.0.1');
+    const served = await accepted;
+    let text = '';
+    caller.on('data', bytes => (text += String(bytes)));
+    link.mode = 'delay';
+    served.write('one,');
+    await waitMs(SETTLE_MS);
+    link.mode = 'pass';
+    served.end('two');
+    await once(caller, 'end');
+    expect(text).toEqual('one,two');
+  });
+
   it('forwards no reset while it is silent, and closes both sockets when stopped', async () => {
     // Guards against sockets to the target that a silent link leaves open after
     // the caller's reset and that keep the process alive.
--- a/packages/nutmeggauge/src/soak/faulty-link.ts
+++ b/packages/nutmeggauge/src/soak/faulty-link.ts
@@ -3,7 +3,8 @@
  * and loss of bytes in one direction or both.
  */
 import {connect, createServer} from 'node:net';
-import {observeEnd, openListener} from '@nutmeggauge/core';
+import {setImmediate as waitForImmediate} from 'node:timers/promises';
+import {observeEnd, openListener, waitMs} from '@nutmeggauge/core';
 import type {Server, Socket} from 'node:net';
 
 /** How a link treats connections and their bytes. */
@@ -79,25 +80,43 @@
 
   private forward(from: Socket, to: Socket, cutMode: LinkMode): void {
     this.sockets.add(from);
-    from.on('data', bytes =>
-      this.sendUnlessCut(cutMode, () => to.write(bytes)),
-    );
+    const direction = new LinkDirection();
+    const send = (step: () => void) => {
+      if (this.mode === 'silent' || this.mode === cutMode) direction.markCut();
+      direction.send(this.mode === 'delay' ? DELAY_MS : 0, step);
+    };
+    from.on('data', bytes => send(() => to.write(bytes)));
     void observeEnd(from).then(end => {
-      if (end === 'closed') this.sendUnlessCut(cutMode, () => to.end());
+      if (end === 'closed') send(() => to.end());
     });
     // A reset is forwarded unless the mode drops this direction.
-    from.on('error', () => this.sendUnlessCut(cutMode, () => dropSocket(to)));
+    from.on('error', () => send(() => dropSocket(to)));
     from.on('close', () => {
       this.sockets.delete(from);
-      this.sendUnlessCut(cutMode, () => to.destroySoon());
+      send(() => to.destroySoon());
     });
   }
+}
+
+/**
+ * One direction of a connection. As in TCP, bytes keep their order, and nothing
+ * follows bytes that were dropped.
+ */
+class LinkDirection {
+  private isCut = false;
+  private lastStep = Promise.resolve();
+
+  /** Drops everything from now on. */
+  markCut(): void {
+    this.isCut = true;
+  }
 
-  private sendUnlessCut(cutMode: LinkMode, send: () => void): void {
-    if (this.mode === 'silent' || this.mode === cutMode) return;
-    if (this.mode === 'delay') setTimeout(send, DELAY_MS);
+  /** Sends bytes or an end after a delay, in ms, and after what is on its way. */
+  send(delayMs: number, step: () => void): void {
+    if (this.isCut) return;
     // Bytes and a reset that arrive together go on together.
-    else setImmediate(send);
+    const due = delayMs > 0 ? waitMs(delayMs) : waitForImmediate();
+    this.lastStep = this.lastStep.then(() => due).then(step);
   }
 }
 
