--- a/packages/core/src/index.ts
+++ b/packages/core/src/index.ts
@@ -1,3 +1,4 @@
+export * from './answer-head.js';
 export * from './bounded-body.js';
 export * from './clock.js';
 export * from './config/delta.js';
@@ -14,6 +15,7 @@
 export * from './daemon.js';
 export * from './errors.js';
 export * from './freeze-process.js';
+export * from './head-scanner.js';
 export * from './http.js';
 export * from './idempotency-key.js';
 export * from './turn-monitor.js';
