--- a/packages/nutmeggauge/src/soak/faulty-link.ts
+++ b/packages/nutmeggauge/src/soak/faulty-link.ts
@@ -3,7 +3,8 @@
  * and loss of bytes in one direction or both.
  */
 import {connect, createServer} from 'node:net';
-import {openListener} from '@nutmeggauge/core';
+import {setImmediate as waitForImmediate} from 'node:timers/promises';
+import {observeEnd, openListener, waitMs} from '@nutmeggauge/core';
 import type {Server, Socket} from 'node:net';
 
 /** How a link treats connections and their bytes. */
@@ -52,15 +53,9 @@
     return openListener(this.server, {host: '127.0.0.1', port: 0});
   }
 
-  /**
-   * Resets every open connection. Half-closed connections are closed instead,
-   * because resetting such a socket makes Node 20 spin.
-   */
+  /** Resets every open connection; those that are half-closed are closed. */
   dropConnections(): void {
-    for (const socket of this.sockets) {
-      if (socket.writableEnded || socket.readableEnded) socket.destroy();
-      else socket.resetAndDestroy();
-    }
+    for (const socket of this.sockets) dropSocket(socket);
   }
 
   /** Closes every connection and stops listening. */
@@ -85,23 +80,52 @@
 
   private forward(from: Socket, to: Socket, cutMode: LinkMode): void {
     this.sockets.add(from);
-    from.on('data', bytes =>
-      this.sendUnlessCut(cutMode, () => to.write(bytes)),
-    );
-    from.on('end', () => this.sendUnlessCut(cutMode, () => to.end()));
+    const direction = new LinkDirection();
+    const send = (step: () => void) => {
+      if (this.mode === 'silent' || this.mode === cutMode) direction.markCut();
+      direction.send(this.mode === 'delay' ? DELAY_MS : 0, step);
+    };
+    from.on('data', bytes => send(() => to.write(bytes)));
+    void observeEnd(from).then(end => {
+      if (end === 'closed') send(() => to.end());
+    });
     // A reset is forwarded unless the mode drops this direction.
-    from.on('error', () =>
-      this.sendUnlessCut(cutMode, () => to.resetAndDestroy()),
-    );
+    from.on('error', () => send(() => dropSocket(to)));
     from.on('close', () => {
       this.sockets.delete(from);
-      this.sendUnlessCut(cutMode, () => to.destroySoon());
+      send(() => to.destroySoon());
     });
   }
+}
+
+/**
+ * One direction of a connection. As in TCP, bytes keep their order, and nothing
+ * follows bytes that were dropped.
+ */
+class LinkDirection {
+  private isCut = false;
+  private lastStep = Promise.resolve();
+
+  /** Drops everything from now on. */
+  markCut(): void {
+    this.isCut = true;
+  }
 
-  private sendUnlessCut(cutMode: LinkMode, send: () => void): void {
-    if (this.mode === 'silent' || this.mode === cutMode) return;
-    if (this.mode === 'delay') setTimeout(send, DELAY_MS);
-    else send();
+  /** Sends bytes or an end after a delay, in ms, and after what is on its way. */
+  send(delayMs: number, step: () => void): void {
+    if (this.isCut) return;
+    // Bytes and a reset that arrive together go on together.
+    const due = delayMs > 0 ? waitMs(delayMs) : waitForImmediate();
+    this.lastStep = this.lastStep.then(() => due).then(step);
   }
 }
+
+/**
+ * Resets a connection. A half-closed one is closed instead, because resetting such a
+ * socket makes Node 20 spin.
+ */
+function dropSocket(socket: Socket): void {
+  const isHalfClosed = socket.writableFinished || socket.readableEnded;
+  if (isHalfClosed) socket.destroy();
+  else socket.resetAndDestroy();
+}
