Soak: a stop may cut an answer behind which its target sent another one

The target sent a body of 1.4 MB by close and at once a second answer; the gate had passed the first megabyte on and broke off, as it must. The stand-in had recorded the run as finished, which the check does not excuse.

Change: such runs end as `answered-twice`, and the check of stops treats them as broken off by their target; a finished or cut run excuses as little as before (test). No other check reads it.

--- a/packages/nutmeggauge/src/soak/check-stops.ts
+++ b/packages/nutmeggauge/src/soak/check-stops.ts
@@ -51,7 +51,10 @@
   return kind === 'long' ? LONG_TIMEOUT_MS : STANDIN_TIMEOUT_MS;
 }
 
-/** Returns whether the last target or its link broke the answer off. */
+/**
+ * Returns whether the last target or its link broke the answer off, or the target
+ * sent another one behind it, so that the gate has to break it off.
+ */
 function isBrokenOff(
   {faults}: SoakHistory,
   runs: readonly TargetRun[],
@@ -60,6 +63,7 @@
   const last = runs[runs.length - 1];
   return (
     last.outcome === 'broken-off' ||
+    last.outcome === 'answered-twice' ||
     faults.some(fault => isLinkFault(fault, last, cutAt))
   );
 }
--- a/packages/nutmeggauge/src/soak/check.test.ts
+++ b/packages/nutmeggauge/src/soak/check.test.ts
@@ -3,7 +3,7 @@
 import {expect} from 'earl';
 import {findViolations} from './check.js';
 import {buildHistory} from './test-history.js';
-import type {TargetRun} from '@nutmeggauge/platform';
+import type {RunOutcome, TargetRun} from '@nutmeggauge/platform';
 import type {CallerRecord, InjectedFault, SoakHistory} from './history.js';
 
 const SERVED_RECORD: CallerRecord = {
@@ -164,6 +164,19 @@
     ]);
   });
 
+  it('reports an answer cut by a graceful stop unless its target sent another behind it', () => {
+    // Guards against an excuse for stops that cut an answer that a target has made.
+    const cut = {...SERVED_RECORD, isWhole: false, body: ''};
+    const records = [cut, ...Array<CallerRecord>(9).fill(SERVED_RECORD)];
+    const stops = [{node: 'gate-0', at: 9900}];
+    const run = {...TARGET_RUN, endedAt: 10_010};
+    const judge = (outcome: RunOutcome) =>
+      listViolatedInvariants({records, stops, runs: [{...run, outcome}]});
+    expect(judge('finished')).toEqual(['graceful-stop']);
+    expect(judge('cut')).toEqual(['graceful-stop']);
+    expect(judge('answered-twice')).toEqual([]);
+  });
+
   it('reports a running request that a graceful stop cut off', () => {
     const records = [
       {...SERVED_RECORD, isWhole: false, status: undefined, body: ''},
