A reset counts as one also while bytes of the request wait to be sent

Cause: the write of no bytes waits behind the others, and Node's HTTP client destroys the socket at its end, with what waits. Change: while bytes wait, the peer's address tells: it can't be read once a connection was reset.

--- a/packages/core/src/connection-end.ts
+++ b/packages/core/src/connection-end.ts
@@ -27,9 +27,12 @@
       socket.off('close', giveUp);
       // Ended in both directions: a write would be one after the end.
       if (socket.writableEnded) return resolve('closed');
+      // The write would wait behind others, which a client may drop. The address of
+      // the peer can't be read either once the connection was reset.
+      const isAddressKnown = socket.remotePort !== undefined;
+      if (socket.writableLength > 0)
+        return resolve(isAddressKnown ? 'closed' : 'reset');
       socket.write('');
-      // This write may wait for earlier ones, which fail within the same turn of the
-      // event loop as the end is reported.
       setImmediate(() => resolve(socket.errored === null ? 'closed' : 'reset'));
     });
   });
