A caller that closes its side within an answer without a length gets a reset

Cause: Node's server closes a connection whose caller has closed its side, before the gate resets it. Change: the gate's listener for that end comes first, and resets.

--- a/packages/direct/src/forward/caller-response.ts
+++ b/packages/direct/src/forward/caller-response.ts
@@ -185,12 +185,27 @@
     if (framing === 'by-close') response.useChunkedEncodingByDefault = false;
     const hasChunks = response.useChunkedEncodingByDefault;
     this.framing = framing === 'chunked' && !hasChunks ? 'by-close' : framing;
-    if (this.framing === 'by-close') kept.push('Connection', 'close');
+    if (this.framing === 'by-close') {
+      kept.push('Connection', 'close');
+      this.resetAtDisconnect();
+    }
     response.sendDate = false;
     response.writeHead(status, kept);
     response.flushHeaders();
   }
 
+  /**
+   * Resets the connection of a caller that closes its side, which Node.js answers
+   * with a close: that would look like the end of the response.
+   */
+  private resetAtDisconnect(): void {
+    const {response} = this;
+    const {socket} = response;
+    socket?.prependOnceListener('end', () => {
+      if (!response.writableFinished) socket.resetAndDestroy();
+    });
+  }
+
   /** Sends a part of the response body. */
   write(bytes: Buffer): void {
     this.bodyBytes += bytes.length;
