--- a/packages/agent/src/target/plain-target.ts
+++ b/packages/agent/src/target/plain-target.ts
@@ -4,6 +4,7 @@
 import {
   MAX_BODY_BYTES,
   OversizedBodyError,
+  isEndedByClose,
   readBoundedText,
 } from '@nutmeggauge/core';
 import {request} from 'undici';
@@ -92,7 +93,7 @@
     );
     // A part of a number is a number, and the end of a connection, even by a reset,
     // ends a body without a length or chunks.
-    if (typeof answer === 'number' && !isFramed(headers))
+    if (typeof answer === 'number' && isEndedByClose(headers))
       return {status: 'unknown', reason: 'target_stream_broken'};
     return {
       status: 'done',
@@ -110,12 +111,3 @@
     };
   }
 }
-
-function isFramed(
-  headers: Readonly<Record<string, string | string[] | undefined>>,
-): boolean {
-  return (
-    headers['content-length'] !== undefined ||
-    headers['transfer-encoding'] !== undefined
-  );
-}
--- a/packages/core/src/http.ts
+++ b/packages/core/src/http.ts
@@ -7,6 +7,21 @@
 import {ReadTimeout} from './read-timeout.js';
 import type {IncomingMessage, ServerResponse} from 'node:http';
 
+/**
+ * Returns whether the end of the connection is that of a response's body: one with
+ * neither a length nor chunks as its last coding.
+ *
+ * @example
+ * isEndedByClose({'transfer-encoding': 'chunked'}); // false
+ */
+export function isEndedByClose(
+  headers: Readonly<Record<string, string | string[] | undefined>>,
+): boolean {
+  const coding = headers['transfer-encoding'];
+  if (coding === undefined) return headers['content-length'] === undefined;
+  return !/(^|[\s,])chunked\s*$/i.test(String(coding));
+}
+
 /** Largest accepted JSON body; a 1M-token prompt is about 4 MB of text. */
 export const MAX_BODY_BYTES = 16 * 1024 * 1024;
 
--- a/packages/direct/src/forward/exchange.ts
+++ b/packages/direct/src/forward/exchange.ts
@@ -4,7 +4,7 @@
  * an earlier response.
  */
 import {connect} from 'node:net';
-import {ReadTimeout, observeEnd} from '@nutmeggauge/core';
+import {ReadTimeout, isEndedByClose, observeEnd} from '@nutmeggauge/core';
 import {ExchangeError, OversizedAnswerError} from '../errors.js';
 import {openRequest} from './open-request.js';
 import type {ClientRequest, IncomingMessage} from 'node:http';
@@ -155,6 +155,7 @@
       void this.sendWhenRead(waiting);
     });
     socket.on('error', failUnsent);
+    socket.once('end', () => failUnsent());
     socket.once('close', () => {
       timeout.stop();
       failUnsent();
@@ -245,8 +246,8 @@
   const {headers, statusCode = 0, req} = message as ClientMessage;
   if (BODILESS_STATUSES.has(statusCode)) return 'no-body';
   if (req.method === 'HEAD') return 'no-body';
-  if (headers['transfer-encoding'] !== undefined) return 'chunked';
-  return headers['content-length'] === undefined ? 'by-close' : 'length';
+  if (isEndedByClose(headers)) return 'by-close';
+  return headers['content-length'] === undefined ? 'chunked' : 'length';
 }
 
 /**
