--- a/packages/direct/src/forward/caller-response.ts
+++ b/packages/direct/src/forward/caller-response.ts
@@ -187,7 +187,7 @@
     this.framing = framing === 'chunked' && !hasChunks ? 'by-close' : framing;
     if (this.framing === 'by-close') {
       kept.push('Connection', 'close');
-      this.resetAtDisconnect();
+      this.dropAtDisconnect();
     }
     response.sendDate = false;
     response.writeHead(status, kept);
@@ -198,7 +198,7 @@
    * Resets the connection of a caller that closes its side, which Node.js answers
    * with a close: that would look like the end of the response.
    */
-  private resetAtDisconnect(): void {
+  private dropAtDisconnect(): void {
     const {response} = this;
     const {socket} = response;
     socket?.prependOnceListener('end', () => {
