--- a/packages/core/src/connection-end.ts
+++ b/packages/core/src/connection-end.ts
@@ -27,11 +27,10 @@
       socket.off('close', giveUp);
       // Ended in both directions: a write would be one after the end.
       if (socket.writableEnded) return resolve('closed');
-      // The write would wait behind others, which a client may drop. The address of
-      // the peer can't be read either once the connection was reset.
-      const isAddressKnown = socket.remotePort !== undefined;
+      // The write would wait behind others, which an HTTP client drops at the end. The
+      // address of the peer can't be read either once the connection was reset.
       if (socket.writableLength > 0)
-        return resolve(isAddressKnown ? 'closed' : 'reset');
+        return resolve(socket.remotePort === undefined ? 'reset' : 'closed');
       socket.write('');
       setImmediate(() => resolve(socket.errored === null ? 'closed' : 'reset'));
     });
--- a/packages/core/src/head-scanner.ts
+++ b/packages/core/src/head-scanner.ts
@@ -52,7 +52,7 @@
   if (status.length < STATUS_BYTES)
     return {state: 'incomplete', fields, next: start};
   const limit = start + MAX_HEAD_BYTES;
-  // A candidate within these bytes that is a head has less than half of the limit.
+  // Skips larger heads that begin within these bytes, so that the search stays linear.
   const tooLong: ParsedHead = {
     state: 'none',
     fields: {},
