--- a/packages/core/src/head-scanner.ts
+++ b/packages/core/src/head-scanner.ts
@@ -43,9 +43,17 @@
   return line.endsWith('\r') ? line.slice(0, -1) : line;
 }
 
-/** Parses what begins at `start` like a status line. */
-function parseHead(bytes: Buffer, start: number): ParsedHead {
-  const fields: Record<string, string> = {};
+/**
+ * Parses what begins at `start` like a status line.
+ *
+ * @param earlier - Result for fewer of the bytes, where parsing goes on.
+ */
+function parseHead(
+  bytes: Buffer,
+  start: number,
+  earlier?: ParsedHead,
+): ParsedHead {
+  const fields: Record<string, string> = {...earlier?.fields};
   const status = bytes.toString('latin1', start, start + STATUS_BYTES);
   if (!STATUS.test(status + ANY_STATUS.slice(status.length)))
     return {state: 'none', fields, next: start + 1};
@@ -58,7 +66,7 @@
     fields: {},
     next: start + MAX_HEAD_BYTES / 2,
   };
-  let lineStart = start;
+  let lineStart = earlier?.next ?? start;
   for (;;) {
     const lineEnd = bytes.subarray(0, limit).indexOf(LINE_END, lineStart);
     const isStatusLine = lineStart === start;
@@ -105,6 +113,8 @@
 export class HeadScanner {
   private held = new BoundedBody(Infinity);
   private heldBytes = 0;
+  /** Result for the held bytes, which begin like a status line. */
+  private parsed: ParsedHead | undefined;
 
   /** @param isAnswer - Returns whether a head with these fields is an answer's. */
   constructor(private readonly isAnswer: (fields: HeadFields) => boolean) {}
@@ -115,8 +125,12 @@
     if (bytes === undefined) return {body: Buffer.alloc(0), hasHead: false};
     let start = findBegin(bytes, 0);
     while (start >= 0) {
-      const {state, fields, next} = parseHead(bytes, start);
+      const earlier = start === 0 ? this.parsed : undefined;
+      const head = parseHead(bytes, start, earlier);
+      const {state, fields, next} = head;
+      this.parsed = undefined;
       if (state === 'incomplete') {
+        this.parsed = {...head, next: next - start};
         this.hold(bytes.subarray(start));
         return {body: bytes.subarray(0, start), hasHead: false};
       }
