A body that announces too much is refused at its head, and what follows is bounded

What callers saw: a request that announced 1 TB got its 413 only after 4 MB, with Expect even 100; one that dripped kept its connection for as long as it liked, and 64 that sent on took a gate with 250 MB to 328 MB.

Cause: the length in the head was not looked at, and the rest of a refused body was read and dropped, up to 64 MiB each and without a bound of time.

Change: 413 at the head if it announces more than the limit, and no 100 for it. Callers within the limit of a body (4 MB) meet none of these.

--- a/packages/core/src/http.ts
+++ b/packages/core/src/http.ts
@@ -2,7 +2,7 @@
  * Request and response helpers for Node's `http` servers.
  */
 import {BoundedBody} from './bounded-body.js';
-import {endResponse} from './unread-body.js';
+import {announceClose, endResponse} from './unread-body.js';
 import type {IncomingMessage, ServerResponse} from 'node:http';
 import type {BodyFault, HeldBody} from './held-body.js';
 
@@ -129,6 +129,7 @@
   headers: Readonly<Record<string, string>> = {},
 ): void {
   const text = JSON.stringify(body);
+  announceClose(res);
   res.writeHead(status, {
     'content-type': 'application/json',
     'content-length': Buffer.byteLength(text),
--- a/packages/direct/src/forward/caller-response.ts
+++ b/packages/direct/src/forward/caller-response.ts
@@ -3,7 +3,7 @@
  * error from the gate. A failure after the head has been sent closes the
  * connection, so that an incomplete response never looks complete.
  */
-import {endResponse} from '@nutmeggauge/core';
+import {announceClose, endResponse} from '@nutmeggauge/core';
 import type {ServerResponse} from 'node:http';
 import type {RawHeaders} from '../types.js';
 
@@ -272,6 +272,7 @@
     ];
     if (retryAfterMs !== undefined)
       headers.push('Retry-After', (retryAfterMs / 1000).toFixed(3));
+    announceClose(this.response);
     this.response.writeHead(status, headers);
     endResponse(this.response, body, this.maxPauseMs);
   }
--- a/packages/direct/src/ingress/body-receiver.ts
+++ b/packages/direct/src/ingress/body-receiver.ts
@@ -37,12 +37,21 @@
 export class BodyReceiver {
   constructor(private readonly context: ForwardContext) {}
 
+  /** Whether the head of a request announces a larger body than is accepted. */
+  isTooLarge({headers}: IncomingMessage): boolean {
+    return (readAnnouncedBytes(headers) ?? 0) > this.readMaxBytes();
+  }
+
   /**
    * Resolves with the whole body, which is charged until the answer has been sent;
    * undefined if the request was refused or its caller has left.
    */
   async receive(head: ArrivedHead): Promise<Buffer | undefined> {
     const {req, caller, facts, arriving} = head;
+    if (this.isTooLarge(req)) {
+      arriving.refuse(413, 'body_too_large', facts);
+      return undefined;
+    }
     const headBytes = measureHead(req.rawHeaders);
     const {claim, body} = this.open(head, headBytes);
     arriving.onRefuse(() => {
--- a/packages/direct/src/ingress/ingress.ts
+++ b/packages/direct/src/ingress/ingress.ts
@@ -80,7 +80,7 @@
     readConnections(this.server, {
       account: context.callerMemory,
       readMaxHeadBytes: () => this.readMaxHeadBytes(),
-      mayContinue: () => true,
+      mayContinue: req => !this.bodies.isTooLarge(req),
     });
     closeIdleAfterRead(this.server);
     createUnreadableRequests(context).observe(this.server);
