A body that has not arrived when its caller stops waiting is refused

What callers saw: a body was held past the deadline of its request, up to the 300 s of Node.js, and could then only be refused.

Cause: the deadline was looked at once the body was whole.

No timer is started for the requests whose bodies come at once.

--- a/packages/direct/src/gate.ts
+++ b/packages/direct/src/gate.ts
@@ -38,7 +38,7 @@
 import type {TargetLimits} from './limits/target-limits.js';
 import type {MetricValues} from './observe/metrics-text.js';
 
-/** Interval at which held targets and suspect requests expire, in ms. */
+/** Interval at which held targets, suspect requests and bodies expire, in ms. */
 const EXPIRY_CHECK_INTERVAL_MS = 100;
 
 /**
@@ -216,6 +216,7 @@
       this.state.expireHeld();
       this.suspects.expire();
       this.limits.expire();
+      this.ingress.expireBodies();
     }, EXPIRY_CHECK_INTERVAL_MS);
     dependencies.log.info('gate_started', {
       zone: settings.zone,
--- a/packages/direct/src/ingress/body-receiver.ts
+++ b/packages/direct/src/ingress/body-receiver.ts
@@ -1,14 +1,16 @@
 /**
- * Receives the bodies of requests, and refuses those that are too large or that
- * there is no memory for.
+ * Receives the bodies of requests, and refuses those that are too large, that there is
+ * no memory for, or that have not arrived when their callers stop waiting.
  */
 import {
   HeldBody,
+  ReadTimeout,
   dropHead,
   measureHead,
   readAnnouncedBytes,
   receiveBody,
 } from '@nutmeggauge/core';
+import {DEFAULT_DEADLINE_MS} from './early-refusals.js';
 import type {IncomingMessage} from 'node:http';
 import type {MemoryClaim} from '@nutmeggauge/core';
 import type {CallerResponse} from '../forward/caller-response.js';
@@ -25,6 +27,17 @@
   readonly caller: CallerResponse;
   readonly facts: RequestMetadata;
   readonly arriving: ArrivingRequest;
+  /** Time of its arrival on the monotonic clock, in ms. */
+  readonly arrivedAt: number;
+}
+
+/** A request whose body arrives. */
+interface ArrivingBody extends Pick<
+  ArrivedHead,
+  'caller' | 'facts' | 'arriving'
+> {
+  /** Time at which its caller stops waiting, in ms. */
+  readonly expiresAt: number;
 }
 
 /**
@@ -35,6 +48,8 @@
  * if (body === undefined) return; // answered, or the caller has left
  */
 export class BodyReceiver {
+  private readonly bodies = new Set<ArrivingBody>();
+
   constructor(private readonly context: ForwardContext) {}
 
   /** Whether the head of a request announces a larger body than is accepted. */
@@ -47,13 +62,15 @@
    * undefined if the request was refused or its caller has left.
    */
   async receive(head: ArrivedHead): Promise<Buffer | undefined> {
-    const {req, caller, facts, arriving} = head;
+    const {req, caller, facts, arriving, arrivedAt} = head;
     if (this.isTooLarge(req)) {
       arriving.refuse(413, 'body_too_large', facts);
       return undefined;
     }
     const headBytes = measureHead(req.rawHeaders);
     const {claim, body} = this.open(head, headBytes);
+    const expiresAt = arrivedAt + (facts.deadlineMs ?? DEFAULT_DEADLINE_MS);
+    const entry: ArrivingBody = {caller, facts, arriving, expiresAt};
     arriving.onRefuse(() => {
       body.drop();
       dropHead(req);
@@ -63,6 +80,7 @@
       this.refuseForMemory(head, claim);
       return undefined;
     }
+    this.bodies.add(entry);
     try {
       const {bytes, fault} = await receiveBody(req, body);
       if (caller.isOver) return undefined;
@@ -76,10 +94,28 @@
       // The caller disconnected while sending its body: nothing runs, and no
       // response is sent.
       this.context.counters.add('ingress.caller_left');
+    } finally {
+      this.bodies.delete(entry);
     }
     return undefined;
   }
 
+  /** Refuses the requests whose callers wait no longer for the rest of a body. */
+  expire(): void {
+    const now = this.context.readNow();
+    for (const body of this.bodies) {
+      if (body.expiresAt > now) continue;
+      this.bodies.delete(body);
+      // The rest may have arrived while the process was suspended.
+      new ReadTimeout(() => this.refuseLate(body), 0);
+    }
+  }
+
+  private refuseLate({caller, facts, arriving}: ArrivingBody): void {
+    if (!arriving.hasBody && !caller.isOver)
+      arriving.refuse(503, 'too_late', facts);
+  }
+
   private open(
     head: ArrivedHead,
     headBytes: number,
--- a/packages/direct/src/ingress/ingress.ts
+++ b/packages/direct/src/ingress/ingress.ts
@@ -99,6 +99,11 @@
     return this.requests.count;
   }
 
+  /** Refuses the requests whose callers wait no longer for the rest of a body. */
+  expireBodies(): void {
+    this.bodies.expire();
+  }
+
   /**
    * Starts to accept connections; resolves with the bound port.
    *
@@ -171,6 +176,7 @@
       caller,
       facts,
       arriving,
+      arrivedAt,
     });
     if (body === undefined) return;
     if (!this.hold.isOver) await this.hold.wait();
