A stop does not wait for bodies that can only be handed back

What callers saw: a stop beside 50 unfinished bodies took 7.8 of 8 s, and 59.8 of 60 s; 0.1 s more and the process is killed.

Cause: from the moment at which the gate accepts no more, a body that becomes whole is handed back, but its caller was told so only then or at the end of the grace period; and the rest of refused bodies counted as open.

Change: unfinished bodies are handed back (503 with Retry-After, never run) when the gate stops accepting, after what had arrived was read. Requests that were refused before count no longer as open after another 500 ms, and are not logged as cut.

Evidence: refused-crowds.test.ts, 50 unfinished bodies, grace 60 s: not ended in 30 s before; the process ends with status 0 and all callers get 503, the test in 4.3 s. Tests of stop/: 104 of 104 with those of ingress/.

--- a/packages/direct/src/drain.ts
+++ b/packages/direct/src/drain.ts
@@ -22,6 +22,12 @@
 /** Longest time for which the peers are told that the gate leaves, in ms. */
 const LEAVE_LIMIT_MS = 100;
 
+/**
+ * Time for which the rest of refused bodies is read after the last other answer, in
+ * ms: closing a connection with unread data resets it.
+ */
+const LINGER_MS = 500;
+
 /** Time in which callers read the last answers, in ms. */
 const LAST_ANSWERS_MS = 50;
 
@@ -73,11 +79,14 @@
   const endsAt = killedAt - ANSWER_RESERVE_MS;
   // Callers that keep connecting prolong the wait for what has arrived.
   await Promise.race([ingress.stopAccepting(), waitUntil(options, endsAt)]);
-  await waitUntil(options, endsAt, hasNone);
+  const hasNoneWaiting = () => stop.countWaiting() === 0;
+  await waitUntil(options, endsAt, hasNoneWaiting);
+  await waitUntil(options, Math.min(endsAt, readNow() + LINGER_MS), hasNone);
   stop.endOpen();
   const exitAt = killedAt - EXIT_RESERVE_MS;
   await Promise.race([ingress.closeIdle(), waitUntil(options, exitAt)]);
-  await waitUntil(options, exitAt, hasNone);
+  await waitUntil(options, exitAt, hasNoneWaiting);
+  await waitUntil(options, Math.min(exitAt, readNow() + LINGER_MS), hasNone);
   // Requests may arrive meanwhile.
   await Promise.race([options.leavePeers(), sleep(LEAVE_LIMIT_MS)]);
   // Requests may have arrived since, or wait for the rest of their bodies.
--- a/packages/direct/src/forward/caller-response.ts
+++ b/packages/direct/src/forward/caller-response.ts
@@ -86,6 +86,7 @@
   private readonly disconnectListeners: Array<() => void> = [];
   private hasDisconnected = false;
   private hasBeenDropped = false;
+  private hasBeenRefused = false;
 
   /**
    * @param maxPauseMs - Longest pause within the rest of the body of a request
@@ -124,6 +125,14 @@
     return this.hasBeenDropped;
   }
 
+  /**
+   * Whether the gate has sent an error of its own; what is left is at most the rest of
+   * the request's body.
+   */
+  get isRefused(): boolean {
+    return this.hasBeenRefused;
+  }
+
   /** Whether the whole answer has been passed to the operating system. */
   get isFlushed(): boolean {
     return this.response.writableFinished;
@@ -263,6 +272,7 @@
       return;
     }
     this.status = status;
+    this.hasBeenRefused = true;
     const body = Buffer.from(JSON.stringify({error: {reason}}));
     const headers = [
       'Content-Type',
--- a/packages/direct/src/ingress/ingress.ts
+++ b/packages/direct/src/ingress/ingress.ts
@@ -131,6 +131,7 @@
   async stopAccepting(): Promise<void> {
     this.isClosing = true;
     await waitForPendingReads(this.server);
+    this.context.stop.handBackUnfinished();
     this.server.closeIdleConnections();
   }
 
--- a/packages/direct/src/stop/gate-stop.ts
+++ b/packages/direct/src/stop/gate-stop.ts
@@ -83,6 +83,21 @@
     return this.handBack(request, predictedMs);
   }
 
+  /** Refuses all requests whose bodies have not arrived. */
+  handBackUnfinished(): void {
+    this.runForEach(request => {
+      if (request.place === 'body') this.handBack(request);
+    });
+  }
+
+  /**
+   * Counts the requests that have no answer, or whose answers their callers have not
+   * read; those that were refused before their bodies had arrived do not count.
+   */
+  countWaiting(): number {
+    return this.requests.list().filter(({caller}) => !caller.isRefused).length;
+  }
+
   /**
    * Refuses a request, so that another gate serves it; returns false if it may have
    * run.
@@ -115,7 +130,8 @@
   dropOpen(): number {
     const {length} = this.requests.list();
     this.runForEach(request => {
-      if (!this.ended.has(request)) this.add(request, 'cut', request.place);
+      const isAnswered = this.ended.has(request) || request.caller.isRefused;
+      if (!isAnswered) this.add(request, 'cut', request.place);
     });
     this.runForEach(request => {
       this.ended.add(request);
