The agent path charges its callers' bodies too

What callers saw: 40 bodies of 16 MB that stop before their end, with a valid key, took a gate of the agent path to 838 MB, 40 that announce 1 TB and send on to 909 MB.

Cause: as on the other path; the account's maxConcurrent is looked at once the body is whole.

Change: the same account, reader and refusals: setting memoryMb (default 1024, a fifth holds what callers send), 413 at the head, 503 no_memory, and 503 body_too_late at the request's deadline.

--- a/packages/gate/src/admission/limits.ts
+++ b/packages/gate/src/admission/limits.ts
@@ -13,6 +13,8 @@
     | 'too_many_in_flight'
     | 'deadline_unreachable'
     | 'no_target'
+    | 'no_memory'
+    | 'body_too_late'
     | 'not_configured';
   readonly retryAfterMs: number;
 }
--- a/packages/gate/src/api/handler-context.ts
+++ b/packages/gate/src/api/handler-context.ts
@@ -4,6 +4,7 @@
   ConfigRecord,
   Counters,
   LatencyHistogram,
+  MemoryAccount,
 } from '@nutmeggauge/core';
 import type {EstimateFigures} from '../admission/estimate.js';
 import type {AccountLimits} from '../admission/limits.js';
@@ -16,6 +17,8 @@
   readonly gateId: string;
   readonly counters: Counters;
   readonly limits: AccountLimits;
+  /** What callers make the gate hold. */
+  readonly callerMemory: MemoryAccount;
   readonly membership: Membership;
   readonly dispatcher: Dispatcher;
   /** Returns the engine speeds in force. */
--- a/packages/gate/src/api/handler.ts
+++ b/packages/gate/src/api/handler.ts
@@ -3,14 +3,8 @@
  * what its client account may use, and passes it on to be served.
  */
 import {randomBytes} from 'node:crypto';
-import {
-  MAX_BODY_BYTES,
-  createLogger,
-  parseJson,
-  readBody,
-  readPath,
-  sendJson,
-} from '@nutmeggauge/core';
+import {createLogger, parseJson, readPath, sendJson} from '@nutmeggauge/core';
+import {receiveCallerBody} from './receive-caller-body.js';
 import {parseCallerRequest} from './requests.js';
 import {observeRequest} from './request-log.js';
 import {renderError} from './responses.js';
@@ -67,25 +61,19 @@
   const held = context.held.add(requestId, res);
   const handBack = () => sendHandBack(res, held);
   held.handedBack.addEventListener('abort', handBack, {once: true});
-  let bytes: Buffer | undefined;
-  try {
-    bytes = await readBody(req, MAX_BODY_BYTES);
-  } catch {
-    // The caller disconnected while sending its body: nothing runs, and no
-    // answer is sent.
-    context.counters.add('api.caller_left');
-    return;
-  }
+  const bytes = await receiveCallerBody(context, {
+    req,
+    res,
+    requestId,
+    account,
+  });
   held.handedBack.removeEventListener('abort', handBack);
   if (held.handedBack.aborted) {
     res.end();
     return;
   }
+  if (bytes === undefined) return;
   held.setPlace('gate');
-  if (bytes === undefined) {
-    sendError(413, 'bad_request', 'body_too_large');
-    return;
-  }
   const body = parseJson(bytes);
   if (body === undefined && bytes.length > 0) {
     sendError(400, 'bad_request', 'body_not_json');
--- a/packages/gate/src/api/serve-admitted.ts
+++ b/packages/gate/src/api/serve-admitted.ts
@@ -17,6 +17,7 @@
 import {estimateFinishMs} from '../admission/estimate.js';
 
 import {createChunkStream} from '../streaming/reassembly.js';
+import {readDeadlineMs} from './receive-caller-body.js';
 import {renderError, renderStreamChunk} from './responses.js';
 import {sendRefusal, sendResult} from './results.js';
 import type {IncomingHttpHeaders, ServerResponse} from 'node:http';
@@ -74,7 +75,7 @@
     );
     return;
   }
-  const deadlineMs = readDeadlineMs(admitted);
+  const deadlineMs = readDeadlineMs(admitted.headers, admitted.account);
   const route: RouteRequest = {
     promptTokens: countTokens(request.prompt),
     maxTokens: request.maxTokens,
@@ -137,13 +138,6 @@
   return record.pools.find(pool => pool.id === request.pool);
 }
 
-function readDeadlineMs({headers, account}: AdmittedRequest): number {
-  const requestedMs = Number(headers['x-deadline-ms']);
-  return Number.isInteger(requestedMs) && requestedMs > 0
-    ? requestedMs
-    : account.deadlineMs;
-}
-
 function readIdempotency(admitted: AdmittedRequest): Idempotency {
   const {record, account, request, requestId, headers} = admitted;
   const header = headers['idempotency-key'];
--- a/packages/gate/src/gate.ts
+++ b/packages/gate/src/gate.ts
@@ -2,7 +2,7 @@
  * The gate runs as one process on each entry host. It owns the HTTP listener,
  * the configuration watcher, the membership and the dispatcher.
  */
-import {createServer} from 'node:http';
+import {createServer, maxHeaderSize} from 'node:http';
 import {
   OpenRequests,
   PendingReads,
@@ -12,8 +12,10 @@
   createCounters,
   createLatencyHistogram,
   createLogger,
+  createMemoryAccount,
   closeIdleAfterRead,
   openListener,
+  readConnections,
   readPath,
   readPort,
   sendJson,
@@ -23,6 +25,7 @@
 import {AdminApi} from './admin/admin-api.js';
 import {createAccountLimits} from './admission/limits.js';
 import {handleCallerRequest} from './api/handler.js';
+import {isBodyTooLarge} from './api/receive-caller-body.js';
 import {observeConnections} from './api/request-log.js';
 import {renderError} from './api/responses.js';
 import {createDispatcher} from './dispatch/dispatcher.js';
@@ -49,6 +52,8 @@
  */
 const HAND_BACK_LEAD_MS = 500;
 
+const BYTES_PER_MB = 1_000_000;
+
 /** Interval at which suspect requests expire, in ms. */
 const EXPIRY_CHECK_INTERVAL_MS = 1000;
 
@@ -129,6 +134,9 @@
       gateId: settings.id,
       counters: this.counters,
       limits: createAccountLimits(),
+      callerMemory: createMemoryAccount(settings.memoryMb * BYTES_PER_MB, () =>
+        performance.now(),
+      ),
       membership: this.membership,
       dispatcher: createDispatcher({
         directory: this.membership,
@@ -194,6 +202,11 @@
     if (this.isDraining) return;
     const server = createServer((req, res) => this.serve(req, res));
     this.server = server;
+    readConnections(server, {
+      account: this.context.callerMemory,
+      readMaxHeadBytes: () => maxHeaderSize,
+      mayContinue: req => !isBodyTooLarge(req),
+    });
     closeIdleAfterRead(server);
     observeConnections(this.log, server);
     this.observeUnreadable(server);
--- a/packages/gate/src/settings.ts
+++ b/packages/gate/src/settings.ts
@@ -60,6 +60,8 @@
    * ms; the same for all agents and gates.
    */
   crashRefusalMs: z.number().int().positive().default(600_000),
+  /** Memory that the process may use, in MB; a fifth of it holds what callers send. */
+  memoryMb: z.number().positive().default(1024),
   /** Retry budget over all requests of this gate. */
   retryBudget: z
     .object({
