--- a/packages/nutmeggauge/src/cli/flags.ts
+++ b/packages/nutmeggauge/src/cli/flags.ts
@@ -32,6 +32,7 @@
   evacuations: {type: 'number', default: 0},
   stopSeries: {type: 'number', default: 2},
   unframed: {type: 'number', default: 3},
+  unruly: {type: 'number', default: 0},
   coldStarts: {type: 'boolean', default: false},
   timing: {type: 'boolean', default: true},
   agents: {type: 'boolean', default: false},
@@ -61,7 +62,8 @@
     $ nutmeggauge soak [--seed N] [--seeds COUNT] [--jobs N] [--gates N]
       [--targets N] [--length-ms N] [--restores N] [--gate-stops N] [--crashing N]
       [--impatient N] [--limit N] [--leaving N] [--resting N]
-      [--evacuations N] [--stop-series N] [--unframed N] [--cold-starts] [--no-timing]
+      [--evacuations N] [--stop-series N] [--unframed N] [--unruly N]
+      [--cold-starts] [--no-timing]
       [--run-dir DIR]
     $ nutmeggauge soak --agents [--seed N] [--seeds COUNT] [--jobs N] [--gates N]
       [--length-ms N] [--run-dir DIR]
@@ -101,6 +103,8 @@
                   streams that last longer than a stop (default 2)
     --unframed    Soak: number of times that a target answers with neither a length
                   nor chunks: whole, reset, or twice (default 3)
+    --unruly      Soak: number of crowds of callers that send bodies and trailers
+                  which never end, or bodies far over the limit
     --cold-starts  Soak: targets that replace others are cold for 8 s
     --agents      Soak: use gates with an agent for each target instead of direct
                   gates
--- a/packages/nutmeggauge/src/soak/run-soaks.ts
+++ b/packages/nutmeggauge/src/soak/run-soaks.ts
@@ -59,6 +59,7 @@
     ...['--evacuations', String(series.evacuations)],
     ...['--stop-series', String(series.stopSeries)],
     ...['--unframed', String(series.unframed)],
+    ...['--unruly', String(series.unruly)],
     ...(series.coldStarts ? ['--cold-starts'] : []),
     ...(series.hasTiming ? [] : ['--no-timing']),
     ...(series.hasAgents ? ['--agents'] : []),
--- a/packages/nutmeggauge/src/soak/soak.test.ts
+++ b/packages/nutmeggauge/src/soak/soak.test.ts
@@ -39,6 +39,8 @@
   readonly stopSeries?: number;
   /** Number of times that a target answers with neither a length nor chunks. */
   readonly unframed?: number;
+  /** Number of crowds of callers that keep no limits. */
+  readonly unruly?: number;
   /** Length of the load, in ms. */
   readonly lengthMs?: number;
 }
@@ -54,6 +56,7 @@
   {seed: 9109, restores: 0, gateStops: 0, evacuations: 3, lengthMs: 20_000},
   {seed: 71001, restores: 0, gateStops: 0, stopSeries: 4},
   {seed: 75001, restores: 0, gateStops: 0, unframed: 3},
+  {seed: 78002, restores: 0, gateStops: 0, unruly: 3},
 ];
 
 describe('fault schedule of the soak', () => {
@@ -131,6 +134,7 @@
           ...['--evacuations', String(others.evacuations ?? 0)],
           ...['--stop-series', String(others.stopSeries ?? 0)],
           ...['--unframed', String(others.unframed ?? 0)],
+          ...['--unruly', String(others.unruly ?? 0)],
           ...['--length-ms', String(others.lengthMs ?? SIZES.lengthMs)],
         ]);
         expect(stdout).toInclude('"violations":0');
--- a/packages/nutmeggauge/src/soak/soak.ts
+++ b/packages/nutmeggauge/src/soak/soak.ts
@@ -9,6 +9,7 @@
 import {Caller} from './callers.js';
 import {runCrashingCallers} from './crashing-callers.js';
 import {runImpatientCallers} from './impatient-callers.js';
+import {runUnrulyCallers} from './unruly-callers.js';
 import {LASTING_CALLERS, runLastingCallers} from './lasting-callers.js';
 import {findViolations} from './check.js';
 import {buildSchedule} from './schedule.js';
@@ -78,6 +79,8 @@
   readonly stopSeries: number;
   /** Number of times that a target answers with neither a length nor chunks. */
   readonly unframed: number;
+  /** Number of crowds of callers that keep no limits. */
+  readonly unruly: number;
   /** Whether targets that replace others are cold for a while. */
   readonly coldStarts: boolean;
   /** Whether invariants with a time bound are checked too. */
@@ -101,7 +104,7 @@
  * Runs the soak with one seed and returns the violated invariants.
  *
  * @example
- * const {violations} = await runSoak({seed: 7, gates: 3, targets: 6, lengthMs: 12_000, restores: 2, gateStops: 2, crashing: 1, impatient: 1, limit: 0, leaving: 1, resting: 1, evacuations: 1, stopSeries: 2, unframed: 3, coldStarts: true, hasTiming: true, runDir: 'runs/soak-7'});
+ * const {violations} = await runSoak({seed: 7, gates: 3, targets: 6, lengthMs: 12_000, restores: 2, gateStops: 2, crashing: 1, impatient: 1, limit: 0, leaving: 1, resting: 1, evacuations: 1, stopSeries: 2, unframed: 3, unruly: 1, coldStarts: true, hasTiming: true, runDir: 'runs/soak-7'});
  */
 export async function runSoak(options: SoakOptions): Promise<SoakResult> {
   const idleTimeoutMs =
@@ -170,6 +173,11 @@
     endsAt,
     idleTimeoutMs,
   });
+  const unruly = runUnrulyCallers(harness, {
+    seed: options.seed,
+    count: options.unruly,
+    endsAt,
+  });
   const records = await Promise.all(
     Array.from({length: CALLER_COUNT}, (_, i) =>
       runCaller(harness, i, endsAt, new Caller(`c${i}`, idleTimeoutMs)),
@@ -178,6 +186,7 @@
   const endedAt = performance.now();
   clearInterval(sampler);
   await lasting;
+  await unruly;
   await sleep(RESERVATION_SETTLE_MS);
   return {
     gateCount: options.gates,
