A refused request takes no more of the account

A request that was refused while its body arrived (handed back by a stop, or late) had given its room back, but its rest was joined and charged again, up to the limit of a body, where nothing could be given up for others. What is released takes nothing any more; the rest is dropped at once. memory-account.test.ts failed before. Two members that nothing used are gone.

--- a/packages/core/src/chunk-coalescer.ts
+++ b/packages/core/src/chunk-coalescer.ts
@@ -88,11 +88,6 @@
   /** @param maxTrailerBytes - Most bytes of all trailer fields. */
   constructor(private readonly maxTrailerBytes: number) {}
 
-  /** Bytes of the trailer fields that have arrived. */
-  get trailerLength(): number {
-    return this.trailerBytes;
-  }
-
   /**
    * Takes what was read.
    *
--- a/packages/core/src/held-body.ts
+++ b/packages/core/src/held-body.ts
@@ -34,7 +34,7 @@
  * @example
  * const body = new HeldBody({maxBytes, announcedBytes, headBytes: 0, claim});
  * body.add(part); // undefined: it fits
- * body.takeBytes();
+ * body.finish();
  */
 export class HeldBody {
   private buffer: Buffer = EMPTY;
@@ -46,7 +46,6 @@
   add(part: Buffer): BodyFault | undefined {
     const size = this.size + part.length;
     if (size > this.limits.maxBytes) return this.refuse('too_large');
-    if (this.limits.claim.isGivenUp) return this.refuse('no_room');
     if (this.size === 0) {
       if (!this.claimCapacity(size)) return this.refuse('no_room');
       this.buffer = part;
--- a/packages/core/src/memory-account.test.ts
+++ b/packages/core/src/memory-account.test.ts
@@ -80,6 +80,15 @@
     bed.open('other', 'b', 240_000);
   });
 
+  it('takes nothing more for a request that was refused', () => {
+    // Guards against bodies that are held for callers which have been answered.
+    const bed = new AccountBed();
+    const claim = bed.open('refused', 'a', 100_000);
+    claim.release();
+    expect(claim.setBytes(100_000)).toEqual(false);
+    expect(bed.account.heldBytes).toEqual(0);
+  });
+
   it('never holds more than its limit, nor forgets what is released', () => {
     const bed = new AccountBed();
     const steps = fc.array(
--- a/packages/core/src/memory-account.ts
+++ b/packages/core/src/memory-account.ts
@@ -50,12 +50,13 @@
   private bytes = 0;
   private isSettled = false;
   private hasBeenGivenUp = false;
+  private isReleased = false;
 
   constructor(
     private readonly account: MemoryAccount,
     private readonly holder: MemoryHolder,
     /** Client account that the bytes are charged to. */
-    public owner: string | undefined,
+    readonly owner: string | undefined,
     now: number,
   ) {
     this.lastProgressAt = now;
@@ -86,7 +87,8 @@
    * there is no room.
    */
   setBytes(heldBytes: number): boolean {
-    if (this.hasBeenGivenUp) return heldBytes === 0;
+    // A refused request goes on arriving.
+    if (this.isReleased) return heldBytes === 0;
     const wanted = Math.max(0, heldBytes - FREE_BYTES);
     if (wanted > this.bytes && !this.account.findRoom(this, wanted))
       return false;
@@ -105,8 +107,9 @@
     this.isSettled = true;
   }
 
-  /** Gives back what is held. */
+  /** Gives back what is held; nothing is taken any more. */
   release(): void {
+    this.isReleased = true;
     this.account.recordChange(this, -this.bytes);
     this.bytes = 0;
     this.account.remove(this);
@@ -165,13 +168,6 @@
     return claim;
   }
 
-  /** Charges a claim to another owner. */
-  setOwner(claim: MemoryClaim, owner: string | undefined): void {
-    this.recordChange(claim, -claim.chargedBytes);
-    claim.owner = owner;
-    this.recordChange(claim, claim.chargedBytes);
-  }
-
   /**
    * Makes room for a claim to grow to `bytes`, at the cost of other claims; returns
    * false if it must not grow.
