Open requests count in the account of what callers send

3,500 bodies that stop after 60 of 70 KB took a gate with 250 MB to 235 MB and once over 250: the account held its 50 MB, and the connections with their requests took 80 MB beside it.

Each open claim takes 16 KiB of the limit now, so that less room is left for bodies the more requests are open; no request within its 8 KiB is refused for it.

--- a/packages/core/src/connection-reader.test.ts
+++ b/packages/core/src/connection-reader.test.ts
@@ -41,7 +41,7 @@
   const readNow = () => performance.now();
   if (hasReader)
     readConnections(server, {
-      account: new MemoryAccount({limitBytes, readNow}),
+      account: new MemoryAccount({limitBytes, openBytes: 0, readNow}),
       readMaxHeadBytes: () => MAX_HEAD_BYTES,
       mayContinue: () => true,
     });
--- a/packages/core/src/memory-account.test.ts
+++ b/packages/core/src/memory-account.test.ts
@@ -15,6 +15,7 @@
   readonly evicted: string[] = [];
   readonly account = new MemoryAccount({
     limitBytes: LIMIT_BYTES,
+    openBytes: 0,
     readNow: () => this.now,
   });
 
@@ -80,6 +81,25 @@
     bed.open('other', 'b', 240_000);
   });
 
+  it('leaves less room the more requests are open, and none is refused for it', () => {
+    // Guards against memory that grows with the connections beside the account.
+    const readNow = () => 0;
+    const account = new MemoryAccount({
+      limitBytes: LIMIT_BYTES,
+      openBytes: 10_000,
+      readNow,
+    });
+    const open = () => account.open('a', {onGiveUp: () => undefined});
+    const large = open();
+    expect(large.setBytes(700_000)).toEqual(true);
+    const others = Array.from({length: 200}, open);
+    for (const claim of others)
+      expect(claim.setBytes(FREE_BYTES)).toEqual(true);
+    expect(large.setBytes(700_001)).toEqual(false);
+    for (const claim of others) claim.release();
+    expect(large.setBytes(700_001)).toEqual(true);
+  });
+
   it('takes nothing more for a request that was refused', () => {
     // Guards against bodies that are held for callers which have been answered.
     const bed = new AccountBed();
--- a/packages/core/src/memory-account.ts
+++ b/packages/core/src/memory-account.ts
@@ -9,6 +9,9 @@
  */
 const FREE_BYTES = 8 * 1024;
 
+/** Memory of an open request and its connection beside its bytes, in bytes. */
+const OPEN_REQUEST_BYTES = 16 * 1024;
+
 /** Time without progress after which an unfinished request is given up first, in ms. */
 const STALLED_MS = 1000;
 
@@ -33,6 +36,12 @@
 /** Options of {@link MemoryAccount}. */
 export interface MemoryAccountOptions {
   readonly limitBytes: number;
+  /**
+   * What each open claim takes of the limit, in bytes; no claim is refused for it.
+   *
+   * @default 16 KiB
+   */
+  readonly openBytes?: number;
   /** Monotonic clock, in ms. */
   readonly readNow: () => number;
 }
@@ -196,7 +205,8 @@
   }
 
   private isRoomFor(claim: MemoryClaim, bytes: number): boolean {
-    const {limitBytes} = this.options;
+    const {openBytes = OPEN_REQUEST_BYTES} = this.options;
+    const limitBytes = this.limitBytes - this.claims.size * openBytes;
     const added = bytes - claim.chargedBytes;
     const held = this.held + added;
     if (held <= limitBytes * (1 - KEPT_SHARE)) return true;
