--- a/packages/core/src/chunk-coalescer.ts
+++ b/packages/core/src/chunk-coalescer.ts
@@ -56,7 +56,8 @@
   | 'data-line-end'
   | 'trailer-begin'
   | 'trailer-line'
-  | 'last-line-end';
+  | 'last-line-end'
+  | 'ended';
 
 let scratch = Buffer.allocUnsafeSlow(64 * 1024 + SIZE_ROOM + END_ROOM);
 
@@ -100,9 +101,8 @@
     let outAt = SIZE_ROOM;
     let at = 0;
     let fault: ChunkFault | undefined;
-    let isEnded = false;
     const {length} = bytes;
-    while (at < length && fault === undefined && !isEnded) {
+    while (at < length && fault === undefined && this.state !== 'ended') {
       if (this.state === 'data') {
         const end = Math.min(length, at + this.size);
         const count = end - at;
@@ -128,57 +128,13 @@
           fault = 'HPE_HEADER_OVERFLOW';
         continue;
       }
-      const byte = bytes[at++];
-      switch (this.state) {
-        case 'size': {
-          const digit = toHexValue(byte);
-          if (digit >= 0) {
-            this.size = this.size * 16 + digit;
-            if (++this.digits > MAX_SIZE_DIGITS)
-              fault = 'HPE_INVALID_CHUNK_SIZE';
-            break;
-          }
-          if (this.digits === 0) fault = 'HPE_INVALID_CHUNK_SIZE';
-          else if (byte === CR) this.state = 'size-end';
-          else if (byte === SEMICOLON || byte === SPACE || byte === TAB)
-            this.state = 'extension';
-          else fault = 'HPE_INVALID_CHUNK_SIZE';
-          break;
-        }
-        case 'extension':
-          if (byte === CR) this.state = 'size-end';
-          else if (byte === LF) fault = 'HPE_STRICT';
-          else if (!this.countExtension())
-            fault = 'HPE_CHUNK_EXTENSIONS_OVERFLOW';
-          break;
-        case 'size-end':
-          if (byte !== LF) fault = 'HPE_STRICT';
-          else this.state = this.size === 0 ? 'trailer-begin' : 'data';
-          this.digits = 0;
-          this.extensionBytes = 0;
-          break;
-        case 'data-end':
-          if (byte === CR) this.state = 'data-line-end';
-          else fault = 'HPE_STRICT';
-          break;
-        case 'data-line-end':
-          if (byte === LF) this.state = 'size';
-          else fault = 'HPE_STRICT';
-          break;
-        case 'trailer-begin':
-          if (byte === CR) {
-            this.state = 'last-line-end';
-            break;
-          }
-          at--;
-          this.state = 'trailer-line';
-          break;
-        case 'last-line-end':
-          if (byte === LF) isEnded = true;
-          else fault = 'HPE_STRICT';
-          break;
+      if (this.state === 'trailer-begin' && bytes[at] !== CR) {
+        this.state = 'trailer-line';
+        continue;
       }
+      fault = this.step(bytes[at++]);
     }
+    const isEnded = this.state === 'ended';
     return {
       framed: renderChunk(out, outAt, isEnded),
       used: at,
@@ -187,6 +143,59 @@
     };
   }
 
+  /** Takes a byte that is no data; returns why it can't be there. */
+  private step(byte: number): ChunkFault | undefined {
+    switch (this.state) {
+      case 'size':
+        return this.stepSize(byte);
+      case 'extension':
+        if (byte === CR) this.state = 'size-end';
+        else if (byte === LF) return 'HPE_STRICT';
+        else if (!this.countExtension()) return 'HPE_CHUNK_EXTENSIONS_OVERFLOW';
+        return undefined;
+      case 'size-end':
+        this.digits = 0;
+        this.extensionBytes = 0;
+        return this.stepTo(
+          byte === LF,
+          this.size === 0 ? 'trailer-begin' : 'data',
+        );
+      case 'data-end':
+        return this.stepTo(byte === CR, 'data-line-end');
+      case 'data-line-end':
+        return this.stepTo(byte === LF, 'size');
+      case 'trailer-begin':
+        return this.stepTo(byte === CR, 'last-line-end');
+      default:
+        return this.stepTo(byte === LF, 'ended');
+    }
+  }
+
+  private stepTo(
+    isExpected: boolean,
+    state: ChunkState,
+  ): ChunkFault | undefined {
+    if (!isExpected) return 'HPE_STRICT';
+    this.state = state;
+    return undefined;
+  }
+
+  private stepSize(byte: number): ChunkFault | undefined {
+    const digit = toHexValue(byte);
+    if (digit >= 0) {
+      this.size = this.size * 16 + digit;
+      return ++this.digits > MAX_SIZE_DIGITS
+        ? 'HPE_INVALID_CHUNK_SIZE'
+        : undefined;
+    }
+    if (this.digits === 0) return 'HPE_INVALID_CHUNK_SIZE';
+    if (byte === CR) this.state = 'size-end';
+    else if (byte === SEMICOLON || byte === SPACE || byte === TAB)
+      this.state = 'extension';
+    else return 'HPE_INVALID_CHUNK_SIZE';
+    return undefined;
+  }
+
   /** Counts a byte of an extension; returns false if there are too many. */
   private countExtension(): boolean {
     this.extensionsBytes++;
--- a/packages/gate/src/api/receive-caller-body.ts
+++ b/packages/gate/src/api/receive-caller-body.ts
@@ -17,7 +17,6 @@
 import {sendRefusal} from './results.js';
 import type {IncomingMessage, ServerResponse} from 'node:http';
 import type {Account, MemoryClaim} from '@nutmeggauge/core';
-import type {Refusal} from '../admission/limits.js';
 import type {HandlerContext} from './handler-context.js';
 
 const log = createLogger('api');
@@ -62,6 +61,104 @@
     : account.deadlineMs;
 }
 
+/** Body of one request while it arrives. */
+class ArrivingBody {
+  private readonly claim: MemoryClaim;
+  private readonly body: HeldBody;
+  private readonly headBytes: number;
+  private readonly timeout: ReadTimeout;
+  private isRefused = false;
+
+  constructor(
+    private readonly context: HandlerContext,
+    private readonly head: AuthenticatedHead,
+  ) {
+    const {req, res, account} = head;
+    this.headBytes = measureHead(req.rawHeaders);
+    this.claim = context.callerMemory.open(account.id, {
+      onGiveUp: () => this.refuseForMemory(),
+    });
+    res.once('close', () => this.claim.release());
+    this.body = new HeldBody({
+      maxBytes: MAX_BODY_BYTES,
+      announcedBytes: readAnnouncedBytes(req.headers),
+      headBytes: this.headBytes,
+      claim: this.claim,
+    });
+    this.timeout = new ReadTimeout(
+      () => this.refuseUnavailable('body_too_late', LATE_RETRY_MS),
+      readDeadlineMs(req.headers, account),
+    );
+  }
+
+  /** Resolves with the whole body; undefined if the request was answered. */
+  async receive(): Promise<Buffer | undefined> {
+    const {req} = this.head;
+    if (isBodyTooLarge(req)) this.refuseLarge();
+    else if (!this.claim.setBytes(this.headBytes)) this.refuseForMemory();
+    if (this.isRefused) return undefined;
+    try {
+      const {bytes, fault} = await receiveBody(req, this.body);
+      if (fault === 'too_large') this.refuseLarge();
+      if (fault === 'no_room') this.refuseForMemory();
+      return this.isRefused ? undefined : bytes;
+    } catch {
+      // The caller disconnected while sending its body: nothing runs, and no
+      // answer is sent.
+      this.context.counters.add('api.caller_left');
+      return undefined;
+    } finally {
+      this.timeout.stop();
+    }
+  }
+
+  private refuseLarge(): void {
+    const {res, requestId} = this.head;
+    this.refuse(() => {
+      this.context.counters.add('api.bad_request');
+      const error = renderError('bad_request', 'body_too_large', requestId);
+      sendJson(res, 413, error);
+    });
+  }
+
+  private refuseForMemory(): void {
+    const {callerMemory} = this.context;
+    const {owner, isGivenUp} = this.claim;
+    log.warn('memory_refused', {
+      requestId: this.head.requestId,
+      account: owner,
+      isGivenUp,
+      accountBytes: callerMemory.countHeld(owner),
+      heldBytes: callerMemory.heldBytes,
+      limitBytes: callerMemory.limitBytes,
+    });
+    this.refuseUnavailable('no_memory', NO_MEMORY_RETRY_MS);
+  }
+
+  private refuseUnavailable(
+    reason: 'no_memory' | 'body_too_late',
+    retryAfterMs: number,
+  ): void {
+    const {res, requestId} = this.head;
+    this.refuse(() => {
+      this.context.counters.add(`admission.${reason}`);
+      sendRefusal(res, {status: 503, reason, retryAfterMs}, requestId);
+    });
+  }
+
+  /** Sends an answer unless there is one, and drops what is held. */
+  private refuse(send: () => void): void {
+    const {req, res} = this.head;
+    this.timeout.stop();
+    this.body.drop();
+    this.claim.release();
+    if (this.isRefused || res.headersSent || res.destroyed) return;
+    this.isRefused = true;
+    send();
+    dropHead(req);
+  }
+}
+
 /**
  * Resolves with the whole body, which is charged until the answer has been sent;
  * undefined if the request was answered, or its caller has left.
@@ -69,86 +166,9 @@
  * @example
  * const bytes = await receiveCallerBody(context, {req, res, requestId, account});
  */
-export async function receiveCallerBody(
+export function receiveCallerBody(
   context: HandlerContext,
   head: AuthenticatedHead,
 ): Promise<Buffer | undefined> {
-  const {req, res, requestId, account} = head;
-  let isRefused = false;
-  const refuse = (send: () => void) => {
-    timeout.stop();
-    body.drop();
-    claim.release();
-    if (isRefused || res.headersSent || res.destroyed) return;
-    isRefused = true;
-    send();
-    dropHead(req);
-  };
-  const refuseLarge = () => {
-    context.counters.add('api.bad_request');
-    const error = renderError('bad_request', 'body_too_large', requestId);
-    sendJson(res, 413, error);
-  };
-  const sendUnavailable = (refusal: Refusal) => {
-    context.counters.add(`admission.${refusal.reason}`);
-    sendRefusal(res, refusal, requestId);
-  };
-  const refuseForMemory = () => {
-    recordNoMemory(context, requestId, claim);
-    const retryAfterMs = NO_MEMORY_RETRY_MS;
-    sendUnavailable({status: 503, reason: 'no_memory', retryAfterMs});
-  };
-  const refuseLate = () =>
-    sendUnavailable({
-      status: 503,
-      reason: 'body_too_late',
-      retryAfterMs: LATE_RETRY_MS,
-    });
-  const claim: MemoryClaim = context.callerMemory.open(account.id, {
-    onGiveUp: () => refuse(refuseForMemory),
-  });
-  res.once('close', () => claim.release());
-  const headBytes = measureHead(req.rawHeaders);
-  const body = new HeldBody({
-    maxBytes: MAX_BODY_BYTES,
-    announcedBytes: readAnnouncedBytes(req.headers),
-    headBytes,
-    claim,
-  });
-  const timeout = new ReadTimeout(
-    () => refuse(refuseLate),
-    readDeadlineMs(req.headers, account),
-  );
-  if (isBodyTooLarge(req)) refuse(refuseLarge);
-  else if (!claim.setBytes(headBytes)) refuse(refuseForMemory);
-  if (isRefused) return undefined;
-  try {
-    const {bytes, fault} = await receiveBody(req, body);
-    if (isRefused) return undefined;
-    if (fault !== undefined)
-      refuse(fault === 'too_large' ? refuseLarge : refuseForMemory);
-    return bytes;
-  } catch {
-    // The caller disconnected while sending its body: nothing runs, and no
-    // answer is sent.
-    context.counters.add('api.caller_left');
-    return undefined;
-  } finally {
-    timeout.stop();
-  }
-}
-
-function recordNoMemory(
-  {callerMemory}: HandlerContext,
-  requestId: string,
-  claim: MemoryClaim,
-): void {
-  log.warn('memory_refused', {
-    requestId,
-    account: claim.owner,
-    isGivenUp: claim.isGivenUp,
-    accountBytes: callerMemory.countHeld(claim.owner),
-    heldBytes: callerMemory.heldBytes,
-    limitBytes: callerMemory.limitBytes,
-  });
+  return new ArrivingBody(context, head).receive();
 }
