Checks and the administration are read ahead of the parser too

Change: the readiness, metrics and administration ports have the reader, with turns of their own; a head that it refuses where nobody listens for unreadable requests loses its connection.

--- a/packages/core/src/connection-reader.ts
+++ b/packages/core/src/connection-reader.ts
@@ -221,7 +221,12 @@
   private refuse(code: string): void {
     this.stop();
     const error = Object.assign(new Error(`request not read: ${code}`), {code});
-    this.context.server.emit('clientError', error, this.socket);
+    const isHandled = this.context.server.emit(
+      'clientError',
+      error,
+      this.socket,
+    );
+    if (!isHandled) this.socket.destroy();
   }
 }
 
--- a/packages/direct/src/gate.ts
+++ b/packages/direct/src/gate.ts
@@ -80,7 +80,6 @@
   ) {
     const {state, readNow, health, tracker} = this;
     const {log} = dependencies;
-    this.status = new StatusServer(log);
     this.turns = new TurnMonitor({
       readNow,
       onSlowTurn: turn => log.warn('slow_turn', formatSlowTurn(turn)),
@@ -179,6 +178,7 @@
       counters: this.counters,
       readNow,
     });
+    this.status = new StatusServer(log, this.context.callerMemory);
     this.ingress = createIngress(this.context, this.shedder);
     tracker.onRemove(() => this.context.queues.advance());
     this.observeChanges();
--- a/packages/gate/src/admin/admin-api.ts
+++ b/packages/gate/src/admin/admin-api.ts
@@ -4,10 +4,11 @@
  * an operator publishes it. The API is read-only: operators change the system
  * by publishing records.
  */
-import {createServer} from 'node:http';
+import {createServer, maxHeaderSize} from 'node:http';
 import {
   ConfigRecordError,
   openListener,
+  readConnections,
   readJsonBody,
   readPath,
   readPort,
@@ -20,6 +21,7 @@
   ConfigRecord,
   Counters,
   LatencyHistogram,
+  MemoryAccount,
   ListenAddress,
 } from '@nutmeggauge/core';
 import type {AccountLimits} from '../admission/limits.js';
@@ -32,6 +34,8 @@
   readonly counters: Counters;
   readonly ttft: LatencyHistogram;
   readonly limits: AccountLimits;
+  /** What callers make the gate hold. */
+  readonly callerMemory: MemoryAccount;
   readonly membership: Membership;
   readonly readRecord: () => ConfigRecord | undefined;
   readonly isDraining: () => boolean;
@@ -61,7 +65,13 @@
     this.serve(req, res).catch(() => res.destroy());
   });
 
-  constructor(private readonly options: AdminApiOptions) {}
+  constructor(private readonly options: AdminApiOptions) {
+    readConnections(this.server, {
+      account: options.context.callerMemory,
+      readMaxHeadBytes: () => maxHeaderSize,
+      mayContinue: () => true,
+    });
+  }
 
   /** The bound port, after `start`. */
   get port(): number {
