Empty lines before a head are read in one piece; an open request counts 32 KiB

And 16 KiB for an open request is less than it takes.

Change: a head begins with its first byte that is no line end; what comes before counts against its limit (431). An open request takes 32 KiB of the account.

--- a/packages/core/src/connection-reader.test.ts
+++ b/packages/core/src/connection-reader.test.ts
@@ -105,6 +105,12 @@
     '431',
     'HPE_HEADER_OVERFLOW',
   ],
+  [
+    'empty lines without end',
+    '\r\n'.repeat(20_000),
+    '431',
+    'HPE_HEADER_OVERFLOW',
+  ],
   [
     'a head above the limit',
     `GET / HTTP/1.1\r\n${'X: abcdef\r\n'.repeat(2000)}`,
--- a/packages/core/src/connection-reader.ts
+++ b/packages/core/src/connection-reader.ts
@@ -68,6 +68,8 @@
   /** Whether the last byte began a new line. */
   private isAtLineBegin = false;
   private hasHeadEnded = false;
+  /** Whether the head has begun: empty lines may come before it. */
+  private hasHeadBegun = false;
   /** Bytes and lines of the head that has not ended. */
   private headBytes = 0;
   private headLines = 0;
@@ -184,17 +186,20 @@
     while (at < bytes.length) {
       if (this.isAtLineBegin && bytes[at] === CR) {
         at++;
+        this.headBytes++;
         continue;
       }
-      if (this.isAtLineBegin && bytes[at] === LF) {
+      if (this.isAtLineBegin && this.hasHeadBegun && bytes[at] === LF) {
         this.isAtLineBegin = false;
+        this.hasHeadBegun = false;
         this.hasHeadEnded = true;
         return at + 1;
       }
+      if (bytes[at] !== CR && bytes[at] !== LF) this.hasHeadBegun = true;
       const lineEnd = bytes.indexOf(LF, at);
       this.isAtLineBegin = lineEnd !== -1;
       const next = lineEnd === -1 ? bytes.length : lineEnd + 1;
-      if (lineEnd !== -1) this.headLines++;
+      if (lineEnd !== -1 && this.hasHeadBegun) this.headLines++;
       this.headBytes += next - at;
       at = next;
     }
--- a/packages/core/src/memory-account.ts
+++ b/packages/core/src/memory-account.ts
@@ -10,7 +10,7 @@
 const FREE_BYTES = 8 * 1024;
 
 /** Memory of an open request and its connection beside its bytes, in bytes. */
-const OPEN_REQUEST_BYTES = 16 * 1024;
+const OPEN_REQUEST_BYTES = 32 * 1024;
 
 /** Time without progress after which an unfinished request is given up first, in ms. */
 const STALLED_MS = 1000;
@@ -39,7 +39,7 @@
   /**
    * What each open claim takes of the limit, in bytes; no claim is refused for it.
    *
-   * @default 16 KiB
+   * @default 32 KiB
    */
   readonly openBytes?: number;
   /** Monotonic clock, in ms. */
