--- a/review/common-2/harness.mjs
+++ b/review/common-2/harness.mjs
@@ -689,6 +689,16 @@
   const stopAll = async () => {
     for (const part of parts.reverse()) await part.stop();
   };
+  // An error of a stand-in, or the end of the script, must leave no process behind.
+  const giveUp = reason => {
+    record.add(`could not run: ${reason?.stack ?? reason}`);
+    for (const part of parts) part.child?.kill('SIGKILL');
+    process.exit(2);
+  };
+  process.on('uncaughtException', giveUp);
+  process.on('unhandledRejection', giveUp);
+  for (const name of ['SIGTERM', 'SIGINT', 'SIGHUP'])
+    process.on(name, () => giveUp(name));
   let status = 2;
   let timer;
   const limit = new Promise((_, reject) => {
